--- /dev/null
+++ b/source/protocol/framecodec.cpp
@@ -0,0 +1,424 @@
+#include "protocol/framecodec.h"
+
+#include "core/common/hashing.h"
+#include "protocol/generated/wire_types.h"
+
+#include <memory>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace greengageseam {
+
+namespace {
+
+using apache::thrift::TConfiguration;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr int maxNesting = 8;
+constexpr unsigned byteBits = 8;
+constexpr unsigned byteMask = 0xff;
+
+std::int64_t toWire(Offset offset)
+{
+    return static_cast<std::int64_t>(offset.value);
+}
+
+Offset toOffset(std::int64_t value)
+{
+    return Offset {static_cast<std::uint64_t>(value)};
+}
+
+std::string_view digitsOf(const Digest &digest)
+{
+    return digest.text();
+}
+
+/** Digests travel as 32 bytes, which is half of their text. */
+std::string packDigest(const Digest &digest)
+{
+    std::string packed;
+    const std::string_view digits = digitsOf(digest);
+    const auto nibble = [](char c) {
+        return static_cast<unsigned>(c <= '9' ? c - '0' : c - 'a' + 10);
+    };
+    for (std::size_t i = 0; i + 1 < digits.size(); i += 2) {
+        packed.push_back(static_cast<char>(nibble(digits[i]) << 4U | nibble(digits[i + 1])));
+    }
+    return packed;
+}
+
+Digest unpackDigest(const std::string &packed)
+{
+    static constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    for (const char c : packed) {
+        const auto byte = static_cast<unsigned char>(c);
+        text.push_back(digits[byte >> 4U]);
+        text.push_back(digits[byte & 0x0fU]);
+    }
+    return Digest(std::move(text));
+}
+
+std::vector<std::string> packDigests(const std::vector<Digest> &digests)
+{
+    std::vector<std::string> packed;
+    packed.reserve(digests.size());
+    for (const Digest &digest : digests) {
+        packed.push_back(packDigest(digest));
+    }
+    return packed;
+}
+
+std::vector<Digest> unpackDigests(const std::vector<std::string> &packed)
+{
+    std::vector<Digest> digests;
+    digests.reserve(packed.size());
+    for (const std::string &bytes : packed) {
+        digests.push_back(unpackDigest(bytes));
+    }
+    return digests;
+}
+
+wire::HeartbeatBody toWire(const Heartbeat &heartbeat)
+{
+    wire::HeartbeatBody body;
+    body.instance = heartbeat.instance.text();
+    body.zone = heartbeat.zone.text();
+    body.peerAddress = heartbeat.peerAddress.text();
+    body.kind = static_cast<std::int32_t>(heartbeat.kind);
+    body.serviceName = heartbeat.service.text();
+    body.incarnation = toWire(heartbeat.incarnation);
+    body.sequence = static_cast<std::int64_t>(heartbeat.sequence);
+    body.startedAt = heartbeat.startedAt.time_since_epoch().count();
+    body.draining = heartbeat.isDraining;
+    body.serving = packDigests(heartbeat.serving);
+    body.holding = packDigests(heartbeat.holding);
+    body.slots = static_cast<std::int32_t>(heartbeat.slots);
+    body.inFlight = static_cast<std::int32_t>(heartbeat.inFlight);
+    body.queued = static_cast<std::int32_t>(heartbeat.queued);
+    body.appliedConfig = toWire(heartbeat.appliedConfig);
+    body.tableDigest = packDigest(heartbeat.tableDigest);
+    body.originBytes = static_cast<std::int64_t>(heartbeat.originBytes);
+    body.trouble = heartbeat.trouble;
+    return body;
+}
+
+Heartbeat fromWire(const wire::HeartbeatBody &body)
+{
+    Heartbeat heartbeat;
+    heartbeat.instance = InstanceId(body.instance);
+    heartbeat.zone = ZoneName(body.zone);
+    heartbeat.peerAddress = Address(body.peerAddress);
+    heartbeat.kind = body.kind == 0 ? BackendKind::Engine : BackendKind::Service;
+    heartbeat.service = ServiceName(body.serviceName);
+    heartbeat.incarnation = toOffset(body.incarnation);
+    heartbeat.sequence = static_cast<std::uint64_t>(body.sequence);
+    heartbeat.startedAt = WallTime(Duration(body.startedAt));
+    heartbeat.isDraining = body.draining;
+    heartbeat.serving = unpackDigests(body.serving);
+    heartbeat.holding = unpackDigests(body.holding);
+    heartbeat.slots = static_cast<std::uint32_t>(body.slots);
+    heartbeat.inFlight = static_cast<std::uint32_t>(body.inFlight);
+    heartbeat.queued = static_cast<std::uint32_t>(body.queued);
+    heartbeat.appliedConfig = toOffset(body.appliedConfig);
+    heartbeat.tableDigest = unpackDigest(body.tableDigest);
+    heartbeat.originBytes = static_cast<std::uint64_t>(body.originBytes);
+    heartbeat.trouble = body.trouble;
+    return heartbeat;
+}
+
+Ran ranNamed(const std::string &name)
+{
+    if (name == textOf(Ran::No)) {
+        return Ran::No;
+    }
+    return name == textOf(Ran::Yes) ? Ran::Yes : Ran::Unknown;
+}
+
+/** Puts each kind of message into its field of the wire's union. */
+class BodyWriter
+{
+public:
+    explicit BodyWriter(wire::Body &body) : m_body(body) { }
+
+    void operator()(const HelloMessage &message)
+    {
+        wire::Hello hello;
+        hello.protocolVersion = message.version;
+        hello.role = message.role;
+        hello.instance = message.instance.text();
+        hello.zone = message.zone.text();
+        hello.nonce = message.nonce;
+        m_body.__set_hello(hello);
+    }
+
+    void operator()(const ProofMessage &message)
+    {
+        wire::Proof proof;
+        proof.mac = message.mac.text();
+        m_body.__set_proof(proof);
+    }
+
+    void operator()(const OpenMessage &message)
+    {
+        wire::Open open;
+        open.attempt = message.attempt.text();
+        open.request = message.request.text();
+        open.model = message.model.text();
+        open.manifest = message.manifest.text();
+        open.serviceName = message.service.text();
+        open.method = message.method;
+        open.path = message.path;
+        open.contentType = message.contentType;
+        open.body = message.body;
+        open.timeLeft = message.timeLeft.count();
+        open.priority = message.priority;
+        open.window = message.window;
+        open.claimOffset = toWire(message.claim);
+        open.incarnation = toWire(message.incarnation);
+        m_body.__set_open(open);
+    }
+
+    void operator()(const HeadMessage &message)
+    {
+        wire::Head head;
+        head.status = message.status;
+        head.contentType = message.contentType;
+        m_body.__set_head(head);
+    }
+
+    void operator()(const DataMessage &message)
+    {
+        wire::Data data;
+        data.bytes = message.bytes;
+        m_body.__set_data(data);
+    }
+
+    void operator()(const EndMessage &message)
+    {
+        wire::End end;
+        end.length = message.length;
+        end.checksum = static_cast<std::int64_t>(message.checksum);
+        m_body.__set_answerEnd(end);
+    }
+
+    void operator()(const FailedMessage &message)
+    {
+        wire::Failed failed;
+        failed.kind = std::string(answerFor(message.failure.kind).name);
+        failed.ran = std::string(textOf(message.ran));
+        failed.detail = message.failure.detail;
+        m_body.__set_failed(failed);
+    }
+
+    void operator()(const CreditMessage &message)
+    {
+        wire::Credit credit;
+        credit.bytes = message.bytes;
+        m_body.__set_credit(credit);
+    }
+
+    void operator()(const CancelMessage &message)
+    {
+        wire::Cancel cancel;
+        cancel.attempt = message.attempt.text();
+        m_body.__set_cancel(cancel);
+    }
+
+    void operator()(const CancelSeenMessage &message)
+    {
+        wire::CancelSeen seen;
+        seen.ran = std::string(textOf(message.ran));
+        m_body.__set_cancelSeen(seen);
+    }
+
+    void operator()(const HeartbeatMessage &message)
+    {
+        m_body.__set_heartbeat(toWire(message.heartbeat));
+    }
+
+    void operator()(const HeartbeatAckMessage &message)
+    {
+        wire::HeartbeatAck ack;
+        ack.sequence = static_cast<std::int64_t>(message.sequence);
+        for (const Heartbeat &neighbour : message.neighbours) {
+            ack.neighbours.push_back(toWire(neighbour));
+        }
+        ack.drain = message.drain;
+        m_body.__set_heartbeatAck(ack);
+    }
+
+    void operator()(const ConfigPushMessage &message)
+    {
+        wire::ConfigPush push;
+        push.firstOffset = toWire(message.firstOffset);
+        push.records = message.records;
+        push.snapshot = message.snapshot;
+        m_body.__set_configPush(push);
+    }
+
+    void operator()(const ChunkWantedMessage &message)
+    {
+        wire::ChunkWanted wanted;
+        wanted.digest = packDigest(message.digest);
+        m_body.__set_chunkWanted(wanted);
+    }
+
+    void operator()(const ChunkPartMessage &message)
+    {
+        wire::ChunkPart part;
+        part.bytes = message.bytes;
+        part.last = message.isLast;
+        m_body.__set_chunkPart(part);
+    }
+
+private:
+    wire::Body &m_body;
+};
+
+Message openFromWire(const wire::Open &open)
+{
+    OpenMessage message;
+    message.attempt = AttemptId(open.attempt);
+    message.request = RequestId(open.request);
+    message.model = ModelName(open.model);
+    message.manifest = Digest(open.manifest);
+    message.service = ServiceName(open.serviceName);
+    message.method = open.method;
+    message.path = open.path;
+    message.contentType = open.contentType;
+    message.body = open.body;
+    message.timeLeft = Duration(open.timeLeft);
+    message.priority = open.priority;
+    message.window = open.window;
+    message.claim = toOffset(open.claimOffset);
+    message.incarnation = toOffset(open.incarnation);
+    return message;
+}
+
+Message ackFromWire(const wire::HeartbeatAck &ack)
+{
+    HeartbeatAckMessage message;
+    message.sequence = static_cast<std::uint64_t>(ack.sequence);
+    for (const wire::HeartbeatBody &body : ack.neighbours) {
+        message.neighbours.push_back(fromWire(body));
+    }
+    message.drain = ack.drain;
+    return message;
+}
+
+Result<Message> fromWire(const wire::Body &body)
+{
+    const auto &isset = body.__isset;
+    if (isset.hello) {
+        return HelloMessage {body.hello.protocolVersion, body.hello.role,
+                             InstanceId(body.hello.instance), ZoneName(body.hello.zone),
+                             body.hello.nonce};
+    }
+    if (isset.proof) {
+        return ProofMessage {Digest(body.proof.mac)};
+    }
+    if (isset.open) {
+        return openFromWire(body.open);
+    }
+    if (isset.head) {
+        return HeadMessage {body.head.status, body.head.contentType};
+    }
+    if (isset.data) {
+        return DataMessage {body.data.bytes};
+    }
+    if (isset.answerEnd) {
+        return EndMessage {body.answerEnd.length,
+                           static_cast<std::uint64_t>(body.answerEnd.checksum)};
+    }
+    if (isset.failed) {
+        return FailedMessage {{errorKindNamed(body.failed.kind), body.failed.detail},
+                              ranNamed(body.failed.ran)};
+    }
+    if (isset.credit) {
+        return CreditMessage {body.credit.bytes};
+    }
+    if (isset.cancel) {
+        return CancelMessage {AttemptId(body.cancel.attempt)};
+    }
+    if (isset.cancelSeen) {
+        return CancelSeenMessage {ranNamed(body.cancelSeen.ran)};
+    }
+    if (isset.heartbeat) {
+        return HeartbeatMessage {fromWire(body.heartbeat)};
+    }
+    if (isset.heartbeatAck) {
+        return ackFromWire(body.heartbeatAck);
+    }
+    if (isset.configPush) {
+        return ConfigPushMessage {toOffset(body.configPush.firstOffset), body.configPush.records,
+                                  body.configPush.snapshot};
+    }
+    if (isset.chunkWanted) {
+        return ChunkWantedMessage {unpackDigest(body.chunkWanted.digest)};
+    }
+    if (isset.chunkPart) {
+        return ChunkPartMessage {body.chunkPart.bytes, body.chunkPart.last};
+    }
+    return fail(ErrorKind::ProtocolViolation, "a frame holds no message that is known here");
+}
+
+std::shared_ptr<TConfiguration> limitedConfiguration()
+{
+    return std::make_shared<TConfiguration>(static_cast<int>(maxFrameBytes),
+                                            static_cast<int>(maxFrameBytes), maxNesting);
+}
+
+} // namespace
+
+std::string encodeFrame(const StreamMessage &message)
+{
+    wire::Frame frame;
+    frame.stream = message.stream;
+    std::visit(BodyWriter(frame.body), message.message);
+    frame.__isset.body = true;
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    frame.write(&protocol);
+    const std::string bytes = buffer->getBufferAsString();
+    std::string framed;
+    framed.reserve(frameHeaderBytes + bytes.size());
+    for (std::size_t i = frameHeaderBytes; i > 0; --i) {
+        framed.push_back(static_cast<char>(bytes.size() >> (byteBits * (i - 1)) & byteMask));
+    }
+    return framed + bytes;
+}
+
+Result<std::size_t> frameLength(const FrameHeader &header)
+{
+    std::size_t n = 0;
+    for (const unsigned char byte : header) {
+        n = n << byteBits | byte;
+    }
+    if (n == 0 || n > maxFrameBytes) {
+        return fail(ErrorKind::ProtocolViolation,
+                    "a frame of " + std::to_string(n) + " bytes; allowed is 1 to "
+                            + std::to_string(maxFrameBytes));
+    }
+    return n;
+}
+
+Result<StreamMessage> decodeFrame(std::string_view bytes)
+{
+    const auto buffer = std::make_shared<TMemoryBuffer>(limitedConfiguration());
+    buffer->resetBuffer(reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data())),
+                        static_cast<std::uint32_t>(bytes.size()));
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    wire::Frame frame;
+    try {
+        frame.read(&protocol);
+    } catch (const std::exception &e) {
+        return fail(ErrorKind::ProtocolViolation,
+                    std::string("a frame cannot be read: ") + e.what());
+    }
+    BOOST_LEAF_AUTO(message, fromWire(frame.body));
+    return StreamMessage {frame.stream, std::move(message)};
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/protocol/messages.h
@@ -0,0 +1,194 @@
+/**
+ * Messages between the system's own processes, as values that tasks pass to each other.
+ */
+#pragma once
+
+#include "core/common/common.h"
+#include "core/membership/roster.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace greengageseam {
+
+/** Version of the protocol; peers with another one are refused in the hello. */
+constexpr std::int32_t protocolVersion = 1;
+
+/** Number of a stream within a link; stream 0 belongs to the link itself. */
+using StreamId = std::int64_t;
+
+/** First message of both sides of a link. */
+struct HelloMessage
+{
+    std::int32_t version = protocolVersion;
+    std::string role;
+    InstanceId instance;
+    ZoneName zone;
+    /** Random text that the other side has to answer with a proof. */
+    std::string nonce;
+
+    auto operator<=>(const HelloMessage &) const = default;
+};
+
+/** Shows that the sender knows the shared secret. */
+struct ProofMessage
+{
+    Digest mac;
+
+    auto operator<=>(const ProofMessage &) const = default;
+};
+
+/** Hands one attempt to run a request to an agent. */
+struct OpenMessage
+{
+    AttemptId attempt;
+    RequestId request;
+    ModelName model;
+    /** Version that has to serve the request; empty for a plain service. */
+    Digest manifest;
+    /** Plain service; empty for a model. */
+    ServiceName service;
+    std::string method;
+    std::string path;
+    std::string contentType;
+    std::string body;
+    /** Time until the caller's deadline. */
+    Duration timeLeft {};
+    std::int32_t priority = 1;
+    /** Bytes that the receiver may send before it gets credit. */
+    std::int64_t window = 0;
+    /** Offset of the claim of a call that must not be repeated; 0 without one. */
+    Offset claim;
+    /** Incarnation of the agent that the attempt is meant for; 0 means any. */
+    Offset incarnation;
+
+    auto operator<=>(const OpenMessage &) const = default;
+};
+
+/** The backend server's answer begins. */
+struct HeadMessage
+{
+    std::int32_t status = 0;
+    std::string contentType;
+
+    auto operator<=>(const HeadMessage &) const = default;
+};
+
+/** Part of an answer. */
+struct DataMessage
+{
+    std::string bytes;
+
+    auto operator<=>(const DataMessage &) const = default;
+};
+
+/** The whole answer was sent; an answer without this mark is broken off. */
+struct EndMessage
+{
+    std::int64_t length = 0;
+    std::uint64_t checksum = 0;
+
+    auto operator<=>(const EndMessage &) const = default;
+};
+
+/** The attempt failed. */
+struct FailedMessage
+{
+    Failure failure;
+    /** Whether the call ran; may say more than the failure's kind does. */
+    Ran ran = Ran::Unknown;
+
+    auto operator<=>(const FailedMessage &) const = default;
+};
+
+/** The receiver of a stream has room for so many more bytes. */
+struct CreditMessage
+{
+    std::int64_t bytes = 0;
+
+    auto operator<=>(const CreditMessage &) const = default;
+};
+
+/** The sender no longer wants the answer. An attempt that has not started then never will. */
+struct CancelMessage
+{
+    AttemptId attempt;
+
+    auto operator<=>(const CancelMessage &) const = default;
+};
+
+/** Answer to a cancel. */
+struct CancelSeenMessage
+{
+    /** Whether the attempt ran, as the agent's ledger says. */
+    Ran ran = Ran::Unknown;
+
+    auto operator<=>(const CancelSeenMessage &) const = default;
+};
+
+/** An agent tells of itself. */
+struct HeartbeatMessage
+{
+    Heartbeat heartbeat;
+
+    auto operator<=>(const HeartbeatMessage &) const = default;
+};
+
+/** Answer to a heartbeat. */
+struct HeartbeatAckMessage
+{
+    std::uint64_t sequence = 0;
+    /** The agents of the zone, as the entry sees them. */
+    std::vector<Heartbeat> neighbours;
+    /** Whether an operator wants the agent to drain. */
+    bool drain = false;
+
+    auto operator<=>(const HeartbeatAckMessage &) const = default;
+};
+
+/** Configuration for an agent, each record as the text that stands in the platform's log. */
+struct ConfigPushMessage
+{
+    Offset firstOffset;
+    std::vector<std::string> records;
+    /** A whole snapshot as text; empty if the records suffice. */
+    std::string snapshot;
+
+    auto operator<=>(const ConfigPushMessage &) const = default;
+};
+
+/** Asks a peer for a chunk of weights. */
+struct ChunkWantedMessage
+{
+    Digest digest;
+
+    auto operator<=>(const ChunkWantedMessage &) const = default;
+};
+
+/** Part of a chunk. */
+struct ChunkPartMessage
+{
+    std::string bytes;
+    bool isLast = false;
+
+    auto operator<=>(const ChunkPartMessage &) const = default;
+};
+
+/** Any message. */
+using Message = std::variant<HelloMessage, ProofMessage, OpenMessage, HeadMessage, DataMessage,
+                             EndMessage, FailedMessage, CreditMessage, CancelMessage,
+                             CancelSeenMessage, HeartbeatMessage, HeartbeatAckMessage,
+                             ConfigPushMessage, ChunkWantedMessage, ChunkPartMessage>;
+
+/** A message with the stream that it belongs to. */
+struct StreamMessage
+{
+    StreamId stream = 0;
+    Message message;
+
+    auto operator<=>(const StreamMessage &) const = default;
+};
+
+} // namespace greengageseam
