Add tasks round sockets: mailboxes, HTTP, links, platform and engine clients

Cause: sockets, timers and files belong round the core. Change: a task is a coroutine with a mailbox; a link multiplexes streams over one connection after both sides proved the shared secret.

--- /dev/null
+++ b/source/net/httpclient.cpp
@@ -0,0 +1,131 @@
+#include "net/httpclient.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+
+namespace greengageseam {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::size_t partBytes = 64 * 1024;
+
+std::string requestText(const Address &address, const HttpRequest &request)
+{
+    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+    text += "Host: " + address.text() + "\r\nConnection: close\r\n";
+    for (const HttpHeader &field : request.headers) {
+        text += field.name + ": " + field.value + "\r\n";
+    }
+    if (!request.body.empty() || request.method != "GET") {
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    }
+    return text + "\r\n" + request.body;
+}
+
+std::uint32_t parseSeconds(std::string_view text)
+{
+    std::uint32_t seconds = 0;
+    std::from_chars(text.data(), text.data() + text.size(), seconds);
+    return seconds;
+}
+
+} // namespace
+
+HttpCall::HttpCall(const asio::any_io_executor &executor) : m_stream(executor)
+{
+    m_parser.body_limit(boost::none);
+}
+
+Awaitable<Outcome<HttpAnswerHead>> HttpCall::start(const Address &address,
+                                                   const HttpRequest &request, Duration limit)
+{
+    const Outcome<asio::ip::tcp::endpoint> endpoint =
+            settle([&] { return parseEndpoint(address); });
+    if (const Failure *failure = failureOf(endpoint)) {
+        co_return *failure;
+    }
+    m_stream.expires_after(limit);
+    auto [connectError] =
+            co_await m_stream.async_connect(std::get<asio::ip::tcp::endpoint>(endpoint), asTuple);
+    if (connectError) {
+        co_return Failure {ErrorKind::NoBackendServer,
+                           address.text() + ": " + connectError.message()};
+    }
+    beast::error_code ignored;
+    m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_stream.expires_after(limit);
+    const std::string text = requestText(address, request);
+    auto [writeError, written] = co_await asio::async_write(m_stream, asio::buffer(text), asTuple);
+    if (writeError) {
+        co_return Failure {ErrorKind::OutcomeUnknown, address.text() + ": " + writeError.message()};
+    }
+    m_stream.expires_after(limit);
+    auto [readError, n] = co_await http::async_read_header(m_stream, m_buf, m_parser, asTuple);
+    if (readError) {
+        co_return Failure {ErrorKind::OutcomeUnknown, address.text() + ": " + readError.message()};
+    }
+    const auto &head = m_parser.get();
+    const auto retryAfter = head[http::field::retry_after];
+    co_return HttpAnswerHead {static_cast<int>(head.result_int()),
+                              std::string(head[http::field::content_type]),
+                              parseSeconds({retryAfter.data(), retryAfter.size()})};
+}
+
+Awaitable<Outcome<HttpPart>> HttpCall::readPart(Duration limit)
+{
+    if (m_parser.is_done()) {
+        co_return HttpPart {std::string(), true};
+    }
+    std::string bytes(partBytes, '\0');
+    auto &body = m_parser.get().body();
+    body.data = bytes.data();
+    body.size = bytes.size();
+    m_stream.expires_after(limit);
+    auto [ec, n] = co_await http::async_read_some(m_stream, m_buf, m_parser, asTuple);
+    if (ec && ec != http::error::need_buffer) {
+        co_return Failure {ErrorKind::AnswerBroken, ec.message()};
+    }
+    bytes.resize(bytes.size() - body.size);
+    co_return HttpPart {std::move(bytes), m_parser.is_done()};
+}
+
+void HttpCall::abort()
+{
+    m_stream.close();
+}
+
+Awaitable<Outcome<HttpResponse>> callHttp(const asio::any_io_executor &executor,
+                                          const Address &address, const HttpRequest &request,
+                                          Duration limit, std::size_t maxBytes)
+{
+    HttpCall call(executor);
+    const Outcome<HttpAnswerHead> started = co_await call.start(address, request, limit);
+    if (const Failure *failure = failureOf(started)) {
+        co_return *failure;
+    }
+    const auto &head = std::get<HttpAnswerHead>(started);
+    HttpResponse response {head.status, head.contentType, {}, {}};
+    if (head.retryAfterSeconds > 0) {
+        response.headers.push_back({"Retry-After", std::to_string(head.retryAfterSeconds)});
+    }
+    while (true) {
+        const Outcome<HttpPart> part = co_await call.readPart(limit);
+        if (const Failure *failure = failureOf(part)) {
+            co_return *failure;
+        }
+        response.body += std::get<HttpPart>(part).bytes;
+        if (response.body.size() > maxBytes) {
+            co_return Failure {ErrorKind::TooLarge, address.text() + ": the answer is too large"};
+        }
+        if (std::get<HttpPart>(part).isLast) {
+            co_return response;
+        }
+    }
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/net/peerlink.cpp
@@ -0,0 +1,399 @@
+#include "net/peerlink.h"
+
+#include "core/common/hashing.h"
+#include "net/clock.h"
+#include "protocol/framecodec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+namespace greengageseam {
+
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr std::size_t commandCapacity = 4096;
+constexpr auto greetingLimit = std::chrono::seconds(3);
+constexpr auto writeLimit = std::chrono::seconds(15);
+constexpr auto acceptPause = std::chrono::milliseconds(20);
+constexpr int nonceWords = 4;
+
+/** Which end of a link a process is; part of the proof, so that a proof can't be sent back. */
+enum class LinkEnd { Dialer, Acceptor };
+
+using TcpStream = std::shared_ptr<beast::tcp_stream>;
+
+std::string makeNonce()
+{
+    std::string nonce;
+    for (int i = 0; i < nonceWords; ++i) {
+        nonce += std::to_string(randomNumber()) + ".";
+    }
+    return nonce;
+}
+
+Digest proofOf(const std::string &secret, const HelloMessage &own, const std::string &peerNonce,
+               LinkEnd end)
+{
+    const std::string text = std::string(end == LinkEnd::Dialer ? "dial" : "accept") + "\n"
+            + own.role + "\n" + own.instance.text() + "\n" + own.zone.text() + "\n" + own.nonce
+            + "\n" + peerNonce;
+    return keyedDigestOf(secret, text);
+}
+
+Awaitable<bool> writeFrame(const TcpStream &stream, StreamMessage message)
+{
+    const std::string bytes = encodeFrame(message);
+    auto [ec, n] = co_await asio::async_write(*stream, asio::buffer(bytes), asTuple);
+    co_return !ec;
+}
+
+Awaitable<Outcome<StreamMessage>> readFrame(const TcpStream &stream)
+{
+    FrameHeader header {};
+    auto [headerError, headerBytes] =
+            co_await asio::async_read(stream->socket(), asio::buffer(header), asTuple);
+    if (headerError) {
+        co_return Failure {ErrorKind::AnswerBroken, headerError.message()};
+    }
+    const Outcome<std::size_t> length = settle([&] { return frameLength(header); });
+    if (const Failure *failure = failureOf(length)) {
+        co_return *failure;
+    }
+    std::string bytes(std::get<std::size_t>(length), '\0');
+    auto [bodyError, bodyBytes] =
+            co_await asio::async_read(stream->socket(), asio::buffer(bytes), asTuple);
+    if (bodyError) {
+        co_return Failure {ErrorKind::AnswerBroken, bodyError.message()};
+    }
+    co_return settle([&] { return decodeFrame(bytes); });
+}
+
+/** Reads a frame that has to hold a certain message. */
+template <typename Wanted>
+Awaitable<Outcome<Wanted>> readGreeting(const TcpStream &stream)
+{
+    Outcome<StreamMessage> frame = co_await readFrame(stream);
+    if (const Failure *failure = failureOf(frame)) {
+        co_return *failure;
+    }
+    auto *wanted = std::get_if<Wanted>(&std::get<StreamMessage>(frame).message);
+    if (wanted == nullptr) {
+        co_return Failure {ErrorKind::ProtocolViolation, "the greeting is out of order"};
+    }
+    co_return std::move(*wanted);
+}
+
+Awaitable<Outcome<HelloMessage>> exchangeGreetings(const TcpStream &stream,
+                                                   const PeerIdentity &identity, LinkEnd end)
+{
+    const HelloMessage own {protocolVersion, identity.role, identity.instance, identity.zone,
+                            makeNonce()};
+    StreamMessage hello {0, own};
+    if (!co_await writeFrame(stream, hello)) {
+        co_return Failure {ErrorKind::AnswerBroken, "the greeting could not be sent"};
+    }
+    Outcome<HelloMessage> greeting = co_await readGreeting<HelloMessage>(stream);
+    if (const Failure *failure = failureOf(greeting)) {
+        co_return *failure;
+    }
+    const HelloMessage peer = std::get<HelloMessage>(greeting);
+    if (peer.version != protocolVersion) {
+        co_return Failure {ErrorKind::ProtocolViolation,
+                           "the peer speaks version " + std::to_string(peer.version)};
+    }
+    StreamMessage proof {0, ProofMessage {proofOf(identity.secret, own, peer.nonce, end)}};
+    if (!co_await writeFrame(stream, proof)) {
+        co_return Failure {ErrorKind::AnswerBroken, "the proof could not be sent"};
+    }
+    const Outcome<ProofMessage> answer = co_await readGreeting<ProofMessage>(stream);
+    if (const Failure *failure = failureOf(answer)) {
+        co_return *failure;
+    }
+    const LinkEnd other = end == LinkEnd::Dialer ? LinkEnd::Acceptor : LinkEnd::Dialer;
+    const Digest expected = proofOf(identity.secret, peer, own.nonce, other);
+    if (!equalInConstantTime(expected.text(), std::get<ProofMessage>(answer).mac.text())) {
+        co_return Failure {ErrorKind::Unauthenticated, "the peer does not know the secret"};
+    }
+    co_return peer;
+}
+
+/** The greeting with a time limit; the stream is closed when the limit passes. */
+Awaitable<Outcome<HelloMessage>> greet(TcpStream stream, const PeerIdentity &identity, LinkEnd end,
+                                       Duration limit)
+{
+    using namespace asio::experimental::awaitable_operators;
+    asio::steady_timer timer(stream->get_executor(), limit);
+    auto first = co_await (exchangeGreetings(stream, identity, end) || timer.async_wait(asTuple));
+    if (first.index() == 0) {
+        co_return std::get<0>(std::move(first));
+    }
+    co_return Failure {ErrorKind::DeadlineExceeded, "the greeting took too long"};
+}
+
+/** The task of one link: it alone touches the socket and the table of streams. */
+class LinkTask : public std::enable_shared_from_this<LinkTask>
+{
+public:
+    LinkTask(TcpStream stream, PeerLinkHandle handle, MailboxPtr<LinkCommand> commands,
+             LinkHooks hooks, Log log)
+        : m_stream(std::move(stream)), m_handle(std::move(handle)), m_commands(std::move(commands)),
+          m_hooks(std::move(hooks)), m_log(std::move(log))
+    { }
+
+    void start()
+    {
+        const auto executor = m_stream->get_executor();
+        asio::co_spawn(
+                executor, [self = shared_from_this()] { return self->readLoop(); }, asio::detached);
+        asio::co_spawn(
+                executor, [self = shared_from_this()] { return self->commandLoop(); },
+                asio::detached);
+    }
+
+private:
+    Awaitable<void> readLoop()
+    {
+        while (!m_isEnded) {
+            Outcome<StreamMessage> frame = co_await readFrame(m_stream);
+            if (const Failure *failure = failureOf(frame)) {
+                end(failure->detail);
+                co_return;
+            }
+            deliver(std::move(std::get<StreamMessage>(frame)));
+        }
+    }
+
+    void deliver(StreamMessage message)
+    {
+        const auto it = m_streams.find(message.stream);
+        if (it == m_streams.end()) {
+            m_hooks.receive(m_handle, std::move(message));
+            return;
+        }
+        if (!it->second->post(StreamEvent(std::move(message.message)))) {
+            end("the peer sent more than it had credit for");
+        }
+    }
+
+    Awaitable<void> commandLoop()
+    {
+        while (!m_isEnded) {
+            std::optional<LinkCommand> command = co_await m_commands->receive();
+            if (!command || m_isEnded) {
+                break;
+            }
+            const auto *send = std::get_if<SendOnLink>(&*command);
+            if (send == nullptr) {
+                apply(*command);
+                continue;
+            }
+            std::string bytes = encodeFrame(send->message);
+            co_await write(std::move(bytes));
+        }
+        end("the link is closed");
+    }
+
+    Awaitable<void> write(std::string bytes)
+    {
+        m_stream->expires_after(writeLimit);
+        auto [ec, n] = co_await asio::async_write(*m_stream, asio::buffer(bytes), asTuple);
+        m_stream->expires_never();
+        if (ec) {
+            end("the peer cannot be written to");
+        }
+    }
+
+    void apply(const LinkCommand &command)
+    {
+        if (const auto *listen = std::get_if<ListenOnLink>(&command)) {
+            m_streams.insert_or_assign(listen->stream, listen->mailbox);
+        } else if (const auto *forget = std::get_if<ForgetStream>(&command)) {
+            m_streams.erase(forget->stream);
+        } else if (const auto *close = std::get_if<CloseLink>(&command)) {
+            end(close->reason);
+        }
+    }
+
+    void end(const std::string &reason)
+    {
+        if (m_isEnded) {
+            return;
+        }
+        m_isEnded = true;
+        m_log.debug("link.ended", {{"peer", m_handle.peer().instance.text()}, {"reason", reason}});
+        m_stream->close();
+        m_commands->close();
+        const LinkClosed closed {reason};
+        dropCommands(closed);
+        for (const auto &[stream, mailbox] : m_streams) {
+            mailbox->post(StreamEvent(closed));
+            mailbox->close();
+        }
+        m_streams.clear();
+        m_hooks.ended(m_handle, closed);
+    }
+
+    /** Streams that were about to be listened to hear of the end as well. */
+    void dropCommands(const LinkClosed &closed)
+    {
+        asio::co_spawn(
+                m_stream->get_executor(),
+                [self = shared_from_this(), closed] { return self->drainCommands(closed); },
+                asio::detached);
+    }
+
+    Awaitable<void> drainCommands(LinkClosed closed)
+    {
+        while (std::optional<LinkCommand> command = co_await m_commands->receive()) {
+            if (const auto *listen = std::get_if<ListenOnLink>(&*command)) {
+                listen->mailbox->post(StreamEvent(closed));
+                listen->mailbox->close();
+            }
+        }
+    }
+
+    TcpStream m_stream;
+    PeerLinkHandle m_handle;
+    MailboxPtr<LinkCommand> m_commands;
+    LinkHooks m_hooks;
+    Log m_log;
+    std::map<StreamId, MailboxPtr<StreamEvent>> m_streams;
+    bool m_isEnded = false;
+};
+
+PeerLinkHandle startLink(TcpStream stream, const HelloMessage &peer, const LinkHooks &hooks,
+                         const Log &log)
+{
+    const auto commands = makeMailbox<LinkCommand>(stream->get_executor(), commandCapacity);
+    PeerLinkHandle handle(peer, commands);
+    std::make_shared<LinkTask>(std::move(stream), handle, commands, hooks, log)->start();
+    return handle;
+}
+
+void setNoDelay(beast::tcp_stream &stream)
+{
+    beast::error_code ec;
+    stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+}
+
+/** The greeting of an accepted connection, and its link. */
+Awaitable<void> welcome(TcpStream stream, PeerIdentity identity, LinkHooks hooks, Log log)
+{
+    setNoDelay(*stream);
+    const Outcome<HelloMessage> peer =
+            co_await greet(stream, identity, LinkEnd::Acceptor, greetingLimit);
+    if (const Failure *failure = failureOf(peer)) {
+        log.warning("link.refused", {{"reason", failure->detail}});
+        co_return;
+    }
+    startLink(std::move(stream), std::get<HelloMessage>(peer), hooks, log);
+}
+
+} // namespace
+
+PeerLinkHandle::PeerLinkHandle(HelloMessage peer, MailboxPtr<LinkCommand> commands)
+    : m_peer(std::move(peer)), m_commands(std::move(commands)),
+      m_lastStream(std::make_shared<StreamId>(0))
+{ }
+
+StreamId PeerLinkHandle::nextStream() const
+{
+    return ++*m_lastStream;
+}
+
+bool PeerLinkHandle::listen(StreamId stream, const MailboxPtr<StreamEvent> &mailbox) const
+{
+    return m_commands->post(ListenOnLink {stream, mailbox});
+}
+
+bool PeerLinkHandle::post(StreamId stream, Message message) const
+{
+    return m_commands->post(SendOnLink {{stream, std::move(message)}});
+}
+
+Awaitable<bool> PeerLinkHandle::send(StreamId stream, Message message) const
+{
+    LinkCommand command = SendOnLink {{stream, std::move(message)}};
+    co_return co_await m_commands->send(std::move(command));
+}
+
+void PeerLinkHandle::forget(StreamId stream) const
+{
+    m_commands->post(ForgetStream {stream});
+}
+
+void PeerLinkHandle::close(std::string reason) const
+{
+    m_commands->post(CloseLink {std::move(reason)});
+}
+
+Awaitable<Outcome<PeerLinkHandle>> dialPeer(const asio::any_io_executor &executor,
+                                            const Address &address, const PeerIdentity &identity,
+                                            LinkHooks hooks, Duration limit, Log log)
+{
+    const Outcome<asio::ip::tcp::endpoint> endpoint =
+            settle([&] { return parseEndpoint(address); });
+    if (const Failure *failure = failureOf(endpoint)) {
+        co_return *failure;
+    }
+    auto stream = std::make_shared<beast::tcp_stream>(executor);
+    stream->expires_after(limit);
+    auto [ec] =
+            co_await stream->async_connect(std::get<asio::ip::tcp::endpoint>(endpoint), asTuple);
+    stream->expires_never();
+    if (ec) {
+        co_return Failure {ErrorKind::NoBackendServer, address.text() + ": " + ec.message()};
+    }
+    setNoDelay(*stream);
+    const Outcome<HelloMessage> peer = co_await greet(stream, identity, LinkEnd::Dialer, limit);
+    if (const Failure *failure = failureOf(peer)) {
+        co_return *failure;
+    }
+    co_return startLink(std::move(stream), std::get<HelloMessage>(peer), hooks, log);
+}
+
+PeerListener::PeerListener(const asio::any_io_executor &executor, PeerIdentity identity,
+                           LinkHooks hooks, Log log)
+    : m_executor(executor), m_identity(std::move(identity)), m_hooks(std::move(hooks)),
+      m_log(std::move(log)), m_acceptor(executor)
+{ }
+
+Result<Address> PeerListener::listen(const Address &address)
+{
+    BOOST_LEAF_CHECK(openAcceptor(m_acceptor, address));
+    return addressOf(m_acceptor.local_endpoint());
+}
+
+void PeerListener::start()
+{
+    asio::co_spawn(
+            m_executor, [self = shared_from_this()] { return self->acceptLoop(); }, asio::detached);
+}
+
+void PeerListener::stop()
+{
+    beast::error_code ec;
+    m_acceptor.close(ec);
+}
+
+Awaitable<void> PeerListener::acceptLoop()
+{
+    asio::steady_timer pause(m_executor);
+    while (m_acceptor.is_open()) {
+        auto [ec, socket] = co_await m_acceptor.async_accept(asTuple);
+        if (ec) {
+            pause.expires_after(acceptPause);
+            co_await pause.async_wait(asTuple);
+            continue;
+        }
+        auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+        asio::co_spawn(m_executor, welcome(std::move(stream), m_identity, m_hooks, m_log),
+                       asio::detached);
+    }
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/net/peerlink.h
@@ -0,0 +1,149 @@
+/**
+ * Links between processes of this system: frames over one connection, many streams at a time.
+ */
+#pragma once
+
+#include "net/endpoint.h"
+#include "net/log.h"
+#include "net/mailbox.h"
+#include "protocol/messages.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace greengageseam {
+
+/** What a process says of itself in its hello, and the secret by which it is believed. */
+struct PeerIdentity
+{
+    std::string role;
+    InstanceId instance;
+    ZoneName zone;
+    /** Secret that all processes of one deployment share. */
+    std::string secret;
+
+    auto operator<=>(const PeerIdentity &) const = default;
+};
+
+/** Why a link has ended, for those who wait on its streams. */
+struct LinkClosed
+{
+    std::string reason;
+
+    auto operator<=>(const LinkClosed &) const = default;
+};
+
+/** What the owner of a stream gets: a message of the peer, or the news that the link has ended. */
+using StreamEvent = std::variant<Message, LinkClosed>;
+
+/** Sends a message on a stream. */
+struct SendOnLink
+{
+    StreamMessage message;
+};
+
+/** From now on the stream's messages go to this mailbox. */
+struct ListenOnLink
+{
+    StreamId stream = 0;
+    MailboxPtr<StreamEvent> mailbox;
+};
+
+/** Nobody waits for the stream's messages any more; late ones are dropped. */
+struct ForgetStream
+{
+    StreamId stream = 0;
+};
+
+/** Ends the link. */
+struct CloseLink
+{
+    std::string reason;
+};
+
+/** Messages to the task of a link. */
+using LinkCommand = std::variant<SendOnLink, ListenOnLink, ForgetStream, CloseLink>;
+
+/** Address of a link's task. Copies speak to the same link. */
+class PeerLinkHandle
+{
+public:
+    PeerLinkHandle() = default;
+    PeerLinkHandle(HelloMessage peer, MailboxPtr<LinkCommand> commands);
+
+    /** @returns what the peer said of itself, proved by the secret */
+    const HelloMessage &peer() const { return m_peer; }
+
+    /** @returns a number for a new stream, which the other side does not use */
+    StreamId nextStream() const;
+    /** Lets a stream's messages go to a mailbox. @returns false if the link has ended */
+    bool listen(StreamId stream, const MailboxPtr<StreamEvent> &mailbox) const;
+    /** Sends without waiting. @returns false if the link has ended or is full */
+    bool post(StreamId stream, Message message) const;
+    /** Sends, and waits for room. @returns false if the link has ended */
+    Awaitable<bool> send(StreamId stream, Message message) const;
+    /** Drops what still comes on a stream. */
+    void forget(StreamId stream) const;
+    /** Ends the link. */
+    void close(std::string reason) const;
+    /** @returns whether there is a link behind this handle */
+    explicit operator bool() const { return m_commands != nullptr; }
+
+private:
+    HelloMessage m_peer;
+    MailboxPtr<LinkCommand> m_commands;
+    std::shared_ptr<StreamId> m_lastStream;
+};
+
+/** Hook for messages on streams that nobody listens to: the first message of a stream, or stream 0.
+ */
+using LinkReceiver = std::function<void(const PeerLinkHandle &link, StreamMessage message)>;
+/** Hook that is told when the link has ended. */
+using LinkEnded = std::function<void(const PeerLinkHandle &link, const LinkClosed &closed)>;
+
+/** What the owner of a link wants to hear of it. */
+struct LinkHooks
+{
+    LinkReceiver receive;
+    LinkEnded ended;
+};
+
+/**
+ * Connects to a peer, proves who both are, and starts the link's task.
+ * @param limit time for the connection and the greeting together
+ * @returns the handle, or NoBackendServer, Unauthenticated or ProtocolViolation
+ */
+Awaitable<Outcome<PeerLinkHandle>> dialPeer(const asio::any_io_executor &executor,
+                                            const Address &address, const PeerIdentity &identity,
+                                            LinkHooks hooks, Duration limit, Log log);
+
+/** Accepts links of peers; each link is a task of its own. */
+class PeerListener : public std::enable_shared_from_this<PeerListener>
+{
+public:
+    PeerListener(const asio::any_io_executor &executor, PeerIdentity identity, LinkHooks hooks,
+                 Log log);
+
+    /** Opens the listening socket. @returns the address with the port that was bound */
+    Result<Address> listen(const Address &address);
+    /** Starts to accept links. */
+    void start();
+    /** Accepts no more links; those there are go on. */
+    void stop();
+
+private:
+    Awaitable<void> acceptLoop();
+
+    asio::any_io_executor m_executor;
+    PeerIdentity m_identity;
+    LinkHooks m_hooks;
+    Log m_log;
+    asio::ip::tcp::acceptor m_acceptor;
+};
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/platform/listclient.cpp
@@ -0,0 +1,58 @@
+#include "platform/listclient.h"
+
+#include "net/httpclient.h"
+#include "protocol/jsontext.h"
+
+namespace greengageseam {
+
+namespace {
+
+constexpr std::size_t maxListBytes = 16U * 1024 * 1024;
+constexpr int statusOk = 200;
+
+using List = std::vector<ListedInstance>;
+
+Result<List> parseList(const std::string &text)
+{
+    BOOST_LEAF_AUTO(object, parseObject(text));
+    BOOST_LEAF_AUTO(array, arrayMember(object, "instances"));
+    List list;
+    for (const boost::json::value &value : array) {
+        if (!value.is_object()) {
+            return fail(ErrorKind::CorruptData, "an instance of the list is not an object");
+        }
+        BOOST_LEAF_AUTO(id, stringMember(value.get_object(), "id"));
+        BOOST_LEAF_AUTO(zone, stringMember(value.get_object(), "zone"));
+        BOOST_LEAF_AUTO(state, stringMember(value.get_object(), "state"));
+        list.push_back({InstanceId(id), ZoneName(zone), state == "leaving"});
+    }
+    return list;
+}
+
+Awaitable<Outcome<List>> readList(asio::any_io_executor executor, Address address, Duration limit)
+{
+    const HttpRequest request {"GET", "/instances", {}, {}};
+    const Outcome<HttpResponse> answer =
+            co_await callHttp(executor, address, request, limit, maxListBytes);
+    if (const Failure *failure = failureOf(answer)) {
+        co_return Failure {ErrorKind::PlatformUnavailable, "the instance list: " + failure->detail};
+    }
+    const auto &response = std::get<HttpResponse>(answer);
+    if (response.status != statusOk) {
+        co_return Failure {ErrorKind::PlatformUnavailable,
+                           "the instance list answered " + std::to_string(response.status)};
+    }
+    co_return settle([&] { return parseList(response.body); });
+}
+
+} // namespace
+
+ReadInstanceList makeListReader(const asio::any_io_executor &executor, Address address,
+                                Duration limit)
+{
+    return [executor, address = std::move(address), limit] {
+        return readList(executor, address, limit);
+    };
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/platform/storeclient.h
@@ -0,0 +1,51 @@
+/**
+ * Client of the weight store, the origin of all weights.
+ */
+#pragma once
+
+#include "core/weights/weights.h"
+#include "net/mailbox.h"
+
+#include <functional>
+#include <string>
+
+namespace greengageseam {
+
+/** Hook that reads a chunk from the origin. @returns Overloaded while the origin limits its rate */
+using ReadOriginChunk = std::function<Awaitable<Outcome<std::string>>(Chunk chunk)>;
+/** Hook that reads a manifest from the origin. */
+using ReadOriginManifest = std::function<Awaitable<Outcome<Manifest>>(Digest digest)>;
+
+/** Speaks to the weight store over HTTP, and checks all that it gives. */
+class StoreClient
+{
+public:
+    /** @param limit time for one call */
+    StoreClient(const asio::any_io_executor &executor, Address address, Duration limit);
+
+    /** @returns the manifest; CorruptData if it does not match, NotFound if there is none */
+    Awaitable<Outcome<Manifest>> readManifest(Digest digest) const;
+    /** @returns the chunk's bytes; CorruptData if they do not match */
+    Awaitable<Outcome<std::string>> readChunk(Chunk chunk) const;
+    /** @returns whether the store has a chunk */
+    Awaitable<Outcome<bool>> hasChunk(Digest digest) const;
+    /** Stores a chunk. */
+    Awaitable<Settled> writeChunk(Digest digest, std::string bytes) const;
+    /** Stores a manifest under its digest. */
+    Awaitable<Settled> writeManifest(Manifest manifest) const;
+
+    /** @returns readChunk() as a hook */
+    ReadOriginChunk chunkReader() const;
+    /** @returns readManifest() as a hook */
+    ReadOriginManifest manifestReader() const;
+
+private:
+    Awaitable<Outcome<std::string>> get(std::string target, std::size_t maxBytes) const;
+    Awaitable<Settled> put(std::string target, std::string body) const;
+
+    asio::any_io_executor m_executor;
+    Address m_address;
+    Duration m_limit;
+};
+
+} // namespace greengageseam
