--- /dev/null
+++ b/source/agent/agent.cpp
@@ -0,0 +1,187 @@
+#include "agent/agent.h"
+
+#include "agent/agenthttp.h"
+#include "agent/peerchunks.h"
+#include "net/clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr auto platformLimit = std::chrono::seconds(5);
+constexpr auto chunkLimit = std::chrono::seconds(60);
+constexpr auto peerChunkLimit = std::chrono::seconds(5);
+constexpr auto orderLimit = std::chrono::seconds(5);
+constexpr auto registerPause = std::chrono::seconds(1);
+constexpr auto lastWords = std::chrono::milliseconds(200);
+
+} // namespace
+
+Agent::Agent(const asio::any_io_executor &executor, AgentSettings settings, Log log)
+    : m_executor(executor), m_settings(std::move(settings)), m_log(std::move(log)),
+      m_metrics(std::make_shared<Metrics>()),
+      m_logClient(executor, m_settings.logAddress, platformLimit)
+{ }
+
+Result<void> Agent::start()
+{
+    const PeerIdentity identity {"agent", m_settings.instance, m_settings.zone, m_settings.secret};
+    LinkHooks hooks;
+    hooks.receive = [this](const PeerLinkHandle &link, StreamMessage message) {
+        receive(link, std::move(message));
+    };
+    hooks.ended = [](const PeerLinkHandle &, const LinkClosed &) { };
+    m_listener = std::make_shared<PeerListener>(m_executor, identity, hooks, m_log);
+    BOOST_LEAF_ASSIGN(m_settings.peerAddress, m_listener->listen(m_settings.peerAddress));
+
+    std::vector<ConfigObserver> observers {[this](const ConfigView &view) { onConfig(view); }};
+    m_config = std::make_shared<ConfigKeeper>(m_executor, std::move(observers), m_log);
+
+    const GateOptions gateOptions {m_settings.backendAddress, m_settings.service};
+    m_gate = std::make_shared<Gate>(
+            m_executor, gateOptions, [this](const GateStatus &status) { onGate(status); },
+            m_metrics, m_log);
+
+    const StoreClient store(m_executor, m_settings.storeAddress, chunkLimit);
+    const WeightSources sources {store.manifestReader(), store.chunkReader(),
+                                 makePeerChunkReader(m_executor, identity, peerChunkLimit, m_log)};
+    m_weights = std::make_shared<WeightKeeper>(
+            m_executor, sources, [this](const WeightStatus &status) { onWeights(status); },
+            m_metrics, m_log);
+
+    EntryLinksHooks entryHooks;
+    entryHooks.neighbours = [this](const std::vector<Heartbeat> &neighbours) {
+        onNeighbours(neighbours);
+    };
+    entryHooks.drain = [gate = m_gate->mailbox()] { gate->post(DrainGate {}); };
+    m_entries = std::make_shared<EntryLinks>(m_executor, m_settings, m_config->mailbox(),
+                                             entryHooks, m_log);
+
+    m_placer = std::make_shared<Placer>(
+            m_executor, m_settings.instance, m_settings.zone,
+            [this](const std::set<Digest> &manifests) { onAssignment(manifests); });
+
+    HttpHandler handler =
+            makeAgentHandler(m_executor, m_weights->mailbox(), m_placer->mailbox(), m_metrics);
+    m_http = std::make_shared<HttpServer>(m_executor, HttpServerOptions(), handler, m_log);
+    BOOST_LEAF_ASSIGN(m_settings.httpAddress, m_http->listen(m_settings.httpAddress));
+
+    m_config->start();
+    m_gate->start();
+    m_placer->start();
+    if (m_settings.backendKind == BackendKind::Engine) {
+        startEngineTasks();
+    }
+    m_entries->start();
+    m_http->start();
+    m_listener->start();
+    m_log.info("agent.started",
+               {{"http", m_settings.httpAddress.text()}, {"peers", m_settings.peerAddress.text()}});
+    return {};
+}
+
+void Agent::startEngineTasks()
+{
+    const EngineClient client(m_executor, m_settings.backendAddress, orderLimit);
+    const EngineHooks hooks {client.stateReader(), client.orderGiver()};
+    m_engine = std::make_shared<EngineKeeper>(
+            m_executor, hooks, m_settings.httpAddress, m_settings.engineEvery, m_gate->mailbox(),
+            [entries = m_entries->mailbox()](const EngineState &state) { entries->post(state); },
+            m_log);
+    m_weights->start();
+    m_engine->start();
+    asio::co_spawn(
+            m_executor, [self = shared_from_this()] { return self->registerIncarnation(); },
+            asio::detached);
+}
+
+Awaitable<void> Agent::shutDown()
+{
+    m_log.info("agent.draining");
+    const auto reply = makeMailbox<Released>(m_executor, 1);
+    m_gate->mailbox()->post(DrainGate {reply});
+    co_await reply->receiveWithin(m_settings.drainLimit);
+    asio::steady_timer timer(m_executor, lastWords);
+    co_await timer.async_wait(asTuple);
+    m_listener->stop();
+    m_http->stop();
+    m_log.info("agent.stopped");
+}
+
+void Agent::receive(const PeerLinkHandle &link, StreamMessage message)
+{
+    if (auto *open = std::get_if<OpenMessage>(&message.message)) {
+        if (!m_gate->mailbox()->post(StartAttempt {std::move(*open), link, message.stream})) {
+            const Failure failure {ErrorKind::Overloaded, "the agent's queue is full"};
+            link.post(message.stream, FailedMessage {failure, Ran::No});
+        }
+    } else if (const auto *cancel = std::get_if<CancelMessage>(&message.message)) {
+        m_gate->mailbox()->post(CancelAttempt {cancel->attempt, link, message.stream});
+    } else if (const auto *wanted = std::get_if<ChunkWantedMessage>(&message.message)) {
+        m_weights->mailbox()->post(ChunkAsked {wanted->digest, link, message.stream});
+    }
+}
+
+void Agent::onConfig(const ConfigView &view)
+{
+    m_entries->mailbox()->post(ConfigInForce {view});
+    m_placer->mailbox()->post(view);
+}
+
+void Agent::onNeighbours(const std::vector<Heartbeat> &neighbours)
+{
+    std::vector<WeightPeer> peers;
+    for (const Heartbeat &neighbour : neighbours) {
+        if (neighbour.kind == BackendKind::Engine && neighbour.instance != m_settings.instance) {
+            peers.push_back(
+                    {neighbour.peerAddress, {neighbour.holding.begin(), neighbour.holding.end()}});
+        }
+    }
+    m_weights->mailbox()->post(PeersSeen {std::move(peers)});
+    m_placer->mailbox()->post(NeighboursSeen {neighbours});
+}
+
+void Agent::onAssignment(const std::set<Digest> &manifests)
+{
+    if (m_engine) {
+        m_weights->mailbox()->post(WantWeights {manifests});
+        m_engine->mailbox()->post(AssignVersions {manifests});
+    }
+}
+
+void Agent::onWeights(const WeightStatus &status)
+{
+    m_entries->mailbox()->post(status);
+    m_engine->mailbox()->post(WeightsHeld {status.holding});
+}
+
+void Agent::onGate(const GateStatus &status)
+{
+    m_entries->mailbox()->post(status);
+    m_placer->mailbox()->post(status);
+}
+
+Awaitable<void> Agent::registerIncarnation()
+{
+    const std::string text = boost::json::serialize(
+            boost::json::object {{"instance", m_settings.instance.text()},
+                                 {"startedAt", wallNow().time_since_epoch().count()}});
+    while (true) {
+        const Outcome<Offset> appended = co_await m_logClient.append(incarnationStream, text);
+        if (const auto *number = std::get_if<Offset>(&appended)) {
+            m_log.info("agent.incarnation", {{"number", number->value}});
+            m_engine->mailbox()->post(FenceGranted {*number});
+            m_gate->mailbox()->post(IncarnationKnown {*number});
+            m_entries->mailbox()->post(IncarnationKnown {*number});
+            co_return;
+        }
+        asio::steady_timer timer(m_executor, registerPause);
+        co_await timer.async_wait(asTuple);
+    }
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/agent/agent.h
@@ -0,0 +1,60 @@
+/**
+ * agent: the process in the slot of a backend server, the only gate to it.
+ *
+ * Tasks: EntryLinks (heartbeats and configuration), Gate (admission), an Attempt for each request
+ * in progress, WeightKeeper (weights), Placer (which versions belong here), EngineKeeper (orders),
+ * ConfigKeeper (the fold). This class only connects them.
+ */
+#pragma once
+
+#include "agent/agentsettings.h"
+#include "agent/enginekeeper.h"
+#include "agent/entrylinks.h"
+#include "agent/gate.h"
+#include "agent/placer.h"
+#include "agent/weightkeeper.h"
+#include "net/httpserver.h"
+#include "net/metrics.h"
+#include "platform/platform.h"
+
+#include <memory>
+
+namespace greengageseam {
+
+/** Builds the tasks of an agent and connects them by their mailboxes. */
+class Agent : public std::enable_shared_from_this<Agent>
+{
+public:
+    Agent(const asio::any_io_executor &executor, AgentSettings settings, Log log);
+
+    /** Opens the sockets and starts all tasks. @returns InvalidRequest if an address is taken */
+    Result<void> start();
+    /** Takes no new work, and returns when no request is in progress or the limit has passed. */
+    Awaitable<void> shutDown();
+
+private:
+    void receive(const PeerLinkHandle &link, StreamMessage message);
+    void onConfig(const ConfigView &view);
+    void onNeighbours(const std::vector<Heartbeat> &neighbours);
+    void onAssignment(const std::set<Digest> &manifests);
+    void onWeights(const WeightStatus &status);
+    void onGate(const GateStatus &status);
+    void startEngineTasks();
+    Awaitable<void> registerIncarnation();
+
+    asio::any_io_executor m_executor;
+    AgentSettings m_settings;
+    Log m_log;
+    std::shared_ptr<Metrics> m_metrics;
+    LogClient m_logClient;
+    std::shared_ptr<ConfigKeeper> m_config;
+    std::shared_ptr<Gate> m_gate;
+    std::shared_ptr<WeightKeeper> m_weights;
+    std::shared_ptr<EngineKeeper> m_engine;
+    std::shared_ptr<EntryLinks> m_entries;
+    std::shared_ptr<Placer> m_placer;
+    std::shared_ptr<HttpServer> m_http;
+    std::shared_ptr<PeerListener> m_listener;
+};
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/agent/attempt.cpp
@@ -0,0 +1,162 @@
+#include "agent/attempt.h"
+
+#include "core/common/hashing.h"
+#include "engine/engineclient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr int statusConflict = 409;
+constexpr int statusTooManyRequests = 429;
+constexpr int statusUnavailable = 503;
+
+} // namespace
+
+Attempt::Attempt(const asio::any_io_executor &executor, AttemptTarget target, OpenMessage open,
+                 PeerLinkHandle link, StreamId stream, MailboxPtr<StreamEvent> events,
+                 AttemptEndedHook ended, Log log)
+    : m_executor(executor), m_target(std::move(target)), m_open(std::move(open)),
+      m_link(std::move(link)), m_stream(stream), m_events(std::move(events)),
+      m_ended(std::move(ended)),
+      m_log(log.with({{"request", m_open.request.text()}, {"attempt", m_open.attempt.text()}})),
+      m_call(executor), m_creditArrived(executor), m_credit(m_open.window)
+{ }
+
+void Attempt::start()
+{
+    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->run(); }, asio::detached);
+    asio::co_spawn(
+            m_executor, [self = shared_from_this()] { return self->listenToEntry(); },
+            asio::detached);
+}
+
+Awaitable<void> Attempt::run()
+{
+    const Settled settled = co_await carry();
+    const Failure *failure = failureOf(settled);
+    if (failure != nullptr) {
+        m_log.debug("attempt.failed", {{"reason", failure->detail}});
+        FailedMessage failed {*failure, ranAfter(*failure)};
+        co_await m_link.send(m_stream, std::move(failed));
+    } else {
+        m_log.debug("attempt.done");
+    }
+    m_link.forget(m_stream);
+    m_events->close();
+    m_ended();
+}
+
+Awaitable<void> Attempt::listenToEntry()
+{
+    while (std::optional<StreamEvent> event = co_await m_events->receive()) {
+        const auto *message = std::get_if<Message>(&*event);
+        if (message == nullptr || std::holds_alternative<CancelMessage>(*message)) {
+            m_isCancelled = true;
+            m_call.abort();
+        } else if (const auto *credit = std::get_if<CreditMessage>(message)) {
+            m_credit += credit->bytes;
+        }
+        m_creditArrived.cancel();
+    }
+}
+
+Awaitable<Settled> Attempt::carry()
+{
+    const HttpRequest request = backendRequest();
+    const Outcome<HttpAnswerHead> head =
+            co_await m_call.start(m_target.backendAddress, request, m_open.timeLeft);
+    if (const Failure *failure = failureOf(head)) {
+        co_return *failure;
+    }
+    const auto &answer = std::get<HttpAnswerHead>(head);
+    if (std::optional<Failure> refusal = refusalOf(answer)) {
+        co_return *refusal;
+    }
+    HeadMessage message {answer.status, answer.contentType};
+    if (!co_await m_link.send(m_stream, std::move(message))) {
+        co_return Failure {ErrorKind::AnswerBroken, "the entry has gone"};
+    }
+    co_return co_await sendParts();
+}
+
+Awaitable<Settled> Attempt::sendParts()
+{
+    EndMessage end;
+    while (true) {
+        Outcome<HttpPart> read = co_await m_call.readPart(m_open.timeLeft);
+        if (const Failure *failure = failureOf(read)) {
+            co_return *failure;
+        }
+        auto &part = std::get<HttpPart>(read);
+        if (!part.bytes.empty()) {
+            if (!co_await waitForCredit()) {
+                co_return Failure {ErrorKind::AnswerBroken, "the attempt was cancelled"};
+            }
+            const auto n = static_cast<std::int64_t>(part.bytes.size());
+            m_credit -= n + partOverheadBytes;
+            end.length += n;
+            end.checksum = checksumOf(part.bytes, end.checksum);
+            DataMessage data {std::move(part.bytes)};
+            co_await m_link.send(m_stream, std::move(data));
+        }
+        if (part.isLast) {
+            break;
+        }
+    }
+    co_await m_link.send(m_stream, end);
+    co_return std::monostate();
+}
+
+/** Waits until the entry has room. @returns false if the attempt was cancelled */
+Awaitable<bool> Attempt::waitForCredit()
+{
+    while (m_credit <= 0 && !m_isCancelled) {
+        m_creditArrived.expires_after(m_open.timeLeft);
+        auto [ec] = co_await m_creditArrived.async_wait(asTuple);
+        if (!ec) {
+            co_return false;
+        }
+    }
+    co_return !m_isCancelled;
+}
+
+HttpRequest Attempt::backendRequest() const
+{
+    HttpRequest request {m_open.method, m_open.path, {}, m_open.body};
+    request.headers.push_back({"Content-Type", m_open.contentType});
+    request.headers.push_back({"X-Request-Id", m_open.request.text()});
+    request.headers.push_back({"X-Attempt-Id", m_open.attempt.text()});
+    if (m_target.service.isEmpty()) {
+        request.headers.push_back({manifestHeader, m_open.manifest.text()});
+        request.headers.push_back({"X-Priority", std::to_string(m_open.priority)});
+    }
+    return request;
+}
+
+/** Engines answer these before they run anything; a plain service's answers are the caller's. */
+std::optional<Failure> Attempt::refusalOf(const HttpAnswerHead &head) const
+{
+    if (!m_target.service.isEmpty()) {
+        return std::nullopt;
+    }
+    if (head.status == statusConflict) {
+        return Failure {ErrorKind::NoBackendServer, "the engine does not serve this version"};
+    }
+    if (head.status == statusTooManyRequests || head.status == statusUnavailable) {
+        return Failure {ErrorKind::Overloaded, "the engine is full"};
+    }
+    return std::nullopt;
+}
+
+Ran Attempt::ranAfter(const Failure &failure) const
+{
+    const bool isRefusal =
+            failure.kind == ErrorKind::NoBackendServer || failure.kind == ErrorKind::Overloaded;
+    return isRefusal ? Ran::No : Ran::Unknown;
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/agent/attempt.h
@@ -0,0 +1,67 @@
+/**
+ * One attempt: carries a request to the backend server and its answer back to the entry.
+ */
+#pragma once
+
+#include "net/httpclient.h"
+#include "net/log.h"
+#include "net/peerlink.h"
+
+#include <functional>
+#include <memory>
+
+namespace greengageseam {
+
+/** Bytes that each part of an answer costs beside its content, in the credit of a stream. */
+constexpr std::int64_t partOverheadBytes = 64;
+
+/** What an attempt is sent to. */
+struct AttemptTarget
+{
+    Address backendAddress;
+    /** Empty for an engine. */
+    ServiceName service;
+
+    auto operator<=>(const AttemptTarget &) const = default;
+};
+
+/** Hook that is told, once, that the attempt has ended. */
+using AttemptEndedHook = std::function<void()>;
+
+/** The task of one attempt. It owns the connection to the backend server. */
+class Attempt : public std::enable_shared_from_this<Attempt>
+{
+public:
+    Attempt(const asio::any_io_executor &executor, AttemptTarget target, OpenMessage open,
+            PeerLinkHandle link, StreamId stream, MailboxPtr<StreamEvent> events,
+            AttemptEndedHook ended, Log log);
+
+    /** Starts the task. */
+    void start();
+
+private:
+    Awaitable<void> run();
+    Awaitable<void> listenToEntry();
+    Awaitable<Settled> carry();
+    Awaitable<Settled> sendParts();
+    Awaitable<bool> waitForCredit();
+    HttpRequest backendRequest() const;
+    std::optional<Failure> refusalOf(const HttpAnswerHead &head) const;
+    Ran ranAfter(const Failure &failure) const;
+
+    asio::any_io_executor m_executor;
+    AttemptTarget m_target;
+    OpenMessage m_open;
+    PeerLinkHandle m_link;
+    StreamId m_stream;
+    MailboxPtr<StreamEvent> m_events;
+    AttemptEndedHook m_ended;
+    Log m_log;
+    HttpCall m_call;
+    /** Wakes the sender when credit comes. */
+    asio::steady_timer m_creditArrived;
+    std::int64_t m_credit;
+    bool m_isCancelled = false;
+};
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/agent/entrylinks.h
@@ -0,0 +1,105 @@
+/**
+ * The task that tells the zone's entries of this agent, and hears from them of the zone.
+ */
+#pragma once
+
+#include "agent/agentsettings.h"
+#include "agent/gate.h"
+#include "agent/weightkeeper.h"
+#include "core/config/config.h"
+#include "engine/engine.h"
+#include "net/log.h"
+#include "net/peerlink.h"
+#include "platform/configkeeper.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <variant>
+
+namespace greengageseam {
+
+/** The configuration in force changed. */
+struct ConfigInForce
+{
+    ConfigView view;
+};
+
+/** A link to an entry was made, or could not be. */
+struct EntryDialed
+{
+    Address address;
+    Outcome<PeerLinkHandle> link;
+};
+
+/** A link to an entry has ended. */
+struct EntryLost
+{
+    InstanceId entry;
+};
+
+/** An entry sent a message that belongs to no stream. */
+struct EntrySaid
+{
+    Message message;
+};
+
+/** Time for a heartbeat. */
+struct HeartbeatTick
+{ };
+
+/** Messages to the task. */
+using EntryLinksCommand =
+        std::variant<ConfigInForce, EntryDialed, EntryLost, EntrySaid, HeartbeatTick, GateStatus,
+                     WeightStatus, EngineState, IncarnationKnown>;
+
+/** Hook that is told of the agents of the zone; it must not wait. */
+using NeighbourObserver = std::function<void(const std::vector<Heartbeat> &neighbours)>;
+/** Hook that is told that an operator wants this agent to drain; it must not wait. */
+using DrainObserver = std::function<void()>;
+
+/** What the task passes on. */
+struct EntryLinksHooks
+{
+    NeighbourObserver neighbours;
+    DrainObserver drain;
+};
+
+/** Sends heartbeats to all entries of the zone. */
+class EntryLinks : public std::enable_shared_from_this<EntryLinks>
+{
+public:
+    EntryLinks(const asio::any_io_executor &executor, AgentSettings settings,
+               MailboxPtr<ConfigCommand> config, EntryLinksHooks hooks, Log log);
+
+    /** @returns where to send commands */
+    const MailboxPtr<EntryLinksCommand> &mailbox() const { return m_mailbox; }
+    /** Starts the task. */
+    void start();
+
+private:
+    Awaitable<void> run();
+    void apply(const ConfigInForce &command);
+    void apply(const EntryDialed &command);
+    void apply(const EntryLost &command);
+    void apply(const EntrySaid &command);
+    void apply(const HeartbeatTick &command);
+    void apply(const GateStatus &command);
+    void apply(const WeightStatus &command);
+    void apply(const EngineState &command);
+    void apply(const IncarnationKnown &command);
+    Awaitable<void> dial(Address address);
+    void beat();
+
+    asio::any_io_executor m_executor;
+    AgentSettings m_settings;
+    MailboxPtr<ConfigCommand> m_config;
+    EntryLinksHooks m_hooks;
+    Log m_log;
+    MailboxPtr<EntryLinksCommand> m_mailbox;
+    Heartbeat m_heartbeat;
+    /** Links by the address that was dialed; one without a link is being dialed. */
+    std::map<Address, PeerLinkHandle> m_links;
+};
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/agent/gate.cpp
@@ -0,0 +1,182 @@
+#include "agent/gate.h"
+
+#include "agent/attempt.h"
+#include "net/clock.h"
+#include "net/ticker.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr std::size_t mailboxCapacity = 8192;
+constexpr std::size_t streamCapacity = 4096;
+constexpr auto tickPeriod = std::chrono::seconds(1);
+
+} // namespace
+
+Gate::Gate(const asio::any_io_executor &executor, GateOptions options, GateObserver observer,
+           std::shared_ptr<Metrics> metrics, Log log)
+    : m_executor(executor), m_options(std::move(options)), m_observer(std::move(observer)),
+      m_metrics(std::move(metrics)), m_log(std::move(log)),
+      m_mailbox(makeMailbox<GateCommand>(executor, mailboxCapacity)),
+      m_ledger(m_options.rememberFor)
+{ }
+
+void Gate::start()
+{
+    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->run(); }, asio::detached);
+    startTicker(m_executor, tickPeriod, [mailbox = m_mailbox] {
+        mailbox->post(GateTick {});
+        return true;
+    });
+}
+
+Awaitable<void> Gate::run()
+{
+    while (std::optional<GateCommand> command = co_await m_mailbox->receive()) {
+        std::visit([this](const auto &message) { apply(message); }, *command);
+    }
+}
+
+void Gate::apply(const StartAttempt &command)
+{
+    if (const std::optional<Failure> failure = reasonToRefuse(command.open)) {
+        refuse(command, *failure, Ran::No);
+        return;
+    }
+    const StartVerdict verdict = m_ledger.start(command.open.attempt, monotonicNow());
+    if (verdict == StartVerdict::Cancelled) {
+        refuse(command, {ErrorKind::DuplicateAttempt, "the attempt was cancelled"}, Ran::No);
+        return;
+    }
+    if (verdict == StartVerdict::AlreadySeen) {
+        refuse(command, {ErrorKind::DuplicateAttempt, "the attempt has started before"},
+               Ran::Unknown);
+        return;
+    }
+    ++m_runningByManifest[command.open.manifest];
+    const auto events = makeMailbox<StreamEvent>(m_executor, streamCapacity);
+    command.link.listen(command.stream, events);
+    auto ended = [mailbox = m_mailbox, attempt = command.open.attempt,
+                  manifest = command.open.manifest] {
+        mailbox->post(AttemptEnded {attempt, manifest});
+    };
+    const AttemptTarget target {m_options.backendAddress, m_options.service};
+    std::make_shared<Attempt>(m_executor, target, command.open, command.link, command.stream,
+                              events, std::move(ended), m_log)
+            ->start();
+    publish();
+}
+
+void Gate::apply(const CancelAttempt &command)
+{
+    const AttemptPhase phase = m_ledger.cancel(command.attempt, monotonicNow());
+    const bool neverRan = phase == AttemptPhase::Unseen || phase == AttemptPhase::Tombstone;
+    command.link.post(command.stream, CancelSeenMessage {neverRan ? Ran::No : Ran::Unknown});
+}
+
+void Gate::apply(const AttemptEnded &command)
+{
+    m_ledger.end(command.attempt, monotonicNow());
+    const auto it = m_runningByManifest.find(command.manifest);
+    if (it != m_runningByManifest.end() && --it->second == 0) {
+        m_runningByManifest.erase(it);
+    }
+    answerReleases();
+    publish();
+}
+
+void Gate::apply(const EngineSeen &command)
+{
+    m_serving = std::set<Digest>(command.state.serving.begin(), command.state.serving.end());
+}
+
+void Gate::apply(const IncarnationKnown &command)
+{
+    m_incarnation = command.number;
+}
+
+void Gate::apply(const ReleaseVersion &command)
+{
+    m_released.insert(command.manifest);
+    m_waitingReleases.push_back(command);
+    answerReleases();
+}
+
+void Gate::apply(const ReopenVersion &command)
+{
+    m_released.erase(command.manifest);
+}
+
+void Gate::apply(const DrainGate &command)
+{
+    m_isDraining = true;
+    if (command.reply) {
+        m_waitingDrains.push_back(command);
+    }
+    answerReleases();
+    publish();
+}
+
+void Gate::apply(const GateTick &)
+{
+    m_ledger.expire(monotonicNow());
+}
+
+std::optional<Failure> Gate::reasonToRefuse(const OpenMessage &open) const
+{
+    if (m_isDraining) {
+        return Failure {ErrorKind::Draining, "the backend server is leaving"};
+    }
+    if (open.incarnation.value != 0 && open.incarnation != m_incarnation) {
+        return Failure {ErrorKind::NoBackendServer, "the attempt is meant for a predecessor"};
+    }
+    if (open.service != m_options.service) {
+        return Failure {ErrorKind::NoBackendServer, "the backend server is not this service"};
+    }
+    const bool isModel = m_options.service.isEmpty();
+    if (isModel && (!m_serving.contains(open.manifest) || m_released.contains(open.manifest))) {
+        return Failure {ErrorKind::NoBackendServer, "the engine does not serve this version"};
+    }
+    return std::nullopt;
+}
+
+void Gate::refuse(const StartAttempt &command, const Failure &failure, Ran ran)
+{
+    m_metrics->count("attempts_refused_total", "Attempts that the agent did not start",
+                     {{"kind", std::string(answerFor(failure.kind).name)}});
+    m_log.debug("attempt.refused",
+                {{"request", command.open.request.text()},
+                 {"attempt", command.open.attempt.text()},
+                 {"reason", failure.detail}});
+    command.link.post(command.stream, FailedMessage {failure, ran});
+}
+
+void Gate::answerReleases()
+{
+    std::erase_if(m_waitingReleases, [this](const ReleaseVersion &waiting) {
+        if (m_runningByManifest.contains(waiting.manifest)) {
+            return false;
+        }
+        waiting.reply->post(Released {});
+        return true;
+    });
+    if (m_ledger.running() > 0) {
+        return;
+    }
+    for (const DrainGate &waiting : m_waitingDrains) {
+        waiting.reply->post(Released {});
+    }
+    m_waitingDrains.clear();
+}
+
+void Gate::publish()
+{
+    m_metrics->set("attempts_running", "Attempts in progress", m_ledger.running());
+    m_observer({m_ledger.running(), m_isDraining});
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/agent/placer.h
@@ -0,0 +1,70 @@
+/**
+ * The task that works out which versions belong on this agent's engine, from the table and the
+ * zone.
+ */
+#pragma once
+
+#include "agent/enginekeeper.h"
+#include "agent/gate.h"
+#include "agent/weightkeeper.h"
+#include "core/placement/placement.h"
+#include "net/mailbox.h"
+#include "platform/configkeeper.h"
+
+#include <functional>
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace greengageseam {
+
+/** The agents of the zone, as an entry told them. */
+struct NeighboursSeen
+{
+    std::vector<Heartbeat> neighbours;
+};
+
+/** Asks whether the agent has a configuration in force and takes work. */
+struct ReadyAsked
+{
+    MailboxPtr<bool> reply;
+};
+
+/** Messages to the task. */
+using PlacerCommand = std::variant<ConfigView, NeighboursSeen, GateStatus, ReadyAsked>;
+
+/** Hook that is told which versions belong here; it must not wait. */
+using AssignmentObserver = std::function<void(const std::set<Digest> &manifests)>;
+
+/** Places versions anew whenever the table or the zone changes. */
+class Placer : public std::enable_shared_from_this<Placer>
+{
+public:
+    Placer(const asio::any_io_executor &executor, InstanceId instance, ZoneName zone,
+           AssignmentObserver observer);
+
+    /** @returns where to send commands */
+    const MailboxPtr<PlacerCommand> &mailbox() const { return m_mailbox; }
+    /** Starts the task. */
+    void start();
+
+private:
+    Awaitable<void> run();
+    void apply(const ConfigView &command);
+    void apply(const NeighboursSeen &command);
+    void apply(const GateStatus &command);
+    void apply(const ReadyAsked &command);
+    void place();
+
+    asio::any_io_executor m_executor;
+    InstanceId m_instance;
+    ZoneName m_zone;
+    AssignmentObserver m_observer;
+    MailboxPtr<PlacerCommand> m_mailbox;
+    std::shared_ptr<const ConfigState> m_state;
+    /** Invariant: empty until an entry told of the zone; then nothing is placed. */
+    std::vector<PlacementSite> m_sites;
+    bool m_isDraining = false;
+};
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/daemon/settings.cpp
@@ -0,0 +1,301 @@
+#include "daemon/settings.h"
+
+#include "core/common/hashing.h"
+#include "net/endpoint.h"
+
+#include <algorithm>
+#include <charconv>
+#include <docopt/docopt.h>
+#include <optional>
+
+namespace greengageseam {
+
+const std::string daemonUsage = R"(greengageseamd: routes requests to model-serving instances.
+
+Usage:
+  greengageseamd --role=<role> [options]
+  greengageseamd (-h | --help)
+  greengageseamd --version
+
+Each option can be given by an environment variable as well: --log-level by
+GREENGAGESEAM_LOG_LEVEL, and so on. A flag goes before its variable.
+
+Options:
+  --role=<role>               What the process is: entry or agent.
+  --instance=<name>           Name of this instance, unique in the deployment.
+  --zone=<name>               Availability zone of this instance.
+  --listen=<address>          HTTP address, as 10.0.0.1:8080.
+  --peer-listen=<address>     Address for other processes of the system.
+  --secret=<text>             Secret that all processes share, of at least 16 characters.
+  --log=<address>             The platform's log service.
+  --list=<address>            The platform's list of instances (entry).
+  --bootstrap-token=<digest>  SHA-256 of a token that counts as an operator's while the
+                              table names no operator (entry).
+  --request-limit=<seconds>   Longest time for a request, 1 to 3600 (entry). Unset: 120.
+  --store=<address>           The weight store (agent).
+  --entries=<addresses>       Peer addresses of the zone's entries, with commas (agent).
+  --backend=<address>         HTTP address of the backend server (agent).
+  --service=<name>            The plain service behind the agent; unset for an engine.
+  --drain-limit=<seconds>     Longest time that a shutdown waits, 1 to 86400. Unset: 600.
+  --log-level=<level>         error, warning, info or debug. Unset: info.
+  --check-settings            Check the settings, and end.
+  -h --help                   Show this text.
+  --version                   Show the version.
+)";
+
+namespace {
+
+constexpr std::size_t minSecretLength = 16;
+constexpr std::size_t maxNameLength = 64;
+constexpr std::uint32_t maxRequestSeconds = 3600;
+constexpr std::uint32_t maxDrainSeconds = 86400;
+constexpr std::uint32_t defaultRequestSeconds = 120;
+constexpr std::uint32_t defaultDrainSeconds = 600;
+const std::string variablePrefix = "GREENGAGESEAM_";
+
+/** The command line as docopt gives it. */
+using Arguments = std::map<std::string, docopt::value>;
+
+std::string variableFor(const std::string &flag)
+{
+    std::string name = variablePrefix;
+    for (const char c : flag.substr(2)) {
+        name.push_back(c == '-' ? '_' : static_cast<char>(std::toupper(c)));
+    }
+    return name;
+}
+
+/** Looks settings up by their flags, and checks them. */
+class SettingsReader
+{
+public:
+    SettingsReader(Arguments options, const Environment &environment)
+        : m_options(std::move(options)), m_environment(environment)
+    { }
+
+    std::optional<std::string> find(const std::string &flag) const
+    {
+        const auto option = m_options.find(flag);
+        if (option != m_options.end() && option->second.isString()) {
+            return option->second.asString();
+        }
+        const auto variable = m_environment.find(variableFor(flag));
+        if (variable == m_environment.end()) {
+            return std::nullopt;
+        }
+        return variable->second;
+    }
+
+    bool isSet(const std::string &flag) const
+    {
+        const auto option = m_options.find(flag);
+        return option != m_options.end() && option->second.isBool() && option->second.asBool();
+    }
+
+    Result<std::string> text(const std::string &flag) const
+    {
+        const std::optional<std::string> value = find(flag);
+        if (!value || value->empty()) {
+            return fail(ErrorKind::InvalidRequest,
+                        flag + " is missing; set it or " + variableFor(flag));
+        }
+        return *value;
+    }
+
+    Result<std::string> name(const std::string &flag) const
+    {
+        BOOST_LEAF_AUTO(value, text(flag));
+        const bool isAllowed = value.size() <= maxNameLength
+                && std::all_of(value.begin(), value.end(), [](unsigned char c) {
+                                   return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+                               });
+        if (!isAllowed) {
+            return refuse(flag, value, "1 to 64 letters, digits, '-', '_' or '.'");
+        }
+        return value;
+    }
+
+    Result<Address> address(const std::string &flag) const
+    {
+        BOOST_LEAF_AUTO(value, text(flag));
+        const Address address(value);
+        const auto parsed = settle([&] { return parseEndpoint(address); });
+        if (failureOf(parsed) != nullptr) {
+            return refuse(flag, value, "a numeric IP address, ':' and a port, as 127.0.0.1:8080");
+        }
+        return address;
+    }
+
+    Result<std::vector<Address>> addresses(const std::string &flag) const
+    {
+        BOOST_LEAF_AUTO(value, text(flag));
+        std::vector<Address> list;
+        std::size_t at = 0;
+        while (at <= value.size()) {
+            const std::size_t n = std::min(value.find(',', at), value.size());
+            const Address address(value.substr(at, n - at));
+            const auto parsed = settle([&] { return parseEndpoint(address); });
+            if (failureOf(parsed) != nullptr) {
+                return refuse(flag, address.text(), "numeric addresses with commas between them");
+            }
+            list.push_back(address);
+            at = n + 1;
+        }
+        return list;
+    }
+
+    Result<Duration> seconds(const std::string &flag, std::uint32_t unset, std::uint32_t most) const
+    {
+        const std::optional<std::string> value = find(flag);
+        if (!value) {
+            return Duration(std::chrono::seconds(unset));
+        }
+        std::uint32_t n = 0;
+        const char *end = value->data() + value->size();
+        const auto [rest, ec] = std::from_chars(value->data(), end, n);
+        if (ec != std::errc() || rest != end || n < 1 || n > most) {
+            return refuse(flag, *value, "a whole number from 1 to " + std::to_string(most));
+        }
+        return Duration(std::chrono::seconds(n));
+    }
+
+    Result<std::string> secret() const
+    {
+        BOOST_LEAF_AUTO(value, text("--secret"));
+        if (value.size() < minSecretLength) {
+            return refuse("--secret", "(hidden)", "at least 16 characters");
+        }
+        return value;
+    }
+
+    Result<LogLevel> logLevel() const
+    {
+        const std::string value = find("--log-level").value_or("info");
+        const std::optional<LogLevel> level = logLevelNamed(value);
+        if (!level) {
+            return refuse("--log-level", value, "error, warning, info or debug");
+        }
+        return *level;
+    }
+
+    static boost::leaf::error_id refuse(const std::string &flag, const std::string &value,
+                                        const std::string &allowed)
+    {
+        return fail(ErrorKind::InvalidRequest,
+                    flag + ": '" + value + "' is not allowed; allowed is " + allowed);
+    }
+
+private:
+    Arguments m_options;
+    const Environment &m_environment;
+};
+
+Result<EntrySettings> readEntry(const SettingsReader &reader)
+{
+    EntrySettings settings;
+    BOOST_LEAF_AUTO(instance, reader.name("--instance"));
+    BOOST_LEAF_AUTO(zone, reader.name("--zone"));
+    settings.instance = InstanceId(instance);
+    settings.zone = ZoneName(zone);
+    BOOST_LEAF_ASSIGN(settings.httpAddress, reader.address("--listen"));
+    BOOST_LEAF_ASSIGN(settings.peerAddress, reader.address("--peer-listen"));
+    BOOST_LEAF_ASSIGN(settings.logAddress, reader.address("--log"));
+    BOOST_LEAF_ASSIGN(settings.listAddress, reader.address("--list"));
+    BOOST_LEAF_ASSIGN(settings.secret, reader.secret());
+    BOOST_LEAF_ASSIGN(settings.requestLimit,
+                      reader.seconds("--request-limit", defaultRequestSeconds, maxRequestSeconds));
+    BOOST_LEAF_ASSIGN(settings.drainLimit,
+                      reader.seconds("--drain-limit", defaultDrainSeconds, maxDrainSeconds));
+    const std::string token = reader.find("--bootstrap-token").value_or("");
+    if (!token.empty() && !isDigest(token)) {
+        return SettingsReader::refuse("--bootstrap-token", "(hidden)",
+                                      "a SHA-256 digest of 64 lower-case hexadecimal digits");
+    }
+    settings.bootstrapToken = Digest(token);
+    return settings;
+}
+
+Result<AgentSettings> readAgent(const SettingsReader &reader)
+{
+    AgentSettings settings;
+    BOOST_LEAF_AUTO(instance, reader.name("--instance"));
+    BOOST_LEAF_AUTO(zone, reader.name("--zone"));
+    settings.instance = InstanceId(instance);
+    settings.zone = ZoneName(zone);
+    BOOST_LEAF_ASSIGN(settings.httpAddress, reader.address("--listen"));
+    BOOST_LEAF_ASSIGN(settings.peerAddress, reader.address("--peer-listen"));
+    BOOST_LEAF_ASSIGN(settings.logAddress, reader.address("--log"));
+    BOOST_LEAF_ASSIGN(settings.storeAddress, reader.address("--store"));
+    BOOST_LEAF_ASSIGN(settings.entries, reader.addresses("--entries"));
+    BOOST_LEAF_ASSIGN(settings.backendAddress, reader.address("--backend"));
+    BOOST_LEAF_ASSIGN(settings.secret, reader.secret());
+    BOOST_LEAF_ASSIGN(settings.drainLimit,
+                      reader.seconds("--drain-limit", defaultDrainSeconds, maxDrainSeconds));
+    if (reader.find("--service")) {
+        BOOST_LEAF_AUTO(service, reader.name("--service"));
+        settings.service = ServiceName(service);
+        settings.backendKind = BackendKind::Service;
+    }
+    return settings;
+}
+
+Result<Arguments> parseArguments(const std::vector<std::string> &arguments)
+{
+    try {
+        return docopt::docopt_parse(daemonUsage, arguments, false, false);
+    } catch (const std::exception &e) {
+        return fail(ErrorKind::InvalidRequest,
+                    std::string("the command line is not understood: ") + e.what()
+                            + "; --help lists what is allowed");
+    }
+}
+
+/** The role may come from the environment, but the usage wants it as a flag. */
+std::vector<std::string> withRole(std::vector<std::string> arguments,
+                                  const Environment &environment)
+{
+    const bool hasRole = std::any_of(arguments.begin(), arguments.end(), [](const auto &argument) {
+        return argument.starts_with("--role");
+    });
+    const auto variable = environment.find(variableFor("--role"));
+    if (!hasRole && variable != environment.end()) {
+        arguments.push_back("--role=" + variable->second);
+    }
+    return arguments;
+}
+
+} // namespace
+
+Environment readEnvironment(const char *const *variables)
+{
+    Environment environment;
+    for (; *variables != nullptr; ++variables) {
+        const std::string variable = *variables;
+        const std::size_t n = variable.find('=');
+        if (n != std::string::npos && variable.starts_with(variablePrefix)) {
+            environment.emplace(variable.substr(0, n), variable.substr(n + 1));
+        }
+    }
+    return environment;
+}
+
+Result<DaemonSettings> readSettings(const std::vector<std::string> &arguments,
+                                    const Environment &environment)
+{
+    BOOST_LEAF_AUTO(options, parseArguments(withRole(arguments, environment)));
+    const SettingsReader reader(options, environment);
+    DaemonSettings settings;
+    settings.checkOnly = reader.isSet("--check-settings");
+    BOOST_LEAF_ASSIGN(settings.logLevel, reader.logLevel());
+    BOOST_LEAF_AUTO(role, reader.text("--role"));
+    if (role == "entry") {
+        BOOST_LEAF_ASSIGN(settings.role, readEntry(reader));
+    } else if (role == "agent") {
+        BOOST_LEAF_ASSIGN(settings.role, readAgent(reader));
+    } else {
+        return SettingsReader::refuse("--role", role, "entry or agent");
+    }
+    return settings;
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/entry/admindesk.h
@@ -0,0 +1,50 @@
+/**
+ * The administration API: `/admin/v1/...`.
+ */
+#pragma once
+
+#include "entry/adminkeeper.h"
+#include "net/httpserver.h"
+
+#include <memory>
+#include <optional>
+
+namespace greengageseam {
+
+/** Ways from the API to the tasks that it needs. */
+struct AdminChannels
+{
+    MailboxPtr<AdminCommand> keeper;
+    MailboxPtr<FleetCommand> fleet;
+    AppendToLog append;
+};
+
+/** Answers operators. It holds nothing but settings and ways to reach tasks. */
+class AdminDesk
+{
+public:
+    AdminDesk(const asio::any_io_executor &executor, EntrySettings settings, AdminChannels channels,
+              Log log);
+
+    /** @returns whether the path belongs to the administration API */
+    static bool isAdminPath(const std::string &path);
+
+    /** Answers one request. */
+    Awaitable<void> handle(HttpExchange &exchange) const;
+
+private:
+    Awaitable<HttpResponse> answer(const HttpRequest &request) const;
+    Awaitable<HttpResponse> answerChange(const HttpRequest &request, AdminView view,
+                                         OperatorName author) const;
+    Awaitable<HttpResponse> accept(Change change) const;
+    Awaitable<HttpResponse> drain(InstanceId instance) const;
+    Awaitable<AdminView> currentView() const;
+    Result<Operator> authenticate(const HttpRequest &request, const AdminView &view) const;
+
+    asio::any_io_executor m_executor;
+    EntrySettings m_settings;
+    AdminChannels m_channels;
+    Log m_log;
+};
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/entry/callerdesk.cpp
@@ -0,0 +1,114 @@
+#include "entry/callerdesk.h"
+
+#include "core/common/hashing.h"
+#include "net/clock.h"
+#include "protocol/jsontext.h"
+
+#include <algorithm>
+#include <array>
+
+namespace greengageseam {
+
+namespace {
+
+const std::string chatPath = "/v1/chat/completions";
+const std::string completionPath = "/v1/completions";
+const std::string servicePrefix = "/services/";
+const std::array<std::string, 5> serviceMethods {"GET", "POST", "PUT", "PATCH", "DELETE"};
+
+bool isModelPath(const std::string &path)
+{
+    return path == chatPath || path == completionPath;
+}
+
+Result<void> readModelRequest(const HttpRequest &request, CallerRequest &result)
+{
+    if (request.method != "POST") {
+        return fail(ErrorKind::InvalidRequest,
+                    "the method is " + request.method + "; allowed is POST");
+    }
+    BOOST_LEAF_AUTO(body, parseObject(request.body));
+    BOOST_LEAF_AUTO(model, stringMember(body, "model"));
+    const char *content = request.path() == chatPath ? "messages" : "prompt";
+    if (!body.contains(content)) {
+        return fail(ErrorKind::InvalidRequest, "member '" + std::string(content) + "' is missing");
+    }
+    const boost::json::value *stream = body.if_contains("stream");
+    if (stream != nullptr && !stream->is_bool()) {
+        return fail(ErrorKind::InvalidRequest, "member 'stream' is not true or false");
+    }
+    result.question.model = ModelName(model);
+    result.isStreamed = stream != nullptr && stream->get_bool();
+    result.path = request.path();
+    return {};
+}
+
+Result<void> readServiceRequest(const HttpRequest &request, CallerRequest &result)
+{
+    const bool isAllowed = std::find(serviceMethods.begin(), serviceMethods.end(), request.method)
+            != serviceMethods.end();
+    if (!isAllowed) {
+        return fail(ErrorKind::InvalidRequest,
+                    "the method " + request.method
+                            + " is not allowed; allowed are GET, POST, PUT, PATCH and DELETE");
+    }
+    const std::string rest = request.target.substr(servicePrefix.size());
+    const std::size_t n = rest.find('/');
+    if (n == std::string::npos || n == 0) {
+        return fail(ErrorKind::NotFound, "the path has no service; wanted is /services/<name>/...");
+    }
+    result.question.service = ServiceName(rest.substr(0, n));
+    result.path = rest.substr(n);
+    result.question.path = result.path.substr(0, result.path.find('?'));
+    return {};
+}
+
+} // namespace
+
+CallerDesk::CallerDesk(const asio::any_io_executor &executor, MailboxPtr<RouterCommand> router,
+                       Duration limit, std::shared_ptr<Metrics> metrics, Log log)
+    : m_executor(executor), m_router(std::move(router)), m_limit(limit),
+      m_metrics(std::move(metrics)), m_log(std::move(log))
+{ }
+
+bool CallerDesk::isCallerPath(const std::string &path)
+{
+    return isModelPath(path) || path.starts_with(servicePrefix);
+}
+
+Awaitable<void> CallerDesk::handle(HttpExchange &exchange) const
+{
+    const RequestId id(makeUniqueId());
+    Outcome<CallerRequest> read = settle([&] { return readCallerRequest(exchange.request(), id); });
+    if (const Failure *failure = failureOf(read)) {
+        HttpResponse response = problemResponse(*failure);
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    Forwarder forwarder(m_executor, exchange, std::get<CallerRequest>(std::move(read)), m_router,
+                        m_limit, m_metrics, m_log);
+    co_await forwarder.run();
+}
+
+Result<CallerRequest> readCallerRequest(const HttpRequest &request, const RequestId &id)
+{
+    const std::optional<std::string> token = request.bearerToken();
+    if (!token) {
+        return fail(ErrorKind::Unauthenticated,
+                    "the field 'Authorization: Bearer <key>' is missing");
+    }
+    CallerRequest result;
+    result.id = id;
+    result.question.key = digestOf(*token);
+    result.question.method = request.method;
+    result.contentType = request.header("Content-Type").value_or("application/json");
+    result.body = request.body;
+    if (isModelPath(request.path())) {
+        BOOST_LEAF_CHECK(readModelRequest(request, result));
+    } else {
+        BOOST_LEAF_CHECK(readServiceRequest(request, result));
+    }
+    return result;
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/entry/callerdesk.h
@@ -0,0 +1,45 @@
+/**
+ * Reads callers' requests: checks their form, and hands each to a forwarder.
+ */
+#pragma once
+
+#include "entry/forwarder.h"
+#include "entry/router.h"
+#include "net/httpserver.h"
+#include "net/log.h"
+#include "net/metrics.h"
+
+#include <memory>
+
+namespace greengageseam {
+
+/** Answers `/v1/chat/completions`, `/v1/completions` and `/services/<name>/...`. */
+class CallerDesk
+{
+public:
+    /** @param limit longest time for a request */
+    CallerDesk(const asio::any_io_executor &executor, MailboxPtr<RouterCommand> router,
+               Duration limit, std::shared_ptr<Metrics> metrics, Log log);
+
+    /** @returns whether the path is one for callers */
+    static bool isCallerPath(const std::string &path);
+
+    /** Runs a request to its end. */
+    Awaitable<void> handle(HttpExchange &exchange) const;
+
+private:
+    asio::any_io_executor m_executor;
+    MailboxPtr<RouterCommand> m_router;
+    Duration m_limit;
+    std::shared_ptr<Metrics> m_metrics;
+    Log m_log;
+};
+
+/**
+ * Checks the form of a caller's request.
+ * @param id identifier that the request gets
+ * @returns the request, or Unauthenticated, InvalidRequest or NotFound
+ */
+Result<CallerRequest> readCallerRequest(const HttpRequest &request, const RequestId &id);
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/entry/entry.cpp
@@ -0,0 +1,166 @@
+#include "entry/entry.h"
+
+#include "net/clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr auto platformLimit = std::chrono::seconds(5);
+constexpr auto listEvery = std::chrono::seconds(1);
+constexpr auto drainPoll = std::chrono::milliseconds(20);
+const std::string plainType = "text/plain; charset=utf-8";
+
+} // namespace
+
+Entry::Entry(const asio::any_io_executor &executor, EntrySettings settings, Log log)
+    : m_executor(executor), m_settings(std::move(settings)), m_log(std::move(log)),
+      m_metrics(std::make_shared<Metrics>())
+{ }
+
+Result<void> Entry::start()
+{
+    m_router = std::make_shared<Router>(m_executor, m_settings.zone, chooseOfTwo, m_metrics, m_log);
+    m_admin = std::make_shared<AdminKeeper>(m_executor);
+    m_fleet = std::make_shared<FleetKeeper>(
+            m_executor, m_settings, RosterOptions(),
+            [router = m_router->mailbox(), admin = m_admin->mailbox()](const FleetView &view) {
+                router->post(view);
+                admin->post(view);
+            },
+            m_log);
+    const LogClient logClient(m_executor, m_settings.logAddress, platformLimit);
+    BOOST_LEAF_CHECK(startPeers());
+    BOOST_LEAF_CHECK(startHttp(logClient));
+    m_router->start();
+    m_admin->start();
+    m_fleet->start();
+    startConfiguration(logClient);
+    asio::co_spawn(
+            m_executor, [self = shared_from_this()] { return self->followList(); }, asio::detached);
+    m_log.info("entry.started",
+               {{"http", m_settings.httpAddress.text()}, {"peers", m_settings.peerAddress.text()}});
+    return {};
+}
+
+Result<void> Entry::startHttp(const LogClient &logClient)
+{
+    m_callerDesk = std::make_shared<CallerDesk>(m_executor, m_router->mailbox(),
+                                                m_settings.requestLimit, m_metrics, m_log);
+    const AdminChannels channels {m_admin->mailbox(), m_fleet->mailbox(), logClient.appender()};
+    m_adminDesk = std::make_shared<AdminDesk>(m_executor, m_settings, channels, m_log);
+    m_http = std::make_shared<HttpServer>(
+            m_executor, HttpServerOptions(),
+            [self = weak_from_this()](HttpExchange &exchange) {
+                return self.lock()->handle(exchange);
+            },
+            m_log);
+    BOOST_LEAF_ASSIGN(m_settings.httpAddress, m_http->listen(m_settings.httpAddress));
+    m_http->start();
+    return {};
+}
+
+Result<void> Entry::startPeers()
+{
+    const PeerIdentity identity {"entry", m_settings.instance, m_settings.zone, m_settings.secret};
+    LinkHooks hooks;
+    hooks.receive = [fleet = m_fleet->mailbox()](const PeerLinkHandle &link,
+                                                 StreamMessage message) {
+        if (auto *heartbeat = std::get_if<HeartbeatMessage>(&message.message)) {
+            fleet->post(HeartbeatHeard {std::move(heartbeat->heartbeat), link});
+        }
+    };
+    hooks.ended = [fleet = m_fleet->mailbox()](const PeerLinkHandle &link, const LinkClosed &) {
+        fleet->post(HeartbeatLinkLost {link.peer().instance});
+    };
+    m_listener = std::make_shared<PeerListener>(m_executor, identity, hooks, m_log);
+    BOOST_LEAF_ASSIGN(m_settings.peerAddress, m_listener->listen(m_settings.peerAddress));
+    m_listener->start();
+    return {};
+}
+
+void Entry::startConfiguration(const LogClient &logClient)
+{
+    std::vector<ConfigObserver> observers;
+    observers.push_back([router = m_router->mailbox(), fleet = m_fleet->mailbox(),
+                         admin = m_admin->mailbox()](const ConfigView &view) {
+        router->post(view);
+        fleet->post(view);
+        admin->post(view);
+    });
+    m_config = std::make_shared<ConfigKeeper>(m_executor, std::move(observers), m_log);
+    m_config->start();
+    m_tail = std::make_shared<LogTail>(
+            m_executor, LogTailOptions(), logClient.reader(), m_config->mailbox(),
+            [admin = m_admin->mailbox()](bool answers) { admin->post(LogHealth {answers}); },
+            m_log);
+    m_tail->start();
+}
+
+Awaitable<void> Entry::shutDown()
+{
+    m_log.info("entry.draining");
+    m_router->mailbox()->post(DrainRouter {});
+    m_http->stop();
+    const Instant deadline = monotonicNow() + m_settings.drainLimit;
+    asio::steady_timer timer(m_executor);
+    while (m_http->inProgress() > 0 && monotonicNow() < deadline) {
+        timer.expires_after(drainPoll);
+        co_await timer.async_wait(asTuple);
+    }
+    m_listener->stop();
+    m_log.info("entry.stopped");
+}
+
+Awaitable<void> Entry::handle(HttpExchange &exchange)
+{
+    const std::string path = exchange.request().path();
+    if (CallerDesk::isCallerPath(path)) {
+        co_await m_callerDesk->handle(exchange);
+    } else if (AdminDesk::isAdminPath(path)) {
+        co_await m_adminDesk->handle(exchange);
+    } else {
+        HttpResponse response = co_await answerHealth(path);
+        co_await exchange.respond(std::move(response));
+    }
+}
+
+Awaitable<HttpResponse> Entry::answerHealth(const std::string &path) const
+{
+    if (path == "/healthz") {
+        co_return HttpResponse {200, plainType, {}, "ok\n"};
+    }
+    if (path == "/metrics") {
+        co_return HttpResponse {200, "text/plain; version=0.0.4", {}, m_metrics->text()};
+    }
+    if (path == "/readyz") {
+        const auto reply = makeMailbox<bool>(m_executor, 1);
+        RouterCommand asked = EntryReadyAsked {reply};
+        co_await m_router->mailbox()->send(std::move(asked));
+        const bool isReady = (co_await reply->receive()).value_or(false);
+        co_return HttpResponse {
+                isReady ? 200 : 503, plainType, {}, isReady ? "ready\n" : "not ready\n"};
+    }
+    const Failure failure {ErrorKind::NotFound, path + " is not served here"};
+    co_return problemResponse(failure);
+}
+
+Awaitable<void> Entry::followList()
+{
+    const ReadInstanceList read = makeListReader(m_executor, m_settings.listAddress, platformLimit);
+    asio::steady_timer timer(m_executor);
+    while (true) {
+        Outcome<std::vector<ListedInstance>> list = co_await read();
+        if (failureOf(list) == nullptr) {
+            auto &instances = std::get<std::vector<ListedInstance>>(list);
+            m_fleet->mailbox()->post(ListRead {std::move(instances)});
+        }
+        timer.expires_after(listEvery);
+        co_await timer.async_wait(asTuple);
+    }
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/entry/entrysettings.h
@@ -0,0 +1,34 @@
+/**
+ * Settings of an entry.
+ */
+#pragma once
+
+#include "core/common/common.h"
+
+#include <string>
+
+namespace greengageseam {
+
+/** Everything that an entry is told at its start. */
+struct EntrySettings
+{
+    InstanceId instance;
+    ZoneName zone;
+    /** Where callers and operators reach the entry by HTTP. */
+    Address httpAddress;
+    /** Where agents and other entries reach it. */
+    Address peerAddress;
+    Address logAddress;
+    Address listAddress;
+    std::string secret;
+    /** Digest of a token that counts as an operator's while the table names no operator. */
+    Digest bootstrapToken;
+    /** Longest time for one request of a caller. */
+    Duration requestLimit = std::chrono::seconds(120);
+    /** Longest time that a graceful shutdown waits for requests in progress. */
+    Duration drainLimit = std::chrono::seconds(600);
+
+    auto operator<=>(const EntrySettings &) const = default;
+};
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/entry/forwarder.h
@@ -0,0 +1,86 @@
+/**
+ * Carries one request of a caller through its attempts, and its answer back whole or visibly
+ * broken.
+ */
+#pragma once
+
+#include "entry/router.h"
+#include "net/httpserver.h"
+#include "net/log.h"
+#include "net/metrics.h"
+
+#include <memory>
+#include <set>
+
+namespace greengageseam {
+
+/** A request that was read and understood. */
+struct CallerRequest
+{
+    RequestId id;
+    RouteQuestion question;
+    std::string contentType;
+    std::string body;
+    /** Path as the backend server gets it. */
+    std::string path;
+    /** Whether the caller wants the answer as it is made. */
+    bool isStreamed = false;
+
+    auto operator<=>(const CallerRequest &) const = default;
+};
+
+/** How an attempt ended, as the entry knows it. */
+struct AttemptResult
+{
+    /** Nothing if the caller has the whole answer. */
+    std::optional<Failure> failure;
+    Ran ran = Ran::Unknown;
+    /** Whether the caller has gone; then there is nobody to answer. */
+    bool callerGone = false;
+
+    auto operator<=>(const AttemptResult &) const = default;
+};
+
+/** The task of one request. It owns the way back to the caller while it runs. */
+class Forwarder
+{
+public:
+    /** @param limit longest time for the request */
+    Forwarder(const asio::any_io_executor &executor, HttpExchange &exchange, CallerRequest request,
+              MailboxPtr<RouterCommand> router, Duration limit, std::shared_ptr<Metrics> metrics,
+              Log log);
+
+    /** Runs the request to its end. */
+    Awaitable<void> run();
+
+private:
+    Awaitable<Outcome<RouteGrant>> admit();
+    Awaitable<Outcome<RouteGrant>> routeAgain(const RouteGrant &before);
+    Awaitable<void> runAttempts(RouteGrant grant);
+    Awaitable<AttemptResult> attempt(RouteGrant grant);
+    Awaitable<AttemptResult> readAnswer(MailboxPtr<StreamEvent> events, PeerLinkHandle link,
+                                        StreamId stream);
+    Awaitable<bool> pass(DataMessage data);
+    Awaitable<AttemptResult> finish(EndMessage end);
+    OpenMessage openMessage(const RouteGrant &grant) const;
+    Duration timeLeft() const;
+    bool mayTryAgain(const AttemptResult &result, const RouteGrant &grant) const;
+    Awaitable<void> answerFailure(const AttemptResult &result);
+
+    asio::any_io_executor m_executor;
+    HttpExchange &m_exchange;
+    CallerRequest m_request;
+    MailboxPtr<RouterCommand> m_router;
+    Instant m_deadline;
+    std::shared_ptr<Metrics> m_metrics;
+    Log m_log;
+    Instant m_startedAt;
+    std::set<InstanceId> m_tried;
+    /** The answer so far, unless it is streamed. */
+    std::string m_collected;
+    HeadMessage m_head;
+    std::int64_t m_length = 0;
+    std::uint64_t m_checksum = 0;
+};
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/entry/reporttext.h
@@ -0,0 +1,22 @@
+/**
+ * The answers of the administration API as JSON, made from values.
+ */
+#pragma once
+
+#include "core/config/config.h"
+#include "entry/adminkeeper.h"
+
+#include <boost/json.hpp>
+
+namespace greengageseam {
+
+/** @returns the table: all cells with their authors, and the offset */
+boost::json::object tableToJson(const ConfigState &state);
+
+/**
+ * @returns the report: what is in force, where and where not, the state of each rollout, and what
+ * went wrong lately
+ */
+boost::json::object reportToJson(const AdminView &view, const ZoneName &zone);
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/tool/commands.cpp
@@ -0,0 +1,246 @@
+#include "tool/commands.h"
+
+#include "net/httpclient.h"
+#include "protocol/jsontext.h"
+
+#include <functional>
+#include <iomanip>
+#include <iostream>
+
+namespace greengageseam {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto callLimit = std::chrono::seconds(15);
+constexpr std::size_t maxAnswerBytes = 64U * 1024 * 1024;
+constexpr int statusOk = 200;
+constexpr int statusAccepted = 202;
+constexpr int statusConflict = 409;
+constexpr int columnWidth = 10;
+
+std::string textMember(const json::object &object, std::string_view key)
+{
+    const json::value *value = object.if_contains({key.data(), key.size()});
+    if (value == nullptr) {
+        return "";
+    }
+    return value->is_string() ? std::string(value->get_string()) : json::serialize(*value);
+}
+
+ToolExit printFailure(const Failure &failure)
+{
+    std::cerr << "greengageseam: " << failure.detail << "\n";
+    return ToolExit::Failed;
+}
+
+/** Prints a problem. @returns the exit code that belongs to its status */
+ToolExit printProblem(const AdminAnswer &answer)
+{
+    const std::string detail = textMember(answer.body, "detail");
+    std::cerr << "greengageseam: " << textMember(answer.body, "title") << ": " << detail << "\n";
+    return answer.status == statusConflict ? ToolExit::Conflict : ToolExit::Failed;
+}
+
+std::vector<json::object> objectsIn(const json::object &object, std::string_view key)
+{
+    std::vector<json::object> objects;
+    const json::value *value = object.if_contains({key.data(), key.size()});
+    if (value == nullptr || !value->is_array()) {
+        return objects;
+    }
+    for (const json::value &element : value->get_array()) {
+        if (element.is_object()) {
+            objects.push_back(element.get_object());
+        }
+    }
+    return objects;
+}
+
+void printCells(const json::object &table)
+{
+    std::cout << "offset " << textMember(table, "offset") << "\n";
+    for (const json::object &cell : objectsIn(table, "cells")) {
+        std::cout << textMember(cell, "path") << " = " << textMember(cell, "value") << "\n";
+    }
+}
+
+void printReport(const json::object &report)
+{
+    std::cout << "zone " << textMember(report, "zone") << ", offset "
+              << textMember(report, "offset") << "\n";
+    if (textMember(report, "logAnswers") != "true") {
+        std::cout << "ALARM the log does not answer\n";
+    }
+    for (const json::object &alarm : objectsIn(report, "alarms")) {
+        std::cout << "ALARM " << textMember(alarm, "detail") << "\n";
+    }
+    for (const json::object &rollout : objectsIn(report, "rollouts")) {
+        std::cout << textMember(rollout, "model") << " " << textMember(rollout, "version") << ": "
+                  << textMember(rollout, "serving") << " of " << textMember(rollout, "wanted")
+                  << " serve\n";
+    }
+    for (const json::object &agent : objectsIn(report, "agents")) {
+        std::cout << std::left << std::setw(columnWidth) << textMember(agent, "instance") << " "
+                  << textMember(agent, "phase") << ", offset " << textMember(agent, "offset");
+        const std::string trouble = textMember(agent, "trouble");
+        std::cout << (trouble.empty() ? "" : ", " + trouble) << "\n";
+    }
+    std::cout << "origin bytes " << textMember(report, "originBytes") << "\n";
+}
+
+void printVerdict(const json::object &verdict)
+{
+    std::cout << "change " << textMember(verdict, "change") << ": "
+              << textMember(verdict, "verdict");
+    const std::string reason = textMember(verdict, "reason");
+    std::cout << (reason.empty() ? "" : ", " + reason) << "\n";
+}
+
+void printHistory(const json::object &history)
+{
+    for (const json::object &change : objectsIn(history, "changes")) {
+        std::cout << textMember(change, "offset") << " " << textMember(change, "author") << " "
+                  << textMember(change, "verdict") << " " << textMember(change, "change") << "\n";
+        for (const json::object &edit : objectsIn(change, "edits")) {
+            std::cout << "    " << textMember(edit, "path") << " = " << textMember(edit, "value")
+                      << "\n";
+        }
+    }
+}
+
+using Printer = std::function<void(const json::object &)>;
+
+/** Makes a call that reads, and prints what it gives. */
+Awaitable<ToolExit> show(asio::any_io_executor executor, ToolSettings settings, std::string target,
+                         Printer printer)
+{
+    AdminCall call {"GET", std::move(target), ""};
+    const Outcome<AdminAnswer> answered = co_await callAdmin(executor, settings, std::move(call));
+    if (const Failure *failure = failureOf(answered)) {
+        co_return printFailure(*failure);
+    }
+    const auto &answer = std::get<AdminAnswer>(answered);
+    if (answer.status != statusOk) {
+        co_return printProblem(answer);
+    }
+    if (settings.asJson) {
+        std::cout << json::serialize(answer.body) << "\n";
+    } else {
+        printer(answer.body);
+    }
+    co_return ToolExit::Done;
+}
+
+Result<json::array> parseEdits(const std::vector<std::string> &edits)
+{
+    json::array array;
+    for (const std::string &edit : edits) {
+        const std::size_t n = edit.find('=');
+        if (n == std::string::npos || n == 0) {
+            return fail(ErrorKind::InvalidRequest,
+                        "'" + edit + "' is no edit; wanted is path=value, or path= to clear");
+        }
+        json::object object {{"path", edit.substr(0, n)}, {"value", nullptr}};
+        if (n + 1 < edit.size()) {
+            object["value"] = edit.substr(n + 1);
+        }
+        array.push_back(std::move(object));
+    }
+    return array;
+}
+
+} // namespace
+
+Awaitable<Outcome<AdminAnswer>> callAdmin(const asio::any_io_executor &executor,
+                                          const ToolSettings &settings, AdminCall call)
+{
+    HttpRequest request {call.method, call.target, {}, call.body};
+    request.headers.push_back({"Authorization", "Bearer " + settings.token});
+    const Outcome<HttpResponse> answer =
+            co_await callHttp(executor, settings.entry, request, callLimit, maxAnswerBytes);
+    if (const Failure *failure = failureOf(answer)) {
+        co_return *failure;
+    }
+    const auto &response = std::get<HttpResponse>(answer);
+    Outcome<json::object> body = settle([&] { return parseObject(response.body); });
+    if (const Failure *failure = failureOf(body)) {
+        co_return *failure;
+    }
+    co_return AdminAnswer {response.status, std::get<json::object>(std::move(body))};
+}
+
+Awaitable<ToolExit> showTable(asio::any_io_executor executor, ToolSettings settings)
+{
+    co_return co_await show(executor, settings, "/admin/v1/table", printCells);
+}
+
+Awaitable<ToolExit> showReport(asio::any_io_executor executor, ToolSettings settings)
+{
+    co_return co_await show(executor, settings, "/admin/v1/report", printReport);
+}
+
+Awaitable<ToolExit> showHistory(asio::any_io_executor executor, ToolSettings settings,
+                                std::string cell, std::string author)
+{
+    const std::string target = "/admin/v1/history?cell=" + cell + "&author=" + author;
+    co_return co_await show(executor, settings, target, printHistory);
+}
+
+Awaitable<ToolExit> showChange(asio::any_io_executor executor, ToolSettings settings,
+                               std::string id)
+{
+    co_return co_await show(executor, settings, "/admin/v1/changes/" + id, printVerdict);
+}
+
+Awaitable<ToolExit> sendChange(asio::any_io_executor executor, ToolSettings settings,
+                               std::vector<std::string> edits, std::string note, bool isDryRun)
+{
+    const Outcome<json::array> parsed = settle([&] { return parseEdits(edits); });
+    if (const Failure *failure = failureOf(parsed)) {
+        printFailure(*failure);
+        co_return ToolExit::Usage;
+    }
+    const json::object body {{"edits", std::get<json::array>(parsed)}, {"note", note}};
+    const std::string target = std::string("/admin/v1/changes") + (isDryRun ? "?dry-run=true" : "");
+    AdminCall call {"POST", target, json::serialize(body)};
+    const Outcome<AdminAnswer> answered = co_await callAdmin(executor, settings, std::move(call));
+    if (const Failure *failure = failureOf(answered)) {
+        co_return printFailure(*failure);
+    }
+    const auto &answer = std::get<AdminAnswer>(answered);
+    if (!answer.body.contains("verdict")) {
+        co_return printProblem(answer);
+    }
+    if (settings.asJson) {
+        std::cout << json::serialize(answer.body) << "\n";
+    } else {
+        printVerdict(answer.body);
+    }
+    if (answer.status == statusAccepted) {
+        co_return ToolExit::Unknown;
+    }
+    if (answer.status == statusConflict) {
+        co_return ToolExit::Conflict;
+    }
+    co_return answer.status == statusOk ? ToolExit::Done : ToolExit::Failed;
+}
+
+Awaitable<ToolExit> drainInstance(asio::any_io_executor executor, ToolSettings settings,
+                                  std::string instance)
+{
+    AdminCall call {"POST", "/admin/v1/instances/" + instance + "/drain", "{}"};
+    const Outcome<AdminAnswer> answered = co_await callAdmin(executor, settings, std::move(call));
+    if (const Failure *failure = failureOf(answered)) {
+        co_return printFailure(*failure);
+    }
+    const auto &answer = std::get<AdminAnswer>(answered);
+    if (answer.status != statusOk) {
+        co_return printProblem(answer);
+    }
+    std::cout << instance << " takes no new work\n";
+    co_return ToolExit::Done;
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/tool/commands.h
@@ -0,0 +1,77 @@
+/**
+ * The commands of the command-line tool, each a client of the administration API.
+ */
+#pragma once
+
+#include "core/common/common.h"
+#include "net/mailbox.h"
+
+#include <boost/json.hpp>
+#include <string>
+#include <vector>
+
+namespace greengageseam {
+
+/** Where the tool speaks to, and how it prints. */
+struct ToolSettings
+{
+    Address entry;
+    Address store;
+    std::string token;
+    /** Print JSON instead of text. */
+    bool asJson = false;
+
+    auto operator<=>(const ToolSettings &) const = default;
+};
+
+/** Exit codes, which the help lists. */
+enum class ToolExit { Done = 0, Failed = 1, Usage = 2, Conflict = 3, Unknown = 4 };
+
+/** One call of the administration API. */
+struct AdminCall
+{
+    std::string method;
+    std::string target;
+    std::string body;
+
+    auto operator<=>(const AdminCall &) const = default;
+};
+
+/** What the API answered. */
+struct AdminAnswer
+{
+    int status = 0;
+    boost::json::object body;
+};
+
+/** Calls the administration API. @returns the answer with any status, or why there was none */
+Awaitable<Outcome<AdminAnswer>> callAdmin(const asio::any_io_executor &executor,
+                                          const ToolSettings &settings, AdminCall call);
+
+/** Prints the table. */
+Awaitable<ToolExit> showTable(asio::any_io_executor executor, ToolSettings settings);
+/** Prints the report. */
+Awaitable<ToolExit> showReport(asio::any_io_executor executor, ToolSettings settings);
+/** Prints the changes of a cell, of an author, or all that are known. */
+Awaitable<ToolExit> showHistory(asio::any_io_executor executor, ToolSettings settings,
+                                std::string cell, std::string author);
+/** Prints what became of a change. */
+Awaitable<ToolExit> showChange(asio::any_io_executor executor, ToolSettings settings,
+                               std::string id);
+/**
+ * Proposes (dry run) or accepts a change.
+ * @param edits `path=value` each; `path=` clears the cell
+ */
+Awaitable<ToolExit> sendChange(asio::any_io_executor executor, ToolSettings settings,
+                               std::vector<std::string> edits, std::string note, bool isDryRun);
+/** Drains an instance. */
+Awaitable<ToolExit> drainInstance(asio::any_io_executor executor, ToolSettings settings,
+                                  std::string instance);
+/**
+ * Publishes a file as weights: splits it into chunks, stores those that the store lacks, then the
+ * manifest, and prints the manifest's digest.
+ */
+Awaitable<ToolExit> publishFile(asio::any_io_executor executor, ToolSettings settings,
+                                std::string file, std::uint64_t chunkBytes);
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/tool/main.cpp
@@ -0,0 +1,190 @@
+/**
+ * greengageseam: the operators' command-line tool.
+ */
+#include "net/endpoint.h"
+#include "tool/commands.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <charconv>
+#include <cstdlib>
+#include <docopt/docopt.h>
+#include <iostream>
+
+namespace greengageseam {
+namespace {
+
+const std::string toolUsage = R"(greengageseam: looks at and changes the table of a deployment.
+
+Usage:
+  greengageseam [options] table show
+  greengageseam [options] change propose [--note=<text>] <edit>...
+  greengageseam [options] change accept [--note=<text>] <edit>...
+  greengageseam [options] change show <id>
+  greengageseam [options] history [--cell=<path>]
+  greengageseam [options] audit [--cell=<path>] [--author=<name>]
+  greengageseam [options] report
+  greengageseam [options] publish <file> [--chunk-bytes=<n>]
+  greengageseam [options] instance drain <instance>
+  greengageseam (-h | --help)
+  greengageseam --version
+
+An edit is path=value, or path= to clear a cell. A proposal changes nothing: it says
+what would become of the change.
+
+Options:
+  --entry=<address>     HTTP address of an entry, or GREENGAGESEAM_ENTRY.
+  --token=<token>       The operator's token, or GREENGAGESEAM_TOKEN.
+  --store=<address>     The weight store, or GREENGAGESEAM_STORE (publish).
+  --chunk-bytes=<n>     Size of a chunk, 1024 to 67108864 [default: 1048576].
+  --note=<text>         Why the change is made [default: ].
+  --cell=<path>         Only changes of this cell [default: ].
+  --author=<name>       Only changes by this operator [default: ].
+  --json                Print JSON.
+  -h --help             Show this text.
+  --version             Show the version.
+
+Exit codes: 0 done, 1 failed or refused, 2 wrong usage, 3 conflict with another change,
+4 outcome not known yet (ask with 'change show').
+)";
+
+/** The command line as docopt gives it. */
+using Arguments = std::map<std::string, docopt::value>;
+
+constexpr std::uint64_t minChunkBytes = 1024;
+constexpr std::uint64_t maxToolChunkBytes = 64ULL * 1024 * 1024;
+
+std::string setting(const Arguments &options, const std::string &flag, const char *variable)
+{
+    const auto it = options.find(flag);
+    if (it != options.end() && it->second.isString()) {
+        return it->second.asString();
+    }
+    const char *value = std::getenv(variable);
+    return value == nullptr ? "" : value;
+}
+
+/** Checks an address that a command needs. */
+Result<Address> neededAddress(const Arguments &options, const std::string &flag,
+                              const char *variable)
+{
+    const Address address(setting(options, flag, variable));
+    const auto endpoint = settle([&] { return parseEndpoint(address); });
+    if (const Failure *failure = failureOf(endpoint)) {
+        return fail(ErrorKind::InvalidRequest, flag + ": " + failure->detail);
+    }
+    return address;
+}
+
+Result<std::uint64_t> chunkBytes(const Arguments &options)
+{
+    const std::string text = options.at("--chunk-bytes").asString();
+    std::uint64_t n = 0;
+    const char *end = text.data() + text.size();
+    const auto [rest, ec] = std::from_chars(text.data(), end, n);
+    if (ec != std::errc() || rest != end || n < minChunkBytes || n > maxToolChunkBytes) {
+        return fail(ErrorKind::InvalidRequest,
+                    "--chunk-bytes: '" + text + "' is not allowed; allowed is 1024 to 67108864");
+    }
+    return n;
+}
+
+/** Chooses the command by the words of the command line. */
+Awaitable<ToolExit> runCommand(asio::any_io_executor executor, Arguments options,
+                               ToolSettings settings, std::uint64_t chunkSize)
+{
+    const auto has = [&](const char *word) { return options.at(word).asBool(); };
+    const auto text = [&](const char *name) { return options.at(name).asString(); };
+    if (has("table")) {
+        co_return co_await showTable(executor, settings);
+    }
+    if (has("report")) {
+        co_return co_await showReport(executor, settings);
+    }
+    if (has("history") || has("audit")) {
+        co_return co_await showHistory(executor, settings, text("--cell"), text("--author"));
+    }
+    if (has("publish")) {
+        co_return co_await publishFile(executor, settings, text("<file>"), chunkSize);
+    }
+    if (has("instance")) {
+        co_return co_await drainInstance(executor, settings, text("<instance>"));
+    }
+    if (has("show")) {
+        co_return co_await showChange(executor, settings, text("<id>"));
+    }
+    co_return co_await sendChange(executor, settings, options.at("<edit>").asStringList(),
+                                  text("--note"), has("propose"));
+}
+
+Result<ToolSettings> readToolSettings(const Arguments &options)
+{
+    ToolSettings settings;
+    settings.token = setting(options, "--token", "GREENGAGESEAM_TOKEN");
+    settings.asJson = options.at("--json").asBool();
+    if (options.at("publish").asBool()) {
+        BOOST_LEAF_ASSIGN(settings.store, neededAddress(options, "--store", "GREENGAGESEAM_STORE"));
+    } else {
+        BOOST_LEAF_ASSIGN(settings.entry, neededAddress(options, "--entry", "GREENGAGESEAM_ENTRY"));
+    }
+    return settings;
+}
+
+Result<Arguments> parseArguments(const std::vector<std::string> &arguments)
+{
+    try {
+        return docopt::docopt_parse(toolUsage, arguments, false, false);
+    } catch (const std::exception &e) {
+        return fail(ErrorKind::InvalidRequest,
+                    std::string("the command line is not understood: ") + e.what());
+    }
+}
+
+int run(const std::vector<std::string> &arguments)
+{
+    const Outcome<Arguments> parsed = settle([&] { return parseArguments(arguments); });
+    if (const Failure *failure = failureOf(parsed)) {
+        std::cerr << "greengageseam: " << failure->detail << "\n" << toolUsage;
+        return static_cast<int>(ToolExit::Usage);
+    }
+    const auto &options = std::get<Arguments>(parsed);
+    if (options.at("--help").asBool()) {
+        std::cout << toolUsage;
+        return static_cast<int>(ToolExit::Done);
+    }
+    if (options.at("--version").asBool()) {
+        std::cout << "greengageseam " << GGS_VERSION << "\n";
+        return static_cast<int>(ToolExit::Done);
+    }
+    const Outcome<ToolSettings> settings = settle([&] { return readToolSettings(options); });
+    const Outcome<std::uint64_t> size = settle([&] { return chunkBytes(options); });
+    for (const Failure *failure : {failureOf(settings), failureOf(size)}) {
+        if (failure != nullptr) {
+            std::cerr << "greengageseam: " << failure->detail << "\n";
+            return static_cast<int>(ToolExit::Usage);
+        }
+    }
+    asio::io_context context(1);
+    ToolExit result = ToolExit::Failed;
+    asio::co_spawn(context,
+                   runCommand(context.get_executor(), options, std::get<ToolSettings>(settings),
+                              std::get<std::uint64_t>(size)),
+                   [&](const std::exception_ptr &error, ToolExit code) {
+                       result = error ? ToolExit::Failed : code;
+                   });
+    context.run();
+    return static_cast<int>(result);
+}
+
+} // namespace
+} // namespace greengageseam
+
+int main(int argc, char **argv)
+{
+    try {
+        return greengageseam::run({argv + 1, argv + argc});
+    } catch (const std::exception &e) {
+        std::cerr << "greengageseam: " << e.what() << "\n";
+        return static_cast<int>(greengageseam::ToolExit::Failed);
+    }
+}
