--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,13 +1,33 @@
 # Functions to start a small fleet on loopback and to stop it. Sourced by scripts.
 
-# Numbers of free ports are found by binding them; each script gets a block of its own.
 fleet_pids=()
 fleet_logs=""
+fleet_lock=""
+fleet_port=0
+
+# Takes the first block of ports that no other run has and on which nobody listens.
+fleet_take_ports() {
+  local first=18400 last=30000 block=40 base port
+  for ((base = first; base < last; base += block)); do
+    fleet_lock="${TMPDIR:-/tmp}/greengageseam-ports-$base"
+    mkdir "$fleet_lock" 2>/dev/null || { fleet_lock=""; continue; }
+    fleet_port=$base
+    for ((port = base; port < base + block; port++)); do
+      (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null && fleet_port=0 && break
+    done
+    [ "$fleet_port" -ne 0 ] && return 0
+    rmdir "$fleet_lock"
+    fleet_lock=""
+  done
+  echo "no block of free ports" >&2
+  return 1
+}
 
 fleet_begin() {
   fleet_logs=$(mktemp -d)
   export GREENGAGESEAM_SECRET="a secret for tests only"
   trap fleet_stop_hard EXIT
+  fleet_take_ports
 }
 
 # start NAME COMMAND...: starts a process, its log in the fleet's folder.
@@ -47,6 +67,7 @@
   for pid in "${fleet_pids[@]}"; do
     kill -KILL "$pid" 2>/dev/null || true
   done
+  [ -n "$fleet_lock" ] && rmdir "$fleet_lock"
   [ -n "$fleet_logs" ] && rm -rf "$fleet_logs"
   return 0
 }
--- a/source/net/httpclient.cpp
+++ b/source/net/httpclient.cpp
@@ -99,9 +99,8 @@
     m_stream.close();
 }
 
-Awaitable<Outcome<HttpResponse>> callHttp(const asio::any_io_executor &executor,
-                                          const Address &address, const HttpRequest &request,
-                                          Duration limit, std::size_t maxBytes)
+Awaitable<Outcome<HttpResponse>> callHttp(asio::any_io_executor executor, Address address,
+                                          HttpRequest request, Duration limit, std::size_t maxBytes)
 {
     HttpCall call(executor);
     const Outcome<HttpAnswerHead> started = co_await call.start(address, request, limit);
--- a/source/net/httpclient.h
+++ b/source/net/httpclient.h
@@ -67,8 +67,8 @@
  * @param maxBytes largest answer
  * @returns the response with any status, or why there was none
  */
-Awaitable<Outcome<HttpResponse>> callHttp(const asio::any_io_executor &executor,
-                                          const Address &address, const HttpRequest &request,
-                                          Duration limit, std::size_t maxBytes);
+Awaitable<Outcome<HttpResponse>> callHttp(asio::any_io_executor executor, Address address,
+                                          HttpRequest request, Duration limit,
+                                          std::size_t maxBytes);
 
 } // namespace greengageseam
