Keep links between entries, and find entries on the instance list

Cause: entries did not know each other, so neither membership nor limits nor configuration could travel between them; agents knew entries by settings only. Links have a hook for their start, and both ends may open streams.

--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -59,7 +59,7 @@
     };
     entryHooks.drain = [gate = m_gate->mailbox()] { gate->post(DrainGate {}); };
     m_entries = std::make_shared<EntryLinks>(m_executor, m_settings, m_config->mailbox(),
-                                             entryHooks, m_log);
+                                             entryHooks, listReader(), m_log);
 
     m_placer = std::make_shared<Placer>(
             m_executor, m_settings.instance, m_settings.zone,
@@ -84,6 +84,13 @@
     return {};
 }
 
+ReadInstanceList Agent::listReader() const
+{
+    return m_settings.listAddress.isEmpty()
+            ? ReadInstanceList()
+            : makeListReader(m_executor, m_settings.listAddress, platformLimit);
+}
+
 void Agent::startEngineTasks()
 {
     const EngineClient client(m_executor, m_settings.backendAddress, orderLimit);
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -39,6 +39,7 @@
     void onAssignment(const std::set<Digest> &manifests);
     void onWeights(const WeightStatus &status);
     void onGate(const GateStatus &status);
+    ReadInstanceList listReader() const;
     void startEngineTasks();
     Awaitable<void> registerIncarnation();
 
--- a/source/agent/agentsettings.h
+++ b/source/agent/agentsettings.h
@@ -20,8 +20,10 @@
     Address httpAddress;
     /** Where other processes of the system reach the agent. */
     Address peerAddress;
-    /** Entries of the zone. */
+    /** Entries of the zone that are known from the start. */
     std::vector<Address> entries;
+    /** The platform's list of instances; empty if it is not asked. */
+    Address listAddress;
     Address logAddress;
     Address storeAddress;
     /** The backend server beside the agent. */
--- a/source/agent/entrylinks.cpp
+++ b/source/agent/entrylinks.cpp
@@ -14,13 +14,16 @@
 constexpr std::size_t mailboxCapacity = 1024;
 constexpr auto dialLimit = std::chrono::seconds(2);
 constexpr StreamId linkStream = 0;
+constexpr auto listEveryOften = std::chrono::seconds(1);
+constexpr auto listEverySeldom = std::chrono::minutes(1);
 
 } // namespace
 
 EntryLinks::EntryLinks(const asio::any_io_executor &executor, AgentSettings settings,
-                       MailboxPtr<ConfigCommand> config, EntryLinksHooks hooks, Log log)
+                       MailboxPtr<ConfigCommand> config, EntryLinksHooks hooks,
+                       ReadInstanceList readList, Log log)
     : m_executor(executor), m_settings(std::move(settings)), m_config(std::move(config)),
-      m_hooks(std::move(hooks)), m_log(std::move(log)),
+      m_hooks(std::move(hooks)), m_readList(std::move(readList)), m_log(std::move(log)),
       m_mailbox(makeMailbox<EntryLinksCommand>(executor, mailboxCapacity))
 {
     m_heartbeat.instance = m_settings.instance;
@@ -38,6 +41,32 @@
         mailbox->post(HeartbeatTick {});
         return true;
     });
+    if (m_readList) {
+        asio::co_spawn(
+                m_executor, [self = shared_from_this()] { return self->followList(); },
+                asio::detached);
+    }
+}
+
+/** The list is asked often while no entry is linked, and seldom after that. */
+Awaitable<void> EntryLinks::followList()
+{
+    asio::steady_timer timer(m_executor);
+    while (true) {
+        Outcome<std::vector<ListedInstance>> list = co_await m_readList();
+        EntriesListed listed;
+        if (failureOf(list) == nullptr) {
+            for (const ListedInstance &instance : std::get<std::vector<ListedInstance>>(list)) {
+                if (instance.role == "entry" && instance.zone == m_settings.zone
+                    && !instance.address.isEmpty()) {
+                    listed.entries.push_back(instance.address);
+                }
+            }
+            m_mailbox->post(std::move(listed));
+        }
+        timer.expires_after(m_isLinked ? listEverySeldom : listEveryOften);
+        co_await timer.async_wait(asTuple);
+    }
 }
 
 Awaitable<void> EntryLinks::run()
@@ -57,6 +86,11 @@
     beat();
 }
 
+void EntryLinks::apply(const EntriesListed &command)
+{
+    m_listed = command.entries;
+}
+
 void EntryLinks::apply(const EntryDialed &command)
 {
     if (const Failure *failure = failureOf(command.link)) {
@@ -105,7 +139,11 @@
 
 void EntryLinks::apply(const HeartbeatTick &)
 {
-    for (const Address &address : m_settings.entries) {
+    m_isLinked = std::any_of(m_links.begin(), m_links.end(),
+                             [](const auto &entry) { return bool(entry.second); });
+    std::set<Address> wanted(m_settings.entries.begin(), m_settings.entries.end());
+    wanted.insert(m_listed.begin(), m_listed.end());
+    for (const Address &address : wanted) {
         if (m_links.try_emplace(address).second) {
             asio::co_spawn(
                     m_executor,
--- a/source/agent/entrylinks.h
+++ b/source/agent/entrylinks.h
@@ -11,10 +11,12 @@
 #include "net/log.h"
 #include "net/peerlink.h"
 #include "platform/configkeeper.h"
+#include "platform/listclient.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <variant>
 
 namespace greengageseam {
@@ -25,6 +27,12 @@
     ConfigView view;
 };
 
+/** Entries of the zone were found on the platform's list. */
+struct EntriesListed
+{
+    std::vector<Address> entries;
+};
+
 /** A link to an entry was made, or could not be. */
 struct EntryDialed
 {
@@ -50,8 +58,8 @@
 
 /** Messages to the task. */
 using EntryLinksCommand =
-        std::variant<ConfigInForce, EntryDialed, EntryLost, EntrySaid, HeartbeatTick, GateStatus,
-                     WeightStatus, EngineState, IncarnationKnown>;
+        std::variant<ConfigInForce, EntriesListed, EntryDialed, EntryLost, EntrySaid, HeartbeatTick,
+                     GateStatus, WeightStatus, EngineState, IncarnationKnown>;
 
 /** Hook that is told of the agents of the zone; it must not wait. */
 using NeighbourObserver = std::function<void(const std::vector<Heartbeat> &neighbours)>;
@@ -69,8 +77,10 @@
 class EntryLinks : public std::enable_shared_from_this<EntryLinks>
 {
 public:
+    /** @param readList how entries are looked up; may be empty */
     EntryLinks(const asio::any_io_executor &executor, AgentSettings settings,
-               MailboxPtr<ConfigCommand> config, EntryLinksHooks hooks, Log log);
+               MailboxPtr<ConfigCommand> config, EntryLinksHooks hooks, ReadInstanceList readList,
+               Log log);
 
     /** @returns where to send commands */
     const MailboxPtr<EntryLinksCommand> &mailbox() const { return m_mailbox; }
@@ -80,6 +90,7 @@
 private:
     Awaitable<void> run();
     void apply(const ConfigInForce &command);
+    void apply(const EntriesListed &command);
     void apply(const EntryDialed &command);
     void apply(const EntryLost &command);
     void apply(const EntrySaid &command);
@@ -89,17 +100,21 @@
     void apply(const EngineState &command);
     void apply(const IncarnationKnown &command);
     Awaitable<void> dial(Address address);
+    Awaitable<void> followList();
     void beat();
 
     asio::any_io_executor m_executor;
     AgentSettings m_settings;
     MailboxPtr<ConfigCommand> m_config;
     EntryLinksHooks m_hooks;
+    ReadInstanceList m_readList;
     Log m_log;
     MailboxPtr<EntryLinksCommand> m_mailbox;
     Heartbeat m_heartbeat;
+    std::vector<Address> m_listed;
     /** Links by the address that was dialed; one without a link is being dialed. */
     std::map<Address, PeerLinkHandle> m_links;
+    bool m_isLinked = false;
 };
 
 } // namespace greengageseam
--- a/source/daemon/settings.cpp
+++ b/source/daemon/settings.cpp
@@ -28,12 +28,15 @@
   --peer-listen=<address>     Address for other processes of the system.
   --secret=<text>             Secret that all processes share, of at least 16 characters.
   --log=<address>             The platform's log service.
-  --list=<address>            The platform's list of instances (entry).
+  --list=<address>            The platform's list of instances; an agent may do without.
   --bootstrap-token=<digest>  SHA-256 of a token that counts as an operator's while the
                               table names no operator (entry).
   --request-limit=<seconds>   Longest time for a request, 1 to 3600 (entry). Unset: 120.
+  --peers=<addresses>         Peer addresses of other entries, with commas; may be unset when
+                              the platform's list has them (entry).
   --store=<address>           The weight store (agent).
-  --entries=<addresses>       Peer addresses of the zone's entries, with commas (agent).
+  --entries=<addresses>       Peer addresses of the zone's entries, with commas; may be unset
+                              when the platform's list has them (agent).
   --backend=<address>         HTTP address of the backend server (agent).
   --service=<name>            The plain service behind the agent; unset for an engine.
   --drain-limit=<seconds>     Longest time that a shutdown waits, 1 to 86400. Unset: 600.
@@ -144,6 +147,15 @@
         return list;
     }
 
+    /** @returns no address if the setting is unset or empty */
+    Result<std::vector<Address>> optionalAddresses(const std::string &flag) const
+    {
+        if (find(flag).value_or("").empty()) {
+            return std::vector<Address>();
+        }
+        return addresses(flag);
+    }
+
     Result<Duration> seconds(const std::string &flag, std::uint32_t unset, std::uint32_t most) const
     {
         const std::optional<std::string> value = find(flag);
@@ -201,6 +213,7 @@
     BOOST_LEAF_ASSIGN(settings.peerAddress, reader.address("--peer-listen"));
     BOOST_LEAF_ASSIGN(settings.logAddress, reader.address("--log"));
     BOOST_LEAF_ASSIGN(settings.listAddress, reader.address("--list"));
+    BOOST_LEAF_ASSIGN(settings.peers, reader.optionalAddresses("--peers"));
     BOOST_LEAF_ASSIGN(settings.secret, reader.secret());
     BOOST_LEAF_ASSIGN(settings.requestLimit,
                       reader.seconds("--request-limit", defaultRequestSeconds, maxRequestSeconds));
@@ -226,7 +239,10 @@
     BOOST_LEAF_ASSIGN(settings.peerAddress, reader.address("--peer-listen"));
     BOOST_LEAF_ASSIGN(settings.logAddress, reader.address("--log"));
     BOOST_LEAF_ASSIGN(settings.storeAddress, reader.address("--store"));
-    BOOST_LEAF_ASSIGN(settings.entries, reader.addresses("--entries"));
+    BOOST_LEAF_ASSIGN(settings.entries, reader.optionalAddresses("--entries"));
+    if (settings.entries.empty() || reader.find("--list")) {
+        BOOST_LEAF_ASSIGN(settings.listAddress, reader.address("--list"));
+    }
     BOOST_LEAF_ASSIGN(settings.backendAddress, reader.address("--backend"));
     BOOST_LEAF_ASSIGN(settings.secret, reader.secret());
     BOOST_LEAF_ASSIGN(settings.drainLimit,
--- a/source/entry/entry.cpp
+++ b/source/entry/entry.cpp
@@ -66,22 +66,51 @@
 Result<void> Entry::startPeers()
 {
     const PeerIdentity identity {"entry", m_settings.instance, m_settings.zone, m_settings.secret};
+    m_listener = std::make_shared<PeerListener>(m_executor, identity, acceptedLinkHooks(), m_log);
+    BOOST_LEAF_ASSIGN(m_settings.peerAddress, m_listener->listen(m_settings.peerAddress));
+    makePeerEntries();
+    m_listener->start();
+    return {};
+}
+
+void Entry::makePeerEntries()
+{
+    PeerEntriesHooks hooks;
+    hooks.receive = [this](const HelloMessage &peer, const Message &message) {
+        onEntryMessage(peer, message);
+    };
+    hooks.linked = [this](const std::vector<LinkedEntry> &entries) { onLinkedEntries(entries); };
+    m_peers = std::make_shared<PeerEntries>(m_executor, m_settings, PeerEntriesOptions(),
+                                            std::move(hooks), m_log);
+    m_peers->start();
+}
+
+/** Both agents and entries dial an entry; an agent's link carries its heartbeats. */
+LinkHooks Entry::acceptedLinkHooks() const
+{
     LinkHooks hooks;
-    hooks.receive = [fleet = m_fleet->mailbox()](const PeerLinkHandle &link,
-                                                 StreamMessage message) {
+    hooks.started = [this](const PeerLinkHandle &link) {
+        m_peers->mailbox()->post(PeerEntryLinked {link});
+    };
+    hooks.receive = [this](const PeerLinkHandle &link, StreamMessage message) {
         if (auto *heartbeat = std::get_if<HeartbeatMessage>(&message.message)) {
-            fleet->post(HeartbeatHeard {std::move(heartbeat->heartbeat), link});
+            m_fleet->mailbox()->post(HeartbeatHeard {std::move(heartbeat->heartbeat), link});
+        } else if (link.peer().role == "entry" && message.stream == 0) {
+            m_peers->mailbox()->post(PeerEntrySaid {link, std::move(message.message)});
         }
     };
-    hooks.ended = [fleet = m_fleet->mailbox()](const PeerLinkHandle &link, const LinkClosed &) {
-        fleet->post(HeartbeatLinkLost {link.peer().instance});
+    hooks.ended = [this](const PeerLinkHandle &link, const LinkClosed &) {
+        m_fleet->mailbox()->post(HeartbeatLinkLost {link.peer().instance});
+        m_peers->mailbox()->post(PeerEntryLost {link});
     };
-    m_listener = std::make_shared<PeerListener>(m_executor, identity, hooks, m_log);
-    BOOST_LEAF_ASSIGN(m_settings.peerAddress, m_listener->listen(m_settings.peerAddress));
-    m_listener->start();
-    return {};
+    return hooks;
 }
 
+/** Messages of other entries go to the task that they concern. */
+void Entry::onEntryMessage(const HelloMessage &, const Message &) { }
+
+void Entry::onLinkedEntries(const std::vector<LinkedEntry> &) { }
+
 void Entry::startConfiguration(const LogClient &logClient)
 {
     std::vector<ConfigObserver> observers;
@@ -156,6 +185,7 @@
         Outcome<std::vector<ListedInstance>> list = co_await read();
         if (failureOf(list) == nullptr) {
             auto &instances = std::get<std::vector<ListedInstance>>(list);
+            m_peers->mailbox()->post(PeersListed {instances});
             m_fleet->mailbox()->post(ListRead {std::move(instances)});
         }
         timer.expires_after(listEvery);
--- a/source/entry/entry.h
+++ b/source/entry/entry.h
@@ -2,8 +2,8 @@
  * entry: the process between callers and agents; also the one that operators speak to.
  *
  * Tasks: a connection for each caller with a Forwarder for each request, Router (admission and
- * choice), FleetKeeper (the zone's agents), LogTail and ConfigKeeper (configuration), AdminKeeper
- * (administration). This class only connects them.
+ * choice), FleetKeeper (the zone's agents), PeerEntries (links to other entries), LogTail and
+ * ConfigKeeper (configuration), AdminKeeper (administration). This class only connects them.
  */
 #pragma once
 
@@ -12,6 +12,7 @@
 #include "entry/callerdesk.h"
 #include "entry/entrysettings.h"
 #include "entry/fleetkeeper.h"
+#include "entry/peerentries.h"
 #include "entry/router.h"
 #include "net/httpserver.h"
 #include "net/metrics.h"
@@ -35,6 +36,10 @@
 private:
     Result<void> startHttp(const LogClient &logClient);
     Result<void> startPeers();
+    void makePeerEntries();
+    LinkHooks acceptedLinkHooks() const;
+    void onEntryMessage(const HelloMessage &peer, const Message &message);
+    void onLinkedEntries(const std::vector<LinkedEntry> &entries);
     void startConfiguration(const LogClient &logClient);
     Awaitable<void> handle(HttpExchange &exchange);
     Awaitable<HttpResponse> answerHealth(const std::string &path) const;
@@ -47,6 +52,7 @@
     std::shared_ptr<ConfigKeeper> m_config;
     std::shared_ptr<LogTail> m_tail;
     std::shared_ptr<FleetKeeper> m_fleet;
+    std::shared_ptr<PeerEntries> m_peers;
     std::shared_ptr<Router> m_router;
     std::shared_ptr<AdminKeeper> m_admin;
     std::shared_ptr<CallerDesk> m_callerDesk;
--- a/source/entry/entrysettings.h
+++ b/source/entry/entrysettings.h
@@ -6,6 +6,7 @@
 #include "core/common/common.h"
 
 #include <string>
+#include <vector>
 
 namespace greengageseam {
 
@@ -18,6 +19,8 @@
     Address httpAddress;
     /** Where agents and other entries reach it. */
     Address peerAddress;
+    /** Other entries that are known from the start. */
+    std::vector<Address> peers;
     Address logAddress;
     Address listAddress;
     std::string secret;
--- /dev/null
+++ b/source/entry/peerentries.cpp
@@ -0,0 +1,252 @@
+#include "entry/peerentries.h"
+
+#include "core/common/hashing.h"
+#include "net/clock.h"
+#include "net/ticker.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr std::size_t mailboxCapacity = 8192;
+constexpr auto dialLimit = std::chrono::seconds(2);
+constexpr StreamId linkStream = 0;
+const std::string entryRole = "entry";
+
+} // namespace
+
+PeerEntriesOptions PeerEntriesOptions::withLinksPerZone(std::size_t value) const
+{
+    PeerEntriesOptions options = *this;
+    options.linksPerZone = value;
+    return options;
+}
+
+PeerEntries::PeerEntries(const asio::any_io_executor &executor, EntrySettings settings,
+                         PeerEntriesOptions options, PeerEntriesHooks hooks, Log log)
+    : m_executor(executor), m_settings(std::move(settings)), m_options(options),
+      m_hooks(std::move(hooks)), m_log(std::move(log)),
+      m_mailbox(makeMailbox<PeerEntriesCommand>(executor, mailboxCapacity))
+{ }
+
+void PeerEntries::start()
+{
+    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->run(); }, asio::detached);
+    startTicker(m_executor, m_options.tickEvery, [mailbox = m_mailbox] {
+        mailbox->post(PeerEntriesTick {});
+        return true;
+    });
+}
+
+Awaitable<void> PeerEntries::run()
+{
+    while (std::optional<PeerEntriesCommand> command = co_await m_mailbox->receive()) {
+        std::visit([this](const auto &message) { apply(message); }, *command);
+    }
+}
+
+void PeerEntries::apply(const PeerEntryLinked &command)
+{
+    const HelloMessage &peer = command.link.peer();
+    if (peer.role != entryRole || peer.instance == m_settings.instance) {
+        return;
+    }
+    m_log.info("peer.linked", {{"entry", peer.instance.text()}});
+    m_peers[peer.instance].insert_or_assign(peer.nonce, Peer {command.link, monotonicNow()});
+    tell();
+}
+
+void PeerEntries::apply(const PeerEntryLost &command)
+{
+    const HelloMessage &peer = command.link.peer();
+    const auto it = m_peers.find(peer.instance);
+    if (it == m_peers.end() || it->second.erase(peer.nonce) == 0) {
+        return;
+    }
+    m_log.warning("peer.lost", {{"entry", peer.instance.text()}});
+    if (it->second.empty()) {
+        m_peers.erase(it);
+    }
+    tell();
+}
+
+void PeerEntries::apply(const PeerEntryDialed &command)
+{
+    m_dialing.erase(command.address);
+    if (const Failure *failure = failureOf(command.link)) {
+        m_log.debug("peer.unreachable",
+                    {{"address", command.address.text()}, {"reason", failure->detail}});
+        m_instanceAt.erase(command.address);
+        return;
+    }
+    const auto &link = std::get<PeerLinkHandle>(command.link);
+    m_instanceAt.insert_or_assign(command.address, link.peer().instance);
+    if (link.peer().instance == m_settings.instance) {
+        link.close("this is the entry itself");
+    }
+}
+
+void PeerEntries::apply(const PeerEntrySaid &command)
+{
+    const HelloMessage &hello = command.link.peer();
+    const auto it = m_peers.find(hello.instance);
+    if (it != m_peers.end()) {
+        const auto peer = it->second.find(hello.nonce);
+        if (peer != it->second.end()) {
+            peer->second.heardAt = monotonicNow();
+        }
+    }
+    if (!std::holds_alternative<EntryAliveMessage>(command.message)) {
+        m_hooks.receive(hello, command.message);
+    }
+}
+
+void PeerEntries::apply(const SendToEntry &command)
+{
+    const auto it = m_peers.find(command.instance);
+    if (it != m_peers.end()) {
+        it->second.begin()->second.link.post(linkStream, command.message);
+    }
+}
+
+void PeerEntries::apply(const SendToZone &command)
+{
+    for (const auto &[instance, links] : m_peers) {
+        const PeerLinkHandle &link = links.begin()->second.link;
+        if (link.peer().zone == m_settings.zone) {
+            link.post(linkStream, command.message);
+        }
+    }
+}
+
+void PeerEntries::apply(const SendToAllZones &command)
+{
+    std::set<ZoneName> reached {m_settings.zone};
+    for (const auto &[instance, links] : m_peers) {
+        const PeerLinkHandle &link = links.begin()->second.link;
+        if (!reached.contains(link.peer().zone) && link.post(linkStream, command.message)) {
+            reached.insert(link.peer().zone);
+        }
+    }
+}
+
+void PeerEntries::apply(const PeersListed &command)
+{
+    m_listed.clear();
+    std::copy_if(command.list.begin(), command.list.end(), std::back_inserter(m_listed),
+                 [this](const ListedInstance &listed) {
+                     return listed.role == entryRole && !listed.address.isEmpty()
+                             && listed.instance != m_settings.instance;
+                 });
+    dialMissing();
+}
+
+void PeerEntries::apply(const PeerEntriesTick &)
+{
+    const Instant now = monotonicNow();
+    for (const auto &[instance, links] : m_peers) {
+        for (const auto &[nonce, peer] : links) {
+            if (now - peer.heardAt > m_options.silentAfter) {
+                peer.link.close("the entry is silent");
+            } else {
+                peer.link.post(linkStream, EntryAliveMessage {});
+            }
+        }
+    }
+    dialMissing();
+}
+
+LinkHooks PeerEntries::linkHooks() const
+{
+    LinkHooks hooks;
+    hooks.started = [mailbox = m_mailbox](const PeerLinkHandle &link) {
+        mailbox->post(PeerEntryLinked {link});
+    };
+    hooks.receive = [mailbox = m_mailbox, streams = m_hooks.streams](const PeerLinkHandle &link,
+                                                                     StreamMessage message) {
+        if (message.stream == linkStream) {
+            mailbox->post(PeerEntrySaid {link, std::move(message.message)});
+        } else if (streams) {
+            streams(link, std::move(message));
+        }
+    };
+    hooks.ended = [mailbox = m_mailbox](const PeerLinkHandle &link, const LinkClosed &) {
+        mailbox->post(PeerEntryLost {link});
+    };
+    return hooks;
+}
+
+void PeerEntries::dialMissing()
+{
+    for (const Address &address : wantedAddresses()) {
+        if (!isLinked(address) && m_dialing.insert(address).second) {
+            asio::co_spawn(
+                    m_executor,
+                    [self = shared_from_this(), address] { return self->dial(address); },
+                    asio::detached);
+        }
+    }
+}
+
+/** Within the zone the smaller instance dials; elsewhere each dials those it scores highest. */
+std::set<Address> PeerEntries::wantedAddresses() const
+{
+    std::set<Address> wanted(m_settings.peers.begin(), m_settings.peers.end());
+    std::map<ZoneName, std::vector<const ListedInstance *>> others;
+    for (const ListedInstance &listed : m_listed) {
+        if (listed.zone != m_settings.zone) {
+            others[listed.zone].push_back(&listed);
+        } else if (m_settings.instance < listed.instance && !m_peers.contains(listed.instance)) {
+            wanted.insert(listed.address);
+        }
+    }
+    const auto score = [this](const ListedInstance *listed) {
+        return rendezvousScore(m_settings.instance.text(), listed->instance.text());
+    };
+    for (auto &[zone, entries] : others) {
+        std::sort(entries.begin(), entries.end(),
+                  [&](const auto *left, const auto *right) { return score(left) > score(right); });
+        entries.resize(std::min(entries.size(), m_options.linksPerZone));
+        for (const ListedInstance *listed : entries) {
+            if (!m_peers.contains(listed->instance)) {
+                wanted.insert(listed->address);
+            }
+        }
+    }
+    wanted.erase(m_settings.peerAddress);
+    return wanted;
+}
+
+bool PeerEntries::isLinked(const Address &address) const
+{
+    const auto it = m_instanceAt.find(address);
+    return it != m_instanceAt.end()
+            && (it->second == m_settings.instance || m_peers.contains(it->second));
+}
+
+Awaitable<void> PeerEntries::dial(Address address)
+{
+    const PeerIdentity identity {entryRole, m_settings.instance, m_settings.zone,
+                                 m_settings.secret};
+    LinkHooks hooks = linkHooks();
+    Outcome<PeerLinkHandle> link =
+            co_await dialPeer(m_executor, address, identity, std::move(hooks), dialLimit, m_log);
+    PeerEntriesCommand dialed = PeerEntryDialed {address, std::move(link)};
+    co_await m_mailbox->send(std::move(dialed));
+}
+
+void PeerEntries::tell()
+{
+    std::vector<LinkedEntry> entries;
+    for (const auto &[instance, links] : m_peers) {
+        entries.push_back(
+                {instance, links.begin()->second.link.peer().zone, links.begin()->second.link});
+    }
+    m_hooks.linked(entries);
+}
+
+} // namespace greengageseam
--- a/source/net/peerlink.cpp
+++ b/source/net/peerlink.cpp
@@ -20,6 +20,8 @@
 constexpr auto writeLimit = std::chrono::seconds(15);
 constexpr auto acceptPause = std::chrono::milliseconds(20);
 constexpr int nonceWords = 4;
+/** Numbers of the streams that the accepting end of a link opens come after this one. */
+constexpr StreamId acceptorStreams = StreamId {1} << 48;
 
 /** Which end of a link a process is; part of the proof, so that a proof can't be sent back. */
 enum class LinkEnd { Dialer, Acceptor };
@@ -266,10 +268,13 @@
 };
 
 PeerLinkHandle startLink(TcpStream stream, const HelloMessage &peer, const LinkHooks &hooks,
-                         const Log &log)
+                         const Log &log, LinkEnd end)
 {
     const auto commands = makeMailbox<LinkCommand>(stream->get_executor(), commandCapacity);
-    PeerLinkHandle handle(peer, commands);
+    PeerLinkHandle handle(peer, commands, end == LinkEnd::Dialer ? 0 : acceptorStreams);
+    if (hooks.started) {
+        hooks.started(handle);
+    }
     std::make_shared<LinkTask>(std::move(stream), handle, commands, hooks, log)->start();
     return handle;
 }
@@ -290,14 +295,15 @@
         log.warning("link.refused", {{"reason", failure->detail}});
         co_return;
     }
-    startLink(std::move(stream), std::get<HelloMessage>(peer), hooks, log);
+    startLink(std::move(stream), std::get<HelloMessage>(peer), hooks, log, LinkEnd::Acceptor);
 }
 
 } // namespace
 
-PeerLinkHandle::PeerLinkHandle(HelloMessage peer, MailboxPtr<LinkCommand> commands)
+PeerLinkHandle::PeerLinkHandle(HelloMessage peer, MailboxPtr<LinkCommand> commands,
+                               StreamId firstStream)
     : m_peer(std::move(peer)), m_commands(std::move(commands)),
-      m_lastStream(std::make_shared<StreamId>(0))
+      m_lastStream(std::make_shared<StreamId>(firstStream))
 { }
 
 StreamId PeerLinkHandle::nextStream() const
@@ -353,7 +359,8 @@
     if (const Failure *failure = failureOf(peer)) {
         co_return *failure;
     }
-    co_return startLink(std::move(stream), std::get<HelloMessage>(peer), hooks, log);
+    co_return startLink(std::move(stream), std::get<HelloMessage>(peer), hooks, log,
+                        LinkEnd::Dialer);
 }
 
 PeerListener::PeerListener(const asio::any_io_executor &executor, PeerIdentity identity,
--- a/source/net/peerlink.h
+++ b/source/net/peerlink.h
@@ -74,7 +74,8 @@
 {
 public:
     PeerLinkHandle() = default;
-    PeerLinkHandle(HelloMessage peer, MailboxPtr<LinkCommand> commands);
+    /** @param firstStream the two ends of a link begin far apart, so that both may open streams */
+    PeerLinkHandle(HelloMessage peer, MailboxPtr<LinkCommand> commands, StreamId firstStream);
 
     /** @returns what the peer said of itself, proved by the secret */
     const HelloMessage &peer() const { return m_peer; }
@@ -103,6 +104,8 @@
 /** Hook for messages on streams that nobody listens to: the first message of a stream, or stream 0.
  */
 using LinkReceiver = std::function<void(const PeerLinkHandle &link, StreamMessage message)>;
+/** Hook that is told when the link has begun, before any message. */
+using LinkStarted = std::function<void(const PeerLinkHandle &link)>;
 /** Hook that is told when the link has ended. */
 using LinkEnded = std::function<void(const PeerLinkHandle &link, const LinkClosed &closed)>;
 
@@ -111,6 +114,8 @@
 {
     LinkReceiver receive;
     LinkEnded ended;
+    /** May be empty. */
+    LinkStarted started;
 };
 
 /**
--- a/source/platform/listclient.cpp
+++ b/source/platform/listclient.cpp
@@ -12,6 +12,11 @@
 
 using List = std::vector<ListedInstance>;
 
+Result<std::string> optionalText(const boost::json::object &object, std::string_view key)
+{
+    return object.contains(key) ? stringMember(object, key) : Result<std::string>(std::string());
+}
+
 Result<List> parseList(const std::string &text)
 {
     BOOST_LEAF_AUTO(object, parseObject(text));
@@ -24,7 +29,10 @@
         BOOST_LEAF_AUTO(id, stringMember(value.get_object(), "id"));
         BOOST_LEAF_AUTO(zone, stringMember(value.get_object(), "zone"));
         BOOST_LEAF_AUTO(state, stringMember(value.get_object(), "state"));
-        list.push_back({InstanceId(id), ZoneName(zone), state == "leaving"});
+        BOOST_LEAF_AUTO(role, optionalText(value.get_object(), "role"));
+        BOOST_LEAF_AUTO(address, optionalText(value.get_object(), "address"));
+        list.push_back(
+                {InstanceId(id), ZoneName(zone), state == "leaving", role, Address(address)});
     }
     return list;
 }
--- a/source/platform/listclient.h
+++ b/source/platform/listclient.h
@@ -7,6 +7,7 @@
 #include "net/mailbox.h"
 
 #include <functional>
+#include <string>
 #include <vector>
 
 namespace greengageseam {
@@ -17,6 +18,10 @@
     InstanceId instance;
     ZoneName zone;
     bool isLeaving = false;
+    /** `entry` or `agent`; empty if the list does not say. */
+    std::string role;
+    /** Where other processes of the system reach it; empty if the list does not say. */
+    Address address;
 
     auto operator<=>(const ListedInstance &) const = default;
 };
--- a/source/protocol/framecodec.cpp
+++ b/source/protocol/framecodec.cpp
@@ -273,6 +273,8 @@
         m_body.__set_chunkPart(part);
     }
 
+    void operator()(const EntryAliveMessage &) { m_body.__set_entryAlive({}); }
+
 private:
     wire::Body &m_body;
 };
@@ -361,6 +363,9 @@
     if (isset.chunkPart) {
         return ChunkPartMessage {body.chunkPart.bytes, body.chunkPart.last};
     }
+    if (isset.entryAlive) {
+        return EntryAliveMessage {};
+    }
     return fail(ErrorKind::ProtocolViolation, "a frame holds no message that is known here");
 }
 
--- a/source/protocol/messages.h
+++ b/source/protocol/messages.h
@@ -176,11 +176,18 @@
     auto operator<=>(const ChunkPartMessage &) const = default;
 };
 
+/** Sign of life between entries. */
+struct EntryAliveMessage
+{
+    auto operator<=>(const EntryAliveMessage &) const = default;
+};
+
 /** Any message. */
-using Message = std::variant<HelloMessage, ProofMessage, OpenMessage, HeadMessage, DataMessage,
-                             EndMessage, FailedMessage, CreditMessage, CancelMessage,
-                             CancelSeenMessage, HeartbeatMessage, HeartbeatAckMessage,
-                             ConfigPushMessage, ChunkWantedMessage, ChunkPartMessage>;
+using Message =
+        std::variant<HelloMessage, ProofMessage, OpenMessage, HeadMessage, DataMessage, EndMessage,
+                     FailedMessage, CreditMessage, CancelMessage, CancelSeenMessage,
+                     HeartbeatMessage, HeartbeatAckMessage, ConfigPushMessage, ChunkWantedMessage,
+                     ChunkPartMessage, EntryAliveMessage>;
 
 /** A message with the stream that it belongs to. */
 struct StreamMessage
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -120,6 +120,10 @@
   2: bool last;
 }
 
+/** Sign of life between entries. */
+struct EntryAlive {
+}
+
 union Body {
   1: Hello hello;
   2: Proof proof;
@@ -136,6 +140,7 @@
   13: ConfigPush configPush;
   14: ChunkWanted chunkWanted;
   15: ChunkPart chunkPart;
+  20: EntryAlive entryAlive;
 }
 
 /** Stream 0 belongs to the link; the side that opened the link numbers the others. */
