--- /dev/null
+++ b/tests/unit/tst_settings.cpp
@@ -0,0 +1,100 @@
+/**
+ * Tests of the daemon's settings.
+ */
+#include "daemon/settings.h"
+
+#include <catch2/catch.hpp>
+
+namespace greengageseam {
+namespace {
+
+/** Words of an entry that are valid, to be spoilt one by one. */
+class SettingsFixture
+{
+protected:
+    Outcome<DaemonSettings> read(const std::string &flag = {}, const std::string &value = {})
+    {
+        std::map<std::string, std::string> flags = m_flags;
+        if (!flag.empty()) {
+            flags[flag] = value;
+        }
+        std::vector<std::string> words;
+        for (const auto &[name, text] : flags) {
+            words.push_back(name + "=" + text);
+        }
+        return settle([&] { return readSettings(words, m_environment); });
+    }
+
+    void requireRefused(const std::string &flag, const std::string &value)
+    {
+        const Outcome<DaemonSettings> outcome = read(flag, value);
+        const Failure *failure = failureOf(outcome);
+        INFO(flag << "=" << value);
+        REQUIRE(failure != nullptr);
+        REQUIRE(failure->kind == ErrorKind::InvalidRequest);
+        REQUIRE_THAT(failure->detail, Catch::Contains(flag));
+        REQUIRE(failure->detail.find('\n') == std::string::npos);
+    }
+
+    std::map<std::string, std::string> m_flags {
+            {"--role", "entry"},         {"--instance", "entry1"},         {"--zone", "fyn"},
+            {"--listen", "127.0.0.1:1"}, {"--peer-listen", "127.0.0.1:2"}, {"--log", "127.0.0.1:3"},
+            {"--list", "127.0.0.1:4"},   {"--secret", "sixteen letters."}};
+    Environment m_environment;
+};
+
+TEST_CASE_METHOD(SettingsFixture, "settings_validEntry_areRead")
+{
+    const Outcome<DaemonSettings> outcome = read();
+    REQUIRE(failureOf(outcome) == nullptr);
+    const auto &entry = std::get<EntrySettings>(std::get<DaemonSettings>(outcome).role);
+    REQUIRE(entry.zone == ZoneName("fyn"));
+}
+
+TEST_CASE_METHOD(SettingsFixture, "settings_badValue_isRefusedWithItsName")
+{
+    requireRefused("--role", "queen");
+    requireRefused("--zone", "");
+    requireRefused("--zone", "two words");
+    requireRefused("--listen", "localhost:80");
+    requireRefused("--listen", "127.0.0.1:70000");
+    requireRefused("--log", "127.0.0.1");
+    requireRefused("--secret", "short");
+    requireRefused("--request-limit", "0");
+    requireRefused("--request-limit", "3601");
+    requireRefused("--drain-limit", "ten");
+    requireRefused("--log-level", "loud");
+    requireRefused("--bootstrap-token", "not-a-digest");
+}
+
+TEST_CASE_METHOD(SettingsFixture, "settings_secretThatIsRefused_isNotPrinted")
+{
+    const Outcome<DaemonSettings> outcome = read("--secret", "hush");
+    REQUIRE(failureOf(outcome)->detail.find("hush") == std::string::npos);
+}
+
+TEST_CASE_METHOD(SettingsFixture, "settings_unknownFlag_isRefused")
+{
+    const Outcome<DaemonSettings> outcome = read("--no-such-flag", "1");
+    REQUIRE(failureOf(outcome) != nullptr);
+}
+
+TEST_CASE_METHOD(SettingsFixture, "settings_variableWithoutFlag_isUsed")
+{
+    m_flags.erase("--zone");
+    m_environment["GREENGAGESEAM_ZONE"] = "jylland";
+    const Outcome<DaemonSettings> outcome = read();
+    const auto &entry = std::get<EntrySettings>(std::get<DaemonSettings>(outcome).role);
+    REQUIRE(entry.zone == ZoneName("jylland"));
+}
+
+TEST_CASE_METHOD(SettingsFixture, "settings_flagAndVariable_flagWins")
+{
+    m_environment["GREENGAGESEAM_ZONE"] = "jylland";
+    const Outcome<DaemonSettings> outcome = read();
+    const auto &entry = std::get<EntrySettings>(std::get<DaemonSettings>(outcome).role);
+    REQUIRE(entry.zone == ZoneName("fyn"));
+}
+
+} // namespace
+} // namespace greengageseam
