--- a/bench/configbench.cpp
+++ b/bench/configbench.cpp
@@ -42,7 +42,7 @@
     }
     ConfigState state = foldRecord(ConfigState(), {Offset{1}, change}).state;
     // The verdict on a change that fills the whole table would count its cells twice.
-    return ConfigState{state.applied, state.sheet, state.table, {}};
+    return ConfigState {state.logId, state.applied, state.sheet, state.table, {}};
 }
 
 std::size_t residentKilobytes()
--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -135,6 +135,7 @@
 
 void Agent::onConfig(const ConfigView &view)
 {
+    countConfig(*m_metrics, view);
     m_entries->mailbox()->post(ConfigInForce {view});
     m_placer->mailbox()->post(view);
 }
--- a/source/agent/entrylinks.cpp
+++ b/source/agent/entrylinks.cpp
@@ -121,20 +121,38 @@
         }
         return;
     }
-    const auto *push = std::get_if<ConfigPushMessage>(&command.message);
-    if (push == nullptr) {
-        return;
+    if (const auto *push = std::get_if<ConfigPushMessage>(&command.message)) {
+        passOn(*push);
+    } else if (const auto *wanted = std::get_if<ConfigWantedMessage>(&command.message)) {
+        answer(*wanted, command.link);
     }
-    if (!push->snapshot.empty()) {
-        m_config->post(RestoreSnapshot {push->snapshot});
+}
+
+void EntryLinks::passOn(const ConfigPushMessage &push)
+{
+    if (!push.snapshot.empty()) {
+        m_config->post(RestoreSnapshot {push.snapshot});
     }
     FoldRecords records;
-    Offset offset = push->firstOffset;
-    for (const std::string &text : push->records) {
+    records.logId = push.logId;
+    Offset offset = push.firstOffset;
+    for (const std::string &text : push.records) {
         records.records.push_back({offset, text});
         ++offset.value;
     }
-    m_config->post(std::move(records));
+    if (!records.records.empty()) {
+        m_config->post(std::move(records));
+    }
+}
+
+/** An entry that started while the log was away takes the table from here. */
+void EntryLinks::answer(const ConfigWantedMessage &wanted, const PeerLinkHandle &link)
+{
+    m_config->post(SnapshotAsked {wanted.applied, [link](const std::string &snapshot) {
+                                      ConfigPushMessage push;
+                                      push.snapshot = snapshot;
+                                      link.post(linkStream, std::move(push));
+                                  }});
 }
 
 void EntryLinks::apply(const HeartbeatTick &)
@@ -197,8 +215,8 @@
 {
     const PeerIdentity identity {"agent", m_settings.instance, m_settings.zone, m_settings.secret};
     LinkHooks hooks;
-    hooks.receive = [mailbox = m_mailbox](const PeerLinkHandle &, StreamMessage message) {
-        mailbox->post(EntrySaid {std::move(message.message)});
+    hooks.receive = [mailbox = m_mailbox](const PeerLinkHandle &link, StreamMessage message) {
+        mailbox->post(EntrySaid {std::move(message.message), link});
     };
     hooks.ended = [mailbox = m_mailbox](const PeerLinkHandle &link, const LinkClosed &) {
         mailbox->post(EntryLost {link.peer().instance});
--- a/source/agent/entrylinks.h
+++ b/source/agent/entrylinks.h
@@ -50,6 +50,8 @@
 struct EntrySaid
 {
     Message message;
+    /** Where an answer goes. */
+    PeerLinkHandle link;
 };
 
 /** Time for a heartbeat. */
@@ -101,6 +103,8 @@
     void apply(const IncarnationKnown &command);
     Awaitable<void> dial(Address address);
     Awaitable<void> followList();
+    void passOn(const ConfigPushMessage &push);
+    void answer(const ConfigWantedMessage &wanted, const PeerLinkHandle &link);
     void beat();
 
     asio::any_io_executor m_executor;
--- a/source/core/config/config.h
+++ b/source/core/config/config.h
@@ -5,4 +5,5 @@
 
 #include "core/config/cells.h"
 #include "core/config/fold.h"
+#include "core/config/logfold.h"
 #include "core/config/table.h"
--- a/source/core/config/fold.cpp
+++ b/source/core/config/fold.cpp
@@ -6,15 +6,42 @@
 
 namespace {
 
-Digest digestOfSnapshot(Offset covers, const Sheet &sheet)
+/** Appends a field with its length, so that no two lists of fields give the same bytes. */
+void appendField(std::string &bytes, const std::string &field)
 {
-    return digestOf(std::to_string(covers.value) + "/" + sheet.digest().text());
+    bytes += std::to_string(field.size());
+    bytes += ':';
+    bytes += field;
 }
 
-std::string describeConflict(const CellPath &path, const Cell &winner)
+/** Covers all that a snapshot says, so that a damaged one is not taken. */
+Digest digestOfSnapshot(const SnapshotRecord &snapshot)
 {
-    return path.text() + " was changed to '" + winner.value + "' by " + winner.author.text()
-            + " in change " + winner.change.text() + " at offset "
+    std::string bytes;
+    appendField(bytes, snapshot.logId);
+    appendField(bytes, std::to_string(snapshot.covers.value));
+    appendField(bytes, snapshot.sheet.digest().text());
+    for (const Verdict &verdict : snapshot.verdicts) {
+        appendField(bytes, verdict.change.text());
+        appendField(bytes, std::to_string(verdict.offset.value));
+        appendField(bytes, std::to_string(static_cast<int>(verdict.kind)));
+    }
+    return digestOf(bytes);
+}
+
+/** What a change leads to, if its verdict lets it. */
+struct Judgement
+{
+    Verdict verdict;
+    Sheet sheet;
+    Table table;
+};
+
+std::string describeConflict(const Sheet &sheet, const CellPath &path, const Cell &winner)
+{
+    const bool isCleared = sheet.tombstones().contains(path);
+    return path.text() + (isCleared ? " was cleared" : " was changed to '" + winner.value + "'")
+            + " by " + winner.author.text() + " in change " + winner.change.text() + " at offset "
             + std::to_string(winner.changedAt.value);
 }
 
@@ -26,55 +53,123 @@
     }
 }
 
-FoldStep foldChange(const ConfigState &state, const Change &change, Offset offset)
+std::string describeBase(Offset base, Offset offset)
 {
-    FoldStep step {state, std::nullopt, std::nullopt};
-    step.state.applied = offset;
-    if (state.verdictOn(change.id) != nullptr) {
-        return step;
+    return "the change was made against offset " + std::to_string(base.value)
+            + "; allowed is an offset below " + std::to_string(offset.value);
+}
+
+Judgement judge(const ConfigState &state, const Change &change, Offset offset)
+{
+    Judgement judgement;
+    Verdict &verdict = judgement.verdict;
+    verdict = {change.id,     change.author, offset,     change.proposedAt, VerdictKind::Accepted,
+               std::string(), change.edits,  change.note};
+    if (change.base >= offset) {
+        verdict.kind = VerdictKind::Invalid;
+        verdict.reason = describeBase(change.base, offset);
+        return judgement;
     }
-    Verdict verdict = judgeChange(state, change, offset);
-    if (verdict.kind == VerdictKind::Accepted) {
-        step.state.sheet = state.sheet.with(change, offset);
-        step.state.table = std::get<Table>(settle([&] { return compileTable(step.state.sheet); }));
+    for (const CellEdit &edit : change.edits) {
+        if (const Cell *winner = state.sheet.changedAfter(edit.path, change.base)) {
+            verdict.kind = VerdictKind::Conflict;
+            verdict.reason = describeConflict(state.sheet, edit.path, *winner);
+            return judgement;
+        }
     }
-    keepVerdict(step.state, verdict);
-    step.verdict = std::move(verdict);
-    return step;
+    judgement.sheet = state.sheet.with(change, offset);
+    Outcome<Table> compiled = settle([&] { return compileTable(judgement.sheet); });
+    if (const Failure *failure = failureOf(compiled)) {
+        verdict.kind = VerdictKind::Invalid;
+        verdict.reason = failure->detail;
+    } else {
+        judgement.table = std::get<Table>(std::move(compiled));
+    }
+    return judgement;
 }
 
-/** A snapshot in its turn is only checked; the fold is believed over it. */
-FoldStep foldSnapshot(const ConfigState &state, const SnapshotRecord &snapshot, Offset offset)
+FoldStep foldChange(ConfigState state, const Change &change, Offset offset)
 {
-    FoldStep step {state, std::nullopt, std::nullopt};
-    step.state.applied = offset;
-    if (snapshot.covers == state.applied
-        && snapshot.digest != digestOfSnapshot(state.applied, state.sheet)) {
-        step.alarm = ConfigAlarm {ConfigAlarmKind::SnapshotMismatch, offset,
-                                  "a snapshot of offset " + std::to_string(snapshot.covers.value)
-                                          + " differs from the table folded here"};
+    state.applied = offset;
+    if (state.verdictOn(change.id) != nullptr) {
+        return {std::move(state), std::nullopt, std::nullopt};
     }
-    return step;
+    Judgement judgement = judge(state, change, offset);
+    if (judgement.verdict.kind == VerdictKind::Accepted) {
+        state.sheet = std::move(judgement.sheet);
+        state.table = std::move(judgement.table);
+    }
+    keepVerdict(state, judgement.verdict);
+    return {std::move(state), std::move(judgement.verdict), std::nullopt};
 }
 
-FoldStep foldAcrossGap(const ConfigState &state, const ConfigRecord &record)
+/** @returns the first path on which a snapshot's cells and the folded ones differ */
+std::optional<CellPath> differingCell(const ConfigState &state, const SnapshotRecord &snapshot)
 {
-    FoldStep step {state, std::nullopt, std::nullopt};
-    const auto *snapshot = std::get_if<SnapshotRecord>(&record.event);
-    if (snapshot != nullptr && snapshot->covers.value + 1 == record.offset.value) {
-        const Outcome<ConfigState> restored = settle([&] { return stateOf(*snapshot); });
-        if (const auto *next = std::get_if<ConfigState>(&restored)) {
-            step.state = *next;
-            step.state.applied = record.offset;
-            return step;
+    const auto differs = [&](const auto &mine, const auto &theirs) -> std::optional<CellPath> {
+        for (const auto &[path, cell] : mine) {
+            const auto it = theirs.find(path);
+            const bool isCovered = cell.changedAt <= snapshot.covers;
+            if (isCovered && (it == theirs.end() || it->second != cell)) {
+                return path;
+            }
+        }
+        return std::nullopt;
+    };
+    if (auto path = differs(state.sheet.cells(), snapshot.sheet.cells())) {
+        return path;
+    }
+    if (auto path = differs(state.sheet.tombstones(), snapshot.sheet.tombstones())) {
+        return path;
+    }
+    for (const auto *cells : {&snapshot.sheet.cells(), &snapshot.sheet.tombstones()}) {
+        for (const auto &[path, cell] : *cells) {
+            const bool isKnown =
+                    state.sheet.cells().contains(path) || state.sheet.tombstones().contains(path);
+            if (!isKnown) {
+                return path;
+            }
         }
     }
-    step.alarm = ConfigAlarm {ConfigAlarmKind::Gap, record.offset,
-                              "the log goes on at offset " + std::to_string(record.offset.value)
-                                      + " after " + std::to_string(state.applied.value)};
+    return std::nullopt;
+}
+
+/** @returns why a snapshot that came in its turn is not to be believed, or nothing */
+std::optional<std::string> disagreement(const ConfigState &state, const SnapshotRecord &snapshot)
+{
+    const std::string name = "a snapshot of offset " + std::to_string(snapshot.covers.value);
+    if (snapshot.covers > state.applied) {
+        return name + " stands before what it covers";
+    }
+    if (snapshot.digest != digestOfSnapshot(snapshot)) {
+        return name + " does not match its digest";
+    }
+    if (const auto path = differingCell(state, snapshot)) {
+        return name + " differs from the table folded here at " + path->text();
+    }
+    return std::nullopt;
+}
+
+/** A snapshot in its turn is only checked; the fold is believed over it. */
+FoldStep foldSnapshot(ConfigState state, const SnapshotRecord &snapshot, Offset offset)
+{
+    FoldStep step;
+    if (auto detail = disagreement(state, snapshot)) {
+        step.alarm = ConfigAlarm {ConfigAlarmKind::SnapshotMismatch, offset, std::move(*detail)};
+    }
+    step.state = std::move(state);
+    step.state.applied = offset;
     return step;
 }
 
+FoldStep gapBefore(ConfigState state, Offset offset)
+{
+    ConfigAlarm alarm {ConfigAlarmKind::Gap, offset,
+                       "the log goes on at offset " + std::to_string(offset.value) + " after "
+                               + std::to_string(state.applied.value)};
+    return {std::move(state), std::nullopt, std::move(alarm)};
+}
+
 } // namespace
 
 const Verdict *ConfigState::verdictOn(const ChangeId &change) const
@@ -84,60 +179,48 @@
     return it == verdicts.end() ? nullptr : &*it;
 }
 
-FoldStep foldRecord(const ConfigState &state, const ConfigRecord &record)
+FoldStep foldRecord(ConfigState state, const ConfigRecord &record)
 {
     if (record.offset <= state.applied) {
-        return {state, std::nullopt, std::nullopt};
+        return {std::move(state), std::nullopt, std::nullopt};
     }
     if (record.offset.value != state.applied.value + 1) {
-        return foldAcrossGap(state, record);
+        return gapBefore(std::move(state), record.offset);
     }
     if (const auto *change = std::get_if<Change>(&record.event)) {
-        return foldChange(state, *change, record.offset);
+        return foldChange(std::move(state), *change, record.offset);
     }
     if (const auto *snapshot = std::get_if<SnapshotRecord>(&record.event)) {
-        return foldSnapshot(state, *snapshot, record.offset);
+        return foldSnapshot(std::move(state), *snapshot, record.offset);
     }
-    FoldStep step {state, std::nullopt, std::nullopt};
-    step.state.applied = record.offset;
-    step.alarm = ConfigAlarm {ConfigAlarmKind::Rubbish, record.offset,
-                              std::get<RubbishRecord>(record.event).reason};
-    return step;
+    state.applied = record.offset;
+    ConfigAlarm alarm {ConfigAlarmKind::Rubbish, record.offset,
+                       std::get<RubbishRecord>(record.event).reason};
+    return {std::move(state), std::nullopt, std::move(alarm)};
 }
 
 Verdict judgeChange(const ConfigState &state, const Change &change, Offset offset)
 {
-    Verdict verdict {change.id,     change.author, offset, change.proposedAt, VerdictKind::Accepted,
-                     std::string(), change.edits};
-    for (const CellEdit &edit : change.edits) {
-        if (const Cell *winner = state.sheet.changedAfter(edit.path, change.base)) {
-            verdict.kind = VerdictKind::Conflict;
-            verdict.reason = describeConflict(edit.path, *winner);
-            return verdict;
-        }
-    }
-    const Sheet next = state.sheet.with(change, offset);
-    const Outcome<Table> compiled = settle([&] { return compileTable(next); });
-    if (const Failure *failure = failureOf(compiled)) {
-        verdict.kind = VerdictKind::Invalid;
-        verdict.reason = failure->detail;
-    }
-    return verdict;
+    return judge(state, change, offset).verdict;
 }
 
 SnapshotRecord snapshotOf(const ConfigState &state)
 {
-    return {state.applied, state.sheet, state.verdicts,
-            digestOfSnapshot(state.applied, state.sheet)};
+    SnapshotRecord snapshot {state.logId, state.applied, state.sheet, state.verdicts, {}};
+    snapshot.digest = digestOfSnapshot(snapshot);
+    return snapshot;
 }
 
 Result<ConfigState> stateOf(const SnapshotRecord &snapshot)
 {
-    if (snapshot.digest != digestOfSnapshot(snapshot.covers, snapshot.sheet)) {
-        return fail(ErrorKind::CorruptData, "a snapshot does not match its digest");
+    if (snapshot.digest != digestOfSnapshot(snapshot)) {
+        return fail(ErrorKind::CorruptData,
+                    "a snapshot of offset " + std::to_string(snapshot.covers.value)
+                            + " does not match its digest");
     }
     BOOST_LEAF_AUTO(table, compileTable(snapshot.sheet));
-    return ConfigState {snapshot.covers, snapshot.sheet, std::move(table), snapshot.verdicts};
+    return ConfigState {snapshot.logId, snapshot.covers, snapshot.sheet, std::move(table),
+                        snapshot.verdicts};
 }
 
 } // namespace greengageseam
--- a/source/core/config/fold.h
+++ b/source/core/config/fold.h
@@ -30,6 +30,8 @@
     /** Why the change was not accepted, with the change that won. */
     std::string reason;
     std::vector<CellEdit> edits;
+    /** What the author said of the change. */
+    std::string note;
 
     auto operator<=>(const Verdict &) const = default;
 };
@@ -37,6 +39,8 @@
 /** The state after the records up to an offset; immutable, a step makes a new one. */
 struct ConfigState
 {
+    /** Identity of the log that the records came from; empty before the first. */
+    std::string logId;
     Offset applied;
     Sheet sheet;
     Table table;
@@ -52,6 +56,9 @@
 /** A snapshot of the state that an instance put into the log. */
 struct SnapshotRecord
 {
+    /** Identity of the log that the state was folded from. */
+    std::string logId;
+    /** The last record that the state holds; the record itself stands somewhere after it. */
     Offset covers;
     Sheet sheet;
     std::vector<Verdict> verdicts;
@@ -102,15 +109,18 @@
     std::optional<ConfigAlarm> alarm;
 };
 
-/** Number of verdicts that a state keeps, and so the window in which a repeated id is known. */
+/**
+ * Number of verdicts that a state keeps, and so the window in which a repeated id gets its old
+ * verdict. After it a change that was accepted conflicts with itself, so it never counts twice.
+ */
 constexpr std::size_t maxVerdicts = 512;
 
 /**
  * Applies one record.
- * A record at or below the applied offset changes nothing. A gap changes nothing and is an alarm,
- * unless the record is a snapshot that covers the gap.
+ * A record at or below the applied offset changes nothing. A record after a gap changes nothing
+ * and is an alarm; LogFold knows how to go on from a snapshot.
  */
-FoldStep foldRecord(const ConfigState &state, const ConfigRecord &record);
+FoldStep foldRecord(ConfigState state, const ConfigRecord &record);
 
 /** @returns the verdict that @p change would get if it were the next record */
 Verdict judgeChange(const ConfigState &state, const Change &change, Offset offset);
--- a/source/daemon/settings.cpp
+++ b/source/daemon/settings.cpp
@@ -31,6 +31,10 @@
   --list=<address>            The platform's list of instances; an agent may do without.
   --bootstrap-token=<digest>  SHA-256 of a token that counts as an operator's while the
                               table names no operator (entry).
+  --snapshot-records=<n>      A snapshot is appended to the log after so many records,
+                              16 to 100000 (entry). Unset: 256.
+  --snapshot-age=<seconds>    A snapshot is appended when the last is so old, 1 to 604800;
+                              well below the log's retention (entry). Unset: 3600.
   --request-limit=<seconds>   Longest time for a request, 1 to 3600 (entry). Unset: 120.
   --peers=<addresses>         Peer addresses of other entries, with commas; may be unset when
                               the platform's list has them (entry).
@@ -52,6 +56,11 @@
 constexpr std::size_t maxNameLength = 64;
 constexpr std::uint32_t maxRequestSeconds = 3600;
 constexpr std::uint32_t maxDrainSeconds = 86400;
+constexpr std::uint32_t minSnapshotRecords = 16;
+constexpr std::uint32_t maxSnapshotRecords = 100'000;
+constexpr std::uint32_t defaultSnapshotRecords = 256;
+constexpr std::uint32_t maxSnapshotSeconds = 604'800;
+constexpr std::uint32_t defaultSnapshotSeconds = 3600;
 constexpr std::uint32_t defaultRequestSeconds = 120;
 constexpr std::uint32_t defaultDrainSeconds = 600;
 const std::string variablePrefix = "GREENGAGESEAM_";
@@ -157,18 +166,27 @@
     }
 
     Result<Duration> seconds(const std::string &flag, std::uint32_t unset, std::uint32_t most) const
+    {
+        BOOST_LEAF_AUTO(n, number(flag, unset, 1, most));
+        return Duration(std::chrono::seconds(n));
+    }
+
+    Result<std::uint32_t> number(const std::string &flag, std::uint32_t unset, std::uint32_t least,
+                                 std::uint32_t most) const
     {
         const std::optional<std::string> value = find(flag);
         if (!value) {
-            return Duration(std::chrono::seconds(unset));
+            return unset;
         }
         std::uint32_t n = 0;
         const char *end = value->data() + value->size();
         const auto [rest, ec] = std::from_chars(value->data(), end, n);
-        if (ec != std::errc() || rest != end || n < 1 || n > most) {
-            return refuse(flag, *value, "a whole number from 1 to " + std::to_string(most));
+        if (ec != std::errc() || rest != end || n < least || n > most) {
+            return refuse(flag, *value,
+                          "a whole number from " + std::to_string(least) + " to "
+                                  + std::to_string(most));
         }
-        return Duration(std::chrono::seconds(n));
+        return n;
     }
 
     Result<std::string> secret() const
@@ -215,6 +233,11 @@
     BOOST_LEAF_ASSIGN(settings.listAddress, reader.address("--list"));
     BOOST_LEAF_ASSIGN(settings.peers, reader.optionalAddresses("--peers"));
     BOOST_LEAF_ASSIGN(settings.secret, reader.secret());
+    BOOST_LEAF_ASSIGN(settings.snapshots.records,
+                      reader.number("--snapshot-records", defaultSnapshotRecords,
+                                    minSnapshotRecords, maxSnapshotRecords));
+    BOOST_LEAF_ASSIGN(settings.snapshots.age,
+                      reader.seconds("--snapshot-age", defaultSnapshotSeconds, maxSnapshotSeconds));
     BOOST_LEAF_ASSIGN(settings.requestLimit,
                       reader.seconds("--request-limit", defaultRequestSeconds, maxRequestSeconds));
     BOOST_LEAF_ASSIGN(settings.drainLimit,
--- a/source/entry/admindesk.cpp
+++ b/source/entry/admindesk.cpp
@@ -1,6 +1,7 @@
 #include "entry/admindesk.h"
 
 #include "core/common/hashing.h"
+#include "entry/adminaudit.h"
 #include "entry/reporttext.h"
 #include "net/clock.h"
 #include "protocol/configcodec.h"
@@ -14,10 +15,11 @@
 namespace {
 
 const std::string adminPrefix = "/admin/v1/";
+const std::string reportPagePath = "/admin/v1/report.html";
 const std::string changesPath = "/admin/v1/changes";
 const std::string instancesPrefix = "/admin/v1/instances/";
 const std::string drainSuffix = "/drain";
-constexpr auto verdictLimit = std::chrono::seconds(10);
+constexpr auto verdictLimit = std::chrono::seconds(5);
 constexpr int statusAccepted = 202;
 
 HttpResponse jsonResponse(const json::object &object, int status = 200)
@@ -63,16 +65,17 @@
     return change;
 }
 
+AuditFilter filterOf(const HttpRequest &request)
+{
+    return {request.parameter("cell").value_or(""), request.parameter("author").value_or("")};
+}
+
 HttpResponse historyResponse(const HttpRequest &request, const ConfigState &state)
 {
-    const std::string cell = request.parameter("cell").value_or("");
-    const std::string author = request.parameter("author").value_or("");
+    const AuditFilter filter = filterOf(request);
     json::array verdicts;
     for (const Verdict &verdict : state.verdicts) {
-        const bool hasCell = cell.empty()
-                || std::any_of(verdict.edits.begin(), verdict.edits.end(),
-                               [&](const CellEdit &edit) { return edit.path.text() == cell; });
-        if (hasCell && (author.empty() || verdict.author.text() == author)) {
+        if (filter.matches(verdict)) {
             verdicts.push_back(verdictToJson(verdict));
         }
     }
@@ -88,6 +91,28 @@
     return jsonResponse(verdictToJson(*verdict));
 }
 
+/** A change that is sent again gets its verdict again; one made elsewhere is not judged here yet.
+ */
+std::optional<HttpResponse> answerKnown(const ConfigState &state, const Change &change)
+{
+    if (change.base > state.applied) {
+        return problemResponse({ErrorKind::NotReady,
+                                "offset " + std::to_string(change.base.value)
+                                        + " is not in force here yet; this entry has offset "
+                                        + std::to_string(state.applied.value)});
+    }
+    const Verdict *known = state.verdictOn(change.id);
+    if (known == nullptr) {
+        return std::nullopt;
+    }
+    if (known->edits != change.edits || known->author != change.author) {
+        return problemResponse(
+                {ErrorKind::ChangeConflict,
+                 "change " + change.id.text() + " is another change, by " + known->author.text()});
+    }
+    return verdictResponse(*known);
+}
+
 bool hasOperator(const Table &table)
 {
     return std::any_of(table.operators.begin(), table.operators.end(),
@@ -116,18 +141,30 @@
 Awaitable<HttpResponse> AdminDesk::answer(const HttpRequest &request) const
 {
     const AdminView view = co_await currentView();
+    const std::string path = request.path();
     const Outcome<Operator> who = settle([&] { return authenticate(request, view); });
     if (const Failure *failure = failureOf(who)) {
-        co_return problemResponse(*failure);
+        HttpResponse response = problemResponse(*failure);
+        if (path == reportPagePath) {
+            response.headers.push_back({"WWW-Authenticate", "Basic realm=\"greengageseam\""});
+        }
+        co_return response;
     }
-    const auto &person = std::get<Operator>(who);
-    const std::string path = request.path();
     if (request.method == "GET" && path == "/admin/v1/report") {
-        co_return jsonResponse(reportToJson(view, m_settings.zone));
+        co_return jsonResponse(reportToJson(view, m_settings, wallNow()));
+    }
+    if (request.method == "GET" && path == reportPagePath) {
+        const json::object report = reportToJson(view, m_settings, wallNow());
+        co_return HttpResponse {200, "text/html; charset=utf-8", {}, reportPage(report)};
     }
     if (!view.config.isReady()) {
         co_return problemResponse({ErrorKind::NotReady, "no configuration is in force here yet"});
     }
+    if (request.method == "POST") {
+        AdminView seen = view;
+        Operator person = std::get<Operator>(who);
+        co_return co_await answerPost(request, std::move(seen), std::move(person));
+    }
     const ConfigState &state = *view.config.state;
     if (request.method == "GET" && path == "/admin/v1/table") {
         co_return jsonResponse(tableToJson(state));
@@ -135,12 +172,19 @@
     if (request.method == "GET" && path == "/admin/v1/history") {
         co_return historyResponse(request, state);
     }
+    if (request.method == "GET" && path == "/admin/v1/audit") {
+        co_return co_await answerAudit(request, view.config);
+    }
     if (request.method == "GET" && path.starts_with(changesPath + "/")) {
         co_return changeResponse(state, ChangeId(path.substr(changesPath.size() + 1)));
     }
-    if (request.method != "POST") {
-        co_return problemResponse({ErrorKind::NotFound, path + " is not part of the API"});
-    }
+    co_return problemResponse({ErrorKind::NotFound, path + " is not part of the API"});
+}
+
+Awaitable<HttpResponse> AdminDesk::answerPost(const HttpRequest &request, AdminView view,
+                                              Operator person) const
+{
+    const std::string path = request.path();
     if (person.role != Role::Operator) {
         co_return problemResponse({ErrorKind::Forbidden, "a viewer may not change anything"});
     }
@@ -154,6 +198,23 @@
     co_return problemResponse({ErrorKind::NotFound, path + " is not part of the API"});
 }
 
+Awaitable<HttpResponse> AdminDesk::answerAudit(const HttpRequest &request, ConfigView config) const
+{
+    ReadLog read = m_channels.readLog;
+    ConfigView known = config;
+    AuditFilter filter = filterOf(request);
+    const AuditTrail trail =
+            co_await readAudit(std::move(read), std::move(known), std::move(filter));
+    json::array verdicts;
+    for (const Verdict &verdict : trail.verdicts) {
+        verdicts.push_back(verdictToJson(verdict));
+    }
+    co_return jsonResponse({{"offset", config.state->applied.value},
+                            {"from", trail.from.value},
+                            {"incomplete", trail.incomplete},
+                            {"changes", std::move(verdicts)}});
+}
+
 Awaitable<HttpResponse> AdminDesk::answerChange(const HttpRequest &request, AdminView view,
                                                 OperatorName author) const
 {
@@ -163,6 +224,13 @@
         co_return problemResponse(*failure);
     }
     const auto &change = std::get<Change>(read);
+    if (const std::optional<HttpResponse> known = answerKnown(state, change)) {
+        co_return *known;
+    }
+    if (view.config.trust != LogTrust::Followed) {
+        co_return problemResponse({ErrorKind::PlatformUnavailable,
+                                   "the log began anew; the table in force stays as it is"});
+    }
     const Offset next {state.applied.value + 1};
     const Verdict preview = judgeChange(state, change, next);
     const bool isDryRun = request.parameter("dry-run") == "true";
@@ -218,7 +286,10 @@
 
 Result<Operator> AdminDesk::authenticate(const HttpRequest &request, const AdminView &view) const
 {
-    const std::optional<std::string> token = request.bearerToken();
+    std::optional<std::string> token = request.bearerToken();
+    if (!token && request.path() == reportPagePath) {
+        token = request.basicPassword();
+    }
     if (!token) {
         return fail(ErrorKind::Unauthenticated,
                     "the field 'Authorization: Bearer <token>' is missing");
--- a/source/entry/admindesk.h
+++ b/source/entry/admindesk.h
@@ -17,6 +17,7 @@
     MailboxPtr<AdminCommand> keeper;
     MailboxPtr<FleetCommand> fleet;
     AppendToLog append;
+    ReadLog readLog;
 };
 
 /** Answers operators. It holds nothing but settings and ways to reach tasks. */
@@ -36,6 +37,9 @@
     Awaitable<HttpResponse> answer(const HttpRequest &request) const;
     Awaitable<HttpResponse> answerChange(const HttpRequest &request, AdminView view,
                                          OperatorName author) const;
+    Awaitable<HttpResponse> answerPost(const HttpRequest &request, AdminView view,
+                                       Operator person) const;
+    Awaitable<HttpResponse> answerAudit(const HttpRequest &request, ConfigView config) const;
     Awaitable<HttpResponse> accept(Change change) const;
     Awaitable<HttpResponse> drain(InstanceId instance) const;
     Awaitable<AdminView> currentView() const;
--- a/source/entry/adminkeeper.h
+++ b/source/entry/adminkeeper.h
@@ -14,19 +14,47 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <variant>
 #include <vector>
 
 namespace greengageseam {
 
+/** How long a version has been short of replicas in this zone, as this entry saw it. */
+struct RolloutClock
+{
+    /** Since when fewer serve than wanted; nothing while enough do. */
+    std::optional<WallTime> shortSince;
+    /** How long it last took until enough served. */
+    Duration took {};
+    /** What the zone's agents had read from the origin when it became short. */
+    std::uint64_t originBytesBefore = 0;
+
+    auto operator<=>(const RolloutClock &) const = default;
+};
+
 /** What an answer of the API is made from. */
 struct AdminView
 {
     ConfigView config;
     FleetView fleet;
     bool logAnswers = true;
+    /** Since when the log does not answer. */
+    std::optional<WallTime> logSilentSince;
+    /** Agents that lack the configuration in force here, since when. */
+    std::map<InstanceId, WallTime> behindSince;
+    std::map<Digest, RolloutClock> rollouts;
 };
 
+/** @returns how many usable agents of the zone serve the version */
+std::size_t countServing(const FleetView &fleet, const Digest &manifest);
+
+/** @returns what the zone's agents have read from the origin */
+std::uint64_t originBytes(const FleetView &fleet);
+
+/** @returns how many replicas of the row the zone wants */
+std::uint32_t wantedIn(const Row &row, const ZoneName &zone);
+
 /** Whether the log answers, as its tail found out. */
 struct LogHealth
 {
@@ -53,7 +81,7 @@
 class AdminKeeper : public std::enable_shared_from_this<AdminKeeper>
 {
 public:
-    explicit AdminKeeper(const asio::any_io_executor &executor);
+    AdminKeeper(const asio::any_io_executor &executor, ZoneName zone);
 
     /** @returns where to send commands */
     const MailboxPtr<AdminCommand> &mailbox() const { return m_mailbox; }
@@ -68,7 +96,11 @@
     void apply(const AdminViewAsked &command);
     void apply(const VerdictAsked &command);
 
+    void observe();
+    void observeRollout(const Row &row, WallTime now);
+
     asio::any_io_executor m_executor;
+    ZoneName m_zone;
     MailboxPtr<AdminCommand> m_mailbox;
     AdminView m_view;
     std::vector<VerdictAsked> m_waiting;
--- a/source/entry/entry.cpp
+++ b/source/entry/entry.cpp
@@ -1,6 +1,7 @@
 #include "entry/entry.h"
 
 #include "net/clock.h"
+#include "net/ticker.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -10,10 +11,21 @@
 namespace {
 
 constexpr auto platformLimit = std::chrono::seconds(5);
+/** Short, so that a partition that ends is noticed soon. */
+constexpr auto tailLimit = std::chrono::seconds(3);
+/** How often other entries are told which offset is in force here. */
+constexpr auto tellEvery = std::chrono::seconds(1);
 constexpr auto listEvery = std::chrono::seconds(1);
+constexpr StreamId linkStream = 0;
 constexpr auto drainPoll = std::chrono::milliseconds(20);
 const std::string plainType = "text/plain; charset=utf-8";
 
+/** @returns the hook that asks the peer of a link for its snapshot */
+std::function<void(Offset)> askForSnapshot(const PeerLinkHandle &link)
+{
+    return [link](Offset applied) { link.post(linkStream, ConfigWantedMessage {applied}); };
+}
+
 } // namespace
 
 Entry::Entry(const asio::any_io_executor &executor, EntrySettings settings, Log log)
@@ -24,7 +36,7 @@
 Result<void> Entry::start()
 {
     m_router = std::make_shared<Router>(m_executor, m_settings.zone, chooseOfTwo, m_metrics, m_log);
-    m_admin = std::make_shared<AdminKeeper>(m_executor);
+    m_admin = std::make_shared<AdminKeeper>(m_executor, m_settings.zone);
     m_fleet = std::make_shared<FleetKeeper>(
             m_executor, m_settings, RosterOptions(),
             [router = m_router->mailbox(), admin = m_admin->mailbox()](const FleetView &view) {
@@ -33,12 +45,13 @@
             },
             m_log);
     const LogClient logClient(m_executor, m_settings.logAddress, platformLimit);
+    makeConfiguration(logClient);
     BOOST_LEAF_CHECK(startPeers());
     BOOST_LEAF_CHECK(startHttp(logClient));
     m_router->start();
     m_admin->start();
     m_fleet->start();
-    startConfiguration(logClient);
+    startConfigurationTasks();
     asio::co_spawn(
             m_executor, [self = shared_from_this()] { return self->followList(); }, asio::detached);
     m_log.info("entry.started",
@@ -50,7 +63,8 @@
 {
     m_callerDesk = std::make_shared<CallerDesk>(m_executor, m_router->mailbox(),
                                                 m_settings.requestLimit, m_metrics, m_log);
-    const AdminChannels channels {m_admin->mailbox(), m_fleet->mailbox(), logClient.appender()};
+    const AdminChannels channels {m_admin->mailbox(), m_fleet->mailbox(), logClient.appender(),
+                                  logClient.reader()};
     m_adminDesk = std::make_shared<AdminDesk>(m_executor, m_settings, channels, m_log);
     m_http = std::make_shared<HttpServer>(
             m_executor, HttpServerOptions(),
@@ -94,9 +108,13 @@
     };
     hooks.receive = [this](const PeerLinkHandle &link, StreamMessage message) {
         if (auto *heartbeat = std::get_if<HeartbeatMessage>(&message.message)) {
+            m_config->mailbox()->post(
+                    PeerApplied {heartbeat->heartbeat.appliedConfig, askForSnapshot(link)});
             m_fleet->mailbox()->post(HeartbeatHeard {std::move(heartbeat->heartbeat), link});
         } else if (link.peer().role == "entry" && message.stream == 0) {
             m_peers->mailbox()->post(PeerEntrySaid {link, std::move(message.message)});
+        } else if (const auto *push = std::get_if<ConfigPushMessage>(&message.message)) {
+            m_config->mailbox()->post(RestoreSnapshot {push->snapshot});
         }
     };
     hooks.ended = [this](const PeerLinkHandle &link, const LinkClosed &) {
@@ -107,26 +125,66 @@
 }
 
 /** Messages of other entries go to the task that they concern. */
-void Entry::onEntryMessage(const HelloMessage &, const Message &) { }
+void Entry::onEntryMessage(const HelloMessage &peer, const Message &message)
+{
+    const auto send = [peers = m_peers->mailbox(), instance = peer.instance](Message answer) {
+        peers->post(SendToEntry {instance, std::move(answer)});
+    };
+    if (const auto *applied = std::get_if<ConfigAppliedMessage>(&message)) {
+        m_config->mailbox()->post(PeerApplied {
+                applied->applied, [send](Offset offset) { send(ConfigWantedMessage {offset}); }});
+    } else if (const auto *wanted = std::get_if<ConfigWantedMessage>(&message)) {
+        m_config->mailbox()->post(SnapshotAsked {wanted->applied, [send](const std::string &text) {
+                                                     ConfigPushMessage push;
+                                                     push.snapshot = text;
+                                                     send(std::move(push));
+                                                 }});
+    } else if (const auto *push = std::get_if<ConfigPushMessage>(&message)) {
+        m_config->mailbox()->post(RestoreSnapshot {push->snapshot});
+    }
+}
 
 void Entry::onLinkedEntries(const std::vector<LinkedEntry> &) { }
 
-void Entry::startConfiguration(const LogClient &logClient)
+void Entry::makeConfiguration(const LogClient &logClient)
 {
+    m_snapshots = std::make_shared<SnapshotWriter>(
+            m_executor, SnapshotWriterOptions(), logClient.appender(),
+            [options = m_settings.snapshots](const SnapshotNeed &need) {
+                return isSnapshotDue(need, options);
+            },
+            m_log);
     std::vector<ConfigObserver> observers;
     observers.push_back([router = m_router->mailbox(), fleet = m_fleet->mailbox(),
-                         admin = m_admin->mailbox()](const ConfigView &view) {
+                         admin = m_admin->mailbox(), snapshots = m_snapshots->mailbox(),
+                         metrics = m_metrics](const ConfigView &view) {
+        countConfig(*metrics, view);
         router->post(view);
         fleet->post(view);
         admin->post(view);
+        snapshots->post(view);
     });
     m_config = std::make_shared<ConfigKeeper>(m_executor, std::move(observers), m_log);
-    m_config->start();
+    const LogClient tailClient(m_executor, m_settings.logAddress, tailLimit);
     m_tail = std::make_shared<LogTail>(
-            m_executor, LogTailOptions(), logClient.reader(), m_config->mailbox(),
+            m_executor, LogTailOptions(), tailClient.reader(), m_config->mailbox(),
             [admin = m_admin->mailbox()](bool answers) { admin->post(LogHealth {answers}); },
             m_log);
+}
+
+void Entry::startConfigurationTasks()
+{
+    m_config->start();
+    m_snapshots->start();
     m_tail->start();
+    // An entry that lacks the table, or whose way to the log is cut, gets it from others.
+    startTicker(m_executor, tellEvery, [config = m_config->mailbox(), peers = m_peers->mailbox()] {
+        config->post(AppliedAsked {[peers](Offset applied) {
+            peers->post(SendToZone {ConfigAppliedMessage {applied}});
+            peers->post(SendToAllZones {ConfigAppliedMessage {applied}});
+        }});
+        return true;
+    });
 }
 
 Awaitable<void> Entry::shutDown()
--- a/source/entry/entry.h
+++ b/source/entry/entry.h
@@ -2,8 +2,9 @@
  * entry: the process between callers and agents; also the one that operators speak to.
  *
  * Tasks: a connection for each caller with a Forwarder for each request, Router (admission and
- * choice), FleetKeeper (the zone's agents), PeerEntries (links to other entries), LogTail and
- * ConfigKeeper (configuration), AdminKeeper (administration). This class only connects them.
+ * choice), FleetKeeper (the zone's agents), PeerEntries (links to other entries), LogTail,
+ * ConfigKeeper and SnapshotWriter (configuration), AdminKeeper (administration). This class only
+ * connects them.
  */
 #pragma once
 
@@ -40,7 +41,8 @@
     LinkHooks acceptedLinkHooks() const;
     void onEntryMessage(const HelloMessage &peer, const Message &message);
     void onLinkedEntries(const std::vector<LinkedEntry> &entries);
-    void startConfiguration(const LogClient &logClient);
+    void startConfigurationTasks();
+    void makeConfiguration(const LogClient &logClient);
     Awaitable<void> handle(HttpExchange &exchange);
     Awaitable<HttpResponse> answerHealth(const std::string &path) const;
     Awaitable<void> followList();
@@ -51,6 +53,7 @@
     std::shared_ptr<Metrics> m_metrics;
     std::shared_ptr<ConfigKeeper> m_config;
     std::shared_ptr<LogTail> m_tail;
+    std::shared_ptr<SnapshotWriter> m_snapshots;
     std::shared_ptr<FleetKeeper> m_fleet;
     std::shared_ptr<PeerEntries> m_peers;
     std::shared_ptr<Router> m_router;
--- a/source/entry/entrysettings.h
+++ b/source/entry/entrysettings.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/common/common.h"
+#include "core/config/config.h"
 
 #include <string>
 #include <vector>
@@ -26,6 +27,8 @@
     std::string secret;
     /** Digest of a token that counts as an operator's while the table names no operator. */
     Digest bootstrapToken;
+    /** When a snapshot of the table is appended to the log. */
+    SnapshotOptions snapshots;
     /** Longest time for one request of a caller. */
     Duration requestLimit = std::chrono::seconds(120);
     /** Longest time that a graceful shutdown waits for requests in progress. */
--- a/source/entry/fleetkeeper.cpp
+++ b/source/entry/fleetkeeper.cpp
@@ -146,6 +146,7 @@
         return record.offset > applied;
     });
     ConfigPushMessage push;
+    push.logId = m_config.state->logId;
     if (first == recent.end() || first->offset.value != applied.value + 1) {
         push.snapshot = encodeSnapshot(snapshotOf(*m_config.state));
     } else {
--- a/source/entry/reporttext.cpp
+++ b/source/entry/reporttext.cpp
@@ -21,52 +21,81 @@
     return "draining";
 }
 
-json::array agentsToJson(const AdminView &view)
+/** @returns the whole seconds since @p at */
+std::int64_t secondsSince(WallTime at, WallTime now)
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(now - at).count();
+}
+
+json::array agentsToJson(const AdminView &view, WallTime now)
 {
     json::array agents;
     for (const Member &member : view.fleet.members) {
-        agents.push_back(json::object {{"instance", member.last.instance.text()},
-                                       {"phase", textOf(member.phase)},
-                                       {"offset", member.last.appliedConfig.value},
-                                       {"incarnation", member.last.incarnation.value},
-                                       {"inFlight", member.last.inFlight},
-                                       {"serving", member.last.serving.size()},
-                                       {"trouble", member.last.trouble}});
+        json::object agent {{"instance", member.last.instance.text()},
+                            {"zone", member.last.zone.text()},
+                            {"phase", textOf(member.phase)},
+                            {"offset", member.last.appliedConfig.value},
+                            {"incarnation", member.last.incarnation.value},
+                            {"inFlight", member.last.inFlight},
+                            {"serving", member.last.serving.size()},
+                            {"trouble", member.last.trouble}};
+        const auto behind = view.behindSince.find(member.last.instance);
+        if (behind != view.behindSince.end()) {
+            agent["behindSeconds"] = secondsSince(behind->second, now);
+        }
+        agents.push_back(std::move(agent));
     }
     return agents;
 }
 
-std::size_t countServing(const FleetView &fleet, const Digest &manifest)
-{
-    return static_cast<std::size_t>(
-            std::count_if(fleet.members.begin(), fleet.members.end(), [&](const Member &member) {
-                const auto &serving = member.last.serving;
-                return member.phase == MemberPhase::Usable
-                        && std::find(serving.begin(), serving.end(), manifest) != serving.end();
-            }));
-}
-
-json::array rolloutsToJson(const AdminView &view, const ZoneName &zone)
+json::array rolloutsToJson(const AdminView &view, const ZoneName &zone, WallTime now)
 {
     json::array rollouts;
     for (const auto &[key, row] : view.config.state->table.rows) {
-        const auto wanted = row.replicas.find(zone);
-        rollouts.push_back(
-                json::object {{"model", key.model.text()},
+        json::object rollout {{"model", key.model.text()},
                               {"version", key.version.text()},
                               {"serving", countServing(view.fleet, row.manifest)},
-                              {"wanted", wanted == row.replicas.end() ? 0U : wanted->second}});
+                              {"wanted", wantedIn(row, zone)}};
+        const auto clock = view.rollouts.find(row.manifest);
+        const bool isShort = clock != view.rollouts.end() && clock->second.shortSince;
+        rollout["done"] = !isShort;
+        if (isShort) {
+            rollout["seconds"] = secondsSince(*clock->second.shortSince, now);
+            const std::uint64_t before = clock->second.originBytesBefore;
+            rollout["originBytes"] = std::max(originBytes(view.fleet), before) - before;
+        } else if (clock != view.rollouts.end()) {
+            rollout["seconds"] = std::chrono::duration<double>(clock->second.took).count();
+        }
+        rollouts.push_back(std::move(rollout));
     }
     return rollouts;
 }
 
-std::uint64_t originBytes(const FleetView &fleet)
+std::string_view textOf(ConfigAlarmKind kind)
 {
-    std::uint64_t sum = 0;
-    for (const Member &member : fleet.members) {
-        sum += member.last.originBytes;
+    switch (kind) {
+    case ConfigAlarmKind::Gap:
+        return "gap";
+    case ConfigAlarmKind::NewBeginning:
+        return "new-beginning";
+    case ConfigAlarmKind::Rubbish:
+        return "rubbish";
+    case ConfigAlarmKind::SnapshotMismatch:
+        break;
     }
-    return sum;
+    return "snapshot-mismatch";
+}
+
+json::array alarmsToJson(const AdminView &view, WallTime now)
+{
+    json::array alarms;
+    for (const RaisedAlarm &raised : view.config.alarms) {
+        alarms.push_back(json::object {{"kind", textOf(raised.alarm.kind)},
+                                       {"offset", raised.alarm.offset.value},
+                                       {"detail", raised.alarm.detail},
+                                       {"secondsAgo", secondsSince(raised.at, now)}});
+    }
+    return alarms;
 }
 
 } // namespace
@@ -84,21 +113,26 @@
     return {{"offset", state.applied.value}, {"cells", std::move(cells)}};
 }
 
-json::object reportToJson(const AdminView &view, const ZoneName &zone)
+json::object reportToJson(const AdminView &view, const EntrySettings &settings, WallTime now)
 {
-    json::object report {{"zone", zone.text()}, {"ready", view.config.isReady()}};
+    json::object report {{"entry", settings.instance.text()},
+                         {"zone", settings.zone.text()},
+                         {"ready", view.config.isReady()}};
     report["logAnswers"] = view.logAnswers;
-    json::array alarms;
-    for (const ConfigAlarm &alarm : view.config.alarms) {
-        alarms.push_back(json::object {{"offset", alarm.offset.value}, {"detail", alarm.detail}});
+    if (view.logSilentSince) {
+        report["logSilentSeconds"] = secondsSince(*view.logSilentSince, now);
     }
-    report["alarms"] = std::move(alarms);
-    report["agents"] = agentsToJson(view);
+    report["logFollowed"] = view.config.trust == LogTrust::Followed;
+    report["alarms"] = alarmsToJson(view, now);
+    report["agents"] = agentsToJson(view, now);
+    report["agentsBehind"] = view.behindSince.size();
     report["originBytes"] = originBytes(view.fleet);
     if (view.config.isReady()) {
         report["offset"] = view.config.state->applied.value;
         report["since"] = view.config.since.time_since_epoch().count();
-        report["rollouts"] = rolloutsToJson(view, zone);
+        report["inForceSeconds"] = secondsSince(view.config.since, now);
+        report["snapshotOffset"] = view.config.need.covers.value;
+        report["rollouts"] = rolloutsToJson(view, settings.zone, now);
     }
     return report;
 }
--- a/source/entry/reporttext.h
+++ b/source/entry/reporttext.h
@@ -17,6 +17,10 @@
  * @returns the report: what is in force, where and where not, the state of each rollout, and what
  * went wrong lately
  */
-boost::json::object reportToJson(const AdminView &view, const ZoneName &zone);
+boost::json::object reportToJson(const AdminView &view, const EntrySettings &settings,
+                                 WallTime now);
+
+/** @returns the report as one light HTML page for a telephone */
+std::string reportPage(const boost::json::object &report);
 
 } // namespace greengageseam
--- a/source/net/http.cpp
+++ b/source/net/http.cpp
@@ -4,11 +4,14 @@
 #include <boost/json.hpp>
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
+#include <openssl/evp.h>
 
 namespace greengageseam {
 
 namespace {
 
+constexpr std::string_view basicPrefix = "Basic ";
+constexpr std::size_t maxBasicField = 1024;
 constexpr std::string_view bearerPrefix = "Bearer ";
 constexpr int retryAfterSeconds = 1;
 
@@ -52,6 +55,29 @@
     return field->substr(bearerPrefix.size());
 }
 
+std::optional<std::string> HttpRequest::basicPassword() const
+{
+    const std::optional<std::string> field = header("Authorization");
+    if (!field || !field->starts_with(basicPrefix) || field->size() > maxBasicField) {
+        return std::nullopt;
+    }
+    const std::string encoded = field->substr(basicPrefix.size());
+    std::string decoded(encoded.size(), '\0');
+    const int n = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(decoded.data()),
+                                  reinterpret_cast<const unsigned char *>(encoded.data()),
+                                  static_cast<int>(encoded.size()));
+    if (n < 0) {
+        return std::nullopt;
+    }
+    // Padding gives bytes of 0 at the end, which are no part of a password.
+    decoded = decoded.substr(0, std::min(decoded.find('\0'), static_cast<std::size_t>(n)));
+    const std::size_t colon = decoded.find(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    return decoded.substr(colon + 1);
+}
+
 HttpResponse problemResponse(const Failure &failure, Ran ran)
 {
     const ErrorAnswer &answer = answerFor(failure.kind);
--- a/source/net/http.h
+++ b/source/net/http.h
@@ -40,6 +40,8 @@
     std::optional<std::string> parameter(std::string_view name) const;
     /** @returns the token of an `Authorization: Bearer` field, or nothing */
     std::optional<std::string> bearerToken() const;
+    /** @returns the password of an `Authorization: Basic` field, or nothing; for browsers */
+    std::optional<std::string> basicPassword() const;
 };
 
 /** A response. */
--- a/source/platform/configkeeper.cpp
+++ b/source/platform/configkeeper.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <utility>
 
 namespace greengageseam {
 
@@ -12,10 +13,23 @@
 
 constexpr std::size_t mailboxCapacity = 256;
 constexpr std::size_t maxRecent = 128;
+constexpr std::size_t maxTexts = 512;
+constexpr auto askEvery = std::chrono::seconds(1);
+/** Time that the log itself may take to bring what a peer has already. */
+constexpr auto ordinaryLag = std::chrono::milliseconds(1500);
 constexpr std::size_t maxAlarms = 32;
 
 } // namespace
 
+void countConfig(Metrics &metrics, const ConfigView &view)
+{
+    const std::uint64_t applied = view.isReady() ? view.state->applied.value : 0;
+    metrics.set("config_applied_offset", "Offset of the configuration in force.",
+                static_cast<double>(applied));
+    metrics.set("config_alarms", "Alarms of the configuration log since the start.",
+                static_cast<double>(view.alarms.size()));
+}
+
 ConfigKeeper::ConfigKeeper(const asio::any_io_executor &executor,
                            std::vector<ConfigObserver> observers, Log log)
     : m_executor(executor), m_observers(std::move(observers)), m_log(std::move(log)),
@@ -34,19 +48,18 @@
     }
 }
 
+void ConfigKeeper::apply(const LogRead &command)
+{
+    LogFindings findings;
+    LogFold next = m_fold.read(command.window, decode(command.records), findings);
+    takeOver(std::move(next), findings);
+}
+
 void ConfigKeeper::apply(const FoldRecords &command)
 {
-    const Offset before = m_state.applied;
-    const std::size_t alarms = m_alarms.size();
-    for (const LogRecord &record : command.records) {
-        fold(record);
-    }
-    if (m_state.applied > before) {
-        m_isReady = true;
-    }
-    if (m_state.applied > before || m_alarms.size() > alarms) {
-        publish();
-    }
+    LogFindings findings;
+    LogFold next = m_fold.passedOn(command.logId, decode(command.records), findings);
+    takeOver(std::move(next), findings);
 }
 
 void ConfigKeeper::apply(const RestoreSnapshot &command)
@@ -57,83 +70,137 @@
         m_log.warning("config.snapshot-unreadable");
         return;
     }
-    const Outcome<ConfigState> restored = settle([&] { return stateOf(*snapshot); });
-    if (const Failure *failure = failureOf(restored)) {
-        m_log.warning("config.snapshot-refused", {{"reason", failure->detail}});
+    LogFindings findings;
+    LogFold next = m_fold.restored(*snapshot, findings);
+    takeOver(std::move(next), findings);
+}
+
+/** A peer that stays ahead holds a table that the log does not give just now. */
+void ConfigKeeper::apply(const PeerApplied &command)
+{
+    if (command.applied <= m_fold.state().applied) {
         return;
     }
-    const auto &state = std::get<ConfigState>(restored);
-    const bool isNewer = state.applied > m_state.applied;
-    if (!isNewer && m_isReady) {
-        return;
+    const Instant now = monotonicNow();
+    if (!m_behindSince) {
+        m_behindSince = now;
     }
-    if (isNewer) {
-        m_state = state;
-        m_recent.clear();
+    const bool isLagOver = !m_fold.isReady() || now - *m_behindSince >= ordinaryLag;
+    if (isLagOver && now - m_askedAt >= askEvery) {
+        m_askedAt = now;
+        command.ask(m_fold.state().applied);
     }
-    m_isReady = true;
-    publish();
 }
 
-void ConfigKeeper::apply(const LogReadToEnd &)
+void ConfigKeeper::apply(const SnapshotAsked &command)
 {
-    if (!m_isReady) {
-        m_isReady = true;
-        publish();
+    if (m_fold.isReady() && m_fold.state().applied > command.applied) {
+        command.send(encodeSnapshot(snapshotOf(m_fold.state())));
     }
 }
 
-void ConfigKeeper::apply(const LogBeganAnew &command)
+void ConfigKeeper::apply(const AppliedAsked &command)
 {
-    raise({ConfigAlarmKind::NewBeginning, m_state.applied, command.detail});
-    publish();
+    if (m_fold.isReady()) {
+        command.tell(m_fold.state().applied);
+    }
 }
 
-void ConfigKeeper::fold(const LogRecord &record)
+std::vector<ConfigRecord> ConfigKeeper::decode(const std::vector<LogRecord> &records)
 {
-    FoldStep step = foldRecord(m_state, {record.offset, decodeConfigEvent(record.text)});
-    if (step.state.applied > m_state.applied) {
-        m_recent.push_back(record);
-        if (m_recent.size() > maxRecent) {
-            m_recent.erase(m_recent.begin());
+    std::vector<ConfigRecord> decoded;
+    decoded.reserve(records.size());
+    for (const LogRecord &record : records) {
+        if (record.offset <= m_fold.state().applied) {
+            continue;
         }
+        decoded.push_back({record.offset, decodeConfigEvent(record.text)});
+        const bool isSnapshot = std::holds_alternative<SnapshotRecord>(decoded.back().event);
+        m_bytesSinceSnapshot += isSnapshot ? 0 : record.text.size();
+        m_texts.insert_or_assign(record.offset, record.text);
+        if (m_texts.size() > maxTexts) {
+            m_texts.erase(m_texts.begin());
+        }
+    }
+    return decoded;
+}
+
+void ConfigKeeper::takeOver(LogFold next, const LogFindings &findings)
+{
+    const LogFold before = std::exchange(m_fold, std::move(next));
+    const std::size_t alarms = m_alarms.size();
+    for (const ConfigAlarm &alarm : findings.alarms) {
+        raise(alarm);
+    }
+    for (const Verdict &verdict : findings.verdicts) {
+        logVerdict(verdict);
+    }
+    const bool isNew =
+            m_fold.state().applied > before.state().applied || m_fold.isReady() != before.isReady();
+    if (isNew) {
+        m_behindSince.reset();
+        m_since = wallNow();
     }
-    m_state = std::move(step.state);
-    if (step.alarm) {
-        raise(*step.alarm);
+    if (m_fold.snapshotCovers() > before.snapshotCovers()) {
+        m_bytesSinceSnapshot = 0;
     }
-    if (step.verdict) {
-        m_log.info("config.verdict",
-                   {{"change", step.verdict->change.text()},
-                    {"author", step.verdict->author.text()},
-                    {"offset", step.verdict->offset.value},
-                    {"verdict", textOf(step.verdict->kind)},
-                    {"reason", step.verdict->reason}});
+    const bool isOtherLog = m_fold.trust() != before.trust() || m_fold.first() != before.first();
+    if (isNew || isOtherLog || m_alarms.size() > alarms) {
+        publish();
     }
 }
 
+void ConfigKeeper::logVerdict(const Verdict &verdict) const
+{
+    m_log.info("config.verdict",
+               {{"change", verdict.change.text()},
+                {"author", verdict.author.text()},
+                {"offset", verdict.offset.value},
+                {"verdict", textOf(verdict.kind)},
+                {"reason", verdict.reason}});
+}
+
 void ConfigKeeper::raise(const ConfigAlarm &alarm)
 {
     const bool isKnown = std::any_of(m_alarms.begin(), m_alarms.end(), [&](const auto &known) {
-        return known.kind == alarm.kind && known.detail == alarm.detail;
+        return known.alarm.kind == alarm.kind && known.alarm.detail == alarm.detail;
     });
     if (isKnown || m_alarms.size() == maxAlarms) {
         return;
     }
-    m_alarms.push_back(alarm);
+    m_alarms.push_back({alarm, wallNow()});
     m_log.error("config.alarm", {{"offset", alarm.offset.value}, {"reason", alarm.detail}});
 }
 
+/** @returns the records without a gap up to the applied offset */
+std::vector<LogRecord> ConfigKeeper::recentRecords() const
+{
+    std::vector<LogRecord> recent;
+    Offset wanted = m_fold.state().applied;
+    for (auto it = m_texts.find(wanted); it != m_texts.end() && recent.size() < maxRecent;
+         it = m_texts.find(wanted)) {
+        recent.push_back({it->first, it->second});
+        --wanted.value;
+    }
+    std::reverse(recent.begin(), recent.end());
+    return recent;
+}
+
 void ConfigKeeper::publish()
 {
-    m_since = wallNow();
     ConfigView view;
-    if (m_isReady) {
-        view.state = std::make_shared<const ConfigState>(m_state);
+    if (m_fold.isReady()) {
+        view.state = std::make_shared<const ConfigState>(m_fold.state());
     }
-    view.recent = std::make_shared<const std::vector<LogRecord>>(m_recent);
+    view.recent = std::make_shared<const std::vector<LogRecord>>(recentRecords());
     view.alarms = m_alarms;
     view.since = m_since;
+    view.trust = m_fold.trust();
+    view.need = {m_fold.state().applied,
+                 m_fold.snapshotCovers(),
+                 m_fold.first(),
+                 m_bytesSinceSnapshot,
+                 {}};
     for (const ConfigObserver &observer : m_observers) {
         observer(view);
     }
--- a/source/platform/logtail.cpp
+++ b/source/platform/logtail.cpp
@@ -45,21 +45,16 @@
 
 Awaitable<void> LogTail::forward(LogBatch batch)
 {
-    if (!m_logId.empty() && batch.logId != m_logId) {
-        ConfigCommand began =
-                LogBeganAnew {"the log's identity changed from " + m_logId + " to " + batch.logId};
-        co_await m_keeper->send(std::move(began));
-    }
-    m_logId = batch.logId;
     if (batch.records.empty()) {
         m_next = std::max(m_next, batch.first);
-        ConfigCommand atEnd = LogReadToEnd {};
-        co_await m_keeper->send(std::move(atEnd));
-        co_return;
+    } else {
+        m_next = Offset {batch.records.back().offset.value + 1};
     }
-    m_next = Offset {batch.records.back().offset.value + 1};
-    ConfigCommand records = FoldRecords {std::move(batch.records)};
-    co_await m_keeper->send(std::move(records));
+    LogRead read;
+    read.window = {std::move(batch.logId), batch.first, batch.next};
+    read.records = std::move(batch.records);
+    ConfigCommand command = std::move(read);
+    co_await m_keeper->send(std::move(command));
 }
 
 } // namespace greengageseam
--- a/source/platform/logtail.h
+++ b/source/platform/logtail.h
@@ -15,10 +15,10 @@
 struct LogTailOptions
 {
     /** How long a read waits at the log for new records. */
-    Duration wait = std::chrono::seconds(5);
+    Duration wait = std::chrono::seconds(1);
     /** Pause after a failed read; it doubles up to the longest. */
     Duration firstPause = std::chrono::milliseconds(100);
-    Duration longestPause = std::chrono::seconds(2);
+    Duration longestPause = std::chrono::seconds(1);
 
     auto operator<=>(const LogTailOptions &) const = default;
 };
@@ -46,7 +46,6 @@
     MailboxPtr<ConfigCommand> m_keeper;
     LogHealthObserver m_health;
     Log m_log;
-    std::string m_logId;
     Offset m_next {1};
 };
 
--- a/source/platform/platform.h
+++ b/source/platform/platform.h
@@ -7,4 +7,5 @@
 #include "platform/listclient.h"
 #include "platform/logclient.h"
 #include "platform/logtail.h"
+#include "platform/snapshotwriter.h"
 #include "platform/storeclient.h"
--- a/source/protocol/configcodec.cpp
+++ b/source/protocol/configcodec.cpp
@@ -81,13 +81,15 @@
     BOOST_LEAF_AUTO(reason, stringMember(object, "reason"));
     BOOST_LEAF_AUTO(array, arrayMember(object, "edits"));
     BOOST_LEAF_AUTO(edits, editsFromJson(array));
+    BOOST_LEAF_AUTO(note, stringMember(object, "note"));
     return Verdict {ChangeId(change),
                     OperatorName(author),
                     Offset {offset},
                     WallTime(Duration(static_cast<Duration::rep>(at))),
                     kind,
                     reason,
-                    edits};
+                    edits,
+                    note};
 }
 
 Result<ConfigEvent> readChange(const json::object &object)
@@ -107,6 +109,7 @@
 
 Result<ConfigEvent> readSnapshot(const json::object &object)
 {
+    BOOST_LEAF_AUTO(logId, stringMember(object, "log"));
     BOOST_LEAF_AUTO(covers, numberMember(object, "covers"));
     BOOST_LEAF_AUTO(cellArray, arrayMember(object, "cells"));
     BOOST_LEAF_AUTO(cells, cellsFromJson(cellArray));
@@ -114,7 +117,7 @@
     BOOST_LEAF_AUTO(tombstones, cellsFromJson(tombstoneArray));
     BOOST_LEAF_AUTO(verdictArray, arrayMember(object, "verdicts"));
     BOOST_LEAF_AUTO(digest, stringMember(object, "digest"));
-    SnapshotRecord snapshot {Offset {covers}, Sheet(cells, tombstones), {}, Digest(digest)};
+    SnapshotRecord snapshot {logId, Offset {covers}, Sheet(cells, tombstones), {}, Digest(digest)};
     for (const json::value &value : verdictArray) {
         BOOST_LEAF_AUTO(verdict, verdictFromJson(value));
         snapshot.verdicts.push_back(verdict);
@@ -169,6 +172,7 @@
         verdicts.push_back(verdictToJson(verdict));
     }
     return json::serialize(json::object {{"type", "snapshot"},
+                                         {"log", snapshot.logId},
                                          {"covers", snapshot.covers.value},
                                          {"cells", cellsToJson(snapshot.sheet.cells())},
                                          {"tombstones", cellsToJson(snapshot.sheet.tombstones())},
@@ -193,6 +197,7 @@
             {"proposedAt", verdict.proposedAt.time_since_epoch().count()},
             {"verdict", std::string(textOf(verdict.kind))},
             {"reason", verdict.reason},
+            {"note", verdict.note},
             {"edits", editsToJson(verdict.edits)}};
 }
 
--- a/source/protocol/framecodec.cpp
+++ b/source/protocol/framecodec.cpp
@@ -255,6 +255,7 @@
         push.firstOffset = toWire(message.firstOffset);
         push.records = message.records;
         push.snapshot = message.snapshot;
+        push.logId = message.logId;
         m_body.__set_configPush(push);
     }
 
@@ -275,6 +276,20 @@
 
     void operator()(const EntryAliveMessage &) { m_body.__set_entryAlive({}); }
 
+    void operator()(const ConfigAppliedMessage &message)
+    {
+        wire::ConfigApplied applied;
+        applied.appliedConfig = toWire(message.applied);
+        m_body.__set_configApplied(applied);
+    }
+
+    void operator()(const ConfigWantedMessage &message)
+    {
+        wire::ConfigWanted wanted;
+        wanted.appliedConfig = toWire(message.applied);
+        m_body.__set_configWanted(wanted);
+    }
+
 private:
     wire::Body &m_body;
 };
@@ -355,7 +370,7 @@
     }
     if (isset.configPush) {
         return ConfigPushMessage {toOffset(body.configPush.firstOffset), body.configPush.records,
-                                  body.configPush.snapshot};
+                                  body.configPush.snapshot, body.configPush.logId};
     }
     if (isset.chunkWanted) {
         return ChunkWantedMessage {unpackDigest(body.chunkWanted.digest)};
@@ -366,6 +381,12 @@
     if (isset.entryAlive) {
         return EntryAliveMessage {};
     }
+    if (isset.configWanted) {
+        return ConfigWantedMessage {toOffset(body.configWanted.appliedConfig)};
+    }
+    if (isset.configApplied) {
+        return ConfigAppliedMessage {toOffset(body.configApplied.appliedConfig)};
+    }
     return fail(ErrorKind::ProtocolViolation, "a frame holds no message that is known here");
 }
 
--- a/source/protocol/messages.h
+++ b/source/protocol/messages.h
@@ -155,10 +155,29 @@
     std::vector<std::string> records;
     /** A whole snapshot as text; empty if the records suffice. */
     std::string snapshot;
+    /** Identity of the log that the records stand in. */
+    std::string logId;
 
     auto operator<=>(const ConfigPushMessage &) const = default;
 };
 
+/** Tells other entries which offset is in force at the sender. */
+struct ConfigAppliedMessage
+{
+    Offset applied;
+
+    auto operator<=>(const ConfigAppliedMessage &) const = default;
+};
+
+/** Asks a peer that is ahead for its snapshot; it comes as a ConfigPushMessage. */
+struct ConfigWantedMessage
+{
+    /** What is in force at the asker. */
+    Offset applied;
+
+    auto operator<=>(const ConfigWantedMessage &) const = default;
+};
+
 /** Asks a peer for a chunk of weights. */
 struct ChunkWantedMessage
 {
@@ -183,11 +202,11 @@
 };
 
 /** Any message. */
-using Message =
-        std::variant<HelloMessage, ProofMessage, OpenMessage, HeadMessage, DataMessage, EndMessage,
-                     FailedMessage, CreditMessage, CancelMessage, CancelSeenMessage,
-                     HeartbeatMessage, HeartbeatAckMessage, ConfigPushMessage, ChunkWantedMessage,
-                     ChunkPartMessage, EntryAliveMessage>;
+using Message = std::variant<HelloMessage, ProofMessage, OpenMessage, HeadMessage, DataMessage,
+                             EndMessage, FailedMessage, CreditMessage, CancelMessage,
+                             CancelSeenMessage, HeartbeatMessage, HeartbeatAckMessage,
+                             ConfigPushMessage, ChunkWantedMessage, ChunkPartMessage,
+                             EntryAliveMessage, ConfigWantedMessage, ConfigAppliedMessage>;
 
 /** A message with the stream that it belongs to. */
 struct StreamMessage
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -109,6 +109,18 @@
   1: i64 firstOffset;
   2: list<string> records;
   3: string snapshot;
+  /** Identity of the log that the records stand in. */
+  4: string logId;
+}
+
+/** Tells other entries which offset is in force. */
+struct ConfigApplied {
+  1: i64 appliedConfig;
+}
+
+/** Asks a peer that is ahead for its snapshot. */
+struct ConfigWanted {
+  1: i64 appliedConfig;
 }
 
 struct ChunkWanted {
@@ -141,6 +153,8 @@
   14: ChunkWanted chunkWanted;
   15: ChunkPart chunkPart;
   20: EntryAlive entryAlive;
+  60: ConfigWanted configWanted;
+  61: ConfigApplied configApplied;
 }
 
 /** Stream 0 belongs to the link; the side that opened the link numbers the others. */
--- a/source/tool/commands.cpp
+++ b/source/tool/commands.cpp
@@ -2,9 +2,9 @@
 
 #include "net/httpclient.h"
 #include "protocol/jsontext.h"
+#include "tool/printing.h"
 
 #include <functional>
-#include <iomanip>
 #include <iostream>
 
 namespace greengageseam {
@@ -18,16 +18,6 @@
 constexpr int statusOk = 200;
 constexpr int statusAccepted = 202;
 constexpr int statusConflict = 409;
-constexpr int columnWidth = 10;
-
-std::string textMember(const json::object &object, std::string_view key)
-{
-    const json::value *value = object.if_contains({key.data(), key.size()});
-    if (value == nullptr) {
-        return "";
-    }
-    return value->is_string() ? std::string(value->get_string()) : json::serialize(*value);
-}
 
 ToolExit printFailure(const Failure &failure)
 {
@@ -43,74 +33,7 @@
     return answer.status == statusConflict ? ToolExit::Conflict : ToolExit::Failed;
 }
 
-std::vector<json::object> objectsIn(const json::object &object, std::string_view key)
-{
-    std::vector<json::object> objects;
-    const json::value *value = object.if_contains({key.data(), key.size()});
-    if (value == nullptr || !value->is_array()) {
-        return objects;
-    }
-    for (const json::value &element : value->get_array()) {
-        if (element.is_object()) {
-            objects.push_back(element.get_object());
-        }
-    }
-    return objects;
-}
-
-void printCells(const json::object &table)
-{
-    std::cout << "offset " << textMember(table, "offset") << "\n";
-    for (const json::object &cell : objectsIn(table, "cells")) {
-        std::cout << textMember(cell, "path") << " = " << textMember(cell, "value") << "\n";
-    }
-}
-
-void printReport(const json::object &report)
-{
-    std::cout << "zone " << textMember(report, "zone") << ", offset "
-              << textMember(report, "offset") << "\n";
-    if (textMember(report, "logAnswers") != "true") {
-        std::cout << "ALARM the log does not answer\n";
-    }
-    for (const json::object &alarm : objectsIn(report, "alarms")) {
-        std::cout << "ALARM " << textMember(alarm, "detail") << "\n";
-    }
-    for (const json::object &rollout : objectsIn(report, "rollouts")) {
-        std::cout << textMember(rollout, "model") << " " << textMember(rollout, "version") << ": "
-                  << textMember(rollout, "serving") << " of " << textMember(rollout, "wanted")
-                  << " serve\n";
-    }
-    for (const json::object &agent : objectsIn(report, "agents")) {
-        std::cout << std::left << std::setw(columnWidth) << textMember(agent, "instance") << " "
-                  << textMember(agent, "phase") << ", offset " << textMember(agent, "offset");
-        const std::string trouble = textMember(agent, "trouble");
-        std::cout << (trouble.empty() ? "" : ", " + trouble) << "\n";
-    }
-    std::cout << "origin bytes " << textMember(report, "originBytes") << "\n";
-}
-
-void printVerdict(const json::object &verdict)
-{
-    std::cout << "change " << textMember(verdict, "change") << ": "
-              << textMember(verdict, "verdict");
-    const std::string reason = textMember(verdict, "reason");
-    std::cout << (reason.empty() ? "" : ", " + reason) << "\n";
-}
-
-void printHistory(const json::object &history)
-{
-    for (const json::object &change : objectsIn(history, "changes")) {
-        std::cout << textMember(change, "offset") << " " << textMember(change, "author") << " "
-                  << textMember(change, "verdict") << " " << textMember(change, "change") << "\n";
-        for (const json::object &edit : objectsIn(change, "edits")) {
-            std::cout << "    " << textMember(edit, "path") << " = " << textMember(edit, "value")
-                      << "\n";
-        }
-    }
-}
-
-using Printer = std::function<void(const json::object &)>;
+using Printer = std::function<void(std::ostream &, const json::object &)>;
 
 /** Makes a call that reads, and prints what it gives. */
 Awaitable<ToolExit> show(asio::any_io_executor executor, ToolSettings settings, std::string target,
@@ -128,7 +51,7 @@
     if (settings.asJson) {
         std::cout << json::serialize(answer.body) << "\n";
     } else {
-        printer(answer.body);
+        printer(std::cout, answer.body);
     }
     co_return ToolExit::Done;
 }
@@ -173,7 +96,7 @@
 
 Awaitable<ToolExit> showTable(asio::any_io_executor executor, ToolSettings settings)
 {
-    co_return co_await show(executor, settings, "/admin/v1/table", printCells);
+    co_return co_await show(executor, settings, "/admin/v1/table", printTable);
 }
 
 Awaitable<ToolExit> showReport(asio::any_io_executor executor, ToolSettings settings)
@@ -182,9 +105,15 @@
 }
 
 Awaitable<ToolExit> showHistory(asio::any_io_executor executor, ToolSettings settings,
-                                std::string cell, std::string author)
+                                std::string cell)
+{
+    co_return co_await show(executor, settings, "/admin/v1/history?cell=" + cell, printHistory);
+}
+
+Awaitable<ToolExit> showAudit(asio::any_io_executor executor, ToolSettings settings,
+                              std::string cell, std::string author)
 {
-    const std::string target = "/admin/v1/history?cell=" + cell + "&author=" + author;
+    const std::string target = "/admin/v1/audit?cell=" + cell + "&author=" + author;
     co_return co_await show(executor, settings, target, printHistory);
 }
 
@@ -195,15 +124,22 @@
 }
 
 Awaitable<ToolExit> sendChange(asio::any_io_executor executor, ToolSettings settings,
-                               std::vector<std::string> edits, std::string note, bool isDryRun)
+                               ChangeRequest change)
 {
-    const Outcome<json::array> parsed = settle([&] { return parseEdits(edits); });
+    const Outcome<json::array> parsed = settle([&] { return parseEdits(change.edits); });
     if (const Failure *failure = failureOf(parsed)) {
         printFailure(*failure);
         co_return ToolExit::Usage;
     }
-    const json::object body {{"edits", std::get<json::array>(parsed)}, {"note", note}};
-    const std::string target = std::string("/admin/v1/changes") + (isDryRun ? "?dry-run=true" : "");
+    json::object body {{"edits", std::get<json::array>(parsed)}, {"note", change.note}};
+    if (!change.id.empty()) {
+        body["id"] = change.id;
+    }
+    if (change.base) {
+        body["base"] = *change.base;
+    }
+    const std::string target =
+            std::string("/admin/v1/changes") + (change.isDryRun ? "?dry-run=true" : "");
     AdminCall call {"POST", target, json::serialize(body)};
     const Outcome<AdminAnswer> answered = co_await callAdmin(executor, settings, std::move(call));
     if (const Failure *failure = failureOf(answered)) {
@@ -216,7 +152,7 @@
     if (settings.asJson) {
         std::cout << json::serialize(answer.body) << "\n";
     } else {
-        printVerdict(answer.body);
+        printVerdict(std::cout, answer.body);
     }
     if (answer.status == statusAccepted) {
         co_return ToolExit::Unknown;
@@ -239,7 +175,11 @@
     if (answer.status != statusOk) {
         co_return printProblem(answer);
     }
-    std::cout << instance << " takes no new work\n";
+    if (settings.asJson) {
+        std::cout << json::serialize(answer.body) << "\n";
+    } else {
+        std::cout << instance << " takes no new work\n";
+    }
     co_return ToolExit::Done;
 }
 
--- a/source/tool/commands.h
+++ b/source/tool/commands.h
@@ -7,6 +7,7 @@
 #include "net/mailbox.h"
 
 #include <boost/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,18 +53,34 @@
 Awaitable<ToolExit> showTable(asio::any_io_executor executor, ToolSettings settings);
 /** Prints the report. */
 Awaitable<ToolExit> showReport(asio::any_io_executor executor, ToolSettings settings);
-/** Prints the changes of a cell, of an author, or all that are known. */
+/** Prints the newest changes, of one cell or all, from the entry's memory. */
 Awaitable<ToolExit> showHistory(asio::any_io_executor executor, ToolSettings settings,
-                                std::string cell, std::string author);
+                                std::string cell);
+/** Prints the changes that the log still keeps, by cell and author. */
+Awaitable<ToolExit> showAudit(asio::any_io_executor executor, ToolSettings settings,
+                              std::string cell, std::string author);
 /** Prints what became of a change. */
 Awaitable<ToolExit> showChange(asio::any_io_executor executor, ToolSettings settings,
                                std::string id);
-/**
- * Proposes (dry run) or accepts a change.
- * @param edits `path=value` each; `path=` clears the cell
- */
+/** A change as an operator asks for it. */
+struct ChangeRequest
+{
+    /** `path=value` each; `path=` clears the cell. */
+    std::vector<std::string> edits;
+    std::string note;
+    /** Identifier of the change, the same in a retry; empty for a new one. */
+    std::string id;
+    /** Offset of the table that the operator looked at; without it, the entry's newest. */
+    std::optional<std::uint64_t> base;
+    /** Only says what would become of the change. */
+    bool isDryRun = false;
+
+    auto operator<=>(const ChangeRequest &) const = default;
+};
+
+/** Proposes (dry run) or accepts a change. */
 Awaitable<ToolExit> sendChange(asio::any_io_executor executor, ToolSettings settings,
-                               std::vector<std::string> edits, std::string note, bool isDryRun);
+                               ChangeRequest change);
 /** Drains an instance. */
 Awaitable<ToolExit> drainInstance(asio::any_io_executor executor, ToolSettings settings,
                                   std::string instance);
--- a/source/tool/main.cpp
+++ b/source/tool/main.cpp
@@ -18,19 +18,21 @@
 
 Usage:
   greengageseam [options] table show
-  greengageseam [options] change propose [--note=<text>] <edit>...
-  greengageseam [options] change accept [--note=<text>] <edit>...
+  greengageseam [options] change propose <edit>...
+  greengageseam [options] change accept <edit>...
   greengageseam [options] change show <id>
-  greengageseam [options] history [--cell=<path>]
-  greengageseam [options] audit [--cell=<path>] [--author=<name>]
+  greengageseam [options] history
+  greengageseam [options] audit
   greengageseam [options] report
-  greengageseam [options] publish <file> [--chunk-bytes=<n>]
+  greengageseam [options] publish <file>
   greengageseam [options] instance drain <instance>
   greengageseam (-h | --help)
   greengageseam --version
 
 An edit is path=value, or path= to clear a cell. A proposal changes nothing: it says
-what would become of the change.
+what would become of the change. 'change accept' answers when the change has been read
+back from the log. When it ends with 4, give it again with the same --id and --base: a
+change counts once.
 
 Options:
   --entry=<address>     HTTP address of an entry, or GREENGAGESEAM_ENTRY.
@@ -38,12 +40,17 @@
   --store=<address>     The weight store, or GREENGAGESEAM_STORE (publish).
   --chunk-bytes=<n>     Size of a chunk, 1024 to 67108864 [default: 1048576].
   --note=<text>         Why the change is made [default: ].
+  --id=<id>             Identifier of the change, for a retry [default: ].
+  --base=<offset>       Offset of the table that the change was made against; a cell
+                        changed after it is a conflict. Unset: the newest.
   --cell=<path>         Only changes of this cell [default: ].
   --author=<name>       Only changes by this operator [default: ].
   --json                Print JSON.
   -h --help             Show this text.
   --version             Show the version.
 
+'history' knows the newest 512 changes, 'audit' all that the log still keeps.
+
 Exit codes: 0 done, 1 failed or refused, 2 wrong usage, 3 conflict with another change,
 4 outcome not known yet (ask with 'change show').
 )";
@@ -52,6 +59,7 @@
 using Arguments = std::map<std::string, docopt::value>;
 
 constexpr std::uint64_t minChunkBytes = 1024;
+constexpr std::uint64_t maxOffset = 1ULL << 62U;
 constexpr std::uint64_t maxToolChunkBytes = 64ULL * 1024 * 1024;
 
 std::string setting(const Arguments &options, const std::string &flag, const char *variable)
@@ -76,22 +84,41 @@
     return address;
 }
 
-Result<std::uint64_t> chunkBytes(const Arguments &options)
+/** Checks a number. */
+Result<std::uint64_t> numberIn(const std::string &flag, const std::string &text,
+                               std::uint64_t least, std::uint64_t most)
 {
-    const std::string text = options.at("--chunk-bytes").asString();
     std::uint64_t n = 0;
     const char *end = text.data() + text.size();
     const auto [rest, ec] = std::from_chars(text.data(), end, n);
-    if (ec != std::errc() || rest != end || n < minChunkBytes || n > maxToolChunkBytes) {
+    if (ec != std::errc() || rest != end || n < least || n > most) {
         return fail(ErrorKind::InvalidRequest,
-                    "--chunk-bytes: '" + text + "' is not allowed; allowed is 1024 to 67108864");
+                    flag + ": '" + text + "' is not allowed; allowed is " + std::to_string(least)
+                            + " to " + std::to_string(most));
     }
     return n;
 }
 
+Result<std::uint64_t> chunkBytes(const Arguments &options)
+{
+    return numberIn("--chunk-bytes", options.at("--chunk-bytes").asString(), minChunkBytes,
+                    maxToolChunkBytes);
+}
+
+Result<std::optional<std::uint64_t>> baseOffset(const Arguments &options)
+{
+    const docopt::value &text = options.at("--base");
+    if (!text.isString()) {
+        return std::optional<std::uint64_t>();
+    }
+    BOOST_LEAF_AUTO(n, numberIn("--base", text.asString(), 0, maxOffset));
+    return std::optional(n);
+}
+
 /** Chooses the command by the words of the command line. */
 Awaitable<ToolExit> runCommand(asio::any_io_executor executor, Arguments options,
-                               ToolSettings settings, std::uint64_t chunkSize)
+                               ToolSettings settings, std::uint64_t chunkSize,
+                               std::optional<std::uint64_t> base)
 {
     const auto has = [&](const char *word) { return options.at(word).asBool(); };
     const auto text = [&](const char *name) { return options.at(name).asString(); };
@@ -101,8 +128,14 @@
     if (has("report")) {
         co_return co_await showReport(executor, settings);
     }
-    if (has("history") || has("audit")) {
-        co_return co_await showHistory(executor, settings, text("--cell"), text("--author"));
+    if (has("history")) {
+        std::string cell = text("--cell");
+        co_return co_await showHistory(executor, settings, std::move(cell));
+    }
+    if (has("audit")) {
+        std::string cell = text("--cell");
+        std::string author = text("--author");
+        co_return co_await showAudit(executor, settings, std::move(cell), std::move(author));
     }
     if (has("publish")) {
         co_return co_await publishFile(executor, settings, text("<file>"), chunkSize);
@@ -113,8 +146,9 @@
     if (has("show")) {
         co_return co_await showChange(executor, settings, text("<id>"));
     }
-    co_return co_await sendChange(executor, settings, options.at("<edit>").asStringList(),
-                                  text("--note"), has("propose"));
+    ChangeRequest change {options.at("<edit>").asStringList(), text("--note"), text("--id"), base,
+                          has("propose")};
+    co_return co_await sendChange(executor, settings, std::move(change));
 }
 
 Result<ToolSettings> readToolSettings(const Arguments &options)
@@ -158,7 +192,8 @@
     }
     const Outcome<ToolSettings> settings = settle([&] { return readToolSettings(options); });
     const Outcome<std::uint64_t> size = settle([&] { return chunkBytes(options); });
-    for (const Failure *failure : {failureOf(settings), failureOf(size)}) {
+    const auto base = settle([&] { return baseOffset(options); });
+    for (const Failure *failure : {failureOf(settings), failureOf(size), failureOf(base)}) {
         if (failure != nullptr) {
             std::cerr << "greengageseam: " << failure->detail << "\n";
             return static_cast<int>(ToolExit::Usage);
@@ -168,7 +203,8 @@
     ToolExit result = ToolExit::Failed;
     asio::co_spawn(context,
                    runCommand(context.get_executor(), options, std::get<ToolSettings>(settings),
-                              std::get<std::uint64_t>(size)),
+                              std::get<std::uint64_t>(size),
+                              std::get<std::optional<std::uint64_t>>(base)),
                    [&](const std::exception_ptr &error, ToolExit code) {
                        result = error ? ToolExit::Failed : code;
                    });
--- a/source/tool/publish.cpp
+++ b/source/tool/publish.cpp
@@ -91,7 +91,13 @@
         std::cerr << "greengageseam: " << failure->detail << "\n";
         co_return ToolExit::Failed;
     }
-    std::cout << manifest.digest().text() << "\n";
+    if (settings.asJson) {
+        const boost::json::object published {{"manifest", manifest.digest().text()},
+                                             {"bytes", total}};
+        std::cout << boost::json::serialize(published) << "\n";
+    } else {
+        std::cout << manifest.digest().text() << "\n";
+    }
     co_return ToolExit::Done;
 }
 
--- /dev/null
+++ b/tests/differential/tst_configfold.cpp
@@ -0,0 +1,241 @@
+/**
+ * The fold of many processes against a naive sequential twin: operators race, records come in any
+ * batches and more than once, processes join late from snapshots of the log or of a peer.
+ */
+#include "core/config/config.h"
+#include "protocol/configcodec.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace greengageseam {
+namespace {
+
+const std::string logId = "log-a";
+
+/** Everything in one map and one list; a change is judged by walking them. */
+class NaiveTable
+{
+public:
+    void apply(const Change &change, std::uint64_t offset)
+    {
+        if (verdicts.contains(change.id.text())) {
+            return;
+        }
+        verdicts[change.id.text()] = judge(change, offset);
+        if (verdicts[change.id.text()] == VerdictKind::Accepted) {
+            for (const CellEdit &edit : change.edits) {
+                cells[edit.path.text()] = {edit.value, offset};
+            }
+        }
+    }
+
+    std::map<std::string, std::pair<std::optional<std::string>, std::uint64_t>> cells;
+    std::map<std::string, VerdictKind> verdicts;
+
+private:
+    VerdictKind judge(const Change &change, std::uint64_t offset) const
+    {
+        if (change.base.value >= offset) {
+            return VerdictKind::Invalid;
+        }
+        for (const CellEdit &edit : change.edits) {
+            const auto it = cells.find(edit.path.text());
+            if (it != cells.end() && it->second.second > change.base.value) {
+                return VerdictKind::Conflict;
+            }
+        }
+        const bool isValid =
+                std::all_of(change.edits.begin(), change.edits.end(), [](const CellEdit &edit) {
+                    return edit.value.value_or("") != "wrong";
+                });
+        return isValid ? VerdictKind::Accepted : VerdictKind::Invalid;
+    }
+};
+
+Change makeChange(std::uint64_t number, std::uint64_t applied)
+{
+    Change change;
+    change.id = ChangeId("c" + std::to_string(number));
+    change.author = OperatorName(*rc::gen::element<std::string>("ann", "bo", "cai"));
+    const std::uint64_t lag = *rc::gen::inRange<std::uint64_t>(0, 6);
+    change.base = Offset {applied - std::min(applied, lag)};
+    std::set<std::string> services;
+    for (auto n = *rc::gen::inRange(1, 4); n > 0; --n) {
+        services.insert("service/s" + std::to_string(*rc::gen::inRange(0, 5)) + "/non-idempotent");
+    }
+    for (const std::string &path : services) {
+        const std::string value =
+                *rc::gen::weightedElement<std::string>({{6, "POST /a"}, {2, ""}, {1, "wrong"}});
+        change.edits.push_back(
+                {CellPath(path), value.empty() ? std::nullopt : std::optional(value)});
+    }
+    return change;
+}
+
+/** A log with racing changes, retries, snapshots of earlier offsets and rubbish. */
+class RandomLog
+{
+public:
+    RandomLog()
+    {
+        states.push_back({});
+        states.back().logId = logId;
+        const auto n = *rc::gen::inRange<std::uint64_t>(5, 60);
+        for (std::uint64_t offset = 1; offset <= n; ++offset) {
+            records.push_back({Offset {offset}, makeEvent(offset)});
+            states.push_back(foldRecord(states.back(), records.back()).state);
+        }
+    }
+
+    std::vector<ConfigRecord> between(std::uint64_t from, std::uint64_t to) const
+    {
+        return {records.begin() + static_cast<std::ptrdiff_t>(from - 1),
+                records.begin() + static_cast<std::ptrdiff_t>(to)};
+    }
+
+    std::uint64_t size() const { return records.size(); }
+
+    std::vector<ConfigRecord> records;
+    /** States by offset, folded one record after the other. */
+    std::vector<ConfigState> states;
+    NaiveTable twin;
+
+private:
+    ConfigEvent makeEvent(std::uint64_t offset)
+    {
+        const int kind = *rc::gen::inRange(0, 10);
+        if (kind == 0) {
+            return decodeConfigEvent("{\"type\":");
+        }
+        if (kind <= 2) {
+            const auto covers = *rc::gen::inRange<std::uint64_t>(offset / 2, offset);
+            return decodeConfigEvent(encodeSnapshot(snapshotOf(states[covers])));
+        }
+        const bool isRetry = kind == 3 && !m_changes.empty();
+        m_changes.push_back(isRetry ? *rc::gen::elementOf(m_changes)
+                                    : makeChange(offset, offset - 1));
+        twin.apply(m_changes.back(), offset);
+        return decodeConfigEvent(encodeChange(m_changes.back()));
+    }
+
+    std::vector<Change> m_changes;
+};
+
+/** Feeds a fold the records from @p from on, in random batches that overlap. */
+LogFold follow(LogFold fold, const RandomLog &log, std::uint64_t from, LogFindings &findings)
+{
+    const std::uint64_t first = from;
+    while (from <= log.size()) {
+        const std::uint64_t to = *rc::gen::inRange(from, log.size() + 1);
+        const std::uint64_t again = *rc::gen::inRange(first, from + 1);
+        const Offset before = fold.state().applied;
+        const std::vector<ConfigRecord> records = log.between(again, to);
+        const bool fromPeer = *rc::gen::arbitrary<bool>();
+        const LogWindow window {logId, Offset {first}, Offset {to + 1}};
+        fold = fromPeer ? fold.passedOn(logId, records, findings)
+                        : fold.read(window, records, findings);
+        RC_ASSERT(fold.state().applied >= before);
+        from = to + 1;
+    }
+    return fold.read({logId, Offset {first}, Offset {log.size() + 1}}, {}, findings);
+}
+
+/** @returns whether the kept records hold a snapshot from which all that follow can be folded */
+bool canStartAt(const RandomLog &log, std::uint64_t first)
+{
+    const auto records = log.between(first, log.size());
+    return first == 1 || std::any_of(records.begin(), records.end(), [&](const auto &record) {
+               const auto *snapshot = std::get_if<SnapshotRecord>(&record.event);
+               return snapshot != nullptr && snapshot->covers.value + 1 >= first;
+           });
+}
+
+/** Processes that follow one log. */
+class ConfigFoldFixture
+{
+protected:
+    static void checkAgainstTwin(const ConfigState &state, const NaiveTable &twin)
+    {
+        for (const auto &[path, cell] : twin.cells) {
+            RC_ASSERT(state.sheet.value(CellPath(path)) == cell.first);
+        }
+        RC_ASSERT(state.verdicts.size() == twin.verdicts.size());
+        for (const Verdict &verdict : state.verdicts) {
+            RC_ASSERT(verdict.kind == twin.verdicts.at(verdict.change.text()));
+        }
+    }
+};
+
+TEST_CASE_METHOD(ConfigFoldFixture, "processes_racingOperators_agreeWithSequentialTwin")
+{
+    const bool holds = rc::check("processes agree with the twin", [] {
+        const RandomLog log;
+        checkAgainstTwin(log.states.back(), log.twin);
+        for (int process = 0; process < 4; ++process) {
+            LogFindings findings;
+            const LogFold fold = follow({}, log, 1, findings);
+            RC_ASSERT(fold.state() == log.states.back());
+            RC_ASSERT(fold.isReady());
+        }
+    });
+    REQUIRE(holds);
+}
+
+TEST_CASE_METHOD(ConfigFoldFixture, "process_joiningFromPeerSnapshot_agreesWithTwin")
+{
+    const bool holds = rc::check("late joiners agree with the twin", [] {
+        const RandomLog log;
+        const auto covers = *rc::gen::inRange<std::uint64_t>(0, log.size() + 1);
+        const auto from = *rc::gen::inRange<std::uint64_t>(1, covers + 2);
+        LogFindings findings;
+        LogFold fold;
+        if (*rc::gen::arbitrary<bool>()) {
+            fold = fold.passedOn(logId, log.between(1, covers / 2), findings);
+        }
+        const LogFold restored = fold.restored(snapshotOf(log.states[covers]), findings);
+        const LogFold followed = follow(restored, log, from, findings);
+        RC_ASSERT(followed.state() == log.states.back());
+        const LogFold older = followed.restored(snapshotOf(log.states[covers / 2]), findings);
+        RC_ASSERT(older.state() == followed.state());
+    });
+    REQUIRE(holds);
+}
+
+TEST_CASE_METHOD(ConfigFoldFixture, "process_startingInForgottenLog_agreesOrStaysWithoutTable")
+{
+    const bool holds = rc::check("cold start from the log agrees with the twin", [] {
+        const RandomLog log;
+        const auto first = *rc::gen::inRange<std::uint64_t>(1, log.size() + 1);
+        LogFindings findings;
+        const LogFold fold = follow({}, log, first, findings);
+        RC_CLASSIFY(first > 1 && canStartAt(log, first), "from a snapshot in the log");
+        if (canStartAt(log, first)) {
+            RC_ASSERT(fold.state() == log.states.back());
+            RC_ASSERT(fold.isReady());
+        } else {
+            RC_ASSERT(!fold.isReady());
+            RC_ASSERT(findings.alarms.back().kind == ConfigAlarmKind::Gap);
+        }
+    });
+    REQUIRE(holds);
+}
+
+TEST_CASE_METHOD(ConfigFoldFixture, "process_thawedAfterGap_goesOnFromSnapshotOrStays")
+{
+    const bool holds = rc::check("a process that slept over a gap never reverts", [] {
+        const RandomLog log;
+        const auto seen = *rc::gen::inRange<std::uint64_t>(1, log.size() + 1);
+        const auto first = *rc::gen::inRange<std::uint64_t>(1, log.size() + 1);
+        LogFindings findings;
+        const LogFold before = LogFold().passedOn(logId, log.between(1, seen), findings);
+        const LogFold fold = follow(before, log, first, findings);
+        const bool hasGap = first > seen + 1;
+        const auto end = canStartAt(log, first) || !hasGap ? log.size() : seen;
+        RC_ASSERT(fold.state() == log.states[end]);
+    });
+    REQUIRE(holds);
+}
+
+} // namespace
+} // namespace greengageseam
--- a/tests/unit/tst_framecodec.cpp
+++ b/tests/unit/tst_framecodec.cpp
@@ -45,6 +45,20 @@
     REQUIRE(std::get<StreamMessage>(roundTrip(message)) == message);
 }
 
+TEST_CASE_METHOD(FrameFixture, "frame_configPushAndWanted_comeBackEqual")
+{
+    ConfigPushMessage push;
+    push.firstOffset = Offset {7};
+    push.records = {"a", "b"};
+    push.snapshot = "s";
+    push.logId = "log";
+    for (const Message &message : {Message(push), Message(ConfigWantedMessage {Offset {9}}),
+                                   Message(ConfigAppliedMessage {Offset {8}})}) {
+        const StreamMessage sent {0, message};
+        REQUIRE(std::get<StreamMessage>(roundTrip(sent)) == sent);
+    }
+}
+
 TEST_CASE_METHOD(FrameFixture, "frame_rubbish_isProtocolViolation")
 {
     const auto decoded = settle([] { return decodeFrame("this is no frame"); });
--- /dev/null
+++ b/tests/unit/tst_logfold.cpp
@@ -0,0 +1,154 @@
+/**
+ * Tests of following the log: new beginnings, bad snapshots, repeated changes, and when a snapshot
+ * is due.
+ */
+#include "core/config/config.h"
+
+#include <catch2/catch.hpp>
+
+namespace greengageseam {
+namespace {
+
+/** A fold that has followed one change of log `a`. */
+class LogFoldFixture
+{
+protected:
+    LogFoldFixture() { m_fold = read({"a", {1}, {2}}, {{Offset {1}, changeOf("c1", "4")}}); }
+
+    static Change changeOf(const std::string &id, const std::string &value)
+    {
+        Change change;
+        change.id = ChangeId(id);
+        change.author = OperatorName("ann");
+        change.edits = {{CellPath("limit/origin-copies"), value}};
+        return change;
+    }
+
+    LogFold read(const LogWindow &window, const std::vector<ConfigRecord> &records)
+    {
+        m_findings = {};
+        m_fold = m_fold.read(window, records, m_findings);
+        return m_fold;
+    }
+
+    void requireDistrust(LogTrust trust) const
+    {
+        REQUIRE(m_fold.trust() == trust);
+        REQUIRE(m_findings.alarms.front().kind == ConfigAlarmKind::NewBeginning);
+        REQUIRE(m_fold.state().applied == Offset {1});
+        REQUIRE(m_fold.state().table.limits.originCopies == 4);
+    }
+
+    LogFold m_fold;
+    LogFindings m_findings;
+};
+
+TEST_CASE_METHOD(LogFoldFixture, "logFold_otherIdentity_staysAtLastTableWithAlarm")
+{
+    Change change = changeOf("c2", "2");
+    change.base = Offset {1};
+    read({"b", {1}, {3}}, {{Offset {2}, change}});
+    requireDistrust(LogTrust::OtherIdentity);
+}
+
+TEST_CASE_METHOD(LogFoldFixture, "logFold_logThatGotShorter_staysAtLastTableWithAlarm")
+{
+    read({"a", {1}, {1}}, {});
+    requireDistrust(LogTrust::Shortened);
+}
+
+TEST_CASE_METHOD(LogFoldFixture, "logFold_snapshotOfOtherLogFromPeer_isNotTaken")
+{
+    ConfigState other = m_fold.state();
+    other.logId = "b";
+    other.applied = Offset {9};
+    m_fold = m_fold.restored(snapshotOf(other), m_findings);
+    requireDistrust(LogTrust::Followed);
+}
+
+TEST_CASE_METHOD(LogFoldFixture, "logFold_otherIdentityThenPeerSnapshotOfSameLog_isTaken")
+{
+    ConfigState ahead = m_fold.state();
+    ahead.applied = Offset {9};
+    read({"b", {1}, {1}}, {});
+    REQUIRE(m_fold.restored(snapshotOf(ahead), m_findings).state() == ahead);
+}
+
+TEST_CASE_METHOD(LogFoldFixture, "logFold_emptyLogOnFirstStart_isReadyAtOnce")
+{
+    m_fold = {};
+    REQUIRE(read({"a", {1}, {1}}, {}).isReady());
+}
+
+TEST_CASE_METHOD(LogFoldFixture, "logFold_emptyLogThatForgot_isNotReadyAndRaisesAlarm")
+{
+    m_fold = {};
+    REQUIRE_FALSE(read({"a", {9}, {9}}, {}).isReady());
+    REQUIRE(m_findings.alarms.front().kind == ConfigAlarmKind::Gap);
+}
+
+TEST_CASE_METHOD(LogFoldFixture, "logFold_snapshotThatDiffersFromFold_isAlarmAndFoldIsBelieved")
+{
+    ConfigState other = m_fold.state();
+    other.sheet = Sheet().with(changeOf("c1", "8"), Offset {1});
+    read({"a", {1}, {3}}, {{Offset {2}, snapshotOf(other)}});
+    REQUIRE(m_findings.alarms.front().kind == ConfigAlarmKind::SnapshotMismatch);
+    REQUIRE_THAT(m_findings.alarms.front().detail, Catch::Contains("limit/origin-copies"));
+    REQUIRE(m_fold.state().table.limits.originCopies == 4);
+    REQUIRE(m_fold.snapshotCovers() == Offset {0});
+}
+
+TEST_CASE_METHOD(LogFoldFixture, "logFold_damagedSnapshotFromPeer_isRefused")
+{
+    SnapshotRecord snapshot = snapshotOf(m_fold.state());
+    snapshot.verdicts.clear();
+    m_fold = LogFold().restored(snapshot, m_findings);
+    REQUIRE_FALSE(m_fold.isReady());
+}
+
+TEST_CASE_METHOD(LogFoldFixture, "logFold_changeRepeatedAfterVerdictWindow_countsOnce")
+{
+    std::uint64_t offset = 1;
+    while (offset <= maxVerdicts) {
+        ++offset;
+        Change other = changeOf("other" + std::to_string(offset), "wrong");
+        other.base = Offset {offset - 1};
+        read({"a", {1}, {offset + 1}}, {{Offset {offset}, other}});
+    }
+    REQUIRE(m_fold.state().verdictOn(ChangeId("c1")) == nullptr);
+    read({"a", {1}, {offset + 2}}, {{Offset {offset + 1}, changeOf("c1", "4")}});
+    REQUIRE(m_findings.verdicts.front().kind == VerdictKind::Conflict);
+    REQUIRE(m_fold.state().sheet.cells().begin()->second.changedAt == Offset {1});
+}
+
+TEST_CASE_METHOD(LogFoldFixture, "logFold_changeAgainstLaterBase_isInvalid")
+{
+    Change change = changeOf("c2", "2");
+    change.base = Offset {2};
+    read({"a", {1}, {3}}, {{Offset {2}, change}});
+    REQUIRE(m_findings.verdicts.front().kind == VerdictKind::Invalid);
+}
+
+TEST_CASE("snapshot_need_isDueByRecordsBytesAgeAndRetention")
+{
+    const SnapshotOptions options;
+    const SnapshotNeed calm {Offset {100}, Offset {90}, Offset {1}, 10, Duration(0)};
+    REQUIRE_FALSE(isSnapshotDue(calm, options));
+    SnapshotNeed need = calm;
+    need.covers = Offset {0};
+    REQUIRE(isSnapshotDue(need, options.withRecords(100)));
+    need = calm;
+    need.bytesSince = options.bytes;
+    REQUIRE(isSnapshotDue(need, options));
+    need = calm;
+    need.age = options.age;
+    REQUIRE(isSnapshotDue(need, options));
+    need = calm;
+    need.covers = Offset {40};
+    need.first = Offset {30};
+    REQUIRE(isSnapshotDue(need, options));
+    REQUIRE_FALSE(isSnapshotDue({}, options));
+}
+
+} // namespace
+} // namespace greengageseam
