Keep a link when a message comes late for a stream that has ended

Cause: an agent ended the whole link of an entry with 'the peer sent more than it had credit for' when a credit arrived between the end of an attempt and the link's forgetting the stream; all other requests on the link broke. Change: only a full mailbox that is still open ends the link. Conclusion: ended streams drop what comes late, as the header says.

--- a/source/net/peerlink.cpp
+++ b/source/net/peerlink.cpp
@@ -176,7 +176,8 @@
             m_hooks.receive(m_handle, std::move(message));
             return;
         }
-        if (!it->second->post(StreamEvent(std::move(message.message)))) {
+        const MailboxPtr<StreamEvent> mailbox = it->second;
+        if (!mailbox->post(StreamEvent(std::move(message.message))) && mailbox->isOpen()) {
             end("the peer sent more than it had credit for");
         }
     }
