--- /dev/null
+++ b/bench/membershipbench.cpp
@@ -0,0 +1,312 @@
+#include "membershipbench.h"
+
+#include "core/common/hashing.h"
+#include "protocol/framecodec.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <ctime>
+#include <iostream>
+#include <map>
+#include <vector>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr std::size_t entriesPerAgent = 2;
+constexpr std::size_t models = 20;
+constexpr int quietSeconds = 60;
+constexpr double nanoseconds = 1e-9;
+constexpr int changedPercent = 1;
+constexpr int summaryEverySeconds = 5;
+
+/** A zone's size, and how many other zones there are. */
+struct ZoneSize
+{
+    std::size_t entries;
+    std::size_t agents;
+    std::size_t otherZones;
+};
+
+/** What one kind of node spent. */
+struct Cost
+{
+    std::size_t bytes = 0;
+    std::size_t messages = 0;
+    double seconds = 0;
+};
+
+double processorSeconds()
+{
+    timespec time {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * nanoseconds;
+}
+
+/** Counts the processor time of a block towards a cost. */
+class Meter
+{
+public:
+    explicit Meter(Cost &cost) : m_cost(cost), m_start(processorSeconds()) { }
+    ~Meter() { m_cost.seconds += processorSeconds() - m_start; }
+    Meter(const Meter &) = delete;
+    Meter &operator=(const Meter &) = delete;
+
+private:
+    Cost &m_cost;
+    double m_start;
+};
+
+/** One entry's membership, without its sockets. */
+struct SimulatedEntry
+{
+    Roster roster;
+    ChangeLog neighbours {1};
+    ChangeLog heard {1};
+    std::uint64_t told = 0;
+    std::vector<Heartbeat> pulses;
+    std::map<std::size_t, ChangeView> views;
+};
+
+/** One agent's membership. */
+struct SimulatedAgent
+{
+    Heartbeat heartbeat;
+    std::vector<std::size_t> entries;
+    std::map<std::size_t, ChangeView> views;
+};
+
+/** A zone that runs in steps of a second; every message is encoded and decoded. */
+class SimulatedZone
+{
+public:
+    explicit SimulatedZone(ZoneSize size) : m_size(size), m_entries(size.entries)
+    {
+        for (std::size_t n = 0; n < size.agents; ++n) {
+            m_agents.push_back(makeAgent(n));
+        }
+    }
+
+    void runSecond(int second, int percent)
+    {
+        m_now = Instant(std::chrono::seconds(second));
+        for (std::size_t n = 0; n < m_agents.size(); ++n) {
+            beat(m_agents[n], n, second, percent);
+        }
+        for (std::size_t n = 0; n < m_entries.size(); ++n) {
+            sendDigest(n);
+        }
+        sendSummaries();
+    }
+
+    void forgetCosts()
+    {
+        m_entryCost = {};
+        m_agentCost = {};
+    }
+
+    boost::json::object costs(const std::string &name, int seconds) const
+    {
+        const auto perNode = [&](double total, std::size_t nodes) {
+            return total / static_cast<double>(nodes) / seconds;
+        };
+        const std::size_t entries = m_size.entries;
+        const std::size_t agents = m_size.agents;
+        const auto count = [](std::size_t n) { return static_cast<double>(n); };
+        return {{"bench", "membership"},
+                {"case", name},
+                {"entries", entries},
+                {"agents", agents},
+                {"otherZones", m_size.otherZones},
+                {"agentBytesPerSecond", perNode(count(m_agentCost.bytes), agents)},
+                {"agentMessagesPerSecond", perNode(count(m_agentCost.messages), agents)},
+                {"agentMicrosecondsPerSecond", perNode(m_agentCost.seconds * 1e6, agents)},
+                {"entryBytesPerSecond", perNode(count(m_entryCost.bytes), entries)},
+                {"entryMessagesPerSecond", perNode(count(m_entryCost.messages), entries)},
+                {"entryMicrosecondsPerSecond", perNode(m_entryCost.seconds * 1e6, entries)},
+                {"summaryBytes", m_summaryBytes},
+                {"broadcastAgentBytesPerSecond", broadcastBytes() * count(entries)},
+                {"broadcastEntryBytesPerSecond", broadcastBytes() * count(agents)}};
+    }
+
+private:
+    SimulatedAgent makeAgent(std::size_t n) const
+    {
+        SimulatedAgent agent;
+        Heartbeat &heartbeat = agent.heartbeat;
+        heartbeat.instance = InstanceId("agent-" + std::to_string(n));
+        heartbeat.zone = ZoneName("zone-1");
+        heartbeat.peerAddress = Address("10.0.0.1:9000");
+        heartbeat.startedAt = WallTime(std::chrono::seconds(1'796'000'000 + n));
+        heartbeat.incarnation = Offset {n + 1};
+        heartbeat.serving = {digestOf(std::to_string(n % models))};
+        heartbeat.holding = heartbeat.serving;
+        heartbeat.appliedConfig = Offset {2100};
+        heartbeat.tableDigest = digestOf("table");
+        std::vector<std::size_t> order(m_size.entries);
+        for (std::size_t i = 0; i < order.size(); ++i) {
+            order[i] = i;
+        }
+        std::sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+            return score(n, left) > score(n, right);
+        });
+        order.resize(std::min(order.size(), entriesPerAgent));
+        agent.entries = order;
+        return agent;
+    }
+
+    static std::uint64_t score(std::size_t agent, std::size_t entry)
+    {
+        return rendezvousScore("agent-" + std::to_string(agent), "entry-" + std::to_string(entry));
+    }
+
+    /** Encodes at the sender, counts at both, decodes at the receiver. */
+    static Message carry(const Message &message, Cost &sender, Cost &receiver)
+    {
+        std::string frame;
+        {
+            const Meter meter(sender);
+            frame = encodeFrame({0, message});
+        }
+        sender.bytes += frame.size();
+        receiver.bytes += frame.size();
+        ++sender.messages;
+        ++receiver.messages;
+        const Meter meter(receiver);
+        const auto decoded = settle(
+                [&] { return decodeFrame(std::string_view(frame).substr(frameHeaderBytes)); });
+        return std::get<StreamMessage>(decoded).message;
+    }
+
+    void beat(SimulatedAgent &agent, std::size_t n, int second, int percent)
+    {
+        ++agent.heartbeat.sequence;
+        agent.heartbeat.inFlight = static_cast<std::uint32_t>((n + agent.heartbeat.sequence) % 40);
+        const bool isChanged = (static_cast<int>(n) * 7 + second) % 100 < percent;
+        if (isChanged) {
+            agent.heartbeat.holding = {digestOf(std::to_string(second) + "x")};
+        }
+        for (const std::size_t entry : agent.entries) {
+            ChangeView &view = agent.views[entry];
+            const HeartbeatMessage beat {agent.heartbeat, view.epoch(), view.revision()};
+            const Message heard = carry(beat, m_agentCost, m_entryCost);
+            const Message ack = carry(answer(m_entries[entry], std::get<HeartbeatMessage>(heard)),
+                                      m_entryCost, m_agentCost);
+            const Meter meter(m_agentCost);
+            view = std::move(view).applied(std::get<HeartbeatAckMessage>(ack).neighbours);
+        }
+    }
+
+    HeartbeatAckMessage answer(SimulatedEntry &entry, const HeartbeatMessage &beat)
+    {
+        const Meter meter(m_entryCost);
+        hear(entry, beat.heartbeat, HeardFrom::Agent);
+        entry.heard = std::move(entry.heard).noted(reportedPart(beat.heartbeat));
+        entry.pulses.push_back(beat.heartbeat);
+        HeartbeatAckMessage ack;
+        ack.sequence = beat.heartbeat.sequence;
+        ack.isWarm = true;
+        ack.neighbours = entry.neighbours.since(beat.knownEpoch, beat.knownRevision);
+        return ack;
+    }
+
+    void hear(SimulatedEntry &entry, const Heartbeat &heartbeat, HeardFrom from) const
+    {
+        entry.roster = std::move(entry.roster).heard(heartbeat, m_now, from);
+        entry.neighbours = std::move(entry.neighbours).noted(neighbourPart(heartbeat));
+    }
+
+    void sendDigest(std::size_t from)
+    {
+        SimulatedEntry &sender = m_entries[from];
+        ZoneDigestMessage message;
+        {
+            const Meter meter(m_entryCost);
+            message.digest = makeZoneDigest(sender.heard.since(1, sender.told), sender.pulses, {});
+            sender.told = sender.heard.revision();
+            sender.pulses.clear();
+        }
+        for (std::size_t to = 0; to < m_entries.size(); ++to) {
+            if (to == from) {
+                continue;
+            }
+            const Message heard = carry(message, m_entryCost, m_entryCost);
+            const Meter meter(m_entryCost);
+            const ZoneDigest &digest = std::get<ZoneDigestMessage>(heard).digest;
+            ChangeView &view = m_entries[to].views[from];
+            view = std::move(view).applied(digest.changes);
+            for (const Heartbeat &heartbeat : heartbeatsOf(digest, view)) {
+                hear(m_entries[to], heartbeat, HeardFrom::OtherEntry);
+            }
+        }
+    }
+
+    /** Each other zone gets one summary in five seconds and sends one, which goes on to all. */
+    void sendSummaries()
+    {
+        if (++m_second % summaryEverySeconds != 0) {
+            return;
+        }
+        ZoneSummary summary;
+        {
+            const Meter meter(m_entryCost);
+            summary = summarize(ZoneName("zone-1"), m_entries[0].roster.members(), WallTime());
+        }
+        const ZoneSummaryMessage message {summary};
+        m_summaryBytes = encodeFrame({0, message}).size();
+        Cost elsewhere;
+        for (std::size_t zone = 0; zone < m_size.otherZones; ++zone) {
+            carry(message, m_entryCost, elsewhere);
+            carry(message, elsewhere, m_entryCost);
+            for (std::size_t n = 1; n < m_entries.size(); ++n) {
+                carry(message, m_entryCost, m_entryCost);
+            }
+        }
+    }
+
+    /** Bytes of one agent's heartbeat and an answer with the whole zone, at one entry. */
+    double broadcastBytes() const
+    {
+        const std::size_t beat = encodeFrame({0, HeartbeatMessage {m_agents[0].heartbeat}}).size();
+        HeartbeatAckMessage ack;
+        for (const SimulatedAgent &agent : m_agents) {
+            ack.neighbours.changed.push_back(agent.heartbeat);
+        }
+        return static_cast<double>(beat + encodeFrame({0, ack}).size());
+    }
+
+    ZoneSize m_size;
+    std::vector<SimulatedEntry> m_entries;
+    std::vector<SimulatedAgent> m_agents;
+    Instant m_now;
+    Cost m_entryCost;
+    Cost m_agentCost;
+    std::size_t m_summaryBytes = 0;
+    int m_second = 0;
+};
+
+} // namespace
+
+bool runMembershipBench()
+{
+    const std::vector<ZoneSize> sizes {
+            {2, 8, 2}, {3, 30, 5}, {9, 65, 11}, {17, 130, 22}, {34, 260, 45}};
+    for (const ZoneSize &size : sizes) {
+        SimulatedZone zone(size);
+        int second = 0;
+        const auto run = [&](const std::string &name, int seconds, int percent) {
+            zone.forgetCosts();
+            for (int i = 0; i < seconds; ++i) {
+                zone.runSecond(++second, percent);
+            }
+            std::cout << boost::json::serialize(zone.costs(name, seconds)) << "\n";
+        };
+        run("start", 2, 0);
+        run("quiet", quietSeconds, 0);
+        run("rollout", quietSeconds, changedPercent);
+    }
+    return true;
+}
+
+} // namespace greengageseam
--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -6,7 +6,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/json.hpp>
 
 namespace greengageseam {
 
@@ -16,7 +15,7 @@
 constexpr auto chunkLimit = std::chrono::seconds(60);
 constexpr auto peerChunkLimit = std::chrono::seconds(5);
 constexpr auto orderLimit = std::chrono::seconds(5);
-constexpr auto registerPause = std::chrono::seconds(1);
+constexpr auto endLimit = std::chrono::seconds(1);
 constexpr auto lastWords = std::chrono::milliseconds(200);
 
 } // namespace
@@ -58,6 +57,7 @@
         onNeighbours(neighbours);
     };
     entryHooks.drain = [gate = m_gate->mailbox()] { gate->post(DrainGate {}); };
+    entryHooks.superseded = [this](Offset by) { onDuty(IncarnationsChecked {monotonicNow(), by}); };
     m_entries = std::make_shared<EntryLinks>(m_executor, m_settings, m_config->mailbox(),
                                              entryHooks, listReader(), m_log);
 
@@ -73,9 +73,11 @@
     m_config->start();
     m_gate->start();
     m_placer->start();
+    makeIncarnation();
     if (m_settings.backendKind == BackendKind::Engine) {
         startEngineTasks();
     }
+    m_incarnation->start();
     m_entries->start();
     m_http->start();
     m_listener->start();
@@ -94,16 +96,15 @@
 void Agent::startEngineTasks()
 {
     const EngineClient client(m_executor, m_settings.backendAddress, orderLimit);
-    const EngineHooks hooks {client.stateReader(), client.orderGiver()};
+    const EngineHooks hooks {
+            client.stateReader(), client.orderGiver(),
+            [mailbox = m_incarnation->mailbox()] { mailbox->post(CheckIncarnation {}); }};
     m_engine = std::make_shared<EngineKeeper>(
             m_executor, hooks, m_settings.httpAddress, m_settings.engineEvery, m_gate->mailbox(),
             [entries = m_entries->mailbox()](const EngineState &state) { entries->post(state); },
             m_log);
     m_weights->start();
     m_engine->start();
-    asio::co_spawn(
-            m_executor, [self = shared_from_this()] { return self->registerIncarnation(); },
-            asio::detached);
 }
 
 Awaitable<void> Agent::shutDown()
@@ -112,6 +113,11 @@
     const auto reply = makeMailbox<Released>(m_executor, 1);
     m_gate->mailbox()->post(DrainGate {reply});
     co_await reply->receiveWithin(m_settings.drainLimit);
+    if (m_number.value != 0) {
+        const auto ended = makeMailbox<bool>(m_executor, 1);
+        m_incarnation->mailbox()->post(EndIncarnation {ended});
+        co_await ended->receiveWithin(endLimit);
+    }
     asio::steady_timer timer(m_executor, lastWords);
     co_await timer.async_wait(asTuple);
     m_listener->stop();
@@ -172,22 +178,29 @@
     m_placer->mailbox()->post(status);
 }
 
-Awaitable<void> Agent::registerIncarnation()
+void Agent::makeIncarnation()
 {
-    const std::string text = boost::json::serialize(
-            boost::json::object {{"instance", m_settings.instance.text()},
-                                 {"startedAt", wallNow().time_since_epoch().count()}});
-    while (true) {
-        const Outcome<Offset> appended = co_await m_logClient.append(incarnationStream, text);
-        if (const auto *number = std::get_if<Offset>(&appended)) {
-            m_log.info("agent.incarnation", {{"number", number->value}});
-            m_engine->mailbox()->post(FenceGranted {*number});
-            m_gate->mailbox()->post(IncarnationKnown {*number});
-            m_entries->mailbox()->post(IncarnationKnown {*number});
-            co_return;
-        }
-        asio::steady_timer timer(m_executor, registerPause);
-        co_await timer.async_wait(asTuple);
+    const IncarnationHooks hooks {m_logClient.appender(), m_logClient.reader(),
+                                  [this](const DutyEvent &event) { onDuty(event); }};
+    m_incarnation =
+            std::make_shared<IncarnationKeeper>(m_executor, m_settings.instance, hooks, m_log);
+}
+
+/** A predecessor that learns of its successor takes no more work. */
+void Agent::onDuty(const DutyEvent &event)
+{
+    if (m_engine) {
+        m_engine->mailbox()->post(event);
+    }
+    if (const auto *granted = std::get_if<IncarnationGranted>(&event)) {
+        m_number = granted->number;
+        m_gate->mailbox()->post(IncarnationKnown {m_number});
+        m_entries->mailbox()->post(IncarnationKnown {m_number});
+    }
+    const auto *checked = std::get_if<IncarnationsChecked>(&event);
+    if (checked != nullptr && checked->newestOther > m_number) {
+        m_log.warning("agent.superseded", {{"by", checked->newestOther.value}});
+        m_gate->mailbox()->post(DrainGate {});
     }
 }
 
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -11,6 +11,7 @@
 #include "agent/enginekeeper.h"
 #include "agent/entrylinks.h"
 #include "agent/gate.h"
+#include "agent/incarnationkeeper.h"
 #include "agent/placer.h"
 #include "agent/weightkeeper.h"
 #include "net/httpserver.h"
@@ -41,7 +42,8 @@
     void onGate(const GateStatus &status);
     ReadInstanceList listReader() const;
     void startEngineTasks();
-    Awaitable<void> registerIncarnation();
+    void makeIncarnation();
+    void onDuty(const DutyEvent &event);
 
     asio::any_io_executor m_executor;
     AgentSettings m_settings;
@@ -52,6 +54,8 @@
     std::shared_ptr<Gate> m_gate;
     std::shared_ptr<WeightKeeper> m_weights;
     std::shared_ptr<EngineKeeper> m_engine;
+    std::shared_ptr<IncarnationKeeper> m_incarnation;
+    Offset m_number;
     std::shared_ptr<EntryLinks> m_entries;
     std::shared_ptr<Placer> m_placer;
     std::shared_ptr<HttpServer> m_http;
--- a/source/agent/enginekeeper.cpp
+++ b/source/agent/enginekeeper.cpp
@@ -1,5 +1,6 @@
 #include "agent/enginekeeper.h"
 
+#include "net/clock.h"
 #include "net/ticker.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -38,73 +39,136 @@
 Awaitable<void> EngineKeeper::run()
 {
     while (std::optional<EngineCommand> command = co_await m_mailbox->receive()) {
+        m_duty = m_duty.after(DutyTick {}, monotonicNow());
         if (const auto *assign = std::get_if<AssignVersions>(&*command)) {
-            m_assigned = assign->manifests;
+            apply(*assign);
         } else if (const auto *held = std::get_if<WeightsHeld>(&*command)) {
-            m_held = held->manifests;
-        } else if (const auto *fence = std::get_if<FenceGranted>(&*command)) {
-            m_fence = fence->number;
+            apply(*held);
+        } else if (const auto *event = std::get_if<DutyEvent>(&*command)) {
+            apply(*event);
+        } else if (const auto *released = std::get_if<VersionReleased>(&*command)) {
+            apply(*released);
         } else {
             co_await look();
         }
     }
 }
 
+void EngineKeeper::apply(const AssignVersions &command)
+{
+    m_assigned = command.manifests;
+}
+
+void EngineKeeper::apply(const WeightsHeld &command)
+{
+    m_held = command.manifests;
+}
+
+void EngineKeeper::apply(const DutyEvent &command)
+{
+    m_duty = m_duty.after(command, monotonicNow());
+}
+
+void EngineKeeper::apply(const VersionReleased &command)
+{
+    m_isReleased = m_isReleased || m_releasing == command.manifest;
+}
+
+/** After each order the engine's state is read back, and decides on the next. */
 Awaitable<void> EngineKeeper::look()
+{
+    bool hasOrdered = co_await readState();
+    while (hasOrdered && m_assigned) {
+        const OrderSituation situation {*m_assigned, m_held, toSet(m_state.serving),
+                                        toSet(m_state.loading), m_state.slots};
+        NextOrder order = nextOrder(situation);
+        keepUnlessUnloaded(order);
+        hasOrdered = order && co_await carryOut(std::move(order)) && co_await readState();
+    }
+}
+
+/** @returns whether the engine answered */
+Awaitable<bool> EngineKeeper::readState()
 {
     const Outcome<EngineState> read = co_await m_hooks.readState();
-    if (const Failure *failure = failureOf(read)) {
+    const Failure *failure = failureOf(read);
+    if (failure != nullptr) {
         m_log.warning("engine.silent", {{"reason", failure->detail}});
-        const EngineState none;
-        m_gate->post(EngineSeen {none});
-        m_observer(none);
-        co_return;
     }
-    const auto &state = std::get<EngineState>(read);
-    m_gate->post(EngineSeen {state});
-    m_observer(state);
-    if (m_fence.value == 0 || !m_assigned) {
-        co_return;
-    }
-    const OrderSituation situation {*m_assigned, m_held, toSet(state.serving), toSet(state.loading),
-                                    state.slots};
-    const NextOrder order = nextOrder(situation);
-    if (!order) {
-        co_return;
+    m_state = failure == nullptr ? std::get<EngineState>(read) : EngineState();
+    m_gate->post(EngineSeen {m_state});
+    m_observer(m_state);
+    co_return failure == nullptr;
+}
+
+/** @returns whether the engine took the order */
+Awaitable<bool> EngineKeeper::carryOut(NextOrder order)
+{
+    const Instant now = monotonicNow();
+    m_duty = m_duty.after(DutyTick {}, now);
+    const OrderPermission permission = m_duty.permission(now);
+    if (permission != OrderPermission::Granted) {
+        if (permission == OrderPermission::CheckLog) {
+            m_hooks.askForCheck();
+        }
+        co_return false;
     }
     if (const auto *loading = std::get_if<LoadVersion>(&*order)) {
-        co_await load(loading->manifest);
-    } else {
-        co_await unload(std::get<UnloadVersion>(*order).manifest);
+        Digest manifest = loading->manifest;
+        m_gate->post(ReopenVersion {manifest});
+        co_return co_await give(OrderKind::Load, std::move(manifest));
     }
+    Digest manifest = std::get<UnloadVersion>(*order).manifest;
+    if (!prepareUnload(manifest)) {
+        co_return false;
+    }
+    co_return co_await give(OrderKind::Unload, std::move(manifest));
 }
 
-Awaitable<void> EngineKeeper::load(Digest manifest)
+/** @returns whether no request in progress needs the version; until then the keeper goes on. */
+bool EngineKeeper::prepareUnload(const Digest &manifest)
 {
-    m_gate->post(ReopenVersion {manifest});
-    EngineOrder order {OrderKind::Load, manifest, m_fence, m_source};
-    co_await give(std::move(order));
+    if (m_releasing == manifest) {
+        return m_isReleased;
+    }
+    m_releasing = manifest;
+    m_isReleased = false;
+    const auto reply = makeMailbox<Released>(m_executor, 1);
+    m_gate->post(ReleaseVersion {manifest, reply});
+    asio::co_spawn(
+            m_executor,
+            [reply, manifest, mailbox = m_mailbox]() -> Awaitable<void> {
+                co_await reply->receive();
+                mailbox->post(VersionReleased {manifest});
+            },
+            asio::detached);
+    return false;
 }
 
-Awaitable<void> EngineKeeper::unload(Digest manifest)
+/** A version that was about to be unloaded and is wanted again takes new work again. */
+void EngineKeeper::keepUnlessUnloaded(const NextOrder &order)
 {
-    const auto reply = makeMailbox<Released>(m_executor, 1);
-    m_gate->post(ReleaseVersion {manifest, reply});
-    co_await reply->receive();
-    EngineOrder order {OrderKind::Unload, manifest, m_fence, m_source};
-    co_await give(std::move(order));
+    const auto *unloading = order ? std::get_if<UnloadVersion>(&*order) : nullptr;
+    const bool isStillUnloaded = unloading != nullptr && m_releasing == unloading->manifest;
+    if (m_releasing && !isStillUnloaded) {
+        m_gate->post(ReopenVersion {*m_releasing});
+        m_releasing.reset();
+    }
 }
 
-Awaitable<void> EngineKeeper::give(EngineOrder order)
+Awaitable<bool> EngineKeeper::give(OrderKind kind, Digest manifest)
 {
+    EngineOrder order {kind, std::move(manifest), m_duty.number(), m_source};
     m_log.info("engine.order",
                {{"order", order.kind == OrderKind::Load ? "load" : "unload"},
                 {"manifest", order.manifest.text()},
                 {"fence", order.fence.value}});
-    const Settled settled = co_await m_hooks.give(order);
-    if (const Failure *failure = failureOf(settled)) {
+    const Settled settled = co_await m_hooks.give(std::move(order));
+    const Failure *failure = failureOf(settled);
+    if (failure != nullptr) {
         m_log.warning("engine.order-failed", {{"reason", failure->detail}});
     }
+    co_return failure == nullptr;
 }
 
 } // namespace greengageseam
--- a/source/agent/enginekeeper.h
+++ b/source/agent/enginekeeper.h
@@ -5,12 +5,13 @@
 
 #include "agent/gate.h"
 #include "agent/weightkeeper.h"
-#include "core/placement/orders.h"
+#include "core/placement/placement.h"
 #include "engine/engine.h"
 #include "net/log.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <variant>
 
@@ -28,10 +29,10 @@
     std::set<Digest> manifests;
 };
 
-/** The agent got its fencing number. */
-struct FenceGranted
+/** No request in progress needs a version any more that is to be unloaded. */
+struct VersionReleased
 {
-    Offset number;
+    Digest manifest;
 };
 
 /** Time to look at the engine. */
@@ -39,16 +40,21 @@
 { };
 
 /** Messages to the keeper. */
-using EngineCommand = std::variant<AssignVersions, WeightsHeld, FenceGranted, EngineTick>;
+using EngineCommand =
+        std::variant<AssignVersions, WeightsHeld, DutyEvent, VersionReleased, EngineTick>;
 
 /** Hook that is told of each state that the engine reports; it must not wait. */
 using EngineObserver = std::function<void(const EngineState &state)>;
 
-/** How the keeper speaks to the engine. */
+/** Hook that asks for a read of the log's incarnations; it must not wait. */
+using AskForCheck = std::function<void()>;
+
+/** How the keeper speaks to the engine and to the log. */
 struct EngineHooks
 {
     ReadEngineState readState;
     GiveOrder give;
+    AskForCheck askForCheck;
 };
 
 /** Looks after one engine. */
@@ -69,10 +75,16 @@
 
 private:
     Awaitable<void> run();
+    void apply(const AssignVersions &command);
+    void apply(const WeightsHeld &command);
+    void apply(const DutyEvent &command);
+    void apply(const VersionReleased &command);
     Awaitable<void> look();
-    Awaitable<void> load(Digest manifest);
-    Awaitable<void> unload(Digest manifest);
-    Awaitable<void> give(EngineOrder order);
+    Awaitable<bool> readState();
+    Awaitable<bool> carryOut(NextOrder order);
+    bool prepareUnload(const Digest &manifest);
+    void keepUnlessUnloaded(const NextOrder &order);
+    Awaitable<bool> give(OrderKind kind, Digest manifest);
 
     asio::any_io_executor m_executor;
     EngineHooks m_hooks;
@@ -85,8 +97,12 @@
     /** Nothing until the first placement is known: then nothing is loaded or unloaded. */
     std::optional<std::set<Digest>> m_assigned;
     std::set<Digest> m_held;
-    /** Invariant: no order is given while this is 0. */
-    Offset m_fence;
+    EngineState m_state;
+    /** Invariant: no order is given without its permission, asked right before. */
+    OrderDuty m_duty;
+    /** The version that takes no new work because it is about to be unloaded. */
+    std::optional<Digest> m_releasing;
+    bool m_isReleased = false;
 };
 
 } // namespace greengageseam
--- a/source/agent/entrylinks.cpp
+++ b/source/agent/entrylinks.cpp
@@ -1,5 +1,6 @@
 #include "agent/entrylinks.h"
 
+#include "core/common/hashing.h"
 #include "net/clock.h"
 #include "net/ticker.h"
 
@@ -14,6 +15,11 @@
 constexpr std::size_t mailboxCapacity = 1024;
 constexpr auto dialLimit = std::chrono::seconds(2);
 constexpr StreamId linkStream = 0;
+/** To how many entries an agent sends heartbeats. */
+constexpr std::size_t entriesPerAgent = 2;
+/** Silence after which an entry is given up for a while. */
+constexpr auto entrySilentAfter = std::chrono::seconds(3);
+constexpr auto dialAgainAfter = std::chrono::seconds(5);
 constexpr auto listEveryOften = std::chrono::seconds(1);
 constexpr auto listEverySeldom = std::chrono::minutes(1);
 
@@ -64,7 +70,7 @@
             }
             m_mailbox->post(std::move(listed));
         }
-        timer.expires_after(m_isLinked ? listEverySeldom : listEveryOften);
+        timer.expires_after(m_entries.empty() ? listEveryOften : listEverySeldom);
         co_await timer.async_wait(asTuple);
     }
 }
@@ -95,30 +101,29 @@
 {
     if (const Failure *failure = failureOf(command.link)) {
         m_log.debug("entry.unreachable", {{"reason", failure->detail}});
-        m_links.erase(command.address);
+        m_entries.erase(command.address);
+        m_failedAt.insert_or_assign(command.address, monotonicNow());
         return;
     }
     const auto &link = std::get<PeerLinkHandle>(command.link);
     m_log.info("entry.linked", {{"entry", link.peer().instance.text()}});
-    m_links.insert_or_assign(command.address, link);
+    m_failedAt.erase(command.address);
+    m_entries.insert_or_assign(command.address, Entry {link, monotonicNow(), false, {}});
     beat();
 }
 
 void EntryLinks::apply(const EntryLost &command)
 {
-    m_log.warning("entry.lost", {{"entry", command.entry.text()}});
-    std::erase_if(m_links, [&](const auto &entry) {
-        return entry.second && entry.second.peer().instance == command.entry;
-    });
+    if (m_entries.erase(command.address) > 0) {
+        m_log.warning("entry.lost", {{"entry", command.entry.text()}});
+        m_failedAt.insert_or_assign(command.address, monotonicNow());
+    }
 }
 
 void EntryLinks::apply(const EntrySaid &command)
 {
     if (const auto *ack = std::get_if<HeartbeatAckMessage>(&command.message)) {
-        m_hooks.neighbours(ack->neighbours);
-        if (ack->drain) {
-            m_hooks.drain();
-        }
+        hearAck(command, *ack);
         return;
     }
     const auto *push = std::get_if<ConfigPushMessage>(&command.message);
@@ -139,21 +144,117 @@
 
 void EntryLinks::apply(const HeartbeatTick &)
 {
-    m_isLinked = std::any_of(m_links.begin(), m_links.end(),
-                             [](const auto &entry) { return bool(entry.second); });
-    std::set<Address> wanted(m_settings.entries.begin(), m_settings.entries.end());
-    wanted.insert(m_listed.begin(), m_listed.end());
-    for (const Address &address : wanted) {
-        if (m_links.try_emplace(address).second) {
+    dropSilent();
+    std::vector<Address> chosen = entriesByScore();
+    chosen.resize(std::min(chosen.size(), entriesPerAgent));
+    for (const Address &address : chosen) {
+        if (m_entries.try_emplace(address).second) {
             asio::co_spawn(
                     m_executor,
                     [self = shared_from_this(), address] { return self->dial(address); },
                     asio::detached);
         }
     }
+    dropSurplus(chosen);
     beat();
 }
 
+/** All entries that did not fail lately, the one that suits this agent best first. */
+std::vector<Address> EntryLinks::entriesByScore() const
+{
+    const Instant now = monotonicNow();
+    std::set<Address> known(m_settings.entries.begin(), m_settings.entries.end());
+    known.insert(m_listed.begin(), m_listed.end());
+    std::erase_if(known, [&](const Address &address) {
+        const auto failed = m_failedAt.find(address);
+        return failed != m_failedAt.end() && now - failed->second < dialAgainAfter;
+    });
+    std::vector<Address> sorted(known.begin(), known.end());
+    const auto score = [this](const Address &address) {
+        return rendezvousScore(m_settings.instance.text(), address.text());
+    };
+    std::sort(sorted.begin(), sorted.end(), [&](const Address &left, const Address &right) {
+        return score(left) > score(right);
+    });
+    return sorted;
+}
+
+void EntryLinks::dropSilent()
+{
+    const Instant now = monotonicNow();
+    for (const auto &[address, entry] : m_entries) {
+        if (entry.link && now - entry.heardAt > entrySilentAfter) {
+            m_failedAt.insert_or_assign(address, now);
+            entry.link.close("the entry is silent");
+        }
+    }
+}
+
+/** Other entries are let go once those that were chosen are linked. */
+void EntryLinks::dropSurplus(const std::vector<Address> &chosen)
+{
+    const bool allLinked =
+            std::all_of(chosen.begin(), chosen.end(), [this](const Address &address) {
+                const auto it = m_entries.find(address);
+                return it != m_entries.end() && it->second.link && it->second.isWarm;
+            });
+    if (!allLinked || chosen.size() < entriesPerAgent) {
+        return;
+    }
+    std::erase_if(m_entries, [&](const auto &entry) {
+        const auto &[address, state] = entry;
+        const bool isSurplus = std::find(chosen.begin(), chosen.end(), address) == chosen.end();
+        if (isSurplus && state.link) {
+            state.link.close("another entry suits better");
+        }
+        return isSurplus && state.link;
+    });
+}
+
+void EntryLinks::hearAck(const EntrySaid &command, const HeartbeatAckMessage &ack)
+{
+    const auto it = m_entries.find(command.address);
+    if (it == m_entries.end()) {
+        return;
+    }
+    Entry &entry = it->second;
+    entry.heardAt = monotonicNow();
+    entry.isWarm = ack.isWarm;
+    if (ack.isWarm) {
+        entry.neighbours = std::move(entry.neighbours).applied(ack.neighbours);
+    }
+    tellNeighbours();
+    if (ack.drain) {
+        m_hooks.drain();
+    }
+    if (ack.supersededBy.value != 0) {
+        m_hooks.superseded(ack.supersededBy);
+    }
+}
+
+/** The best entry that is warm is believed; without one, what was told before stays. */
+void EntryLinks::tellNeighbours()
+{
+    for (const Address &address : entriesByScore()) {
+        const auto it = m_entries.find(address);
+        if (it == m_entries.end() || !it->second.isWarm) {
+            continue;
+        }
+        const ChangeView &view = it->second.neighbours;
+        const std::pair told(view.epoch(), view.revision());
+        if (told == m_toldNeighbours) {
+            return;
+        }
+        m_toldNeighbours = told;
+        std::vector<Heartbeat> neighbours;
+        for (const auto &[instance, neighbour] : view.members()) {
+            neighbours.push_back(neighbour);
+        }
+        m_hooks.neighbours(neighbours);
+        return;
+    }
+}
+
 void EntryLinks::apply(const GateStatus &command)
 {
     const bool isNews = command.isDraining != m_heartbeat.isDraining;
@@ -197,11 +298,11 @@
 {
     const PeerIdentity identity {"agent", m_settings.instance, m_settings.zone, m_settings.secret};
     LinkHooks hooks;
-    hooks.receive = [mailbox = m_mailbox](const PeerLinkHandle &, StreamMessage message) {
-        mailbox->post(EntrySaid {std::move(message.message)});
+    hooks.receive = [mailbox = m_mailbox, address](const PeerLinkHandle &, StreamMessage message) {
+        mailbox->post(EntrySaid {address, std::move(message.message)});
     };
-    hooks.ended = [mailbox = m_mailbox](const PeerLinkHandle &link, const LinkClosed &) {
-        mailbox->post(EntryLost {link.peer().instance});
+    hooks.ended = [mailbox = m_mailbox, address](const PeerLinkHandle &link, const LinkClosed &) {
+        mailbox->post(EntryLost {address, link.peer().instance});
     };
     Outcome<PeerLinkHandle> link =
             co_await dialPeer(m_executor, address, identity, hooks, dialLimit, m_log);
@@ -212,9 +313,11 @@
 void EntryLinks::beat()
 {
     ++m_heartbeat.sequence;
-    for (const auto &[address, link] : m_links) {
-        if (link) {
-            link.post(linkStream, HeartbeatMessage {m_heartbeat});
+    for (const auto &[address, entry] : m_entries) {
+        if (entry.link) {
+            HeartbeatMessage message {m_heartbeat, entry.neighbours.epoch(),
+                                      entry.neighbours.revision()};
+            entry.link.post(linkStream, std::move(message));
         }
     }
 }
--- a/source/agent/entrylinks.h
+++ b/source/agent/entrylinks.h
@@ -43,12 +43,14 @@
 /** A link to an entry has ended. */
 struct EntryLost
 {
+    Address address;
     InstanceId entry;
 };
 
 /** An entry sent a message that belongs to no stream. */
 struct EntrySaid
 {
+    Address address;
     Message message;
 };
 
@@ -65,15 +67,18 @@
 using NeighbourObserver = std::function<void(const std::vector<Heartbeat> &neighbours)>;
 /** Hook that is told that an operator wants this agent to drain; it must not wait. */
 using DrainObserver = std::function<void()>;
+/** Hook that is told that a later process holds the agent's slot; it must not wait. */
+using SupersededObserver = std::function<void(Offset by)>;
 
 /** What the task passes on. */
 struct EntryLinksHooks
 {
     NeighbourObserver neighbours;
     DrainObserver drain;
+    SupersededObserver superseded;
 };
 
-/** Sends heartbeats to all entries of the zone. */
+/** Sends heartbeats to a few entries of the zone, chosen by rendezvous hashing. */
 class EntryLinks : public std::enable_shared_from_this<EntryLinks>
 {
 public:
@@ -101,6 +106,11 @@
     void apply(const IncarnationKnown &command);
     Awaitable<void> dial(Address address);
     Awaitable<void> followList();
+    void hearAck(const EntrySaid &command, const HeartbeatAckMessage &ack);
+    std::vector<Address> entriesByScore() const;
+    void dropSilent();
+    void dropSurplus(const std::vector<Address> &chosen);
+    void tellNeighbours();
     void beat();
 
     asio::any_io_executor m_executor;
@@ -112,9 +122,19 @@
     MailboxPtr<EntryLinksCommand> m_mailbox;
     Heartbeat m_heartbeat;
     std::vector<Address> m_listed;
-    /** Links by the address that was dialed; one without a link is being dialed. */
-    std::map<Address, PeerLinkHandle> m_links;
-    bool m_isLinked = false;
+    /** An entry that was dialed; without a link it is being dialed. */
+    struct Entry
+    {
+        PeerLinkHandle link;
+        Instant heardAt;
+        bool isWarm = false;
+        ChangeView neighbours;
+    };
+
+    std::map<Address, Entry> m_entries;
+    std::map<Address, Instant> m_failedAt;
+    /** What was told last of the neighbours: the life of the entry that told, and its revision. */
+    std::pair<std::uint64_t, std::uint64_t> m_toldNeighbours;
 };
 
 } // namespace greengageseam
--- /dev/null
+++ b/source/agent/incarnationkeeper.cpp
@@ -0,0 +1,138 @@
+#include "agent/incarnationkeeper.h"
+
+#include "net/clock.h"
+#include "protocol/jsontext.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace greengageseam {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t mailboxCapacity = 16;
+constexpr auto retryPause = std::chrono::seconds(1);
+constexpr std::uint32_t pageRecords = 1000;
+
+} // namespace
+
+IncarnationKeeper::IncarnationKeeper(const asio::any_io_executor &executor, InstanceId instance,
+                                     IncarnationHooks hooks, Log log)
+    : m_executor(executor), m_instance(std::move(instance)), m_hooks(std::move(hooks)),
+      m_log(std::move(log)), m_mailbox(makeMailbox<IncarnationCommand>(executor, mailboxCapacity)),
+      m_process(makeUniqueId())
+{ }
+
+void IncarnationKeeper::start()
+{
+    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->run(); }, asio::detached);
+}
+
+Awaitable<void> IncarnationKeeper::run()
+{
+    co_await registerNumber();
+    while (std::optional<IncarnationCommand> command = co_await m_mailbox->receive()) {
+        if (const auto *ending = std::get_if<EndIncarnation>(&*command)) {
+            EndIncarnation copy = *ending;
+            co_await end(std::move(copy));
+        } else {
+            co_await check();
+        }
+    }
+}
+
+/** The number counts only once all that stands before it in the log was read. */
+Awaitable<void> IncarnationKeeper::registerNumber()
+{
+    const Offset number = co_await append();
+    const Instant registeredAt = monotonicNow();
+    asio::steady_timer timer(m_executor);
+    while (!co_await readToEnd()) {
+        timer.expires_after(retryPause);
+        co_await timer.async_wait(asTuple);
+    }
+    m_number = number;
+    const bool hasPredecessor = m_hasGap || (m_others.newest.value != 0 && !m_others.hasEnded);
+    m_hasGap = false;
+    m_log.info("agent.incarnation", {{"number", number.value}, {"hasPredecessor", hasPredecessor}});
+    m_hooks.observer(IncarnationGranted {number, hasPredecessor, registeredAt});
+    m_hooks.observer(IncarnationsChecked {registeredAt, m_others.newest});
+}
+
+/** An append whose answer was lost may count twice; the higher number is as good. */
+Awaitable<Offset> IncarnationKeeper::append()
+{
+    const std::string text =
+            json::serialize(json::object {{"instance", m_instance.text()}, {"process", m_process}});
+    asio::steady_timer timer(m_executor);
+    while (true) {
+        const Outcome<Offset> appended = co_await m_hooks.append(incarnationStream, text);
+        if (const auto *number = std::get_if<Offset>(&appended)) {
+            co_return *number;
+        }
+        timer.expires_after(retryPause);
+        co_await timer.async_wait(asTuple);
+    }
+}
+
+Awaitable<void> IncarnationKeeper::check()
+{
+    const Instant since = monotonicNow();
+    const bool isRead = co_await readToEnd();
+    if (!isRead) {
+        m_hooks.observer(IncarnationsUnreadable {});
+    } else if (m_hasGap) {
+        co_await registerNumber();
+    } else {
+        m_hooks.observer(IncarnationsChecked {since, m_others.newest});
+    }
+}
+
+Awaitable<void> IncarnationKeeper::end(EndIncarnation command)
+{
+    const std::string text = json::serialize(json::object {
+            {"instance", m_instance.text()}, {"process", m_process}, {"ended", true}});
+    const Outcome<Offset> appended = co_await m_hooks.append(incarnationStream, text);
+    command.reply->post(failureOf(appended) == nullptr);
+}
+
+/** @returns false if the log does not answer */
+Awaitable<bool> IncarnationKeeper::readToEnd()
+{
+    while (true) {
+        LogQuery query {incarnationStream, m_next, pageRecords, {}};
+        const Outcome<LogBatch> read = co_await m_hooks.read(std::move(query));
+        if (failureOf(read) != nullptr) {
+            co_return false;
+        }
+        const auto &batch = std::get<LogBatch>(read);
+        m_hasGap = m_hasGap || (m_number.value != 0 && batch.first > m_next);
+        for (const LogRecord &record : batch.records) {
+            note(record);
+            m_next = Offset {record.offset.value + 1};
+        }
+        if (batch.records.empty() || m_next >= batch.next) {
+            co_return true;
+        }
+    }
+}
+
+void IncarnationKeeper::note(const LogRecord &record)
+{
+    const Outcome<json::object> parsed = settle([&] { return parseObject(record.text); });
+    const auto *object = std::get_if<json::object>(&parsed);
+    if (object == nullptr) {
+        return;
+    }
+    const auto names = [&](std::string_view key, std::string_view value) {
+        const json::value *found = object->if_contains(key);
+        return found != nullptr && found->is_string() && found->get_string() == value;
+    };
+    if (names("instance", m_instance.text()) && !names("process", m_process)) {
+        m_others = {record.offset, object->contains("ended")};
+    }
+}
+
+} // namespace greengageseam
--- a/source/core/membership/membership.h
+++ b/source/core/membership/membership.h
@@ -3,4 +3,6 @@
  */
 #pragma once
 
+#include "core/membership/changelog.h"
 #include "core/membership/roster.h"
+#include "core/membership/zonedigest.h"
--- a/source/core/membership/roster.cpp
+++ b/source/core/membership/roster.cpp
@@ -27,48 +27,94 @@
     return options;
 }
 
+RosterOptions RosterOptions::withRelayAllowance(Duration value) const
+{
+    RosterOptions options = *this;
+    options.relayAllowance = value;
+    return options;
+}
+
 Roster::Roster(RosterOptions options) : m_options(options) { }
 
-Roster Roster::heard(const Heartbeat &heartbeat, Instant now) const
+bool Roster::isOrderedToDrain(const Heartbeat &heartbeat) const
 {
+    const auto order = m_drainOrders.find(heartbeat.instance);
+    return order != m_drainOrders.end() && heartbeat.startedAt <= order->second.startedAt;
+}
+
+Roster Roster::heard(const Heartbeat &heartbeat, Instant now, HeardFrom from) &&
+{
+    const Instant heardAt = from == HeardFrom::Agent ? now : now + m_options.relayAllowance;
     const auto it = m_members.find(heartbeat.instance);
-    if (it != m_members.end() && !isNewer(heartbeat, it->second.last)) {
-        return *this;
+    if (it == m_members.end()) {
+        m_members.emplace(heartbeat.instance, Member {heartbeat, heardAt, phaseOf(heartbeat)});
+        return std::move(*this);
+    }
+    Member &member = it->second;
+    if (!isNewer(heartbeat, member.last)) {
+        return std::move(*this);
     }
-    const bool isSameProcess =
-            it != m_members.end() && it->second.last.startedAt == heartbeat.startedAt;
-    const bool wasDraining = isSameProcess && it->second.phase == MemberPhase::Draining;
-    Roster next = *this;
-    const auto phase =
-            heartbeat.isDraining || wasDraining ? MemberPhase::Draining : MemberPhase::Usable;
-    next.m_members.insert_or_assign(heartbeat.instance, Member {heartbeat, now, phase});
-    return next;
+    const bool wasDraining = member.last.startedAt == heartbeat.startedAt && member.last.isDraining;
+    member.last = heartbeat;
+    member.last.isDraining = heartbeat.isDraining || wasDraining;
+    member.heardAt = heardAt;
+    member.phase = phaseOf(member.last);
+    return std::move(*this);
 }
 
-Roster Roster::at(Instant now) const
+Roster Roster::at(Instant now) &&
 {
-    Roster next(m_options);
-    for (const auto &[id, member] : m_members) {
-        const Duration silence = now - member.heardAt;
-        if (silence >= m_options.forgetAfter) {
-            continue;
+    std::erase_if(m_members, [&](const auto &entry) {
+        return now - entry.second.heardAt >= m_options.forgetAfter;
+    });
+    for (auto &[id, member] : m_members) {
+        const bool isSilent = now - member.heardAt >= m_options.suspectAfter;
+        if (isSilent && member.phase == MemberPhase::Usable) {
+            member.phase = MemberPhase::Suspect;
         }
-        Member kept = member;
-        if (silence >= m_options.suspectAfter && kept.phase == MemberPhase::Usable) {
-            kept.phase = MemberPhase::Suspect;
-        }
-        next.m_members.emplace(id, std::move(kept));
     }
-    return next;
+    std::erase_if(m_drainOrders,
+                  [this](const auto &entry) { return !m_members.contains(entry.first); });
+    return std::move(*this);
 }
 
-Roster Roster::leaving(const InstanceId &instance) const
+Roster Roster::listed(const std::set<InstanceId> &leaving, WallTime now) &&
 {
-    Roster next = *this;
-    if (const auto it = next.m_members.find(instance); it != next.m_members.end()) {
-        it->second.phase = MemberPhase::Draining;
+    std::erase_if(m_leavingSince,
+                  [&](const auto &entry) { return !leaving.contains(entry.first); });
+    for (const InstanceId &instance : leaving) {
+        m_leavingSince.try_emplace(instance, now);
+    }
+    updatePhases();
+    return std::move(*this);
+}
+
+Roster Roster::ordered(const DrainOrder &order) &&
+{
+    DrainOrder &known = m_drainOrders.try_emplace(order.instance, order).first->second;
+    known = std::max(known, order);
+    updatePhases();
+    return std::move(*this);
+}
+
+MemberPhase Roster::phaseOf(const Heartbeat &heartbeat) const
+{
+    const auto leaving = m_leavingSince.find(heartbeat.instance);
+    const bool isLeaving =
+            leaving != m_leavingSince.end() && heartbeat.startedAt <= leaving->second;
+    const bool isDraining = heartbeat.isDraining || isLeaving || isOrderedToDrain(heartbeat);
+    return isDraining ? MemberPhase::Draining : MemberPhase::Usable;
+}
+
+/** A silent member stays suspect until it is heard again. */
+void Roster::updatePhases()
+{
+    for (auto &[id, member] : m_members) {
+        const MemberPhase phase = phaseOf(member.last);
+        if (member.phase != MemberPhase::Suspect || phase == MemberPhase::Draining) {
+            member.phase = phase;
+        }
     }
-    return next;
 }
 
 } // namespace greengageseam
--- a/source/core/membership/roster.h
+++ b/source/core/membership/roster.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -69,13 +70,32 @@
     Duration suspectAfter = std::chrono::milliseconds(2500);
     /** Silence after which a member is forgotten. */
     Duration forgetAfter = std::chrono::seconds(60);
+    /** How much later than a heartbeat itself the news of it may come through another entry. */
+    Duration relayAllowance = std::chrono::seconds(1);
 
     RosterOptions withSuspectAfter(Duration value) const;
     RosterOptions withForgetAfter(Duration value) const;
+    RosterOptions withRelayAllowance(Duration value) const;
     auto operator<=>(const RosterOptions &) const = default;
 };
 
-/** The members of one zone, as one process sees them; a step makes a new roster. */
+/** Way on which a heartbeat came. */
+enum class HeardFrom { Agent, OtherEntry };
+
+/** An operator's order that one process of an instance takes no more work. */
+struct DrainOrder
+{
+    InstanceId instance;
+    /** Start of the process that is meant; a successor in the same slot is not. */
+    WallTime startedAt;
+
+    auto operator<=>(const DrainOrder &) const = default;
+};
+
+/**
+ * The members of one zone, as one process sees them. A step takes the roster over and gives it
+ * back changed, as in `roster = std::move(roster).heard(...)`, so that no member is copied.
+ */
 class Roster
 {
 public:
@@ -83,21 +103,37 @@
 
     /** @returns the members by their identifiers */
     const std::map<InstanceId, Member> &members() const { return m_members; }
+    /** @returns the orders to drain that are known, by instance */
+    const std::map<InstanceId, DrainOrder> &drainOrders() const { return m_drainOrders; }
+    /** @returns whether an operator ordered this very process to drain */
+    bool isOrderedToDrain(const Heartbeat &heartbeat) const;
 
     /** @returns the roster after a heartbeat; one that is older than the last changes nothing */
-    Roster heard(const Heartbeat &heartbeat, Instant now) const;
+    Roster heard(const Heartbeat &heartbeat, Instant now, HeardFrom from = HeardFrom::Agent) &&;
 
     /** @returns the roster at a later time: the silent suspected, the long silent forgotten */
-    Roster at(Instant now) const;
+    Roster at(Instant now) &&;
 
-    /** @returns the roster after the platform's list called an instance leaving */
-    Roster leaving(const InstanceId &instance) const;
+    /**
+     * The platform's list was read. It holds for processes that started before it first called
+     * their instance leaving, and as long as it says so.
+     */
+    Roster listed(const std::set<InstanceId> &leaving, WallTime now) &&;
+
+    /** @returns the roster after an operator's order, given here or at another entry */
+    Roster ordered(const DrainOrder &order) &&;
 
     bool operator==(const Roster &) const = default;
 
 private:
+    MemberPhase phaseOf(const Heartbeat &heartbeat) const;
+    void updatePhases();
+
     RosterOptions m_options;
     std::map<InstanceId, Member> m_members;
+    std::map<InstanceId, DrainOrder> m_drainOrders;
+    /** Instances that the list calls leaving, and since when it has done so. */
+    std::map<InstanceId, WallTime> m_leavingSince;
 };
 
 } // namespace greengageseam
--- /dev/null
+++ b/source/core/placement/orderduty.h
@@ -0,0 +1,119 @@
+/**
+ * Whether the holder of an incarnation may give its engine an order now.
+ *
+ * Engines that check fencing numbers refuse a predecessor's orders. For those that don't, a holder
+ * that may have been replaced while it was paused has to read the log before its next order, and a
+ * successor waits until no order of its predecessor can still take effect.
+ */
+#pragma once
+
+#include "core/common/common.h"
+
+#include <variant>
+
+namespace greengageseam {
+
+/** Time limits of the right to give orders. */
+struct OrderDutyOptions
+{
+    /** How long a holder may go on after it last knew that it was the newest, when not paused. */
+    Duration leaseTime = std::chrono::seconds(5);
+    /** Longest time from the decision on an order to its effect. */
+    Duration longestOrder = std::chrono::seconds(5);
+    /** Time between two steps from which on the holder counts as having been paused. */
+    Duration pauseLimit = std::chrono::seconds(2);
+
+    OrderDutyOptions withLeaseTime(Duration value) const;
+    OrderDutyOptions withLongestOrder(Duration value) const;
+    auto operator<=>(const OrderDutyOptions &) const = default;
+};
+
+/** The holder's incarnation was registered. */
+struct IncarnationGranted
+{
+    Offset number;
+    /** Whether a predecessor in the slot may still be running. */
+    bool hasPredecessor = false;
+    /** When the registration was known. */
+    Instant at;
+
+    auto operator<=>(const IncarnationGranted &) const = default;
+};
+
+/** The log's stream of incarnations was read to its end. */
+struct IncarnationsChecked
+{
+    /** When the read began; it tells nothing of what was registered later. */
+    Instant since;
+    /** Newest number of another process in the same slot; 0 without one. */
+    Offset newestOther;
+
+    auto operator<=>(const IncarnationsChecked &) const = default;
+};
+
+/** The log could not be read. */
+struct IncarnationsUnreadable
+{
+    auto operator<=>(const IncarnationsUnreadable &) const = default;
+};
+
+/** Time passed. */
+struct DutyTick
+{
+    auto operator<=>(const DutyTick &) const = default;
+};
+
+/** What happens to a holder. */
+using DutyEvent =
+        std::variant<IncarnationGranted, IncarnationsChecked, IncarnationsUnreadable, DutyTick>;
+
+/** Whether an order may be given. */
+enum class OrderPermission {
+    Granted,
+    /** There is no number yet. */
+    NoNumber,
+    /** Orders of a predecessor may still take effect. */
+    WaitForPredecessor,
+    /** The holder was paused and has to read the log first. */
+    CheckLog,
+    /** Another process holds the slot. */
+    Superseded,
+};
+
+/** The state of one holder; a step makes a new one. */
+class OrderDuty
+{
+public:
+    explicit OrderDuty(OrderDutyOptions options = {});
+
+    /** @returns the state after an event; a long time since the last step counts as a pause */
+    OrderDuty after(const DutyEvent &event, Instant now) const;
+
+    /** @returns whether an order may be given at a time; asked right before each order */
+    OrderPermission permission(Instant now) const;
+
+    Offset number() const { return m_number; }
+
+    bool operator==(const OrderDuty &) const = default;
+
+private:
+    void apply(const IncarnationGranted &event);
+    void apply(const IncarnationsChecked &event);
+    void apply(const IncarnationsUnreadable &event);
+    void apply(const DutyTick &event);
+    bool isPaused(Instant now) const;
+
+    OrderDutyOptions m_options;
+    Offset m_number;
+    Instant m_firstOrderAt;
+    Instant m_lastStep;
+    /** Start of the newest read of the log that showed no other holder. */
+    Instant m_checkedSince;
+    /** End of the last pause; a check has to begin after it. */
+    Instant m_pausedUntil;
+    /** In an outage no successor can get a number, so the current holder goes on. */
+    bool m_isLogSilent = false;
+    bool m_isSuperseded = false;
+};
+
+} // namespace greengageseam
--- a/source/core/placement/placement.cpp
+++ b/source/core/placement/placement.cpp
@@ -10,6 +10,27 @@
     return it == assigned.end() ? std::set<Digest>() : it->second;
 }
 
+namespace {
+
+std::vector<PlacementSite> byScore(const Digest &manifest, const std::vector<PlacementSite> &sites)
+{
+    std::vector<std::pair<std::uint64_t, const PlacementSite *>> scored;
+    scored.reserve(sites.size());
+    for (const PlacementSite &site : sites) {
+        scored.emplace_back(rendezvousScore(manifest.text(), site.instance.text()), &site);
+    }
+    std::sort(scored.begin(), scored.end(),
+              [](const auto &left, const auto &right) { return left.first > right.first; });
+    std::vector<PlacementSite> order;
+    order.reserve(scored.size());
+    for (const auto &[score, site] : scored) {
+        order.push_back(*site);
+    }
+    return order;
+}
+
+} // namespace
+
 Placement placeReplicas(const Table &table, const ZoneName &zone,
                         const std::vector<PlacementSite> &sites)
 {
@@ -19,14 +40,7 @@
         if (wanted == row.replicas.end()) {
             continue;
         }
-        std::vector<PlacementSite> order = sites;
-        const auto score = [&](const PlacementSite &site) {
-            return rendezvousScore(row.manifest.text(), site.instance.text());
-        };
-        std::sort(order.begin(), order.end(),
-                  [&](const PlacementSite &left, const PlacementSite &right) {
-                      return score(left) > score(right);
-                  });
+        const std::vector<PlacementSite> order = byScore(row.manifest, sites);
         std::uint32_t placed = 0;
         for (const PlacementSite &site : order) {
             if (placed == wanted->second) {
--- a/source/core/placement/placement.h
+++ b/source/core/placement/placement.h
@@ -6,6 +6,8 @@
 
 #include "core/common/common.h"
 #include "core/config/table.h"
+#include "core/placement/orderduty.h"
+#include "core/placement/orders.h"
 
 #include <map>
 #include <set>
--- a/source/entry/entry.cpp
+++ b/source/entry/entry.cpp
@@ -31,6 +31,7 @@
                 router->post(view);
                 admin->post(view);
             },
+            [this](PeerEntriesCommand command) { m_peers->mailbox()->post(std::move(command)); },
             m_log);
     const LogClient logClient(m_executor, m_settings.logAddress, platformLimit);
     BOOST_LEAF_CHECK(startPeers());
@@ -94,7 +95,7 @@
     };
     hooks.receive = [this](const PeerLinkHandle &link, StreamMessage message) {
         if (auto *heartbeat = std::get_if<HeartbeatMessage>(&message.message)) {
-            m_fleet->mailbox()->post(HeartbeatHeard {std::move(heartbeat->heartbeat), link});
+            m_fleet->mailbox()->post(HeartbeatHeard {std::move(*heartbeat), link});
         } else if (link.peer().role == "entry" && message.stream == 0) {
             m_peers->mailbox()->post(PeerEntrySaid {link, std::move(message.message)});
         }
@@ -107,9 +108,15 @@
 }
 
 /** Messages of other entries go to the task that they concern. */
-void Entry::onEntryMessage(const HelloMessage &, const Message &) { }
+void Entry::onEntryMessage(const HelloMessage &peer, const Message &message)
+{
+    m_fleet->mailbox()->post(EntryHeard {peer, message});
+}
 
-void Entry::onLinkedEntries(const std::vector<LinkedEntry> &) { }
+void Entry::onLinkedEntries(const std::vector<LinkedEntry> &entries)
+{
+    m_fleet->mailbox()->post(EntriesLinked {entries});
+}
 
 void Entry::startConfiguration(const LogClient &logClient)
 {
--- a/source/entry/fleetkeeper.cpp
+++ b/source/entry/fleetkeeper.cpp
@@ -16,14 +16,25 @@
 constexpr auto tickPeriod = std::chrono::milliseconds(250);
 constexpr auto dialLimit = std::chrono::seconds(2);
 constexpr StreamId linkStream = 0;
+constexpr auto digestEvery = std::chrono::seconds(1);
+/** Time between two summaries while no replica comes or goes. */
+constexpr auto summaryEvery = std::chrono::seconds(5);
+/** Time in which an entry that starts hears of the whole zone. */
+constexpr auto warmUpTime = std::chrono::milliseconds(2500);
+/** Silence after which an agent's versions are placed elsewhere. */
+constexpr auto replaceAfter = std::chrono::seconds(8);
+/** Silence after which a zone's summary is believed no longer. */
+constexpr auto zoneForgetAfter = std::chrono::seconds(12);
 
 } // namespace
 
 FleetKeeper::FleetKeeper(const asio::any_io_executor &executor, EntrySettings settings,
-                         RosterOptions options, FleetObserver observer, Log log)
+                         RosterOptions options, FleetObserver observer, TellEntries tellEntries,
+                         Log log)
     : m_executor(executor), m_settings(std::move(settings)), m_observer(std::move(observer)),
-      m_log(std::move(log)), m_mailbox(makeMailbox<FleetCommand>(executor, mailboxCapacity)),
-      m_roster(options)
+      m_tellEntries(std::move(tellEntries)), m_log(std::move(log)),
+      m_mailbox(makeMailbox<FleetCommand>(executor, mailboxCapacity)), m_roster(options),
+      m_neighbours(randomNumber()), m_heard(randomNumber()), m_startedAt(monotonicNow())
 { }
 
 void FleetKeeper::start()
@@ -44,13 +55,20 @@
 
 void FleetKeeper::apply(const HeartbeatHeard &command)
 {
-    const InstanceId &instance = command.heartbeat.instance;
-    m_heartbeatLinks.insert_or_assign(instance, command.link);
-    m_roster = m_roster.heard(command.heartbeat, monotonicNow());
+    const Heartbeat &heartbeat = command.message.heartbeat;
+    m_heartbeatLinks.insert_or_assign(heartbeat.instance, command.link);
+    const auto known = m_roster.members().find(heartbeat.instance);
+    const bool startsToDrain = heartbeat.isDraining
+            && (known == m_roster.members().end() || !known->second.last.isDraining);
+    hear(heartbeat, HeardFrom::Agent);
+    m_heard = std::move(m_heard).noted(reportedPart(heartbeat));
+    m_pulses.insert(heartbeat.instance);
     acknowledge(command);
-    bringUpToDate(instance, command.heartbeat.appliedConfig);
-    dialMissing();
-    publish();
+    bringUpToDate(heartbeat.instance, heartbeat.appliedConfig);
+    if (startsToDrain) {
+        sendDigest();
+        publish();
+    }
 }
 
 void FleetKeeper::apply(const HeartbeatLinkLost &command)
@@ -58,6 +76,27 @@
     m_heartbeatLinks.erase(command.instance);
 }
 
+void FleetKeeper::apply(const EntryHeard &command)
+{
+    if (const auto *digest = std::get_if<ZoneDigestMessage>(&command.message)) {
+        hearDigest(command.peer, digest->digest);
+    } else if (const auto *summary = std::get_if<ZoneSummaryMessage>(&command.message)) {
+        hearSummary(command.peer, summary->summary);
+    } else if (std::holds_alternative<DigestWantedMessage>(command.message)) {
+        std::vector<Heartbeat> heard;
+        for (const InstanceId &instance : m_heard.instances()) {
+            heard.push_back(m_roster.members().at(instance).last);
+        }
+        ZoneDigest whole = makeZoneDigest(m_heard.since(0, 0), heard, m_roster.drainOrders());
+        m_tellEntries(SendToEntry {command.peer.instance, ZoneDigestMessage {std::move(whole)}});
+    }
+}
+
+void FleetKeeper::apply(const EntriesLinked &command)
+{
+    m_entries = command.entries;
+}
+
 void FleetKeeper::apply(const AgentDialed &command)
 {
     if (const Failure *failure = failureOf(command.link)) {
@@ -80,20 +119,24 @@
 
 void FleetKeeper::apply(const ListRead &command)
 {
+    std::set<InstanceId> leaving;
     for (const ListedInstance &listed : command.list) {
         if (listed.isLeaving) {
-            m_roster = m_roster.leaving(listed.instance);
+            leaving.insert(listed.instance);
         }
     }
+    m_roster = std::move(m_roster).listed(leaving, wallNow());
     publish();
 }
 
 void FleetKeeper::apply(const DrainAgent &command)
 {
-    const bool isKnown = m_roster.members().contains(command.instance);
+    const auto it = m_roster.members().find(command.instance);
+    const bool isKnown = it != m_roster.members().end();
     if (isKnown) {
-        m_drainWanted.insert(command.instance);
-        m_roster = m_roster.leaving(command.instance);
+        const DrainOrder order {command.instance, it->second.last.startedAt};
+        m_roster = std::move(m_roster).ordered(order);
+        sendDigest();
         publish();
     }
     command.reply->post(isKnown);
@@ -112,21 +155,166 @@
 
 void FleetKeeper::apply(const FleetTick &)
 {
-    m_roster = m_roster.at(monotonicNow());
+    const Instant now = monotonicNow();
+    m_roster = std::move(m_roster).at(now);
+    forgetSilent();
+    noteAll();
     dialMissing();
     publish();
+    if (now - m_digestAt >= digestEvery) {
+        sendDigest();
+        sendSummaries();
+    }
 }
 
-void FleetKeeper::acknowledge(const HeartbeatHeard &command)
+void FleetKeeper::hear(const Heartbeat &heartbeat, HeardFrom from)
+{
+    const bool isNew = !m_roster.members().contains(heartbeat.instance);
+    m_roster = std::move(m_roster).heard(heartbeat, monotonicNow(), from);
+    noteNeighbour(m_roster.members().at(heartbeat.instance));
+    if (isNew) {
+        dialMissing();
+    }
+}
+
+void FleetKeeper::hearDigest(const HelloMessage &peer, const ZoneDigest &digest)
+{
+    if (peer.zone != m_settings.zone) {
+        return;
+    }
+    ChangeView &view = m_told[peer.instance];
+    if (!view.canApply(digest.changes)) {
+        m_tellEntries(SendToEntry {peer.instance, DigestWantedMessage {}});
+        return;
+    }
+    view = std::move(view).applied(digest.changes);
+    for (const Heartbeat &heartbeat : heartbeatsOf(digest, view)) {
+        hear(heartbeat, HeardFrom::OtherEntry);
+    }
+    for (const DrainOrder &order : digest.drains) {
+        m_roster = std::move(m_roster).ordered(order);
+    }
+}
+
+void FleetKeeper::hearSummary(const HelloMessage &peer, const ZoneSummary &summary)
+{
+    if (summary.zone == m_settings.zone) {
+        return;
+    }
+    if (peer.zone != m_settings.zone) {
+        m_tellEntries(SendToZone {ZoneSummaryMessage {summary}});
+    }
+    std::set<Digest> manifests;
+    if (m_config.isReady()) {
+        for (const auto &[key, row] : m_config.state->table.rows) {
+            manifests.insert(row.manifest);
+        }
+    }
+    m_zones.insert_or_assign(summary.zone, withWholeDigests(summary, manifests));
+    m_zoneHeardAt.insert_or_assign(summary.zone, monotonicNow());
+}
+
+/** Agents need to know engines only, for placement and for weights. */
+void FleetKeeper::noteNeighbour(const Member &member)
+{
+    if (member.last.kind != BackendKind::Engine) {
+        return;
+    }
+    if (monotonicNow() - member.heardAt >= replaceAfter) {
+        m_neighbours = std::move(m_neighbours).forgotten(member.last.instance);
+        return;
+    }
+    Heartbeat part = neighbourPart(member.last);
+    part.isDraining = member.phase == MemberPhase::Draining;
+    m_neighbours = std::move(m_neighbours).noted(part);
+}
+
+void FleetKeeper::noteAll()
 {
-    HeartbeatAckMessage ack;
-    ack.sequence = command.heartbeat.sequence;
     for (const auto &[instance, member] : m_roster.members()) {
-        if (member.phase != MemberPhase::Suspect) {
-            ack.neighbours.push_back(member.last);
+        noteNeighbour(member);
+    }
+    for (const InstanceId &instance : m_neighbours.instances()) {
+        if (!m_roster.members().contains(instance)) {
+            m_neighbours = std::move(m_neighbours).forgotten(instance);
+        }
+    }
+    for (const InstanceId &instance : m_heard.instances()) {
+        if (!m_roster.members().contains(instance)) {
+            m_heard = std::move(m_heard).forgotten(instance);
+        }
+    }
+}
+
+void FleetKeeper::sendDigest()
+{
+    std::vector<Heartbeat> heard;
+    for (const InstanceId &instance : m_pulses) {
+        const auto it = m_roster.members().find(instance);
+        if (it != m_roster.members().end()) {
+            heard.push_back(it->second.last);
+        }
+    }
+    MemberChanges changes = m_heard.since(m_heard.epoch(), m_toldRevision);
+    ZoneDigest digest = makeZoneDigest(std::move(changes), heard, m_roster.drainOrders());
+    m_tellEntries(SendToZone {ZoneDigestMessage {std::move(digest)}});
+    m_toldRevision = m_heard.revision();
+    m_pulses.clear();
+    m_digestAt = monotonicNow();
+}
+
+void FleetKeeper::sendSummaries()
+{
+    const ZoneSummary summary = summarize(m_settings.zone, m_roster.members(), wallNow());
+    const bool isDue = monotonicNow() - m_summaryAt >= summaryEvery;
+    if (!isDue && countTheSame(summary, m_toldSummary)) {
+        return;
+    }
+    std::vector<InstanceId> own {m_settings.instance};
+    std::map<ZoneName, InstanceId> others;
+    for (const LinkedEntry &entry : m_entries) {
+        if (entry.zone == m_settings.zone) {
+            own.push_back(entry.instance);
+        } else {
+            others.try_emplace(entry.zone, entry.instance);
         }
     }
-    ack.drain = m_drainWanted.contains(command.heartbeat.instance);
+    for (const auto &[zone, receiver] : others) {
+        if (summarySender(zone, own) == m_settings.instance) {
+            m_tellEntries(SendToEntry {receiver, ZoneSummaryMessage {summary}});
+        }
+    }
+    m_summaryAt = monotonicNow();
+    m_toldSummary = summary;
+}
+
+void FleetKeeper::forgetSilent()
+{
+    const Instant now = monotonicNow();
+    std::erase_if(m_zones, [&](const auto &entry) {
+        return now - m_zoneHeardAt[entry.first] > zoneForgetAfter;
+    });
+    std::erase_if(m_told, [this](const auto &entry) {
+        return std::none_of(m_entries.begin(), m_entries.end(), [&](const LinkedEntry &linked) {
+            return linked.instance == entry.first;
+        });
+    });
+}
+
+void FleetKeeper::acknowledge(const HeartbeatHeard &command)
+{
+    const HeartbeatMessage &message = command.message;
+    HeartbeatAckMessage ack;
+    ack.sequence = message.heartbeat.sequence;
+    ack.isWarm = monotonicNow() - m_startedAt >= warmUpTime;
+    if (ack.isWarm) {
+        ack.neighbours = m_neighbours.since(message.knownEpoch, message.knownRevision);
+    }
+    const Heartbeat &newest = m_roster.members().at(message.heartbeat.instance).last;
+    if (newest.startedAt > message.heartbeat.startedAt) {
+        ack.supersededBy = newest.incarnation;
+    }
+    ack.drain = m_roster.isOrderedToDrain(message.heartbeat);
     command.link.post(linkStream, std::move(ack));
 }
 
@@ -187,6 +375,7 @@
 void FleetKeeper::publish()
 {
     FleetView view;
+    view.zones = m_zones;
     for (const auto &[instance, member] : m_roster.members()) {
         view.members.push_back(member);
         const auto link = m_requestLinks.find(instance);
--- a/source/entry/peerentries.cpp
+++ b/source/entry/peerentries.cpp
@@ -56,7 +56,7 @@
         return;
     }
     m_log.info("peer.linked", {{"entry", peer.instance.text()}});
-    m_peers[peer.instance].insert_or_assign(peer.nonce, Peer {command.link, monotonicNow()});
+    m_peers[peer.instance].insert_or_assign(peer.nonce, Peer {command.link, monotonicNow(), {}});
     tell();
 }
 
@@ -109,16 +109,16 @@
 {
     const auto it = m_peers.find(command.instance);
     if (it != m_peers.end()) {
-        it->second.begin()->second.link.post(linkStream, command.message);
+        post(it->second.begin()->second, command.message);
     }
 }
 
 void PeerEntries::apply(const SendToZone &command)
 {
-    for (const auto &[instance, links] : m_peers) {
-        const PeerLinkHandle &link = links.begin()->second.link;
-        if (link.peer().zone == m_settings.zone) {
-            link.post(linkStream, command.message);
+    for (auto &[instance, links] : m_peers) {
+        Peer &peer = links.begin()->second;
+        if (peer.link.peer().zone == m_settings.zone) {
+            post(peer, command.message);
         }
     }
 }
@@ -126,10 +126,11 @@
 void PeerEntries::apply(const SendToAllZones &command)
 {
     std::set<ZoneName> reached {m_settings.zone};
-    for (const auto &[instance, links] : m_peers) {
-        const PeerLinkHandle &link = links.begin()->second.link;
-        if (!reached.contains(link.peer().zone) && link.post(linkStream, command.message)) {
-            reached.insert(link.peer().zone);
+    for (auto &[instance, links] : m_peers) {
+        Peer &peer = links.begin()->second;
+        const ZoneName &zone = peer.link.peer().zone;
+        if (!reached.contains(zone) && post(peer, command.message)) {
+            reached.insert(zone);
         }
     }
 }
@@ -148,18 +149,24 @@
 void PeerEntries::apply(const PeerEntriesTick &)
 {
     const Instant now = monotonicNow();
-    for (const auto &[instance, links] : m_peers) {
-        for (const auto &[nonce, peer] : links) {
+    for (auto &[instance, links] : m_peers) {
+        for (auto &[nonce, peer] : links) {
             if (now - peer.heardAt > m_options.silentAfter) {
                 peer.link.close("the entry is silent");
-            } else {
-                peer.link.post(linkStream, EntryAliveMessage {});
+            } else if (now - peer.sentAt > m_options.tickEvery) {
+                post(peer, EntryAliveMessage {});
             }
         }
     }
     dialMissing();
 }
 
+bool PeerEntries::post(Peer &peer, const Message &message)
+{
+    peer.sentAt = monotonicNow();
+    return peer.link.post(linkStream, message);
+}
+
 LinkHooks PeerEntries::linkHooks() const
 {
     LinkHooks hooks;
--- a/source/entry/peerentries.h
+++ b/source/entry/peerentries.h
@@ -107,7 +107,7 @@
 {
     /** Links that an entry makes to each other zone. */
     std::size_t linksPerZone = 3;
-    /** Time between two signs of life on a link. */
+    /** Time between two looks at the links; one on which nothing was sent gets a sign of life. */
     Duration tickEvery = std::chrono::seconds(1);
     /** Silence after which a link is given up. */
     Duration silentAfter = std::chrono::seconds(4);
@@ -129,11 +129,12 @@
     void start();
 
 private:
-    /** A link, and when the peer was last heard on it. */
+    /** A link, and when something was last heard and sent on it. */
     struct Peer
     {
         PeerLinkHandle link;
         Instant heardAt;
+        Instant sentAt;
     };
 
     Awaitable<void> run();
@@ -146,6 +147,7 @@
     void apply(const SendToAllZones &command);
     void apply(const PeersListed &command);
     void apply(const PeerEntriesTick &command);
+    static bool post(Peer &peer, const Message &message);
     LinkHooks linkHooks() const;
     void dialMissing();
     std::set<Address> wantedAddresses() const;
--- a/source/protocol/framecodec.cpp
+++ b/source/protocol/framecodec.cpp
@@ -2,6 +2,7 @@
 
 #include "core/common/hashing.h"
 #include "protocol/generated/wire_types.h"
+#include "protocol/membershipcodec.h"
 
 #include <memory>
 #include <thrift/protocol/TCompactProtocol.h>
@@ -19,115 +20,6 @@
 constexpr unsigned byteBits = 8;
 constexpr unsigned byteMask = 0xff;
 
-std::int64_t toWire(Offset offset)
-{
-    return static_cast<std::int64_t>(offset.value);
-}
-
-Offset toOffset(std::int64_t value)
-{
-    return Offset {static_cast<std::uint64_t>(value)};
-}
-
-std::string_view digitsOf(const Digest &digest)
-{
-    return digest.text();
-}
-
-/** Digests travel as 32 bytes, which is half of their text. */
-std::string packDigest(const Digest &digest)
-{
-    std::string packed;
-    const std::string_view digits = digitsOf(digest);
-    const auto nibble = [](char c) {
-        return static_cast<unsigned>(c <= '9' ? c - '0' : c - 'a' + 10);
-    };
-    for (std::size_t i = 0; i + 1 < digits.size(); i += 2) {
-        packed.push_back(static_cast<char>(nibble(digits[i]) << 4U | nibble(digits[i + 1])));
-    }
-    return packed;
-}
-
-Digest unpackDigest(const std::string &packed)
-{
-    static constexpr std::string_view digits = "0123456789abcdef";
-    std::string text;
-    for (const char c : packed) {
-        const auto byte = static_cast<unsigned char>(c);
-        text.push_back(digits[byte >> 4U]);
-        text.push_back(digits[byte & 0x0fU]);
-    }
-    return Digest(std::move(text));
-}
-
-std::vector<std::string> packDigests(const std::vector<Digest> &digests)
-{
-    std::vector<std::string> packed;
-    packed.reserve(digests.size());
-    for (const Digest &digest : digests) {
-        packed.push_back(packDigest(digest));
-    }
-    return packed;
-}
-
-std::vector<Digest> unpackDigests(const std::vector<std::string> &packed)
-{
-    std::vector<Digest> digests;
-    digests.reserve(packed.size());
-    for (const std::string &bytes : packed) {
-        digests.push_back(unpackDigest(bytes));
-    }
-    return digests;
-}
-
-wire::HeartbeatBody toWire(const Heartbeat &heartbeat)
-{
-    wire::HeartbeatBody body;
-    body.instance = heartbeat.instance.text();
-    body.zone = heartbeat.zone.text();
-    body.peerAddress = heartbeat.peerAddress.text();
-    body.kind = static_cast<std::int32_t>(heartbeat.kind);
-    body.serviceName = heartbeat.service.text();
-    body.incarnation = toWire(heartbeat.incarnation);
-    body.sequence = static_cast<std::int64_t>(heartbeat.sequence);
-    body.startedAt = heartbeat.startedAt.time_since_epoch().count();
-    body.draining = heartbeat.isDraining;
-    body.serving = packDigests(heartbeat.serving);
-    body.holding = packDigests(heartbeat.holding);
-    body.slots = static_cast<std::int32_t>(heartbeat.slots);
-    body.inFlight = static_cast<std::int32_t>(heartbeat.inFlight);
-    body.queued = static_cast<std::int32_t>(heartbeat.queued);
-    body.appliedConfig = toWire(heartbeat.appliedConfig);
-    body.tableDigest = packDigest(heartbeat.tableDigest);
-    body.originBytes = static_cast<std::int64_t>(heartbeat.originBytes);
-    body.trouble = heartbeat.trouble;
-    return body;
-}
-
-Heartbeat fromWire(const wire::HeartbeatBody &body)
-{
-    Heartbeat heartbeat;
-    heartbeat.instance = InstanceId(body.instance);
-    heartbeat.zone = ZoneName(body.zone);
-    heartbeat.peerAddress = Address(body.peerAddress);
-    heartbeat.kind = body.kind == 0 ? BackendKind::Engine : BackendKind::Service;
-    heartbeat.service = ServiceName(body.serviceName);
-    heartbeat.incarnation = toOffset(body.incarnation);
-    heartbeat.sequence = static_cast<std::uint64_t>(body.sequence);
-    heartbeat.startedAt = WallTime(Duration(body.startedAt));
-    heartbeat.isDraining = body.draining;
-    heartbeat.serving = unpackDigests(body.serving);
-    heartbeat.holding = unpackDigests(body.holding);
-    heartbeat.slots = static_cast<std::uint32_t>(body.slots);
-    heartbeat.inFlight = static_cast<std::uint32_t>(body.inFlight);
-    heartbeat.queued = static_cast<std::uint32_t>(body.queued);
-    heartbeat.appliedConfig = toOffset(body.appliedConfig);
-    heartbeat.tableDigest = unpackDigest(body.tableDigest);
-    heartbeat.originBytes = static_cast<std::uint64_t>(body.originBytes);
-    heartbeat.trouble = body.trouble;
-    return heartbeat;
-}
-
 Ran ranNamed(const std::string &name)
 {
     if (name == textOf(Ran::No)) {
@@ -235,17 +127,21 @@
 
     void operator()(const HeartbeatMessage &message)
     {
-        m_body.__set_heartbeat(toWire(message.heartbeat));
+        wire::HeartbeatBody body = toWire(message.heartbeat);
+        body.__set_knownEpoch(static_cast<std::int64_t>(message.knownEpoch));
+        body.__set_knownRevision(static_cast<std::int64_t>(message.knownRevision));
+        m_body.__set_heartbeat(body);
     }
 
     void operator()(const HeartbeatAckMessage &message)
     {
         wire::HeartbeatAck ack;
         ack.sequence = static_cast<std::int64_t>(message.sequence);
-        for (const Heartbeat &neighbour : message.neighbours) {
-            ack.neighbours.push_back(toWire(neighbour));
-        }
-        ack.drain = message.drain;
+        ack.neighbours = toWire(message.neighbours);
+        ack.__set_drain(message.drain);
+        ack.__set_warm(message.isWarm);
+        ack.supersededBy = toWire(message.supersededBy);
+        ack.__isset.supersededBy = message.supersededBy.value != 0;
         m_body.__set_heartbeatAck(ack);
     }
 
@@ -275,6 +171,18 @@
 
     void operator()(const EntryAliveMessage &) { m_body.__set_entryAlive({}); }
 
+    void operator()(const ZoneDigestMessage &message)
+    {
+        m_body.__set_zoneDigest(toWire(message.digest));
+    }
+
+    void operator()(const DigestWantedMessage &) { m_body.__set_digestWanted({}); }
+
+    void operator()(const ZoneSummaryMessage &message)
+    {
+        m_body.__set_zoneSummary(toWire(message.summary));
+    }
+
 private:
     wire::Body &m_body;
 };
@@ -299,18 +207,19 @@
     return message;
 }
 
+Message heartbeatFromWire(const wire::HeartbeatBody &body)
+{
+    return HeartbeatMessage {fromWire(body), static_cast<std::uint64_t>(body.knownEpoch),
+                             static_cast<std::uint64_t>(body.knownRevision)};
+}
+
 Message ackFromWire(const wire::HeartbeatAck &ack)
 {
-    HeartbeatAckMessage message;
-    message.sequence = static_cast<std::uint64_t>(ack.sequence);
-    for (const wire::HeartbeatBody &body : ack.neighbours) {
-        message.neighbours.push_back(fromWire(body));
-    }
-    message.drain = ack.drain;
-    return message;
+    return HeartbeatAckMessage {static_cast<std::uint64_t>(ack.sequence), fromWire(ack.neighbours),
+                                ack.drain, toOffset(ack.supersededBy), ack.warm};
 }
 
-Result<Message> fromWire(const wire::Body &body)
+Result<Message> messageFromWire(const wire::Body &body)
 {
     const auto &isset = body.__isset;
     if (isset.hello) {
@@ -348,7 +257,7 @@
         return CancelSeenMessage {ranNamed(body.cancelSeen.ran)};
     }
     if (isset.heartbeat) {
-        return HeartbeatMessage {fromWire(body.heartbeat)};
+        return heartbeatFromWire(body.heartbeat);
     }
     if (isset.heartbeatAck) {
         return ackFromWire(body.heartbeatAck);
@@ -366,6 +275,15 @@
     if (isset.entryAlive) {
         return EntryAliveMessage {};
     }
+    if (isset.zoneDigest) {
+        return ZoneDigestMessage {fromWire(body.zoneDigest)};
+    }
+    if (isset.digestWanted) {
+        return DigestWantedMessage {};
+    }
+    if (isset.zoneSummary) {
+        return ZoneSummaryMessage {fromWire(body.zoneSummary)};
+    }
     return fail(ErrorKind::ProtocolViolation, "a frame holds no message that is known here");
 }
 
@@ -422,7 +340,7 @@
         return fail(ErrorKind::ProtocolViolation,
                     std::string("a frame cannot be read: ") + e.what());
     }
-    BOOST_LEAF_AUTO(message, fromWire(frame.body));
+    BOOST_LEAF_AUTO(message, messageFromWire(frame.body));
     return StreamMessage {frame.stream, std::move(message)};
 }
 
--- a/source/protocol/messages.h
+++ b/source/protocol/messages.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "core/common/common.h"
-#include "core/membership/roster.h"
+#include "core/membership/membership.h"
 
 #include <cstdint>
 #include <string>
@@ -132,6 +132,9 @@
 struct HeartbeatMessage
 {
     Heartbeat heartbeat;
+    /** Life of the entry and revision up to which the agent knows its neighbours. */
+    std::uint64_t knownEpoch = 0;
+    std::uint64_t knownRevision = 0;
 
     auto operator<=>(const HeartbeatMessage &) const = default;
 };
@@ -140,10 +143,14 @@
 struct HeartbeatAckMessage
 {
     std::uint64_t sequence = 0;
-    /** The agents of the zone, as the entry sees them. */
-    std::vector<Heartbeat> neighbours;
+    /** What changed among the agents of the zone since the revision that the agent knows. */
+    MemberChanges neighbours;
     /** Whether an operator wants the agent to drain. */
     bool drain = false;
+    /** Incarnation of a later process in the agent's slot; 0 without one. */
+    Offset supersededBy;
+    /** Whether the entry has had time to hear of the whole zone. */
+    bool isWarm = false;
 
     auto operator<=>(const HeartbeatAckMessage &) const = default;
 };
@@ -182,12 +189,35 @@
     auto operator<=>(const EntryAliveMessage &) const = default;
 };
 
+/** An entry tells the others of its zone of the agents that it hears. */
+struct ZoneDigestMessage
+{
+    ZoneDigest digest;
+
+    auto operator<=>(const ZoneDigestMessage &) const = default;
+};
+
+/** The sender missed digests and asks for the whole. */
+struct DigestWantedMessage
+{
+    auto operator<=>(const DigestWantedMessage &) const = default;
+};
+
+/** What one zone tells another of itself. */
+struct ZoneSummaryMessage
+{
+    ZoneSummary summary;
+
+    auto operator<=>(const ZoneSummaryMessage &) const = default;
+};
+
 /** Any message. */
 using Message =
         std::variant<HelloMessage, ProofMessage, OpenMessage, HeadMessage, DataMessage, EndMessage,
                      FailedMessage, CreditMessage, CancelMessage, CancelSeenMessage,
                      HeartbeatMessage, HeartbeatAckMessage, ConfigPushMessage, ChunkWantedMessage,
-                     ChunkPartMessage, EntryAliveMessage>;
+                     ChunkPartMessage, EntryAliveMessage, ZoneDigestMessage, DigestWantedMessage,
+                     ZoneSummaryMessage>;
 
 /** A message with the stream that it belongs to. */
 struct StreamMessage
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -94,14 +94,30 @@
   16: binary tableDigest;
   17: i64 originBytes;
   18: string trouble;
+  /** Up to where the agent knows its neighbours; only in heartbeats. */
+  19: optional i64 knownEpoch;
+  20: optional i64 knownRevision;
+}
+
+/** Changes of members between two revisions of one sender. */
+struct MemberChanges {
+  1: i64 epoch;
+  /** 0 means that the changes are the whole. */
+  2: i64 fromRevision;
+  3: i64 toRevision;
+  4: optional list<HeartbeatBody> changed;
+  5: optional list<string> gone;
 }
 
 /** Answer to a heartbeat: what the agent needs of its zone. */
 struct HeartbeatAck {
   1: i64 sequence;
-  2: list<HeartbeatBody> neighbours;
+  2: MemberChanges neighbours;
   /** An operator told the agent to drain. */
-  3: bool drain;
+  3: optional bool drain;
+  4: optional bool warm;
+  /** Incarnation of a later process in the agent's slot. */
+  5: optional i64 supersededBy;
 }
 
 /** Records of the configuration log, or a snapshot, each as the text that stands in the log. */
@@ -124,6 +140,53 @@
 struct EntryAlive {
 }
 
+struct ConfigMark {
+  1: i64 applied;
+  2: binary tableDigest;
+}
+
+/** Sign of life of one agent. */
+struct MemberPulse {
+  1: i32 tag;
+  2: i64 sequence;
+  3: optional i32 inFlight;
+  4: optional i32 queued;
+  5: optional i32 configMark;
+  6: optional i32 originUnits;
+}
+
+struct DrainOrder {
+  1: string instance;
+  2: i64 startedAt;
+}
+
+/** What an entry tells the others of its zone. */
+struct ZoneDigest {
+  1: MemberChanges changes;
+  2: list<ConfigMark> configs;
+  3: list<MemberPulse> pulses;
+  4: optional list<DrainOrder> drains;
+}
+
+struct DigestWanted {
+}
+
+struct ZoneCapacity {
+  /** First bytes of the manifest's digest. */
+  1: optional binary manifest;
+  2: optional string serviceName;
+  3: i32 usable;
+  4: optional i32 inFlight;
+  5: optional i32 queued;
+}
+
+/** What one zone tells another of itself. */
+struct ZoneSummary {
+  1: string zone;
+  2: i64 madeAt;
+  3: list<ZoneCapacity> capacities;
+}
+
 union Body {
   1: Hello hello;
   2: Proof proof;
@@ -141,6 +204,9 @@
   14: ChunkWanted chunkWanted;
   15: ChunkPart chunkPart;
   20: EntryAlive entryAlive;
+  21: ZoneDigest zoneDigest;
+  22: DigestWanted digestWanted;
+  23: ZoneSummary zoneSummary;
 }
 
 /** Stream 0 belongs to the link; the side that opened the link numbers the others. */
--- /dev/null
+++ b/tests/differential/tst_orders.cpp
@@ -0,0 +1,94 @@
+/**
+ * The right to give orders, against a world with a log, a predecessor that freezes and a successor.
+ */
+#include "core/placement/orderduty.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <rapidcheck/catch.h>
+
+namespace greengageseam {
+namespace {
+
+/** Two holders of one slot, and the log that both read when they are told to. */
+class DutyFixture
+{
+protected:
+    static constexpr auto step = std::chrono::milliseconds(250);
+    static constexpr auto longestOrder = std::chrono::seconds(5);
+
+    /** What a holder does at a step. @returns whether it gives an order */
+    static bool act(OrderDuty &duty, Instant now, bool isLogUp, Offset newestOther)
+    {
+        duty = duty.after(DutyTick {}, now);
+        if (duty.permission(now) == OrderPermission::CheckLog) {
+            duty = isLogUp ? duty.after(IncarnationsChecked {now, newestOther}, now)
+                           : duty.after(IncarnationsUnreadable {}, now);
+        }
+        return duty.permission(now) == OrderPermission::Granted;
+    }
+
+    static OrderDuty granted(std::uint64_t number, bool hasPredecessor, Instant now)
+    {
+        OrderDuty duty;
+        duty = duty.after(IncarnationGranted {Offset {number}, hasPredecessor, now}, now);
+        return duty.after(IncarnationsChecked {now, Offset {0}}, now);
+    }
+};
+
+TEST_CASE_METHOD(DutyFixture, "orderDuty_predecessorFreezesAndWakes_neverOrdersAfterSuccessor")
+{
+    rc::prop("no order of the predecessor takes effect after the successor's first", [] {
+        const int replacedAt = *rc::gen::inRange(20, 40);
+        const int frozenFrom = replacedAt - *rc::gen::inRange(9, 18);
+        const int frozenUntil = replacedAt + *rc::gen::inRange(0, 80);
+        const int outageFrom = *rc::gen::inRange(0, 160);
+        const int outageUntil = outageFrom + *rc::gen::inRange(0, 80);
+        OrderDuty first = granted(1, false, Instant());
+        OrderDuty second;
+        std::optional<Instant> lastOfFirst;
+        std::optional<Instant> firstOfSecond;
+        for (int i = 0; i < 240; ++i) {
+            const Instant now = Instant() + i * step;
+            const bool isLogUp = i < outageFrom || i >= outageUntil || i == replacedAt;
+            if (i == replacedAt) {
+                second = granted(2, true, now);
+            }
+            const bool isFrozen = i >= frozenFrom && i < frozenUntil;
+            if (!isFrozen && act(first, now, isLogUp, Offset {i >= replacedAt ? 2U : 0U})) {
+                lastOfFirst = now;
+            }
+            if (i > replacedAt && act(second, now, isLogUp, Offset {1}) && !firstOfSecond) {
+                firstOfSecond = now;
+            }
+        }
+        RC_ASSERT(firstOfSecond.has_value());
+        RC_ASSERT(!lastOfFirst || *lastOfFirst + longestOrder <= *firstOfSecond);
+    });
+}
+
+TEST_CASE_METHOD(DutyFixture, "orderDuty_logOutageWithoutPause_holderGoesOn")
+{
+    OrderDuty duty = granted(1, false, Instant());
+    for (int i = 0; i < 400; ++i) {
+        REQUIRE(act(duty, Instant() + i * step, false, Offset {0}));
+    }
+}
+
+TEST_CASE_METHOD(DutyFixture, "orderDuty_pausedInLogOutage_givesNoOrderUntilTheLogIsRead")
+{
+    OrderDuty duty = granted(1, false, Instant());
+    const Instant woken = Instant() + std::chrono::seconds(30);
+    REQUIRE_FALSE(act(duty, woken, false, Offset {0}));
+    REQUIRE_FALSE(act(duty, woken + step, false, Offset {0}));
+    REQUIRE(act(duty, woken + 2 * step, true, Offset {0}));
+}
+
+TEST_CASE_METHOD(DutyFixture, "orderDuty_withoutNumber_givesNoOrder")
+{
+    OrderDuty duty;
+    REQUIRE_FALSE(act(duty, Instant() + step, true, Offset {0}));
+}
+
+} // namespace
+} // namespace greengageseam
--- /dev/null
+++ b/tests/failure/tst_membership.cpp
@@ -0,0 +1,161 @@
+/**
+ * Membership on real processes: draining, a list that is stuck or wrong, entries and agents that
+ * start cold.
+ * labels: failure promise-5
+ */
+#include "fleet.h"
+
+#include "core/common/hashing.h"
+
+#include <catch2/catch.hpp>
+
+namespace greengageseam {
+namespace {
+
+/** Two entries that know each other, and two plain services behind agents. */
+class ZoneFixture
+{
+protected:
+    ZoneFixture()
+    {
+        m_fleet.startPlatform();
+        m_fleet.startEntry("entry1", "fyn");
+        m_fleet.startEntry("entry2", "fyn", {"--peers=" + peerAddress("entry1")});
+        for (const std::string n : {"1", "2"}) {
+            m_fleet.startService("service" + n);
+            m_fleet.startAgent("agent" + n, "fyn", "service" + n, {"--service=desk"});
+        }
+        REQUIRE(waitUntil([&] { return m_fleet.isReady("entry1") && m_fleet.isReady("entry2"); }));
+        REQUIRE(m_fleet.accept("entry1",
+                               {"account/caps/key=" + digestOf("caps-key").text(),
+                                "service/desk/non-idempotent=POST /commits"})
+                == 200);
+        for (const std::string entry : {"entry1", "entry2"}) {
+            REQUIRE(waitUntil([&] { return usable(entry) == 2 && ask(entry) == 200; }));
+        }
+    }
+
+    std::string peerAddress(const std::string &name) const
+    {
+        return m_fleet.addresses(name).second.text();
+    }
+
+    int ask(const std::string &entry) const
+    {
+        const auto answer = m_fleet.call(entry, "/services/desk/orders/7", "", "caps-key");
+        const auto *response = std::get_if<HttpResponse>(&answer);
+        return response == nullptr ? 0 : response->status;
+    }
+
+    std::string phaseOf(const std::string &entry, const std::string &agent) const
+    {
+        const boost::json::object report = m_fleet.report(entry);
+        const boost::json::value *agents = report.if_contains("agents");
+        if (agents == nullptr) {
+            return "";
+        }
+        for (const boost::json::value &listed : agents->as_array()) {
+            if (listed.at("instance").as_string() == agent) {
+                return std::string(listed.at("phase").as_string());
+            }
+        }
+        return "";
+    }
+
+    int usable(const std::string &entry) const
+    {
+        return (phaseOf(entry, "agent1") == "usable") + (phaseOf(entry, "agent2") == "usable");
+    }
+
+    void list(const std::string &state) const
+    {
+        const std::string body =
+                R"({"instances":[{"id":"agent1","zone":"fyn","state":")" + state + R"("}]})";
+        const HttpRequest request {"PUT", "/instances", {}, body};
+        REQUIRE(failureOf(callOnce(m_fleet.addresses("platform").http, request)) == nullptr);
+    }
+
+    std::uint64_t runsAt(const std::string &service) const
+    {
+        std::uint64_t n = 0;
+        const boost::json::object counts = m_fleet.counts(service);
+        for (const auto &run : counts.at("runs").as_object()) {
+            n += run.value().to_number<std::uint64_t>();
+        }
+        return n;
+    }
+
+    Fleet m_fleet;
+};
+
+TEST_CASE_METHOD(ZoneFixture, "drain_orderedAtOneEntryWithTheListStuck_noNewWorkAfterThreeSeconds")
+{
+    list("live");
+    const auto answer = m_fleet.admin("entry1", "POST", "/admin/v1/instances/agent1/drain");
+    REQUIRE(std::get<HttpResponse>(answer).status == 200);
+    for (const std::string entry : {"entry1", "entry2"}) {
+        REQUIRE(waitUntil([&] { return phaseOf(entry, "agent1") == "draining"; },
+                          std::chrono::seconds(3)));
+    }
+    const std::uint64_t before = runsAt("service1");
+    for (int i = 0; i < 20; ++i) {
+        REQUIRE(ask(i % 2 == 0 ? "entry1" : "entry2") == 200);
+    }
+    REQUIRE(runsAt("service1") == before);
+}
+
+TEST_CASE_METHOD(ZoneFixture, "drain_processAskedToStopWithTheListStuck_bothEntriesHearAtOnce")
+{
+    list("live");
+    m_fleet.requestStop("agent1");
+    for (const std::string entry : {"entry1", "entry2"}) {
+        REQUIRE(waitUntil([&] { return phaseOf(entry, "agent1") == "draining"; },
+                          std::chrono::seconds(3)));
+    }
+    const std::uint64_t before = runsAt("service1");
+    for (int i = 0; i < 20; ++i) {
+        REQUIRE(ask(i % 2 == 0 ? "entry1" : "entry2") == 200);
+    }
+    REQUIRE(runsAt("service1") == before);
+    REQUIRE(m_fleet.waitForExit("agent1") == 0);
+}
+
+TEST_CASE_METHOD(ZoneFixture, "list_saysLeavingWronglyThenTakesItBack_agentIsUsedAgain")
+{
+    list("leaving");
+    REQUIRE(waitUntil([&] { return phaseOf("entry2", "agent1") == "draining"; }));
+    list("live");
+    REQUIRE(waitUntil([&] { return usable("entry1") == 2 && usable("entry2") == 2; }));
+}
+
+TEST_CASE_METHOD(ZoneFixture, "list_stuckOnLeavingPredecessor_successorInTheSlotIsUsed")
+{
+    list("leaving");
+    REQUIRE(waitUntil([&] { return phaseOf("entry1", "agent1") == "draining"; }));
+    m_fleet.kill("agent1");
+    m_fleet.restart("agent1");
+    REQUIRE(waitUntil([&] { return usable("entry1") == 2 && usable("entry2") == 2; }));
+}
+
+TEST_CASE_METHOD(ZoneFixture, "list_saysLiveForAFrozenAgent_itIsSilentAtBothEntries")
+{
+    list("live");
+    m_fleet.freeze("agent1");
+    for (const std::string entry : {"entry1", "entry2"}) {
+        REQUIRE(waitUntil([&] { return phaseOf(entry, "agent1") == "silent"; }));
+        REQUIRE(ask(entry) == 200);
+    }
+    m_fleet.thaw("agent1");
+    REQUIRE(waitUntil([&] { return usable("entry1") == 2 && usable("entry2") == 2; }));
+}
+
+TEST_CASE_METHOD(ZoneFixture, "entry_startsCold_servesWithinSeconds")
+{
+    m_fleet.kill("entry2");
+    m_fleet.restart("entry2");
+    REQUIRE(waitUntil([&] { return usable("entry2") == 2 && ask("entry2") == 200; },
+                      std::chrono::seconds(6)));
+}
+
+} // namespace
+} // namespace greengageseam
--- /dev/null
+++ b/tests/failure/tst_orders.cpp
@@ -0,0 +1,130 @@
+/**
+ * Orders on real processes: holders that freeze, are killed and replaced; engines that restart.
+ * labels: failure promise-1
+ */
+#include "fleet.h"
+
+#include "core/common/hashing.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace greengageseam {
+namespace {
+
+/** One engine with a slot, and its agent; a second agent process may take the same slot over. */
+class SlotFixture
+{
+protected:
+    void start(const Words &engineKind)
+    {
+        m_fleet.startPlatform();
+        m_fleet.startEngine("engine", engineKind);
+        m_fleet.startEntry("entry", "fyn");
+        m_fleet.startAgent("agent", "fyn", "engine");
+        REQUIRE(waitUntil([&] { return m_fleet.isReady("entry"); }));
+        m_first = offer("v1", 'a');
+        REQUIRE(waitUntil([&] { return isServing(m_first); }));
+    }
+
+    /** Puts a version into the table that wants the zone's one replica. */
+    Digest offer(const std::string &version, char fill) const
+    {
+        const Digest manifest = m_fleet.publish(std::string(100'000, fill), 65'536);
+        const std::string row = "model/drafts/" + version;
+        REQUIRE(m_fleet.accept("entry",
+                               {row + "/manifest=" + manifest.text(), row + "/weight/zone/fyn=1",
+                                row + "/replicas/fyn=1"})
+                == 200);
+        return manifest;
+    }
+
+    boost::json::object state() const
+    {
+        const auto answer =
+                callOnce(m_fleet.addresses("engine").http, HttpRequest {"GET", "/state", {}, {}});
+        return boost::json::parse(std::get<HttpResponse>(answer).body).as_object();
+    }
+
+    bool isServing(const Digest &manifest) const
+    {
+        const boost::json::object now = state();
+        for (const boost::json::value &served : now.at("serving").as_array()) {
+            if (served.as_string() == manifest.text()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    std::vector<std::uint64_t> fences() const
+    {
+        std::vector<std::uint64_t> numbers;
+        const boost::json::object counts = m_fleet.counts("engine");
+        for (const boost::json::value &fence : counts.at("fencesTaken").as_array()) {
+            numbers.push_back(fence.to_number<std::uint64_t>());
+        }
+        return numbers;
+    }
+
+    /** The holder freezes past its lease, a successor takes over, and the holder wakes. */
+    void replaceFrozenHolder()
+    {
+        m_fleet.freeze("agent");
+        m_fleet.startAgent("successor", "fyn", "engine", {"--instance=agent"});
+        const Digest second = offer("v2", 'b');
+        REQUIRE(waitUntil([&] { return isServing(second); }));
+        m_fleet.thaw("agent");
+        REQUIRE(waitUntil([&] {
+            return m_fleet.logOf("agent").find("agent.superseded") != std::string::npos;
+        }));
+        const std::vector<std::uint64_t> all = fences();
+        REQUIRE(std::is_sorted(all.begin(), all.end()));
+        REQUIRE(all.back() > all.front());
+        REQUIRE(isServing(second));
+    }
+
+    Fleet m_fleet;
+    Digest m_first;
+};
+
+TEST_CASE_METHOD(SlotFixture, "orders_holderFrozenPastLeaseEngineIgnoresNumbers_noneTakesEffect")
+{
+    start({"--ignores-fence", "--slots=2"});
+    replaceFrozenHolder();
+}
+
+TEST_CASE_METHOD(SlotFixture, "orders_holderFrozenPastLeaseEngineChecksNumbers_noneTakesEffect")
+{
+    start({"--slots=2"});
+    replaceFrozenHolder();
+}
+
+TEST_CASE_METHOD(SlotFixture, "orders_engineRestarts_versionIsLoadedAgain")
+{
+    start({});
+    m_fleet.setFaults("engine", {{"restart", true}});
+    REQUIRE(waitUntil([&] { return isServing(m_first); }));
+}
+
+TEST_CASE_METHOD(SlotFixture, "orders_agentKilledAndReplaced_successorHasALaterNumber")
+{
+    start({"--ignores-fence", "--slots=2"});
+    m_fleet.kill("agent");
+    m_fleet.restart("agent");
+    const Digest second = offer("v2", 'b');
+    REQUIRE(waitUntil([&] { return isServing(second); }));
+    const std::vector<std::uint64_t> all = fences();
+    REQUIRE(all.back() > all.front());
+}
+
+TEST_CASE_METHOD(SlotFixture, "orders_logOutage_currentHolderGoesOn")
+{
+    start({});
+    m_fleet.setFaults("platform", {{"outage", true}}, "log");
+    m_fleet.setFaults("engine", {{"restart", true}});
+    REQUIRE(waitUntil([&] { return isServing(m_first); }));
+}
+
+} // namespace
+} // namespace greengageseam
--- a/tests/unit/tst_framecodec.cpp
+++ b/tests/unit/tst_framecodec.cpp
@@ -45,6 +45,32 @@
     REQUIRE(std::get<StreamMessage>(roundTrip(message)) == message);
 }
 
+TEST_CASE_METHOD(FrameFixture, "frame_membershipMessages_comeBackEqual")
+{
+    Heartbeat heartbeat;
+    heartbeat.instance = InstanceId("i1");
+    heartbeat.startedAt = WallTime(std::chrono::seconds(5));
+    heartbeat.holding = {digestOf("one")};
+    const MemberChanges changes {~std::uint64_t {0}, 3, 5, {heartbeat}, {InstanceId("i2")}};
+    const ZoneDigest digest {changes,
+                             {{Offset {4}, digestOf("table")}},
+                             {{~std::uint32_t {0}, 7, 1, 0, 0, 2}},
+                             {{InstanceId("i3"), heartbeat.startedAt}}};
+    const ZoneSummary summary {
+            ZoneName("z"),
+            heartbeat.startedAt,
+            {{Digest("0123456789abcdef"), {}, 3, 2, 1}, {{}, ServiceName("s"), 1, 0, 0}}};
+    const std::vector<Message> messages {HeartbeatMessage {heartbeat, 1, 2},
+                                         HeartbeatAckMessage {1, changes, true, Offset {8}, true},
+                                         ZoneDigestMessage {digest},
+                                         ZoneSummaryMessage {summary},
+                                         DigestWantedMessage {},
+                                         EntryAliveMessage {}};
+    for (const Message &message : messages) {
+        REQUIRE(std::get<StreamMessage>(roundTrip({0, message})).message == message);
+    }
+}
+
 TEST_CASE_METHOD(FrameFixture, "frame_rubbish_isProtocolViolation")
 {
     const auto decoded = settle([] { return decodeFrame("this is no frame"); });
