Share since when the list calls an instance leaving

Change: digests carry the marks; the earliest time that any entry knows counts. Conclusion: a zone whose entries all start cold under a stuck list still keeps a successor out; capacity is lost there, never safety.

--- a/bench/configbench.cpp
+++ b/bench/configbench.cpp
@@ -40,9 +40,9 @@
         const std::vector<CellEdit> edits = rowEdits(row);
         change.edits.insert(change.edits.end(), edits.begin(), edits.end());
     }
-    ConfigState state = foldRecord(ConfigState(), {Offset{1}, change}).state;
+    ConfigState state = foldRecord(ConfigState(), {Offset {1}, change}).state;
     // The verdict on a change that fills the whole table would count its cells twice.
-    return ConfigState{state.applied, state.sheet, state.table, {}};
+    return ConfigState {state.applied, state.sheet, state.table, {}};
 }
 
 std::size_t residentKilobytes()
@@ -71,19 +71,19 @@
         change.id = ChangeId(std::to_string(n));
         change.base = state->applied;
         change.edits = {{CellPath("limit/origin-copies"), std::to_string(1 + n)}};
-        *state = foldRecord(*state, {Offset{state->applied.value + 1}, change}).state;
+        *state = foldRecord(*state, {Offset {state->applied.value + 1}, change}).state;
     }
     const double perChange = microseconds(Clock::now() - started) / repeats;
     const auto snapshotStarted = Clock::now();
     const std::string text = encodeSnapshot(snapshotOf(*state));
     const double perSnapshot = microseconds(Clock::now() - snapshotStarted);
-    std::cout << boost::json::serialize(boost::json::object{{"bench", "config"},
-                                                            {"rows", rows},
-                                                            {"cells", cells},
-                                                            {"us_per_change", perChange},
-                                                            {"us_per_snapshot", perSnapshot},
-                                                            {"snapshot_bytes", text.size()},
-                                                            {"state_kilobytes", after - before}})
+    std::cout << boost::json::serialize(boost::json::object {{"bench", "config"},
+                                                             {"rows", rows},
+                                                             {"cells", cells},
+                                                             {"us_per_change", perChange},
+                                                             {"us_per_snapshot", perSnapshot},
+                                                             {"snapshot_bytes", text.size()},
+                                                             {"state_kilobytes", after - before}})
               << std::endl;
 }
 
--- a/source/core/membership/roster.cpp
+++ b/source/core/membership/roster.cpp
@@ -89,6 +89,25 @@
     return std::move(*this);
 }
 
+std::vector<LeavingMark> Roster::leavingMarks() const
+{
+    std::vector<LeavingMark> marks;
+    for (const auto &[instance, since] : m_leavingSince) {
+        marks.push_back({instance, since});
+    }
+    return marks;
+}
+
+Roster Roster::marked(const LeavingMark &mark) &&
+{
+    const auto it = m_leavingSince.find(mark.instance);
+    if (it != m_leavingSince.end() && mark.since < it->second) {
+        it->second = mark.since;
+        updatePhases();
+    }
+    return std::move(*this);
+}
+
 Roster Roster::ordered(const DrainOrder &order) &&
 {
     DrainOrder &known = m_drainOrders.try_emplace(order.instance, order).first->second;
--- a/source/core/membership/roster.h
+++ b/source/core/membership/roster.h
@@ -92,6 +92,15 @@
     auto operator<=>(const DrainOrder &) const = default;
 };
 
+/** An instance that the platform's list calls leaving, and since when it is known to do so. */
+struct LeavingMark
+{
+    InstanceId instance;
+    WallTime since;
+
+    auto operator<=>(const LeavingMark &) const = default;
+};
+
 /**
  * The members of one zone, as one process sees them. A step takes the roster over and gives it
  * back changed, as in `roster = std::move(roster).heard(...)`, so that no member is copied.
@@ -105,6 +114,8 @@
     const std::map<InstanceId, Member> &members() const { return m_members; }
     /** @returns the orders to drain that are known, by instance */
     const std::map<InstanceId, DrainOrder> &drainOrders() const { return m_drainOrders; }
+    /** @returns the instances that the list calls leaving */
+    std::vector<LeavingMark> leavingMarks() const;
     /** @returns whether an operator ordered this very process to drain */
     bool isOrderedToDrain(const Heartbeat &heartbeat) const;
 
@@ -120,6 +131,9 @@
      */
     Roster listed(const std::set<InstanceId> &leaving, WallTime now) &&;
 
+    /** Another entry has seen a mark of the list, perhaps earlier than this process. */
+    Roster marked(const LeavingMark &mark) &&;
+
     /** @returns the roster after an operator's order, given here or at another entry */
     Roster ordered(const DrainOrder &order) &&;
 
--- a/source/core/membership/zonedigest.h
+++ b/source/core/membership/zonedigest.h
@@ -45,6 +45,7 @@
     std::vector<ConfigMark> configs;
     std::vector<MemberPulse> pulses;
     std::vector<DrainOrder> drains;
+    std::vector<LeavingMark> leaving;
 
     auto operator<=>(const ZoneDigest &) const = default;
 };
--- a/source/entry/fleetkeeper.cpp
+++ b/source/entry/fleetkeeper.cpp
@@ -194,6 +194,9 @@
     for (const DrainOrder &order : digest.drains) {
         m_roster = std::move(m_roster).ordered(order);
     }
+    for (const LeavingMark &mark : digest.leaving) {
+        m_roster = std::move(m_roster).marked(mark);
+    }
 }
 
 void FleetKeeper::hearSummary(const HelloMessage &peer, const ZoneSummary &summary)
@@ -257,6 +260,7 @@
     }
     MemberChanges changes = m_heard.since(m_heard.epoch(), m_toldRevision);
     ZoneDigest digest = makeZoneDigest(std::move(changes), heard, m_roster.drainOrders());
+    digest.leaving = m_roster.leavingMarks();
     m_tellEntries(SendToZone {ZoneDigestMessage {std::move(digest)}});
     m_toldRevision = m_heard.revision();
     m_pulses.clear();
--- a/source/protocol/membershipcodec.cpp
+++ b/source/protocol/membershipcodec.cpp
@@ -190,6 +190,12 @@
         added.startedAt = order.startedAt.time_since_epoch().count();
     }
     wired.__isset.drains = !wired.drains.empty();
+    for (const LeavingMark &mark : digest.leaving) {
+        wire::DrainOrder &added = wired.leaving.emplace_back();
+        added.instance = mark.instance.text();
+        added.startedAt = mark.since.time_since_epoch().count();
+    }
+    wired.__isset.leaving = !wired.leaving.empty();
     return wired;
 }
 
@@ -234,6 +240,9 @@
     for (const wire::DrainOrder &order : digest.drains) {
         value.drains.push_back({InstanceId(order.instance), WallTime(Duration(order.startedAt))});
     }
+    for (const wire::DrainOrder &mark : digest.leaving) {
+        value.leaving.push_back({InstanceId(mark.instance), WallTime(Duration(mark.startedAt))});
+    }
     return value;
 }
 
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -166,6 +166,8 @@
   2: list<ConfigMark> configs;
   3: list<MemberPulse> pulses;
   4: optional list<DrainOrder> drains;
+  /** Instances that the list calls leaving, and since when. */
+  5: optional list<DrainOrder> leaving;
 }
 
 struct DigestWanted {
--- a/tests/differential/tst_membership.cpp
+++ b/tests/differential/tst_membership.cpp
@@ -171,6 +171,15 @@
     REQUIRE(phase() == MemberPhase::Usable);
 }
 
+TEST_CASE_METHOD(RosterFixture, "roster_otherEntrySawTheMarkBeforeTheSuccessor_successorIsUsable")
+{
+    hear(beat(1, 9), 1);
+    m_roster = std::move(m_roster).listed({InstanceId("i1")}, WallTime(10 * second));
+    REQUIRE(phase() == MemberPhase::Draining);
+    m_roster = std::move(m_roster).marked({InstanceId("i1"), WallTime(5 * second)});
+    REQUIRE(phase() == MemberPhase::Usable);
+}
+
 TEST_CASE_METHOD(RosterFixture, "roster_listTakesLeavingBack_memberIsUsableAgain")
 {
     hear(beat(1, 1), 0);
--- a/tests/unit/tst_framecodec.cpp
+++ b/tests/unit/tst_framecodec.cpp
@@ -55,7 +55,8 @@
     const ZoneDigest digest {changes,
                              {{Offset {4}, digestOf("table")}},
                              {{~std::uint32_t {0}, 7, 1, 0, 0, 2}},
-                             {{InstanceId("i3"), heartbeat.startedAt}}};
+                             {{InstanceId("i3"), heartbeat.startedAt}},
+                             {{InstanceId("i4"), heartbeat.startedAt}}};
     const ZoneSummary summary {
             ZoneName("z"),
             heartbeat.startedAt,
