Choose backend servers from an index, and let requests wait for one

Cause: each decision copied the zone's view and looked at every agent; limits were refilled by every change of the table; nothing bounded what an entry sent to a full engine; a late credit on a closed stream ended the whole link to an agent (seen in scripts/run). Change: BackendIndex keeps the agents by what they serve, open ones first; policies behind ChooseBackend draw from it without copying. Ejection after failures and return in steps, a concurrency limit learnt from refusals, a bounded queue by priority and fair among accounts, a retry budget, and meters that a change of limits does not refill.

--- /dev/null
+++ b/source/core/routing/retrybudget.h
@@ -0,0 +1,36 @@
+/**
+ * Retries as a share of requests, so that they cannot multiply an overload.
+ */
+#pragma once
+
+#include <algorithm>
+
+namespace greengageseam {
+
+/** Each request pays in, each retry takes out; a step makes a new value. */
+class RetryBudget
+{
+public:
+    /** Retries allowed for each request in the long run. */
+    static constexpr double share = 0.2;
+    /** Retries that can be saved up. */
+    static constexpr double highest = 100;
+
+    /** @returns the budget after a request was admitted */
+    RetryBudget admitted() const { return RetryBudget(std::min(highest, m_level + share)); }
+    /** @returns whether a retry is allowed now */
+    bool hasRetry() const { return m_level >= 1; }
+    /** @returns the budget after a retry */
+    RetryBudget retried() const { return RetryBudget(std::max(0.0, m_level - 1)); }
+
+    RetryBudget() = default;
+    auto operator<=>(const RetryBudget &) const = default;
+
+private:
+    explicit RetryBudget(double level) : m_level(level) { }
+
+    /** Invariant: from 0 to highest. */
+    double m_level = 10;
+};
+
+} // namespace greengageseam
--- a/source/core/routing/tokenbucket.cpp
+++ b/source/core/routing/tokenbucket.cpp
@@ -33,6 +33,15 @@
     return next;
 }
 
+TokenBucket TokenBucket::withRate(double perSecond, double burst) const
+{
+    TokenBucket next = *this;
+    next.m_perSecond = perSecond;
+    next.m_burst = burst;
+    next.m_level = std::min(m_level, burst);
+    return next;
+}
+
 Duration TokenBucket::waitFor(double amount) const
 {
     if (m_level >= amount) {
--- a/source/core/routing/tokenbucket.h
+++ b/source/core/routing/tokenbucket.h
@@ -26,6 +26,10 @@
     bool has(double amount) const { return m_level >= amount; }
     /** @returns the bucket after @p amount was taken; it may go below zero */
     TokenBucket taken(double amount) const;
+    /** @returns the bucket with another rate and burst; what is in it stays, as far as it fits */
+    TokenBucket withRate(double perSecond, double burst) const;
+    /** @returns whether @p amount can be taken, or the bucket is full and can never hold so much */
+    bool hasOrIsFull(double amount) const { return m_level >= amount || m_level >= m_burst; }
     /** @returns how long until @p amount can be taken */
     Duration waitFor(double amount) const;
 
--- a/source/core/routing/versionchoice.cpp
+++ b/source/core/routing/versionchoice.cpp
@@ -1,42 +1,42 @@
 #include "core/routing/versionchoice.h"
 
+#include <vector>
+
 namespace greengageseam {
 
-std::vector<VersionOption> versionOptions(const Table &table, const ModelName &model,
-                                          const ZoneName &zone, const AccountName &account)
+VersionChoice chooseVersion(const Table &table, const ModelName &model, const ZoneName &zone,
+                            const AccountName &account, const IsServed &isServed,
+                            std::uint64_t random)
 {
-    std::vector<VersionOption> options;
+    struct Option
+    {
+        const Row *row;
+        Weight weight;
+    };
+    VersionChoice choice;
+    std::vector<Option> options;
+    std::uint64_t total = 0;
     const RowKey first {model, VersionName()};
     for (auto it = table.rows.lower_bound(first); it != table.rows.end(); ++it) {
         if (it->first.model != model) {
             break;
         }
         const Weight weight = it->second.weight(zone, account);
-        if (weight > 0) {
-            options.push_back({it->first, it->second.manifest, weight});
+        choice.isOffered = choice.isOffered || weight > 0;
+        if (weight > 0 && isServed(it->second)) {
+            options.push_back({&it->second, weight});
+            total += weight;
         }
     }
-    return options;
-}
-
-std::optional<VersionOption> chooseVersion(const std::vector<VersionOption> &options,
-                                           std::uint64_t random)
-{
-    std::uint64_t total = 0;
-    for (const VersionOption &option : options) {
-        total += option.weight;
-    }
-    if (total == 0) {
-        return std::nullopt;
-    }
-    std::uint64_t rest = random % total;
-    for (const VersionOption &option : options) {
+    std::uint64_t rest = total == 0 ? 0 : random % total;
+    for (const Option &option : options) {
         if (rest < option.weight) {
-            return option;
+            choice.row = option.row;
+            break;
         }
         rest -= option.weight;
     }
-    return std::nullopt;
+    return choice;
 }
 
 } // namespace greengageseam
--- a/source/core/routing/versionchoice.h
+++ b/source/core/routing/versionchoice.h
@@ -6,31 +6,32 @@
 #include "core/config/table.h"
 
 #include <cstdint>
-#include <optional>
-#include <vector>
+#include <functional>
 
 namespace greengageseam {
 
-/** A version that can be chosen, with its weight. */
-struct VersionOption
+/** Hook that tells whether any backend server serves a row's version now. */
+using IsServed = std::function<bool(const Row &row)>;
+
+/** A chosen version, or why there is none. */
+struct VersionChoice
 {
-    RowKey key;
-    Digest manifest;
-    Weight weight = 0;
+    /** Null if none was chosen; valid as long as the table. */
+    const Row *row = nullptr;
+    /** Whether the model has a version with a weight above zero here. */
+    bool isOffered = false;
 
-    auto operator<=>(const VersionOption &) const = default;
+    bool operator==(const VersionChoice &) const = default;
 };
 
-/** @returns the versions of a model with a weight above zero for this zone and account */
-std::vector<VersionOption> versionOptions(const Table &table, const ModelName &model,
-                                          const ZoneName &zone, const AccountName &account);
-
 /**
- * Chooses a version with a probability in proportion to its weight.
+ * Chooses a version of a model with a probability in proportion to its weight for this zone and
+ * account. Versions that no backend server serves are left out, so that a weight given too early
+ * costs no request.
  * @param random a number with all 64 bits random
- * @returns the version, or nothing if there is none to choose from
  */
-std::optional<VersionOption> chooseVersion(const std::vector<VersionOption> &options,
-                                           std::uint64_t random);
+VersionChoice chooseVersion(const Table &table, const ModelName &model, const ZoneName &zone,
+                            const AccountName &account, const IsServed &isServed,
+                            std::uint64_t random);
 
 } // namespace greengageseam
--- a/source/entry/callerdesk.cpp
+++ b/source/entry/callerdesk.cpp
@@ -13,6 +13,8 @@
 
 const std::string chatPath = "/v1/chat/completions";
 const std::string completionPath = "/v1/completions";
+constexpr std::uint32_t usualTokens = 256;
+constexpr std::int64_t mostTokens = 1'000'000;
 const std::string servicePrefix = "/services/";
 const std::array<std::string, 5> serviceMethods {"GET", "POST", "PUT", "PATCH", "DELETE"};
 
@@ -21,6 +23,16 @@
     return path == chatPath || path == completionPath;
 }
 
+/** @returns the tokens that the answer may have; what the caller does not say is estimated */
+std::uint32_t wantedTokens(const boost::json::object &body)
+{
+    const boost::json::value *value = body.if_contains("max_tokens");
+    if (value == nullptr || !value->is_int64()) {
+        return usualTokens;
+    }
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value->get_int64(), 0, mostTokens));
+}
+
 Result<void> readModelRequest(const HttpRequest &request, CallerRequest &result)
 {
     if (request.method != "POST") {
@@ -39,6 +51,7 @@
     }
     result.question.model = ModelName(model);
     result.isStreamed = stream != nullptr && stream->get_bool();
+    result.question.estimatedTokens = wantedTokens(body);
     result.path = request.path();
     return {};
 }
--- a/source/entry/forwarder.cpp
+++ b/source/entry/forwarder.cpp
@@ -18,6 +18,31 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/** Engines send an event for each token. */
+std::uint32_t eventsIn(const std::string &bytes)
+{
+    constexpr std::string_view eventStart = "data: ";
+    std::uint32_t events = 0;
+    for (std::size_t n = bytes.find(eventStart); n != std::string::npos;
+         n = bytes.find(eventStart, n + eventStart.size())) {
+        ++events;
+    }
+    return events;
+}
+
+/** What an attempt's end says of its backend server. */
+AttemptVerdict verdictOf(const AttemptResult &result)
+{
+    if (!result.failure) {
+        return AttemptVerdict::Answered;
+    }
+    if (result.callerGone || result.failure->kind == ErrorKind::Draining) {
+        return AttemptVerdict::Neutral;
+    }
+    return result.failure->kind == ErrorKind::Overloaded ? AttemptVerdict::Full
+                                                         : AttemptVerdict::Failed;
+}
+
 AttemptResult failed(ErrorKind kind, std::string detail, Ran ran)
 {
     return {Failure {kind, std::move(detail)}, ran, false};
@@ -32,7 +57,9 @@
       m_router(std::move(router)), m_deadline(monotonicNow() + limit),
       m_metrics(std::move(metrics)), m_log(log.with({{"request", m_request.id.text()}})),
       m_startedAt(monotonicNow())
-{ }
+{
+    m_request.question.deadline = m_deadline;
+}
 
 Awaitable<void> Forwarder::run()
 {
@@ -44,8 +71,11 @@
     }
     RouteGrant grant = std::get<RouteGrant>(admitted);
     const AccountName account = grant.account;
-    co_await runAttempts(std::move(grant));
-    m_router->post(RequestFinished {account});
+    const Ran ran = co_await runAttempts(std::move(grant));
+    const std::uint32_t charged = m_request.question.estimatedTokens;
+    const std::uint32_t used = ran == Ran::No ? 0 : (m_tokens > 0 ? m_tokens : charged);
+    RouterCommand finished = RequestFinished {account, charged, used};
+    co_await m_router->send(std::move(finished));
     m_metrics->observeSeconds("request_seconds", "Time of a request from its admission to its end",
                               secondsOf(monotonicNow() - m_startedAt));
 }
@@ -67,13 +97,16 @@
     co_return *(co_await reply->receive());
 }
 
-Awaitable<void> Forwarder::runAttempts(RouteGrant grant)
+Awaitable<Ran> Forwarder::runAttempts(RouteGrant grant)
 {
     AttemptResult result;
     while (true) {
         m_tried.insert(grant.instance);
+        const Instant startedAt = monotonicNow();
         result = co_await attempt(grant);
-        m_router->post(AttemptFinished {grant.instance, result.failure.has_value()});
+        RouterCommand finished =
+                AttemptFinished {grant.instance, verdictOf(result), monotonicNow() - startedAt};
+        co_await m_router->send(std::move(finished));
         if (!result.failure || result.callerGone || !mayTryAgain(result, grant)) {
             break;
         }
@@ -96,6 +129,7 @@
                      {"manifest", grant.manifest.text()},
                      {"bytes", m_length}});
     }
+    co_return result.ran;
 }
 
 Awaitable<AttemptResult> Forwarder::attempt(RouteGrant grant)
@@ -162,6 +196,9 @@
 {
     m_length += static_cast<std::int64_t>(data.bytes.size());
     m_checksum = checksumOf(data.bytes, m_checksum);
+    if (m_request.isStreamed) {
+        m_tokens += eventsIn(data.bytes);
+    }
     if (!m_request.isStreamed && m_collected.size() + data.bytes.size() <= maxCollectedBytes) {
         m_collected += data.bytes;
         co_return true;
--- a/source/entry/forwarder.h
+++ b/source/entry/forwarder.h
@@ -56,7 +56,8 @@
 private:
     Awaitable<Outcome<RouteGrant>> admit();
     Awaitable<Outcome<RouteGrant>> routeAgain(const RouteGrant &before);
-    Awaitable<void> runAttempts(RouteGrant grant);
+    /** @returns whether the request ran */
+    Awaitable<Ran> runAttempts(RouteGrant grant);
     Awaitable<AttemptResult> attempt(RouteGrant grant);
     Awaitable<AttemptResult> readAnswer(MailboxPtr<StreamEvent> events, PeerLinkHandle link,
                                         StreamId stream);
@@ -81,6 +82,8 @@
     HeadMessage m_head;
     std::int64_t m_length = 0;
     std::uint64_t m_checksum = 0;
+    /** Tokens of a streamed answer that were passed on. */
+    std::uint32_t m_tokens = 0;
 };
 
 } // namespace greengageseam
--- a/source/entry/router.cpp
+++ b/source/entry/router.cpp
@@ -1,6 +1,7 @@
 #include "entry/router.h"
 
 #include "net/clock.h"
+#include "net/ticker.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -11,27 +12,63 @@
 namespace {
 
 constexpr std::size_t mailboxCapacity = 8192;
+constexpr auto tickPeriod = std::chrono::milliseconds(50);
 
-void countDown(std::map<InstanceId, std::uint32_t> &counts, const InstanceId &key)
+/** Where admission is off, nothing is learnt from what backend servers refuse. */
+AttemptVerdict learntFrom(AttemptVerdict verdict, const RouterOptions &options)
 {
-    const auto it = counts.find(key);
-    if (it != counts.end() && --it->second == 0) {
-        counts.erase(it);
+    const bool isIgnored = verdict == AttemptVerdict::Full && !options.hasAdmission;
+    return isIgnored ? AttemptVerdict::Neutral : verdict;
+}
+
+std::string textOf(BindingLimit limit)
+{
+    switch (limit) {
+    case BindingLimit::Requests:
+        return "requests per second";
+    case BindingLimit::Tokens:
+        return "tokens per second";
+    default:
+        return "requests in progress";
+    }
+}
+
+std::vector<PoolKey> poolsOf(const Heartbeat &agent)
+{
+    if (agent.kind == BackendKind::Service) {
+        return {{Digest(), agent.service}};
+    }
+    std::vector<PoolKey> pools;
+    for (const Digest &manifest : agent.serving) {
+        pools.push_back({manifest, ServiceName()});
     }
+    return pools;
 }
 
 } // namespace
 
+RouterOptions RouterOptions::withLongestWait(Duration value) const
+{
+    RouterOptions options = *this;
+    options.longestWait = value;
+    return options;
+}
+
 Router::Router(const asio::any_io_executor &executor, ZoneName zone, ChooseBackend choose,
-               std::shared_ptr<Metrics> metrics, Log log)
-    : m_executor(executor), m_zone(std::move(zone)), m_choose(std::move(choose)),
+               RouterOptions options, std::shared_ptr<Metrics> metrics, Log log)
+    : m_executor(executor), m_zone(std::move(zone)), m_options(options),
       m_metrics(std::move(metrics)), m_log(std::move(log)),
-      m_mailbox(makeMailbox<RouterCommand>(executor, mailboxCapacity))
+      m_mailbox(makeMailbox<RouterCommand>(executor, mailboxCapacity)),
+      m_index(std::move(choose), options.health)
 { }
 
 void Router::start()
 {
     asio::co_spawn(m_executor, [self = shared_from_this()] { return self->run(); }, asio::detached);
+    startTicker(m_executor, tickPeriod, [mailbox = m_mailbox] {
+        mailbox->post(RouterTick {});
+        return true;
+    });
 }
 
 Awaitable<void> Router::run()
@@ -43,24 +80,45 @@
 
 void Router::apply(const AdmitRequest &command)
 {
-    command.reply->post(admit(command.question));
+    Outcome<Placing> admitted = admit(command.question);
+    if (const Failure *failure = failureOf(admitted)) {
+        command.reply->post(*failure);
+        return;
+    }
+    auto &placing = std::get<Placing>(admitted);
+    placing.reply = command.reply;
+    place(std::move(placing));
 }
 
 void Router::apply(const RouteAgain &command)
 {
-    command.reply->post(chooseAgent(command.before, command.question, command.tried));
+    if (!m_retries.hasRetry()) {
+        command.reply->post(Failure {ErrorKind::Overloaded, "the budget for retries is used up"});
+        return;
+    }
+    m_retries = m_retries.retried();
+    const PoolKey pool {command.before.manifest, command.question.service};
+    place({command.question, command.before, pool, command.tried, command.reply});
 }
 
 void Router::apply(const AttemptFinished &command)
 {
-    countDown(m_inFlight, command.instance);
+    const double seconds = std::chrono::duration<double>(command.took).count();
+    const bool wasEjected = m_index.isEjected(command.instance);
+    m_index.finished(command.instance, learntFrom(command.verdict, m_options), seconds,
+                     monotonicNow());
+    if (!wasEjected && m_index.isEjected(command.instance)) {
+        m_metrics->count("backend_ejections_total", "Backend servers ejected after failures");
+        m_log.warning("backend.ejected", {{"agent", command.instance.text()}});
+    }
+    dispatch();
 }
 
 void Router::apply(const RequestFinished &command)
 {
-    const auto it = m_accountInFlight.find(command.account);
-    if (it != m_accountInFlight.end() && --it->second == 0) {
-        m_accountInFlight.erase(it);
+    const auto it = m_meters.find(command.account);
+    if (it != m_meters.end()) {
+        it->second = it->second.finished(command.charged, command.used);
     }
 }
 
@@ -74,18 +132,50 @@
     m_isDraining = true;
 }
 
+void Router::apply(const SharesGranted &command)
+{
+    m_shares = command.shares;
+    updateMeters();
+}
+
+void Router::apply(const RouterTick &)
+{
+    const Instant now = monotonicNow();
+    for (auto &[pool, queue] : m_queues) {
+        for (const std::uint64_t ticket : queue.expire(now)) {
+            refuseWaiting(ticket, "no backend server got free in time");
+        }
+    }
+    dispatch();
+}
+
 void Router::apply(const ConfigView &command)
 {
     m_config = command.state;
-    m_requestBuckets.clear();
+    m_accounts.clear();
+    for (const auto &[name, account] : m_config->table.accounts) {
+        m_accounts.emplace(account.key, &account);
+    }
+    std::erase_if(m_meters, [this](const auto &it) {
+        return !m_config->table.accounts.contains(it.first) && it.second.inProgress() == 0;
+    });
+    updateMeters();
 }
 
 void Router::apply(const FleetView &command)
 {
     m_fleet = command;
+    std::vector<BackendReport> reports;
+    reports.reserve(m_fleet.usable.size());
+    for (const UsableAgent &agent : m_fleet.usable) {
+        reports.push_back({agent.last.instance, poolsOf(agent.last), agent.last.inFlight,
+                           agent.last.sequence});
+    }
+    m_index.update(reports, monotonicNow());
+    dispatch();
 }
 
-Outcome<RouteGrant> Router::admit(const RouteQuestion &question)
+Outcome<Router::Placing> Router::admit(const RouteQuestion &question)
 {
     if (m_config == nullptr) {
         return Failure {ErrorKind::NotReady, "no configuration is in force here yet"};
@@ -93,113 +183,97 @@
     if (m_isDraining) {
         return Failure {ErrorKind::Draining, "the entry is shutting down"};
     }
-    const Account *account = m_config->table.accountWithKey(question.key);
-    if (account == nullptr) {
+    const auto account = m_accounts.find(question.key);
+    if (account == m_accounts.end()) {
         return Failure {ErrorKind::Unauthenticated, "the bearer key belongs to no account"};
     }
-    if (const std::optional<Failure> failure = chargeLimits(*account)) {
+    Outcome<Placing> placing = question.service.isEmpty()
+            ? routeModel(question, *account->second)
+            : routeService(question, *account->second);
+    if (failureOf(placing) != nullptr) {
+        return placing;
+    }
+    if (const auto failure = chargeLimits(*account->second, question.estimatedTokens)) {
         m_metrics->count("requests_limited_total", "Requests refused by an account's limits",
-                         {{"account", account->name.text()}});
+                         {{"account", account->second->name.text()}});
         return *failure;
     }
-    Outcome<RouteGrant> grant = question.service.isEmpty() ? routeModel(question, *account)
-                                                           : routeService(question, *account);
-    if (failureOf(grant) == nullptr) {
-        ++m_accountInFlight[account->name];
-    }
-    return grant;
+    m_retries = m_retries.admitted();
+    return placing;
 }
 
-std::optional<Failure> Router::chargeLimits(const Account &account)
+std::optional<Failure> Router::chargeLimits(const Account &account, std::uint32_t tokens)
 {
-    const auto inFlight = m_accountInFlight.find(account.name);
-    const std::uint32_t running = inFlight == m_accountInFlight.end() ? 0 : inFlight->second;
-    if (account.concurrency && running >= *account.concurrency) {
-        return Failure {ErrorKind::LimitExceeded,
-                        "the account has " + std::to_string(running) + " requests in progress"};
-    }
-    if (!account.requestsPerSecond) {
-        return std::nullopt;
-    }
-    const double rate = *account.requestsPerSecond;
     const Instant now = monotonicNow();
-    const auto it = m_requestBuckets.try_emplace(account.name, rate, rate, now).first;
+    auto it = m_meters.find(account.name);
+    if (it == m_meters.end()) {
+        const auto share = m_shares.find(account.name);
+        const AccountLimits limits =
+                limitsOf(account, share == m_shares.end() ? wholeShare : share->second);
+        it = m_meters.emplace(account.name, AccountMeter(limits, now)).first;
+    }
     it->second = it->second.at(now);
-    if (!it->second.has(1)) {
-        return Failure {ErrorKind::LimitExceeded, "the account's requests per second are used up"};
+    const BindingLimit binding = it->second.binding(tokens);
+    if (binding != BindingLimit::None) {
+        return Failure {ErrorKind::LimitExceeded,
+                        "the account's " + textOf(binding) + " at this entry are used up"};
     }
-    it->second = it->second.taken(1);
+    it->second = it->second.admitted(tokens);
     return std::nullopt;
 }
 
-Outcome<RouteGrant> Router::routeModel(const RouteQuestion &question, const Account &account)
+Outcome<Router::Placing> Router::routeModel(const RouteQuestion &question, const Account &account)
 {
-    const std::vector<VersionOption> options =
-            versionOptions(m_config->table, question.model, m_zone, account.name);
-    const std::optional<VersionOption> version = chooseVersion(options, randomNumber());
-    if (!version) {
+    const VersionChoice version = chooseVersion(
+            m_config->table, question.model, m_zone, account.name,
+            [this](const Row &row) { return m_index.serves({row.manifest, ServiceName()}); },
+            randomNumber());
+    if (!version.isOffered) {
         return Failure {ErrorKind::UnknownModel,
                         "model '" + question.model.text() + "' is not offered here"};
     }
-    RouteGrant grant;
-    grant.account = account.name;
-    grant.priority = account.priority;
-    grant.manifest = version->manifest;
-    return chooseAgent(std::move(grant), question, {});
+    if (version.row == nullptr) {
+        return Failure {ErrorKind::NoBackendServer, "no backend server serves this now"};
+    }
+    Placing placing;
+    placing.question = question;
+    placing.pool.manifest = version.row->manifest;
+    placing.grant.account = account.name;
+    placing.grant.priority = account.priority;
+    placing.grant.manifest = version.row->manifest;
+    return placing;
 }
 
-Outcome<RouteGrant> Router::routeService(const RouteQuestion &question, const Account &account)
+Outcome<Router::Placing> Router::routeService(const RouteQuestion &question, const Account &account)
 {
     const auto it = m_config->table.services.find(question.service);
     if (it == m_config->table.services.end()) {
         return Failure {ErrorKind::UnknownService,
                         "service '" + question.service.text() + "' is not in the table"};
     }
-    RouteGrant grant;
-    grant.account = account.name;
-    grant.priority = account.priority;
-    grant.isRepeatable = it->second.isRepeatable(question.method, question.path);
-    return chooseAgent(std::move(grant), question, {});
+    Placing placing;
+    placing.question = question;
+    placing.pool.service = question.service;
+    placing.grant.account = account.name;
+    placing.grant.priority = account.priority;
+    placing.grant.isRepeatable = it->second.isRepeatable(question.method, question.path);
+    return placing;
 }
 
-Outcome<RouteGrant> Router::chooseAgent(RouteGrant grant, const RouteQuestion &question,
-                                        const std::set<InstanceId> &tried)
+void Router::updateMeters()
 {
-    std::vector<BackendCandidate> candidates;
-    std::vector<const UsableAgent *> agents;
-    for (const UsableAgent &agent : m_fleet.usable) {
-        if (tried.contains(agent.last.instance) || !canServe(agent.last, grant, question)) {
+    const Instant now = monotonicNow();
+    for (auto &[name, meter] : m_meters) {
+        const auto account = m_config ? m_config->table.accounts.find(name)
+                                      : decltype(m_config->table.accounts.find(name)) {};
+        if (!m_config || account == m_config->table.accounts.end()) {
             continue;
         }
-        const auto inFlight = m_inFlight.find(agent.last.instance);
-        candidates.push_back({agent.last.instance,
-                              inFlight == m_inFlight.end() ? 0 : inFlight->second,
-                              agent.last.inFlight});
-        agents.push_back(&agent);
-    }
-    const std::optional<std::size_t> chosen =
-            m_choose(candidates, {randomNumber(), randomNumber()});
-    if (!chosen) {
-        return Failure {ErrorKind::NoBackendServer,
-                        tried.empty() ? "no backend server serves this now"
-                                      : "all backend servers that serve this were tried"};
-    }
-    const UsableAgent &agent = *agents[*chosen];
-    grant.instance = agent.last.instance;
-    grant.link = agent.link;
-    grant.incarnation = agent.last.incarnation;
-    ++m_inFlight[agent.last.instance];
-    return grant;
-}
-
-bool Router::canServe(const Heartbeat &agent, const RouteGrant &grant,
-                      const RouteQuestion &question) const
-{
-    if (!question.service.isEmpty()) {
-        return agent.kind == BackendKind::Service && agent.service == question.service;
-    }
-    return std::find(agent.serving.begin(), agent.serving.end(), grant.manifest)
-            != agent.serving.end();
+        const auto share = m_shares.find(name);
+        meter = meter.withLimits(
+                limitsOf(account->second, share == m_shares.end() ? wholeShare : share->second),
+                now);
+    }
 }
 
 } // namespace greengageseam
--- a/source/entry/router.h
+++ b/source/entry/router.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <unordered_map>
 #include <variant>
 
 namespace greengageseam {
@@ -29,6 +30,10 @@
     std::string method;
     /** Path below the service. */
     std::string path;
+    /** Tokens that the request may cost; charged at once, settled at its end. */
+    std::uint32_t estimatedTokens = 0;
+    /** Time by which the caller wants the whole answer. */
+    Instant deadline = Instant::max();
 
     auto operator<=>(const RouteQuestion &) const = default;
 };
@@ -68,13 +73,17 @@
 struct AttemptFinished
 {
     InstanceId instance;
-    bool failed = false;
+    AttemptVerdict verdict = AttemptVerdict::Neutral;
+    Duration took {};
 };
 
 /** A request that was admitted has ended. */
 struct RequestFinished
 {
     AccountName account;
+    /** Tokens that were charged when it was admitted. */
+    std::uint32_t charged = 0;
+    std::uint32_t used = 0;
 };
 
 /** Asks whether the entry can take callers. */
@@ -87,16 +96,41 @@
 struct DrainRouter
 { };
 
+/** What this entry may let through of each account's limits. */
+struct SharesGranted
+{
+    std::map<AccountName, ShareMillionths> shares;
+};
+
+/** Time passes. */
+struct RouterTick
+{ };
+
 /** Messages to the router. */
-using RouterCommand = std::variant<AdmitRequest, RouteAgain, AttemptFinished, RequestFinished,
-                                   EntryReadyAsked, DrainRouter, ConfigView, FleetView>;
+using RouterCommand =
+        std::variant<AdmitRequest, RouteAgain, AttemptFinished, RequestFinished, EntryReadyAsked,
+                     DrainRouter, SharesGranted, RouterTick, ConfigView, FleetView>;
+
+/** How the router behaves under load. */
+struct RouterOptions
+{
+    /** Longest time that a request waits for a backend server. */
+    Duration longestWait = std::chrono::milliseconds(500);
+    QueueOptions queue;
+    HealthOptions health;
+    /** Whether requests wait and are refused by limits learnt; without it all are sent at once. */
+    bool hasAdmission = true;
+
+    RouterOptions withLongestWait(Duration value) const;
+    auto operator<=>(const RouterOptions &) const = default;
+};
 
 /** Decides on each request; it alone knows the limits and what is in flight from this entry. */
 class Router : public std::enable_shared_from_this<Router>
 {
 public:
     Router(const asio::any_io_executor &executor, ZoneName zone, ChooseBackend choose,
-           std::shared_ptr<Metrics> metrics, Log log);
+           RouterOptions options, std::shared_ptr<Metrics> metrics, Log log);
 
     /** @returns where to send commands */
     const MailboxPtr<RouterCommand> &mailbox() const { return m_mailbox; }
@@ -104,6 +138,16 @@
     void start();
 
 private:
+    /** A request on its way to a backend server. */
+    struct Placing
+    {
+        RouteQuestion question;
+        RouteGrant grant;
+        PoolKey pool;
+        std::set<InstanceId> tried;
+        MailboxPtr<Outcome<RouteGrant>> reply;
+    };
+
     Awaitable<void> run();
     void apply(const AdmitRequest &command);
     void apply(const RouteAgain &command);
@@ -111,28 +155,43 @@
     void apply(const RequestFinished &command);
     void apply(const EntryReadyAsked &command);
     void apply(const DrainRouter &command);
+    void apply(const SharesGranted &command);
+    void apply(const RouterTick &command);
     void apply(const ConfigView &command);
     void apply(const FleetView &command);
-    Outcome<RouteGrant> admit(const RouteQuestion &question);
-    std::optional<Failure> chargeLimits(const Account &account);
-    Outcome<RouteGrant> routeModel(const RouteQuestion &question, const Account &account);
-    Outcome<RouteGrant> routeService(const RouteQuestion &question, const Account &account);
-    Outcome<RouteGrant> chooseAgent(RouteGrant grant, const RouteQuestion &question,
-                                    const std::set<InstanceId> &tried);
-    bool canServe(const Heartbeat &agent, const RouteGrant &grant,
-                  const RouteQuestion &question) const;
+    Outcome<Placing> admit(const RouteQuestion &question);
+    std::optional<Failure> chargeLimits(const Account &account, std::uint32_t tokens);
+    Outcome<Placing> routeModel(const RouteQuestion &question, const Account &account);
+    Outcome<Placing> routeService(const RouteQuestion &question, const Account &account);
+    void place(Placing placing);
+    std::optional<RouteGrant> tryToPlace(const Placing &placing);
+    void wait(Placing placing);
+    void dispatch();
+    void dispatch(const PoolKey &pool, AdmissionQueue &queue);
+    void refuse(const Placing &placing, const Failure &failure);
+    void refuseWaiting(std::uint64_t ticket, const std::string &reason);
+    void updateMeters();
 
     asio::any_io_executor m_executor;
     ZoneName m_zone;
-    ChooseBackend m_choose;
+    RouterOptions m_options;
     std::shared_ptr<Metrics> m_metrics;
     Log m_log;
     MailboxPtr<RouterCommand> m_mailbox;
     std::shared_ptr<const ConfigState> m_config;
+    /** Accounts of m_config by the digests of their keys. */
+    std::unordered_map<Digest, const Account *> m_accounts;
     FleetView m_fleet;
-    std::map<InstanceId, std::uint32_t> m_inFlight;
-    std::map<AccountName, std::uint32_t> m_accountInFlight;
-    std::map<AccountName, TokenBucket> m_requestBuckets;
+    /** Invariant: its first positions are those of m_fleet.usable. */
+    BackendIndex m_index;
+    std::map<AccountName, AccountMeter> m_meters;
+    /** Without an entry for an account, the whole limit is this entry's. */
+    std::map<AccountName, ShareMillionths> m_shares;
+    RetryBudget m_retries;
+    std::map<PoolKey, AdmissionQueue> m_queues;
+    /** Invariant: the tickets of all queues, and no others. */
+    std::unordered_map<std::uint64_t, Placing> m_waiting;
+    std::uint64_t m_lastTicket = 0;
     bool m_isDraining = false;
 };
 
--- a/source/net/peerlink.cpp
+++ b/source/net/peerlink.cpp
@@ -176,6 +176,10 @@
             m_hooks.receive(m_handle, std::move(message));
             return;
         }
+        if (!it->second->isOpen()) {
+            // Its owner is done with the stream; credit for the last parts still comes.
+            return;
+        }
         if (!it->second->post(StreamEvent(std::move(message.message)))) {
             end("the peer sent more than it had credit for");
         }
