--- /dev/null
+++ b/bench/burstbench.cpp
@@ -0,0 +1,210 @@
+/**
+ * One entry, four agents and four engines as real processes on loopback; requests are sent at their
+ * times whatever becomes of those before. An answer is good if it is whole and its first token came
+ * within the target's time.
+ */
+#include "burstbench.h"
+
+#include "core/common/hashing.h"
+#include "fleet.h"
+#include "net/clock.h"
+#include "net/httpclient.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <cmath>
+#include <iostream>
+#include <random>
+
+namespace greengageseam {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr int engines = 4;
+constexpr int batch = 8;
+constexpr int tokens = 20;
+constexpr int tokenMicroseconds = 10'000;
+/** Requests a second that the engines can run. */
+constexpr double capacity = engines * batch * 1e6 / (tokens * tokenMicroseconds);
+constexpr double caseSeconds = 6;
+constexpr auto callLimit = std::chrono::seconds(20);
+constexpr auto firstTokenTarget = std::chrono::milliseconds(1100);
+constexpr std::uint64_t seed = 20261204;
+
+/** What became of the requests of one case. */
+struct BurstCount
+{
+    std::uint32_t sent = 0;
+    std::uint32_t ended = 0;
+    std::uint32_t good = 0;
+    std::uint32_t late = 0;
+    std::uint32_t refused = 0;
+    std::uint32_t failed = 0;
+    /** Seconds to the first token of whole answers. */
+    std::vector<double> firstToken;
+};
+
+/** The processes under one setting. */
+class BurstFleet
+{
+public:
+    explicit BurstFleet(const std::string &longestWait)
+    {
+        m_fleet.startPlatform();
+        m_fleet.startEntry("entry", "fyn", {"--longest-wait=" + longestWait});
+        for (int n = 0; n < engines; ++n) {
+            const std::string number = std::to_string(n);
+            m_fleet.startEngine("engine" + number,
+                                {"--batch=" + std::to_string(batch),
+                                 "--token-us=" + std::to_string(tokenMicroseconds)});
+            m_fleet.startAgent("agent" + number, "fyn", "engine" + number);
+        }
+    }
+
+    /** Publishes a version and waits until all engines serve it. */
+    bool prepare()
+    {
+        if (!waitUntil([&] { return m_fleet.isReady("entry"); })) {
+            return false;
+        }
+        const Digest manifest = m_fleet.publish(std::string(100'000, 'w'), 65'536);
+        const int status = m_fleet.accept(
+                "entry",
+                {"model/drafts/v1/manifest=" + manifest.text(), "model/drafts/v1/weight/zone/fyn=1",
+                 "model/drafts/v1/replicas/fyn=" + std::to_string(engines),
+                 "account/caps/key=" + digestOf("caps-key").text()});
+        return status == 200 && waitUntil([&] {
+                   const auto report = json::serialize(m_fleet.report("entry"));
+                   const std::string all = "\"serving\":" + std::to_string(engines);
+                   return report.find(all) != std::string::npos && answers();
+               });
+    }
+
+    Address entry() const { return m_fleet.addresses("entry").http; }
+
+private:
+    bool answers() const
+    {
+        const auto answer =
+                m_fleet.call("entry", "/v1/completions",
+                             R"({"model":"drafts","prompt":"x","max_tokens":1})", "caps-key");
+        const auto *response = std::get_if<HttpResponse>(&answer);
+        return response != nullptr && response->status == 200;
+    }
+
+    Fleet m_fleet;
+};
+
+/** One request, counted at its end. */
+Awaitable<void> sendOne(asio::any_io_executor executor, Address entry,
+                        std::shared_ptr<BurstCount> count)
+{
+    const json::object body {
+            {"model", "drafts"}, {"prompt", "herons"}, {"max_tokens", tokens}, {"stream", true}};
+    const HttpRequest request {
+            "POST",
+            "/v1/completions",
+            {{"Authorization", "Bearer caps-key"}, {"Content-Type", "application/json"}},
+            json::serialize(body)};
+    const Instant start = monotonicNow();
+    HttpCall call(executor);
+    const Outcome<HttpAnswerHead> head = co_await call.start(entry, request, callLimit);
+    ++count->ended;
+    const auto *answer = std::get_if<HttpAnswerHead>(&head);
+    if (answer == nullptr || answer->status != 200) {
+        const bool isRefused = answer != nullptr && answer->status == 503;
+        ++(isRefused ? count->refused : count->failed);
+        co_return;
+    }
+    Instant first {};
+    while (true) {
+        const Outcome<HttpPart> part = co_await call.readPart(callLimit);
+        if (failureOf(part) != nullptr) {
+            ++count->failed;
+            co_return;
+        }
+        first = first == Instant() ? monotonicNow() : first;
+        if (std::get<HttpPart>(part).isLast) {
+            break;
+        }
+    }
+    ++(first - start <= firstTokenTarget ? count->good : count->late);
+    count->firstToken.push_back(std::chrono::duration<double>(first - start).count());
+}
+
+Awaitable<void> sendAll(asio::any_io_executor executor, Address entry, double perSecond,
+                        std::shared_ptr<BurstCount> count)
+{
+    std::mt19937_64 random(seed);
+    std::exponential_distribution<double> gap(perSecond);
+    asio::steady_timer timer(executor);
+    Instant due = monotonicNow();
+    const Instant end = due + Duration(static_cast<Duration::rep>(caseSeconds * 1e6));
+    while (due < end) {
+        timer.expires_after(std::max<Duration>(due - monotonicNow(), Duration::zero()));
+        co_await timer.async_wait(asTuple);
+        ++count->sent;
+        asio::co_spawn(executor, sendOne(executor, entry, count), asio::detached);
+        due += Duration(static_cast<Duration::rep>(gap(random) * 1e6));
+    }
+}
+
+/** @returns the goodput in requests a second */
+double runCase(const std::string &name, const Address &entry, double load)
+{
+    asio::io_context context(1);
+    const auto count = std::make_shared<BurstCount>();
+    asio::co_spawn(context, sendAll(context.get_executor(), entry, capacity * load, count),
+                   asio::detached);
+    context.run();
+    std::sort(count->firstToken.begin(), count->firstToken.end());
+    const auto n = static_cast<double>(count->firstToken.size());
+    const double p95 =
+            count->firstToken.empty() ? 0 : count->firstToken[static_cast<std::size_t>(n * 0.95)];
+    const double goodput = count->good / caseSeconds;
+    const json::object line {{"bench", "burst"},
+                             {"admission", name},
+                             {"load", load},
+                             {"sent", count->sent},
+                             {"goodput_per_s", std::round(goodput * 10) / 10},
+                             {"good", count->good},
+                             {"late", count->late},
+                             {"refused", count->refused},
+                             {"failed", count->failed},
+                             {"p95_first_token_ms", std::round(p95 * 1000)}};
+    std::cout << json::serialize(line) << std::endl;
+    return goodput;
+}
+
+} // namespace
+
+bool runBurstBench()
+{
+    bool isHeld = true;
+    for (const auto &[name, longestWait] :
+         {std::pair("early", "500"), std::pair("never-early", "60000")}) {
+        BurstFleet fleet(longestWait);
+        if (!fleet.prepare()) {
+            std::cerr << "burst: the fleet did not get ready\n";
+            return false;
+        }
+        std::map<double, double> goodput;
+        for (const double load : {0.5, 1.0, 2.0, 4.0}) {
+            goodput[load] = runCase(name, fleet.entry(), load);
+        }
+        const double ratio = goodput[4.0] / std::max(goodput[1.0], 1.0);
+        const json::object line {{"bench", "burst"},
+                                 {"admission", name},
+                                 {"goodput_4_over_1", std::round(ratio * 1000) / 1000}};
+        std::cout << json::serialize(line) << std::endl;
+        isHeld = isHeld && (std::string(name) != "early" || ratio >= 0.95);
+    }
+    return isHeld;
+}
+
+} // namespace greengageseam
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -3,6 +3,7 @@
  *
  * Usage: greengageseam-bench [name...]; without a name it runs all.
  */
+#include "burstbench.h"
 #include "choicebench.h"
 #include "routebench.h"
 
@@ -26,6 +27,7 @@
 int main(int argc, char **argv)
 {
     const std::vector<Bench> benches {
+            {"burst", greengageseam::runBurstBench},
             {"choice", greengageseam::runChoiceBench},
             {"route", greengageseam::runRouteBench},
     };
--- a/source/core/routing/backendchoice.h
+++ b/source/core/routing/backendchoice.h
@@ -97,8 +97,8 @@
  * Policy Maximum Idle First: the member with the greatest idle degree, the number of idle threads
  * over the length of the queue, as the member reported them. Looks at all members.
  *
- * After section 5 of the research paper on differentiated services in Web clusters that
- * docs/design/routing.md cites.
+ * After A. Gao, Q. Pan, Y. Hu, The Research of Differentiated Service and Load Balancing in Web
+ * Cluster, section 5.
  */
 std::optional<std::size_t> chooseMaximumIdle(const BackendPool &pool, const ChoiceRandom &random);
 
--- a/source/core/routing/routing.h
+++ b/source/core/routing/routing.h
@@ -10,5 +10,6 @@
 #include "core/routing/backendindex.h"
 #include "core/routing/concurrencylimit.h"
 #include "core/routing/retrybudget.h"
+#include "core/routing/shareledger.h"
 #include "core/routing/tokenbucket.h"
 #include "core/routing/versionchoice.h"
--- a/source/daemon/settings.cpp
+++ b/source/daemon/settings.cpp
@@ -32,6 +32,8 @@
   --bootstrap-token=<digest>  SHA-256 of a token that counts as an operator's while the
                               table names no operator (entry).
   --request-limit=<seconds>   Longest time for a request, 1 to 3600 (entry). Unset: 120.
+  --longest-wait=<ms>         Milliseconds that a request waits at most for a backend server
+                              that is free, 1 to 600000 (entry). Unset: 500.
   --peers=<addresses>         Peer addresses of other entries, with commas; may be unset when
                               the platform's list has them (entry).
   --store=<address>           The weight store (agent).
@@ -53,6 +55,8 @@
 constexpr std::uint32_t maxRequestSeconds = 3600;
 constexpr std::uint32_t maxDrainSeconds = 86400;
 constexpr std::uint32_t defaultRequestSeconds = 120;
+constexpr std::uint32_t defaultWaitMilliseconds = 500;
+constexpr std::uint32_t maxWaitMilliseconds = 600'000;
 constexpr std::uint32_t defaultDrainSeconds = 600;
 const std::string variablePrefix = "GREENGAGESEAM_";
 
@@ -157,10 +161,24 @@
     }
 
     Result<Duration> seconds(const std::string &flag, std::uint32_t unset, std::uint32_t most) const
+    {
+        BOOST_LEAF_AUTO(n, number(flag, unset, most));
+        return Duration(std::chrono::seconds(n));
+    }
+
+    Result<Duration> milliseconds(const std::string &flag, std::uint32_t unset,
+                                  std::uint32_t most) const
+    {
+        BOOST_LEAF_AUTO(n, number(flag, unset, most));
+        return Duration(std::chrono::milliseconds(n));
+    }
+
+    Result<std::uint32_t> number(const std::string &flag, std::uint32_t unset,
+                                 std::uint32_t most) const
     {
         const std::optional<std::string> value = find(flag);
         if (!value) {
-            return Duration(std::chrono::seconds(unset));
+            return unset;
         }
         std::uint32_t n = 0;
         const char *end = value->data() + value->size();
@@ -168,7 +186,7 @@
         if (ec != std::errc() || rest != end || n < 1 || n > most) {
             return refuse(flag, *value, "a whole number from 1 to " + std::to_string(most));
         }
-        return Duration(std::chrono::seconds(n));
+        return n;
     }
 
     Result<std::string> secret() const
@@ -217,6 +235,9 @@
     BOOST_LEAF_ASSIGN(settings.secret, reader.secret());
     BOOST_LEAF_ASSIGN(settings.requestLimit,
                       reader.seconds("--request-limit", defaultRequestSeconds, maxRequestSeconds));
+    BOOST_LEAF_ASSIGN(
+            settings.longestWait,
+            reader.milliseconds("--longest-wait", defaultWaitMilliseconds, maxWaitMilliseconds));
     BOOST_LEAF_ASSIGN(settings.drainLimit,
                       reader.seconds("--drain-limit", defaultDrainSeconds, maxDrainSeconds));
     const std::string token = reader.find("--bootstrap-token").value_or("");
--- a/source/entry/entry.cpp
+++ b/source/entry/entry.cpp
@@ -24,7 +24,8 @@
 Result<void> Entry::start()
 {
     m_router = std::make_shared<Router>(m_executor, m_settings.zone, makeTurnAndTwo(),
-                                        RouterOptions(), m_metrics, m_log);
+                                        RouterOptions().withLongestWait(m_settings.longestWait),
+                                        m_metrics, m_log);
     m_admin = std::make_shared<AdminKeeper>(m_executor);
     m_fleet = std::make_shared<FleetKeeper>(
             m_executor, m_settings, RosterOptions(),
--- a/source/entry/entrysettings.h
+++ b/source/entry/entrysettings.h
@@ -28,6 +28,8 @@
     Digest bootstrapToken;
     /** Longest time for one request of a caller. */
     Duration requestLimit = std::chrono::seconds(120);
+    /** Longest time that a request waits for a backend server that is free. */
+    Duration longestWait = std::chrono::milliseconds(500);
     /** Longest time that a graceful shutdown waits for requests in progress. */
     Duration drainLimit = std::chrono::seconds(600);
 
--- a/source/entry/router.cpp
+++ b/source/entry/router.cpp
@@ -14,13 +14,6 @@
 constexpr std::size_t mailboxCapacity = 8192;
 constexpr auto tickPeriod = std::chrono::milliseconds(50);
 
-/** Where admission is off, nothing is learnt from what backend servers refuse. */
-AttemptVerdict learntFrom(AttemptVerdict verdict, const RouterOptions &options)
-{
-    const bool isIgnored = verdict == AttemptVerdict::Full && !options.hasAdmission;
-    return isIgnored ? AttemptVerdict::Neutral : verdict;
-}
-
 std::string textOf(BindingLimit limit)
 {
     switch (limit) {
@@ -105,8 +98,7 @@
 {
     const double seconds = std::chrono::duration<double>(command.took).count();
     const bool wasEjected = m_index.isEjected(command.instance);
-    m_index.finished(command.instance, learntFrom(command.verdict, m_options), seconds,
-                     monotonicNow());
+    m_index.finished(command.instance, command.verdict, seconds, monotonicNow());
     if (!wasEjected && m_index.isEjected(command.instance)) {
         m_metrics->count("backend_ejections_total", "Backend servers ejected after failures");
         m_log.warning("backend.ejected", {{"agent", command.instance.text()}});
--- a/source/entry/router.h
+++ b/source/entry/router.h
@@ -118,8 +118,6 @@
     Duration longestWait = std::chrono::milliseconds(500);
     QueueOptions queue;
     HealthOptions health;
-    /** Whether requests wait and are refused by limits learnt; without it all are sent at once. */
-    bool hasAdmission = true;
 
     RouterOptions withLongestWait(Duration value) const;
     auto operator<=>(const RouterOptions &) const = default;
