--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -5,6 +5,7 @@
  */
 #include "burstbench.h"
 #include "choicebench.h"
+#include "configbench.h"
 #include "routebench.h"
 
 #include <algorithm>
@@ -29,6 +30,7 @@
     const std::vector<Bench> benches {
             {"burst", greengageseam::runBurstBench},
             {"choice", greengageseam::runChoiceBench},
+            {"config", greengageseam::runConfigBench},
             {"route", greengageseam::runRouteBench},
     };
     const std::vector<std::string> wanted(argv + 1, argv + argc);
--- a/source/core/routing/retrybudget.h
+++ b/source/core/routing/retrybudget.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <algorithm>
+#include <compare>
 
 namespace greengageseam {
 
