--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -17,7 +17,10 @@
 constexpr auto peerChunkLimit = std::chrono::seconds(5);
 constexpr auto orderLimit = std::chrono::seconds(5);
 constexpr auto registerPause = std::chrono::seconds(1);
-constexpr auto lastWords = std::chrono::milliseconds(200);
+/** Time in which every entry hears that the agent drains, and sends it nothing more. */
+constexpr auto drainNotice = std::chrono::seconds(1);
+/** Time in which entries have to read the last of the answers. */
+constexpr auto lastWordsLimit = std::chrono::seconds(5);
 
 } // namespace
 
@@ -25,7 +28,9 @@
     : m_executor(executor), m_settings(std::move(settings)), m_log(std::move(log)),
       m_metrics(std::make_shared<Metrics>()),
       m_logClient(executor, m_settings.logAddress, platformLimit)
-{ }
+{
+    m_settings.startedAt = wallNow();
+}
 
 Result<void> Agent::start()
 {
@@ -41,7 +46,8 @@
     std::vector<ConfigObserver> observers {[this](const ConfigView &view) { onConfig(view); }};
     m_config = std::make_shared<ConfigKeeper>(m_executor, std::move(observers), m_log);
 
-    const GateOptions gateOptions {m_settings.backendAddress, m_settings.service};
+    const GateOptions gateOptions {m_settings.backendAddress, m_settings.service,
+                                   m_settings.startedAt};
     m_gate = std::make_shared<Gate>(
             m_executor, gateOptions, [this](const GateStatus &status) { onGate(status); },
             m_metrics, m_log);
@@ -111,10 +117,10 @@
     m_log.info("agent.draining");
     const auto reply = makeMailbox<Released>(m_executor, 1);
     m_gate->mailbox()->post(DrainGate {reply});
+    asio::steady_timer notice(m_executor, drainNotice);
     co_await reply->receiveWithin(m_settings.drainLimit);
-    asio::steady_timer timer(m_executor, lastWords);
-    co_await timer.async_wait(asTuple);
-    m_listener->stop();
+    co_await notice.async_wait(asTuple);
+    co_await m_listener->finish(lastWordsLimit);
     m_http->stop();
     m_log.info("agent.stopped");
 }
@@ -127,7 +133,7 @@
             link.post(message.stream, FailedMessage {failure, Ran::No});
         }
     } else if (const auto *cancel = std::get_if<CancelMessage>(&message.message)) {
-        m_gate->mailbox()->post(CancelAttempt {cancel->attempt, link, message.stream});
+        m_gate->mailbox()->post(CancelAttempt {*cancel, link, message.stream});
     } else if (const auto *wanted = std::get_if<ChunkWantedMessage>(&message.message)) {
         m_weights->mailbox()->post(ChunkAsked {wanted->digest, link, message.stream});
     }
--- a/source/agent/agentsettings.h
+++ b/source/agent/agentsettings.h
@@ -32,6 +32,8 @@
     /** The plain service behind the agent; empty for an engine. */
     ServiceName service;
     std::string secret;
+    /** Start of the process, which tells it from a predecessor of the same name. */
+    WallTime startedAt;
     /** Time between two heartbeats. */
     Duration heartbeatEvery = std::chrono::seconds(1);
     /** Time between two looks at the engine's state. */
--- a/source/agent/attempt.cpp
+++ b/source/agent/attempt.cpp
@@ -2,7 +2,9 @@
 
 #include "core/common/hashing.h"
 #include "engine/engineclient.h"
+#include "net/clock.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -23,7 +25,8 @@
       m_link(std::move(link)), m_stream(stream), m_events(std::move(events)),
       m_ended(std::move(ended)),
       m_log(log.with({{"request", m_open.request.text()}, {"attempt", m_open.attempt.text()}})),
-      m_call(executor), m_creditArrived(executor), m_credit(m_open.window)
+      m_call(executor), m_creditArrived(executor), m_credit(m_open.window),
+      m_deadline(monotonicNow() + m_open.timeLeft)
 { }
 
 void Attempt::start()
@@ -47,7 +50,7 @@
     }
     m_link.forget(m_stream);
     m_events->close();
-    m_ended();
+    co_await m_ended();
 }
 
 Awaitable<void> Attempt::listenToEntry()
@@ -68,7 +71,7 @@
 {
     const HttpRequest request = backendRequest();
     const Outcome<HttpAnswerHead> head =
-            co_await m_call.start(m_target.backendAddress, request, m_open.timeLeft);
+            co_await m_call.start(m_target.backendAddress, request, timeLeft());
     if (const Failure *failure = failureOf(head)) {
         co_return *failure;
     }
@@ -87,7 +90,7 @@
 {
     EndMessage end;
     while (true) {
-        Outcome<HttpPart> read = co_await m_call.readPart(m_open.timeLeft);
+        Outcome<HttpPart> read = co_await m_call.readPart(timeLeft());
         if (const Failure *failure = failureOf(read)) {
             co_return *failure;
         }
@@ -115,7 +118,7 @@
 Awaitable<bool> Attempt::waitForCredit()
 {
     while (m_credit <= 0 && !m_isCancelled) {
-        m_creditArrived.expires_after(m_open.timeLeft);
+        m_creditArrived.expires_after(timeLeft());
         auto [ec] = co_await m_creditArrived.async_wait(asTuple);
         if (!ec) {
             co_return false;
@@ -124,6 +127,11 @@
     co_return !m_isCancelled;
 }
 
+Duration Attempt::timeLeft() const
+{
+    return std::max<Duration>(m_deadline - monotonicNow(), Duration::zero());
+}
+
 HttpRequest Attempt::backendRequest() const
 {
     HttpRequest request {m_open.method, m_open.path, {}, m_open.body};
--- a/source/agent/attempt.h
+++ b/source/agent/attempt.h
@@ -26,7 +26,7 @@
 };
 
 /** Hook that is told, once, that the attempt has ended. */
-using AttemptEndedHook = std::function<void()>;
+using AttemptEndedHook = std::function<Awaitable<void>()>;
 
 /** The task of one attempt. It owns the connection to the backend server. */
 class Attempt : public std::enable_shared_from_this<Attempt>
@@ -48,6 +48,7 @@
     HttpRequest backendRequest() const;
     std::optional<Failure> refusalOf(const HttpAnswerHead &head) const;
     Ran ranAfter(const Failure &failure) const;
+    Duration timeLeft() const;
 
     asio::any_io_executor m_executor;
     AttemptTarget m_target;
@@ -61,6 +62,7 @@
     /** Wakes the sender when credit comes. */
     asio::steady_timer m_creditArrived;
     std::int64_t m_credit;
+    Instant m_deadline;
     bool m_isCancelled = false;
 };
 
--- a/source/agent/entrylinks.cpp
+++ b/source/agent/entrylinks.cpp
@@ -31,7 +31,7 @@
     m_heartbeat.peerAddress = m_settings.peerAddress;
     m_heartbeat.kind = m_settings.backendKind;
     m_heartbeat.service = m_settings.service;
-    m_heartbeat.startedAt = wallNow();
+    m_heartbeat.startedAt = m_settings.startedAt;
 }
 
 void EntryLinks::start()
@@ -212,6 +212,7 @@
 void EntryLinks::beat()
 {
     ++m_heartbeat.sequence;
+    m_heartbeat.clock = monotonicNow();
     for (const auto &[address, link] : m_links) {
         if (link) {
             link.post(linkStream, HeartbeatMessage {m_heartbeat});
--- a/source/agent/gate.cpp
+++ b/source/agent/gate.cpp
@@ -21,20 +21,24 @@
            std::shared_ptr<Metrics> metrics, Log log)
     : m_executor(executor), m_options(std::move(options)), m_observer(std::move(observer)),
       m_metrics(std::move(metrics)), m_log(std::move(log)),
-      m_mailbox(makeMailbox<GateCommand>(executor, mailboxCapacity)),
-      m_ledger(m_options.rememberFor)
+      m_mailbox(makeMailbox<GateCommand>(executor, mailboxCapacity)), m_ledger(m_options.ledger),
+      m_claimedCalls(LedgerOptions()
+                             .withKeepFor(m_options.rememberKeysFor)
+                             .withCapacity(m_options.maxKeys))
 { }
 
 void Gate::start()
 {
-    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->run(); }, asio::detached);
+    asio::co_spawn(
+            m_executor, [self = shared_from_this()] { return self->runCommands(); },
+            asio::detached);
     startTicker(m_executor, tickPeriod, [mailbox = m_mailbox] {
         mailbox->post(GateTick {});
         return true;
     });
 }
 
-Awaitable<void> Gate::run()
+Awaitable<void> Gate::runCommands()
 {
     while (std::optional<GateCommand> command = co_await m_mailbox->receive()) {
         std::visit([this](const auto &message) { apply(message); }, *command);
@@ -43,44 +47,84 @@
 
 void Gate::apply(const StartAttempt &command)
 {
-    if (const std::optional<Failure> failure = reasonToRefuse(command.open)) {
+    const OpenMessage &open = command.open;
+    if (const std::optional<Failure> failure = reasonToRefuse(open)) {
         refuse(command, *failure, Ran::No);
         return;
     }
-    const StartVerdict verdict = m_ledger.start(command.open.attempt, monotonicNow());
-    if (verdict == StartVerdict::Cancelled) {
+    switch (admit(open, monotonicNow())) {
+    case StartVerdict::Start:
+        run(command);
+        return;
+    case StartVerdict::Cancelled:
         refuse(command, {ErrorKind::DuplicateAttempt, "the attempt was cancelled"}, Ran::No);
         return;
-    }
-    if (verdict == StartVerdict::AlreadySeen) {
-        refuse(command, {ErrorKind::DuplicateAttempt, "the attempt has started before"},
-               Ran::Unknown);
+    case StartVerdict::TooOld:
+        refuse(command, {ErrorKind::NoBackendServer, "the attempt was made too long ago"}, Ran::No);
         return;
+    case StartVerdict::AlreadySeen:
+        break;
+    }
+    refuse(command, {ErrorKind::DuplicateAttempt, "the call has started before"}, Ran::Unknown);
+}
+
+/** A claimed call starts only if neither its attempt nor its key was seen before. */
+StartVerdict Gate::admit(const OpenMessage &open, Instant now)
+{
+    const AttemptId key(open.claimKey);
+    const StartVerdict verdict = m_ledger.start(open.attempt, open.stamp.clock, now);
+    if (verdict != StartVerdict::Start || key.isEmpty()) {
+        return verdict;
     }
-    ++m_runningByManifest[command.open.manifest];
+    const StartVerdict keyVerdict = m_claimedCalls.start(key, open.stamp.clock, now);
+    if (keyVerdict == StartVerdict::Start) {
+        m_claimedCalls.end(key, now);
+    } else {
+        m_ledger.end(open.attempt, now);
+    }
+    return keyVerdict;
+}
+
+void Gate::run(const StartAttempt &command)
+{
+    const OpenMessage &open = command.open;
+    ++m_runningByManifest[open.manifest];
     const auto events = makeMailbox<StreamEvent>(m_executor, streamCapacity);
+    m_events.emplace(open.attempt, events);
     command.link.listen(command.stream, events);
-    auto ended = [mailbox = m_mailbox, attempt = command.open.attempt,
-                  manifest = command.open.manifest] {
-        mailbox->post(AttemptEnded {attempt, manifest});
+    auto ended = [mailbox = m_mailbox, attempt = open.attempt,
+                  manifest = open.manifest]() -> Awaitable<void> {
+        GateCommand command = AttemptEnded {attempt, manifest};
+        co_await mailbox->send(std::move(command));
     };
     const AttemptTarget target {m_options.backendAddress, m_options.service};
-    std::make_shared<Attempt>(m_executor, target, command.open, command.link, command.stream,
-                              events, std::move(ended), m_log)
+    std::make_shared<Attempt>(m_executor, target, open, command.link, command.stream, events,
+                              std::move(ended), m_log)
             ->start();
     publish();
 }
 
 void Gate::apply(const CancelAttempt &command)
 {
-    const AttemptPhase phase = m_ledger.cancel(command.attempt, monotonicNow());
-    const bool neverRan = phase == AttemptPhase::Unseen || phase == AttemptPhase::Tombstone;
-    command.link.post(command.stream, CancelSeenMessage {neverRan ? Ran::No : Ran::Unknown});
+    const CancelMessage &cancel = command.cancel;
+    Ran ran = Ran::Unknown;
+    if (cancel.stamp.startedAt == m_options.startedAt) {
+        const AttemptPhase phase =
+                m_ledger.cancel(cancel.attempt, cancel.stamp.clock, monotonicNow());
+        const bool neverRan = phase == AttemptPhase::Unseen || phase == AttemptPhase::Tombstone;
+        ran = neverRan ? Ran::No : Ran::Unknown;
+    }
+    const auto it = m_events.find(cancel.attempt);
+    if (it != m_events.end()) {
+        it->second->post(StreamEvent(Message(cancel)));
+    }
+    command.link.post(command.stream, CancelSeenMessage {ran});
 }
 
 void Gate::apply(const AttemptEnded &command)
 {
     m_ledger.end(command.attempt, monotonicNow());
+    m_events.erase(command.attempt);
     const auto it = m_runningByManifest.find(command.manifest);
     if (it != m_runningByManifest.end() && --it->second == 0) {
         m_runningByManifest.erase(it);
@@ -124,6 +168,7 @@
 void Gate::apply(const GateTick &)
 {
     m_ledger.expire(monotonicNow());
+    m_claimedCalls.expire(monotonicNow());
 }
 
 std::optional<Failure> Gate::reasonToRefuse(const OpenMessage &open) const
@@ -134,6 +179,12 @@
     if (open.incarnation.value != 0 && open.incarnation != m_incarnation) {
         return Failure {ErrorKind::NoBackendServer, "the attempt is meant for a predecessor"};
     }
+    if (open.stamp.startedAt != m_options.startedAt) {
+        return Failure {ErrorKind::NoBackendServer, "the attempt is meant for another process"};
+    }
+    if (std::optional<Failure> failure = reasonToRefuseClaim(open, monotonicNow())) {
+        return failure;
+    }
     if (open.service != m_options.service) {
         return Failure {ErrorKind::NoBackendServer, "the backend server is not this service"};
     }
@@ -144,6 +195,21 @@
     return std::nullopt;
 }
 
+/** The log may have forgotten a claim whose holder was paused before the hand-off. */
+std::optional<Failure> Gate::reasonToRefuseClaim(const OpenMessage &open, Instant now) const
+{
+    if (open.claimKey.empty()) {
+        return std::nullopt;
+    }
+    if (open.claim.value == 0) {
+        return Failure {ErrorKind::NoBackendServer, "the claim has no offset"};
+    }
+    if (open.stamp.clock > now || now - open.stamp.clock > m_options.claimLimit) {
+        return Failure {ErrorKind::NoBackendServer, "the claim is too old"};
+    }
+    return std::nullopt;
+}
+
 void Gate::refuse(const StartAttempt &command, const Failure &failure, Ran ran)
 {
     m_metrics->count("attempts_refused_total", "Attempts that the agent did not start",
--- a/source/agent/gate.h
+++ b/source/agent/gate.h
@@ -28,7 +28,7 @@
 /** An entry gives up an attempt that may not have started. */
 struct CancelAttempt
 {
-    AttemptId attempt;
+    CancelMessage cancel;
     PeerLinkHandle link;
     StreamId stream = 0;
 };
@@ -102,8 +102,15 @@
     Address backendAddress;
     /** Empty for an engine. */
     ServiceName service;
-    /** How long an ended or cancelled attempt is remembered. */
-    Duration rememberFor = std::chrono::minutes(15);
+    /** Start of the agent's process. */
+    WallTime startedAt;
+    LedgerOptions ledger;
+    /** Greatest age of the stamp that comes with a claimed call. */
+    Duration claimLimit = std::chrono::seconds(30);
+    /** How long the key of a claimed call is remembered; at least the window of claims. */
+    Duration rememberKeysFor = std::chrono::minutes(16);
+    /** How many keys of claimed calls are remembered. */
+    std::size_t maxKeys = 65'536;
 
     auto operator<=>(const GateOptions &) const = default;
 };
@@ -121,7 +128,7 @@
     void start();
 
 private:
-    Awaitable<void> run();
+    Awaitable<void> runCommands();
     void apply(const StartAttempt &command);
     void apply(const CancelAttempt &command);
     void apply(const AttemptEnded &command);
@@ -132,6 +139,9 @@
     void apply(const DrainGate &command);
     void apply(const GateTick &command);
     std::optional<Failure> reasonToRefuse(const OpenMessage &open) const;
+    std::optional<Failure> reasonToRefuseClaim(const OpenMessage &open, Instant now) const;
+    StartVerdict admit(const OpenMessage &open, Instant now);
+    void run(const StartAttempt &command);
     void refuse(const StartAttempt &command, const Failure &failure, Ran ran);
     void answerReleases();
     void publish();
@@ -143,6 +153,10 @@
     Log m_log;
     MailboxPtr<GateCommand> m_mailbox;
     AttemptLedger m_ledger;
+    /** Remembers which claimed calls were started, by their keys. */
+    AttemptLedger m_claimedCalls;
+    /** Where attempts in progress hear of a cancel that comes over another link. */
+    std::map<AttemptId, MailboxPtr<StreamEvent>> m_events;
     std::set<Digest> m_serving;
     /** Versions that take no new work because they are about to be unloaded. */
     std::set<Digest> m_released;
--- a/source/core/membership/roster.h
+++ b/source/core/membership/roster.h
@@ -31,6 +31,8 @@
     std::uint64_t sequence = 0;
     /** Start of the process; a later start goes before any sequence. */
     WallTime startedAt;
+    /** The agent's monotonic clock when it sent this; compared only by the agent itself. */
+    Instant clock;
     bool isDraining = false;
     /** Manifests that the engine reports as serving. */
     std::vector<Digest> serving;
--- a/source/core/once/attemptledger.h
+++ b/source/core/once/attemptledger.h
@@ -6,50 +6,83 @@
 #include "core/common/common.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 
 namespace greengageseam {
 
 /** What the ledger knows of an attempt. */
-enum class AttemptPhase { Unseen, Running, Ended, Tombstone };
+enum class AttemptPhase { Unseen, Running, Ended, Tombstone, Forgotten };
 
 /** The answer to a request to start an attempt. */
-enum class StartVerdict { Start, AlreadySeen, Cancelled };
+enum class StartVerdict { Start, AlreadySeen, Cancelled, TooOld };
 
-/** Remembers attempts for a bounded time; a step changes the ledger in place. */
+/** How much a ledger remembers. */
+struct LedgerOptions
+{
+    /** How long an ended or cancelled attempt is remembered. */
+    Duration keepFor = std::chrono::minutes(15);
+    /** How many ended or cancelled attempts are remembered at most. */
+    std::size_t capacity = 32'768;
+
+    LedgerOptions withKeepFor(Duration value) const;
+    LedgerOptions withCapacity(std::size_t value) const;
+    auto operator<=>(const LedgerOptions &) const = default;
+};
+
+/**
+ * Remembers attempts within bounds; a step changes the ledger in place.
+ *
+ * Each attempt comes with the stamp of the agent's clock that its entry had heard before it made
+ * the attempt. What was forgotten had ended after its own stamp, so an attempt whose stamp is later
+ * than all that was forgotten is known for sure. Of others the ledger promises nothing.
+ */
 class AttemptLedger
 {
 public:
-    /** @param keepFor how long an ended or cancelled attempt is remembered */
-    explicit AttemptLedger(Duration keepFor);
+    explicit AttemptLedger(LedgerOptions options = {});
 
-    /** @returns whether the attempt may start; it then counts as running */
-    StartVerdict start(const AttemptId &attempt, Instant now);
+    /**
+     * @param stamp the agent's clock as the entry knew it before the attempt was made
+     * @returns whether the attempt may start; it then counts as running
+     */
+    StartVerdict start(const AttemptId &attempt, Instant stamp, Instant now);
 
     /** Marks a running attempt as ended. */
     void end(const AttemptId &attempt, Instant now);
 
     /**
      * Cancels an attempt. One that was never seen leaves a tombstone and will never start.
+     * @param stamp the agent's clock as the entry knew it before the attempt was made
      * @returns the phase before the cancel; only Unseen and Tombstone mean that it did not run
      */
-    AttemptPhase cancel(const AttemptId &attempt, Instant now);
+    AttemptPhase cancel(const AttemptId &attempt, Instant stamp, Instant now);
 
     /** @returns how many attempts run */
     std::uint32_t running() const { return m_running; }
 
+    /** @returns how many attempts are remembered, with those that run */
+    std::size_t size() const { return m_phases.size(); }
+
     /** Forgets what is older than the time given. */
     void expire(Instant now);
 
 private:
-    struct Entry
+    struct Past
     {
-        AttemptPhase phase = AttemptPhase::Unseen;
         Instant since;
+        AttemptId attempt;
     };
 
-    Duration m_keepFor;
-    std::map<AttemptId, Entry> m_entries;
+    void remember(const AttemptId &attempt, Instant now);
+    void forgetOldest();
+
+    LedgerOptions m_options;
+    std::map<AttemptId, AttemptPhase> m_phases;
+    /** Invariant: the ended and cancelled attempts of m_phases, oldest first. */
+    std::deque<Past> m_past;
+    /** Invariant: not earlier than the end of any attempt that was forgotten. */
+    Instant m_forgottenUntil = Instant::min();
     /** Invariant: the number of entries in the phase Running. */
     std::uint32_t m_running = 0;
 };
--- /dev/null
+++ b/source/core/once/callerkey.cpp
@@ -0,0 +1,75 @@
+#include "core/once/callerkey.h"
+
+#include "core/common/hashing.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr std::size_t maxKeyLength = 255;
+constexpr std::size_t uuidLength = 36;
+constexpr std::size_t versionAt = 14;
+constexpr std::size_t timeDigits = 12;
+
+bool isUuid(std::string_view text)
+{
+    if (text.size() != uuidLength) {
+        return false;
+    }
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        const bool wantsDash = n == 8 || n == 13 || n == 18 || n == 23;
+        const auto c = static_cast<unsigned char>(text[n]);
+        if (wantsDash ? c != '-' : std::isxdigit(c) == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool isPrintable(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > 32 && c < 127; });
+}
+
+} // namespace
+
+std::optional<WallTime> timeOfKey(std::string_view key)
+{
+    if (!isUuid(key) || key[versionAt] != '7') {
+        return std::nullopt;
+    }
+    std::string digits(key.substr(0, timeDigits + 1));
+    digits.erase(8, 1);
+    const std::int64_t milliseconds = std::stoll(digits, nullptr, 16);
+    return WallTime(std::chrono::milliseconds(milliseconds));
+}
+
+Result<void> checkCallerKey(std::string_view key, const KeyOptions &options, WallTime now)
+{
+    if (key.empty() || key.size() > maxKeyLength || !isPrintable(key)) {
+        return fail(ErrorKind::InvalidRequest,
+                    "the Idempotency-Key has to be 1 to 255 printable characters without spaces");
+    }
+    const std::optional<WallTime> time = timeOfKey(key);
+    if (!time) {
+        return {};
+    }
+    if (*time > now + options.clockSkew) {
+        return fail(ErrorKind::InvalidRequest, "the Idempotency-Key carries a time to come");
+    }
+    if (*time < now - options.window + 2 * options.clockSkew) {
+        return fail(ErrorKind::KeyTooOld, "the Idempotency-Key was made too long ago");
+    }
+    return {};
+}
+
+ClaimKey claimKeyOf(const AccountName &account, const ServiceName &service, std::string_view key)
+{
+    const std::string text = account.text() + "\n" + service.text() + "\n" + std::string(key);
+    return *claimKeyNamed(digestOf(text).text().substr(0, claimKeyDigits));
+}
+
+} // namespace greengageseam
--- a/source/daemon/settings.cpp
+++ b/source/daemon/settings.cpp
@@ -39,6 +39,8 @@
                               when the platform's list has them (agent).
   --backend=<address>         HTTP address of the backend server (agent).
   --service=<name>            The plain service behind the agent; unset for an engine.
+  --drain-notice=<seconds>    Time from the signal to stop to the end of listening, 1 to 600
+                              (entry). Unset: 3.
   --drain-limit=<seconds>     Longest time that a shutdown waits, 1 to 86400. Unset: 600.
   --log-level=<level>         error, warning, info or debug. Unset: info.
   --check-settings            Check the settings, and end.
@@ -54,6 +56,8 @@
 constexpr std::uint32_t maxDrainSeconds = 86400;
 constexpr std::uint32_t defaultRequestSeconds = 120;
 constexpr std::uint32_t defaultDrainSeconds = 600;
+constexpr std::uint32_t maxNoticeSeconds = 600;
+constexpr std::uint32_t defaultNoticeSeconds = 3;
 const std::string variablePrefix = "GREENGAGESEAM_";
 
 /** The command line as docopt gives it. */
@@ -219,6 +223,8 @@
                       reader.seconds("--request-limit", defaultRequestSeconds, maxRequestSeconds));
     BOOST_LEAF_ASSIGN(settings.drainLimit,
                       reader.seconds("--drain-limit", defaultDrainSeconds, maxDrainSeconds));
+    BOOST_LEAF_ASSIGN(settings.drainNotice,
+                      reader.seconds("--drain-notice", defaultNoticeSeconds, maxNoticeSeconds));
     const std::string token = reader.find("--bootstrap-token").value_or("");
     if (!token.empty() && !isDigest(token)) {
         return SettingsReader::refuse("--bootstrap-token", "(hidden)",
--- a/source/entry/callerdesk.cpp
+++ b/source/entry/callerdesk.cpp
@@ -65,9 +65,9 @@
 
 } // namespace
 
-CallerDesk::CallerDesk(const asio::any_io_executor &executor, MailboxPtr<RouterCommand> router,
+CallerDesk::CallerDesk(const asio::any_io_executor &executor, ForwarderChannels channels,
                        Duration limit, std::shared_ptr<Metrics> metrics, Log log)
-    : m_executor(executor), m_router(std::move(router)), m_limit(limit),
+    : m_executor(executor), m_channels(std::move(channels)), m_limit(limit),
       m_metrics(std::move(metrics)), m_log(std::move(log))
 { }
 
@@ -85,11 +85,28 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    Forwarder forwarder(m_executor, exchange, std::get<CallerRequest>(std::move(read)), m_router,
+    Forwarder forwarder(m_executor, exchange, std::get<CallerRequest>(std::move(read)), m_channels,
                         m_limit, m_metrics, m_log);
     co_await forwarder.run();
 }
 
+namespace {
+
+/** @returns the key as the caller meant it: the field's value is text, with or without quotes */
+Result<std::string> readIdempotencyKey(const HttpRequest &request)
+{
+    std::string key = request.header("Idempotency-Key").value_or("-");
+    if (key.size() >= 2 && key.front() == '"' && key.back() == '"') {
+        key = key.substr(1, key.size() - 2);
+    }
+    if (key.empty()) {
+        return fail(ErrorKind::InvalidRequest, "the field 'Idempotency-Key' is empty");
+    }
+    return request.header("Idempotency-Key") ? key : std::string();
+}
+
+} // namespace
+
 Result<CallerRequest> readCallerRequest(const HttpRequest &request, const RequestId &id)
 {
     const std::optional<std::string> token = request.bearerToken();
@@ -103,6 +120,7 @@
     result.question.method = request.method;
     result.contentType = request.header("Content-Type").value_or("application/json");
     result.body = request.body;
+    BOOST_LEAF_ASSIGN(result.idempotencyKey, readIdempotencyKey(request));
     if (isModelPath(request.path())) {
         BOOST_LEAF_CHECK(readModelRequest(request, result));
     } else {
--- a/source/entry/callerdesk.h
+++ b/source/entry/callerdesk.h
@@ -18,8 +18,8 @@
 {
 public:
     /** @param limit longest time for a request */
-    CallerDesk(const asio::any_io_executor &executor, MailboxPtr<RouterCommand> router,
-               Duration limit, std::shared_ptr<Metrics> metrics, Log log);
+    CallerDesk(const asio::any_io_executor &executor, ForwarderChannels channels, Duration limit,
+               std::shared_ptr<Metrics> metrics, Log log);
 
     /** @returns whether the path is one for callers */
     static bool isCallerPath(const std::string &path);
@@ -29,7 +29,7 @@
 
 private:
     asio::any_io_executor m_executor;
-    MailboxPtr<RouterCommand> m_router;
+    ForwarderChannels m_channels;
     Duration m_limit;
     std::shared_ptr<Metrics> m_metrics;
     Log m_log;
--- a/source/entry/entry.cpp
+++ b/source/entry/entry.cpp
@@ -11,6 +11,7 @@
 
 constexpr auto platformLimit = std::chrono::seconds(5);
 constexpr auto listEvery = std::chrono::seconds(1);
+constexpr auto flushLimit = std::chrono::seconds(5);
 constexpr auto drainPoll = std::chrono::milliseconds(20);
 const std::string plainType = "text/plain; charset=utf-8";
 
@@ -33,11 +34,14 @@
             },
             m_log);
     const LogClient logClient(m_executor, m_settings.logAddress, platformLimit);
+    m_claims = std::make_shared<ClaimKeeper>(m_executor, ClaimKeeperOptions(), logClient.appender(),
+                                             logClient.reader(), m_metrics, m_log);
     BOOST_LEAF_CHECK(startPeers());
     BOOST_LEAF_CHECK(startHttp(logClient));
     m_router->start();
     m_admin->start();
     m_fleet->start();
+    m_claims->start();
     startConfiguration(logClient);
     asio::co_spawn(
             m_executor, [self = shared_from_this()] { return self->followList(); }, asio::detached);
@@ -48,8 +52,10 @@
 
 Result<void> Entry::startHttp(const LogClient &logClient)
 {
-    m_callerDesk = std::make_shared<CallerDesk>(m_executor, m_router->mailbox(),
-                                                m_settings.requestLimit, m_metrics, m_log);
+    const ForwarderChannels forwarding {m_router->mailbox(), m_claims->mailbox(),
+                                        makeAttemptQuery(m_executor, identity(), m_log)};
+    m_callerDesk = std::make_shared<CallerDesk>(m_executor, forwarding, m_settings.requestLimit,
+                                                m_metrics, m_log);
     const AdminChannels channels {m_admin->mailbox(), m_fleet->mailbox(), logClient.appender()};
     m_adminDesk = std::make_shared<AdminDesk>(m_executor, m_settings, channels, m_log);
     m_http = std::make_shared<HttpServer>(
@@ -63,10 +69,29 @@
     return {};
 }
 
+PeerIdentity Entry::identity() const
+{
+    return {"entry", m_settings.instance, m_settings.zone, m_settings.secret};
+}
+
 Result<void> Entry::startPeers()
 {
+<<<<<<< HEAD
     const PeerIdentity identity {"entry", m_settings.instance, m_settings.zone, m_settings.secret};
     m_listener = std::make_shared<PeerListener>(m_executor, identity, acceptedLinkHooks(), m_log);
+=======
+    LinkHooks hooks;
+    hooks.receive = [fleet = m_fleet->mailbox()](const PeerLinkHandle &link,
+                                                 StreamMessage message) {
+        if (auto *heartbeat = std::get_if<HeartbeatMessage>(&message.message)) {
+            fleet->post(HeartbeatHeard {std::move(heartbeat->heartbeat), link});
+        }
+    };
+    hooks.ended = [fleet = m_fleet->mailbox()](const PeerLinkHandle &link, const LinkClosed &) {
+        fleet->post(HeartbeatLinkLost {link.peer().instance});
+    };
+    m_listener = std::make_shared<PeerListener>(m_executor, identity(), hooks, m_log);
+>>>>>>> cdc48ec (Claim calls that must not be repeated; bound the ledger and the age of hand-offs)
     BOOST_LEAF_ASSIGN(m_settings.peerAddress, m_listener->listen(m_settings.peerAddress));
     makePeerEntries();
     m_listener->start();
@@ -133,17 +158,29 @@
 {
     m_log.info("entry.draining");
     m_router->mailbox()->post(DrainRouter {});
+    m_http->drain();
+    asio::steady_timer timer(m_executor, m_settings.drainNotice);
+    co_await timer.async_wait(asTuple);
     m_http->stop();
     const Instant deadline = monotonicNow() + m_settings.drainLimit;
-    asio::steady_timer timer(m_executor);
     while (m_http->inProgress() > 0 && monotonicNow() < deadline) {
         timer.expires_after(drainPoll);
         co_await timer.async_wait(asTuple);
     }
+    co_await flushClaims();
     m_listener->stop();
     m_log.info("entry.stopped");
 }
 
+/** The outcomes of the last requests reach the log. */
+Awaitable<void> Entry::flushClaims()
+{
+    const auto reply = makeMailbox<ClaimsFlushed>(m_executor, 1);
+    ClaimCommand command = FlushClaims {reply};
+    co_await m_claims->mailbox()->send(std::move(command));
+    co_await reply->receiveWithin(flushLimit);
+}
+
 Awaitable<void> Entry::handle(HttpExchange &exchange)
 {
     const std::string path = exchange.request().path();
--- a/source/entry/entry.h
+++ b/source/entry/entry.h
@@ -10,6 +10,7 @@
 #include "entry/admindesk.h"
 #include "entry/adminkeeper.h"
 #include "entry/callerdesk.h"
+#include "entry/claimkeeper.h"
 #include "entry/entrysettings.h"
 #include "entry/fleetkeeper.h"
 #include "entry/peerentries.h"
@@ -30,16 +31,24 @@
 
     /** Opens the sockets and starts all tasks. @returns InvalidRequest if an address is taken */
     Result<void> start();
-    /** Takes no new requests, and returns when none is in progress or the limit has passed. */
+    /**
+     * Says that it is not ready, serves callers until the balancer has had time to move, then takes
+     * no new requests, and returns when none is in progress or the limit has passed.
+     */
     Awaitable<void> shutDown();
 
 private:
     Result<void> startHttp(const LogClient &logClient);
     Result<void> startPeers();
+<<<<<<< HEAD
     void makePeerEntries();
     LinkHooks acceptedLinkHooks() const;
     void onEntryMessage(const HelloMessage &peer, const Message &message);
     void onLinkedEntries(const std::vector<LinkedEntry> &entries);
+=======
+    PeerIdentity identity() const;
+    Awaitable<void> flushClaims();
+>>>>>>> cdc48ec (Claim calls that must not be repeated; bound the ledger and the age of hand-offs)
     void startConfiguration(const LogClient &logClient);
     Awaitable<void> handle(HttpExchange &exchange);
     Awaitable<HttpResponse> answerHealth(const std::string &path) const;
@@ -55,6 +64,7 @@
     std::shared_ptr<PeerEntries> m_peers;
     std::shared_ptr<Router> m_router;
     std::shared_ptr<AdminKeeper> m_admin;
+    std::shared_ptr<ClaimKeeper> m_claims;
     std::shared_ptr<CallerDesk> m_callerDesk;
     std::shared_ptr<AdminDesk> m_adminDesk;
     std::shared_ptr<HttpServer> m_http;
--- a/source/entry/entrysettings.h
+++ b/source/entry/entrysettings.h
@@ -28,6 +28,8 @@
     Digest bootstrapToken;
     /** Longest time for one request of a caller. */
     Duration requestLimit = std::chrono::seconds(120);
+    /** Time from the signal to stop, and /readyz's answer 503, to the end of listening. */
+    Duration drainNotice = std::chrono::seconds(3);
     /** Longest time that a graceful shutdown waits for requests in progress. */
     Duration drainLimit = std::chrono::seconds(600);
 
--- a/source/entry/forwarder.cpp
+++ b/source/entry/forwarder.cpp
@@ -12,6 +12,10 @@
 constexpr std::int64_t windowBytes = 128 * 1024;
 constexpr std::int64_t partOverheadBytes = 64;
 constexpr std::size_t maxCollectedBytes = 8U * 1024 * 1024;
+/** Largest answer of a claimed call that is recorded in the log. */
+constexpr std::size_t maxRecordedBytes = 4096;
+/** Greatest age of a claim at its hand-off; far below the window in which it is remembered. */
+constexpr auto claimHandOffLimit = std::chrono::seconds(30);
 
 double secondsOf(Duration duration)
 {
@@ -23,13 +27,18 @@
     return {Failure {kind, std::move(detail)}, ran, false};
 }
 
+AttemptResult goneCaller(Ran ran)
+{
+    return {Failure {ErrorKind::AnswerBroken, "the caller has gone"}, ran, true};
+}
+
 } // namespace
 
 Forwarder::Forwarder(const asio::any_io_executor &executor, HttpExchange &exchange,
-                     CallerRequest request, MailboxPtr<RouterCommand> router, Duration limit,
+                     CallerRequest request, ForwarderChannels channels, Duration limit,
                      std::shared_ptr<Metrics> metrics, Log log)
     : m_executor(executor), m_exchange(exchange), m_request(std::move(request)),
-      m_router(std::move(router)), m_deadline(monotonicNow() + limit),
+      m_channels(std::move(channels)), m_deadline(monotonicNow() + limit),
       m_metrics(std::move(metrics)), m_log(log.with({{"request", m_request.id.text()}})),
       m_startedAt(monotonicNow())
 { }
@@ -44,16 +53,97 @@
     }
     RouteGrant grant = std::get<RouteGrant>(admitted);
     const AccountName account = grant.account;
-    co_await runAttempts(std::move(grant));
-    m_router->post(RequestFinished {account});
+    co_await runGranted(std::move(grant));
+    m_channels.router->post(RequestFinished {account});
     m_metrics->observeSeconds("request_seconds", "Time of a request from its admission to its end",
                               secondsOf(monotonicNow() - m_startedAt));
 }
 
+/** A call that must not be repeated is claimed before its first hand-off, if it has a key. */
+Awaitable<void> Forwarder::runGranted(RouteGrant grant)
+{
+    const bool wantsClaim = !grant.isRepeatable && !m_request.idempotencyKey.empty();
+    if (wantsClaim && !co_await claim(grant)) {
+        m_channels.router->post(AttemptFinished {grant.instance, false});
+        co_return;
+    }
+    AttemptResult result = co_await runAttempts(std::move(grant));
+    settleClaim(result);
+    co_await tellCaller(std::move(result));
+}
+
+/** @returns whether the call may run; if not, the caller has been told */
+Awaitable<bool> Forwarder::claim(RouteGrant grant)
+{
+    ClaimReply reply = co_await askForClaim(grant.account);
+    if (const auto *granted = std::get_if<ClaimGrant>(&reply)) {
+        m_claim = *granted;
+        co_return true;
+    }
+    if (auto *answer = std::get_if<ClaimAnswer>(&reply)) {
+        ClaimAnswer recorded = std::move(*answer);
+        co_await replay(std::move(recorded));
+        co_return false;
+    }
+    const auto &refusal = std::get<ClaimRefusal>(reply);
+    AttemptResult refused {refusal.failure, refusal.ran, false};
+    co_await answerFailure(refused);
+    co_return false;
+}
+
+Awaitable<ClaimReply> Forwarder::askForClaim(AccountName account)
+{
+    const std::string &key = m_request.idempotencyKey;
+    const auto isGood = settle([&]() -> Result<std::monostate> {
+        BOOST_LEAF_CHECK(checkCallerKey(key, KeyOptions(), wallNow()));
+        return std::monostate();
+    });
+    if (const Failure *failure = failureOf(isGood)) {
+        co_return ClaimRefusal {*failure, answerFor(failure->kind).ran};
+    }
+    const auto reply = makeMailbox<ClaimReply>(m_executor, 1);
+    const std::uint64_t fingerprint = checksumOf(
+            m_request.question.method + "\n" + m_request.path + "\n" + m_request.body, 0);
+    const ClaimKey claimKey = claimKeyOf(account, m_request.question.service, key);
+    if (!m_channels.claims->post(ClaimCall {claimKey, fingerprint, m_deadline, reply})) {
+        const Failure failure {ErrorKind::Overloaded, "the entry's queue of claims is full"};
+        co_return ClaimRefusal {failure, Ran::No};
+    }
+    co_return *(co_await reply->receive());
+}
+
+/** Gives the recorded answer of an earlier call with the same key. */
+Awaitable<void> Forwarder::replay(ClaimAnswer answer)
+{
+    m_metrics->count("requests_total", "Requests by their outcome", {{"outcome", "replayed"}});
+    HttpResponse response {answer.status, answer.contentType, {}, std::move(answer.body)};
+    response.headers.push_back({"X-Request-Id", m_request.id.text()});
+    response.headers.push_back({"Idempotency-Replayed", "true"});
+    co_await m_exchange.respond(std::move(response));
+}
+
+/** Records the outcome, so that a caller that repeats the call hears it. */
+void Forwarder::settleClaim(const AttemptResult &result)
+{
+    if (!m_claim) {
+        return;
+    }
+    if (result.ran == Ran::No) {
+        m_channels.claims->post(ClaimReleased {m_claim->key, m_claim->position});
+        return;
+    }
+    m_channels.claims->post(ClaimEnded {m_claim->key, result.ran, std::move(m_answer)});
+}
+
+bool Forwarder::isClaimTooOld() const
+{
+    return m_claim && monotonicNow() - m_claim->claimedAt > claimHandOffLimit;
+}
+
 Awaitable<Outcome<RouteGrant>> Forwarder::admit()
 {
     const auto reply = makeMailbox<Outcome<RouteGrant>>(m_executor, 1);
-    if (!m_router->post(AdmitRequest {m_request.question, reply})) {
+    if (!m_channels.router->post(AdmitRequest {m_request.question, reply})) {
         co_return Failure {ErrorKind::Overloaded, "the entry's queue is full"};
     }
     co_return *(co_await reply->receive());
@@ -63,17 +153,17 @@
 {
     const auto reply = makeMailbox<Outcome<RouteGrant>>(m_executor, 1);
     RouterCommand command = RouteAgain {m_request.question, before, m_tried, reply};
-    co_await m_router->send(std::move(command));
+    co_await m_channels.router->send(std::move(command));
     co_return *(co_await reply->receive());
 }
 
-Awaitable<void> Forwarder::runAttempts(RouteGrant grant)
+Awaitable<AttemptResult> Forwarder::runAttempts(RouteGrant grant)
 {
     AttemptResult result;
     while (true) {
         m_tried.insert(grant.instance);
         result = co_await attempt(grant);
-        m_router->post(AttemptFinished {grant.instance, result.failure.has_value()});
+        m_channels.router->post(AttemptFinished {grant.instance, result.failure.has_value()});
         if (!result.failure || result.callerGone || !mayTryAgain(result, grant)) {
             break;
         }
@@ -84,6 +174,17 @@
         grant = std::get<RouteGrant>(next);
         m_metrics->count("retries_total", "Attempts after the first of a request");
     }
+    if (!result.failure) {
+        m_log.debug("request.done",
+                    {{"agent", grant.instance.text()},
+                     {"manifest", grant.manifest.text()},
+                     {"bytes", m_length}});
+    }
+    co_return result;
+}
+
+Awaitable<void> Forwarder::tellCaller(AttemptResult result)
+{
     if (result.callerGone) {
         m_log.debug("request.caller-gone");
         m_exchange.breakOff();
@@ -91,51 +192,84 @@
         co_await answerFailure(result);
     } else {
         m_metrics->count("requests_total", "Requests by their outcome", {{"outcome", "answered"}});
-        m_log.debug("request.done",
-                    {{"agent", grant.instance.text()},
-                     {"manifest", grant.manifest.text()},
-                     {"bytes", m_length}});
     }
 }
 
 Awaitable<AttemptResult> Forwarder::attempt(RouteGrant grant)
 {
     using namespace asio::experimental::awaitable_operators;
+    resetAnswer();
     const StreamId stream = grant.link.nextStream();
     const auto events = makeMailbox<StreamEvent>(m_executor, streamCapacity);
     const OpenMessage open = openMessage(grant);
+    if (isClaimTooOld()) {
+        co_return failed(ErrorKind::PlatformUnavailable, "the claim took too long", Ran::No);
+    }
     const bool isListening = grant.link.listen(stream, events);
     if (!isListening || !grant.link.post(stream, open)) {
         grant.link.forget(stream);
         co_return failed(ErrorKind::NoBackendServer, "the link to the agent is down", Ran::No);
     }
-    auto first = co_await (readAnswer(events, grant.link, stream) || m_exchange.waitUntilGone());
     AttemptResult result;
-    if (first.index() == 0) {
-        result = std::get<0>(std::move(first));
+    if (m_claim) {
+        // Whoever repeats the call shall hear its outcome, so it goes on without its caller.
+        result = co_await readAnswer(events, grant.link, stream);
     } else {
-        result = {Failure {ErrorKind::AnswerBroken, "the caller has gone"}, Ran::Unknown, true};
+        auto first =
+                co_await (readAnswer(events, grant.link, stream) || m_exchange.waitUntilGone());
+        result = first.index() == 0 ? std::get<0>(std::move(first)) : goneCaller(Ran::Unknown);
+    }
+    if (result.failure && !result.callerGone && result.ran == Ran::Unknown && m_length == 0) {
+        result = co_await settleUnknown(grant, open.attempt, std::move(result));
     }
     if (result.failure) {
-        grant.link.post(stream, CancelMessage {open.attempt});
+        grant.link.post(stream, CancelMessage {open.attempt, grant.stamp});
         m_log.debug("attempt.failed",
                     {{"attempt", open.attempt.text()},
                      {"agent", grant.instance.text()},
+                     {"ran", textOf(result.ran)},
                      {"reason", result.failure->detail}});
     }
     grant.link.forget(stream);
     co_return result;
 }
 
+/** Asks the agent, unless the agent itself said that it does not know. */
+Awaitable<AttemptResult> Forwarder::settleUnknown(RouteGrant grant, AttemptId attempt,
+                                                  AttemptResult result)
+{
+    if (!m_isAnswerLost) {
+        co_return result;
+    }
+    const Ran ran = co_await m_channels.askIfRan(std::move(grant), std::move(attempt));
+    if (ran == Ran::No) {
+        result.ran = Ran::No;
+        result.failure->kind = ErrorKind::NoBackendServer;
+    }
+    co_return result;
+}
+
+/** Forgets what came of an attempt before. */
+void Forwarder::resetAnswer()
+{
+    m_collected.clear();
+    m_head = HeadMessage();
+    m_length = 0;
+    m_checksum = 0;
+    m_isAnswerLost = false;
+}
+
 Awaitable<AttemptResult> Forwarder::readAnswer(MailboxPtr<StreamEvent> events, PeerLinkHandle link,
                                                StreamId stream)
 {
     while (true) {
         std::optional<StreamEvent> event = co_await events->receiveWithin(timeLeft());
         if (!event) {
+            m_isAnswerLost = true;
             co_return failed(ErrorKind::DeadlineExceeded, "the answer took too long", Ran::Unknown);
         }
         if (const auto *closed = std::get_if<LinkClosed>(&*event)) {
+            m_isAnswerLost = true;
             co_return failed(ErrorKind::AnswerBroken, closed->reason, Ran::Unknown);
         }
         auto &message = std::get<Message>(*event);
@@ -147,8 +281,7 @@
         } else if (auto *data = std::get_if<DataMessage>(&message)) {
             const auto n = static_cast<std::int64_t>(data->bytes.size());
             if (!co_await pass(std::move(*data))) {
-                co_return AttemptResult {Failure {ErrorKind::AnswerBroken, "the caller has gone"},
-                                         Ran::Unknown, true};
+                co_return goneCaller(Ran::Unknown);
             }
             link.post(stream, CreditMessage {n + partOverheadBytes});
         } else if (const auto *end = std::get_if<EndMessage>(&message)) {
@@ -192,6 +325,7 @@
                          Ran::Unknown);
     }
     bool isTaken = false;
+    recordAnswer();
     if (m_exchange.hasBegun()) {
         isTaken = co_await m_exchange.endStream();
     } else {
@@ -200,12 +334,21 @@
         isTaken = co_await m_exchange.respond(std::move(response));
     }
     if (!isTaken) {
-        co_return AttemptResult {Failure {ErrorKind::AnswerBroken, "the caller has gone"}, Ran::Yes,
-                                 true};
+        co_return goneCaller(Ran::Yes);
     }
     co_return AttemptResult {std::nullopt, Ran::Yes, false};
 }
 
+/** Keeps a short answer of a claimed call for those who repeat it. */
+void Forwarder::recordAnswer()
+{
+    const bool isKept = m_claim && !m_exchange.hasBegun() && m_collected.size() <= maxRecordedBytes
+            && isRecordText(m_collected);
+    if (isKept) {
+        m_answer = ClaimAnswer {m_head.status, m_head.contentType, m_collected};
+    }
+}
+
 OpenMessage Forwarder::openMessage(const RouteGrant &grant) const
 {
     OpenMessage open;
@@ -222,6 +365,11 @@
     open.priority = static_cast<std::int32_t>(grant.priority);
     open.window = windowBytes;
     open.incarnation = grant.incarnation;
+    open.stamp = grant.stamp;
+    if (m_claim) {
+        open.claim = m_claim->position.offset;
+        open.claimKey = textOf(m_claim->key);
+    }
     return open;
 }
 
@@ -233,7 +381,7 @@
 
 bool Forwarder::mayTryAgain(const AttemptResult &result, const RouteGrant &grant) const
 {
-    if (m_exchange.hasBegun() || m_length > 0 || m_tried.size() >= maxAttempts) {
+    if (m_exchange.hasBegun() || m_tried.size() >= maxAttempts) {
         return false;
     }
     if (timeLeft() == Duration::zero()) {
--- a/source/entry/forwarder.h
+++ b/source/entry/forwarder.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include "entry/attemptquery.h"
+#include "entry/claimkeeper.h"
 #include "entry/router.h"
 #include "net/httpserver.h"
 #include "net/log.h"
@@ -23,6 +25,8 @@
     std::string body;
     /** Path as the backend server gets it. */
     std::string path;
+    /** The caller's `Idempotency-Key`; empty without one. */
+    std::string idempotencyKey;
     /** Whether the caller wants the answer as it is made. */
     bool isStreamed = false;
 
@@ -41,13 +45,21 @@
     auto operator<=>(const AttemptResult &) const = default;
 };
 
+/** What a forwarder speaks to. */
+struct ForwarderChannels
+{
+    MailboxPtr<RouterCommand> router;
+    MailboxPtr<ClaimCommand> claims;
+    AskIfRan askIfRan;
+};
+
 /** The task of one request. It owns the way back to the caller while it runs. */
 class Forwarder
 {
 public:
     /** @param limit longest time for the request */
     Forwarder(const asio::any_io_executor &executor, HttpExchange &exchange, CallerRequest request,
-              MailboxPtr<RouterCommand> router, Duration limit, std::shared_ptr<Metrics> metrics,
+              ForwarderChannels channels, Duration limit, std::shared_ptr<Metrics> metrics,
               Log log);
 
     /** Runs the request to its end. */
@@ -56,12 +68,23 @@
 private:
     Awaitable<Outcome<RouteGrant>> admit();
     Awaitable<Outcome<RouteGrant>> routeAgain(const RouteGrant &before);
-    Awaitable<void> runAttempts(RouteGrant grant);
+    Awaitable<void> runGranted(RouteGrant grant);
+    Awaitable<bool> claim(RouteGrant grant);
+    Awaitable<ClaimReply> askForClaim(AccountName account);
+    Awaitable<void> replay(ClaimAnswer answer);
+    Awaitable<AttemptResult> runAttempts(RouteGrant grant);
+    Awaitable<void> tellCaller(AttemptResult result);
+    void settleClaim(const AttemptResult &result);
+    bool isClaimTooOld() const;
+    Awaitable<AttemptResult> settleUnknown(RouteGrant grant, AttemptId attempt,
+                                           AttemptResult result);
+    void resetAnswer();
     Awaitable<AttemptResult> attempt(RouteGrant grant);
     Awaitable<AttemptResult> readAnswer(MailboxPtr<StreamEvent> events, PeerLinkHandle link,
                                         StreamId stream);
     Awaitable<bool> pass(DataMessage data);
     Awaitable<AttemptResult> finish(EndMessage end);
+    void recordAnswer();
     OpenMessage openMessage(const RouteGrant &grant) const;
     Duration timeLeft() const;
     bool mayTryAgain(const AttemptResult &result, const RouteGrant &grant) const;
@@ -70,17 +93,23 @@
     asio::any_io_executor m_executor;
     HttpExchange &m_exchange;
     CallerRequest m_request;
-    MailboxPtr<RouterCommand> m_router;
+    ForwarderChannels m_channels;
     Instant m_deadline;
     std::shared_ptr<Metrics> m_metrics;
     Log m_log;
     Instant m_startedAt;
     std::set<InstanceId> m_tried;
+    /** The claim under which the call runs, if it was claimed. */
+    std::optional<ClaimGrant> m_claim;
+    /** The answer as it is recorded for a caller that repeats the call. */
+    std::optional<ClaimAnswer> m_answer;
     /** The answer so far, unless it is streamed. */
     std::string m_collected;
     HeadMessage m_head;
     std::int64_t m_length = 0;
     std::uint64_t m_checksum = 0;
+    /** Whether the attempt ended without a word of the agent. */
+    bool m_isAnswerLost = false;
 };
 
 } // namespace greengageseam
--- a/source/entry/router.cpp
+++ b/source/entry/router.cpp
@@ -90,9 +90,6 @@
     if (m_config == nullptr) {
         return Failure {ErrorKind::NotReady, "no configuration is in force here yet"};
     }
-    if (m_isDraining) {
-        return Failure {ErrorKind::Draining, "the entry is shutting down"};
-    }
     const Account *account = m_config->table.accountWithKey(question.key);
     if (account == nullptr) {
         return Failure {ErrorKind::Unauthenticated, "the bearer key belongs to no account"};
@@ -188,6 +185,8 @@
     grant.instance = agent.last.instance;
     grant.link = agent.link;
     grant.incarnation = agent.last.incarnation;
+    grant.stamp = {agent.last.startedAt, agent.last.clock};
+    grant.peerAddress = agent.last.peerAddress;
     ++m_inFlight[agent.last.instance];
     return grant;
 }
--- a/source/entry/router.h
+++ b/source/entry/router.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/config/config.h"
+#include "core/once/agentstamp.h"
 #include "core/routing/routing.h"
 #include "entry/fleetkeeper.h"
 #include "net/log.h"
@@ -43,6 +44,9 @@
     /** Version that has to serve the request; empty for a plain service. */
     Digest manifest;
     Offset incarnation;
+    /** The agent's clock as last heard; goes with each attempt and claim. */
+    AgentStamp stamp;
+    Address peerAddress;
     /** Whether the call may be sent again after it may have run. */
     bool isRepeatable = true;
 };
@@ -83,7 +87,7 @@
     MailboxPtr<bool> reply;
 };
 
-/** The entry takes no more requests. */
+/** The entry is about to stop: it is not ready, but serves who still comes. */
 struct DrainRouter
 { };
 
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -88,8 +88,8 @@
 }
 
 HttpExchange::HttpExchange(beast::tcp_stream &stream, HttpRequest request, bool keepAlive,
-                           Duration writeLimit)
-    : m_stream(stream), m_request(std::move(request)), m_keepAlive(keepAlive),
+                           const bool &isLast, Duration writeLimit)
+    : m_stream(stream), m_request(std::move(request)), m_keepAlive(keepAlive), m_isLast(isLast),
       m_writeLimit(writeLimit)
 { }
 
@@ -166,7 +166,7 @@
     }
     text += length ? "Content-Length: " + std::to_string(*length) + "\r\n"
                    : std::string("Transfer-Encoding: chunked\r\n");
-    if (!m_keepAlive) {
+    if (!m_keepAlive || m_isLast) {
         text += "Connection: close\r\n";
     }
     return text + "\r\n";
@@ -192,6 +192,7 @@
 
 void HttpServer::stop()
 {
+    m_isDraining = true;
     m_isStopping = true;
     beast::error_code ec;
     m_acceptor.close(ec);
@@ -240,7 +241,9 @@
             auto [ec, n] = co_await stream->async_read_some(buf.prepare(m_options.maxHeaderBytes),
                                                             asTuple);
             m_idle.erase(stream);
-            if (ec) {
+            beast::error_code ignored;
+            const bool hasMore = m_isStopping && stream->socket().available(ignored) > 0;
+            if (ec && !hasMore) {
                 break;
             }
             buf.commit(n);
@@ -262,13 +265,13 @@
     stream.expires_never();
     if (ec) {
         if (needsAnswer(ec, buf.size() > 0 || parser.got_some())) {
-            HttpExchange exchange(stream, HttpRequest(), false, m_options.writeLimit);
+            HttpExchange exchange(stream, HttpRequest(), false, m_isDraining, m_options.writeLimit);
             co_await exchange.respond(problemResponse(failureFor(ec)));
         }
         co_return false;
     }
-    const bool keepAlive = parser.get().keep_alive() && !m_isStopping;
-    HttpExchange exchange(stream, toRequest(parser), keepAlive, m_options.writeLimit);
+    const bool keepAlive = parser.get().keep_alive();
+    HttpExchange exchange(stream, toRequest(parser), keepAlive, m_isDraining, m_options.writeLimit);
     ++m_inProgress;
     try {
         co_await m_handler(exchange);
@@ -277,7 +280,7 @@
         exchange.breakOff();
     }
     --m_inProgress;
-    co_return exchange.canContinue() && !m_isStopping;
+    co_return exchange.canContinue();
 }
 
 } // namespace greengageseam
--- a/source/net/httpserver.h
+++ b/source/net/httpserver.h
@@ -44,8 +44,9 @@
 class HttpExchange
 {
 public:
+    /** @param isLast whether the server wants no further request on the connection, by now */
     HttpExchange(boost::beast::tcp_stream &stream, HttpRequest request, bool keepAlive,
-                 Duration writeLimit);
+                 const bool &isLast, Duration writeLimit);
 
     /** @returns the request, read whole */
     const HttpRequest &request() const { return m_request; }
@@ -67,7 +68,7 @@
     Awaitable<void> waitUntilGone();
 
     /** @returns whether the connection can take another request */
-    bool canContinue() const { return m_keepAlive && m_isDone; }
+    bool canContinue() const { return m_keepAlive && m_isDone && !m_isLast; }
     /** @returns whether anything of a response was sent */
     bool hasBegun() const { return m_hasBegun; }
 
@@ -78,6 +79,7 @@
     boost::beast::tcp_stream &m_stream;
     HttpRequest m_request;
     bool m_keepAlive;
+    const bool &m_isLast;
     Duration m_writeLimit;
     bool m_hasBegun = false;
     /** Invariant: true only after a whole response was written. */
@@ -98,6 +100,8 @@
     Result<Address> listen(const Address &address);
     /** Starts to accept connections. */
     void start();
+    /** Goes on serving, but ends each connection after its next response. */
+    void drain() { m_isDraining = true; }
     /** Takes no new connections, ends idle ones, and lets requests in progress finish. */
     void stop();
     /** @returns how many requests are in progress */
@@ -116,6 +120,8 @@
     std::set<std::shared_ptr<boost::beast::tcp_stream>> m_idle;
     std::size_t m_connections = 0;
     std::size_t m_inProgress = 0;
+    /** Invariant: true once m_isStopping is. */
+    bool m_isDraining = false;
     bool m_isStopping = false;
 };
 
--- a/source/net/peerlink.cpp
+++ b/source/net/peerlink.cpp
@@ -4,6 +4,7 @@
 #include "net/clock.h"
 #include "protocol/framecodec.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
@@ -217,6 +218,10 @@
             m_streams.erase(forget->stream);
         } else if (const auto *close = std::get_if<CloseLink>(&command)) {
             end(close->reason);
+        } else if (const auto *finish = std::get_if<FinishLink>(&command)) {
+            m_finishReply = finish->reply;
+            beast::error_code ec;
+            m_stream->socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
         }
     }
 
@@ -236,6 +241,9 @@
             mailbox->close();
         }
         m_streams.clear();
+        if (m_finishReply) {
+            m_finishReply->post(LinkFinished {});
+        }
         m_hooks.ended(m_handle, closed);
     }
 
@@ -254,6 +262,8 @@
             if (const auto *listen = std::get_if<ListenOnLink>(&*command)) {
                 listen->mailbox->post(StreamEvent(closed));
                 listen->mailbox->close();
+            } else if (const auto *finish = std::get_if<FinishLink>(&*command)) {
+                finish->reply->post(LinkFinished {});
             }
         }
     }
@@ -264,6 +274,8 @@
     LinkHooks m_hooks;
     Log m_log;
     std::map<StreamId, MailboxPtr<StreamEvent>> m_streams;
+    /** Set while the link waits for its peer to have read everything. */
+    MailboxPtr<LinkFinished> m_finishReply;
     bool m_isEnded = false;
 };
 
@@ -285,6 +297,7 @@
     stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
 }
 
+<<<<<<< HEAD
 /** The greeting of an accepted connection, and its link. */
 Awaitable<void> welcome(TcpStream stream, PeerIdentity identity, LinkHooks hooks, Log log)
 {
@@ -298,6 +311,8 @@
     startLink(std::move(stream), std::get<HelloMessage>(peer), hooks, log, LinkEnd::Acceptor);
 }
 
+=======
+>>>>>>> cdc48ec (Claim calls that must not be repeated; bound the ledger and the age of hand-offs)
 } // namespace
 
 PeerLinkHandle::PeerLinkHandle(HelloMessage peer, MailboxPtr<LinkCommand> commands,
@@ -337,6 +352,11 @@
     m_commands->post(CloseLink {std::move(reason)});
 }
 
+bool PeerLinkHandle::finish(const MailboxPtr<LinkFinished> &reply) const
+{
+    return m_commands->post(FinishLink {reply});
+}
+
 Awaitable<Outcome<PeerLinkHandle>> dialPeer(const asio::any_io_executor &executor,
                                             const Address &address, const PeerIdentity &identity,
                                             LinkHooks hooks, Duration limit, Log log)
@@ -387,6 +407,51 @@
     m_acceptor.close(ec);
 }
 
+Awaitable<void> PeerListener::finish(Duration limit)
+{
+    stop();
+    const Instant deadline = monotonicNow() + limit;
+    std::vector<MailboxPtr<LinkFinished>> replies;
+    for (const auto &[number, link] : m_links) {
+        const auto reply = makeMailbox<LinkFinished>(m_executor, 1);
+        if (link.finish(reply)) {
+            replies.push_back(reply);
+        }
+    }
+    for (const auto &reply : replies) {
+        const Duration left = std::max<Duration>(deadline - monotonicNow(), Duration::zero());
+        co_await reply->receiveWithin(left);
+    }
+}
+
+/** The greeting of an accepted connection, and its link. */
+Awaitable<void> PeerListener::welcome(TcpStream stream)
+{
+    setNoDelay(*stream);
+    const Outcome<HelloMessage> peer =
+            co_await greet(stream, m_identity, LinkEnd::Acceptor, greetingLimit);
+    if (const Failure *failure = failureOf(peer)) {
+        m_log.warning("link.refused", {{"reason", failure->detail}});
+        co_return;
+    }
+    const LinkHooks hooks = hooksOfNextLink();
+    m_links[m_lastLink] = startLink(std::move(stream), std::get<HelloMessage>(peer), hooks, m_log);
+}
+
+/** The hooks of the owner, and one that forgets the link when it has ended. */
+LinkHooks PeerListener::hooksOfNextLink()
+{
+    LinkHooks hooks = m_hooks;
+    hooks.ended = [self = weak_from_this(), ended = m_hooks.ended,
+                   number = ++m_lastLink](const PeerLinkHandle &link, const LinkClosed &closed) {
+        if (const auto listener = self.lock()) {
+            listener->m_links.erase(number);
+        }
+        ended(link, closed);
+    };
+    return hooks;
+}
+
 Awaitable<void> PeerListener::acceptLoop()
 {
     asio::steady_timer pause(m_executor);
@@ -398,8 +463,9 @@
             continue;
         }
         auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
-        asio::co_spawn(m_executor, welcome(std::move(stream), m_identity, m_hooks, m_log),
-                       asio::detached);
+        asio::co_spawn(
+                m_executor, [self = shared_from_this(), stream] { return self->welcome(stream); },
+                asio::detached);
     }
 }
 
--- a/source/net/peerlink.h
+++ b/source/net/peerlink.h
@@ -66,8 +66,18 @@
     std::string reason;
 };
 
+/** Says that a link has ended after its peer had read all that was sent. */
+struct LinkFinished
+{ };
+
+/** Sends what waits, then nothing more, and ends the link when the peer has read all. */
+struct FinishLink
+{
+    MailboxPtr<LinkFinished> reply;
+};
+
 /** Messages to the task of a link. */
-using LinkCommand = std::variant<SendOnLink, ListenOnLink, ForgetStream, CloseLink>;
+using LinkCommand = std::variant<SendOnLink, ListenOnLink, ForgetStream, CloseLink, FinishLink>;
 
 /** Address of a link's task. Copies speak to the same link. */
 class PeerLinkHandle
@@ -92,6 +102,8 @@
     void forget(StreamId stream) const;
     /** Ends the link. */
     void close(std::string reason) const;
+    /** Ends the link once the peer has everything. @returns false if it had ended before */
+    bool finish(const MailboxPtr<LinkFinished> &reply) const;
     /** @returns whether there is a link behind this handle */
     explicit operator bool() const { return m_commands != nullptr; }
 
@@ -140,15 +152,25 @@
     void start();
     /** Accepts no more links; those there are go on. */
     void stop();
+    /**
+     * Accepts no more links, and ends those there are when their peers have read everything.
+     * @param limit longest time to wait for the peers
+     */
+    Awaitable<void> finish(Duration limit);
 
 private:
     Awaitable<void> acceptLoop();
+    Awaitable<void> welcome(std::shared_ptr<boost::beast::tcp_stream> stream);
+    LinkHooks hooksOfNextLink();
 
     asio::any_io_executor m_executor;
     PeerIdentity m_identity;
     LinkHooks m_hooks;
     Log m_log;
     asio::ip::tcp::acceptor m_acceptor;
+    /** The links that are up, by a number of their own. */
+    std::map<std::uint64_t, PeerLinkHandle> m_links;
+    std::uint64_t m_lastLink = 0;
 };
 
 } // namespace greengageseam
--- a/source/protocol/framecodec.cpp
+++ b/source/protocol/framecodec.cpp
@@ -101,6 +101,7 @@
     body.tableDigest = packDigest(heartbeat.tableDigest);
     body.originBytes = static_cast<std::int64_t>(heartbeat.originBytes);
     body.trouble = heartbeat.trouble;
+    body.clock = heartbeat.clock.time_since_epoch().count();
     return body;
 }
 
@@ -125,9 +126,23 @@
     heartbeat.tableDigest = unpackDigest(body.tableDigest);
     heartbeat.originBytes = static_cast<std::uint64_t>(body.originBytes);
     heartbeat.trouble = body.trouble;
+    heartbeat.clock = Instant(Duration(body.clock));
     return heartbeat;
 }
 
+wire::Stamp toWire(const AgentStamp &stamp)
+{
+    wire::Stamp wireStamp;
+    wireStamp.startedAt = stamp.startedAt.time_since_epoch().count();
+    wireStamp.clock = stamp.clock.time_since_epoch().count();
+    return wireStamp;
+}
+
+AgentStamp fromWire(const wire::Stamp &stamp)
+{
+    return {WallTime(Duration(stamp.startedAt)), Instant(Duration(stamp.clock))};
+}
+
 Ran ranNamed(const std::string &name)
 {
     if (name == textOf(Ran::No)) {
@@ -177,6 +192,8 @@
         open.window = message.window;
         open.claimOffset = toWire(message.claim);
         open.incarnation = toWire(message.incarnation);
+        open.__set_stamp(toWire(message.stamp));
+        open.claimKey = message.claimKey;
         m_body.__set_open(open);
     }
 
@@ -223,6 +240,7 @@
     {
         wire::Cancel cancel;
         cancel.attempt = message.attempt.text();
+        cancel.__set_stamp(toWire(message.stamp));
         m_body.__set_cancel(cancel);
     }
 
@@ -296,6 +314,8 @@
     message.window = open.window;
     message.claim = toOffset(open.claimOffset);
     message.incarnation = toOffset(open.incarnation);
+    message.stamp = fromWire(open.stamp);
+    message.claimKey = open.claimKey;
     return message;
 }
 
@@ -342,7 +362,7 @@
         return CreditMessage {body.credit.bytes};
     }
     if (isset.cancel) {
-        return CancelMessage {AttemptId(body.cancel.attempt)};
+        return CancelMessage {AttemptId(body.cancel.attempt), fromWire(body.cancel.stamp)};
     }
     if (isset.cancelSeen) {
         return CancelSeenMessage {ranNamed(body.cancelSeen.ran)};
--- a/source/protocol/messages.h
+++ b/source/protocol/messages.h
@@ -5,6 +5,7 @@
 
 #include "core/common/common.h"
 #include "core/membership/roster.h"
+#include "core/once/agentstamp.h"
 
 #include <cstdint>
 #include <string>
@@ -63,6 +64,10 @@
     Offset claim;
     /** Incarnation of the agent that the attempt is meant for; 0 means any. */
     Offset incarnation;
+    /** The agent's clock as the entry knew it before it made the attempt, or its claim. */
+    AgentStamp stamp;
+    /** Key of the claim as text; empty without one. */
+    std::string claimKey;
 
     auto operator<=>(const OpenMessage &) const = default;
 };
@@ -115,6 +120,8 @@
 struct CancelMessage
 {
     AttemptId attempt;
+    /** The stamp that the attempt carried. */
+    AgentStamp stamp;
 
     auto operator<=>(const CancelMessage &) const = default;
 };
--- a/source/protocol/protocol.h
+++ b/source/protocol/protocol.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "protocol/claimcodec.h"
 #include "protocol/configcodec.h"
 #include "protocol/framecodec.h"
 #include "protocol/jsontext.h"
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -18,6 +18,12 @@
   1: string mac;
 }
 
+/** Start of an agent's process and its monotonic clock, both in microseconds. */
+struct Stamp {
+  1: i64 startedAt;
+  2: i64 clock;
+}
+
 /** Opens a stream: one attempt to run a request. */
 struct Open {
   1: string attempt;
@@ -37,6 +43,10 @@
   13: i64 claimOffset;
   /** Incarnation of the agent that the attempt is meant for; 0 means any. */
   14: i64 incarnation;
+  /** The agent's clock as the entry last heard it, in microseconds. */
+  40: Stamp stamp;
+  /** Key of the claim, as hexadecimal digits; empty without one. */
+  41: string claimKey;
 }
 
 /** The backend server's answer begins. */
@@ -68,6 +78,7 @@
 
 struct Cancel {
   1: string attempt;
+  40: Stamp stamp;
 }
 
 /** Whether the attempt ran, as the agent's ledger says. */
@@ -94,6 +105,8 @@
   16: binary tableDigest;
   17: i64 originBytes;
   18: string trouble;
+  /** The agent's monotonic clock in microseconds. */
+  40: i64 clock;
 }
 
 /** Answer to a heartbeat: what the agent needs of its zone. */
--- /dev/null
+++ b/tests/differential/tst_onceledger.cpp
@@ -0,0 +1,102 @@
+/**
+ * Differential test of the ledger of attempts against a naive twin that forgets nothing.
+ * labels: differential promise-3
+ */
+#include "core/once/once.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+
+namespace greengageseam {
+namespace {
+
+constexpr int keepFor = 100;
+constexpr std::size_t capacity = 6;
+
+Instant at(std::int64_t microseconds)
+{
+    return Instant(Duration(microseconds));
+}
+
+/** One step of a random history. */
+struct Step
+{
+    int kind = 0;
+    int attempt = 0;
+    int pause = 0;
+};
+
+rc::Gen<Step> steps()
+{
+    return rc::gen::build<Step>(
+            rc::gen::set(&Step::kind, rc::gen::inRange(0, 3)),
+            rc::gen::set(&Step::attempt, rc::gen::inRange(0, 24)),
+            rc::gen::set(&Step::pause, rc::gen::weightedElement<int>({{6, 3}, {2, 30}, {1, 120}})));
+}
+
+/** What truly happened to an attempt, for ever. */
+struct Truth
+{
+    bool hasRun = false;
+    bool wasPromisedNotToRun = false;
+    std::int64_t stamp = 0;
+};
+
+/** Feeds a ledger and a memory without bounds. */
+class LedgerFixture
+{
+protected:
+    static void compare(const std::vector<Step> &history)
+    {
+        AttemptLedger ledger(LedgerOptions().withKeepFor(Duration(keepFor)).withCapacity(capacity));
+        std::map<int, Truth> truths;
+        std::size_t running = 0;
+        std::set<int> runs;
+        std::int64_t now = 1;
+        for (const Step &step : history) {
+            now += step.pause;
+            // The stamp is what the clock showed when the attempt was first thought of.
+            const auto [it, isNew] = truths.try_emplace(step.attempt, Truth {false, false, now});
+            Truth &truth = it->second;
+            const AttemptId attempt(std::to_string(step.attempt));
+            if (step.kind == 0) {
+                const StartVerdict verdict = ledger.start(attempt, at(truth.stamp), at(now));
+                if (verdict == StartVerdict::Start) {
+                    RC_ASSERT(!truth.hasRun && !truth.wasPromisedNotToRun);
+                    truth.hasRun = true;
+                    runs.insert(step.attempt);
+                    ++running;
+                } else {
+                    RC_ASSERT(!isNew);
+                }
+            } else if (step.kind == 1) {
+                running -= runs.erase(step.attempt);
+                ledger.end(attempt, at(now));
+            } else {
+                const AttemptPhase phase = ledger.cancel(attempt, at(truth.stamp), at(now));
+                if (phase == AttemptPhase::Unseen || phase == AttemptPhase::Tombstone) {
+                    RC_ASSERT(!truth.hasRun);
+                    truth.wasPromisedNotToRun = true;
+                } else {
+                    RC_ASSERT(!isNew);
+                }
+            }
+            RC_ASSERT(ledger.running() == running);
+            RC_ASSERT(ledger.size() <= running + capacity);
+        }
+    }
+};
+
+TEST_CASE_METHOD(LedgerFixture, "attemptLedger_randomHistory_neverBreaksAPromise")
+{
+    const bool holds = rc::check([] {
+        const auto length = *rc::gen::inRange(1, 80);
+        compare(*rc::gen::container<std::vector<Step>>(length, steps()));
+    });
+    REQUIRE(holds);
+}
+
+} // namespace
+} // namespace greengageseam
--- a/tests/unit/tst_framecodec.cpp
+++ b/tests/unit/tst_framecodec.cpp
@@ -30,6 +30,8 @@
     open.body = std::string("\0\x01\xff", 3);
     open.timeLeft = std::chrono::seconds(3);
     open.claim = Offset {7};
+    open.stamp = {WallTime(Duration(5)), Instant(Duration(9))};
+    open.claimKey = "k1";
     const StreamMessage message {5, open};
     REQUIRE(std::get<StreamMessage>(roundTrip(message)) == message);
 }
