--- a/source/entry/entry.cpp
+++ b/source/entry/entry.cpp
@@ -76,22 +76,7 @@
 
 Result<void> Entry::startPeers()
 {
-<<<<<<< HEAD
-    const PeerIdentity identity {"entry", m_settings.instance, m_settings.zone, m_settings.secret};
-    m_listener = std::make_shared<PeerListener>(m_executor, identity, acceptedLinkHooks(), m_log);
-=======
-    LinkHooks hooks;
-    hooks.receive = [fleet = m_fleet->mailbox()](const PeerLinkHandle &link,
-                                                 StreamMessage message) {
-        if (auto *heartbeat = std::get_if<HeartbeatMessage>(&message.message)) {
-            fleet->post(HeartbeatHeard {std::move(heartbeat->heartbeat), link});
-        }
-    };
-    hooks.ended = [fleet = m_fleet->mailbox()](const PeerLinkHandle &link, const LinkClosed &) {
-        fleet->post(HeartbeatLinkLost {link.peer().instance});
-    };
-    m_listener = std::make_shared<PeerListener>(m_executor, identity(), hooks, m_log);
->>>>>>> cdc48ec (Claim calls that must not be repeated; bound the ledger and the age of hand-offs)
+    m_listener = std::make_shared<PeerListener>(m_executor, identity(), acceptedLinkHooks(), m_log);
     BOOST_LEAF_ASSIGN(m_settings.peerAddress, m_listener->listen(m_settings.peerAddress));
     makePeerEntries();
     m_listener->start();
--- a/source/entry/entry.h
+++ b/source/entry/entry.h
@@ -40,15 +40,12 @@
 private:
     Result<void> startHttp(const LogClient &logClient);
     Result<void> startPeers();
-<<<<<<< HEAD
     void makePeerEntries();
     LinkHooks acceptedLinkHooks() const;
     void onEntryMessage(const HelloMessage &peer, const Message &message);
     void onLinkedEntries(const std::vector<LinkedEntry> &entries);
-=======
     PeerIdentity identity() const;
     Awaitable<void> flushClaims();
->>>>>>> cdc48ec (Claim calls that must not be repeated; bound the ledger and the age of hand-offs)
     void startConfiguration(const LogClient &logClient);
     Awaitable<void> handle(HttpExchange &exchange);
     Awaitable<HttpResponse> answerHealth(const std::string &path) const;
--- a/source/net/peerlink.cpp
+++ b/source/net/peerlink.cpp
@@ -297,22 +297,6 @@
     stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
 }
 
-<<<<<<< HEAD
-/** The greeting of an accepted connection, and its link. */
-Awaitable<void> welcome(TcpStream stream, PeerIdentity identity, LinkHooks hooks, Log log)
-{
-    setNoDelay(*stream);
-    const Outcome<HelloMessage> peer =
-            co_await greet(stream, identity, LinkEnd::Acceptor, greetingLimit);
-    if (const Failure *failure = failureOf(peer)) {
-        log.warning("link.refused", {{"reason", failure->detail}});
-        co_return;
-    }
-    startLink(std::move(stream), std::get<HelloMessage>(peer), hooks, log, LinkEnd::Acceptor);
-}
-
-=======
->>>>>>> cdc48ec (Claim calls that must not be repeated; bound the ledger and the age of hand-offs)
 } // namespace
 
 PeerLinkHandle::PeerLinkHandle(HelloMessage peer, MailboxPtr<LinkCommand> commands,
@@ -435,7 +419,8 @@
         co_return;
     }
     const LinkHooks hooks = hooksOfNextLink();
-    m_links[m_lastLink] = startLink(std::move(stream), std::get<HelloMessage>(peer), hooks, m_log);
+    m_links[m_lastLink] = startLink(std::move(stream), std::get<HelloMessage>(peer), hooks, m_log,
+                                    LinkEnd::Acceptor);
 }
 
 /** The hooks of the owner, and one that forgets the link when it has ended. */
