--- a/bench/proxybench.cpp
+++ b/bench/proxybench.cpp
@@ -106,9 +106,10 @@
     fleet.startAgent("agent", "fyn", "engine", {"--log-level=warning"});
     const Digest manifest = fleet.publish(std::string(weightBytes, 'w'), chunkBytes);
     waitUntil([&] { return fleet.isReady("entry"); });
-    fleet.accept("entry", {"model/drafts/v1/manifest=" + manifest.text(),
-                           "model/drafts/v1/weight/zone/fyn=1", "model/drafts/v1/replicas/fyn=1",
-                           "account/caps/key=" + digestOf("caps-key").text()});
+    fleet.accept("entry",
+                 {"model/drafts/v1/manifest=" + manifest.text(),
+                  "model/drafts/v1/weight/zone/fyn=1", "model/drafts/v1/replicas/fyn=1",
+                  "account/caps/key=" + digestOf("caps-key").text()});
     const std::string body = R"({"model":"drafts","prompt":"two herons","max_tokens":4})";
     const Target direct {fleet.addresses("engine").http,
                          {"POST", "/v1/completions", {{"X-Manifest", manifest.text()}}, body}};
--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -18,7 +18,7 @@
 constexpr auto orderLimit = std::chrono::seconds(5);
 constexpr auto registerPause = std::chrono::seconds(1);
 /** Time in which every entry hears that the agent drains, and sends it nothing more. */
-constexpr auto drainNotice = std::chrono::seconds(1);
+constexpr auto drainNotice = std::chrono::seconds(3);
 /** Time in which entries have to read the last of the answers. */
 constexpr auto lastWordsLimit = std::chrono::seconds(5);
 
@@ -121,6 +121,7 @@
     co_await reply->receiveWithin(m_settings.drainLimit);
     co_await notice.async_wait(asTuple);
     co_await m_listener->finish(lastWordsLimit);
+    m_listener->stop();
     m_http->stop();
     m_log.info("agent.stopped");
 }
--- a/source/net/mailbox.h
+++ b/source/net/mailbox.h
@@ -83,6 +83,9 @@
         co_return std::nullopt;
     }
 
+    /** @returns whether the mailbox takes messages */
+    bool isOpen() const { return m_channel.is_open(); }
+
     /** Takes no more messages; those that wait can still be received. */
     void close() { m_channel.close(); }
 
--- a/source/net/peerlink.cpp
+++ b/source/net/peerlink.cpp
@@ -177,7 +177,10 @@
             m_hooks.receive(m_handle, std::move(message));
             return;
         }
-        if (!it->second->post(StreamEvent(std::move(message.message)))) {
+        if (!it->second->isOpen()) {
+            // Its owner has ended, and the link has not yet been told to forget the stream.
+            m_streams.erase(it);
+        } else if (!it->second->post(StreamEvent(std::move(message.message)))) {
             end("the peer sent more than it had credit for");
         }
     }
@@ -393,7 +396,6 @@
 
 Awaitable<void> PeerListener::finish(Duration limit)
 {
-    stop();
     const Instant deadline = monotonicNow() + limit;
     std::vector<MailboxPtr<LinkFinished>> replies;
     for (const auto &[number, link] : m_links) {
--- a/source/net/peerlink.h
+++ b/source/net/peerlink.h
@@ -153,7 +153,8 @@
     /** Accepts no more links; those there are go on. */
     void stop();
     /**
-     * Accepts no more links, and ends those there are when their peers have read everything.
+     * Ends the links there are when their peers have read everything. New ones are accepted until
+     * stop(), so that an entry can still ask what became of an attempt.
      * @param limit longest time to wait for the peers
      */
     Awaitable<void> finish(Duration limit);
