--- a/source/entry/claimkeeper.cpp
+++ b/source/entry/claimkeeper.cpp
@@ -133,7 +133,8 @@
         readRecord(record);
     }
     m_shards[command.shard].isKnown = m_shards[command.shard].isKnown || command.isAtEnd;
-    m_metrics->set("claims_remembered", "Keys of calls that are remembered", m_book.size());
+    m_metrics->set("claims_remembered", "Keys of calls that are remembered",
+                   static_cast<double>(m_book.size()));
 }
 
 void ClaimKeeper::readRecord(const LogRecord &record)
