--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -14,16 +14,16 @@
 
 constexpr auto platformLimit = std::chrono::seconds(5);
 constexpr auto chunkLimit = std::chrono::seconds(60);
-constexpr auto peerChunkLimit = std::chrono::seconds(5);
 constexpr auto orderLimit = std::chrono::seconds(5);
 constexpr auto registerPause = std::chrono::seconds(1);
 constexpr auto lastWords = std::chrono::milliseconds(200);
 
 } // namespace
 
-Agent::Agent(const asio::any_io_executor &executor, AgentSettings settings, Log log)
+Agent::Agent(const asio::any_io_executor &executor, AgentSettings settings, Log log,
+             ChooseSource choose)
     : m_executor(executor), m_settings(std::move(settings)), m_log(std::move(log)),
-      m_metrics(std::make_shared<Metrics>()),
+      m_choose(std::move(choose)), m_metrics(std::make_shared<Metrics>()),
       m_logClient(executor, m_settings.logAddress, platformLimit)
 { }
 
@@ -34,7 +34,11 @@
     hooks.receive = [this](const PeerLinkHandle &link, StreamMessage message) {
         receive(link, std::move(message));
     };
-    hooks.ended = [](const PeerLinkHandle &, const LinkClosed &) { };
+    hooks.ended = [this](const PeerLinkHandle &link, const LinkClosed &) {
+        if (link.peer().role == "agent") {
+            m_chunkLinks->mailbox()->post(PeerLinkEnded {link.peer().instance});
+        }
+    };
     m_listener = std::make_shared<PeerListener>(m_executor, identity, hooks, m_log);
     BOOST_LEAF_ASSIGN(m_settings.peerAddress, m_listener->listen(m_settings.peerAddress));
 
@@ -46,12 +50,7 @@
             m_executor, gateOptions, [this](const GateStatus &status) { onGate(status); },
             m_metrics, m_log);
 
-    const StoreClient store(m_executor, m_settings.storeAddress, chunkLimit);
-    const WeightSources sources {store.manifestReader(), store.chunkReader(),
-                                 makePeerChunkReader(m_executor, identity, peerChunkLimit, m_log)};
-    m_weights = std::make_shared<WeightKeeper>(
-            m_executor, sources, [this](const WeightStatus &status) { onWeights(status); },
-            m_metrics, m_log);
+    makeWeightTasks(identity);
 
     EntryLinksHooks entryHooks;
     entryHooks.neighbours = [this](const std::vector<Heartbeat> &neighbours) {
@@ -63,7 +62,7 @@
 
     m_placer = std::make_shared<Placer>(
             m_executor, m_settings.instance, m_settings.zone,
-            [this](const std::set<Digest> &manifests) { onAssignment(manifests); });
+            [this](const Assignment &assignment) { onAssignment(assignment); });
 
     HttpHandler handler =
             makeAgentHandler(m_executor, m_weights->mailbox(), m_placer->mailbox(), m_metrics);
@@ -91,6 +90,46 @@
             : makeListReader(m_executor, m_settings.listAddress, platformLimit);
 }
 
+void Agent::makeWeightTasks(const PeerIdentity &identity)
+{
+    const WeightSettings &settings = m_settings.weights;
+    const auto commands = WeightKeeper::makeCommands(m_executor);
+    const auto serverOptions = ServerOptions().withBytesPerSecond(settings.linkBytesPerSecond);
+    m_chunkServer = std::make_shared<ChunkServer>(
+            m_executor, serverOptions,
+            [commands](std::uint64_t bytes) { commands->post(ServedSoFar {bytes}); }, m_metrics);
+
+    ChunkLinksHooks hooks;
+    hooks.have = [commands](const PeerHas &has, bool isAnswerWanted) {
+        commands->post(PeerOffers {has, isAnswerWanted});
+    };
+    hooks.linked = [commands](const InstanceId &peer) { commands->post(PeerLinked {peer}); };
+    hooks.lost = [commands](const InstanceId &peer) { commands->post(PeerGone {peer}); };
+    hooks.asked = [this](const PeerLinkHandle &link, StreamMessage message) {
+        receiveFromPeer(link, std::move(message));
+    };
+    m_chunkLinks = std::make_shared<ChunkLinks>(m_executor, identity, hooks, m_metrics, m_log);
+
+    TransferOptions options;
+    options.self = m_settings.instance;
+    options.zone = m_settings.zone;
+    options.storeZone = settings.storeZone;
+    options = options.withLinkBytesPerSecond(settings.linkBytesPerSecond)
+                      .withZoneLinkBytesPerSecond(settings.zoneLinkBytesPerSecond)
+                      .withMemoryBytes(settings.memoryBytes);
+    const StoreClient store(m_executor, m_settings.storeAddress, chunkLimit);
+    const WeightSources sources {store.manifestReader(), store.chunkReader(),
+                                 makePeerReader(m_executor, m_chunkLinks->mailbox())};
+    const WeightTasks tasks {m_chunkLinks->mailbox(), m_chunkServer->mailbox()};
+    m_weights = std::make_shared<WeightKeeper>(
+            m_executor, commands, TransferPlanner(options, m_choose, monotonicNow()), sources,
+            tasks, [this](const WeightStatus &status) { onWeights(status); }, m_metrics, m_log);
+    m_reachableZones.insert(m_settings.zone);
+    for (const WeightPeer &peer : settings.farPeers) {
+        m_reachableZones.insert(peer.zone);
+    }
+}
+
 void Agent::startEngineTasks()
 {
     const EngineClient client(m_executor, m_settings.backendAddress, orderLimit);
@@ -99,6 +138,8 @@
             m_executor, hooks, m_settings.httpAddress, m_settings.engineEvery, m_gate->mailbox(),
             [entries = m_entries->mailbox()](const EngineState &state) { entries->post(state); },
             m_log);
+    m_chunkLinks->start();
+    m_chunkServer->start();
     m_weights->start();
     m_engine->start();
     asio::co_spawn(
@@ -128,8 +169,17 @@
         }
     } else if (const auto *cancel = std::get_if<CancelMessage>(&message.message)) {
         m_gate->mailbox()->post(CancelAttempt {cancel->attempt, link, message.stream});
-    } else if (const auto *wanted = std::get_if<ChunkWantedMessage>(&message.message)) {
+    } else {
+        receiveFromPeer(link, std::move(message));
+    }
+}
+
+void Agent::receiveFromPeer(const PeerLinkHandle &link, StreamMessage message)
+{
+    if (const auto *wanted = std::get_if<ChunkWantedMessage>(&message.message)) {
         m_weights->mailbox()->post(ChunkAsked {wanted->digest, link, message.stream});
+    } else if (const auto *have = std::get_if<HaveMessage>(&message.message)) {
+        m_chunkLinks->mailbox()->post(HaveHeard {link, *have});
     }
 }
 
@@ -141,21 +191,28 @@
 
 void Agent::onNeighbours(const std::vector<Heartbeat> &neighbours)
 {
-    std::vector<WeightPeer> peers;
+    std::vector<WeightPeer> peers = m_settings.weights.farPeers;
     for (const Heartbeat &neighbour : neighbours) {
         if (neighbour.kind == BackendKind::Engine && neighbour.instance != m_settings.instance) {
-            peers.push_back(
-                    {neighbour.peerAddress, {neighbour.holding.begin(), neighbour.holding.end()}});
+            peers.push_back({neighbour.instance, neighbour.zone, neighbour.peerAddress});
         }
     }
-    m_weights->mailbox()->post(PeersSeen {std::move(peers)});
+    m_weights->mailbox()->post(PeersKnown {std::move(peers)});
     m_placer->mailbox()->post(NeighboursSeen {neighbours});
 }
 
-void Agent::onAssignment(const std::set<Digest> &manifests)
+void Agent::onAssignment(const Assignment &assignment)
 {
+    VersionsWanted wanted {assignment.versions};
+    std::set<Digest> manifests;
+    for (auto &[digest, places] : wanted.versions) {
+        manifests.insert(digest);
+        std::erase_if(places.zones,
+                      [this](const ZoneName &zone) { return !m_reachableZones.contains(zone); });
+    }
     if (m_engine) {
-        m_weights->mailbox()->post(WantWeights {manifests});
+        m_weights->mailbox()->post(OriginCopiesSet {assignment.originCopies});
+        m_weights->mailbox()->post(std::move(wanted));
         m_engine->mailbox()->post(AssignVersions {manifests});
     }
 }
@@ -170,6 +227,11 @@
 {
     m_entries->mailbox()->post(status);
     m_placer->mailbox()->post(status);
+    const bool isLoadHigh = status.running > m_settings.weights.yieldAbove;
+    if (isLoadHigh != m_isLoadHigh && m_engine) {
+        m_isLoadHigh = isLoadHigh;
+        m_weights->mailbox()->post(LiveLoadSeen {isLoadHigh});
+    }
 }
 
 Awaitable<void> Agent::registerIncarnation()
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -25,7 +25,9 @@
 class Agent : public std::enable_shared_from_this<Agent>
 {
 public:
-    Agent(const asio::any_io_executor &executor, AgentSettings settings, Log log);
+    /** @param choose how a source is chosen for each chunk */
+    Agent(const asio::any_io_executor &executor, AgentSettings settings, Log log,
+          ChooseSource choose = chooseSwarmSource);
 
     /** Opens the sockets and starts all tasks. @returns InvalidRequest if an address is taken */
     Result<void> start();
@@ -35,22 +37,29 @@
 private:
     void receive(const PeerLinkHandle &link, StreamMessage message);
     void onConfig(const ConfigView &view);
+    void receiveFromPeer(const PeerLinkHandle &link, StreamMessage message);
     void onNeighbours(const std::vector<Heartbeat> &neighbours);
-    void onAssignment(const std::set<Digest> &manifests);
+    void onAssignment(const Assignment &assignment);
     void onWeights(const WeightStatus &status);
     void onGate(const GateStatus &status);
     ReadInstanceList listReader() const;
+    void makeWeightTasks(const PeerIdentity &identity);
     void startEngineTasks();
     Awaitable<void> registerIncarnation();
 
     asio::any_io_executor m_executor;
     AgentSettings m_settings;
     Log m_log;
+    ChooseSource m_choose;
+    std::set<ZoneName> m_reachableZones;
     std::shared_ptr<Metrics> m_metrics;
     LogClient m_logClient;
     std::shared_ptr<ConfigKeeper> m_config;
     std::shared_ptr<Gate> m_gate;
     std::shared_ptr<WeightKeeper> m_weights;
+    std::shared_ptr<ChunkLinks> m_chunkLinks;
+    std::shared_ptr<ChunkServer> m_chunkServer;
+    bool m_isLoadHigh = false;
     std::shared_ptr<EngineKeeper> m_engine;
     std::shared_ptr<EntryLinks> m_entries;
     std::shared_ptr<Placer> m_placer;
--- a/source/agent/agentsettings.h
+++ b/source/agent/agentsettings.h
@@ -5,12 +5,32 @@
 
 #include "core/common/common.h"
 #include "core/membership/roster.h"
+#include "core/weights/sources.h"
 
 #include <string>
 #include <vector>
 
 namespace greengageseam {
 
+/** What an agent is told of the transfer of weights. */
+struct WeightSettings
+{
+    /** Bytes a second of the machine's link that weights may use each way; 0 is without limit. */
+    std::uint64_t linkBytesPerSecond = 0;
+    /** Bytes a second that this agent may read from other zones; 0 is without limit. */
+    std::uint64_t zoneLinkBytesPerSecond = 0;
+    /** Bytes of weights that are held at most; 0 is without limit. */
+    std::uint64_t memoryBytes = 0;
+    /** Zone of the weight store; empty if none is nearer than the others. */
+    ZoneName storeZone;
+    /** Agents of other zones that weights may be read from. */
+    std::vector<WeightPeer> farPeers;
+    /** Live requests in progress beyond which weights give way. */
+    std::uint32_t yieldAbove = 32;
+
+    auto operator<=>(const WeightSettings &) const = default;
+};
+
 /** Everything that an agent is told at its start. */
 struct AgentSettings
 {
@@ -32,6 +52,7 @@
     /** The plain service behind the agent; empty for an engine. */
     ServiceName service;
     std::string secret;
+    WeightSettings weights;
     /** Time between two heartbeats. */
     Duration heartbeatEvery = std::chrono::seconds(1);
     /** Time between two looks at the engine's state. */
--- /dev/null
+++ b/source/agent/chunklinks.h
@@ -0,0 +1,136 @@
+/**
+ * The task that keeps one link to each agent that weights are exchanged with.
+ */
+#pragma once
+
+#include "core/weights/weights.h"
+#include "net/log.h"
+#include "net/metrics.h"
+#include "net/peerlink.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace greengageseam {
+
+/** The agents that can be dialed, and those of them to keep links to. */
+struct KeepPartners
+{
+    std::vector<WeightPeer> known;
+    std::vector<WeightPeer> partners;
+};
+
+/** A stream of a link to a peer. */
+struct PeerStream
+{
+    PeerLinkHandle link;
+    StreamId stream = 0;
+};
+
+/** Asks for a stream to a peer; a peer without a link is dialed. */
+struct OpenPeerStream
+{
+    InstanceId peer;
+    MailboxPtr<Outcome<PeerStream>> reply;
+};
+
+/** A link was dialed, or could not be. */
+struct PeerDialed
+{
+    InstanceId peer;
+    Outcome<PeerLinkHandle> link;
+};
+
+/** A link to an agent has ended, whoever dialed it. */
+struct PeerLinkEnded
+{
+    InstanceId peer;
+};
+
+/** An agent said over a link what it offers. */
+struct HaveHeard
+{
+    PeerLinkHandle link;
+    HaveMessage have;
+};
+
+/** Tells all linked peers what is offered, or just one. */
+struct Announce
+{
+    HaveMessage have;
+    /** Empty for all. */
+    InstanceId peer;
+};
+
+/** Time to close links that nobody uses. */
+struct LinksTick
+{ };
+
+/** Messages to the task. */
+using ChunkLinksCommand = std::variant<KeepPartners, OpenPeerStream, PeerDialed, PeerLinkEnded,
+                                       HaveHeard, Announce, LinksTick>;
+
+/** What the task passes on; the hooks must not wait. */
+struct ChunkLinksHooks
+{
+    /** A peer said what it offers. */
+    std::function<void(const PeerHas &has, bool isAnswerWanted)> have;
+    /** There is a link to a peer now. */
+    std::function<void(const InstanceId &peer)> linked;
+    /** There is no link to a peer any more. */
+    std::function<void(const InstanceId &peer)> lost;
+    /** A peer asks for bytes. */
+    std::function<void(const PeerLinkHandle &link, StreamMessage message)> asked;
+};
+
+/** Dials, keeps and closes the links between agents. */
+class ChunkLinks : public std::enable_shared_from_this<ChunkLinks>
+{
+public:
+    ChunkLinks(const asio::any_io_executor &executor, PeerIdentity identity, ChunkLinksHooks hooks,
+               std::shared_ptr<Metrics> metrics, Log log);
+
+    /** @returns where to send commands */
+    const MailboxPtr<ChunkLinksCommand> &mailbox() const { return m_mailbox; }
+    /** Starts the task. */
+    void start();
+
+private:
+    struct Link
+    {
+        /** Nothing while the peer is being dialed. */
+        PeerLinkHandle handle;
+        /** Whether this side dialed; it then numbers streams upwards, the other side downwards. */
+        bool isDialed = false;
+        Instant usedAt;
+        std::vector<OpenPeerStream> waiting;
+    };
+
+    Awaitable<void> run();
+    void apply(const KeepPartners &command);
+    void apply(const OpenPeerStream &command);
+    void apply(const PeerDialed &command);
+    void apply(const PeerLinkEnded &command);
+    void apply(const HaveHeard &command);
+    void apply(const Announce &command);
+    void apply(const LinksTick &command);
+    Link *linkTo(const InstanceId &peer);
+    Awaitable<void> dial(InstanceId peer, Address address);
+    static void answer(const OpenPeerStream &wish, const Link &link);
+
+    asio::any_io_executor m_executor;
+    PeerIdentity m_identity;
+    ChunkLinksHooks m_hooks;
+    std::shared_ptr<Metrics> m_metrics;
+    Log m_log;
+    MailboxPtr<ChunkLinksCommand> m_mailbox;
+    std::map<InstanceId, Address> m_known;
+    std::set<InstanceId> m_partners;
+    std::map<InstanceId, Link> m_links;
+};
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/agent/chunkserver.cpp
@@ -0,0 +1,113 @@
+#include "agent/chunkserver.h"
+
+#include "net/clock.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr std::size_t mailboxCapacity = 1024;
+constexpr std::size_t partBytes = 32 * 1024;
+
+} // namespace
+
+ServerOptions ServerOptions::withBytesPerSecond(std::uint64_t value) const
+{
+    ServerOptions next = *this;
+    next.bytesPerSecond = value;
+    return next;
+}
+
+ChunkServer::ChunkServer(const asio::any_io_executor &executor, ServerOptions options,
+                         ServedObserver observer, std::shared_ptr<Metrics> metrics)
+    : m_executor(executor), m_options(options), m_observer(std::move(observer)),
+      m_metrics(std::move(metrics)),
+      m_mailbox(makeMailbox<ServerCommand>(executor, mailboxCapacity)),
+      m_wake(makeMailbox<std::monostate>(executor, 1)),
+      m_pace(options.bytesPerSecond, monotonicNow())
+{ }
+
+void ChunkServer::start()
+{
+    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->run(); }, asio::detached);
+    asio::co_spawn(
+            m_executor, [self = shared_from_this()] { return self->sendLoop(); }, asio::detached);
+}
+
+Awaitable<void> ChunkServer::run()
+{
+    while (std::optional<ServerCommand> command = co_await m_mailbox->receive()) {
+        std::visit([this](const auto &message) { apply(message); }, *command);
+    }
+}
+
+void ChunkServer::apply(const ServeBytes &command)
+{
+    if (m_waiting.size() >= m_options.maxWaiting) {
+        const Failure failure {ErrorKind::Overloaded, "all upload slots are taken"};
+        command.link.post(command.stream, FailedMessage {failure, Ran::No});
+        m_metrics->count("weight_uploads_refused_total", "Uploads refused for want of a slot");
+        return;
+    }
+    m_waiting.push_back(command);
+    m_wake->post({});
+}
+
+void ChunkServer::apply(const LiveLoadSeen &command)
+{
+    m_pace = m_pace.yielding(command.isHigh);
+}
+
+Awaitable<void> ChunkServer::sendLoop()
+{
+    asio::steady_timer timer(m_executor);
+    while (true) {
+        while (m_uploads.size() < m_options.slots && !m_waiting.empty()) {
+            m_uploads.push_back({std::move(m_waiting.front()), 0});
+            m_waiting.pop_front();
+        }
+        if (m_uploads.empty()) {
+            co_await m_wake->receive();
+            continue;
+        }
+        m_pace = m_pace.at(monotonicNow());
+        const Duration wait = m_pace.wait();
+        if (wait > Duration::zero()) {
+            timer.expires_after(wait);
+            co_await timer.async_wait(asTuple);
+            continue;
+        }
+        co_await sendPart();
+    }
+}
+
+/** Sends the next part of the upload whose turn it is. */
+Awaitable<void> ChunkServer::sendPart()
+{
+    Upload upload = std::move(m_uploads.front());
+    m_uploads.pop_front();
+    const std::string &bytes = *upload.wish.bytes;
+    const std::size_t n = std::min(partBytes, bytes.size() - upload.sent);
+    const bool isLast = upload.sent + n == bytes.size();
+    m_pace = m_pace.taken(n);
+    ChunkPartMessage part {bytes.substr(upload.sent, n), isLast};
+    const bool isTaken = co_await upload.wish.link.send(upload.wish.stream, std::move(part));
+    if (!isTaken) {
+        co_return;
+    }
+    upload.sent += n;
+    m_servedBytes += n;
+    if (!isLast) {
+        m_uploads.push_back(std::move(upload));
+        co_return;
+    }
+    m_metrics->count("weight_bytes_served_total", "Bytes of weights served to peers", {},
+                     static_cast<double>(bytes.size()));
+    m_observer(m_servedBytes);
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/agent/chunkserver.h
@@ -0,0 +1,88 @@
+/**
+ * The task that serves weights to other agents, at the pace of the machine's link.
+ */
+#pragma once
+
+#include "core/weights/weights.h"
+#include "net/metrics.h"
+#include "net/peerlink.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <variant>
+
+namespace greengageseam {
+
+/** Bytes of a chunk, shared by all who read them. */
+using ChunkBytes = std::shared_ptr<const std::string>;
+
+/** Serves bytes on a stream of a peer's link. */
+struct ServeBytes
+{
+    ChunkBytes bytes;
+    PeerLinkHandle link;
+    StreamId stream = 0;
+};
+
+/** Messages to the server. */
+using ServerCommand = std::variant<ServeBytes, LiveLoadSeen>;
+
+/** Hook that is told how many bytes have been served so far; it must not wait. */
+using ServedObserver = std::function<void(std::uint64_t servedBytes)>;
+
+/** Bounds of the server. */
+struct ServerOptions
+{
+    /** Bytes a second that are sent; 0 is without limit. */
+    std::uint64_t bytesPerSecond = 0;
+    /** Chunks that are sent at a time. */
+    std::size_t slots = 3;
+    /** Chunks that wait for a slot; further ones are refused. */
+    std::size_t maxWaiting = 6;
+
+    ServerOptions withBytesPerSecond(std::uint64_t value) const;
+    auto operator<=>(const ServerOptions &) const = default;
+};
+
+/** Owns the upload slots of one agent. */
+class ChunkServer : public std::enable_shared_from_this<ChunkServer>
+{
+public:
+    ChunkServer(const asio::any_io_executor &executor, ServerOptions options,
+                ServedObserver observer, std::shared_ptr<Metrics> metrics);
+
+    /** @returns where to send commands */
+    const MailboxPtr<ServerCommand> &mailbox() const { return m_mailbox; }
+    /** Starts the task. */
+    void start();
+
+private:
+    /** A chunk that is being sent. */
+    struct Upload
+    {
+        ServeBytes wish;
+        std::size_t sent = 0;
+    };
+
+    Awaitable<void> run();
+    Awaitable<void> sendLoop();
+    Awaitable<void> sendPart();
+    void apply(const ServeBytes &command);
+    void apply(const LiveLoadSeen &command);
+
+    asio::any_io_executor m_executor;
+    ServerOptions m_options;
+    ServedObserver m_observer;
+    std::shared_ptr<Metrics> m_metrics;
+    MailboxPtr<ServerCommand> m_mailbox;
+    /** Wakes the send loop. */
+    MailboxPtr<std::monostate> m_wake;
+    std::deque<ServeBytes> m_waiting;
+    /** Uploads in turn. Invariant: at most as many as there are slots. */
+    std::deque<Upload> m_uploads;
+    LinkPace m_pace;
+    std::uint64_t m_servedBytes = 0;
+};
+
+} // namespace greengageseam
--- a/source/agent/peerchunks.cpp
+++ b/source/agent/peerchunks.cpp
@@ -4,15 +4,16 @@
 
 namespace {
 
-constexpr std::size_t streamCapacity = 1024;
+/** Holds all parts of the largest chunk. */
+constexpr std::size_t streamCapacity = 4096;
+constexpr auto linkLimit = std::chrono::seconds(3);
 
-/** Collects the parts of a chunk. */
-Awaitable<Outcome<std::string>> collectParts(MailboxPtr<StreamEvent> events, std::uint64_t size,
-                                             Duration limit)
+/** Collects the parts of what was asked for. */
+Awaitable<Outcome<std::string>> collectParts(PeerRead read)
 {
     std::string bytes;
     while (true) {
-        const std::optional<StreamEvent> event = co_await events->receiveWithin(limit);
+        const std::optional<StreamEvent> event = co_await read.events->receiveWithin(read.patience);
         const auto *message = event ? std::get_if<Message>(&*event) : nullptr;
         if (message == nullptr) {
             co_return Failure {ErrorKind::DeadlineExceeded, "a peer stopped sending a chunk"};
@@ -21,7 +22,7 @@
             co_return failed->failure;
         }
         const auto *part = std::get_if<ChunkPartMessage>(message);
-        if (part == nullptr || bytes.size() + part->bytes.size() > size) {
+        if (part == nullptr || bytes.size() + part->bytes.size() > read.maxBytes) {
             co_return Failure {ErrorKind::ProtocolViolation, "a peer sent what is no chunk"};
         }
         bytes += part->bytes;
@@ -31,35 +32,39 @@
     }
 }
 
-Awaitable<Outcome<std::string>> readChunk(asio::any_io_executor executor, PeerIdentity identity,
-                                          Address peer, Chunk chunk, Duration limit, Log log)
+Awaitable<Outcome<std::string>> readFromPeer(asio::any_io_executor executor,
+                                             MailboxPtr<ChunkLinksCommand> links, PeerRead read)
 {
-    LinkHooks hooks;
-    hooks.receive = [](const PeerLinkHandle &, const StreamMessage &) { };
-    hooks.ended = [](const PeerLinkHandle &, const LinkClosed &) { };
-    const Outcome<PeerLinkHandle> dialed =
-            co_await dialPeer(executor, peer, identity, hooks, limit, log);
-    if (const Failure *failure = failureOf(dialed)) {
+    const auto reply = makeMailbox<Outcome<PeerStream>>(executor, 1);
+    ChunkLinksCommand open = OpenPeerStream {read.peer, reply};
+    co_await links->send(std::move(open));
+    const std::optional<Outcome<PeerStream>> opened = co_await reply->receiveWithin(linkLimit);
+    if (!opened) {
+        co_return Failure {ErrorKind::DeadlineExceeded, "a peer could not be reached in time"};
+    }
+    if (const Failure *failure = failureOf(*opened)) {
         co_return *failure;
     }
-    const auto &link = std::get<PeerLinkHandle>(dialed);
-    const StreamId stream = link.nextStream();
-    const auto events = makeMailbox<StreamEvent>(executor, streamCapacity);
+    const auto &[link, stream] = std::get<PeerStream>(*opened);
+    const MailboxPtr<StreamEvent> events = read.events;
     link.listen(stream, events);
-    link.post(stream, ChunkWantedMessage {chunk.digest});
-    Outcome<std::string> bytes = co_await collectParts(events, chunk.size, limit);
-    link.close("the chunk was read");
+    link.post(stream, ChunkWantedMessage {read.digest});
+    Outcome<std::string> bytes = co_await collectParts(std::move(read));
+    link.forget(stream);
     co_return bytes;
 }
 
 } // namespace
 
-ReadPeerChunk makePeerChunkReader(const asio::any_io_executor &executor, PeerIdentity identity,
-                                  Duration limit, Log log)
+MailboxPtr<StreamEvent> makeReadEvents(const asio::any_io_executor &executor)
+{
+    return makeMailbox<StreamEvent>(executor, streamCapacity);
+}
+
+ReadPeer makePeerReader(const asio::any_io_executor &executor, MailboxPtr<ChunkLinksCommand> links)
 {
-    return [executor, identity = std::move(identity), limit, log = std::move(log)](Address peer,
-                                                                                   Chunk chunk) {
-        return readChunk(executor, identity, std::move(peer), std::move(chunk), limit, log);
+    return [executor, links = std::move(links)](PeerRead read) {
+        return readFromPeer(executor, links, std::move(read));
     };
 }
 
--- a/source/agent/peerchunks.h
+++ b/source/agent/peerchunks.h
@@ -1,20 +1,31 @@
 /**
- * Reads chunks of weights from other agents.
+ * Reads weights from other agents.
  */
 #pragma once
 
-#include "agent/weightkeeper.h"
-#include "net/log.h"
-#include "net/peerlink.h"
+#include "agent/chunklinks.h"
 
 namespace greengageseam {
 
-/**
- * @param identity what this agent says of itself to its peers
- * @param limit time without any progress after which a peer is given up
- * @returns a hook that reads a chunk over a link of its own; the bytes are not yet verified
- */
-ReadPeerChunk makePeerChunkReader(const asio::any_io_executor &executor, PeerIdentity identity,
-                                  Duration limit, Log log);
+/** What is to be read from a peer: a chunk, or the text of a manifest. */
+struct PeerRead
+{
+    InstanceId peer;
+    Digest digest;
+    std::uint64_t maxBytes = 0;
+    /** Time without any progress after which the peer is given up. */
+    Duration patience {};
+    /** Gets the peer's messages; LinkClosed ends the reading at once. */
+    MailboxPtr<StreamEvent> events;
+};
+
+/** Hook that reads from a peer, not yet verified. @returns Overloaded if all slots are taken */
+using ReadPeer = std::function<Awaitable<Outcome<std::string>>(PeerRead read)>;
+
+/** @returns a mailbox for the messages of one reading */
+MailboxPtr<StreamEvent> makeReadEvents(const asio::any_io_executor &executor);
+
+/** @returns a hook that reads over the links that @p links keeps */
+ReadPeer makePeerReader(const asio::any_io_executor &executor, MailboxPtr<ChunkLinksCommand> links);
 
 } // namespace greengageseam
--- a/source/agent/placer.cpp
+++ b/source/agent/placer.cpp
@@ -62,7 +62,33 @@
     if (m_state == nullptr || m_sites.empty()) {
         return;
     }
-    m_observer(placeReplicas(m_state->table, m_zone, m_sites).at(m_instance));
+    const Placement placement = placeReplicas(m_state->table, m_zone, m_sites);
+    Assignment assignment;
+    assignment.originCopies = m_state->table.limits.originCopies;
+    for (const Digest &manifest : placement.at(m_instance)) {
+        assignment.versions.emplace(manifest, placesOf(manifest, placement));
+    }
+    m_observer(assignment);
+}
+
+VersionPlaces Placer::placesOf(const Digest &manifest, const Placement &placement) const
+{
+    VersionPlaces places;
+    for (const auto &[instance, manifests] : placement.assigned) {
+        if (manifests.contains(manifest)) {
+            places.members.push_back(instance);
+        }
+    }
+    std::set<ZoneName> zones {m_zone};
+    for (const auto &[key, row] : m_state->table.rows) {
+        for (const auto &[zone, replicas] : row.replicas) {
+            if (row.manifest == manifest && replicas > 0) {
+                zones.insert(zone);
+            }
+        }
+    }
+    places.zones.assign(zones.begin(), zones.end());
+    return places;
 }
 
 } // namespace greengageseam
--- a/source/agent/placer.h
+++ b/source/agent/placer.h
@@ -33,8 +33,18 @@
 /** Messages to the task. */
 using PlacerCommand = std::variant<ConfigView, NeighboursSeen, GateStatus, ReadyAsked>;
 
+/** What belongs on this agent's engine, and where else that belongs. */
+struct Assignment
+{
+    std::map<Digest, VersionPlaces> versions;
+    /** How many copies of a version may be read from the origin. */
+    std::uint32_t originCopies = 1;
+
+    auto operator<=>(const Assignment &) const = default;
+};
+
 /** Hook that is told which versions belong here; it must not wait. */
-using AssignmentObserver = std::function<void(const std::set<Digest> &manifests)>;
+using AssignmentObserver = std::function<void(const Assignment &assignment)>;
 
 /** Places versions anew whenever the table or the zone changes. */
 class Placer : public std::enable_shared_from_this<Placer>
@@ -55,6 +65,7 @@
     void apply(const GateStatus &command);
     void apply(const ReadyAsked &command);
     void place();
+    VersionPlaces placesOf(const Digest &manifest, const Placement &placement) const;
 
     asio::any_io_executor m_executor;
     InstanceId m_instance;
--- a/source/agent/weightkeeper.cpp
+++ b/source/agent/weightkeeper.cpp
@@ -1,9 +1,9 @@
 #include "agent/weightkeeper.h"
 
+#include "core/common/hashing.h"
 #include "net/clock.h"
 #include "net/ticker.h"
 
-#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -11,20 +11,54 @@
 
 namespace {
 
-constexpr std::size_t mailboxCapacity = 4096;
-constexpr std::size_t maxFetches = 4;
-constexpr std::size_t partBytes = 256 * 1024;
-constexpr auto tickPeriod = std::chrono::milliseconds(200);
+constexpr std::size_t mailboxCapacity = 8192;
+constexpr std::uint64_t maxManifestBytes = 64ULL * 1024 * 1024;
+constexpr auto tickPeriod = std::chrono::milliseconds(20);
+constexpr auto announceEvery = std::chrono::milliseconds(50);
+constexpr auto manifestPatience = std::chrono::seconds(2);
+
+FetchResult resultOf(const Failure &failure)
+{
+    switch (failure.kind) {
+    case ErrorKind::CorruptData:
+    case ErrorKind::ProtocolViolation:
+        return FetchResult::Corrupt;
+    case ErrorKind::Overloaded:
+        return FetchResult::Busy;
+    case ErrorKind::NotFound:
+        return FetchResult::NotHeld;
+    default:
+        return FetchResult::Failed;
+    }
+}
+
+/** Lets only bytes pass that match their digest. */
+Outcome<ChunkBytes> verified(Outcome<std::string> read, const Chunk &chunk)
+{
+    if (const Failure *failure = failureOf(read)) {
+        return *failure;
+    }
+    if (digestOf(std::get<std::string>(read)) != chunk.digest) {
+        return Failure {ErrorKind::CorruptData, "chunk " + chunk.digest.text() + " came corrupted"};
+    }
+    return std::make_shared<const std::string>(std::get<std::string>(std::move(read)));
+}
 
 } // namespace
 
-WeightKeeper::WeightKeeper(const asio::any_io_executor &executor, WeightSources sources,
+WeightKeeper::WeightKeeper(const asio::any_io_executor &executor, MailboxPtr<WeightCommand> mailbox,
+                           TransferPlanner planner, WeightSources sources, WeightTasks tasks,
                            WeightObserver observer, std::shared_ptr<Metrics> metrics, Log log)
-    : m_executor(executor), m_sources(std::move(sources)), m_observer(std::move(observer)),
-      m_metrics(std::move(metrics)), m_log(std::move(log)),
-      m_mailbox(makeMailbox<WeightCommand>(executor, mailboxCapacity))
+    : m_executor(executor), m_mailbox(std::move(mailbox)), m_planner(std::move(planner)),
+      m_sources(std::move(sources)), m_tasks(std::move(tasks)), m_observer(std::move(observer)),
+      m_metrics(std::move(metrics)), m_log(std::move(log))
 { }
 
+MailboxPtr<WeightCommand> WeightKeeper::makeCommands(const asio::any_io_executor &executor)
+{
+    return makeMailbox<WeightCommand>(executor, mailboxCapacity);
+}
+
 void WeightKeeper::start()
 {
     asio::co_spawn(m_executor, [self = shared_from_this()] { return self->run(); }, asio::detached);
@@ -41,73 +75,120 @@
     }
 }
 
-void WeightKeeper::apply(const WantWeights &command)
+void WeightKeeper::apply(const VersionsWanted &command)
+{
+    plan(command);
+    keepPartners();
+}
+
+void WeightKeeper::apply(const PeersKnown &command)
+{
+    m_known = command.peers;
+    plan(command);
+    keepPartners();
+}
+
+void WeightKeeper::apply(const OriginCopiesSet &command)
 {
-    m_wanted = command.manifests;
-    dropUnwanted();
-    goOn();
+    plan(command);
 }
 
-void WeightKeeper::apply(const PeersSeen &command)
+void WeightKeeper::apply(const PeerGone &command)
 {
-    m_peers = command.peers;
+    plan(command);
+}
+
+void WeightKeeper::apply(const LiveLoadSeen &command)
+{
+    plan(command);
+    m_tasks.server->post(command);
 }
 
 void WeightKeeper::apply(const ManifestFetched &command)
 {
-    m_fetching.erase(command.digest);
     if (const Failure *failure = failureOf(command.manifest)) {
-        m_status.trouble = failure->detail;
-        m_log.warning("weights.manifest-failed", {{"reason", failure->detail}});
+        m_lastFailure = failure->detail;
+        m_log.debug("weights.manifest-failed", {{"reason", failure->detail}});
+        plan(ManifestFailed {command.digest});
         return;
     }
-    m_manifests.insert_or_assign(command.digest, std::get<Manifest>(command.manifest));
-    goOn();
+    plan(ManifestKnown {command.digest, std::get<Manifest>(command.manifest)});
+    if (m_planner.manifest(command.digest) != nullptr) {
+        m_tasks.links->post(Announce {haveOf(command.digest, true)});
+    }
 }
 
 void WeightKeeper::apply(const ChunkFetched &command)
 {
-    m_fetching.erase(command.chunk.digest);
-    const std::string source = command.isFromOrigin ? "origin" : "peer";
+    FetchEnded ended {command.chunk, command.source, FetchResult::Verified, command.retryAfter};
+    m_readings.erase(command.chunk.digest);
     if (const Failure *failure = failureOf(command.bytes)) {
-        m_status.trouble = failure->detail;
-        m_metrics->count("chunks_failed_total", "Chunks that could not be fetched",
-                         {{"source", source}});
-        m_log.warning("weights.chunk-failed", {{"reason", failure->detail}, {"source", source}});
+        ended.result = resultOf(*failure);
+        noteTrouble(*failure, command.source);
+        plan(ended);
         return;
     }
-    if (command.isFromOrigin) {
-        m_status.originBytes += command.chunk.size;
-    }
-    m_metrics->count("weight_bytes_total", "Bytes of weights fetched", {{"source", source}},
+    const bool isOrigin = command.source.isOrigin();
+    m_originBytes += isOrigin ? command.chunk.size : 0;
+    m_metrics->count("weight_bytes_total", "Bytes of weights fetched",
+                     {{"source", isOrigin ? "origin" : "peer"}},
                      static_cast<double>(command.chunk.size));
     m_chunks.insert_or_assign(command.chunk.digest, std::get<ChunkBytes>(command.bytes));
-    goOn();
+    plan(ended);
+    if (!m_planner.holdsChunk(command.chunk.digest)) {
+        m_chunks.erase(command.chunk.digest);
+    }
 }
 
 void WeightKeeper::apply(const ChunkAsked &command)
 {
     const auto it = m_chunks.find(command.digest);
-    if (it == m_chunks.end()) {
-        const Failure failure {ErrorKind::NotFound, "the chunk is not held here"};
-        command.link.post(command.stream, FailedMessage {failure, Ran::No});
+    if (it != m_chunks.end()) {
+        m_tasks.server->post(ServeBytes {it->second, command.link, command.stream});
         return;
     }
-    asio::co_spawn(
-            m_executor,
-            [self = shared_from_this(), bytes = it->second, link = command.link,
-             stream = command.stream] { return self->serveChunk(bytes, link, stream); },
-            asio::detached);
+    if (const Manifest *manifest = m_planner.manifest(command.digest)) {
+        auto text = std::make_shared<const std::string>(manifest->text());
+        m_tasks.server->post(ServeBytes {std::move(text), command.link, command.stream});
+        return;
+    }
+    const Failure failure {ErrorKind::NotFound, "the chunk is not held here"};
+    command.link.post(command.stream, FailedMessage {failure, Ran::No});
+}
+
+void WeightKeeper::apply(const PeerOffers &command)
+{
+    const Digest &manifest = command.has.manifest;
+    if (m_planner.manifest(manifest) == nullptr) {
+        return;
+    }
+    plan(command.has);
+    if (command.isAnswerWanted) {
+        m_tasks.links->post(Announce {haveOf(manifest, false), command.has.peer});
+    }
+}
+
+void WeightKeeper::apply(const PeerLinked &command)
+{
+    for (const Digest &manifest : m_planner.offered()) {
+        m_tasks.links->post(Announce {haveOf(manifest, true), command.peer});
+    }
+}
+
+void WeightKeeper::apply(const ServedSoFar &command)
+{
+    m_servedBytes = command.bytes;
 }
 
 void WeightKeeper::apply(const ManifestRead &command)
 {
-    const auto it = m_manifests.find(command.manifest);
-    if (it == m_manifests.end() || !isComplete(it->second)) {
+    const Manifest *manifest = m_planner.manifest(command.manifest);
+    if (manifest == nullptr || !m_planner.isWhole(command.manifest)) {
         command.reply->post(Failure {ErrorKind::NotFound, "the version is not held complete"});
         return;
     }
-    command.reply->post(it->second.text());
+    command.reply->post(manifest->text());
+    plan(EngineReads {command.manifest});
 }
 
 void WeightKeeper::apply(const ChunkRead &command)
@@ -122,125 +203,149 @@
 
 void WeightKeeper::apply(const WeightTick &)
 {
-    goOn();
+    plan(TimePassed {});
+    announceNews();
 }
 
-void WeightKeeper::goOn()
+void WeightKeeper::plan(const TransferEvent &event)
 {
-    for (const Digest &digest : m_wanted) {
-        const auto it = m_manifests.find(digest);
-        if (it != m_manifests.end()) {
-            fetchMissingChunks(digest, it->second);
-        } else if (m_fetching.insert(digest).second) {
-            asio::co_spawn(
-                    m_executor,
-                    [self = shared_from_this(), digest] { return self->fetchManifest(digest); },
-                    asio::detached);
-        }
+    for (const TransferAction &action : m_planner.step(event, monotonicNow())) {
+        std::visit([this](const auto &one) { carryOut(one); }, action);
     }
     publish();
 }
 
-void WeightKeeper::fetchMissingChunks(const Digest &digest, const Manifest &manifest)
+void WeightKeeper::carryOut(const ReadManifest &action)
 {
-    for (const Chunk &chunk : manifest.chunks()) {
-        if (m_fetching.size() >= maxFetches) {
-            return;
-        }
-        if (m_chunks.contains(chunk.digest) || !m_fetching.insert(chunk.digest).second) {
-            continue;
-        }
-        asio::co_spawn(
-                m_executor,
-                [self = shared_from_this(), chunk, peer = peerHolding(digest)] {
-                    return self->fetchChunk(chunk, peer);
-                },
-                asio::detached);
-    }
+    asio::co_spawn(
+            m_executor, [self = shared_from_this(), action] { return self->fetchManifest(action); },
+            asio::detached);
 }
 
-bool WeightKeeper::isComplete(const Manifest &manifest) const
+void WeightKeeper::carryOut(const ReadChunk &action)
 {
-    return std::all_of(manifest.chunks().begin(), manifest.chunks().end(),
-                       [this](const Chunk &chunk) { return m_chunks.contains(chunk.digest); });
+    const MailboxPtr<StreamEvent> events = makeReadEvents(m_executor);
+    m_readings.insert_or_assign(action.chunk.digest, events);
+    asio::co_spawn(
+            m_executor,
+            [self = shared_from_this(), action, events] {
+                return self->fetchChunk(action, events);
+            },
+            asio::detached);
 }
 
-std::optional<Address> WeightKeeper::peerHolding(const Digest &manifest) const
+void WeightKeeper::carryOut(const StopReading &action)
 {
-    std::vector<Address> holders;
-    for (const WeightPeer &peer : m_peers) {
-        if (peer.holding.contains(manifest)) {
-            holders.push_back(peer.address);
-        }
+    const auto it = m_readings.find(action.chunk);
+    if (it != m_readings.end()) {
+        it->second->post(StreamEvent(LinkClosed {"the chunk is no longer wanted"}));
+        m_readings.erase(it);
+        m_metrics->count("weight_reads_stopped_total", "Readings of chunks that were stopped");
     }
-    if (holders.empty()) {
-        return std::nullopt;
-    }
-    return holders[randomNumber() % holders.size()];
 }
 
-Awaitable<void> WeightKeeper::fetchManifest(Digest digest)
+void WeightKeeper::carryOut(const DropChunk &action)
 {
-    Outcome<Manifest> manifest = co_await m_sources.readManifest(digest);
-    WeightCommand fetched = ManifestFetched {digest, std::move(manifest)};
-    co_await m_mailbox->send(std::move(fetched));
+    m_chunks.erase(action.chunk);
 }
 
-Awaitable<void> WeightKeeper::fetchChunk(Chunk chunk, std::optional<Address> peer)
+Awaitable<void> WeightKeeper::fetchManifest(ReadManifest action)
 {
-    Outcome<std::string> read = Failure {};
-    if (peer) {
-        read = co_await m_sources.readPeer(*peer, chunk);
+    Outcome<Manifest> manifest = Failure {};
+    if (action.source.isOrigin()) {
+        manifest = co_await m_sources.readManifest(action.digest);
     } else {
-        read = co_await m_sources.readOrigin(chunk);
+        PeerRead read {action.source.peer, action.digest, maxManifestBytes, manifestPatience,
+                       makeReadEvents(m_executor)};
+        const Outcome<std::string> text = co_await m_sources.readPeer(std::move(read));
+        const Failure *failure = failureOf(text);
+        manifest = failure != nullptr
+                ? Outcome<Manifest>(*failure)
+                : settle([&] { return parseManifest(std::get<std::string>(text), action.digest); });
     }
-    Outcome<ChunkBytes> bytes = Failure {};
-    if (const Failure *failure = failureOf(read)) {
-        bytes = *failure;
-    } else if (digestOf(std::get<std::string>(read)) != chunk.digest) {
-        bytes = Failure {ErrorKind::CorruptData,
-                         "chunk " + chunk.digest.text() + " came corrupted"};
+    WeightCommand fetched = ManifestFetched {action.digest, std::move(manifest)};
+    co_await m_mailbox->send(std::move(fetched));
+}
+
+Awaitable<void> WeightKeeper::fetchChunk(ReadChunk action, MailboxPtr<StreamEvent> events)
+{
+    Outcome<std::string> bytes = Failure {};
+    Duration retryAfter {};
+    if (action.source.isOrigin()) {
+        OriginAnswer answer = co_await m_sources.readOrigin(action.chunk);
+        bytes = std::move(answer.bytes);
+        retryAfter = answer.retryAfter;
     } else {
-        bytes = std::make_shared<const std::string>(std::get<std::string>(std::move(read)));
+        PeerRead read {action.source.peer, action.chunk.digest, action.chunk.size, action.patience,
+                       std::move(events)};
+        bytes = co_await m_sources.readPeer(std::move(read));
     }
-    WeightCommand fetched = ChunkFetched {chunk, std::move(bytes), !peer.has_value()};
+    Outcome<ChunkBytes> checked = verified(std::move(bytes), action.chunk);
+    WeightCommand fetched =
+            ChunkFetched {action.chunk, action.source, std::move(checked), retryAfter};
     co_await m_mailbox->send(std::move(fetched));
 }
 
-Awaitable<void> WeightKeeper::serveChunk(ChunkBytes bytes, PeerLinkHandle link, StreamId stream)
+void WeightKeeper::noteTrouble(const Failure &failure, const ChunkSource &source)
 {
-    for (std::size_t at = 0; at < bytes->size(); at += partBytes) {
-        const bool isLast = at + partBytes >= bytes->size();
-        ChunkPartMessage part {bytes->substr(at, partBytes), isLast};
-        if (!co_await link.send(stream, std::move(part))) {
-            co_return;
-        }
+    const std::string name = source.isOrigin() ? "origin" : "peer";
+    m_metrics->count("chunks_failed_total", "Chunks that could not be fetched",
+                     {{"source", name}, {"kind", std::string(answerFor(failure.kind).name)}});
+    if (source.isOrigin() || failure.kind != ErrorKind::Overloaded) {
+        m_lastFailure = failure.detail;
+        m_log.warning("weights.chunk-failed",
+                      {{"reason", failure.detail}, {"source", name}, {"peer", source.peer.text()}});
+    }
+}
+
+void WeightKeeper::keepPartners()
+{
+    std::vector<WeightPeer> partners = m_planner.partners();
+    if (partners != m_partners || !partners.empty()) {
+        m_partners = std::move(partners);
+        m_tasks.links->post(KeepPartners {m_known, m_partners});
     }
-    m_metrics->count("weight_bytes_served_total", "Bytes of weights served to peers", {},
-                     static_cast<double>(bytes->size()));
 }
 
-void WeightKeeper::dropUnwanted()
+/** Tells the peers what is new, at most once in a while. */
+void WeightKeeper::announceNews()
 {
-    std::erase_if(m_manifests,
-                  [this](const auto &entry) { return !m_wanted.contains(entry.first); });
-    std::set<Digest> needed;
-    for (const auto &[digest, manifest] : m_manifests) {
-        for (const Chunk &chunk : manifest.chunks()) {
-            needed.insert(chunk.digest);
+    const Instant now = monotonicNow();
+    if (now < m_announcedAt + announceEvery) {
+        return;
+    }
+    m_announcedAt = now;
+    for (const Digest &manifest : m_planner.offered()) {
+        HaveMessage have = haveOf(manifest, false);
+        ChunkBits &told = m_announced[manifest];
+        if (told != have.bits) {
+            told = have.bits;
+            m_tasks.links->post(Announce {std::move(have)});
         }
     }
-    std::erase_if(m_chunks, [&](const auto &entry) { return !needed.contains(entry.first); });
+    std::erase_if(m_announced,
+                  [this](const auto &entry) { return m_planner.manifest(entry.first) == nullptr; });
+}
+
+HaveMessage WeightKeeper::haveOf(const Digest &manifest, bool isAnswerWanted) const
+{
+    return {manifest, m_planner.held(manifest), m_servedBytes, isAnswerWanted};
 }
 
 void WeightKeeper::publish()
 {
-    m_status.holding.clear();
-    for (const auto &[digest, manifest] : m_manifests) {
-        if (isComplete(manifest)) {
-            m_status.holding.insert(digest);
-        }
+    WeightStatus status {m_planner.complete(), m_originBytes, m_planner.trouble()};
+    if (status.trouble.empty() && !m_planner.isDone()) {
+        status.trouble = m_lastFailure;
+    }
+    if (status == m_status) {
+        return;
     }
+    m_status = std::move(status);
+    m_metrics->set("weights_held_bytes", "Bytes of weights held, apart from control",
+                   static_cast<double>(m_planner.heldBytes()));
+    m_metrics->set("weights_refused", "1 if a wanted version does not fit into memory",
+                   m_planner.trouble().empty() ? 0 : 1);
     m_observer(m_status);
 }
 
--- a/source/agent/weightkeeper.h
+++ b/source/agent/weightkeeper.h
@@ -1,12 +1,14 @@
 /**
- * The task that keeps weights: it fetches, verifies and holds chunks, and serves them to others.
+ * The task that keeps weights: it carries out the plan of transfers, verifies and holds chunks, and
+ * gives them to the engine and to other agents.
  */
 #pragma once
 
+#include "agent/chunkserver.h"
+#include "agent/peerchunks.h"
 #include "core/weights/weights.h"
 #include "net/log.h"
 #include "net/metrics.h"
-#include "net/peerlink.h"
 #include "platform/storeclient.h"
 
 #include <functional>
@@ -17,46 +19,23 @@
 
 namespace greengageseam {
 
-/** Bytes of a chunk, shared by all who read them. */
-using ChunkBytes = std::shared_ptr<const std::string>;
-
-/** The versions that this agent should hold. */
-struct WantWeights
-{
-    std::set<Digest> manifests;
-};
-
-/** A peer that holds whole versions. */
-struct WeightPeer
-{
-    Address address;
-    std::set<Digest> holding;
-
-    auto operator<=>(const WeightPeer &) const = default;
-};
-
-/** The peers of the zone, as an entry told them. */
-struct PeersSeen
-{
-    std::vector<WeightPeer> peers;
-};
-
-/** A manifest was read from the origin. */
+/** A manifest was read, or could not be. */
 struct ManifestFetched
 {
     Digest digest;
     Outcome<Manifest> manifest;
 };
 
-/** A chunk was fetched and verified, or could not be. */
+/** A chunk was read and verified, or could not be. */
 struct ChunkFetched
 {
     Chunk chunk;
+    ChunkSource source;
     Outcome<ChunkBytes> bytes;
-    bool isFromOrigin = false;
+    Duration retryAfter {};
 };
 
-/** A peer asks for a chunk on a stream of its link. */
+/** A peer asks for a chunk or a manifest on a stream of its link. */
 struct ChunkAsked
 {
     Digest digest;
@@ -64,6 +43,25 @@
     StreamId stream = 0;
 };
 
+/** A peer says what it offers. */
+struct PeerOffers
+{
+    PeerHas has;
+    bool isAnswerWanted = false;
+};
+
+/** There is a link to a peer now. */
+struct PeerLinked
+{
+    InstanceId peer;
+};
+
+/** How much has been served to peers so far. */
+struct ServedSoFar
+{
+    std::uint64_t bytes = 0;
+};
+
 /** The engine asks for a manifest's text. */
 struct ManifestRead
 {
@@ -71,25 +69,27 @@
     MailboxPtr<Outcome<std::string>> reply;
 };
 
-/** The engine asks for a chunk of a version that is held whole. */
+/** The engine asks for a chunk. */
 struct ChunkRead
 {
     Digest chunk;
     MailboxPtr<Outcome<ChunkBytes>> reply;
 };
 
-/** Time to go on with what is missing. */
+/** Time passes. */
 struct WeightTick
 { };
 
 /** Messages to the keeper. */
-using WeightCommand = std::variant<WantWeights, PeersSeen, ManifestFetched, ChunkFetched,
-                                   ChunkAsked, ManifestRead, ChunkRead, WeightTick>;
+using WeightCommand =
+        std::variant<VersionsWanted, PeersKnown, OriginCopiesSet, PeerGone, LiveLoadSeen,
+                     ManifestFetched, ChunkFetched, ChunkAsked, PeerOffers, PeerLinked, ServedSoFar,
+                     ManifestRead, ChunkRead, WeightTick>;
 
 /** What the keeper tells of itself. */
 struct WeightStatus
 {
-    /** Versions that are held complete and verified. */
+    /** Versions that are wanted, held complete and verified. */
     std::set<Digest> holding;
     std::uint64_t originBytes = 0;
     /** What last went wrong, for the report. */
@@ -101,24 +101,32 @@
 /** Hook that is told of each new status; it must not wait. */
 using WeightObserver = std::function<void(const WeightStatus &status)>;
 
-/** Hook that reads a chunk from a peer, not yet verified. */
-using ReadPeerChunk = std::function<Awaitable<Outcome<std::string>>(Address peer, Chunk chunk)>;
-
 /** Where weights come from. */
 struct WeightSources
 {
     ReadOriginManifest readManifest;
     ReadOriginChunk readOrigin;
-    ReadPeerChunk readPeer;
+    ReadPeer readPeer;
+};
+
+/** The tasks beside the keeper that it talks to. */
+struct WeightTasks
+{
+    MailboxPtr<ChunkLinksCommand> links;
+    MailboxPtr<ServerCommand> server;
 };
 
 /** Keeps the weights of one agent. */
 class WeightKeeper : public std::enable_shared_from_this<WeightKeeper>
 {
 public:
-    WeightKeeper(const asio::any_io_executor &executor, WeightSources sources,
+    /** @param mailbox where the keeper gets its commands; others may hold it before */
+    WeightKeeper(const asio::any_io_executor &executor, MailboxPtr<WeightCommand> mailbox,
+                 TransferPlanner planner, WeightSources sources, WeightTasks tasks,
                  WeightObserver observer, std::shared_ptr<Metrics> metrics, Log log);
 
+    /** @returns a mailbox for a keeper */
+    static MailboxPtr<WeightCommand> makeCommands(const asio::any_io_executor &executor);
     /** @returns where to send commands */
     const MailboxPtr<WeightCommand> &mailbox() const { return m_mailbox; }
     /** Starts the task. */
@@ -126,37 +134,53 @@
 
 private:
     Awaitable<void> run();
-    void apply(const WantWeights &command);
-    void apply(const PeersSeen &command);
+    void apply(const VersionsWanted &command);
+    void apply(const PeersKnown &command);
+    void apply(const OriginCopiesSet &command);
+    void apply(const PeerGone &command);
+    void apply(const LiveLoadSeen &command);
     void apply(const ManifestFetched &command);
     void apply(const ChunkFetched &command);
     void apply(const ChunkAsked &command);
+    void apply(const PeerOffers &command);
+    void apply(const PeerLinked &command);
+    void apply(const ServedSoFar &command);
     void apply(const ManifestRead &command);
     void apply(const ChunkRead &command);
     void apply(const WeightTick &command);
-    void goOn();
-    void fetchMissingChunks(const Digest &digest, const Manifest &manifest);
-    bool isComplete(const Manifest &manifest) const;
-    std::optional<Address> peerHolding(const Digest &manifest) const;
-    Awaitable<void> fetchManifest(Digest digest);
-    Awaitable<void> fetchChunk(Chunk chunk, std::optional<Address> peer);
-    Awaitable<void> serveChunk(ChunkBytes bytes, PeerLinkHandle link, StreamId stream);
-    void dropUnwanted();
+    void plan(const TransferEvent &event);
+    void carryOut(const ReadManifest &action);
+    void carryOut(const ReadChunk &action);
+    void carryOut(const StopReading &action);
+    void carryOut(const DropChunk &action);
+    Awaitable<void> fetchManifest(ReadManifest action);
+    Awaitable<void> fetchChunk(ReadChunk action, MailboxPtr<StreamEvent> events);
+    void noteTrouble(const Failure &failure, const ChunkSource &source);
+    void keepPartners();
+    void announceNews();
+    HaveMessage haveOf(const Digest &manifest, bool isAnswerWanted) const;
     void publish();
 
     asio::any_io_executor m_executor;
+    MailboxPtr<WeightCommand> m_mailbox;
+    TransferPlanner m_planner;
     WeightSources m_sources;
+    WeightTasks m_tasks;
     WeightObserver m_observer;
     std::shared_ptr<Metrics> m_metrics;
     Log m_log;
-    MailboxPtr<WeightCommand> m_mailbox;
-    std::set<Digest> m_wanted;
-    std::vector<WeightPeer> m_peers;
-    std::map<Digest, Manifest> m_manifests;
     /** Invariant: each chunk's bytes match its digest. */
     std::map<Digest, ChunkBytes> m_chunks;
-    /** Manifests and chunks that are being fetched. */
-    std::set<Digest> m_fetching;
+    /** Ways to stop what is being read from peers. */
+    std::map<Digest, MailboxPtr<StreamEvent>> m_readings;
+    std::vector<WeightPeer> m_known;
+    std::vector<WeightPeer> m_partners;
+    /** What the peers were last told. */
+    std::map<Digest, ChunkBits> m_announced;
+    Instant m_announcedAt;
+    std::uint64_t m_servedBytes = 0;
+    std::uint64_t m_originBytes = 0;
+    std::string m_lastFailure;
     WeightStatus m_status;
 };
 
--- /dev/null
+++ b/source/core/weights/sources.cpp
@@ -0,0 +1,25 @@
+#include "core/weights/sources.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace greengageseam {
+
+std::optional<ChunkSource> chooseSwarmSource(const SourceQuestion &question)
+{
+    const auto best = std::min_element(
+            question.candidates.begin(), question.candidates.end(),
+            [](const SourceCandidate &left, const SourceCandidate &right) {
+                return std::tie(left.isFar, left.outstanding, left.servedBytes)
+                        < std::tie(right.isFar, right.outstanding, right.servedBytes);
+            });
+    if (best != question.candidates.end()) {
+        return ChunkSource {best->peer};
+    }
+    if (question.isOriginTurn && question.isOriginUsable) {
+        return ChunkSource {};
+    }
+    return std::nullopt;
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/core/weights/transferevents.h
@@ -0,0 +1,139 @@
+/**
+ * What the transfer planner is told, and what it wants done.
+ */
+#pragma once
+
+#include "core/common/common.h"
+#include "core/weights/chunkbits.h"
+#include "core/weights/manifest.h"
+#include "core/weights/sources.h"
+#include "core/weights/turns.h"
+
+#include <map>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace greengageseam {
+
+/** The versions that belong here, and where else they belong. */
+struct VersionsWanted
+{
+    std::map<Digest, VersionPlaces> versions;
+};
+
+/** The agents that weights may be read from. */
+struct PeersKnown
+{
+    std::vector<WeightPeer> peers;
+};
+
+/** How many copies of a version may be read from the origin. */
+struct OriginCopiesSet
+{
+    std::uint32_t copies = 1;
+};
+
+/** A manifest was read and matches its digest. */
+struct ManifestKnown
+{
+    Digest digest;
+    Manifest manifest;
+};
+
+/** A manifest could not be read. */
+struct ManifestFailed
+{
+    Digest digest;
+};
+
+/** A peer says which chunks it offers. */
+struct PeerHas
+{
+    InstanceId peer;
+    ZoneName zone;
+    Digest manifest;
+    ChunkBits bits;
+    std::uint64_t servedBytes = 0;
+};
+
+/** The link to a peer has ended; what it offered is no longer known. */
+struct PeerGone
+{
+    InstanceId peer;
+};
+
+/** How the reading of a chunk went. Verified only after its digest was checked. */
+enum class FetchResult { Verified, Corrupt, Busy, NotHeld, Failed };
+
+/** The reading of a chunk has ended. */
+struct FetchEnded
+{
+    Chunk chunk;
+    ChunkSource source;
+    FetchResult result = FetchResult::Failed;
+    /** How long the source asks to be left alone; 0 if it does not say. */
+    Duration retryAfter {};
+};
+
+/** The engine reads a version, which has to stay until it has done so. */
+struct EngineReads
+{
+    Digest manifest;
+};
+
+/** Many live requests are in progress, or few again. */
+struct LiveLoadSeen
+{
+    bool isHigh = false;
+};
+
+/** Time passes. */
+struct TimePassed
+{ };
+
+/** Events of the planner. */
+using TransferEvent =
+        std::variant<VersionsWanted, PeersKnown, OriginCopiesSet, ManifestKnown, ManifestFailed,
+                     PeerHas, PeerGone, FetchEnded, EngineReads, LiveLoadSeen, TimePassed>;
+
+/** Read a manifest. */
+struct ReadManifest
+{
+    Digest digest;
+    ChunkSource source;
+
+    auto operator<=>(const ReadManifest &) const = default;
+};
+
+/** Read a chunk, check it, and tell the planner. */
+struct ReadChunk
+{
+    Chunk chunk;
+    ChunkSource source;
+    /** Time without progress after which the source counts as stalled. */
+    Duration patience {};
+
+    auto operator<=>(const ReadChunk &) const = default;
+};
+
+/** Stop the reading of a chunk that nobody wants any more; nothing is to be told of it. */
+struct StopReading
+{
+    Digest chunk;
+
+    auto operator<=>(const StopReading &) const = default;
+};
+
+/** Forget the bytes of a chunk. */
+struct DropChunk
+{
+    Digest chunk;
+
+    auto operator<=>(const DropChunk &) const = default;
+};
+
+/** Actions of the planner. */
+using TransferAction = std::variant<ReadManifest, ReadChunk, StopReading, DropChunk>;
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/core/weights/transferstate.cpp
@@ -0,0 +1,119 @@
+/**
+ * What the transfer planner tells of its state, and its options.
+ */
+#include "core/weights/transferplanner.h"
+
+#include <algorithm>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr std::size_t zonePartners = 8;
+constexpr std::size_t farPartners = 2;
+
+} // namespace
+
+TransferOptions TransferOptions::withLinkBytesPerSecond(std::uint64_t value) const
+{
+    TransferOptions next = *this;
+    next.linkBytesPerSecond = value;
+    return next;
+}
+
+TransferOptions TransferOptions::withZoneLinkBytesPerSecond(std::uint64_t value) const
+{
+    TransferOptions next = *this;
+    next.zoneLinkBytesPerSecond = value;
+    return next;
+}
+
+TransferOptions TransferOptions::withMemoryBytes(std::uint64_t value) const
+{
+    TransferOptions next = *this;
+    next.memoryBytes = value;
+    return next;
+}
+
+std::set<Digest> TransferPlanner::complete() const
+{
+    std::set<Digest> digests;
+    for (const auto &[digest, version] : m_versions) {
+        if (version.isWanted && version.manifest && version.missing == 0) {
+            digests.insert(digest);
+        }
+    }
+    return digests;
+}
+
+bool TransferPlanner::isWhole(const Digest &manifest) const
+{
+    const auto it = m_versions.find(manifest);
+    return it != m_versions.end() && it->second.manifest && it->second.missing == 0;
+}
+
+bool TransferPlanner::isDone() const
+{
+    return std::all_of(m_versions.begin(), m_versions.end(), [this](const auto &entry) {
+        return !entry.second.isWanted || isWhole(entry.first);
+    });
+}
+
+std::vector<Digest> TransferPlanner::offered() const
+{
+    std::vector<Digest> digests;
+    for (const auto &[digest, version] : m_versions) {
+        if (version.manifest) {
+            digests.push_back(digest);
+        }
+    }
+    return digests;
+}
+
+ChunkBits TransferPlanner::held(const Digest &manifest) const
+{
+    const auto it = m_versions.find(manifest);
+    if (it == m_versions.end()) {
+        return {};
+    }
+    std::vector<bool> bits;
+    for (const ChunkPhase phase : it->second.phases) {
+        bits.push_back(phase == ChunkPhase::Held);
+    }
+    return ChunkBits(bits);
+}
+
+const Manifest *TransferPlanner::manifest(const Digest &digest) const
+{
+    const auto it = m_versions.find(digest);
+    return it == m_versions.end() || !it->second.manifest ? nullptr : &*it->second.manifest;
+}
+
+std::vector<WeightPeer> TransferPlanner::partners() const
+{
+    std::set<InstanceId> members;
+    std::set<ZoneName> zones;
+    for (const auto &[digest, version] : m_versions) {
+        if (version.isWanted && (!version.manifest || version.missing > 0)) {
+            members.insert(version.places.members.begin(), version.places.members.end());
+            zones.insert(version.places.zones.begin(), version.places.zones.end());
+        }
+    }
+    std::map<ZoneName, std::vector<InstanceId>> candidates;
+    for (const auto &[instance, peer] : m_peers) {
+        const bool isNear = peer.info.zone == m_options.zone;
+        if (isNear ? members.contains(instance) : zones.contains(peer.info.zone)) {
+            candidates[peer.info.zone].push_back(instance);
+        }
+    }
+    std::vector<WeightPeer> partners;
+    for (const auto &[zone, instances] : candidates) {
+        const std::size_t most = zone == m_options.zone ? zonePartners : farPartners;
+        for (const InstanceId &instance : choosePartners(m_options.self, instances, most)) {
+            partners.push_back(m_peers.at(instance).info);
+        }
+    }
+    return partners;
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/core/weights/turns.h
@@ -0,0 +1,77 @@
+/**
+ * Whose turn it is to bring a chunk into a zone: owners by rendezvous hashing.
+ */
+#pragma once
+
+#include "core/weights/manifest.h"
+
+#include <vector>
+
+namespace greengageseam {
+
+/** Where a version belongs. */
+struct VersionPlaces
+{
+    /** Agents of the own zone, by name. */
+    std::vector<InstanceId> members;
+    /** Zones that have replicas and that can be reached from here, the own one among them. */
+    std::vector<ZoneName> zones;
+
+    auto operator<=>(const VersionPlaces &) const = default;
+};
+
+/** The turn of one agent at one chunk. */
+struct ChunkTurn
+{
+    /** 0 for the zone's owner of the chunk, 1 for the one who comes next if that one stalls. */
+    std::uint32_t rank = 0;
+    /** The zone that reads the chunk from the origin. */
+    ZoneName home;
+    /** The far zone that reads the chunk from the home zone and passes it on to the others. */
+    ZoneName lead;
+
+    auto operator<=>(const ChunkTurn &) const = default;
+};
+
+/** All turns of one agent at one version. */
+struct TurnTable
+{
+    /** One for each chunk of the manifest. */
+    std::vector<ChunkTurn> turns;
+    /** How many chunks the agent owns. */
+    std::size_t ownShare = 0;
+    /** How many chunks the agent with the most owns. */
+    std::size_t largestShare = 0;
+
+    auto operator<=>(const TurnTable &) const = default;
+};
+
+/** @param storeZone zone of the weight store; empty spreads the chunks' home over all zones */
+TurnTable makeTurns(const Manifest &manifest, const VersionPlaces &places, const InstanceId &self,
+                    const ZoneName &storeZone);
+
+/** How much of the origin may be read for each chunk, and how far owners have been passed over. */
+struct TurnState
+{
+    std::uint32_t originCopies = 1;
+    /** How many owners are passed over by now. */
+    std::uint32_t passes = 0;
+
+    auto operator<=>(const TurnState &) const = default;
+};
+
+/** @returns whether an agent of @p zone with this turn reads the chunk from the origin */
+bool mayReadOrigin(const ChunkTurn &turn, const ZoneName &zone, const TurnState &state);
+
+/** @returns whether an agent of @p zone with this turn reads the chunk from zone @p other */
+bool mayReadZone(const ChunkTurn &turn, const ZoneName &zone, const ZoneName &other,
+                 const TurnState &state);
+
+/**
+ * The peers that an agent keeps links to: a few of its zone and of each other zone, chosen by
+ * rendezvous hashing, so that the links make a random graph.
+ */
+std::vector<InstanceId> choosePartners(const InstanceId &self,
+                                       const std::vector<InstanceId> &candidates, std::size_t most);
+
+} // namespace greengageseam
--- a/source/daemon/settings.cpp
+++ b/source/daemon/settings.cpp
@@ -39,6 +39,16 @@
                               when the platform's list has them (agent).
   --backend=<address>         HTTP address of the backend server (agent).
   --service=<name>            The plain service behind the agent; unset for an engine.
+  --link-rate=<bytes>         Bytes a second of the machine's link that weights may use each way
+                              (agent). Unset: without limit.
+  --zone-link-rate=<bytes>    Bytes a second that this agent may read from other zones (agent).
+                              Unset: without limit.
+  --weight-memory=<bytes>     Bytes of weights that are held at most (agent). Unset: without limit.
+  --store-zone=<name>         Zone of the weight store (agent). Unset: none is nearer.
+  --far-peers=<peers>         Agents of other zones to read weights from, as
+                              zone/instance@address, with commas (agent).
+  --yield-above=<requests>    Live requests in progress beyond which weights get half the link,
+                              1 to 100000 (agent). Unset: 32.
   --drain-limit=<seconds>     Longest time that a shutdown waits, 1 to 86400. Unset: 600.
   --log-level=<level>         error, warning, info or debug. Unset: info.
   --check-settings            Check the settings, and end.
@@ -52,6 +62,8 @@
 constexpr std::size_t maxNameLength = 64;
 constexpr std::uint32_t maxRequestSeconds = 3600;
 constexpr std::uint32_t maxDrainSeconds = 86400;
+constexpr std::uint32_t maxYieldAbove = 100'000;
+constexpr std::uint64_t maxBytes = 1ULL << 50U;
 constexpr std::uint32_t defaultRequestSeconds = 120;
 constexpr std::uint32_t defaultDrainSeconds = 600;
 const std::string variablePrefix = "GREENGAGESEAM_";
@@ -157,18 +169,32 @@
     }
 
     Result<Duration> seconds(const std::string &flag, std::uint32_t unset, std::uint32_t most) const
+    {
+        BOOST_LEAF_AUTO(n, number(flag, unset, most));
+        return Duration(std::chrono::seconds(n));
+    }
+
+    /** @returns bytes, or bytes a second; 0, which is without limit, if it is not set */
+    Result<std::uint64_t> bytes(const std::string &flag) const
+    {
+        return number<std::uint64_t>(flag, 0, maxBytes);
+    }
+
+    /** @returns a whole number from 1 to @p most */
+    template <typename Number>
+    Result<Number> number(const std::string &flag, Number unset, Number most) const
     {
         const std::optional<std::string> value = find(flag);
         if (!value) {
-            return Duration(std::chrono::seconds(unset));
+            return unset;
         }
-        std::uint32_t n = 0;
+        Number n = 0;
         const char *end = value->data() + value->size();
         const auto [rest, ec] = std::from_chars(value->data(), end, n);
         if (ec != std::errc() || rest != end || n < 1 || n > most) {
             return refuse(flag, *value, "a whole number from 1 to " + std::to_string(most));
         }
-        return Duration(std::chrono::seconds(n));
+        return n;
     }
 
     Result<std::string> secret() const
@@ -202,6 +228,47 @@
     const Environment &m_environment;
 };
 
+/** Reads agents of other zones, as zone/instance@address with commas between them. */
+Result<std::vector<WeightPeer>> readFarPeers(const SettingsReader &reader)
+{
+    const std::string text = reader.find("--far-peers").value_or("");
+    std::vector<WeightPeer> peers;
+    std::size_t at = 0;
+    while (at < text.size()) {
+        const std::size_t end = std::min(text.find(',', at), text.size());
+        const std::string peer = text.substr(at, end - at);
+        const std::size_t slash = peer.find('/');
+        const std::size_t sign = peer.find('@');
+        const bool isWhole =
+                slash != std::string::npos && sign != std::string::npos && slash < sign;
+        const Address address(isWhole ? peer.substr(sign + 1) : "");
+        const auto parsed = settle([&] { return parseEndpoint(address); });
+        if (failureOf(parsed) != nullptr) {
+            return SettingsReader::refuse("--far-peers", peer, "zone/instance@address");
+        }
+        peers.push_back({InstanceId(peer.substr(slash + 1, sign - slash - 1)),
+                         ZoneName(peer.substr(0, slash)), address});
+        at = end + 1;
+    }
+    return peers;
+}
+
+Result<WeightSettings> readWeights(const SettingsReader &reader)
+{
+    WeightSettings settings;
+    BOOST_LEAF_ASSIGN(settings.linkBytesPerSecond, reader.bytes("--link-rate"));
+    BOOST_LEAF_ASSIGN(settings.zoneLinkBytesPerSecond, reader.bytes("--zone-link-rate"));
+    BOOST_LEAF_ASSIGN(settings.memoryBytes, reader.bytes("--weight-memory"));
+    BOOST_LEAF_ASSIGN(settings.farPeers, readFarPeers(reader));
+    BOOST_LEAF_ASSIGN(settings.yieldAbove,
+                      reader.number("--yield-above", settings.yieldAbove, maxYieldAbove));
+    if (reader.find("--store-zone")) {
+        BOOST_LEAF_AUTO(zone, reader.name("--store-zone"));
+        settings.storeZone = ZoneName(zone);
+    }
+    return settings;
+}
+
 Result<EntrySettings> readEntry(const SettingsReader &reader)
 {
     EntrySettings settings;
@@ -245,6 +312,7 @@
     }
     BOOST_LEAF_ASSIGN(settings.backendAddress, reader.address("--backend"));
     BOOST_LEAF_ASSIGN(settings.secret, reader.secret());
+    BOOST_LEAF_ASSIGN(settings.weights, readWeights(reader));
     BOOST_LEAF_ASSIGN(settings.drainLimit,
                       reader.seconds("--drain-limit", defaultDrainSeconds, maxDrainSeconds));
     if (reader.find("--service")) {
--- a/source/platform/storeclient.cpp
+++ b/source/platform/storeclient.cpp
@@ -2,6 +2,8 @@
 
 #include "net/httpclient.h"
 
+#include <charconv>
+
 namespace greengageseam {
 
 namespace {
@@ -24,6 +26,19 @@
     return {ErrorKind::PlatformUnavailable, detail};
 }
 
+Duration retryAfterOf(const HttpResponse &response)
+{
+    for (const HttpHeader &field : response.headers) {
+        std::uint32_t seconds = 0;
+        const char *end = field.value.data() + field.value.size();
+        if (field.name == "Retry-After"
+            && std::from_chars(field.value.data(), end, seconds).ec == std::errc()) {
+            return std::chrono::seconds(seconds);
+        }
+    }
+    return Duration::zero();
+}
+
 } // namespace
 
 StoreClient::StoreClient(const asio::any_io_executor &executor, Address address, Duration limit)
@@ -32,33 +47,31 @@
 
 Awaitable<Outcome<Manifest>> StoreClient::readManifest(Digest digest) const
 {
-    const Outcome<std::string> text =
-            co_await get("/store/manifests/" + digest.text(), maxManifestBytes);
-    if (const Failure *failure = failureOf(text)) {
+    std::string target = "/store/manifests/" + digest.text();
+    const OriginAnswer answer = co_await get(std::move(target), maxManifestBytes);
+    if (const Failure *failure = failureOf(answer.bytes)) {
         co_return *failure;
     }
-    co_return settle([&] { return parseManifest(std::get<std::string>(text), digest); });
+    co_return settle([&] { return parseManifest(std::get<std::string>(answer.bytes), digest); });
 }
 
-Awaitable<Outcome<std::string>> StoreClient::readChunk(Chunk chunk) const
+Awaitable<OriginAnswer> StoreClient::readChunk(Chunk chunk) const
 {
-    Outcome<std::string> bytes =
-            co_await get("/store/chunks/" + chunk.digest.text(), maxChunkBytes);
-    if (failureOf(bytes) != nullptr) {
-        co_return bytes;
-    }
-    if (digestOf(std::get<std::string>(bytes)) != chunk.digest) {
-        co_return Failure {ErrorKind::CorruptData,
-                           "the origin gave chunk " + chunk.digest.text() + " corrupted"};
+    std::string target = "/store/chunks/" + chunk.digest.text();
+    OriginAnswer answer = co_await get(std::move(target), maxChunkBytes);
+    const auto *bytes = std::get_if<std::string>(&answer.bytes);
+    if (bytes != nullptr && digestOf(*bytes) != chunk.digest) {
+        answer.bytes = Failure {ErrorKind::CorruptData,
+                                "the origin gave chunk " + chunk.digest.text() + " corrupted"};
     }
-    co_return bytes;
+    co_return answer;
 }
 
 Awaitable<Outcome<bool>> StoreClient::hasChunk(Digest digest) const
 {
-    const Outcome<std::string> answer =
-            co_await get("/store/chunks/" + digest.text() + "?probe=1", maxChunkBytes);
-    const Failure *failure = failureOf(answer);
+    std::string target = "/store/chunks/" + digest.text() + "?probe=1";
+    const OriginAnswer answer = co_await get(std::move(target), maxChunkBytes);
+    const Failure *failure = failureOf(answer.bytes);
     if (failure != nullptr && failure->kind != ErrorKind::NotFound) {
         co_return *failure;
     }
@@ -85,19 +98,20 @@
     return [client = *this](Digest digest) { return client.readManifest(std::move(digest)); };
 }
 
-Awaitable<Outcome<std::string>> StoreClient::get(std::string target, std::size_t maxBytes) const
+Awaitable<OriginAnswer> StoreClient::get(std::string target, std::size_t maxBytes) const
 {
     const HttpRequest request {"GET", target, {}, {}};
     Outcome<HttpResponse> answer =
             co_await callHttp(m_executor, m_address, request, m_limit, maxBytes);
     if (const Failure *failure = failureOf(answer)) {
-        co_return Failure {ErrorKind::PlatformUnavailable, "the weight store: " + failure->detail};
+        co_return OriginAnswer {
+                Failure {ErrorKind::PlatformUnavailable, "the weight store: " + failure->detail}};
     }
     auto &response = std::get<HttpResponse>(answer);
     if (response.status != statusOk) {
-        co_return failureFor(response, target);
+        co_return OriginAnswer {failureFor(response, target), retryAfterOf(response)};
     }
-    co_return std::move(response.body);
+    co_return OriginAnswer {std::move(response.body)};
 }
 
 Awaitable<Settled> StoreClient::put(std::string target, std::string body) const
--- a/source/platform/storeclient.h
+++ b/source/platform/storeclient.h
@@ -11,8 +11,19 @@
 
 namespace greengageseam {
 
-/** Hook that reads a chunk from the origin. @returns Overloaded while the origin limits its rate */
-using ReadOriginChunk = std::function<Awaitable<Outcome<std::string>>(Chunk chunk)>;
+/** What the origin answered to the reading of a chunk. */
+struct OriginAnswer
+{
+    /** The chunk; Overloaded while the origin limits its rate. */
+    Outcome<std::string> bytes;
+    /** How long the origin asks to be left alone; 0 if it does not say. */
+    Duration retryAfter {};
+
+    auto operator<=>(const OriginAnswer &) const = default;
+};
+
+/** Hook that reads a chunk from the origin. */
+using ReadOriginChunk = std::function<Awaitable<OriginAnswer>(Chunk chunk)>;
 /** Hook that reads a manifest from the origin. */
 using ReadOriginManifest = std::function<Awaitable<Outcome<Manifest>>(Digest digest)>;
 
@@ -26,7 +37,7 @@
     /** @returns the manifest; CorruptData if it does not match, NotFound if there is none */
     Awaitable<Outcome<Manifest>> readManifest(Digest digest) const;
     /** @returns the chunk's bytes; CorruptData if they do not match */
-    Awaitable<Outcome<std::string>> readChunk(Chunk chunk) const;
+    Awaitable<OriginAnswer> readChunk(Chunk chunk) const;
     /** @returns whether the store has a chunk */
     Awaitable<Outcome<bool>> hasChunk(Digest digest) const;
     /** Stores a chunk. */
@@ -40,7 +51,7 @@
     ReadOriginManifest manifestReader() const;
 
 private:
-    Awaitable<Outcome<std::string>> get(std::string target, std::size_t maxBytes) const;
+    Awaitable<OriginAnswer> get(std::string target, std::size_t maxBytes) const;
     Awaitable<Settled> put(std::string target, std::string body) const;
 
     asio::any_io_executor m_executor;
--- a/source/protocol/framecodec.cpp
+++ b/source/protocol/framecodec.cpp
@@ -275,6 +275,16 @@
 
     void operator()(const EntryAliveMessage &) { m_body.__set_entryAlive({}); }
 
+    void operator()(const HaveMessage &message)
+    {
+        wire::Have have;
+        have.manifest = packDigest(message.manifest);
+        have.bits = message.bits.packed();
+        have.servedBytes = static_cast<std::int64_t>(message.servedBytes);
+        have.wanted = message.isAnswerWanted;
+        m_body.__set_have(have);
+    }
+
 private:
     wire::Body &m_body;
 };
@@ -366,6 +376,10 @@
     if (isset.entryAlive) {
         return EntryAliveMessage {};
     }
+    if (isset.have) {
+        return HaveMessage {unpackDigest(body.have.manifest), ChunkBits(body.have.bits),
+                            static_cast<std::uint64_t>(body.have.servedBytes), body.have.wanted};
+    }
     return fail(ErrorKind::ProtocolViolation, "a frame holds no message that is known here");
 }
 
--- a/source/protocol/messages.h
+++ b/source/protocol/messages.h
@@ -5,6 +5,7 @@
 
 #include "core/common/common.h"
 #include "core/membership/roster.h"
+#include "core/weights/chunkbits.h"
 
 #include <cstdint>
 #include <string>
@@ -182,12 +183,25 @@
     auto operator<=>(const EntryAliveMessage &) const = default;
 };
 
+/** Says which chunks of a manifest an agent offers to its peers. */
+struct HaveMessage
+{
+    Digest manifest;
+    ChunkBits bits;
+    /** Bytes of weights that the agent has served so far. */
+    std::uint64_t servedBytes = 0;
+    /** Whether the receiver is to answer with its own. */
+    bool isAnswerWanted = false;
+
+    auto operator<=>(const HaveMessage &) const = default;
+};
+
 /** Any message. */
-using Message =
-        std::variant<HelloMessage, ProofMessage, OpenMessage, HeadMessage, DataMessage, EndMessage,
-                     FailedMessage, CreditMessage, CancelMessage, CancelSeenMessage,
-                     HeartbeatMessage, HeartbeatAckMessage, ConfigPushMessage, ChunkWantedMessage,
-                     ChunkPartMessage, EntryAliveMessage>;
+using Message = std::variant<HelloMessage, ProofMessage, OpenMessage, HeadMessage, DataMessage,
+                             EndMessage, FailedMessage, CreditMessage, CancelMessage,
+                             CancelSeenMessage, HeartbeatMessage, HeartbeatAckMessage,
+                             ConfigPushMessage, ChunkWantedMessage, ChunkPartMessage,
+                             EntryAliveMessage, HaveMessage>;
 
 /** A message with the stream that it belongs to. */
 struct StreamMessage
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -124,6 +124,15 @@
 struct EntryAlive {
 }
 
+/** Which chunks of a manifest the sender offers, a bit for each. */
+struct Have {
+  1: binary manifest;
+  2: binary bits;
+  3: i64 servedBytes;
+  /** The receiver is to answer with its own. */
+  4: bool wanted;
+}
+
 union Body {
   1: Hello hello;
   2: Proof proof;
@@ -141,6 +150,7 @@
   14: ChunkWanted chunkWanted;
   15: ChunkPart chunkPart;
   20: EntryAlive entryAlive;
+  50: Have have;
 }
 
 /** Stream 0 belongs to the link; the side that opened the link numbers the others. */
--- a/tests/unit/tst_framecodec.cpp
+++ b/tests/unit/tst_framecodec.cpp
@@ -45,6 +45,13 @@
     REQUIRE(std::get<StreamMessage>(roundTrip(message)) == message);
 }
 
+TEST_CASE_METHOD(FrameFixture, "frame_have_comesBackEqual")
+{
+    const ChunkBits bits(std::vector<bool> {true, false, true});
+    const StreamMessage message {0, HaveMessage {digestOf("manifest"), bits, 7, true}};
+    REQUIRE(std::get<StreamMessage>(roundTrip(message)) == message);
+}
+
 TEST_CASE_METHOD(FrameFixture, "frame_rubbish_isProtocolViolation")
 {
     const auto decoded = settle([] { return decodeFrame("this is no frame"); });
