--- /dev/null
+++ b/bench/rolloutfleet.cpp
@@ -0,0 +1,250 @@
+#include "rolloutfleet.h"
+
+#include "core/common/hashing.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace greengageseam {
+
+const std::string benchToken = "operator-token";
+
+namespace {
+
+constexpr std::size_t farContacts = 4;
+constexpr int userTimeField = 13;
+constexpr std::size_t lastLinesBytes = 2000;
+
+std::filesystem::path ownFolder()
+{
+    return std::filesystem::read_symlink("/proc/self/exe").parent_path();
+}
+
+int bindFreePort(std::uint16_t &port)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t n = sizeof(address);
+    auto *generic = reinterpret_cast<sockaddr *>(&address);
+    if (bind(fd, generic, n) != 0 || getsockname(fd, generic, &n) != 0) {
+        throw std::runtime_error("no free port");
+    }
+    port = ntohs(address.sin_port);
+    return fd;
+}
+
+} // namespace
+
+RolloutFleet::RolloutFleet(const asio::any_io_executor &executor, RolloutCase measured)
+    : m_executor(executor), m_case(std::move(measured)),
+      m_folder((std::filesystem::temp_directory_path() / "rollout-XXXXXX").string())
+{
+    if (mkdtemp(m_folder.data()) == nullptr) {
+        throw std::runtime_error("no folder for logs");
+    }
+    const std::string standin = ownFolder() / "greengageseam-standin";
+    m_platform = reserve(zoneName(0));
+    spawn(m_platform, {standin, "platform", "--listen=" + m_platform.http.text(),
+                       "--admin=" + m_platform.second.text(),
+                       "--origin-rate=" + std::to_string(m_case.originRate)});
+    for (std::size_t zone = 0; zone < m_case.zones; ++zone) {
+        m_entries.push_back(reserve(zoneName(zone)));
+        FleetProcess &entry = m_entries.back();
+        spawn(entry,
+              {ownFolder() / "greengageseamd", "--role=entry", "--instance=" + zoneName(zone) + "-entry",
+               "--zone=" + zoneName(zone), "--listen=" + entry.http.text(),
+               "--peer-listen=" + entry.second.text(), "--log=" + m_platform.http.text(),
+               "--list=" + m_platform.http.text(), "--log-level=error",
+               "--bootstrap-token=" + digestOf(benchToken).text()});
+    }
+    for (std::size_t n = 0; n < m_case.replicas; ++n) {
+        m_engines.push_back(reserve(zoneName(n % m_case.zones)));
+        m_agents.push_back(reserve(zoneName(n % m_case.zones)));
+    }
+    for (std::size_t n = 0; n < m_case.replicas; ++n) {
+        startEngine(n);
+        startAgent(n);
+    }
+}
+
+RolloutFleet::~RolloutFleet()
+{
+    std::vector<FleetProcess> all {m_platform};
+    for (const auto *some : {&m_entries, &m_engines, &m_agents}) {
+        all.insert(all.end(), some->begin(), some->end());
+    }
+    for (const FleetProcess &process : all) {
+        kill(process.pid, SIGKILL);
+    }
+    for (const FleetProcess &process : all) {
+        waitpid(process.pid, nullptr, 0);
+    }
+    for (const int fd : m_reservations) {
+        close(fd);
+    }
+    std::error_code ec;
+    std::filesystem::remove_all(m_folder, ec);
+}
+
+FleetProcess RolloutFleet::reserve(const std::string &zone)
+{
+    FleetProcess process;
+    process.zone = ZoneName(zone);
+    for (Address *address : {&process.http, &process.second}) {
+        std::uint16_t port = 0;
+        m_reservations.push_back(bindFreePort(port));
+        *address = Address("127.0.0.1:" + std::to_string(port));
+    }
+    return process;
+}
+
+void RolloutFleet::spawn(FleetProcess &process, std::vector<std::string> words)
+{
+    std::vector<char *> arguments;
+    for (std::string &word : words) {
+        arguments.push_back(word.data());
+    }
+    arguments.push_back(nullptr);
+    std::string secret = "GREENGAGESEAM_SECRET=a secret for the bench only";
+    char *environment[] = {secret.data(), nullptr};
+    const std::string log = m_folder + "/log";
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, S_IRUSR | S_IWUSR);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    const int failed = posix_spawn(&process.pid, arguments.front(), &actions, nullptr,
+                                   arguments.data(), environment);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failed != 0) {
+        throw std::runtime_error("cannot start " + words.front());
+    }
+}
+
+void RolloutFleet::startEngine(std::size_t n)
+{
+    FleetProcess &engine = m_engines[n];
+    spawn(engine, {ownFolder() / "greengageseam-standin", "engine",
+                   "--listen=" + engine.http.text(), "--admin=" + engine.second.text(),
+                   "--load-ms=0"});
+}
+
+void RolloutFleet::startAgent(std::size_t n)
+{
+    const std::size_t zone = n % m_case.zones;
+    FleetProcess &agent = m_agents[n];
+    std::vector<std::string> words {ownFolder() / "greengageseam-bench",
+                                    "rollout-agent",
+                                    m_case.policy,
+                                    "--role=agent",
+                                    "--instance=agent" + std::to_string(n),
+                                    "--zone=" + zoneName(zone),
+                                    "--listen=" + agent.http.text(),
+                                    "--peer-listen=" + agent.second.text(),
+                                    "--entries=" + m_entries[zone].second.text(),
+                                    "--log=" + m_platform.http.text(),
+                                    "--store=" + storeFor(zone).text(),
+                                    "--backend=" + m_engines[n].http.text(),
+                                    "--link-rate=" + std::to_string(m_case.linkRate),
+                                    "--store-zone=" + zoneName(0)};
+    if (m_case.zones > 1) {
+        words.push_back("--far-peers=" + farPeersOf(zone));
+    }
+    spawn(agent, std::move(words));
+}
+
+std::string RolloutFleet::zoneName(std::size_t n) const
+{
+    return "zone" + std::to_string(n);
+}
+
+/** A few agents of each other zone, reached over the links between the zones. */
+std::string RolloutFleet::farPeersOf(std::size_t zone)
+{
+    std::string &peers = m_farPeers[zone];
+    if (!peers.empty()) {
+        return peers;
+    }
+    for (std::size_t other = 0; other < m_case.zones; ++other) {
+        for (std::size_t k = 0; other != zone && k < farContacts; ++k) {
+            const std::size_t n = other + k * m_case.zones;
+            if (n >= m_case.replicas) {
+                continue;
+            }
+            const Address port =
+                    linkBetween(zone, other).openPort(m_agents[n].second, zone < other);
+            peers += (peers.empty() ? "" : ",") + zoneName(other) + "/agent" + std::to_string(n)
+                    + "@" + port.text();
+        }
+    }
+    return peers;
+}
+
+Address RolloutFleet::storeFor(std::size_t zone)
+{
+    if (zone == 0) {
+        return m_platform.http;
+    }
+    Address &store = m_stores[zone];
+    if (store.isEmpty()) {
+        store = linkBetween(zone, 0).openPort(m_platform.http, false);
+    }
+    return store;
+}
+
+ThinLink &RolloutFleet::linkBetween(std::size_t left, std::size_t right)
+{
+    auto &link = m_links[std::minmax(left, right)];
+    if (!link) {
+        link = std::make_shared<ThinLink>(m_executor, m_case.thinLink);
+    }
+    return *link;
+}
+
+std::string RolloutFleet::lastLines() const
+{
+    std::ifstream file(m_folder + "/log");
+    const std::string text {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    return text.substr(text.size() - std::min(text.size(), lastLinesBytes));
+}
+
+double RolloutFleet::agentSeconds() const
+{
+    double ticks = 0;
+    for (const FleetProcess &agent : m_agents) {
+        std::ifstream file("/proc/" + std::to_string(agent.pid) + "/stat");
+        std::string word;
+        for (int n = 0; n <= userTimeField + 1 && file >> word; ++n) {
+            ticks += n >= userTimeField ? std::stod(word) : 0;
+        }
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+std::uint64_t RolloutFleet::largestAgentBytes() const
+{
+    std::uint64_t largest = 0;
+    for (const FleetProcess &agent : m_agents) {
+        std::ifstream file("/proc/" + std::to_string(agent.pid) + "/statm");
+        std::uint64_t size = 0;
+        std::uint64_t resident = 0;
+        file >> size >> resident;
+        largest = std::max(largest, resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE)));
+    }
+    return largest;
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/bench/thinlink.cpp
@@ -0,0 +1,131 @@
+#include "thinlink.h"
+
+#include "core/common/errors.h"
+#include "net/clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <cmath>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr std::size_t blockBytes = 8 * 1024;
+constexpr double packetBytes = 1448;
+constexpr double burstSeconds = 0.02;
+/** Pieces on their way over one connection; more hold the sender back. */
+constexpr std::size_t windowBlocks = 16;
+constexpr int roundTrips = 2;
+
+} // namespace
+
+ThinLink::ThinLink(const asio::any_io_executor &executor, ThinLinkOptions options)
+    : m_executor(executor), m_options(options),
+      m_buckets(2, TokenBucket(options.bytesPerSecond, options.bytesPerSecond * burstSeconds,
+                               monotonicNow()))
+{ }
+
+Address ThinLink::openPort(const Address &target, bool isForward)
+{
+    const asio::ip::tcp::endpoint any(asio::ip::address_v4::loopback(), 0);
+    const auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(m_executor, any);
+    asio::co_spawn(
+            m_executor,
+            [self = shared_from_this(), acceptor, target, isForward] {
+                return self->acceptLoop(acceptor, target, isForward);
+            },
+            asio::detached);
+    return addressOf(acceptor->local_endpoint());
+}
+
+Awaitable<void> ThinLink::acceptLoop(Acceptor acceptor, Address target, bool isForward)
+{
+    while (true) {
+        auto [ec, socket] = co_await acceptor->async_accept(asTuple);
+        if (ec) {
+            co_return;
+        }
+        const auto near = std::make_shared<asio::ip::tcp::socket>(std::move(socket));
+        asio::co_spawn(
+                m_executor,
+                [self = shared_from_this(), near, target, isForward] {
+                    return self->connect(near, target, isForward);
+                },
+                asio::detached);
+    }
+}
+
+Awaitable<void> ThinLink::connect(Socket near, Address target, bool isForward)
+{
+    const auto far = std::make_shared<asio::ip::tcp::socket>(m_executor);
+    const auto endpoint = settle([&] { return parseEndpoint(target); });
+    auto [ec] =
+            co_await far->async_connect(std::get<asio::ip::tcp::endpoint>(endpoint), asTuple);
+    if (ec) {
+        near->close();
+        co_return;
+    }
+    const auto self = shared_from_this();
+    asio::co_spawn(
+            m_executor, [self, near, far, isForward] { return self->pump(near, far, isForward ? 0 : 1); },
+            asio::detached);
+    asio::co_spawn(
+            m_executor, [self, near, far, isForward] { return self->pump(far, near, isForward ? 1 : 0); },
+            asio::detached);
+}
+
+/** Reads at the pace of the way, and hands on what is to be delivered after the delay. */
+Awaitable<void> ThinLink::pump(Socket from, Socket to, std::size_t way)
+{
+    const auto queue = makeMailbox<std::pair<Instant, std::string>>(m_executor, windowBlocks);
+    asio::co_spawn(
+            m_executor, [self = shared_from_this(), to, queue] { return self->deliver(to, queue); },
+            asio::detached);
+    asio::steady_timer timer(m_executor);
+    Instant due {};
+    while (true) {
+        std::string block(blockBytes, '\0');
+        auto [ec, n] = co_await from->async_read_some(asio::buffer(block), asTuple);
+        if (ec) {
+            break;
+        }
+        block.resize(n);
+        TokenBucket &bucket = m_buckets[way];
+        bucket = bucket.at(monotonicNow()).taken(static_cast<double>(n));
+        timer.expires_after(bucket.waitFor(0));
+        co_await timer.async_wait(asTuple);
+        const double packets = std::ceil(static_cast<double>(n) / packetBytes);
+        const double lossOfBlock = 1 - std::pow(1 - m_options.loss, packets);
+        const bool isLost = std::bernoulli_distribution(lossOfBlock)(m_random);
+        const Duration way2 = m_options.delay * (isLost ? 1 + roundTrips : 1);
+        due = std::max(due, monotonicNow() + way2);
+        std::pair<Instant, std::string> item(due, std::move(block));
+        if (!co_await queue->send(std::move(item))) {
+            break;
+        }
+    }
+    queue->close();
+}
+
+Awaitable<void> ThinLink::deliver(Socket to, MailboxPtr<std::pair<Instant, std::string>> queue)
+{
+    asio::steady_timer timer(m_executor);
+    while (auto item = co_await queue->receive()) {
+        const Duration wait = item->first - monotonicNow();
+        if (wait > Duration::zero()) {
+            timer.expires_after(wait);
+            co_await timer.async_wait(asTuple);
+        }
+        auto [ec, n] = co_await asio::async_write(*to, asio::buffer(item->second), asTuple);
+        if (ec) {
+            break;
+        }
+    }
+    boost::system::error_code ignored;
+    to->shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    queue->close();
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/bench/thinlink.h
@@ -0,0 +1,57 @@
+/**
+ * A link between two zones: paced, delayed and losing packets, shared by all connections over it.
+ */
+#pragma once
+
+#include "core/routing/tokenbucket.h"
+#include "net/endpoint.h"
+#include "net/mailbox.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <random>
+
+namespace greengageseam {
+
+/** How a link behaves each way. */
+struct ThinLinkOptions
+{
+    double bytesPerSecond = 0;
+    /** One way. */
+    Duration delay {};
+    /** Share of packets that are lost; a loss holds its connection up for one retransmission. */
+    double loss = 0;
+
+    auto operator<=>(const ThinLinkOptions &) const = default;
+};
+
+/** Both ways of the link between two zones. */
+class ThinLink : public std::enable_shared_from_this<ThinLink>
+{
+public:
+    ThinLink(const asio::any_io_executor &executor, ThinLinkOptions options);
+
+    /**
+     * Opens a port for one target at the other end.
+     * @param isForward whether the dialer is at the first zone of the pair
+     * @returns where to connect instead of the target
+     */
+    Address openPort(const Address &target, bool isForward);
+
+private:
+    using Socket = std::shared_ptr<asio::ip::tcp::socket>;
+    using Acceptor = std::shared_ptr<asio::ip::tcp::acceptor>;
+
+    Awaitable<void> acceptLoop(Acceptor acceptor, Address target, bool isForward);
+    Awaitable<void> connect(Socket near, Address target, bool isForward);
+    Awaitable<void> pump(Socket from, Socket to, std::size_t way);
+    Awaitable<void> deliver(Socket to, MailboxPtr<std::pair<Instant, std::string>> queue);
+
+    asio::any_io_executor m_executor;
+    ThinLinkOptions m_options;
+    /** One bucket for each way. */
+    std::vector<TokenBucket> m_buckets;
+    std::mt19937 m_random {1};
+};
+
+} // namespace greengageseam
--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -21,9 +21,9 @@
 } // namespace
 
 Agent::Agent(const asio::any_io_executor &executor, AgentSettings settings, Log log,
-             ChooseSource choose)
+             TransferPolicy policy)
     : m_executor(executor), m_settings(std::move(settings)), m_log(std::move(log)),
-      m_choose(std::move(choose)), m_metrics(std::make_shared<Metrics>()),
+      m_policy(std::move(policy)), m_metrics(std::make_shared<Metrics>()),
       m_logClient(executor, m_settings.logAddress, platformLimit)
 { }
 
@@ -122,7 +122,7 @@
                                  makePeerReader(m_executor, m_chunkLinks->mailbox())};
     const WeightTasks tasks {m_chunkLinks->mailbox(), m_chunkServer->mailbox()};
     m_weights = std::make_shared<WeightKeeper>(
-            m_executor, commands, TransferPlanner(options, m_choose, monotonicNow()), sources,
+            m_executor, commands, TransferPlanner(options, m_policy, monotonicNow()), sources,
             tasks, [this](const WeightStatus &status) { onWeights(status); }, m_metrics, m_log);
     m_reachableZones.insert(m_settings.zone);
     for (const WeightPeer &peer : settings.farPeers) {
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -25,9 +25,9 @@
 class Agent : public std::enable_shared_from_this<Agent>
 {
 public:
-    /** @param choose how a source is chosen for each chunk */
+    /** @param policy how weights are distributed */
     Agent(const asio::any_io_executor &executor, AgentSettings settings, Log log,
-          ChooseSource choose = chooseSwarmSource);
+          TransferPolicy policy = swarmPolicy());
 
     /** Opens the sockets and starts all tasks. @returns InvalidRequest if an address is taken */
     Result<void> start();
@@ -50,7 +50,7 @@
     asio::any_io_executor m_executor;
     AgentSettings m_settings;
     Log m_log;
-    ChooseSource m_choose;
+    TransferPolicy m_policy;
     std::set<ZoneName> m_reachableZones;
     std::shared_ptr<Metrics> m_metrics;
     LogClient m_logClient;
--- a/source/agent/chunklinks.cpp
+++ b/source/agent/chunklinks.cpp
@@ -128,7 +128,9 @@
 void ChunkLinks::apply(const Announce &command)
 {
     for (const auto &[peer, link] : m_links) {
-        const bool isMeant = command.peer.isEmpty() || command.peer == peer;
+        const bool isNear = link.handle && link.handle.peer().zone == m_identity.zone;
+        const bool isMeant = (command.peer.isEmpty() || command.peer == peer)
+                && (command.reach == Reach::All || (command.reach == Reach::Near) == isNear);
         if (isMeant && link.handle && link.handle.post(linkStream, command.have)) {
             m_metrics->count("weight_have_sent_total", "Messages that say what is offered");
         }
--- a/source/agent/chunklinks.h
+++ b/source/agent/chunklinks.h
@@ -58,11 +58,15 @@
     HaveMessage have;
 };
 
-/** Tells all linked peers what is offered, or just one. */
+/** Which of the linked peers are meant. */
+enum class Reach { All, Near, Far };
+
+/** Tells linked peers what is offered. */
 struct Announce
 {
     HaveMessage have;
-    /** Empty for all. */
+    Reach reach = Reach::All;
+    /** Just this peer, unless it is empty. */
     InstanceId peer;
 };
 
--- a/source/agent/chunkserver.cpp
+++ b/source/agent/chunkserver.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t mailboxCapacity = 1024;
-constexpr std::size_t partBytes = 32 * 1024;
+constexpr std::size_t partBytes = 64 * 1024;
 
 } // namespace
 
--- a/source/agent/chunkserver.h
+++ b/source/agent/chunkserver.h
@@ -37,9 +37,9 @@
     /** Bytes a second that are sent; 0 is without limit. */
     std::uint64_t bytesPerSecond = 0;
     /** Chunks that are sent at a time. */
-    std::size_t slots = 3;
+    std::size_t slots = 2;
     /** Chunks that wait for a slot; further ones are refused. */
-    std::size_t maxWaiting = 6;
+    std::size_t maxWaiting = 16;
 
     ServerOptions withBytesPerSecond(std::uint64_t value) const;
     auto operator<=>(const ServerOptions &) const = default;
--- a/source/agent/weightkeeper.cpp
+++ b/source/agent/weightkeeper.cpp
@@ -14,7 +14,8 @@
 constexpr std::size_t mailboxCapacity = 8192;
 constexpr std::uint64_t maxManifestBytes = 64ULL * 1024 * 1024;
 constexpr auto tickPeriod = std::chrono::milliseconds(20);
-constexpr auto announceEvery = std::chrono::milliseconds(50);
+constexpr auto announceEvery = std::chrono::milliseconds(100);
+constexpr auto announceFarEvery = std::chrono::seconds(1);
 constexpr auto manifestPatience = std::chrono::seconds(2);
 
 FetchResult resultOf(const Failure &failure)
@@ -164,14 +165,14 @@
     }
     plan(command.has);
     if (command.isAnswerWanted) {
-        m_tasks.links->post(Announce {haveOf(manifest, false), command.has.peer});
+        m_tasks.links->post(Announce {haveOf(manifest, false), Reach::All, command.has.peer});
     }
 }
 
 void WeightKeeper::apply(const PeerLinked &command)
 {
     for (const Digest &manifest : m_planner.offered()) {
-        m_tasks.links->post(Announce {haveOf(manifest, true), command.peer});
+        m_tasks.links->post(Announce {haveOf(manifest, true), Reach::All, command.peer});
     }
 }
 
@@ -307,24 +308,33 @@
     }
 }
 
-/** Tells the peers what is new, at most once in a while. */
+/** Tells the peers what is new, at most once in a while; links between zones are spared. */
 void WeightKeeper::announceNews()
 {
     const Instant now = monotonicNow();
-    if (now < m_announcedAt + announceEvery) {
-        return;
+    if (now >= m_toldNearAt + announceEvery) {
+        m_toldNearAt = now;
+        announceTo(Reach::Near, m_toldNear);
+    }
+    if (now >= m_toldFarAt + announceFarEvery) {
+        m_toldFarAt = now;
+        announceTo(Reach::Far, m_toldFar);
     }
-    m_announcedAt = now;
+}
+
+void WeightKeeper::announceTo(Reach reach, std::map<Digest, ChunkBits> &told)
+{
     for (const Digest &manifest : m_planner.offered()) {
         HaveMessage have = haveOf(manifest, false);
-        ChunkBits &told = m_announced[manifest];
-        if (told != have.bits) {
-            told = have.bits;
-            m_tasks.links->post(Announce {std::move(have)});
+        ChunkBits &last = told[manifest];
+        if (last != have.bits) {
+            last = have.bits;
+            m_tasks.links->post(Announce {std::move(have), reach});
         }
     }
-    std::erase_if(m_announced,
-                  [this](const auto &entry) { return m_planner.manifest(entry.first) == nullptr; });
+    std::erase_if(told, [this](const auto &entry) {
+        return m_planner.manifest(entry.first) == nullptr;
+    });
 }
 
 HaveMessage WeightKeeper::haveOf(const Digest &manifest, bool isAnswerWanted) const
--- a/source/agent/weightkeeper.h
+++ b/source/agent/weightkeeper.h
@@ -158,6 +158,7 @@
     void noteTrouble(const Failure &failure, const ChunkSource &source);
     void keepPartners();
     void announceNews();
+    void announceTo(Reach reach, std::map<Digest, ChunkBits> &told);
     HaveMessage haveOf(const Digest &manifest, bool isAnswerWanted) const;
     void publish();
 
@@ -175,9 +176,11 @@
     std::map<Digest, MailboxPtr<StreamEvent>> m_readings;
     std::vector<WeightPeer> m_known;
     std::vector<WeightPeer> m_partners;
-    /** What the peers were last told. */
-    std::map<Digest, ChunkBits> m_announced;
-    Instant m_announcedAt;
+    /** What the peers of the zone, and those of other zones, were last told. */
+    std::map<Digest, ChunkBits> m_toldNear;
+    std::map<Digest, ChunkBits> m_toldFar;
+    Instant m_toldNearAt;
+    Instant m_toldFarAt;
     std::uint64_t m_servedBytes = 0;
     std::uint64_t m_originBytes = 0;
     std::string m_lastFailure;
--- a/source/core/weights/linkpace.cpp
+++ b/source/core/weights/linkpace.cpp
@@ -39,6 +39,13 @@
     return next;
 }
 
+LinkPace LinkPace::returned(std::uint64_t bytes) const
+{
+    LinkPace next = *this;
+    next.m_bucket = m_bucket.taken(-static_cast<double>(bytes) * (m_yields ? yieldFactor : 1));
+    return next;
+}
+
 Duration LinkPace::wait() const
 {
     return m_isLimited ? m_bucket.waitFor(0) : Duration::zero();
--- a/source/core/weights/linkpace.h
+++ b/source/core/weights/linkpace.h
@@ -22,6 +22,8 @@
     LinkPace at(Instant now) const;
     /** @returns the pace after @p bytes; they may go beyond what is free, and delay what follows */
     LinkPace taken(std::uint64_t bytes) const;
+    /** @returns the pace after @p bytes that were taken did not come */
+    LinkPace returned(std::uint64_t bytes) const;
     /** @returns how long until something may be sent */
     Duration wait() const;
 
--- a/source/core/weights/sources.cpp
+++ b/source/core/weights/sources.cpp
@@ -10,8 +10,9 @@
     const auto best = std::min_element(
             question.candidates.begin(), question.candidates.end(),
             [](const SourceCandidate &left, const SourceCandidate &right) {
-                return std::tie(left.isFar, left.outstanding, left.servedBytes)
-                        < std::tie(right.isFar, right.outstanding, right.servedBytes);
+                return std::tie(left.isFar, left.outstanding, left.servedSteps, left.tieBreak)
+                        < std::tie(right.isFar, right.outstanding, right.servedSteps,
+                                    right.tieBreak);
             });
     if (best != question.candidates.end()) {
         return ChunkSource {best->peer};
@@ -22,4 +23,9 @@
     return std::nullopt;
 }
 
+TransferPolicy swarmPolicy()
+{
+    return {chooseSwarmSource};
+}
+
 } // namespace greengageseam
--- a/source/core/weights/sources.h
+++ b/source/core/weights/sources.h
@@ -41,8 +41,10 @@
     bool isFar = false;
     /** Chunks that are being read from the peer. */
     std::uint32_t outstanding = 0;
-    /** Bytes that the peer says it has served to anybody. */
-    std::uint64_t servedBytes = 0;
+    /** How much the peer has served to anybody, in coarse steps, so that few rush to one peer. */
+    std::uint64_t servedSteps = 0;
+    /** Spreads readers over peers that are alike. */
+    std::uint64_t tieBreak = 0;
 
     auto operator<=>(const SourceCandidate &) const = default;
 };
@@ -64,7 +66,18 @@
 /** Hook that chooses a source. @returns nothing to wait */
 using ChooseSource = std::function<std::optional<ChunkSource>(const SourceQuestion &question)>;
 
+/** What varies between ways of distribution. */
+struct TransferPolicy
+{
+    ChooseSource choose;
+    /** Agents of the zone that links are kept to while something is missing. */
+    std::size_t zonePartners = 8;
+};
+
 /** Reads from the peer with the least to do, in the zone first; from the origin only in turn. */
 std::optional<ChunkSource> chooseSwarmSource(const SourceQuestion &question);
 
+/** @returns the policy of the product */
+TransferPolicy swarmPolicy();
+
 } // namespace greengageseam
--- a/source/core/weights/transferplan.cpp
+++ b/source/core/weights/transferplan.cpp
@@ -13,6 +13,7 @@
 
 constexpr auto minPatience = std::chrono::seconds(2);
 constexpr int shareFactor = 2;
+constexpr std::uint64_t servedStep = 16ULL * 1024 * 1024;
 constexpr std::uint32_t manifestPeerTries = 20;
 
 } // namespace
@@ -28,13 +29,16 @@
             std::any_of(m_versions.begin(), m_versions.end(), [](const auto &entry) {
                 return entry.second.isWanted && !entry.second.manifest;
             });
-    std::erase_if(m_versions, [&](const auto &entry) {
+    const std::size_t dropped = std::erase_if(m_versions, [&](const auto &entry) {
         const Version &version = entry.second;
         const bool isWhole = version.manifest && version.missing == 0;
         const bool isKept = isWhole && (awaitsManifest || version.keepUntil > now);
         const bool mayShare = version.manifest && awaitsManifest && version.keepUntil > now;
         return !version.isWanted && !isKept && !mayShare;
     });
+    if (dropped == 0) {
+        return;
+    }
     const auto isNeeded = [&](const Digest &chunk) {
         return std::any_of(m_versions.begin(), m_versions.end(),
                            [&](const auto &entry) { return entry.second.index.contains(chunk); });
@@ -148,7 +152,7 @@
         }
         const SourceQuestion question =
                 questionFor(digest, version, wish.index, turnState(version, now), now);
-        if (const std::optional<ChunkSource> source = m_choose(question)) {
+        if (const std::optional<ChunkSource> source = m_policy.choose(question)) {
             begin(chunk, *source, now, actions);
         }
     }
@@ -204,7 +208,8 @@
         if (isAllowed && peer.leftAloneUntil <= now
             && peer.outstanding < m_options.maxFetchesPerPeer) {
             question.candidates.push_back(
-                    {instance, isPeerFar, peer.outstanding, peer.servedBytes});
+                    {instance, isPeerFar, peer.outstanding, peer.servedBytes / servedStep,
+                     checksumOf(m_options.self.text(), index * peer.tieBreak)});
         }
     }
     if (isOffered) {
--- a/source/core/weights/transferplanner.cpp
+++ b/source/core/weights/transferplanner.cpp
@@ -1,5 +1,7 @@
 #include "core/weights/transferplanner.h"
 
+#include "core/common/hashing.h"
+
 #include <algorithm>
 
 namespace greengageseam {
@@ -24,8 +26,8 @@
 
 } // namespace
 
-TransferPlanner::TransferPlanner(TransferOptions options, ChooseSource choose, Instant now)
-    : m_options(std::move(options)), m_choose(std::move(choose)),
+TransferPlanner::TransferPlanner(TransferOptions options, TransferPolicy policy, Instant now)
+    : m_options(std::move(options)), m_policy(std::move(policy)),
       m_pace(m_options.linkBytesPerSecond, now), m_zonePace(m_options.zoneLinkBytesPerSecond, now)
 { }
 
@@ -33,6 +35,9 @@
 {
     Actions actions;
     std::visit([&](const auto &one) { apply(one, now, actions); }, event);
+    if (std::holds_alternative<PeerHas>(event)) {
+        return actions;
+    }
     admit();
     planManifests(now, actions);
     for (auto &[digest, version] : m_versions) {
@@ -119,6 +124,7 @@
     peer.info.instance = event.peer;
     peer.info.zone = event.zone;
     peer.servedBytes = event.servedBytes;
+    peer.tieBreak = checksumOf(event.peer.text(), 1);
     peer.bits.insert_or_assign(event.manifest, event.bits);
 }
 
@@ -145,6 +151,8 @@
     }
     if (event.result != FetchResult::Verified) {
         setPhase(event.chunk.digest, ChunkPhase::Missing);
+        m_pace = m_pace.returned(event.chunk.size);
+        m_zonePace = isFar(event.source) ? m_zonePace.returned(event.chunk.size) : m_zonePace;
         blame(event, now);
         return;
     }
--- a/source/core/weights/transferplanner.h
+++ b/source/core/weights/transferplanner.h
@@ -20,7 +20,7 @@
     /** Zone of the weight store; empty if none is nearer than the others. */
     ZoneName storeZone;
     /** Chunks that are read at a time. */
-    std::uint32_t maxFetches = 6;
+    std::uint32_t maxFetches = 12;
     std::uint32_t maxFetchesPerPeer = 2;
     std::uint32_t maxOriginFetches = 2;
     /** Bytes a second that are asked for; 0 is without limit. */
@@ -45,9 +45,11 @@
 class TransferPlanner
 {
 public:
-    TransferPlanner(TransferOptions options, ChooseSource choose, Instant now);
+    TransferPlanner(TransferOptions options, TransferPolicy policy, Instant now);
 
-    /** Takes an event. @returns what is to be done */
+    /** Takes an event. What a peer offers is planned with at the next event of another kind.
+     * @returns what is to be done
+     */
     std::vector<TransferAction> step(const TransferEvent &event, Instant now);
 
     /** @returns the versions that are wanted and held complete */
@@ -101,6 +103,7 @@
         std::uint64_t servedBytes = 0;
         std::uint32_t failures = 0;
         Instant leftAloneUntil;
+        std::uint64_t tieBreak = 1;
     };
 
     struct Wish
@@ -149,7 +152,7 @@
     Duration patienceFor(const ChunkSource &source) const;
 
     TransferOptions m_options;
-    ChooseSource m_choose;
+    TransferPolicy m_policy;
     LinkPace m_pace;
     LinkPace m_zonePace;
     std::uint32_t m_originCopies = 1;
--- a/source/core/weights/transferstate.cpp
+++ b/source/core/weights/transferstate.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::size_t zonePartners = 8;
 constexpr std::size_t farPartners = 2;
 
 } // namespace
@@ -108,7 +107,7 @@
     }
     std::vector<WeightPeer> partners;
     for (const auto &[zone, instances] : candidates) {
-        const std::size_t most = zone == m_options.zone ? zonePartners : farPartners;
+        const std::size_t most = zone == m_options.zone ? m_policy.zonePartners : farPartners;
         for (const InstanceId &instance : choosePartners(m_options.self, instances, most)) {
             partners.push_back(m_peers.at(instance).info);
         }
