--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -33,7 +33,8 @@
     int result = 0;
     for (const auto &[name, bench] : benches()) {
         if (words.empty() || words.front() == name) {
-            result = std::max(result, bench(words.empty() ? Words() : Words(words.begin() + 1, words.end())));
+            result = std::max(
+                    result, bench(words.empty() ? Words() : Words(words.begin() + 1, words.end())));
         }
     }
     return result;
--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -26,16 +26,15 @@
 /** The root reads the origin; every other agent its parent and nobody else. */
 std::optional<ChunkSource> chooseTreeSource(const SourceQuestion &question)
 {
-    const auto self =
-            std::find(question.members.begin(), question.members.end(), question.self);
+    const auto self = std::find(question.members.begin(), question.members.end(), question.self);
     const auto index = static_cast<std::size_t>(self - question.members.begin());
     if (index == 0) {
         return originIfUsable(question);
     }
     const InstanceId &parent = question.members[(index - 1) / treeChildren];
-    const bool isOffered = std::any_of(
-            question.candidates.begin(), question.candidates.end(),
-            [&](const SourceCandidate &candidate) { return candidate.peer == parent; });
+    const bool isOffered =
+            std::any_of(question.candidates.begin(), question.candidates.end(),
+                        [&](const SourceCandidate &candidate) { return candidate.peer == parent; });
     return isOffered ? std::optional(ChunkSource {parent}) : std::nullopt;
 }
 
--- a/bench/rolloutfleet.cpp
+++ b/bench/rolloutfleet.cpp
@@ -57,18 +57,19 @@
     }
     const std::string standin = ownFolder() / "greengageseam-standin";
     m_platform = reserve(zoneName(0));
-    spawn(m_platform, {standin, "platform", "--listen=" + m_platform.http.text(),
-                       "--admin=" + m_platform.second.text(),
-                       "--origin-rate=" + std::to_string(m_case.originRate)});
+    spawn(m_platform,
+          {standin, "platform", "--listen=" + m_platform.http.text(),
+           "--admin=" + m_platform.second.text(),
+           "--origin-rate=" + std::to_string(m_case.originRate)});
     for (std::size_t zone = 0; zone < m_case.zones; ++zone) {
         m_entries.push_back(reserve(zoneName(zone)));
         FleetProcess &entry = m_entries.back();
         spawn(entry,
-              {ownFolder() / "greengageseamd", "--role=entry", "--instance=" + zoneName(zone) + "-entry",
-               "--zone=" + zoneName(zone), "--listen=" + entry.http.text(),
-               "--peer-listen=" + entry.second.text(), "--log=" + m_platform.http.text(),
-               "--list=" + m_platform.http.text(), "--log-level=error",
-               "--bootstrap-token=" + digestOf(benchToken).text()});
+              {ownFolder() / "greengageseamd", "--role=entry",
+               "--instance=" + zoneName(zone) + "-entry", "--zone=" + zoneName(zone),
+               "--listen=" + entry.http.text(), "--peer-listen=" + entry.second.text(),
+               "--log=" + m_platform.http.text(), "--list=" + m_platform.http.text(),
+               "--log-level=error", "--bootstrap-token=" + digestOf(benchToken).text()});
     }
     for (std::size_t n = 0; n < m_case.replicas; ++n) {
         m_engines.push_back(reserve(zoneName(n % m_case.zones)));
@@ -137,9 +138,9 @@
 void RolloutFleet::startEngine(std::size_t n)
 {
     FleetProcess &engine = m_engines[n];
-    spawn(engine, {ownFolder() / "greengageseam-standin", "engine",
-                   "--listen=" + engine.http.text(), "--admin=" + engine.second.text(),
-                   "--load-ms=0"});
+    spawn(engine,
+          {ownFolder() / "greengageseam-standin", "engine", "--listen=" + engine.http.text(),
+           "--admin=" + engine.second.text(), "--load-ms=0"});
 }
 
 void RolloutFleet::startAgent(std::size_t n)
--- a/bench/thinlink.cpp
+++ b/bench/thinlink.cpp
@@ -23,8 +23,9 @@
 
 ThinLink::ThinLink(const asio::any_io_executor &executor, ThinLinkOptions options)
     : m_executor(executor), m_options(options),
-      m_buckets(2, TokenBucket(options.bytesPerSecond, options.bytesPerSecond * burstSeconds,
-                               monotonicNow()))
+      m_buckets(2,
+                TokenBucket(options.bytesPerSecond, options.bytesPerSecond * burstSeconds,
+                            monotonicNow()))
 { }
 
 Address ThinLink::openPort(const Address &target, bool isForward)
@@ -61,18 +62,19 @@
 {
     const auto far = std::make_shared<asio::ip::tcp::socket>(m_executor);
     const auto endpoint = settle([&] { return parseEndpoint(target); });
-    auto [ec] =
-            co_await far->async_connect(std::get<asio::ip::tcp::endpoint>(endpoint), asTuple);
+    auto [ec] = co_await far->async_connect(std::get<asio::ip::tcp::endpoint>(endpoint), asTuple);
     if (ec) {
         near->close();
         co_return;
     }
     const auto self = shared_from_this();
     asio::co_spawn(
-            m_executor, [self, near, far, isForward] { return self->pump(near, far, isForward ? 0 : 1); },
+            m_executor,
+            [self, near, far, isForward] { return self->pump(near, far, isForward ? 0 : 1); },
             asio::detached);
     asio::co_spawn(
-            m_executor, [self, near, far, isForward] { return self->pump(far, near, isForward ? 1 : 0); },
+            m_executor,
+            [self, near, far, isForward] { return self->pump(far, near, isForward ? 1 : 0); },
             asio::detached);
 }
 
--- a/source/agent/weightkeeper.cpp
+++ b/source/agent/weightkeeper.cpp
@@ -332,9 +332,8 @@
             m_tasks.links->post(Announce {std::move(have), reach});
         }
     }
-    std::erase_if(told, [this](const auto &entry) {
-        return m_planner.manifest(entry.first) == nullptr;
-    });
+    std::erase_if(told,
+                  [this](const auto &entry) { return m_planner.manifest(entry.first) == nullptr; });
 }
 
 HaveMessage WeightKeeper::haveOf(const Digest &manifest, bool isAnswerWanted) const
--- a/source/core/weights/sources.cpp
+++ b/source/core/weights/sources.cpp
@@ -12,7 +12,7 @@
             [](const SourceCandidate &left, const SourceCandidate &right) {
                 return std::tie(left.isFar, left.outstanding, left.servedSteps, left.tieBreak)
                         < std::tie(right.isFar, right.outstanding, right.servedSteps,
-                                    right.tieBreak);
+                                   right.tieBreak);
             });
     if (best != question.candidates.end()) {
         return ChunkSource {best->peer};
--- a/source/protocol/messages.h
+++ b/source/protocol/messages.h
@@ -197,11 +197,11 @@
 };
 
 /** Any message. */
-using Message = std::variant<HelloMessage, ProofMessage, OpenMessage, HeadMessage, DataMessage,
-                             EndMessage, FailedMessage, CreditMessage, CancelMessage,
-                             CancelSeenMessage, HeartbeatMessage, HeartbeatAckMessage,
-                             ConfigPushMessage, ChunkWantedMessage, ChunkPartMessage,
-                             EntryAliveMessage, HaveMessage>;
+using Message =
+        std::variant<HelloMessage, ProofMessage, OpenMessage, HeadMessage, DataMessage, EndMessage,
+                     FailedMessage, CreditMessage, CancelMessage, CancelSeenMessage,
+                     HeartbeatMessage, HeartbeatAckMessage, ConfigPushMessage, ChunkWantedMessage,
+                     ChunkPartMessage, EntryAliveMessage, HaveMessage>;
 
 /** A message with the stream that it belongs to. */
 struct StreamMessage
--- a/tests/differential/tst_weights.cpp
+++ b/tests/differential/tst_weights.cpp
@@ -169,7 +169,8 @@
     {
         FetchResult result = pending.result;
         const Digest &chunk = pending.read.chunk.digest;
-        if (!pending.read.source.isOrigin() && !m_heldTruly[indexOf(pending.read.source.peer)].contains(chunk)) {
+        if (!pending.read.source.isOrigin()
+            && !m_heldTruly[indexOf(pending.read.source.peer)].contains(chunk)) {
             result = FetchResult::NotHeld;
         }
         if (result == FetchResult::Verified) {
@@ -188,8 +189,8 @@
         }
         for (std::size_t other = 0; other < m_peers.size(); ++other) {
             if (other != n) {
-                tell(other, PeerHas {m_peers[n].instance, m_peers[n].zone, m_manifest.digest(),
-                                     bits, 0});
+                tell(other,
+                     PeerHas {m_peers[n].instance, m_peers[n].zone, m_manifest.digest(), bits, 0});
             }
         }
     }
@@ -199,9 +200,8 @@
         for (const TransferAction &action : m_planners[n].step(event, m_now)) {
             if (const auto *read = std::get_if<ReadChunk>(&action)) {
                 const bool isTwice = std::any_of(
-                        m_pending[n].begin(), m_pending[n].end(), [&](const Pending &pending) {
-                            return pending.read.chunk == read->chunk;
-                        });
+                        m_pending[n].begin(), m_pending[n].end(),
+                        [&](const Pending &pending) { return pending.read.chunk == read->chunk; });
                 isTwiceAtOnce = isTwiceAtOnce || isTwice;
                 m_pending[n].push_back(fateOf(*read));
             } else if (const auto *manifest = std::get_if<ReadManifest>(&action)) {
