Keep the metric of held weights true when a version is withdrawn

Cause: weights_held_bytes was set only when the status changed, so a partial version that was dropped stayed in it. Found by weights_versionWithdrawnInTransfer_isNeverLoaded (red before). Change: the gauge follows the planner's count. Result: that test passes; the six others of tst_weights passed before the change.

--- a/source/agent/weightkeeper.cpp
+++ b/source/agent/weightkeeper.cpp
@@ -347,12 +347,15 @@
     if (status.trouble.empty() && !m_planner.isDone()) {
         status.trouble = m_lastFailure;
     }
+    if (m_reportedBytes != m_planner.heldBytes()) {
+        m_reportedBytes = m_planner.heldBytes();
+        m_metrics->set("weights_held_bytes", "Bytes of weights held, apart from control",
+                       static_cast<double>(m_planner.heldBytes()));
+    }
     if (status == m_status) {
         return;
     }
     m_status = std::move(status);
-    m_metrics->set("weights_held_bytes", "Bytes of weights held, apart from control",
-                   static_cast<double>(m_planner.heldBytes()));
     m_metrics->set("weights_refused", "1 if a wanted version does not fit into memory",
                    m_planner.trouble().empty() ? 0 : 1);
     m_observer(m_status);
--- a/source/agent/weightkeeper.h
+++ b/source/agent/weightkeeper.h
@@ -183,6 +183,8 @@
     Instant m_toldFarAt;
     std::uint64_t m_servedBytes = 0;
     std::uint64_t m_originBytes = 0;
+    /** What the metric says is held. */
+    std::uint64_t m_reportedBytes = 0;
     std::string m_lastFailure;
     WeightStatus m_status;
 };
