--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -11,6 +11,7 @@
 #include "agent/enginekeeper.h"
 #include "agent/entrylinks.h"
 #include "agent/gate.h"
+#include "agent/incarnationkeeper.h"
 #include "agent/placer.h"
 #include "agent/weightkeeper.h"
 #include "net/httpserver.h"
@@ -25,7 +26,9 @@
 class Agent : public std::enable_shared_from_this<Agent>
 {
 public:
-    Agent(const asio::any_io_executor &executor, AgentSettings settings, Log log);
+    /** @param policy how weights are distributed */
+    Agent(const asio::any_io_executor &executor, AgentSettings settings, Log log,
+          TransferPolicy policy = swarmPolicy());
 
     /** Opens the sockets and starts all tasks. @returns InvalidRequest if an address is taken */
     Result<void> start();
@@ -35,23 +38,33 @@
 private:
     void receive(const PeerLinkHandle &link, StreamMessage message);
     void onConfig(const ConfigView &view);
+    void receiveFromPeer(const PeerLinkHandle &link, StreamMessage message);
     void onNeighbours(const std::vector<Heartbeat> &neighbours);
-    void onAssignment(const std::set<Digest> &manifests);
+    void onAssignment(const Assignment &assignment);
     void onWeights(const WeightStatus &status);
     void onGate(const GateStatus &status);
     ReadInstanceList listReader() const;
+    void makeWeightTasks(const PeerIdentity &identity);
     void startEngineTasks();
-    Awaitable<void> registerIncarnation();
+    void makeIncarnation();
+    void onDuty(const DutyEvent &event);
 
     asio::any_io_executor m_executor;
     AgentSettings m_settings;
     Log m_log;
+    TransferPolicy m_policy;
+    std::set<ZoneName> m_reachableZones;
     std::shared_ptr<Metrics> m_metrics;
     LogClient m_logClient;
     std::shared_ptr<ConfigKeeper> m_config;
     std::shared_ptr<Gate> m_gate;
     std::shared_ptr<WeightKeeper> m_weights;
+    std::shared_ptr<ChunkLinks> m_chunkLinks;
+    std::shared_ptr<ChunkServer> m_chunkServer;
+    bool m_isLoadHigh = false;
     std::shared_ptr<EngineKeeper> m_engine;
+    std::shared_ptr<IncarnationKeeper> m_incarnation;
+    Offset m_number;
     std::shared_ptr<EntryLinks> m_entries;
     std::shared_ptr<Placer> m_placer;
     std::shared_ptr<HttpServer> m_http;
--- a/source/core/membership/roster.h
+++ b/source/core/membership/roster.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
     std::uint64_t sequence = 0;
     /** Start of the process; a later start goes before any sequence. */
     WallTime startedAt;
+    /** The agent's monotonic clock when it sent this; compared only by the agent itself. */
+    Instant clock;
     bool isDraining = false;
     /** Manifests that the engine reports as serving. */
     std::vector<Digest> serving;
@@ -69,13 +72,41 @@
     Duration suspectAfter = std::chrono::milliseconds(2500);
     /** Silence after which a member is forgotten. */
     Duration forgetAfter = std::chrono::seconds(60);
+    /** How much later than a heartbeat itself the news of it may come through another entry. */
+    Duration relayAllowance = std::chrono::seconds(1);
 
     RosterOptions withSuspectAfter(Duration value) const;
     RosterOptions withForgetAfter(Duration value) const;
+    RosterOptions withRelayAllowance(Duration value) const;
     auto operator<=>(const RosterOptions &) const = default;
 };
 
-/** The members of one zone, as one process sees them; a step makes a new roster. */
+/** Way on which a heartbeat came. */
+enum class HeardFrom { Agent, OtherEntry };
+
+/** An operator's order that one process of an instance takes no more work. */
+struct DrainOrder
+{
+    InstanceId instance;
+    /** Start of the process that is meant; a successor in the same slot is not. */
+    WallTime startedAt;
+
+    auto operator<=>(const DrainOrder &) const = default;
+};
+
+/** An instance that the platform's list calls leaving, and since when it is known to do so. */
+struct LeavingMark
+{
+    InstanceId instance;
+    WallTime since;
+
+    auto operator<=>(const LeavingMark &) const = default;
+};
+
+/**
+ * The members of one zone, as one process sees them. A step takes the roster over and gives it
+ * back changed, as in `roster = std::move(roster).heard(...)`, so that no member is copied.
+ */
 class Roster
 {
 public:
@@ -83,21 +114,42 @@
 
     /** @returns the members by their identifiers */
     const std::map<InstanceId, Member> &members() const { return m_members; }
+    /** @returns the orders to drain that are known, by instance */
+    const std::map<InstanceId, DrainOrder> &drainOrders() const { return m_drainOrders; }
+    /** @returns the instances that the list calls leaving */
+    std::vector<LeavingMark> leavingMarks() const;
+    /** @returns whether an operator ordered this very process to drain */
+    bool isOrderedToDrain(const Heartbeat &heartbeat) const;
 
     /** @returns the roster after a heartbeat; one that is older than the last changes nothing */
-    Roster heard(const Heartbeat &heartbeat, Instant now) const;
+    Roster heard(const Heartbeat &heartbeat, Instant now, HeardFrom from = HeardFrom::Agent) &&;
 
     /** @returns the roster at a later time: the silent suspected, the long silent forgotten */
-    Roster at(Instant now) const;
+    Roster at(Instant now) &&;
+
+    /**
+     * The platform's list was read. It holds for processes that started before it first called
+     * their instance leaving, and as long as it says so.
+     */
+    Roster listed(const std::set<InstanceId> &leaving, WallTime now) &&;
 
-    /** @returns the roster after the platform's list called an instance leaving */
-    Roster leaving(const InstanceId &instance) const;
+    /** Another entry has seen a mark of the list, perhaps earlier than this process. */
+    Roster marked(const LeavingMark &mark) &&;
+
+    /** @returns the roster after an operator's order, given here or at another entry */
+    Roster ordered(const DrainOrder &order) &&;
 
     bool operator==(const Roster &) const = default;
 
 private:
+    MemberPhase phaseOf(const Heartbeat &heartbeat) const;
+    void updatePhases();
+
     RosterOptions m_options;
     std::map<InstanceId, Member> m_members;
+    std::map<InstanceId, DrainOrder> m_drainOrders;
+    /** Instances that the list calls leaving, and since when it has done so. */
+    std::map<InstanceId, WallTime> m_leavingSince;
 };
 
 } // namespace greengageseam
--- a/source/daemon/settings.cpp
+++ b/source/daemon/settings.cpp
@@ -31,7 +31,13 @@
   --list=<address>            The platform's list of instances; an agent may do without.
   --bootstrap-token=<digest>  SHA-256 of a token that counts as an operator's while the
                               table names no operator (entry).
+  --snapshot-records=<n>      A snapshot is appended to the log after so many records,
+                              16 to 100000 (entry). Unset: 256.
+  --snapshot-age=<seconds>    A snapshot is appended when the last is so old, 1 to 604800;
+                              well below the log's retention (entry). Unset: 3600.
   --request-limit=<seconds>   Longest time for a request, 1 to 3600 (entry). Unset: 120.
+  --longest-wait=<ms>         Milliseconds that a request waits at most for a backend server
+                              that is free, 1 to 600000 (entry). Unset: 500.
   --peers=<addresses>         Peer addresses of other entries, with commas; may be unset when
                               the platform's list has them (entry).
   --store=<address>           The weight store (agent).
@@ -39,6 +45,18 @@
                               when the platform's list has them (agent).
   --backend=<address>         HTTP address of the backend server (agent).
   --service=<name>            The plain service behind the agent; unset for an engine.
+  --drain-notice=<seconds>    Time from the signal to stop to the end of listening, 1 to 600
+                              (entry). Unset: 3.
+  --link-rate=<bytes>         Bytes a second of the machine's link that weights may use each way
+                              (agent). Unset: without limit.
+  --zone-link-rate=<bytes>    Bytes a second that this agent may read from other zones (agent).
+                              Unset: without limit.
+  --weight-memory=<bytes>     Bytes of weights that are held at most (agent). Unset: without limit.
+  --store-zone=<name>         Zone of the weight store (agent). Unset: none is nearer.
+  --far-peers=<peers>         Agents of other zones to read weights from, as
+                              zone/instance@address, with commas (agent).
+  --yield-above=<requests>    Live requests in progress beyond which weights get half the link,
+                              1 to 100000 (agent). Unset: 32.
   --drain-limit=<seconds>     Longest time that a shutdown waits, 1 to 86400. Unset: 600.
   --log-level=<level>         error, warning, info or debug. Unset: info.
   --check-settings            Check the settings, and end.
@@ -52,8 +70,19 @@
 constexpr std::size_t maxNameLength = 64;
 constexpr std::uint32_t maxRequestSeconds = 3600;
 constexpr std::uint32_t maxDrainSeconds = 86400;
+constexpr std::uint32_t minSnapshotRecords = 16;
+constexpr std::uint32_t maxSnapshotRecords = 100'000;
+constexpr std::uint32_t defaultSnapshotRecords = 256;
+constexpr std::uint32_t maxSnapshotSeconds = 604'800;
+constexpr std::uint32_t defaultSnapshotSeconds = 3600;
+constexpr std::uint32_t maxYieldAbove = 100'000;
+constexpr std::uint64_t maxBytes = 1ULL << 50U;
 constexpr std::uint32_t defaultRequestSeconds = 120;
+constexpr std::uint32_t defaultWaitMilliseconds = 500;
+constexpr std::uint32_t maxWaitMilliseconds = 600'000;
 constexpr std::uint32_t defaultDrainSeconds = 600;
+constexpr std::uint32_t maxNoticeSeconds = 600;
+constexpr std::uint32_t defaultNoticeSeconds = 3;
 const std::string variablePrefix = "GREENGAGESEAM_";
 
 /** The command line as docopt gives it. */
@@ -157,18 +186,41 @@
     }
 
     Result<Duration> seconds(const std::string &flag, std::uint32_t unset, std::uint32_t most) const
+    {
+        BOOST_LEAF_AUTO(n, number<std::uint32_t>(flag, unset, 1, most));
+        return Duration(std::chrono::seconds(n));
+    }
+
+    Result<Duration> milliseconds(const std::string &flag, std::uint32_t unset,
+                                  std::uint32_t most) const
+    {
+        BOOST_LEAF_AUTO(n, number<std::uint32_t>(flag, unset, 1, most));
+        return Duration(std::chrono::milliseconds(n));
+    }
+
+    /** @returns bytes, or bytes a second; 0, which is without limit, if it is not set */
+    Result<std::uint64_t> bytes(const std::string &flag) const
+    {
+        return number<std::uint64_t>(flag, 0, 1, maxBytes);
+    }
+
+    /** @returns a whole number within the bounds, or @p unset */
+    template <typename Number>
+    Result<Number> number(const std::string &flag, Number unset, Number least, Number most) const
     {
         const std::optional<std::string> value = find(flag);
         if (!value) {
-            return Duration(std::chrono::seconds(unset));
+            return unset;
         }
-        std::uint32_t n = 0;
+        Number n = 0;
         const char *end = value->data() + value->size();
         const auto [rest, ec] = std::from_chars(value->data(), end, n);
-        if (ec != std::errc() || rest != end || n < 1 || n > most) {
-            return refuse(flag, *value, "a whole number from 1 to " + std::to_string(most));
+        if (ec != std::errc() || rest != end || n < least || n > most) {
+            return refuse(flag, *value,
+                          "a whole number from " + std::to_string(least) + " to "
+                                  + std::to_string(most));
         }
-        return Duration(std::chrono::seconds(n));
+        return n;
     }
 
     Result<std::string> secret() const
@@ -202,6 +254,47 @@
     const Environment &m_environment;
 };
 
+/** Reads agents of other zones, as zone/instance@address with commas between them. */
+Result<std::vector<WeightPeer>> readFarPeers(const SettingsReader &reader)
+{
+    const std::string text = reader.find("--far-peers").value_or("");
+    std::vector<WeightPeer> peers;
+    std::size_t at = 0;
+    while (at < text.size()) {
+        const std::size_t end = std::min(text.find(',', at), text.size());
+        const std::string peer = text.substr(at, end - at);
+        const std::size_t slash = peer.find('/');
+        const std::size_t sign = peer.find('@');
+        const bool isWhole =
+                slash != std::string::npos && sign != std::string::npos && slash < sign;
+        const Address address(isWhole ? peer.substr(sign + 1) : "");
+        const auto parsed = settle([&] { return parseEndpoint(address); });
+        if (failureOf(parsed) != nullptr) {
+            return SettingsReader::refuse("--far-peers", peer, "zone/instance@address");
+        }
+        peers.push_back({InstanceId(peer.substr(slash + 1, sign - slash - 1)),
+                         ZoneName(peer.substr(0, slash)), address});
+        at = end + 1;
+    }
+    return peers;
+}
+
+Result<WeightSettings> readWeights(const SettingsReader &reader)
+{
+    WeightSettings settings;
+    BOOST_LEAF_ASSIGN(settings.linkBytesPerSecond, reader.bytes("--link-rate"));
+    BOOST_LEAF_ASSIGN(settings.zoneLinkBytesPerSecond, reader.bytes("--zone-link-rate"));
+    BOOST_LEAF_ASSIGN(settings.memoryBytes, reader.bytes("--weight-memory"));
+    BOOST_LEAF_ASSIGN(settings.farPeers, readFarPeers(reader));
+    BOOST_LEAF_ASSIGN(settings.yieldAbove,
+                      reader.number("--yield-above", settings.yieldAbove, 1U, maxYieldAbove));
+    if (reader.find("--store-zone")) {
+        BOOST_LEAF_AUTO(zone, reader.name("--store-zone"));
+        settings.storeZone = ZoneName(zone);
+    }
+    return settings;
+}
+
 Result<EntrySettings> readEntry(const SettingsReader &reader)
 {
     EntrySettings settings;
@@ -215,10 +308,20 @@
     BOOST_LEAF_ASSIGN(settings.listAddress, reader.address("--list"));
     BOOST_LEAF_ASSIGN(settings.peers, reader.optionalAddresses("--peers"));
     BOOST_LEAF_ASSIGN(settings.secret, reader.secret());
+    BOOST_LEAF_ASSIGN(settings.snapshots.records,
+                      reader.number<std::uint32_t>("--snapshot-records", defaultSnapshotRecords,
+                                                   minSnapshotRecords, maxSnapshotRecords));
+    BOOST_LEAF_ASSIGN(settings.snapshots.age,
+                      reader.seconds("--snapshot-age", defaultSnapshotSeconds, maxSnapshotSeconds));
     BOOST_LEAF_ASSIGN(settings.requestLimit,
                       reader.seconds("--request-limit", defaultRequestSeconds, maxRequestSeconds));
+    BOOST_LEAF_ASSIGN(
+            settings.longestWait,
+            reader.milliseconds("--longest-wait", defaultWaitMilliseconds, maxWaitMilliseconds));
     BOOST_LEAF_ASSIGN(settings.drainLimit,
                       reader.seconds("--drain-limit", defaultDrainSeconds, maxDrainSeconds));
+    BOOST_LEAF_ASSIGN(settings.drainNotice,
+                      reader.seconds("--drain-notice", defaultNoticeSeconds, maxNoticeSeconds));
     const std::string token = reader.find("--bootstrap-token").value_or("");
     if (!token.empty() && !isDigest(token)) {
         return SettingsReader::refuse("--bootstrap-token", "(hidden)",
@@ -245,6 +348,7 @@
     }
     BOOST_LEAF_ASSIGN(settings.backendAddress, reader.address("--backend"));
     BOOST_LEAF_ASSIGN(settings.secret, reader.secret());
+    BOOST_LEAF_ASSIGN(settings.weights, readWeights(reader));
     BOOST_LEAF_ASSIGN(settings.drainLimit,
                       reader.seconds("--drain-limit", defaultDrainSeconds, maxDrainSeconds));
     if (reader.find("--service")) {
--- a/source/entry/entry.cpp
+++ b/source/entry/entry.cpp
@@ -1,6 +1,7 @@
 #include "entry/entry.h"
 
 #include "net/clock.h"
+#include "net/ticker.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -10,10 +11,22 @@
 namespace {
 
 constexpr auto platformLimit = std::chrono::seconds(5);
+/** Short, so that a partition that ends is noticed soon. */
+constexpr auto tailLimit = std::chrono::seconds(3);
+/** How often other entries are told which offset is in force here. */
+constexpr auto tellEvery = std::chrono::seconds(1);
 constexpr auto listEvery = std::chrono::seconds(1);
+constexpr StreamId linkStream = 0;
+constexpr auto flushLimit = std::chrono::seconds(5);
 constexpr auto drainPoll = std::chrono::milliseconds(20);
 const std::string plainType = "text/plain; charset=utf-8";
 
+/** @returns the hook that asks the peer of a link for its snapshot */
+std::function<void(Offset)> askForSnapshot(const PeerLinkHandle &link)
+{
+    return [link](Offset applied) { link.post(linkStream, ConfigWantedMessage {applied}); };
+}
+
 } // namespace
 
 Entry::Entry(const asio::any_io_executor &executor, EntrySettings settings, Log log)
@@ -23,22 +36,29 @@
 
 Result<void> Entry::start()
 {
-    m_router = std::make_shared<Router>(m_executor, m_settings.zone, chooseOfTwo, m_metrics, m_log);
-    m_admin = std::make_shared<AdminKeeper>(m_executor);
+    m_router = std::make_shared<Router>(m_executor, m_settings.zone, makeTurnAndTwo(),
+                                        RouterOptions().withLongestWait(m_settings.longestWait),
+                                        m_metrics, m_log);
+    m_admin = std::make_shared<AdminKeeper>(m_executor, m_settings.zone);
     m_fleet = std::make_shared<FleetKeeper>(
             m_executor, m_settings, RosterOptions(),
             [router = m_router->mailbox(), admin = m_admin->mailbox()](const FleetView &view) {
                 router->post(view);
                 admin->post(view);
             },
+            [this](PeerEntriesCommand command) { m_peers->mailbox()->post(std::move(command)); },
             m_log);
     const LogClient logClient(m_executor, m_settings.logAddress, platformLimit);
+    makeConfiguration(logClient);
+    m_claims = std::make_shared<ClaimKeeper>(m_executor, ClaimKeeperOptions(), logClient.appender(),
+                                             logClient.reader(), m_metrics, m_log);
     BOOST_LEAF_CHECK(startPeers());
     BOOST_LEAF_CHECK(startHttp(logClient));
     m_router->start();
     m_admin->start();
     m_fleet->start();
-    startConfiguration(logClient);
+    m_claims->start();
+    startConfigurationTasks();
     asio::co_spawn(
             m_executor, [self = shared_from_this()] { return self->followList(); }, asio::detached);
     m_log.info("entry.started",
@@ -48,9 +68,12 @@
 
 Result<void> Entry::startHttp(const LogClient &logClient)
 {
-    m_callerDesk = std::make_shared<CallerDesk>(m_executor, m_router->mailbox(),
-                                                m_settings.requestLimit, m_metrics, m_log);
-    const AdminChannels channels {m_admin->mailbox(), m_fleet->mailbox(), logClient.appender()};
+    const ForwarderChannels forwarding {m_router->mailbox(), m_claims->mailbox(),
+                                        makeAttemptQuery(m_executor, identity(), m_log)};
+    m_callerDesk = std::make_shared<CallerDesk>(m_executor, forwarding, m_settings.requestLimit,
+                                                m_metrics, m_log);
+    const AdminChannels channels {m_admin->mailbox(), m_fleet->mailbox(), logClient.appender(),
+                                  logClient.reader()};
     m_adminDesk = std::make_shared<AdminDesk>(m_executor, m_settings, channels, m_log);
     m_http = std::make_shared<HttpServer>(
             m_executor, HttpServerOptions(),
@@ -63,10 +86,14 @@
     return {};
 }
 
+PeerIdentity Entry::identity() const
+{
+    return {"entry", m_settings.instance, m_settings.zone, m_settings.secret};
+}
+
 Result<void> Entry::startPeers()
 {
-    const PeerIdentity identity {"entry", m_settings.instance, m_settings.zone, m_settings.secret};
-    m_listener = std::make_shared<PeerListener>(m_executor, identity, acceptedLinkHooks(), m_log);
+    m_listener = std::make_shared<PeerListener>(m_executor, identity(), acceptedLinkHooks(), m_log);
     BOOST_LEAF_ASSIGN(m_settings.peerAddress, m_listener->listen(m_settings.peerAddress));
     makePeerEntries();
     m_listener->start();
@@ -94,9 +121,13 @@
     };
     hooks.receive = [this](const PeerLinkHandle &link, StreamMessage message) {
         if (auto *heartbeat = std::get_if<HeartbeatMessage>(&message.message)) {
-            m_fleet->mailbox()->post(HeartbeatHeard {std::move(heartbeat->heartbeat), link});
+            m_config->mailbox()->post(
+                    PeerApplied {heartbeat->heartbeat.appliedConfig, askForSnapshot(link)});
+            m_fleet->mailbox()->post(HeartbeatHeard {std::move(*heartbeat), link});
         } else if (link.peer().role == "entry" && message.stream == 0) {
             m_peers->mailbox()->post(PeerEntrySaid {link, std::move(message.message)});
+        } else if (const auto *push = std::get_if<ConfigPushMessage>(&message.message)) {
+            m_config->mailbox()->post(RestoreSnapshot {push->snapshot});
         }
     };
     hooks.ended = [this](const PeerLinkHandle &link, const LinkClosed &) {
@@ -107,43 +138,100 @@
 }
 
 /** Messages of other entries go to the task that they concern. */
-void Entry::onEntryMessage(const HelloMessage &, const Message &) { }
+void Entry::onEntryMessage(const HelloMessage &peer, const Message &message)
+{
+    const auto send = [peers = m_peers->mailbox(), instance = peer.instance](Message answer) {
+        peers->post(SendToEntry {instance, std::move(answer)});
+    };
+    if (const auto *applied = std::get_if<ConfigAppliedMessage>(&message)) {
+        m_config->mailbox()->post(PeerApplied {
+                applied->applied, [send](Offset offset) { send(ConfigWantedMessage {offset}); }});
+    } else if (const auto *wanted = std::get_if<ConfigWantedMessage>(&message)) {
+        m_config->mailbox()->post(SnapshotAsked {wanted->applied, [send](const std::string &text) {
+                                                     ConfigPushMessage push;
+                                                     push.snapshot = text;
+                                                     send(std::move(push));
+                                                 }});
+    } else if (const auto *push = std::get_if<ConfigPushMessage>(&message)) {
+        m_config->mailbox()->post(RestoreSnapshot {push->snapshot});
+    } else {
+        m_fleet->mailbox()->post(EntryHeard {peer, message});
+    }
+}
 
-void Entry::onLinkedEntries(const std::vector<LinkedEntry> &) { }
+void Entry::onLinkedEntries(const std::vector<LinkedEntry> &entries)
+{
+    m_fleet->mailbox()->post(EntriesLinked {entries});
+}
 
-void Entry::startConfiguration(const LogClient &logClient)
+void Entry::makeConfiguration(const LogClient &logClient)
 {
+    m_snapshots = std::make_shared<SnapshotWriter>(
+            m_executor, SnapshotWriterOptions(), logClient.appender(),
+            [options = m_settings.snapshots](const SnapshotNeed &need) {
+                return isSnapshotDue(need, options);
+            },
+            m_log);
     std::vector<ConfigObserver> observers;
     observers.push_back([router = m_router->mailbox(), fleet = m_fleet->mailbox(),
-                         admin = m_admin->mailbox()](const ConfigView &view) {
+                         admin = m_admin->mailbox(), snapshots = m_snapshots->mailbox(),
+                         metrics = m_metrics](const ConfigView &view) {
+        countConfig(*metrics, view);
         router->post(view);
         fleet->post(view);
         admin->post(view);
+        snapshots->post(view);
     });
     m_config = std::make_shared<ConfigKeeper>(m_executor, std::move(observers), m_log);
-    m_config->start();
+    const LogClient tailClient(m_executor, m_settings.logAddress, tailLimit);
     m_tail = std::make_shared<LogTail>(
-            m_executor, LogTailOptions(), logClient.reader(), m_config->mailbox(),
+            m_executor, LogTailOptions(), tailClient.reader(), m_config->mailbox(),
             [admin = m_admin->mailbox()](bool answers) { admin->post(LogHealth {answers}); },
             m_log);
+}
+
+void Entry::startConfigurationTasks()
+{
+    m_config->start();
+    m_snapshots->start();
     m_tail->start();
+    // An entry that lacks the table, or whose way to the log is cut, gets it from others.
+    startTicker(m_executor, tellEvery, [config = m_config->mailbox(), peers = m_peers->mailbox()] {
+        config->post(AppliedAsked {[peers](Offset applied) {
+            peers->post(SendToZone {ConfigAppliedMessage {applied}});
+            peers->post(SendToAllZones {ConfigAppliedMessage {applied}});
+        }});
+        return true;
+    });
 }
 
 Awaitable<void> Entry::shutDown()
 {
     m_log.info("entry.draining");
     m_router->mailbox()->post(DrainRouter {});
+    m_http->drain();
+    asio::steady_timer timer(m_executor, m_settings.drainNotice);
+    co_await timer.async_wait(asTuple);
     m_http->stop();
     const Instant deadline = monotonicNow() + m_settings.drainLimit;
-    asio::steady_timer timer(m_executor);
     while (m_http->inProgress() > 0 && monotonicNow() < deadline) {
         timer.expires_after(drainPoll);
         co_await timer.async_wait(asTuple);
     }
+    co_await flushClaims();
     m_listener->stop();
     m_log.info("entry.stopped");
 }
 
+/** The outcomes of the last requests reach the log. */
+Awaitable<void> Entry::flushClaims()
+{
+    const auto reply = makeMailbox<ClaimsFlushed>(m_executor, 1);
+    ClaimCommand command = FlushClaims {reply};
+    co_await m_claims->mailbox()->send(std::move(command));
+    co_await reply->receiveWithin(flushLimit);
+}
+
 Awaitable<void> Entry::handle(HttpExchange &exchange)
 {
     const std::string path = exchange.request().path();
--- a/source/entry/entry.h
+++ b/source/entry/entry.h
@@ -2,14 +2,16 @@
  * entry: the process between callers and agents; also the one that operators speak to.
  *
  * Tasks: a connection for each caller with a Forwarder for each request, Router (admission and
- * choice), FleetKeeper (the zone's agents), PeerEntries (links to other entries), LogTail and
- * ConfigKeeper (configuration), AdminKeeper (administration). This class only connects them.
+ * choice), FleetKeeper (the zone's agents), PeerEntries (links to other entries), LogTail,
+ * ConfigKeeper and SnapshotWriter (configuration), AdminKeeper (administration). This class only
+ * connects them.
  */
 #pragma once
 
 #include "entry/admindesk.h"
 #include "entry/adminkeeper.h"
 #include "entry/callerdesk.h"
+#include "entry/claimkeeper.h"
 #include "entry/entrysettings.h"
 #include "entry/fleetkeeper.h"
 #include "entry/peerentries.h"
@@ -30,7 +32,10 @@
 
     /** Opens the sockets and starts all tasks. @returns InvalidRequest if an address is taken */
     Result<void> start();
-    /** Takes no new requests, and returns when none is in progress or the limit has passed. */
+    /**
+     * Says that it is not ready, serves callers until the balancer has had time to move, then takes
+     * no new requests, and returns when none is in progress or the limit has passed.
+     */
     Awaitable<void> shutDown();
 
 private:
@@ -40,7 +45,10 @@
     LinkHooks acceptedLinkHooks() const;
     void onEntryMessage(const HelloMessage &peer, const Message &message);
     void onLinkedEntries(const std::vector<LinkedEntry> &entries);
-    void startConfiguration(const LogClient &logClient);
+    void startConfigurationTasks();
+    void makeConfiguration(const LogClient &logClient);
+    PeerIdentity identity() const;
+    Awaitable<void> flushClaims();
     Awaitable<void> handle(HttpExchange &exchange);
     Awaitable<HttpResponse> answerHealth(const std::string &path) const;
     Awaitable<void> followList();
@@ -51,10 +59,12 @@
     std::shared_ptr<Metrics> m_metrics;
     std::shared_ptr<ConfigKeeper> m_config;
     std::shared_ptr<LogTail> m_tail;
+    std::shared_ptr<SnapshotWriter> m_snapshots;
     std::shared_ptr<FleetKeeper> m_fleet;
     std::shared_ptr<PeerEntries> m_peers;
     std::shared_ptr<Router> m_router;
     std::shared_ptr<AdminKeeper> m_admin;
+    std::shared_ptr<ClaimKeeper> m_claims;
     std::shared_ptr<CallerDesk> m_callerDesk;
     std::shared_ptr<AdminDesk> m_adminDesk;
     std::shared_ptr<HttpServer> m_http;
--- a/source/protocol/messages.h
+++ b/source/protocol/messages.h
@@ -4,7 +4,10 @@
 #pragma once
 
 #include "core/common/common.h"
+#include "core/membership/membership.h"
 #include "core/membership/roster.h"
+#include "core/once/agentstamp.h"
+#include "core/weights/chunkbits.h"
 
 #include <cstdint>
 #include <string>
@@ -63,6 +66,10 @@
     Offset claim;
     /** Incarnation of the agent that the attempt is meant for; 0 means any. */
     Offset incarnation;
+    /** The agent's clock as the entry knew it before it made the attempt, or its claim. */
+    AgentStamp stamp;
+    /** Key of the claim as text; empty without one. */
+    std::string claimKey;
 
     auto operator<=>(const OpenMessage &) const = default;
 };
@@ -115,6 +122,8 @@
 struct CancelMessage
 {
     AttemptId attempt;
+    /** The stamp that the attempt carried. */
+    AgentStamp stamp;
 
     auto operator<=>(const CancelMessage &) const = default;
 };
@@ -132,6 +141,9 @@
 struct HeartbeatMessage
 {
     Heartbeat heartbeat;
+    /** Life of the entry and revision up to which the agent knows its neighbours. */
+    std::uint64_t knownEpoch = 0;
+    std::uint64_t knownRevision = 0;
 
     auto operator<=>(const HeartbeatMessage &) const = default;
 };
@@ -140,10 +152,14 @@
 struct HeartbeatAckMessage
 {
     std::uint64_t sequence = 0;
-    /** The agents of the zone, as the entry sees them. */
-    std::vector<Heartbeat> neighbours;
+    /** What changed among the agents of the zone since the revision that the agent knows. */
+    MemberChanges neighbours;
     /** Whether an operator wants the agent to drain. */
     bool drain = false;
+    /** Incarnation of a later process in the agent's slot; 0 without one. */
+    Offset supersededBy;
+    /** Whether the entry has had time to hear of the whole zone. */
+    bool isWarm = false;
 
     auto operator<=>(const HeartbeatAckMessage &) const = default;
 };
@@ -155,10 +171,29 @@
     std::vector<std::string> records;
     /** A whole snapshot as text; empty if the records suffice. */
     std::string snapshot;
+    /** Identity of the log that the records stand in. */
+    std::string logId;
 
     auto operator<=>(const ConfigPushMessage &) const = default;
 };
 
+/** Tells other entries which offset is in force at the sender. */
+struct ConfigAppliedMessage
+{
+    Offset applied;
+
+    auto operator<=>(const ConfigAppliedMessage &) const = default;
+};
+
+/** Asks a peer that is ahead for its snapshot; it comes as a ConfigPushMessage. */
+struct ConfigWantedMessage
+{
+    /** What is in force at the asker. */
+    Offset applied;
+
+    auto operator<=>(const ConfigWantedMessage &) const = default;
+};
+
 /** Asks a peer for a chunk of weights. */
 struct ChunkWantedMessage
 {
@@ -182,12 +217,48 @@
     auto operator<=>(const EntryAliveMessage &) const = default;
 };
 
+/** An entry tells the others of its zone of the agents that it hears. */
+struct ZoneDigestMessage
+{
+    ZoneDigest digest;
+
+    auto operator<=>(const ZoneDigestMessage &) const = default;
+};
+
+/** The sender missed digests and asks for the whole. */
+struct DigestWantedMessage
+{
+    auto operator<=>(const DigestWantedMessage &) const = default;
+};
+
+/** What one zone tells another of itself. */
+struct ZoneSummaryMessage
+{
+    ZoneSummary summary;
+
+    auto operator<=>(const ZoneSummaryMessage &) const = default;
+};
+
+/** Says which chunks of a manifest an agent offers to its peers. */
+struct HaveMessage
+{
+    Digest manifest;
+    ChunkBits bits;
+    /** Bytes of weights that the agent has served so far. */
+    std::uint64_t servedBytes = 0;
+    /** Whether the receiver is to answer with its own. */
+    bool isAnswerWanted = false;
+
+    auto operator<=>(const HaveMessage &) const = default;
+};
+
 /** Any message. */
 using Message =
         std::variant<HelloMessage, ProofMessage, OpenMessage, HeadMessage, DataMessage, EndMessage,
                      FailedMessage, CreditMessage, CancelMessage, CancelSeenMessage,
-                     HeartbeatMessage, HeartbeatAckMessage, ConfigPushMessage, ChunkWantedMessage,
-                     ChunkPartMessage, EntryAliveMessage>;
+                     HeartbeatMessage, HeartbeatAckMessage, ConfigPushMessage, ConfigAppliedMessage,
+                     ConfigWantedMessage, ChunkWantedMessage, ChunkPartMessage, EntryAliveMessage,
+                     ZoneDigestMessage, DigestWantedMessage, ZoneSummaryMessage, HaveMessage>;
 
 /** A message with the stream that it belongs to. */
 struct StreamMessage
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -18,6 +18,12 @@
   1: string mac;
 }
 
+/** Start of an agent's process and its monotonic clock, both in microseconds. */
+struct Stamp {
+  1: i64 startedAt;
+  2: i64 clock;
+}
+
 /** Opens a stream: one attempt to run a request. */
 struct Open {
   1: string attempt;
@@ -37,6 +43,10 @@
   13: i64 claimOffset;
   /** Incarnation of the agent that the attempt is meant for; 0 means any. */
   14: i64 incarnation;
+  /** The agent's clock as the entry last heard it, in microseconds. */
+  40: Stamp stamp;
+  /** Key of the claim, as hexadecimal digits; empty without one. */
+  41: string claimKey;
 }
 
 /** The backend server's answer begins. */
@@ -68,6 +78,7 @@
 
 struct Cancel {
   1: string attempt;
+  40: Stamp stamp;
 }
 
 /** Whether the attempt ran, as the agent's ledger says. */
@@ -94,14 +105,32 @@
   16: binary tableDigest;
   17: i64 originBytes;
   18: string trouble;
+  /** Up to where the agent knows its neighbours; only in heartbeats. */
+  19: optional i64 knownEpoch;
+  20: optional i64 knownRevision;
+  /** The agent's monotonic clock in microseconds. */
+  40: i64 clock;
+}
+
+/** Changes of members between two revisions of one sender. */
+struct MemberChanges {
+  1: i64 epoch;
+  /** 0 means that the changes are the whole. */
+  2: i64 fromRevision;
+  3: i64 toRevision;
+  4: optional list<HeartbeatBody> changed;
+  5: optional list<string> gone;
 }
 
 /** Answer to a heartbeat: what the agent needs of its zone. */
 struct HeartbeatAck {
   1: i64 sequence;
-  2: list<HeartbeatBody> neighbours;
+  2: MemberChanges neighbours;
   /** An operator told the agent to drain. */
-  3: bool drain;
+  3: optional bool drain;
+  4: optional bool warm;
+  /** Incarnation of a later process in the agent's slot. */
+  5: optional i64 supersededBy;
 }
 
 /** Records of the configuration log, or a snapshot, each as the text that stands in the log. */
@@ -109,6 +138,18 @@
   1: i64 firstOffset;
   2: list<string> records;
   3: string snapshot;
+  /** Identity of the log that the records stand in. */
+  4: string logId;
+}
+
+/** Tells other entries which offset is in force. */
+struct ConfigApplied {
+  1: i64 appliedConfig;
+}
+
+/** Asks a peer that is ahead for its snapshot. */
+struct ConfigWanted {
+  1: i64 appliedConfig;
 }
 
 struct ChunkWanted {
@@ -124,6 +165,66 @@
 struct EntryAlive {
 }
 
+struct ConfigMark {
+  1: i64 applied;
+  2: binary tableDigest;
+}
+
+/** Sign of life of one agent. */
+struct MemberPulse {
+  1: i32 tag;
+  2: i64 sequence;
+  3: optional i32 inFlight;
+  4: optional i32 queued;
+  5: optional i32 configMark;
+  6: optional i32 originUnits;
+  /** The agent's monotonic clock in microseconds. */
+  7: i64 clock;
+}
+
+struct DrainOrder {
+  1: string instance;
+  2: i64 startedAt;
+}
+
+/** What an entry tells the others of its zone. */
+struct ZoneDigest {
+  1: MemberChanges changes;
+  2: list<ConfigMark> configs;
+  3: list<MemberPulse> pulses;
+  4: optional list<DrainOrder> drains;
+  /** Instances that the list calls leaving, and since when. */
+  5: optional list<DrainOrder> leaving;
+}
+
+struct DigestWanted {
+}
+
+struct ZoneCapacity {
+  /** First bytes of the manifest's digest. */
+  1: optional binary manifest;
+  2: optional string serviceName;
+  3: i32 usable;
+  4: optional i32 inFlight;
+  5: optional i32 queued;
+}
+
+/** What one zone tells another of itself. */
+struct ZoneSummary {
+  1: string zone;
+  2: i64 madeAt;
+  3: list<ZoneCapacity> capacities;
+}
+
+/** Which chunks of a manifest the sender offers, a bit for each. */
+struct Have {
+  1: binary manifest;
+  2: binary bits;
+  3: i64 servedBytes;
+  /** The receiver is to answer with its own. */
+  4: bool wanted;
+}
+
 union Body {
   1: Hello hello;
   2: Proof proof;
@@ -141,6 +242,12 @@
   14: ChunkWanted chunkWanted;
   15: ChunkPart chunkPart;
   20: EntryAlive entryAlive;
+  60: ConfigWanted configWanted;
+  61: ConfigApplied configApplied;
+  21: ZoneDigest zoneDigest;
+  22: DigestWanted digestWanted;
+  23: ZoneSummary zoneSummary;
+  50: Have have;
 }
 
 /** Stream 0 belongs to the link; the side that opened the link numbers the others. */
--- a/tests/unit/tst_framecodec.cpp
+++ b/tests/unit/tst_framecodec.cpp
@@ -30,6 +30,8 @@
     open.body = std::string("\0\x01\xff", 3);
     open.timeLeft = std::chrono::seconds(3);
     open.claim = Offset {7};
+    open.stamp = {WallTime(Duration(5)), Instant(Duration(9))};
+    open.claimKey = "k1";
     const StreamMessage message {5, open};
     REQUIRE(std::get<StreamMessage>(roundTrip(message)) == message);
 }
@@ -45,6 +47,53 @@
     REQUIRE(std::get<StreamMessage>(roundTrip(message)) == message);
 }
 
+TEST_CASE_METHOD(FrameFixture, "frame_configPushAndWanted_comeBackEqual")
+{
+    ConfigPushMessage push;
+    push.firstOffset = Offset {7};
+    push.records = {"a", "b"};
+    push.snapshot = "s";
+    push.logId = "log";
+    for (const Message &message : {Message(push), Message(ConfigWantedMessage {Offset {9}}),
+                                   Message(ConfigAppliedMessage {Offset {8}})}) {
+        const StreamMessage sent {0, message};
+        REQUIRE(std::get<StreamMessage>(roundTrip(sent)) == sent);
+    }
+}
+
+TEST_CASE_METHOD(FrameFixture, "frame_membershipMessages_comeBackEqual")
+{
+    Heartbeat heartbeat;
+    heartbeat.instance = InstanceId("i1");
+    heartbeat.startedAt = WallTime(std::chrono::seconds(5));
+    heartbeat.holding = {digestOf("one")};
+    const MemberChanges changes {~std::uint64_t {0}, 3, 5, {heartbeat}, {InstanceId("i2")}};
+    const ZoneDigest digest {changes,
+                             {{Offset {4}, digestOf("table")}},
+                             {{~std::uint32_t {0}, 7, 1, 0, 0, 2}},
+                             {{InstanceId("i3"), heartbeat.startedAt}},
+                             {{InstanceId("i4"), heartbeat.startedAt}}};
+    const ZoneSummary summary {
+            ZoneName("z"),
+            heartbeat.startedAt,
+            {{Digest("0123456789abcdef"), {}, 3, 2, 1}, {{}, ServiceName("s"), 1, 0, 0}}};
+    const std::vector<Message> messages {HeartbeatMessage {heartbeat, 1, 2},
+                                         HeartbeatAckMessage {1, changes, true, Offset {8}, true},
+                                         ZoneDigestMessage {digest},
+                                         ZoneSummaryMessage {summary},
+                                         DigestWantedMessage {},
+                                         EntryAliveMessage {}};
+    for (const Message &message : messages) {
+        REQUIRE(std::get<StreamMessage>(roundTrip({0, message})).message == message);
+    }
+}
+TEST_CASE_METHOD(FrameFixture, "frame_have_comesBackEqual")
+{
+    const ChunkBits bits(std::vector<bool> {true, false, true});
+    const StreamMessage message {0, HaveMessage {digestOf("manifest"), bits, 7, true}};
+    REQUIRE(std::get<StreamMessage>(roundTrip(message)) == message);
+}
+
 TEST_CASE_METHOD(FrameFixture, "frame_rubbish_isProtocolViolation")
 {
     const auto decoded = settle([] { return decodeFrame("this is no frame"); });
