--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -205,10 +205,11 @@
 
 void Agent::onNeighbours(const std::vector<Heartbeat> &neighbours)
 {
+    // An entry tells an agent of its own zone only, and leaves the zone out.
     std::vector<WeightPeer> peers = m_settings.weights.farPeers;
     for (const Heartbeat &neighbour : neighbours) {
         if (neighbour.kind == BackendKind::Engine && neighbour.instance != m_settings.instance) {
-            peers.push_back({neighbour.instance, neighbour.zone, neighbour.peerAddress});
+            peers.push_back({neighbour.instance, m_settings.zone, neighbour.peerAddress});
         }
     }
     m_weights->mailbox()->post(PeersKnown {std::move(peers)});
--- a/source/agent/weightkeeper.cpp
+++ b/source/agent/weightkeeper.cpp
@@ -16,6 +16,8 @@
 constexpr auto tickPeriod = std::chrono::milliseconds(20);
 constexpr auto announceEvery = std::chrono::milliseconds(100);
 constexpr auto announceFarEvery = std::chrono::seconds(1);
+/** Partners follow from the plan, which changes without any news of the zone. */
+constexpr auto keepPartnersEvery = std::chrono::milliseconds(200);
 constexpr auto manifestPatience = std::chrono::seconds(2);
 
 FetchResult resultOf(const Failure &failure)
@@ -206,6 +208,11 @@
 {
     plan(TimePassed {});
     announceNews();
+    const Instant now = monotonicNow();
+    if (now - m_partnersKeptAt >= keepPartnersEvery) {
+        m_partnersKeptAt = now;
+        keepPartners();
+    }
 }
 
 void WeightKeeper::plan(const TransferEvent &event)
--- a/source/agent/weightkeeper.h
+++ b/source/agent/weightkeeper.h
@@ -176,6 +176,7 @@
     std::map<Digest, MailboxPtr<StreamEvent>> m_readings;
     std::vector<WeightPeer> m_known;
     std::vector<WeightPeer> m_partners;
+    Instant m_partnersKeptAt;
     /** What the peers of the zone, and those of other zones, were last told. */
     std::map<Digest, ChunkBits> m_toldNear;
     std::map<Digest, ChunkBits> m_toldFar;
