--- a/bench/rolloutbench.cpp
+++ b/bench/rolloutbench.cpp
@@ -295,7 +295,8 @@
         const auto bytes = static_cast<double>(m_case.bytes);
         const double baseline = percentile95(before);
         const double moved = bytes * static_cast<double>(m_case.replicas);
-        const auto chunks = static_cast<double>(m_case.bytes / m_case.chunkBytes);
+        const std::uint64_t wholeChunks = m_case.bytes / m_case.chunkBytes;
+        const auto chunks = static_cast<double>(wholeChunks);
         const json::object line {
                 {"policy", m_case.policy},
                 {"origin_copies_allowed", m_case.originCopies},
