--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -16,7 +16,7 @@
 #include "agent/weightkeeper.h"
 #include "net/httpserver.h"
 #include "net/metrics.h"
-#include "platform/platform.h"
+#include "logservice/logservice.h"
 
 #include <memory>
 
--- a/source/agent/entrylinks.h
+++ b/source/agent/entrylinks.h
@@ -10,8 +10,8 @@
 #include "engine/engine.h"
 #include "net/log.h"
 #include "net/peerlink.h"
-#include "platform/configkeeper.h"
-#include "platform/listclient.h"
+#include "logservice/configkeeper.h"
+#include "logservice/listclient.h"
 
 #include <functional>
 #include <map>
--- a/source/agent/incarnationkeeper.h
+++ b/source/agent/incarnationkeeper.h
@@ -6,7 +6,7 @@
 
 #include "core/placement/placement.h"
 #include "net/log.h"
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 
 #include <functional>
 #include <memory>
--- a/source/agent/placer.h
+++ b/source/agent/placer.h
@@ -9,7 +9,7 @@
 #include "agent/weightkeeper.h"
 #include "core/placement/placement.h"
 #include "net/mailbox.h"
-#include "platform/configkeeper.h"
+#include "logservice/configkeeper.h"
 
 #include <functional>
 #include <memory>
--- a/source/agent/weightkeeper.h
+++ b/source/agent/weightkeeper.h
@@ -9,7 +9,7 @@
 #include "core/weights/weights.h"
 #include "net/log.h"
 #include "net/metrics.h"
-#include "platform/storeclient.h"
+#include "logservice/storeclient.h"
 
 #include <functional>
 #include <map>
--- /dev/null
+++ b/source/core/fleet/eventsplitter.cpp
@@ -0,0 +1,81 @@
+#include "core/fleet/eventsplitter.h"
+
+#include <charconv>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr std::string_view idField = "id:";
+
+/** @returns the position after the empty line that ends the first event, or npos */
+std::size_t endOfEvent(std::string_view text, std::size_t from)
+{
+    for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
+        std::size_t next = at + 1;
+        if (next < text.size() && text[next] == '\r') {
+            ++next;
+        }
+        if (next < text.size() && text[next] == '\n') {
+            return next + 1;
+        }
+    }
+    return std::string_view::npos;
+}
+
+} // namespace
+
+std::optional<std::uint64_t> eventId(std::string_view event)
+{
+    for (std::size_t at = 0; at < event.size();) {
+        std::size_t end = event.find('\n', at);
+        end = end == std::string_view::npos ? event.size() : end;
+        std::string_view line = event.substr(at, end - at);
+        at = end + 1;
+        if (!line.starts_with(idField)) {
+            continue;
+        }
+        line.remove_prefix(idField.size());
+        while (line.starts_with(' ')) {
+            line.remove_prefix(1);
+        }
+        std::uint64_t id = 0;
+        const auto [rest, ec] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (ec == std::errc()) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+WholeEvents EventSplitter::feed(std::string_view bytes)
+{
+    // The end of an event may be split, so the search begins a little before the new bytes.
+    const std::size_t from = m_partial.size() < 3 ? 0 : m_partial.size() - 3;
+    m_partial.append(bytes);
+    WholeEvents whole;
+    std::size_t begin = 0;
+    std::size_t search = from;
+    while (true) {
+        const std::size_t end = endOfEvent(m_partial, search);
+        if (end == std::string::npos) {
+            break;
+        }
+        const std::string_view event = std::string_view(m_partial).substr(begin, end - begin);
+        const std::optional<std::uint64_t> id = eventId(event);
+        const bool isKnown = id && m_lastId && *id <= *m_lastId;
+        if (!isKnown) {
+            m_hasGap = m_hasGap || (id && m_lastId && *id != *m_lastId + 1);
+            whole.bytes.append(event);
+            ++whole.count;
+            m_lastId = id ? id : m_lastId;
+        }
+        begin = end;
+        search = end;
+    }
+    m_partial.erase(0, begin);
+    return whole;
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/core/fleet/loadbook.cpp
@@ -0,0 +1,244 @@
+#include "core/fleet/loadbook.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace greengageseam {
+
+namespace {
+
+/** Share by which reading the prompts of others makes a request last longer. */
+constexpr double readingStretch = 1.6;
+/** Milliseconds that a request of a plain service takes, for want of a better figure. */
+constexpr double plainRequestMs = 25;
+/** Share of the objective that a request may wait for a place at a backend server. */
+constexpr double waitShare = 0.35;
+/** Time for which a backend server that rejected a request is left alone. */
+constexpr auto restAfterRejection = std::chrono::milliseconds(60);
+/** Requests beyond the slots that a plain service may have waiting. */
+constexpr std::uint32_t plainQueue = 6;
+
+} // namespace
+
+void LoadBook::setReplicas(const std::vector<ReplicaEntry> &entries)
+{
+    std::map<ReplicaId, Known> known;
+    m_byAddress.clear();
+    m_byService.clear();
+    for (const ReplicaEntry &entry : entries) {
+        Known next;
+        const auto it = m_known.find(entry.id);
+        const bool isSame = it != m_known.end() && it->second.entry.bornMs == entry.bornMs
+                && it->second.entry.address == entry.address;
+        if (isSame) {
+            next = std::move(it->second);
+        }
+        next.entry = entry;
+        known.emplace(entry.id, std::move(next));
+        m_byAddress.insert_or_assign(entry.address, entry.id);
+        m_byService[entry.service].push_back(entry.id);
+    }
+    m_known = std::move(known);
+}
+
+void LoadBook::setServices(const std::map<ServiceName, Service> &services)
+{
+    m_engines.clear();
+    for (const auto &[name, service] : services) {
+        if (service.engine) {
+            m_engines.emplace(name, *service.engine);
+        }
+    }
+}
+
+void LoadBook::hear(const LoadReport &report, Instant now)
+{
+    const auto id = m_byAddress.find(report.backend);
+    if (id == m_byAddress.end()) {
+        return;
+    }
+    Known &known = m_known.at(id->second);
+    if (known.entry.bornMs != 0 && report.bornMs != 0 && report.bornMs < known.entry.bornMs) {
+        return;
+    }
+    known.report = report;
+    known.reportedAt = now;
+    known.ownAtReport = known.own;
+}
+
+bool LoadBook::isFresh(const Known &known, Instant now) const
+{
+    return known.report && now - known.reportedAt <= m_options.reportLife;
+}
+
+std::uint64_t LoadBook::weightsOf(const Known &known, Instant now) const
+{
+    const std::uint64_t listed = known.entry.loaded.wholeVersion();
+    return isFresh(known, now) ? known.report->weights : listed;
+}
+
+bool LoadBook::isUsable(const Known &known, std::uint64_t oldestWeights, Instant now) const
+{
+    if (known.entry.isDraining || known.health.at(now).isEjected()) {
+        return false;
+    }
+    if (!m_engines.contains(known.entry.service)) {
+        return true;
+    }
+    const bool isLoading = isFresh(known, now) && known.report->isOrderBusy;
+    const std::uint64_t weights = weightsOf(known, now);
+    return !isLoading && weights > 0 && weights >= oldestWeights;
+}
+
+std::uint32_t LoadBook::load(const Known &known, Instant now) const
+{
+    if (!isFresh(known, now)) {
+        return known.own * std::max<std::uint32_t>(1, m_entries);
+    }
+    const std::uint32_t reported = known.report->running + known.report->waiting;
+    const std::uint32_t others =
+            reported > known.ownAtReport ? reported - known.ownAtReport : 0;
+    return known.own + others;
+}
+
+double LoadBook::slotMs(const ServiceName &service) const
+{
+    const auto it = m_engines.find(service);
+    if (it == m_engines.end() || it->second.slots == 0) {
+        return plainRequestMs;
+    }
+    const EngineCosts &engine = it->second;
+    const double context = engine.usualPromptTokens + engine.usualAnswerTokens / 2;
+    const double stepMs = engine.stepMs
+            + engine.slots * (engine.perSequenceMs + engine.contextPerThousandMs * context / 1000);
+    return engine.usualAnswerTokens * stepMs * readingStretch / engine.slots;
+}
+
+double LoadBook::waitMs(const Known &known, Instant now) const
+{
+    const std::uint32_t slots = std::max<std::uint32_t>(1, known.entry.slots);
+    const std::uint32_t taken = load(known, now);
+    const double pace = isFresh(known, now) ? std::max(1.0, known.report->pace) : 1;
+    const double perSlot = slotMs(known.entry.service) * pace;
+    // Below its slots a backend server is slower the more it has to do.
+    const double shared = perSlot * std::min(taken, slots) / slots;
+    const double queued = taken < slots ? 0 : (taken - slots + 1) * perSlot;
+    return shared + queued;
+}
+
+double LoadBook::penaltyMs(const Known &known) const
+{
+    if (known.entry.zone == m_options.zone) {
+        return 0;
+    }
+    return m_options.zonePenaltyMs;
+}
+
+bool LoadBook::hasRoom(const Known &known, const ReplicaWish &wish, Instant now) const
+{
+    const std::uint32_t slots = std::max<std::uint32_t>(1, known.entry.slots);
+    const std::uint32_t taken = load(known, now);
+    if (known.own >= known.health.at(now).allowance() || now < known.restUntil) {
+        return false;
+    }
+    if (!m_engines.contains(wish.service)) {
+        return taken < slots + plainQueue;
+    }
+    if (taken < slots) {
+        return true;
+    }
+    const double objectiveMs = std::chrono::duration<double, std::milli>(wish.objective).count();
+    const double queued = (taken - slots + 1) * slotMs(wish.service);
+    return isFresh(known, now) && queued <= objectiveMs * waitShare;
+}
+
+std::optional<ReplicaEntry> LoadBook::take(const ReplicaWish &wish, Instant now,
+                                           std::uint64_t random)
+{
+    const auto pool = m_byService.find(wish.service);
+    if (pool == m_byService.end()) {
+        return std::nullopt;
+    }
+    Known *best = nullptr;
+    double bestCost = 0;
+    const std::size_t n = pool->second.size();
+    for (std::size_t i = 0; i < n; ++i) {
+        Known &known = m_known.at(pool->second[(i + random) % n]);
+        if (!isUsable(known, wish.oldestWeights, now) || wish.tried.contains(known.entry.id)
+            || !hasRoom(known, wish, now)) {
+            continue;
+        }
+        const double cost = waitMs(known, now) + penaltyMs(known);
+        if (best == nullptr || cost < bestCost) {
+            best = &known;
+            bestCost = cost;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    best->health = best->health.at(now);
+    ++best->own;
+    return best->entry;
+}
+
+void LoadBook::ended(const ReplicaId &id, ReplicaVerdict verdict, Instant now)
+{
+    const auto it = m_known.find(id);
+    if (it == m_known.end()) {
+        return;
+    }
+    Known &known = it->second;
+    known.own -= known.own > 0 ? 1 : 0;
+    known.ownAtReport -= known.ownAtReport > 0 ? 1 : 0;
+    switch (verdict) {
+    case ReplicaVerdict::Answered:
+        known.health = known.health.succeeded(m_options.health);
+        break;
+    case ReplicaVerdict::Full:
+    case ReplicaVerdict::Misdirected:
+        known.restUntil = now + restAfterRejection;
+        break;
+    case ReplicaVerdict::Failed:
+        known.health = known.health.failed(now, m_options.health);
+        break;
+    case ReplicaVerdict::Neutral:
+        break;
+    }
+}
+
+Occupancy LoadBook::occupancy(const ServiceName &service, std::uint64_t oldestWeights,
+                              Instant now) const
+{
+    Occupancy sum;
+    const auto pool = m_byService.find(service);
+    if (pool == m_byService.end()) {
+        return sum;
+    }
+    for (const ReplicaId &id : pool->second) {
+        const Known &known = m_known.at(id);
+        if (isUsable(known, oldestWeights, now)) {
+            ++sum.usable;
+            sum.slots += known.entry.slots;
+            sum.taken += load(known, now);
+        }
+    }
+    return sum;
+}
+
+Duration LoadBook::turnover(const ServiceName &service) const
+{
+    const auto pool = m_byService.find(service);
+    const std::size_t n = pool == m_byService.end() ? 1 : pool->second.size();
+    constexpr double microsecondsPerMs = 1000;
+    return Duration(std::llround(slotMs(service) * microsecondsPerMs
+                                 / static_cast<double>(std::max<std::size_t>(1, n))));
+}
+
+bool LoadBook::hasUsable(const ServiceName &service, std::uint64_t oldestWeights,
+                         Instant now) const
+{
+    return occupancy(service, oldestWeights, now).usable > 0;
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/core/fleet/loadbook.h
@@ -0,0 +1,145 @@
+/**
+ * What one entry knows of the load of the backend servers, and its choice among them.
+ */
+#pragma once
+
+#include "core/fleet/fleetconfig.h"
+#include "core/fleet/replica.h"
+#include "core/routing/backendhealth.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace greengageseam {
+
+/** A fresh report that the agent beside a backend server passed on. */
+struct LoadReport
+{
+    Address backend;
+    std::uint64_t bornMs = 0;
+    /** Version of the weights that are whole; 0 for none. */
+    std::uint64_t weights = 0;
+    /** An order is being carried out, during which nothing new is begun. */
+    bool isOrderBusy = false;
+    std::uint32_t waiting = 0;
+    std::uint32_t running = 0;
+    /** Above 1 the backend server works more slowly than it should. */
+    double pace = 1;
+
+    auto operator<=>(const LoadReport &) const = default;
+};
+
+/** What a request needs of a backend server. */
+struct ReplicaWish
+{
+    ServiceName service;
+    /** Backend servers that it was sent to before. */
+    std::set<ReplicaId> tried;
+    /** Oldest version of the weights that will do. */
+    std::uint64_t oldestWeights = 0;
+    /** Time in which the operator wants the answer to begin. */
+    Duration objective {};
+
+    auto operator<=>(const ReplicaWish &) const = default;
+};
+
+/** How busy the backend servers of a service are. */
+struct Occupancy
+{
+    /** Backend servers that may be used. */
+    std::uint32_t usable = 0;
+    std::uint32_t slots = 0;
+    std::uint32_t taken = 0;
+
+    auto operator<=>(const Occupancy &) const = default;
+};
+
+/** Bounds of the book. */
+struct LoadBookOptions
+{
+    ZoneName zone;
+    std::map<ZoneName, RegionName> regions;
+    /** What a send to another zone is held to cost besides its time, in milliseconds of waiting. */
+    double zonePenaltyMs = 15;
+    /** A report that is older says nothing of the load any more. */
+    Duration reportLife = std::chrono::seconds(1);
+    HealthOptions health;
+
+    auto operator<=>(const LoadBookOptions &) const = default;
+};
+
+/** How an attempt ended, as far as its backend server is concerned. */
+enum class ReplicaVerdict {
+    Answered,
+    /** It rejected the request, because it is full or changes its weights. */
+    Full,
+    /** It is not what the book takes it for. */
+    Misdirected,
+    Failed,
+    /** The end says nothing of the backend server. */
+    Neutral,
+};
+
+/** The backend servers and their loads. It changes in place, in the path of each request. */
+class LoadBook
+{
+public:
+    explicit LoadBook(LoadBookOptions options) : m_options(std::move(options)) { }
+
+    /** Takes over the list; what is known of those that stay is kept. */
+    void setReplicas(const std::vector<ReplicaEntry> &entries);
+    /** Takes over what the configuration says of engines. */
+    void setServices(const std::map<ServiceName, Service> &services);
+    /** How many entries there may be; they share what none of them knows of the others. */
+    void setEntries(std::uint32_t entries) { m_entries = entries; }
+    /** An agent passed a report on. */
+    void hear(const LoadReport &report, Instant now);
+
+    /** Chooses a backend server and counts the request there. @returns nothing if none has room */
+    std::optional<ReplicaEntry> take(const ReplicaWish &wish, Instant now, std::uint64_t random);
+    /** Counts an attempt as ended. */
+    void ended(const ReplicaId &id, ReplicaVerdict verdict, Instant now);
+
+    /** @returns how busy a service is, as far as this entry knows */
+    Occupancy occupancy(const ServiceName &service, std::uint64_t oldestWeights,
+                        Instant now) const;
+    /** @returns in how long a place of the service becomes free, on average */
+    Duration turnover(const ServiceName &service) const;
+    /** @returns whether any backend server of the service takes work, full or not */
+    bool hasUsable(const ServiceName &service, std::uint64_t oldestWeights, Instant now) const;
+
+private:
+    struct Known
+    {
+        ReplicaEntry entry;
+        std::uint32_t own = 0;
+        BackendHealth health;
+        std::optional<LoadReport> report;
+        Instant reportedAt;
+        /** Requests of this entry that the report counts already. */
+        std::uint32_t ownAtReport = 0;
+        /** It rejected a request; nothing is sent to it before. */
+        Instant restUntil;
+    };
+
+    bool isUsable(const Known &known, std::uint64_t oldestWeights, Instant now) const;
+    std::uint64_t weightsOf(const Known &known, Instant now) const;
+    bool isFresh(const Known &known, Instant now) const;
+    /** Requests at a backend server, those of other entries among them. */
+    std::uint32_t load(const Known &known, Instant now) const;
+    double slotMs(const ServiceName &service) const;
+    double waitMs(const Known &known, Instant now) const;
+    double penaltyMs(const Known &known) const;
+    bool hasRoom(const Known &known, const ReplicaWish &wish, Instant now) const;
+
+    LoadBookOptions m_options;
+    std::uint32_t m_entries = 1;
+    std::map<ReplicaId, Known> m_known;
+    std::map<Address, ReplicaId> m_byAddress;
+    std::map<ServiceName, std::vector<ReplicaId>> m_byService;
+    std::map<ServiceName, EngineCosts> m_engines;
+};
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/core/fleet/routetable.cpp
@@ -0,0 +1,95 @@
+#include "core/fleet/routetable.h"
+
+#include <algorithm>
+
+namespace greengageseam {
+
+namespace {
+
+char lower(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+/** @returns the host in lower case without its port */
+std::string normalHost(std::string_view host)
+{
+    const std::size_t colon = host.find(':');
+    std::string text(host.substr(0, colon));
+    std::transform(text.begin(), text.end(), text.begin(), lower);
+    return text;
+}
+
+} // namespace
+
+RouteTable::RouteTable(FleetConfig config) : m_config(std::move(config))
+{
+    for (std::size_t n = 0; n < m_config.routes.size(); ++n) {
+        m_byHost[m_config.routes[n].host].push_back(n);
+    }
+    const auto isLonger = [this](std::size_t left, std::size_t right) {
+        return m_config.routes[left].pathPrefix.size() > m_config.routes[right].pathPrefix.size();
+    };
+    for (auto &[host, positions] : m_byHost) {
+        std::stable_sort(positions.begin(), positions.end(), isLonger);
+    }
+    if (!m_config.accounts) {
+        return;
+    }
+    for (std::size_t n = 0; n < m_config.accounts->size(); ++n) {
+        for (const std::string &key : (*m_config.accounts)[n].keys) {
+            m_byKey[key] = n;
+        }
+    }
+}
+
+Outcome<Routed> RouteTable::find(std::string_view host, std::string_view target,
+                                 std::string_view key) const
+{
+    const std::string_view path = target.substr(0, target.find('?'));
+    const auto routes = m_byHost.find(normalHost(host));
+    if (routes == m_byHost.end()) {
+        return Failure {ErrorKind::NotFound, "no route has this host"};
+    }
+    const auto position = std::find_if(
+            routes->second.begin(), routes->second.end(),
+            [&](std::size_t n) { return path.starts_with(m_config.routes[n].pathPrefix); });
+    if (position == routes->second.end()) {
+        return Failure {ErrorKind::NotFound, "no route of this host has this path"};
+    }
+    Routed routed {&m_config.routes[*position], nullptr};
+    if (!m_config.accounts || routed.route->isAnonymous) {
+        return routed;
+    }
+    const auto account = m_byKey.find(std::string(key));
+    if (account == m_byKey.end()) {
+        return Failure {ErrorKind::Unauthenticated, "no client account has this key"};
+    }
+    routed.account = &(*m_config.accounts)[account->second];
+    return routed;
+}
+
+const Service *RouteTable::service(const ServiceName &name) const
+{
+    const auto it = m_config.services.find(name);
+    return it == m_config.services.end() ? nullptr : &it->second;
+}
+
+const ServiceName &chooseService(const Route &route, std::uint64_t random)
+{
+    constexpr double unit = 1.0 / 18446744073709551616.0;
+    double total = 0;
+    for (const RouteTarget &target : route.targets) {
+        total += target.weight;
+    }
+    double left = static_cast<double>(random) * unit * total;
+    for (const RouteTarget &target : route.targets) {
+        left -= target.weight;
+        if (left < 0) {
+            return target.service;
+        }
+    }
+    return route.targets.back().service;
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/daemon/fleetmain.cpp
@@ -0,0 +1,151 @@
+/**
+ * greengageseam-fleetd: runs one role on the users' platform, whose settings file says the rest. It
+ * reloads the file on SIGHUP and stops gracefully on SIGTERM or SIGINT.
+ */
+#include "edge/edge.h"
+#include "platform/platform.h"
+#include "steward/steward.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace greengageseam {
+namespace {
+
+constexpr int exitSettings = 2;
+constexpr int exitFailure = 1;
+constexpr std::string_view secretVariable = "GREENGAGESEAM_SECRET";
+
+constexpr std::string_view usage =
+        R"(greengageseam-fleetd: a role of greengageseam on the users' platform.
+
+Usage:
+  greengageseam-fleetd (entry | agent) [--check-settings]
+  greengageseam-fleetd (-h | --help | --version)
+
+The settings file named by GREENGAGESEAM_CONFIG says the rest. GREENGAGESEAM_SECRET is a text
+that all processes of a deployment share; GREENGAGESEAM_LOG_LEVEL is error, warning, info or
+debug, and info if it is not set.
+)";
+
+std::string variable(std::string_view name)
+{
+    const char *value = std::getenv(std::string(name).c_str());
+    return value == nullptr ? std::string() : std::string(value);
+}
+
+Result<NodeSettings> readSettingsFile()
+{
+    const std::string path = variable(settingsPathVariable);
+    if (path.empty()) {
+        return fail(ErrorKind::InvalidRequest, std::string(settingsPathVariable) + " is not set");
+    }
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        return fail(ErrorKind::InvalidRequest, path + ": cannot be read");
+    }
+    return decodeSettings(text.str());
+}
+
+/** Waits for signals: reloads the settings, or lets the role shut down and ends the loop. */
+template <typename Role>
+Awaitable<void> followSignals(asio::io_context &context, Role &role, Log log)
+{
+    asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+    while (true) {
+        auto [ec, signal] = co_await signals.async_wait(asTuple);
+        if (ec || signal != SIGHUP) {
+            break;
+        }
+        const Outcome<NodeSettings> read = settle([] { return readSettingsFile(); });
+        if (const Failure *failure = failureOf(read)) {
+            log.error("settings.refused", {{"reason", failure->detail}});
+        } else {
+            role.reload(std::get<NodeSettings>(read));
+        }
+    }
+    co_await role.shutDown();
+    context.stop();
+}
+
+template <typename Role>
+int runRole(asio::io_context &context, Role &role, const Log &log)
+{
+    const Settled started = settle([&]() -> Result<std::monostate> {
+        BOOST_LEAF_CHECK(role.start());
+        return std::monostate();
+    });
+    if (const Failure *failure = failureOf(started)) {
+        std::cerr << "greengageseam-fleetd: " << failure->detail << "\n";
+        return exitSettings;
+    }
+    asio::co_spawn(context, followSignals(context, role, log), asio::detached);
+    context.run();
+    return 0;
+}
+
+int run(const std::vector<std::string> &arguments)
+{
+    const std::string role = arguments.empty() ? std::string() : arguments.front();
+    if (role == "-h" || role == "--help") {
+        std::cout << usage;
+        return 0;
+    }
+    if (role == "--version") {
+        std::cout << "greengageseam-fleetd " << GGS_VERSION << "\n";
+        return 0;
+    }
+    if (role != "entry" && role != "agent") {
+        std::cerr << usage;
+        return exitSettings;
+    }
+    const Outcome<NodeSettings> read = settle([] { return readSettingsFile(); });
+    const std::string levelName = variable("GREENGAGESEAM_LOG_LEVEL");
+    const auto level = levelName.empty() ? LogLevel::Info : logLevelNamed(levelName);
+    if (const Failure *failure = failureOf(read); failure != nullptr || !level) {
+        std::cerr << "greengageseam-fleetd: "
+                  << (failure != nullptr ? failure->detail
+                                         : "GREENGAGESEAM_LOG_LEVEL: '" + levelName
+                                                 + "' is not allowed; allowed is error, warning, "
+                                                   "info or debug")
+                  << "\n";
+        return exitSettings;
+    }
+    const auto &settings = std::get<NodeSettings>(read);
+    if (arguments.size() > 1 && arguments[1] == "--check-settings") {
+        std::cout << "greengageseam-fleetd: the settings are valid\n";
+        return 0;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    const Log log(*level, {{"instance", settings.instance.text()}});
+    asio::io_context context(1);
+    const PlatformAdapter adapter = makePlatformAdapter(context.get_executor(), settings);
+    if (role == "entry") {
+        Edge edge(context.get_executor(), settings, adapter, log);
+        return runRole(context, edge, log);
+    }
+    Steward steward(context.get_executor(), settings, adapter, variable(secretVariable), log);
+    return runRole(context, steward, log);
+}
+
+} // namespace
+} // namespace greengageseam
+
+int main(int argc, char **argv)
+{
+    try {
+        return greengageseam::run({argv + 1, argv + argc});
+    } catch (const std::exception &e) {
+        std::cerr << "greengageseam-fleetd: " << e.what() << "\n";
+        return greengageseam::exitFailure;
+    }
+}
--- /dev/null
+++ b/source/edge/callerconnection.cpp
@@ -0,0 +1,234 @@
+#include "edge/callerconnection.h"
+
+#include "net/clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+namespace greengageseam {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+/** Bytes that are read ahead while no request is being read. */
+constexpr std::size_t firstReadBytes = 8 * 1024;
+/** How often a connection looks whether a limit has been reached. */
+constexpr auto watchEvery = std::chrono::milliseconds(500);
+/** A body has to arrive in this many times the limit of a header. */
+constexpr int bodyLimitFactor = 5;
+constexpr int statusHeaderTooLarge = 431;
+constexpr int oldVersion = 10;
+
+CallRejected rejectionFor(const boost::system::error_code &ec)
+{
+    if (ec == http::error::header_limit) {
+        return {ErrorKind::TooLarge, statusHeaderTooLarge};
+    }
+    if (ec == http::error::body_limit) {
+        return {ErrorKind::TooLarge, 0};
+    }
+    return {ErrorKind::InvalidRequest, 0};
+}
+
+/** @returns whether the error is a closed or broken connection, not a malformed request */
+bool isCut(const boost::system::error_code &ec)
+{
+    const auto &httpCategory = http::make_error_code(http::error::end_of_stream).category();
+    return ec == http::error::end_of_stream || ec == http::error::partial_message
+            || ec.category() != httpCategory;
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket, const RequestContext &context,
+                                   std::shared_ptr<CallerServerState> server)
+    : m_socket(std::move(socket)), m_context(context), m_server(std::move(server)),
+      m_events(makeMailbox<CallerEvent>(m_socket.get_executor(), 1)),
+      m_timer(m_socket.get_executor())
+{
+    ++m_server->connections;
+}
+
+void CallerConnection::start()
+{
+    setWireOptions(m_socket);
+    enter(Phase::Idle);
+    const auto executor = m_socket.get_executor();
+    asio::co_spawn(executor, [self = shared_from_this()] { return self->readLoop(); },
+                   asio::detached);
+    asio::co_spawn(executor, [self = shared_from_this()] { return self->serve(); }, asio::detached);
+    watch();
+}
+
+void CallerConnection::enter(Phase phase)
+{
+    m_phase = phase;
+    m_phaseSince = monotonicNow();
+}
+
+void CallerConnection::close()
+{
+    if (m_isClosed) {
+        return;
+    }
+    m_isClosed = true;
+    --m_server->connections;
+    boost::system::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_socket.close(ignored);
+    m_timer.cancel();
+    m_events->close();
+}
+
+/** Ends a connection whose caller is too slow or idle for too long. */
+void CallerConnection::watch()
+{
+    m_timer.expires_after(watchEvery);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
+        const auto self = weak.lock();
+        if (ec || !self || self->m_isClosed) {
+            return;
+        }
+        const CallerLimits &limits = self->m_server->limits;
+        const Duration since = monotonicNow() - self->m_phaseSince;
+        const bool isIdleOver = self->m_phase == Phase::Idle
+                && (since > limits.idleTimeout || self->m_server->closesIdle);
+        const bool isSlow = (self->m_phase == Phase::Header && since > limits.headerTimeout)
+                || (self->m_phase == Phase::Body
+                    && since > limits.headerTimeout * bodyLimitFactor);
+        if (isIdleOver) {
+            self->close();
+            return;
+        }
+        if (isSlow) {
+            self->enter(Phase::Busy);
+            self->m_events->post(CallRejected {ErrorKind::SlowCaller, 0});
+        }
+        self->watch();
+    });
+}
+
+Awaitable<void> CallerConnection::readLoop()
+{
+    bool goesOn = true;
+    while (goesOn && !m_isClosed) {
+        goesOn = co_await readOne();
+    }
+}
+
+/** Reads ahead even while a request is being answered, which shows when the caller goes away. */
+Awaitable<bool> CallerConnection::readOne()
+{
+    if (m_buf.size() == 0) {
+        auto [ec, n] = co_await m_socket.async_read_some(m_buf.prepare(firstReadBytes), asTuple);
+        if (ec) {
+            if (m_channel != nullptr) {
+                m_channel->markGone();
+            }
+            CallerEvent gone = CallerGone {};
+            co_await m_events->send(std::move(gone));
+            co_return false;
+        }
+        m_buf.commit(n);
+    }
+    if (m_phase == Phase::Idle) {
+        enter(Phase::Header);
+    }
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes));
+    parser.body_limit(m_server->limits.maxBodyBytes);
+    auto [headerError, headerBytes] =
+            co_await http::async_read_header(m_socket, m_buf, parser, asTuple);
+    boost::system::error_code ec = headerError;
+    if (!ec && !parser.is_done()) {
+        if (m_phase == Phase::Header) {
+            enter(Phase::Body);
+        }
+        if (parser.get()[http::field::expect] == "100-continue") {
+            const std::string text = "HTTP/1.1 100 Continue\r\n\r\n";
+            co_await asio::async_write(m_socket, asio::buffer(text), asTuple);
+        }
+        auto [bodyError, bodyBytes] = co_await http::async_read(m_socket, m_buf, parser, asTuple);
+        ec = bodyError;
+    }
+    if (ec) {
+        if (m_channel != nullptr) {
+            m_channel->markGone();
+        }
+        CallerEvent event = isCut(ec) ? CallerEvent(CallerGone {}) : CallerEvent(rejectionFor(ec));
+        co_await m_events->send(std::move(event));
+        co_return false;
+    }
+    auto &message = parser.get();
+    CallRead call;
+    call.arrivedAt = monotonicNow();
+    call.isKept = message.keep_alive();
+    call.isOld = message.version() <= oldVersion;
+    call.request.method = std::string(message.method_string());
+    call.request.target = std::string(message.target());
+    for (const auto &field : message) {
+        call.request.headers.push_back(
+                {std::string(field.name_string()), std::string(field.value())});
+    }
+    call.request.body = std::move(message.body());
+    const bool isAmbiguous = call.request.header("Transfer-Encoding")
+            && call.request.header("Content-Length");
+    CallerEvent event = isAmbiguous ? CallerEvent(CallRejected {ErrorKind::InvalidRequest, 0})
+                                    : CallerEvent(std::move(call));
+    enter(Phase::Busy);
+    co_return co_await m_events->send(std::move(event));
+}
+
+Awaitable<void> CallerConnection::serve()
+{
+    bool isKept = true;
+    while (isKept) {
+        std::optional<CallerEvent> event = co_await m_events->receive();
+        if (!event) {
+            break;
+        }
+        if (const auto *call = std::get_if<CallRead>(&*event)) {
+            isKept = co_await answer(*call);
+        } else if (const auto *rejected = std::get_if<CallRejected>(&*event)) {
+            isKept = co_await refuse(*rejected);
+        } else {
+            isKept = false;
+        }
+    }
+    close();
+}
+
+Awaitable<bool> CallerConnection::answer(const CallRead &call)
+{
+    ++m_server->inProgress;
+    CallerChannel channel(m_socket, call.request.method == "HEAD", call.isOld,
+                          !call.isKept || m_server->isDraining);
+    m_channel = &channel;
+    RequestRun run(m_context, call.request, channel, call.arrivedAt);
+    co_await run.run();
+    m_channel = nullptr;
+    --m_server->inProgress;
+    if (channel.closes() || channel.isGone() || m_server->isDraining) {
+        co_return false;
+    }
+    enter(m_buf.size() == 0 ? Phase::Idle : Phase::Header);
+    co_return true;
+}
+
+Awaitable<bool> CallerConnection::refuse(const CallRejected &call)
+{
+    CallerChannel channel(m_socket, false, false, true);
+    const ErrorAnswer &answer = answerFor(call.kind);
+    const int status = call.status == 0 ? answer.httpStatus : call.status;
+    const std::vector<HttpHeader> fields;
+    std::string body;
+    co_await channel.respond(status, fields, std::move(body));
+    m_context.log.info("caller.rejected", {{"status", status}, {"cause", answer.name}});
+    co_return false;
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/edge/callerserver.cpp
@@ -0,0 +1,52 @@
+#include "edge/callerserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace greengageseam {
+
+namespace {
+
+/** Pause after accepting has failed, for want of descriptors for example. */
+constexpr auto acceptPause = std::chrono::milliseconds(20);
+
+} // namespace
+
+CallerServer::CallerServer(RequestContext context, std::size_t maxConnections)
+    : m_context(std::move(context)), m_maxConnections(maxConnections),
+      m_state(std::make_shared<CallerServerState>()), m_acceptor(m_context.executor)
+{ }
+
+Result<void> CallerServer::listen(const Address &address)
+{
+    return openAcceptor(m_acceptor, address);
+}
+
+void CallerServer::start()
+{
+    asio::co_spawn(m_context.executor,
+                   [self = shared_from_this()] { return self->acceptLoop(); }, asio::detached);
+}
+
+void CallerServer::stop()
+{
+    m_state->isDraining = true;
+    m_state->closesIdle = true;
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+Awaitable<void> CallerServer::acceptLoop()
+{
+    while (m_acceptor.is_open()) {
+        auto [ec, socket] = co_await m_acceptor.async_accept(asTuple);
+        if (ec || m_state->connections >= m_maxConnections) {
+            asio::steady_timer pause(m_context.executor, acceptPause);
+            co_await pause.async_wait(asTuple);
+            continue;
+        }
+        std::make_shared<CallerConnection>(std::move(socket), m_context, m_state)->start();
+    }
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/edge/dispatcher.cpp
@@ -0,0 +1,259 @@
+#include "edge/dispatcher.h"
+
+#include "net/clock.h"
+#include "net/ticker.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr std::size_t mailboxCapacity = 16384;
+constexpr auto tickPeriod = std::chrono::milliseconds(25);
+/** Entries are counted on while none has been heard of. */
+constexpr std::uint32_t usualEntries = 8;
+/** Time before the end of the bound from which on only the named weights are used. */
+constexpr auto weightsMargin = std::chrono::milliseconds(1000);
+/** How long a connection is kept if the backend server does not say. */
+constexpr auto usualIdle = std::chrono::seconds(4);
+/** A connection is given up so long before the backend server closes it. */
+constexpr auto idleMargin = std::chrono::milliseconds(800);
+constexpr auto shortestRetryAfter = std::chrono::milliseconds(150);
+constexpr auto longestRetryAfter = std::chrono::milliseconds(1500);
+
+} // namespace
+
+Dispatcher::Dispatcher(const asio::any_io_executor &executor, DispatcherOptions options,
+                       std::shared_ptr<Metrics> metrics, Log log)
+    : m_executor(executor), m_options(std::move(options)), m_metrics(std::move(metrics)),
+      m_log(std::move(log)), m_mailbox(makeMailbox<DispatchCommand>(executor, mailboxCapacity)),
+      m_loads(m_options.loads), m_entries(usualEntries)
+{
+    m_loads.setEntries(m_entries);
+}
+
+void Dispatcher::start()
+{
+    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->run(); }, asio::detached);
+    startTicker(m_executor, tickPeriod, [mailbox = m_mailbox] {
+        mailbox->post(DispatchTick {});
+        return mailbox->isOpen();
+    });
+}
+
+Awaitable<void> Dispatcher::run()
+{
+    while (std::optional<DispatchCommand> command = co_await m_mailbox->receive()) {
+        std::visit([this](const auto &message) { apply(message); }, *command);
+    }
+}
+
+void Dispatcher::apply(const AdmitCall &command)
+{
+    if (m_table == nullptr) {
+        command.reply->post(Failure {ErrorKind::NotReady, "no configuration is known yet"});
+        return;
+    }
+    const Outcome<Routed> found = m_table->find(command.host, command.target, command.key);
+    if (const Failure *failure = failureOf(found)) {
+        command.reply->post(*failure);
+        return;
+    }
+    const auto &routed = std::get<Routed>(found);
+    Admission admission {m_table, routed, chooseService(*routed.route, randomNumber())};
+    allowance(admission.service).countRequest(monotonicNow());
+    command.reply->post(std::move(admission));
+}
+
+void Dispatcher::apply(const TakeReplica &command)
+{
+    const Instant now = monotonicNow();
+    if (command.isAgain && !allowance(command.wish.service).take(now, m_entries)) {
+        m_metrics->count("retries_denied_total", "Retries that the budget did not allow");
+        refuse(command, now, ErrorKind::LimitExceeded);
+        return;
+    }
+    if (tryTake(command, now)) {
+        return;
+    }
+    const std::uint64_t weights = requiredWeights(command.wish.service, now);
+    const bool isHopeless = !m_loads.hasUsable(command.wish.service, weights, now);
+    if (command.waitUntil <= now || m_waiting.size() >= m_options.maxWaiting) {
+        refuse(command, now, isHopeless ? ErrorKind::NoBackendServer : ErrorKind::Overloaded);
+        return;
+    }
+    m_waiting.push_back(command);
+}
+
+bool Dispatcher::tryTake(const TakeReplica &command, Instant now)
+{
+    ReplicaWish wish = command.wish;
+    wish.oldestWeights = requiredWeights(wish.service, now);
+    const std::optional<ReplicaEntry> replica = m_loads.take(wish, now, randomNumber());
+    if (!replica) {
+        return false;
+    }
+    ReplicaLease lease {*replica, nullptr, std::nullopt};
+    if (wish.oldestWeights > 0) {
+        lease.weights = wish.oldestWeights;
+    }
+    if (command.wantsIdle) {
+        lease.connection = takeIdle(replica->address, now);
+    }
+    command.reply->post(std::move(lease));
+    return true;
+}
+
+void Dispatcher::refuse(const TakeReplica &command, Instant now, ErrorKind kind)
+{
+    const Occupancy busy = m_loads.occupancy(command.wish.service, 0, now);
+    const Duration turnover = m_loads.turnover(command.wish.service);
+    const auto excess = busy.taken > busy.slots ? busy.taken - busy.slots : 0;
+    const Duration wait = turnover * static_cast<std::int64_t>(excess + m_waiting.size() + 1) * 2;
+    const Duration retryAfter =
+            std::clamp<Duration>(wait, shortestRetryAfter, longestRetryAfter);
+    command.reply->post(NoReplica {kind, retryAfter});
+}
+
+void Dispatcher::apply(const LeaseEnded &command)
+{
+    const Instant now = monotonicNow();
+    m_loads.ended(command.replica, command.verdict, now);
+    if (command.connection && command.connection->isReusable()) {
+        const Duration kept =
+                command.keptFor ? Duration(*command.keptFor - idleMargin) : Duration(usualIdle);
+        auto &idle = m_idle[command.address];
+        if (kept > Duration::zero() && idle.size() < m_options.maxIdle) {
+            idle.push_back({command.connection, now + kept});
+        }
+    }
+    serveWaiting();
+}
+
+void Dispatcher::apply(const RoutesChanged &command)
+{
+    m_table = command.table;
+    m_loads.setServices(m_table->config().services);
+    serveWaiting();
+}
+
+void Dispatcher::apply(const ReplicasChanged &command)
+{
+    m_loads.setReplicas(command.entries);
+    serveWaiting();
+}
+
+void Dispatcher::apply(const WeightsNamed &command)
+{
+    m_named[command.named.model].emplace(command.named.version, command.at);
+}
+
+void Dispatcher::apply(const LoadHeard &command)
+{
+    m_loads.hear(command.report, monotonicNow());
+    if (!m_waiting.empty()) {
+        serveWaiting();
+    }
+}
+
+void Dispatcher::apply(const EntriesCounted &command)
+{
+    m_entries = std::max<std::uint32_t>(1, command.entries);
+    m_loads.setEntries(m_entries);
+}
+
+void Dispatcher::apply(const DispatchTick &)
+{
+    const Instant now = monotonicNow();
+    serveWaiting();
+    dropIdle(now);
+}
+
+void Dispatcher::serveWaiting()
+{
+    const Instant now = monotonicNow();
+    std::deque<TakeReplica> waiting;
+    std::swap(waiting, m_waiting);
+    for (TakeReplica &command : waiting) {
+        if (!command.reply->isOpen()) {
+            continue;
+        }
+        if (tryTake(command, now)) {
+            continue;
+        }
+        if (command.waitUntil <= now) {
+            const std::uint64_t weights = requiredWeights(command.wish.service, now);
+            const bool isHopeless = !m_loads.hasUsable(command.wish.service, weights, now);
+            refuse(command, now, isHopeless ? ErrorKind::NoBackendServer : ErrorKind::Overloaded);
+            continue;
+        }
+        m_waiting.push_back(std::move(command));
+    }
+}
+
+HttpConnectionPtr Dispatcher::takeIdle(const Address &address, Instant now)
+{
+    const auto it = m_idle.find(address);
+    if (it == m_idle.end()) {
+        return nullptr;
+    }
+    while (!it->second.empty()) {
+        // The one used last is the least likely to have been closed by its peer.
+        Idle idle = std::move(it->second.back());
+        it->second.pop_back();
+        if (now < idle.until && idle.connection->isQuiet()) {
+            return idle.connection;
+        }
+        idle.connection->abort();
+    }
+    return nullptr;
+}
+
+void Dispatcher::dropIdle(Instant now)
+{
+    for (auto it = m_idle.begin(); it != m_idle.end();) {
+        while (!it->second.empty() && it->second.front().until <= now) {
+            it->second.front().connection->abort();
+            it->second.pop_front();
+        }
+        it = it->second.empty() ? m_idle.erase(it) : std::next(it);
+    }
+}
+
+RetryAllowance &Dispatcher::allowance(const ServiceName &service)
+{
+    const auto it = m_allowances.find(service);
+    if (it != m_allowances.end()) {
+        return it->second;
+    }
+    const RetryAllowanceOptions options = RetryAllowanceOptions()
+                                                  .withWindow(m_options.bounds.retryWindow)
+                                                  .withRatio(m_options.bounds.retryRatio)
+                                                  .withSlack(m_options.bounds.retrySlack);
+    return m_allowances.emplace(service, RetryAllowance(options)).first->second;
+}
+
+/** The named weights are required from a little before the bound on; until then any will do. */
+std::uint64_t Dispatcher::requiredWeights(const ServiceName &service, Instant now) const
+{
+    const Service *known = m_table == nullptr ? nullptr : m_table->service(service);
+    if (known == nullptr || !known->engine) {
+        return 0;
+    }
+    const auto it = m_named.find(known->engine->model);
+    if (it == m_named.end()) {
+        return 0;
+    }
+    std::uint64_t required = 0;
+    for (const auto &[version, at] : it->second) {
+        if (now >= at + m_options.bounds.weightsApply - weightsMargin) {
+            required = std::max(required, version);
+        }
+    }
+    return required;
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/edge/dispatcher.h
@@ -0,0 +1,188 @@
+/**
+ * The task that holds the routes, the backend servers with their loads, the waiting requests and
+ * the idle connections of an entry.
+ */
+#pragma once
+
+#include "core/fleet/fleet.h"
+#include "net/httpconnection.h"
+#include "net/log.h"
+#include "net/mailbox.h"
+#include "net/metrics.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <variant>
+
+namespace greengageseam {
+
+/** Where an admitted request goes. */
+struct Admission
+{
+    /** Keeps what @ref routed points to. */
+    RouteTablePtr table;
+    Routed routed;
+    ServiceName service;
+};
+
+/** Asks where a request goes. */
+struct AdmitCall
+{
+    std::string host;
+    std::string target;
+    std::string key;
+    MailboxPtr<Outcome<Admission>> reply;
+};
+
+/** A backend server that a request may be sent to. */
+struct ReplicaLease
+{
+    ReplicaEntry replica;
+    /** An idle connection to it; null if there is none or none was wanted. */
+    HttpConnectionPtr connection;
+    /** Weights that the backend server must have; nothing if any will do. */
+    std::optional<std::uint64_t> weights;
+};
+
+/** Why a request is not sent anywhere. */
+struct NoReplica
+{
+    ErrorKind kind = ErrorKind::Overloaded;
+    /** When to come back. */
+    Duration retryAfter {};
+
+    auto operator<=>(const NoReplica &) const = default;
+};
+
+/** Asks for a backend server, and waits for one. */
+struct TakeReplica
+{
+    std::string attemptId;
+    ReplicaWish wish;
+    /** Whether this is not the first send of the request. */
+    bool isAgain = false;
+    /** Whether an idle connection may be used. */
+    bool wantsIdle = false;
+    /** Longest time to wait for a backend server with room. */
+    Instant waitUntil;
+    MailboxPtr<std::variant<ReplicaLease, NoReplica>> reply;
+};
+
+/** A lease has ended. */
+struct LeaseEnded
+{
+    ReplicaId replica;
+    Address address;
+    ReplicaVerdict verdict = ReplicaVerdict::Neutral;
+    /** The connection, if it can be used again. */
+    HttpConnectionPtr connection;
+    /** How long the backend server keeps the connection. */
+    std::optional<Duration> keptFor;
+};
+
+/** A configuration is in force. */
+struct RoutesChanged
+{
+    RouteTablePtr table;
+};
+
+/** The list of backend servers has changed. */
+struct ReplicasChanged
+{
+    std::vector<ReplicaEntry> entries;
+};
+
+/** Weights were named. */
+struct WeightsNamed
+{
+    NamedVersion named;
+    Instant at;
+};
+
+/** A report of load has come. */
+struct LoadHeard
+{
+    LoadReport report;
+};
+
+/** The number of entries that are known to run. */
+struct EntriesCounted
+{
+    std::uint32_t entries = 1;
+};
+
+/** Time passes. */
+struct DispatchTick
+{ };
+
+/** Messages to the dispatcher. */
+using DispatchCommand = std::variant<AdmitCall, TakeReplica, LeaseEnded, RoutesChanged,
+                                     ReplicasChanged, WeightsNamed, LoadHeard, EntriesCounted,
+                                     DispatchTick>;
+
+/** Bounds of the dispatcher. */
+struct DispatcherOptions
+{
+    LoadBookOptions loads;
+    FleetBounds bounds;
+    /** Idle connections to one backend server. */
+    std::size_t maxIdle = 12;
+    /** Requests that wait for a backend server at a time. */
+    std::size_t maxWaiting = 512;
+};
+
+/** Decides where requests go, and when they are refused. */
+class Dispatcher : public std::enable_shared_from_this<Dispatcher>
+{
+public:
+    Dispatcher(const asio::any_io_executor &executor, DispatcherOptions options,
+               std::shared_ptr<Metrics> metrics, Log log);
+
+    /** @returns where to send commands */
+    const MailboxPtr<DispatchCommand> &mailbox() const { return m_mailbox; }
+    /** Starts the task. */
+    void start();
+
+private:
+    struct Idle
+    {
+        HttpConnectionPtr connection;
+        Instant until;
+    };
+
+    Awaitable<void> run();
+    void apply(const AdmitCall &command);
+    void apply(const TakeReplica &command);
+    void apply(const LeaseEnded &command);
+    void apply(const RoutesChanged &command);
+    void apply(const ReplicasChanged &command);
+    void apply(const WeightsNamed &command);
+    void apply(const LoadHeard &command);
+    void apply(const EntriesCounted &command);
+    void apply(const DispatchTick &command);
+    bool tryTake(const TakeReplica &command, Instant now);
+    void refuse(const TakeReplica &command, Instant now, ErrorKind kind);
+    void serveWaiting();
+    HttpConnectionPtr takeIdle(const Address &address, Instant now);
+    void dropIdle(Instant now);
+    RetryAllowance &allowance(const ServiceName &service);
+    std::uint64_t requiredWeights(const ServiceName &service, Instant now) const;
+
+    asio::any_io_executor m_executor;
+    DispatcherOptions m_options;
+    std::shared_ptr<Metrics> m_metrics;
+    Log m_log;
+    MailboxPtr<DispatchCommand> m_mailbox;
+    RouteTablePtr m_table;
+    LoadBook m_loads;
+    std::map<ServiceName, RetryAllowance> m_allowances;
+    /** Versions of the weights of each model, and when they were named. */
+    std::map<ModelName, std::map<std::uint64_t, Instant>> m_named;
+    std::deque<TakeReplica> m_waiting;
+    std::map<Address, std::deque<Idle>> m_idle;
+    std::uint32_t m_entries;
+};
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/edge/edge.cpp
@@ -0,0 +1,154 @@
+#include "edge/edge.h"
+
+#include "net/clock.h"
+
+namespace greengageseam {
+
+namespace {
+
+/** Pause between two reads of the list of backend servers. */
+constexpr auto listPause = std::chrono::milliseconds(650);
+/** The balancer takes two misses, a second apart, to send nothing more. */
+constexpr auto balancerNotice = std::chrono::milliseconds(2600);
+constexpr auto lastCheck = std::chrono::milliseconds(50);
+/** Time before the platform kills the process at which it ends by itself. */
+constexpr auto graceMargin = std::chrono::milliseconds(400);
+/** Weights that were named before this process followed are required after this time. */
+constexpr auto oldWeightsLead = std::chrono::seconds(3);
+constexpr std::size_t maxCallers = 2000;
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+constexpr int statusNotFound = 404;
+
+} // namespace
+
+Edge::Edge(const asio::any_io_executor &executor, NodeSettings settings, PlatformAdapter adapter,
+           Log log)
+    : m_executor(executor), m_settings(std::move(settings)), m_adapter(std::move(adapter)),
+      m_log(std::move(log)), m_metrics(std::make_shared<Metrics>())
+{ }
+
+Result<void> Edge::start()
+{
+    DispatcherOptions options;
+    options.loads.zone = m_settings.zone;
+    options.loads.regions = m_settings.zones;
+    options.bounds = m_settings.bounds;
+    m_dispatcher = std::make_shared<Dispatcher>(m_executor, options, m_metrics, m_log);
+
+    const RequestContext context {m_executor, m_dispatcher->mailbox(), m_adapter.codec, m_metrics,
+                                  m_log};
+    m_callers = std::make_shared<CallerServer>(context, maxCallers);
+    BOOST_LEAF_CHECK(m_callers->listen(m_settings.callers));
+
+    const HttpHandler handler = [this](HttpExchange &exchange) { return handle(exchange); };
+    m_ready = std::make_shared<HttpServer>(m_executor, HttpServerOptions(), handler, m_log);
+    BOOST_LEAF_CHECK(m_ready->listen(m_settings.ready));
+    const Address metrics(m_settings.ip + ":" + std::to_string(m_settings.lastPort));
+    m_control = std::make_shared<HttpServer>(m_executor, HttpServerOptions(), handler, m_log);
+    BOOST_LEAF_CHECK(m_control->listen(metrics));
+
+    m_loads = std::make_shared<LoadListener>(
+            m_executor, LoadWanted {m_settings.instance, m_settings.zone},
+            static_cast<std::uint16_t>(m_settings.firstPort + 1),
+            [mailbox = m_dispatcher->mailbox()](const LoadReport &report) {
+                mailbox->post(LoadHeard {report});
+            },
+            m_log);
+    BOOST_LEAF_CHECK(m_loads->start(m_settings.ip));
+
+    makeFeeds();
+    m_dispatcher->start();
+    m_operator->start();
+    m_replicas->start();
+    m_ready->start();
+    m_control->start();
+    m_callers->start();
+    m_log.info("entry.started", {{"callers", m_settings.callers.text()}});
+    return {};
+}
+
+void Edge::makeFeeds()
+{
+    OperatorHooks hooks = m_adapter.operatorHooks;
+    hooks.config = [this](const RouteTablePtr &table) {
+        m_table = table;
+        m_callers->setLimits(table->config().limits);
+        m_dispatcher->mailbox()->post(RoutesChanged {table});
+        onReplicas(m_entries);
+    };
+    hooks.named = [this](const NamedVersion &named, bool isOld) {
+        const Instant at = isOld
+                ? monotonicNow() - m_settings.bounds.weightsApply + oldWeightsLead
+                : monotonicNow();
+        m_dispatcher->mailbox()->post(WeightsNamed {named, at});
+    };
+    m_operator = std::make_shared<OperatorFeed>(m_executor, m_adapter.operatorTopic, hooks, m_log);
+
+    ReplicaHooksOfFeed feed;
+    feed.decode = m_adapter.decodeReplica;
+    feed.changed = [this](std::vector<ReplicaEntry> entries) {
+        m_hasReplicas = true;
+        onReplicas(std::move(entries));
+    };
+    m_replicas = std::make_shared<ReplicaFeed>(m_executor, m_adapter.replicaTopic, feed, listPause,
+                                               m_log);
+}
+
+void Edge::onReplicas(std::vector<ReplicaEntry> entries)
+{
+    m_entries = std::move(entries);
+    AgentsKnown agents;
+    for (const ReplicaEntry &entry : m_entries) {
+        const Service *service = m_table ? m_table->service(entry.service) : nullptr;
+        if (service != nullptr && service->engine) {
+            agents.backends.push_back(entry.address);
+        }
+    }
+    m_loads->mailbox()->post(std::move(agents));
+    m_dispatcher->mailbox()->post(ReplicasChanged {m_entries});
+}
+
+bool Edge::isReady() const
+{
+    return m_table != nullptr && m_hasReplicas && !m_isDraining;
+}
+
+Awaitable<void> Edge::handle(HttpExchange &exchange)
+{
+    const std::string path = exchange.request().path();
+    HttpResponse response;
+    response.contentType = "text/plain";
+    if (path == "/-/readiness") {
+        response.status = isReady() ? statusOk : statusUnavailable;
+    } else if (path == "/metrics") {
+        response.body = m_metrics->text();
+    } else {
+        response.status = statusNotFound;
+    }
+    co_await exchange.respond(std::move(response));
+}
+
+void Edge::reload(const NodeSettings &)
+{
+    m_log.info("entry.reloaded");
+}
+
+Awaitable<void> Edge::shutDown()
+{
+    const Instant begin = monotonicNow();
+    const Instant end = begin + m_settings.bounds.grace - graceMargin;
+    m_isDraining = true;
+    m_log.info("entry.draining", {{"in_progress", m_callers->inProgress()}});
+    m_callers->drain();
+    asio::steady_timer timer(m_executor, balancerNotice);
+    co_await timer.async_wait(asTuple);
+    m_callers->stop();
+    while (m_callers->connections() > 0 && monotonicNow() < end) {
+        timer.expires_after(lastCheck);
+        co_await timer.async_wait(asTuple);
+    }
+    m_log.info("entry.stopped", {{"in_progress", m_callers->inProgress()}});
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/edge/edge.h
@@ -0,0 +1,54 @@
+/**
+ * The entry on the users' platform: takes callers, and sends their requests to backend servers.
+ */
+#pragma once
+
+#include "edge/adapter.h"
+#include "edge/callerserver.h"
+#include "edge/dispatcher.h"
+#include "edge/loadlistener.h"
+#include "edge/storefeeds.h"
+#include "net/httpserver.h"
+
+namespace greengageseam {
+
+/** Brings the tasks of the entry together. */
+class Edge
+{
+public:
+    Edge(const asio::any_io_executor &executor, NodeSettings settings, PlatformAdapter adapter,
+         Log log);
+
+    /** Starts all tasks. @returns InvalidRequest if an address cannot be used */
+    Result<void> start();
+    /** Settings that were read again; nothing of them changes while the process runs. */
+    void reload(const NodeSettings &settings);
+    /** Lets requests in progress end, and takes no more once the balancer knows. */
+    Awaitable<void> shutDown();
+
+private:
+    void makeFeeds();
+    void onReplicas(std::vector<ReplicaEntry> entries);
+    bool isReady() const;
+    Awaitable<void> handle(HttpExchange &exchange);
+
+    asio::any_io_executor m_executor;
+    NodeSettings m_settings;
+    PlatformAdapter m_adapter;
+    Log m_log;
+    std::shared_ptr<Metrics> m_metrics;
+    std::shared_ptr<Dispatcher> m_dispatcher;
+    std::shared_ptr<CallerServer> m_callers;
+    std::shared_ptr<HttpServer> m_ready;
+    std::shared_ptr<HttpServer> m_control;
+    std::shared_ptr<OperatorFeed> m_operator;
+    std::shared_ptr<ReplicaFeed> m_replicas;
+    std::shared_ptr<LoadListener> m_loads;
+    RouteTablePtr m_table;
+    std::set<ServiceName> m_engineServices;
+    std::vector<ReplicaEntry> m_entries;
+    bool m_hasReplicas = false;
+    bool m_isDraining = false;
+};
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/edge/loadlistener.cpp
@@ -0,0 +1,87 @@
+#include "edge/loadlistener.h"
+
+#include "net/endpoint.h"
+#include "net/ticker.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr std::size_t mailboxCapacity = 16;
+/** Well below the time for which an agent goes on sending. */
+constexpr auto askEvery = std::chrono::seconds(1);
+
+} // namespace
+
+LoadListener::LoadListener(const asio::any_io_executor &executor, LoadWanted self,
+                           std::uint16_t port, LoadObserver observer, Log log)
+    : m_executor(executor), m_self(std::move(self)), m_port(port),
+      m_observer(std::move(observer)), m_log(std::move(log)),
+      m_mailbox(makeMailbox<AgentsKnown>(executor, mailboxCapacity)), m_socket(executor)
+{ }
+
+Result<void> LoadListener::start(const std::string &ip)
+{
+    BOOST_LEAF_CHECK(m_socket.bind(ip, m_port));
+    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->listen(); },
+                   asio::detached);
+    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->learn(); },
+                   asio::detached);
+    startTicker(m_executor, askEvery, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self) {
+            self->ask();
+        }
+        return self != nullptr;
+    });
+    return {};
+}
+
+Awaitable<void> LoadListener::learn()
+{
+    while (std::optional<AgentsKnown> known = co_await m_mailbox->receive()) {
+        std::vector<asio::ip::udp::endpoint> agents;
+        for (const Address &backend : known->backends) {
+            const auto endpoint = settle([&] { return parseEndpoint(backend); });
+            if (const auto *tcp = std::get_if<asio::ip::tcp::endpoint>(&endpoint)) {
+                agents.emplace_back(tcp->address(), m_port);
+            }
+        }
+        const bool isNew = agents.size() > m_agents.size();
+        m_agents = std::move(agents);
+        if (isNew) {
+            ask();
+        }
+    }
+}
+
+void LoadListener::ask()
+{
+    const std::string bytes = encodeDatagram(m_self);
+    for (const auto &agent : m_agents) {
+        m_socket.send(bytes, agent);
+    }
+}
+
+Awaitable<void> LoadListener::listen()
+{
+    while (std::optional<ReceivedDatagram> received = co_await m_socket.receive(maxDatagramBytes)) {
+        if (received->bytes.empty()) {
+            continue;
+        }
+        const Outcome<Datagram> read = settle([&] { return decodeDatagram(received->bytes); });
+        if (const Failure *failure = failureOf(read)) {
+            m_log.debug("load.unreadable", {{"reason", failure->detail}});
+            continue;
+        }
+        if (const auto *report = std::get_if<LoadReport>(&std::get<Datagram>(read))) {
+            m_observer(*report);
+        }
+    }
+    m_log.error("load.socket-failed");
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/edge/storefeeds.h
@@ -0,0 +1,121 @@
+/**
+ * Tasks that follow the platform's store: what the operator writes, and the list of backend servers.
+ */
+#pragma once
+
+#include "core/fleet/fleet.h"
+#include "net/log.h"
+#include "net/mailbox.h"
+#include "net/metrics.h"
+#include "net/storehooks.h"
+
+#include <functional>
+
+namespace greengageseam {
+
+/** What the operator writes, as far as a process follows it; the hooks must not wait. */
+struct OperatorHooks
+{
+    /** Decodes a configuration. */
+    std::function<Result<FleetConfig>(std::string_view bytes)> decodeConfig;
+    /** Decodes named weights. */
+    std::function<Result<NamedVersion>(std::string_view bytes)> decodeNamed;
+    /** @returns whether a record holds the configuration */
+    std::function<bool(std::string_view key)> isConfig;
+    /** @returns whether a record names weights */
+    std::function<bool(std::string_view key)> isNamed;
+    /** A newer configuration is in force. */
+    std::function<void(RouteTablePtr table)> config;
+    /** Weights were named. @p isOld whether that was before this process began to follow */
+    std::function<void(const NamedVersion &named, bool isOld)> named;
+};
+
+/** How the records of a topic are read. */
+struct TopicReader
+{
+    ReadSnapshot snapshot;
+    ReadTail tail;
+};
+
+/**
+ * Follows one topic: reads it whole, then what is added, and again whole if that was deleted.
+ * Used by the feeds below.
+ */
+struct TopicFollower
+{
+    TopicReader reader;
+    /** How long the store waits for news. */
+    Duration wait {};
+    /** Pause between two reads. */
+    Duration pause {};
+    /** Told of the whole topic. */
+    std::function<void(const KeyedSnapshot &snapshot)> whole;
+    /** Told of what was added, even if that is nothing. */
+    std::function<void(const KeyedTail &tail)> added;
+    /** Name of the topic in the log. */
+    std::string name;
+    Log log;
+};
+
+/** Follows a topic until the process ends. */
+Awaitable<void> followTopic(asio::any_io_executor executor, TopicFollower follower);
+
+/** Follows what the operator writes. */
+class OperatorFeed : public std::enable_shared_from_this<OperatorFeed>
+{
+public:
+    OperatorFeed(const asio::any_io_executor &executor, TopicReader reader, OperatorHooks hooks,
+                 Log log);
+
+    /** Starts the task. */
+    void start();
+
+private:
+    void take(const KeyedRecord &record, bool isOld);
+
+    asio::any_io_executor m_executor;
+    TopicReader m_reader;
+    OperatorHooks m_hooks;
+    Log m_log;
+    std::uint64_t m_version = 0;
+    std::map<ModelName, std::uint64_t> m_named;
+};
+
+/** What the feed of backend servers tells; the hooks must not wait. */
+struct ReplicaHooksOfFeed
+{
+    /** Decodes an entry. */
+    std::function<Result<ReplicaEntry>(const ReplicaId &id, std::string_view bytes)> decode;
+    /** The list has changed. */
+    std::function<void(std::vector<ReplicaEntry> entries)> changed;
+};
+
+/** Follows the list of backend servers. */
+class ReplicaFeed : public std::enable_shared_from_this<ReplicaFeed>
+{
+public:
+    /** @param pause between two reads of the list */
+    ReplicaFeed(const asio::any_io_executor &executor, TopicReader reader, ReplicaHooksOfFeed hooks,
+                Duration pause, Log log);
+
+    /** Starts the task. */
+    void start();
+
+private:
+    void takeWhole(const KeyedSnapshot &snapshot);
+    void takeAdded(const KeyedTail &tail);
+    void take(const KeyedRecord &record, Instant now);
+    void tell(const ReplicaNews &news);
+    void publish();
+
+    asio::any_io_executor m_executor;
+    TopicReader m_reader;
+    ReplicaHooksOfFeed m_hooks;
+    Duration m_pause;
+    Log m_log;
+    ReplicaBook m_book;
+    std::vector<ReplicaEntry> m_published;
+    bool m_isPublished = false;
+};
+
+} // namespace greengageseam
--- a/source/entry/adminaudit.h
+++ b/source/entry/adminaudit.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "core/config/config.h"
-#include "platform/platform.h"
+#include "logservice/logservice.h"
 
 #include <string>
 #include <vector>
--- a/source/entry/adminkeeper.h
+++ b/source/entry/adminkeeper.h
@@ -10,7 +10,7 @@
 #include "net/http.h"
 #include "net/log.h"
 #include "net/mailbox.h"
-#include "platform/platform.h"
+#include "logservice/logservice.h"
 
 #include <map>
 #include <memory>
--- a/source/entry/claimkeeper.h
+++ b/source/entry/claimkeeper.h
@@ -8,7 +8,7 @@
 #include "net/log.h"
 #include "net/mailbox.h"
 #include "net/metrics.h"
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 #include "protocol/claimcodec.h"
 
 #include <map>
--- a/source/entry/claimtail.h
+++ b/source/entry/claimtail.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "net/log.h"
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 
 #include <functional>
 
--- a/source/entry/entry.h
+++ b/source/entry/entry.h
@@ -18,7 +18,7 @@
 #include "entry/router.h"
 #include "net/httpserver.h"
 #include "net/metrics.h"
-#include "platform/platform.h"
+#include "logservice/logservice.h"
 
 #include <memory>
 
--- a/source/entry/fleetkeeper.h
+++ b/source/entry/fleetkeeper.h
@@ -8,7 +8,7 @@
 #include "entry/peerentries.h"
 #include "net/log.h"
 #include "net/peerlink.h"
-#include "platform/platform.h"
+#include "logservice/logservice.h"
 
 #include <functional>
 #include <map>
--- a/source/entry/peerentries.h
+++ b/source/entry/peerentries.h
@@ -9,7 +9,7 @@
 #include "entry/entrysettings.h"
 #include "net/log.h"
 #include "net/peerlink.h"
-#include "platform/platform.h"
+#include "logservice/logservice.h"
 
 #include <functional>
 #include <map>
--- a/source/platform/configkeeper.cpp
+++ b/source/logservice/configkeeper.cpp
@@ -1,4 +1,4 @@
-#include "platform/configkeeper.h"
+#include "logservice/configkeeper.h"
 
 #include "protocol/configcodec.h"
 
--- a/source/platform/configkeeper.h
+++ b/source/logservice/configkeeper.h
@@ -9,7 +9,7 @@
 #include "net/log.h"
 #include "net/mailbox.h"
 #include "net/metrics.h"
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 
 #include <functional>
 #include <map>
--- a/source/platform/listclient.cpp
+++ b/source/logservice/listclient.cpp
@@ -1,4 +1,4 @@
-#include "platform/listclient.h"
+#include "logservice/listclient.h"
 
 #include "net/httpclient.h"
 #include "protocol/jsontext.h"
--- a/source/platform/logclient.cpp
+++ b/source/logservice/logclient.cpp
@@ -1,4 +1,4 @@
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 
 #include "net/httpclient.h"
 #include "protocol/jsontext.h"
--- a/source/platform/logtail.cpp
+++ b/source/logservice/logtail.cpp
@@ -1,4 +1,4 @@
-#include "platform/logtail.h"
+#include "logservice/logtail.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
--- a/source/platform/logtail.h
+++ b/source/logservice/logtail.h
@@ -4,8 +4,8 @@
 #pragma once
 
 #include "net/log.h"
-#include "platform/configkeeper.h"
-#include "platform/logclient.h"
+#include "logservice/configkeeper.h"
+#include "logservice/logclient.h"
 
 #include <memory>
 
--- a/source/platform/snapshotwriter.cpp
+++ b/source/logservice/snapshotwriter.cpp
@@ -1,4 +1,4 @@
-#include "platform/snapshotwriter.h"
+#include "logservice/snapshotwriter.h"
 
 #include "net/clock.h"
 #include "net/ticker.h"
--- a/source/platform/snapshotwriter.h
+++ b/source/logservice/snapshotwriter.h
@@ -6,7 +6,7 @@
 
 #include "net/log.h"
 #include "net/mailbox.h"
-#include "platform/configkeeper.h"
+#include "logservice/configkeeper.h"
 
 #include <memory>
 #include <variant>
--- a/source/platform/storeclient.cpp
+++ b/source/logservice/storeclient.cpp
@@ -1,4 +1,4 @@
-#include "platform/storeclient.h"
+#include "logservice/storeclient.h"
 
 #include "net/httpclient.h"
 
--- /dev/null
+++ b/source/net/httpconnection.cpp
@@ -0,0 +1,225 @@
+#include "net/httpconnection.h"
+
+#include "net/clock.h"
+
+#include <algorithm>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace greengageseam {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::size_t partBytes = 16 * 1024;
+constexpr std::size_t maxHeadBytes = 64 * 1024;
+/** A peer that acknowledges nothing for so long is given up. */
+constexpr unsigned userTimeoutMs = 3000;
+/** Seconds of silence after which the peer is probed, and between two probes. */
+constexpr int probeSeconds = 1;
+constexpr int unansweredProbes = 2;
+
+} // namespace
+
+std::optional<std::string_view> WireHead::header(std::string_view name) const
+{
+    for (const HttpHeader &field : headers) {
+        if (beast::iequals(field.name, {name.data(), name.size()})) {
+            return field.value;
+        }
+    }
+    return std::nullopt;
+}
+
+void setWireOptions(asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    const int handle = socket.native_handle();
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &probeSeconds, sizeof(probeSeconds));
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &probeSeconds, sizeof(probeSeconds));
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &unansweredProbes, sizeof(unansweredProbes));
+    ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof(userTimeoutMs));
+}
+
+HttpConnection::HttpConnection(const asio::any_io_executor &executor)
+    : m_socket(executor), m_timer(executor)
+{ }
+
+void HttpConnection::expectWithin(Duration limit)
+{
+    m_deadline = monotonicNow() + limit;
+    m_isWaiting = true;
+    m_isTimedOut = false;
+    if (!m_isTimerArmed || m_timer.expiry().time_since_epoch() > m_deadline.time_since_epoch()) {
+        armTimer();
+    }
+}
+
+/** The timer is not moved for each step: it fires now and then and looks at the deadline. */
+void HttpConnection::armTimer()
+{
+    m_isTimerArmed = true;
+    m_timer.expires_at(std::chrono::steady_clock::time_point(m_deadline.time_since_epoch()));
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
+        const auto self = weak.lock();
+        if (ec || !self) {
+            return;
+        }
+        self->m_isTimerArmed = false;
+        if (!self->m_isWaiting) {
+            return;
+        }
+        if (monotonicNow() < self->m_deadline) {
+            self->armTimer();
+            return;
+        }
+        self->m_isTimedOut = true;
+        boost::system::error_code ignored;
+        self->m_socket.close(ignored);
+    });
+}
+
+WireEnd HttpConnection::endOf(const boost::system::error_code &ec) const
+{
+    if (!ec) {
+        return WireEnd::Done;
+    }
+    if (m_isAborted) {
+        return WireEnd::Aborted;
+    }
+    if (m_isTimedOut) {
+        return WireEnd::TimedOut;
+    }
+    const bool isCut = ec == http::error::end_of_stream || ec == http::error::partial_message;
+    const bool isHttp = ec.category() == http::make_error_code(http::error::end_of_stream).category();
+    return isHttp && !isCut ? WireEnd::Malformed : WireEnd::Broken;
+}
+
+Awaitable<WireEnd> HttpConnection::connect(asio::ip::tcp::endpoint endpoint, Duration limit)
+{
+    const auto self = shared_from_this();
+    if (m_isAborted) {
+        co_return WireEnd::Aborted;
+    }
+    expectWithin(limit);
+    auto [ec] = co_await m_socket.async_connect(endpoint, asTuple);
+    m_isWaiting = false;
+    if (!ec) {
+        setWireOptions(m_socket);
+        co_return WireEnd::Done;
+    }
+    const WireEnd end = endOf(ec);
+    co_return end == WireEnd::Broken ? WireEnd::NotConnected : end;
+}
+
+Awaitable<WireEnd> HttpConnection::send(std::string text, Duration limit)
+{
+    const auto self = shared_from_this();
+    m_isSent = false;
+    ++m_requests;
+    expectWithin(limit);
+    auto [ec, n] = co_await asio::async_write(m_socket, asio::buffer(text), asTuple);
+    m_isSent = !ec;
+    co_return endOf(ec);
+}
+
+Awaitable<WireRead<WireHead>> HttpConnection::readHead(bool isBodiless, Duration limit)
+{
+    const auto self = shared_from_this();
+    m_parser.emplace();
+    m_parser->body_limit(boost::none);
+    m_parser->header_limit(maxHeadBytes);
+    m_parser->skip(isBodiless);
+    expectWithin(limit);
+    auto [ec, n] = co_await http::async_read_header(m_socket, m_buf, *m_parser, asTuple);
+    m_isWaiting = false;
+    if (ec) {
+        co_return WireRead<WireHead> {endOf(ec), {}};
+    }
+    const auto &message = m_parser->get();
+    WireHead head;
+    head.status = static_cast<int>(message.result_int());
+    head.isKept = message.keep_alive() && !message.need_eof();
+    const auto length = m_parser->content_length();
+    if (length) {
+        head.length = *length;
+    }
+    for (const auto &field : message) {
+        head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    m_isKept = head.isKept;
+    if (m_parser->is_done()) {
+        m_idleSince = monotonicNow();
+    }
+    co_return WireRead<WireHead> {WireEnd::Done, std::move(head)};
+}
+
+Awaitable<WireRead<std::string>> HttpConnection::readPart(Duration limit)
+{
+    const auto self = shared_from_this();
+    std::string bytes;
+    while (bytes.empty() && !m_parser->is_done()) {
+        bytes.resize(partBytes);
+        auto &body = m_parser->get().body();
+        body.data = bytes.data();
+        body.size = bytes.size();
+        body.more = true;
+        expectWithin(limit);
+        auto [ec, n] = co_await http::async_read_some(m_socket, m_buf, *m_parser, asTuple);
+        m_isWaiting = false;
+        bytes.resize(bytes.size() - body.size);
+        if (ec && ec != http::error::need_buffer) {
+            co_return WireRead<std::string> {endOf(ec), std::move(bytes)};
+        }
+    }
+    if (m_parser->is_done()) {
+        m_idleSince = monotonicNow();
+    }
+    co_return WireRead<std::string> {WireEnd::Done, std::move(bytes)};
+}
+
+Awaitable<WireRead<std::string>> HttpConnection::readBody(std::size_t maxBytes, Duration limit)
+{
+    std::string whole;
+    while (true) {
+        WireRead<std::string> part = co_await readPart(limit);
+        whole += part.value;
+        if (part.end != WireEnd::Done || part.value.empty()) {
+            co_return WireRead<std::string> {part.end, std::move(whole)};
+        }
+        if (whole.size() > maxBytes) {
+            co_return WireRead<std::string> {WireEnd::Malformed, {}};
+        }
+    }
+}
+
+void HttpConnection::abort()
+{
+    m_isAborted = true;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    m_timer.cancel();
+}
+
+bool HttpConnection::isReusable() const
+{
+    return m_isSent && m_isKept && !m_isAborted && m_socket.is_open() && m_parser
+            && m_parser->is_done() && m_buf.size() == 0;
+}
+
+bool HttpConnection::isQuiet()
+{
+    char c = 0;
+    const ssize_t n = ::recv(m_socket.native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/net/keptclient.cpp
@@ -0,0 +1,88 @@
+#include "net/keptclient.h"
+
+#include "net/clock.h"
+
+namespace greengageseam {
+
+namespace {
+
+/** A connection idle for longer may be closed by the peer at any moment. */
+constexpr auto longestIdle = std::chrono::milliseconds(1500);
+
+Failure failureAt(const Address &address, ErrorKind kind, std::string_view step)
+{
+    return {kind, address.text() + ": " + std::string(step)};
+}
+
+} // namespace
+
+KeptClient::KeptClient(const asio::any_io_executor &executor, Address address, Duration limit,
+                       std::size_t maxBytes)
+    : m_executor(executor), m_address(std::move(address)), m_limit(limit), m_maxBytes(maxBytes)
+{ }
+
+Awaitable<Outcome<HttpResponse>> KeptClient::call(HttpRequest request, bool isRepeatable)
+{
+    const auto self = shared_from_this();
+    std::string text = request.method + " " + request.target + " HTTP/1.1\r\nHost: "
+            + m_address.text() + "\r\n";
+    for (const HttpHeader &field : request.headers) {
+        text += field.name + ": " + field.value + "\r\n";
+    }
+    if (!request.body.empty() || request.method != "GET") {
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    }
+    text += "\r\n" + request.body;
+    const bool isKept = m_connection && m_connection->isReusable() && m_connection->isQuiet()
+            && monotonicNow() - m_connection->idleSince() < longestIdle;
+    if (!isKept) {
+        m_connection.reset();
+    }
+    Outcome<HttpResponse> answer = co_await callOnce(text);
+    if (failureOf(answer) != nullptr && isKept && isRepeatable) {
+        answer = co_await callOnce(text);
+    }
+    co_return answer;
+}
+
+Awaitable<Outcome<HttpResponse>> KeptClient::callOnce(const std::string &text)
+{
+    if (!m_connection) {
+        const auto endpoint = settle([&] { return parseEndpoint(m_address); });
+        if (const Failure *failure = failureOf(endpoint)) {
+            co_return *failure;
+        }
+        m_connection = std::make_shared<HttpConnection>(m_executor);
+        const WireEnd end = co_await m_connection->connect(
+                std::get<asio::ip::tcp::endpoint>(endpoint), m_limit);
+        if (end != WireEnd::Done) {
+            m_connection.reset();
+            co_return failureAt(m_address, ErrorKind::NoBackendServer, "no connection");
+        }
+    }
+    // Taken out while in use, so that a failed connection is never used again.
+    const HttpConnectionPtr connection = std::move(m_connection);
+    m_connection.reset();
+    const WireEnd sent = co_await connection->send(text, m_limit);
+    if (sent != WireEnd::Done) {
+        co_return failureAt(m_address, ErrorKind::OutcomeUnknown, "broken while sending");
+    }
+    WireRead<WireHead> head = co_await connection->readHead(false, m_limit);
+    if (head.end != WireEnd::Done) {
+        co_return failureAt(m_address, ErrorKind::OutcomeUnknown, "no answer");
+    }
+    WireRead<std::string> body = co_await connection->readBody(m_maxBytes, m_limit);
+    if (body.end != WireEnd::Done) {
+        co_return failureAt(m_address, ErrorKind::OutcomeUnknown, "broken answer");
+    }
+    if (connection->isReusable()) {
+        m_connection = connection;
+    }
+    HttpResponse response;
+    response.status = head.value.status;
+    response.headers = std::move(head.value.headers);
+    response.body = std::move(body.value);
+    co_return response;
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/net/keptclient.h
@@ -0,0 +1,35 @@
+/**
+ * HTTP client that keeps its connection from one whole call to the next.
+ */
+#pragma once
+
+#include "net/httpconnection.h"
+
+namespace greengageseam {
+
+/** Calls one address. Used by one task at a time. Construct it with std::make_shared. */
+class KeptClient : public std::enable_shared_from_this<KeptClient>
+{
+public:
+    /** @param limit time for each step of a call @param maxBytes largest answer */
+    KeptClient(const asio::any_io_executor &executor, Address address, Duration limit,
+               std::size_t maxBytes);
+
+    /**
+     * Makes a call. One that may be repeated is made again on a new connection if a kept one turns
+     * out to be dead.
+     * @returns the response, NoBackendServer if nothing was sent, or OutcomeUnknown
+     */
+    Awaitable<Outcome<HttpResponse>> call(HttpRequest request, bool isRepeatable);
+
+private:
+    Awaitable<Outcome<HttpResponse>> callOnce(const std::string &text);
+
+    asio::any_io_executor m_executor;
+    Address m_address;
+    Duration m_limit;
+    std::size_t m_maxBytes;
+    HttpConnectionPtr m_connection;
+};
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/protocol/datagramcodec.cpp
@@ -0,0 +1,94 @@
+#include "protocol/datagramcodec.h"
+
+#include "protocol/generated/wire_types.h"
+
+#include <cmath>
+#include <memory>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace greengageseam {
+
+namespace {
+
+using apache::thrift::TConfiguration;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr int maxNesting = 4;
+/** A pace travels in thousandths. */
+constexpr double paceUnits = 1000;
+constexpr double highestPace = 1e6;
+
+wire::Datagram toWire(const Datagram &datagram)
+{
+    wire::Datagram frame;
+    if (const auto *wanted = std::get_if<LoadWanted>(&datagram)) {
+        wire::LoadWanted body;
+        body.instance = wanted->instance.text();
+        body.zone = wanted->zone.text();
+        frame.__set_loadWanted(body);
+        return frame;
+    }
+    const auto &report = std::get<LoadReport>(datagram);
+    wire::LoadSeen body;
+    body.backend = report.backend.text();
+    body.bornMs = static_cast<std::int64_t>(report.bornMs);
+    body.weights = static_cast<std::int64_t>(report.weights);
+    body.isOrderBusy = report.isOrderBusy;
+    body.waiting = static_cast<std::int32_t>(report.waiting);
+    body.running = static_cast<std::int32_t>(report.running);
+    body.pace = static_cast<std::int32_t>(std::lround(std::min(report.pace, highestPace) * paceUnits));
+    frame.__set_loadSeen(body);
+    return frame;
+}
+
+} // namespace
+
+std::string encodeDatagram(const Datagram &datagram)
+{
+    const wire::Datagram frame = toWire(datagram);
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    frame.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+Result<Datagram> decodeDatagram(std::string_view bytes)
+{
+    const auto limits = std::make_shared<TConfiguration>(static_cast<int>(maxDatagramBytes),
+                                                         static_cast<int>(maxDatagramBytes),
+                                                         maxNesting);
+    const auto buffer = std::make_shared<TMemoryBuffer>(limits);
+    buffer->resetBuffer(reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data())),
+                        static_cast<std::uint32_t>(bytes.size()));
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    wire::Datagram frame;
+    try {
+        frame.read(&protocol);
+    } catch (const std::exception &e) {
+        return fail(ErrorKind::ProtocolViolation,
+                    std::string("a datagram cannot be read: ") + e.what());
+    }
+    if (frame.__isset.loadWanted) {
+        return Datagram(LoadWanted {InstanceId(frame.loadWanted.instance),
+                                    ZoneName(frame.loadWanted.zone)});
+    }
+    const wire::LoadSeen &seen = frame.loadSeen;
+    const bool isNegative = seen.bornMs < 0 || seen.weights < 0 || seen.waiting < 0
+            || seen.running < 0 || seen.pace < 0;
+    if (!frame.__isset.loadSeen || isNegative) {
+        return fail(ErrorKind::ProtocolViolation, "a datagram holds nothing that is known");
+    }
+    LoadReport report;
+    report.backend = Address(seen.backend);
+    report.bornMs = static_cast<std::uint64_t>(seen.bornMs);
+    report.weights = static_cast<std::uint64_t>(seen.weights);
+    report.isOrderBusy = seen.isOrderBusy;
+    report.waiting = static_cast<std::uint32_t>(seen.waiting);
+    report.running = static_cast<std::uint32_t>(seen.running);
+    report.pace = seen.pace / paceUnits;
+    return Datagram(std::move(report));
+}
+
+} // namespace greengageseam
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -255,3 +255,27 @@
   1: i64 stream;
   2: Body body;
 }
+
+/** Datagram of an entry to an agent: send reports of load here for a while. */
+struct LoadWanted {
+  1: string instance;
+  2: string zone;
+}
+
+/** Datagram of an agent to an entry: what the backend server beside it reports. */
+struct LoadSeen {
+  1: string backend;
+  2: i64 bornMs;
+  3: i64 weights;
+  4: bool isOrderBusy;
+  5: i32 waiting;
+  6: i32 running;
+  /** In thousandths. */
+  7: i32 pace;
+}
+
+/** One datagram. */
+union Datagram {
+  1: LoadWanted loadWanted;
+  2: LoadSeen loadSeen;
+}
--- /dev/null
+++ b/source/steward/loadteller.cpp
@@ -0,0 +1,76 @@
+#include "steward/loadteller.h"
+
+#include "net/clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr std::size_t mailboxCapacity = 16;
+/** An entry that has not asked for so long is forgotten. */
+constexpr auto interestLasts = std::chrono::milliseconds(3500);
+/** Entries that are told at most. */
+constexpr std::size_t maxEntries = 1024;
+
+} // namespace
+
+LoadTeller::LoadTeller(const asio::any_io_executor &executor, Log log)
+    : m_executor(executor), m_log(std::move(log)),
+      m_mailbox(makeMailbox<LoadReport>(executor, mailboxCapacity)), m_socket(executor)
+{ }
+
+Result<void> LoadTeller::start(const std::string &ip, std::uint16_t port)
+{
+    BOOST_LEAF_CHECK(m_socket.bind(ip, port));
+    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->listen(); },
+                   asio::detached);
+    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->tell(); },
+                   asio::detached);
+    return {};
+}
+
+Awaitable<void> LoadTeller::listen()
+{
+    while (std::optional<ReceivedDatagram> received = co_await m_socket.receive(maxDatagramBytes)) {
+        if (received->bytes.empty()) {
+            continue;
+        }
+        const Outcome<Datagram> read = settle([&] { return decodeDatagram(received->bytes); });
+        if (const Failure *failure = failureOf(read)) {
+            m_log.debug("load.unreadable", {{"reason", failure->detail}});
+            continue;
+        }
+        const auto *wanted = std::get_if<LoadWanted>(&std::get<Datagram>(read));
+        if (wanted == nullptr || m_entries.size() >= maxEntries) {
+            continue;
+        }
+        const bool isNew = !m_entries.contains(received->sender);
+        m_entries[received->sender] = monotonicNow();
+        if (isNew) {
+            m_log.info("load.entry-asks", {{"entry", wanted->instance.text()}});
+            if (m_last) {
+                m_socket.send(encodeDatagram(*m_last), received->sender);
+            }
+        }
+    }
+    m_log.error("load.socket-failed");
+}
+
+Awaitable<void> LoadTeller::tell()
+{
+    while (std::optional<LoadReport> report = co_await m_mailbox->receive()) {
+        m_last = *report;
+        const Instant now = monotonicNow();
+        std::erase_if(m_entries,
+                      [&](const auto &entry) { return now - entry.second > interestLasts; });
+        const std::string bytes = encodeDatagram(*report);
+        for (const auto &[entry, askedAt] : m_entries) {
+            m_socket.send(bytes, entry);
+        }
+    }
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/steward/loadteller.h
@@ -0,0 +1,39 @@
+/**
+ * The task that tells entries what the backend server beside this agent reports.
+ */
+#pragma once
+
+#include "net/datagramsocket.h"
+#include "net/log.h"
+#include "protocol/datagramcodec.h"
+
+#include <map>
+#include <variant>
+
+namespace greengageseam {
+
+/** Tells each entry that has asked. */
+class LoadTeller : public std::enable_shared_from_this<LoadTeller>
+{
+public:
+    LoadTeller(const asio::any_io_executor &executor, Log log);
+
+    /** @returns where to send new reports */
+    const MailboxPtr<LoadReport> &mailbox() const { return m_mailbox; }
+    /** Binds the socket and starts the task. */
+    Result<void> start(const std::string &ip, std::uint16_t port);
+
+private:
+    Awaitable<void> listen();
+    Awaitable<void> tell();
+
+    asio::any_io_executor m_executor;
+    Log m_log;
+    MailboxPtr<LoadReport> m_mailbox;
+    DatagramSocket m_socket;
+    /** Entries that asked, and when they did so last. */
+    std::map<asio::ip::udp::endpoint, Instant> m_entries;
+    std::optional<LoadReport> m_last;
+};
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/steward/steward.h
@@ -0,0 +1,57 @@
+/**
+ * The agent beside a model engine on the users' platform: weights, orders and reports of load.
+ */
+#pragma once
+
+#include "agent/chunklinks.h"
+#include "agent/chunkserver.h"
+#include "agent/weightkeeper.h"
+#include "edge/adapter.h"
+#include "edge/storefeeds.h"
+#include "net/peerlink.h"
+#include "steward/loadteller.h"
+#include "steward/replicaprobe.h"
+#include "steward/weightloader.h"
+
+namespace greengageseam {
+
+/** Brings the tasks of the agent together. */
+class Steward
+{
+public:
+    /** @param secret that all processes of the deployment share */
+    Steward(const asio::any_io_executor &executor, NodeSettings settings, PlatformAdapter adapter,
+            std::string secret, Log log);
+
+    /** Starts all tasks. @returns InvalidRequest if an address cannot be used */
+    Result<void> start();
+    /** Settings that were read again; nothing of them changes while the process runs. */
+    void reload(const NodeSettings &settings);
+    /** Ends the links to other agents. */
+    Awaitable<void> shutDown();
+
+private:
+    void makeWeightTasks();
+    void makeFeed();
+    void onReport(const std::optional<ReplicaReport> &report);
+    Awaitable<Outcome<std::vector<ReplicaEntry>>> readReplicas() const;
+
+    asio::any_io_executor m_executor;
+    NodeSettings m_settings;
+    PlatformAdapter m_adapter;
+    std::string m_secret;
+    Log m_log;
+    std::shared_ptr<Metrics> m_metrics;
+    std::shared_ptr<PeerListener> m_listener;
+    std::shared_ptr<ChunkLinks> m_links;
+    std::shared_ptr<ChunkServer> m_server;
+    std::shared_ptr<WeightKeeper> m_weights;
+    std::shared_ptr<WeightLoader> m_loader;
+    std::shared_ptr<ReplicaProbe> m_probe;
+    std::shared_ptr<LoadTeller> m_teller;
+    std::shared_ptr<OperatorFeed> m_feed;
+    std::optional<LoadReport> m_told;
+    Instant m_toldAt;
+};
+
+} // namespace greengageseam
--- a/source/tool/publish.cpp
+++ b/source/tool/publish.cpp
@@ -1,7 +1,7 @@
 /**
  * Publishing: weights go from a file into the platform's weight store, chunk by chunk.
  */
-#include "platform/storeclient.h"
+#include "logservice/storeclient.h"
 #include "tool/commands.h"
 
 #include <fstream>
