Fetch and install weights apart, and expect weights only of those that have the newest

Ruled out: the origin (3.5 copies for 3 versions). Conclusion: agents' links bind; entries with their wide links should hand out the pieces.

--- a/source/agent/weightkeeper.cpp
+++ b/source/agent/weightkeeper.cpp
@@ -14,8 +14,8 @@
 constexpr std::size_t mailboxCapacity = 8192;
 constexpr std::uint64_t maxManifestBytes = 64ULL * 1024 * 1024;
 constexpr auto tickPeriod = std::chrono::milliseconds(20);
-constexpr auto announceEvery = std::chrono::milliseconds(100);
-constexpr auto announceFarEvery = std::chrono::seconds(1);
+constexpr auto announceEvery = std::chrono::milliseconds(60);
+constexpr auto announceFarEvery = std::chrono::milliseconds(150);
 /** Partners follow from the plan, which changes without any news of the zone. */
 constexpr auto keepPartnersEvery = std::chrono::milliseconds(200);
 constexpr auto manifestPatience = std::chrono::seconds(2);
--- a/source/core/fleet/loadbook.cpp
+++ b/source/core/fleet/loadbook.cpp
@@ -207,6 +207,12 @@
     }
 }
 
+std::uint64_t LoadBook::weights(const ReplicaId &id, Instant now) const
+{
+    const auto it = m_known.find(id);
+    return it == m_known.end() ? 0 : weightsOf(it->second, now);
+}
+
 Occupancy LoadBook::occupancy(const ServiceName &service, std::uint64_t oldestWeights,
                               Instant now) const
 {
--- a/source/core/fleet/loadbook.h
+++ b/source/core/fleet/loadbook.h
@@ -102,6 +102,8 @@
     /** Counts an attempt as ended. */
     void ended(const ReplicaId &id, ReplicaVerdict verdict, Instant now);
 
+    /** @returns the version of the weights that a backend server is believed to run, or 0 */
+    std::uint64_t weights(const ReplicaId &id, Instant now) const;
     /** @returns how busy a service is, as far as this entry knows */
     Occupancy occupancy(const ServiceName &service, std::uint64_t oldestWeights,
                         Instant now) const;
--- a/source/core/weights/transferplan.cpp
+++ b/source/core/weights/transferplan.cpp
@@ -13,7 +13,8 @@
 
 constexpr auto minPatience = std::chrono::seconds(2);
 constexpr int shareFactor = 2;
-constexpr std::uint64_t servedStep = 16ULL * 1024 * 1024;
+/** Chunks in a step of what a peer has served. */
+constexpr std::uint64_t chunksPerServedStep = 2;
 constexpr std::uint32_t manifestPeerTries = 20;
 
 } // namespace
@@ -193,6 +194,8 @@
 {
     const ChunkTurn &turn = version.turns.turns[index];
     SourceQuestion question {m_options.self, version.places.members, {}, false, false};
+    const std::uint64_t servedStep = std::max<std::uint64_t>(
+            1, version.manifest->chunks()[index].size * chunksPerServedStep);
     bool isOffered = false;
     for (const auto &[instance, peer] : m_peers) {
         const auto bits = peer.bits.find(digest);
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -97,9 +97,7 @@
         return false;
     }
     ReplicaLease lease {*replica, nullptr, std::nullopt};
-    if (wish.oldestWeights > 0) {
-        lease.weights = wish.oldestWeights;
-    }
+    lease.weights = expectedWeights(*replica, now);
     if (command.wantsIdle) {
         lease.connection = takeIdle(replica->address, now);
     }
@@ -236,6 +234,21 @@
     return m_allowances.emplace(service, RetryAllowance(options)).first->second;
 }
 
+/**
+ * A backend server is bound to the newest weights only once it is believed to have them: before, it
+ * may take over newer ones at any moment.
+ */
+std::optional<std::uint64_t> Dispatcher::expectedWeights(const ReplicaEntry &replica,
+                                                         Instant now) const
+{
+    const auto it = m_named.find(replica.loaded.model);
+    if (it == m_named.end() || it->second.empty()) {
+        return std::nullopt;
+    }
+    const std::uint64_t newest = it->second.rbegin()->first;
+    return m_loads.weights(replica.id, now) == newest ? std::optional(newest) : std::nullopt;
+}
+
 /** The named weights are required from a little before the bound on; until then any will do. */
 std::uint64_t Dispatcher::requiredWeights(const ServiceName &service, Instant now) const
 {
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -168,6 +168,7 @@
     HttpConnectionPtr takeIdle(const Address &address, Instant now);
     void dropIdle(Instant now);
     RetryAllowance &allowance(const ServiceName &service);
+    std::optional<std::uint64_t> expectedWeights(const ReplicaEntry &replica, Instant now) const;
     std::uint64_t requiredWeights(const ServiceName &service, Instant now) const;
 
     asio::any_io_executor m_executor;
--- a/source/edge/requestrun.cpp
+++ b/source/edge/requestrun.cpp
@@ -322,9 +322,15 @@
         if (m_events.hasGap()) {
             co_return Sent {SendEnd::Garbled, {}, {}};
         }
+        const Instant now = monotonicNow();
+        if (events.count > 0) {
+            m_longestGap = m_lastEventAt ? std::max(m_longestGap, now - *m_lastEventAt)
+                                         : m_longestGap;
+            m_lastEventAt = now;
+        }
         if (events.count > 0 && !m_isStreaming) {
             m_isStreaming = true;
-            m_firstEventAt = monotonicNow();
+            m_firstEventAt = now;
             const std::vector<HttpHeader> fields = m_context.codec.forwardedFields(head);
             co_await m_caller.beginStream(head.status, fields, std::move(events.bytes));
         } else if (events.count > 0) {
@@ -418,6 +424,7 @@
     }
     if (m_firstEventAt) {
         fields["first_ms"] = (*m_firstEventAt - m_arrivedAt).count() / 1000;
+        fields["gap_ms"] = m_longestGap.count() / 1000;
     }
     m_context.log.info("request.done", fields);
     m_context.metrics->count("requests_total", "Requests of callers, by outcome",
--- a/source/edge/requestrun.h
+++ b/source/edge/requestrun.h
@@ -79,6 +79,9 @@
     std::uint32_t m_sends = 0;
     /** Set once the first event was passed on. */
     std::optional<Instant> m_firstEventAt;
+    std::optional<Instant> m_lastEventAt;
+    /** Longest pause between two events so far. */
+    Duration m_longestGap {};
     /** Invariant: true only after the head of a stream went to the caller. */
     bool m_isStreaming = false;
 };
--- a/source/steward/steward.cpp
+++ b/source/steward/steward.cpp
@@ -11,8 +11,10 @@
 /** A report that says nothing new is told again after so long. */
 constexpr auto retellAfter = std::chrono::milliseconds(400);
 constexpr auto finishLimit = std::chrono::seconds(1);
-/** Share of the machine's link that weights may use. */
-constexpr double linkShare = 0.85;
+/** Share of the machine's link that weights may use beside the answers of the backend server. */
+constexpr double linkShare = 0.72;
+/** Chunks that are read at a time; what is on its way delays the answers on the same link. */
+constexpr std::uint32_t maxFetches = 4;
 constexpr double bytesPerMegabit = 125'000;
 
 } // namespace
@@ -55,7 +57,8 @@
     m_links->start();
     m_server->start();
     m_weights->start();
-    m_loader->start();
+    m_fetcher->start();
+    m_installer->start();
     m_feed->start();
     m_probe->start();
     m_log.info("agent.started", {{"backend", m_settings.backend.text()}});
@@ -86,30 +89,33 @@
     const PeerIdentity identity {"agent", self, m_settings.zone, m_secret};
     m_links = std::make_shared<ChunkLinks>(m_executor, identity, hooks, m_metrics, m_log);
 
-    LoaderOptions options;
-    options.self = self;
-    options.zone = m_settings.zone;
-    options.service = m_settings.backendService;
-    options.peerPort = m_settings.firstPort;
-    LoaderHooks loaderHooks;
-    loaderHooks.replica = m_adapter.openReplica(m_settings.backend);
-    loaderHooks.openOrigin = m_adapter.openOrigin;
-    loaderHooks.readReplicas = [this] { return readReplicas(); };
-    loaderHooks.weights = commands;
-    m_loader = std::make_shared<WeightLoader>(m_executor, options, loaderHooks, m_log);
+    const InstallerOptions installing {self, {}};
+    m_installer = std::make_shared<WeightInstaller>(
+            m_executor, installing, m_adapter.openReplica(m_settings.backend), commands, m_log);
+    const FetcherOptions fetching {self, m_settings.zone, m_settings.backendService,
+                                   m_settings.firstPort};
+    FetcherHooks fetcherHooks;
+    fetcherHooks.openOrigin = m_adapter.openOrigin;
+    fetcherHooks.readReplicas = [this] { return readReplicas(); };
+    fetcherHooks.weights = commands;
+    fetcherHooks.held = [mailbox = m_installer->mailbox()](const HeldVersion &held) {
+        mailbox->post(held);
+    };
+    m_fetcher = std::make_shared<VersionFetcher>(m_executor, fetching, fetcherHooks, m_log);
 
     TransferOptions transfer;
     transfer.self = self;
     transfer.zone = m_settings.zone;
+    transfer.maxFetches = maxFetches;
     transfer = transfer.withLinkBytesPerSecond(linkBytes);
     const WeightSources sources =
-            m_loader->sources(makePeerReader(m_executor, m_links->mailbox()));
+            m_fetcher->sources(makePeerReader(m_executor, m_links->mailbox()));
     const WeightTasks tasks {m_links->mailbox(), m_server->mailbox()};
     m_weights = std::make_shared<WeightKeeper>(
             m_executor, commands, TransferPlanner(transfer, swarmPolicy(), monotonicNow()),
             sources, tasks,
-            [mailbox = m_loader->mailbox()](const WeightStatus &status) {
-                mailbox->post(LoaderHolds {status.holding});
+            [mailbox = m_fetcher->mailbox()](const WeightStatus &status) {
+                mailbox->post(FetcherHolds {status.holding});
             },
             m_metrics, m_log);
 }
@@ -117,22 +123,25 @@
 void Steward::makeFeed()
 {
     OperatorHooks hooks = m_adapter.operatorHooks;
-    hooks.config = [mailbox = m_loader->mailbox()](const RouteTablePtr &table) {
-        mailbox->post(LoaderRoutes {table});
+    hooks.config = [mailbox = m_fetcher->mailbox()](const RouteTablePtr &table) {
+        mailbox->post(FetcherRoutes {table});
     };
-    hooks.named = [mailbox = m_loader->mailbox()](const NamedVersion &named, bool isOld) {
+    hooks.named = [this](const NamedVersion &named, bool isOld) {
         // What was named before this process followed is taken over without waiting for a turn.
-        mailbox->post(LoaderNamed {named, isOld ? Instant() : monotonicNow()});
+        const Instant at = isOld ? Instant() : monotonicNow();
+        m_installer->mailbox()->post(InstallerNamed {named.version, at});
+        m_fetcher->mailbox()->post(FetcherNamed {named});
     };
     m_feed = std::make_shared<OperatorFeed>(m_executor, m_adapter.operatorTopic, hooks, m_log);
 }
 
 void Steward::onReport(const std::optional<ReplicaReport> &report)
 {
-    m_loader->mailbox()->post(LoaderReport {report});
     if (!report) {
         return;
     }
+    m_installer->mailbox()->post(InstallerReport {*report});
+    m_fetcher->mailbox()->post(FetcherLoaded {report->loaded.wholeVersion()});
     LoadReport load;
     load.backend = m_settings.backend;
     load.bornMs = report->bornMs;
--- a/source/steward/steward.h
+++ b/source/steward/steward.h
@@ -11,7 +11,8 @@
 #include "net/peerlink.h"
 #include "steward/loadteller.h"
 #include "steward/replicaprobe.h"
-#include "steward/weightloader.h"
+#include "steward/versionfetcher.h"
+#include "steward/weightinstaller.h"
 
 namespace greengageseam {
 
@@ -46,7 +47,8 @@
     std::shared_ptr<ChunkLinks> m_links;
     std::shared_ptr<ChunkServer> m_server;
     std::shared_ptr<WeightKeeper> m_weights;
-    std::shared_ptr<WeightLoader> m_loader;
+    std::shared_ptr<VersionFetcher> m_fetcher;
+    std::shared_ptr<WeightInstaller> m_installer;
     std::shared_ptr<ReplicaProbe> m_probe;
     std::shared_ptr<LoadTeller> m_teller;
     std::shared_ptr<OperatorFeed> m_feed;
