Entries bring weights into their zones, and agents read from them

Cause: agents' links of 7.6 Mbit/s carry the answers of replicas as well; a swarm of agents held a version after 4.1 s.

--- /dev/null
+++ b/source/core/fleet/entrysites.cpp
@@ -0,0 +1,40 @@
+#include "core/fleet/entrysites.h"
+
+#include "core/common/hashing.h"
+
+namespace greengageseam {
+
+void EntrySites::hear(const EntrySite &site, Instant now)
+{
+    const auto [it, isNew] = m_heard.insert_or_assign(site, now);
+    m_hasChanged = m_hasChanged || isNew;
+}
+
+bool EntrySites::settle(Instant now)
+{
+    const std::size_t forgotten = std::erase_if(
+            m_heard, [&](const auto &entry) { return now - entry.second > m_lifetime; });
+    const bool hasChanged = m_hasChanged || forgotten > 0;
+    m_hasChanged = false;
+    return hasChanged;
+}
+
+std::vector<EntrySite> EntrySites::sites() const
+{
+    std::vector<EntrySite> sites;
+    for (const auto &[site, heardAt] : m_heard) {
+        sites.push_back(site);
+    }
+    return sites;
+}
+
+std::uint64_t EntrySites::checksum() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[site, heardAt] : m_heard) {
+        sum = checksumOf(site.instance.text() + "/" + site.ip, sum);
+    }
+    return sum;
+}
+
+} // namespace greengageseam
--- a/source/core/weights/turns.cpp
+++ b/source/core/weights/turns.cpp
@@ -34,7 +34,9 @@
             std::count_if(members.begin(), members.end(), [&](const InstanceId &member) {
                 return member != self && rendezvousScore(chunk.text(), member.text()) > own;
             });
-    return static_cast<std::uint32_t>(before);
+    const bool isMember = std::find(members.begin(), members.end(), self) != members.end();
+    const std::size_t behind = isMember ? 0 : members.size();
+    return static_cast<std::uint32_t>(static_cast<std::size_t>(before) + behind);
 }
 
 } // namespace
--- a/source/core/weights/turns.h
+++ b/source/core/weights/turns.h
@@ -12,7 +12,7 @@
 /** Where a version belongs. */
 struct VersionPlaces
 {
-    /** Agents of the own zone, by name. */
+    /** Those of the own zone that bring the version into it, by name. Others come after them. */
     std::vector<InstanceId> members;
     /** Zones that have replicas and that can be reached from here, the own one among them. */
     std::vector<ZoneName> zones;
--- a/source/daemon/fleetmain.cpp
+++ b/source/daemon/fleetmain.cpp
@@ -130,7 +130,7 @@
     asio::io_context context(1);
     const PlatformAdapter adapter = makePlatformAdapter(context.get_executor(), settings);
     if (role == "entry") {
-        Edge edge(context.get_executor(), settings, adapter, log);
+        Edge edge(context.get_executor(), settings, adapter, variable(secretVariable), log);
         return runRole(context, edge, log);
     }
     Steward steward(context.get_executor(), settings, adapter, variable(secretVariable), log);
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -16,6 +16,11 @@
 /** Weights that were named before this process followed are required after this time. */
 constexpr auto oldWeightsLead = std::chrono::seconds(3);
 constexpr std::size_t maxCallers = 2000;
+/** Share of the machine's link that weights may use. */
+constexpr double linkShare = 0.4;
+constexpr double bytesPerMegabit = 125'000;
+/** Chunks that are read at a time. */
+constexpr std::uint32_t maxFetches = 12;
 constexpr int statusOk = 200;
 constexpr int statusUnavailable = 503;
 constexpr int statusNotFound = 404;
@@ -23,9 +28,10 @@
 } // namespace
 
 Edge::Edge(const asio::any_io_executor &executor, NodeSettings settings, PlatformAdapter adapter,
-           Log log)
+           std::string secret, Log log)
     : m_executor(executor), m_settings(std::move(settings)), m_adapter(std::move(adapter)),
-      m_log(std::move(log)), m_metrics(std::make_shared<Metrics>())
+      m_secret(std::move(secret)), m_log(std::move(log)),
+      m_metrics(std::make_shared<Metrics>())
 { }
 
 Result<void> Edge::start()
@@ -48,15 +54,8 @@
     m_control = std::make_shared<HttpServer>(m_executor, HttpServerOptions(), handler, m_log);
     BOOST_LEAF_CHECK(m_control->listen(metrics));
 
-    m_loads = std::make_shared<LoadListener>(
-            m_executor, LoadWanted {m_settings.instance, m_settings.zone},
-            static_cast<std::uint16_t>(m_settings.firstPort + 1),
-            [mailbox = m_dispatcher->mailbox()](const LoadReport &report) {
-                mailbox->post(LoadHeard {report});
-            },
-            m_log);
-    BOOST_LEAF_CHECK(m_loads->start(m_settings.ip));
-
+    BOOST_LEAF_CHECK(startLoads());
+    BOOST_LEAF_CHECK(startExchange());
     makeFeeds();
     m_dispatcher->start();
     m_operator->start();
@@ -68,6 +67,42 @@
     return {};
 }
 
+Result<void> Edge::startLoads()
+{
+    LoadListenerHooks hooks;
+    hooks.report = [this](const LoadReport &report) {
+        m_dispatcher->mailbox()->post(LoadHeard {report});
+    };
+    hooks.entries = [this](const std::vector<EntrySite> &entries) {
+        m_log.info("entries.known", {{"entries", entries.size()}});
+        m_dispatcher->mailbox()->post(EntriesCounted {static_cast<std::uint32_t>(entries.size())});
+        m_exchange->fetcher()->post(FetcherEntries {entries});
+    };
+    const EntrySite self {m_settings.instance, m_settings.zone, m_settings.ip};
+    m_loads = std::make_shared<LoadListener>(m_executor, self,
+                                             static_cast<std::uint16_t>(m_settings.firstPort + 1),
+                                             hooks, m_log);
+    return {};
+}
+
+Result<void> Edge::startExchange()
+{
+    ExchangeOptions options;
+    options.fetcher.self = InstanceId(m_settings.ip);
+    options.fetcher.zone = m_settings.zone;
+    options.fetcher.isSource = true;
+    options.fetcher.peerPort = m_settings.firstPort;
+    options.secret = m_secret;
+    options.linkBytesPerSecond =
+            static_cast<std::uint64_t>(m_settings.linkMbps * bytesPerMegabit * linkShare);
+    options.maxFetches = maxFetches;
+    m_exchange = std::make_shared<WeightExchange>(
+            m_executor, options, m_adapter.openOrigin, [](const HeldVersion &) {}, m_metrics,
+            m_log);
+    BOOST_LEAF_CHECK(m_exchange->start());
+    return m_loads->start();
+}
+
 void Edge::makeFeeds()
 {
     OperatorHooks hooks = m_adapter.operatorHooks;
@@ -75,6 +110,7 @@
         m_table = table;
         m_callers->setLimits(table->config().limits);
         m_dispatcher->mailbox()->post(RoutesChanged {table});
+        m_exchange->fetcher()->post(FetcherRoutes {table});
         onReplicas(m_entries);
     };
     hooks.named = [this](const NamedVersion &named, bool isOld) {
@@ -82,6 +118,7 @@
                 ? monotonicNow() - m_settings.bounds.weightsApply + oldWeightsLead
                 : monotonicNow();
         m_dispatcher->mailbox()->post(WeightsNamed {named, at});
+        m_exchange->fetcher()->post(FetcherNamed {named});
     };
     m_operator = std::make_shared<OperatorFeed>(m_executor, m_adapter.operatorTopic, hooks, m_log);
 
@@ -99,13 +136,16 @@
 {
     m_entries = std::move(entries);
     AgentsKnown agents;
+    FetcherLoaded loaded;
     for (const ReplicaEntry &entry : m_entries) {
         const Service *service = m_table ? m_table->service(entry.service) : nullptr;
         if (service != nullptr && service->engine) {
             agents.backends.push_back(entry.address);
+            loaded.versions.insert(entry.loaded.wholeVersion());
         }
     }
     m_loads->mailbox()->post(std::move(agents));
+    m_exchange->fetcher()->post(std::move(loaded));
     m_dispatcher->mailbox()->post(ReplicasChanged {m_entries});
 }
 
--- a/source/edge/edge.h
+++ b/source/edge/edge.h
@@ -8,6 +8,7 @@
 #include "edge/dispatcher.h"
 #include "edge/loadlistener.h"
 #include "edge/storefeeds.h"
+#include "exchange/weightexchange.h"
 #include "net/httpserver.h"
 
 namespace greengageseam {
@@ -16,8 +17,9 @@
 class Edge
 {
 public:
+    /** @param secret that all processes of the deployment share */
     Edge(const asio::any_io_executor &executor, NodeSettings settings, PlatformAdapter adapter,
-         Log log);
+         std::string secret, Log log);
 
     /** Starts all tasks. @returns InvalidRequest if an address cannot be used */
     Result<void> start();
@@ -28,6 +30,8 @@
 
 private:
     void makeFeeds();
+    Result<void> startLoads();
+    Result<void> startExchange();
     void onReplicas(std::vector<ReplicaEntry> entries);
     bool isReady() const;
     Awaitable<void> handle(HttpExchange &exchange);
@@ -35,6 +39,7 @@
     asio::any_io_executor m_executor;
     NodeSettings m_settings;
     PlatformAdapter m_adapter;
+    std::string m_secret;
     Log m_log;
     std::shared_ptr<Metrics> m_metrics;
     std::shared_ptr<Dispatcher> m_dispatcher;
@@ -44,8 +49,8 @@
     std::shared_ptr<OperatorFeed> m_operator;
     std::shared_ptr<ReplicaFeed> m_replicas;
     std::shared_ptr<LoadListener> m_loads;
+    std::shared_ptr<WeightExchange> m_exchange;
     RouteTablePtr m_table;
-    std::set<ServiceName> m_engineServices;
     std::vector<ReplicaEntry> m_entries;
     bool m_hasReplicas = false;
     bool m_isDraining = false;
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -1,5 +1,6 @@
 #include "edge/loadlistener.h"
 
+#include "net/clock.h"
 #include "net/endpoint.h"
 #include "net/ticker.h"
 
@@ -13,19 +14,22 @@
 constexpr std::size_t mailboxCapacity = 16;
 /** Well below the time for which an agent goes on sending. */
 constexpr auto askEvery = std::chrono::seconds(1);
+/** An agent forgets an entry a little earlier. */
+constexpr auto entryLifetime = std::chrono::seconds(5);
 
 } // namespace
 
-LoadListener::LoadListener(const asio::any_io_executor &executor, LoadWanted self,
-                           std::uint16_t port, LoadObserver observer, Log log)
+LoadListener::LoadListener(const asio::any_io_executor &executor, EntrySite self,
+                           std::uint16_t port, LoadListenerHooks hooks, Log log)
     : m_executor(executor), m_self(std::move(self)), m_port(port),
-      m_observer(std::move(observer)), m_log(std::move(log)),
-      m_mailbox(makeMailbox<AgentsKnown>(executor, mailboxCapacity)), m_socket(executor)
+      m_hooks(std::move(hooks)), m_log(std::move(log)),
+      m_mailbox(makeMailbox<AgentsKnown>(executor, mailboxCapacity)), m_socket(executor),
+      m_entries(entryLifetime)
 { }
 
-Result<void> LoadListener::start(const std::string &ip)
+Result<void> LoadListener::start()
 {
-    BOOST_LEAF_CHECK(m_socket.bind(ip, m_port));
+    BOOST_LEAF_CHECK(m_socket.bind(m_self.ip, m_port));
     asio::co_spawn(m_executor, [self = shared_from_this()] { return self->listen(); },
                    asio::detached);
     asio::co_spawn(m_executor, [self = shared_from_this()] { return self->learn(); },
@@ -60,12 +64,30 @@
 
 void LoadListener::ask()
 {
-    const std::string bytes = encodeDatagram(m_self);
+    const Instant now = monotonicNow();
+    m_entries.hear(m_self, now);
+    if (m_entries.settle(now)) {
+        m_hooks.entries(m_entries.sites());
+    }
+    const std::string bytes =
+            encodeDatagram(LoadWanted {m_self.instance, m_self.zone, m_entries.checksum()});
     for (const auto &agent : m_agents) {
         m_socket.send(bytes, agent);
     }
 }
 
+void LoadListener::take(const Datagram &datagram)
+{
+    if (const auto *report = std::get_if<LoadReport>(&datagram)) {
+        m_hooks.report(*report);
+    } else if (const auto *seen = std::get_if<EntriesSeen>(&datagram)) {
+        const Instant now = monotonicNow();
+        for (const EntrySite &site : seen->entries) {
+            m_entries.hear(site, now);
+        }
+    }
+}
+
 Awaitable<void> LoadListener::listen()
 {
     while (std::optional<ReceivedDatagram> received = co_await m_socket.receive(maxDatagramBytes)) {
@@ -77,9 +99,7 @@
             m_log.debug("load.unreadable", {{"reason", failure->detail}});
             continue;
         }
-        if (const auto *report = std::get_if<LoadReport>(&std::get<Datagram>(read))) {
-            m_observer(*report);
-        }
+        take(std::get<Datagram>(read));
     }
     m_log.error("load.socket-failed");
 }
--- a/source/edge/loadlistener.h
+++ b/source/edge/loadlistener.h
@@ -19,35 +19,42 @@
     std::vector<Address> backends;
 };
 
-/** Hook that is told of a report; it must not wait. */
-using LoadObserver = std::function<void(const LoadReport &report)>;
+/** What is passed on; the hooks must not wait. */
+struct LoadListenerHooks
+{
+    std::function<void(const LoadReport &report)> report;
+    /** The entries that are known to run have changed; this one is among them. */
+    std::function<void(const std::vector<EntrySite> &entries)> entries;
+};
 
 /** Asks and listens. */
 class LoadListener : public std::enable_shared_from_this<LoadListener>
 {
 public:
     /** @param port the port of this task here and of its counterpart on the agents' machines */
-    LoadListener(const asio::any_io_executor &executor, LoadWanted self, std::uint16_t port,
-                 LoadObserver observer, Log log);
+    LoadListener(const asio::any_io_executor &executor, EntrySite self, std::uint16_t port,
+                 LoadListenerHooks hooks, Log log);
 
     /** @returns where to send what is known of agents */
     const MailboxPtr<AgentsKnown> &mailbox() const { return m_mailbox; }
     /** Binds the socket and starts the task. */
-    Result<void> start(const std::string &ip);
+    Result<void> start();
 
 private:
     Awaitable<void> listen();
     Awaitable<void> learn();
     void ask();
+    void take(const Datagram &datagram);
 
     asio::any_io_executor m_executor;
-    LoadWanted m_self;
+    EntrySite m_self;
     std::uint16_t m_port;
-    LoadObserver m_observer;
+    LoadListenerHooks m_hooks;
     Log m_log;
     MailboxPtr<AgentsKnown> m_mailbox;
     DatagramSocket m_socket;
     std::vector<asio::ip::udp::endpoint> m_agents;
+    EntrySites m_entries;
 };
 
 } // namespace greengageseam
--- a/source/steward/versionfetcher.cpp
+++ b/source/exchange/versionfetcher.cpp
@@ -1,4 +1,4 @@
-#include "steward/versionfetcher.h"
+#include "exchange/versionfetcher.h"
 
 #include "net/clock.h"
 #include "net/ticker.h"
@@ -13,7 +13,6 @@
 
 constexpr std::size_t mailboxCapacity = 256;
 constexpr auto tickPeriod = std::chrono::milliseconds(100);
-constexpr auto askPeersEvery = std::chrono::seconds(1);
 constexpr auto askListEvery = std::chrono::milliseconds(250);
 /** Versions whose pieces are remembered. */
 constexpr std::size_t mostVersions = 2;
@@ -100,9 +99,9 @@
 void VersionFetcher::apply(const FetcherRoutes &command)
 {
     m_table = command.table;
-    const Service *service = m_table->service(m_options.service);
-    if (service != nullptr && service->engine) {
-        m_model = service->engine->model;
+    for (const auto &[name, service] : m_table->config().services) {
+        const bool isMeant = m_options.service.isEmpty() || name == m_options.service;
+        m_model = service.engine && isMeant ? service.engine->model : m_model;
     }
     const Address origin = originAddress();
     if (origin != m_originAddress) {
@@ -128,31 +127,24 @@
         return;
     }
     m_wanted = command.named.version;
-    m_arePeersKnown = false;
-    m_peersAskedAt = Instant();
     advance();
 }
 
 void VersionFetcher::apply(const FetcherLoaded &command)
 {
-    m_loaded = command.version;
+    m_loaded = command.versions;
     advance();
 }
 
-void VersionFetcher::apply(const FetcherHolds &command)
+void VersionFetcher::apply(const FetcherEntries &command)
 {
-    m_complete = command.complete;
-    tellHeld();
+    m_entries = command.entries;
+    tellKeeper();
 }
 
-void VersionFetcher::apply(const FetcherPeers &command)
+void VersionFetcher::apply(const FetcherHolds &command)
 {
-    m_isAskingPeers = false;
-    m_arePeersKnown = true;
-    if (!command.entries.empty()) {
-        m_entries = command.entries;
-    }
-    tellKeeper();
+    m_complete = command.complete;
     tellHeld();
 }
 
@@ -196,7 +188,8 @@
 
 bool VersionFetcher::isNeeded() const
 {
-    return m_loaded && *m_loaded != m_wanted;
+    return std::any_of(m_loaded.begin(), m_loaded.end(),
+                       [this](std::uint64_t version) { return version != m_wanted; });
 }
 
 void VersionFetcher::advance()
@@ -211,7 +204,6 @@
         tellHeld();
         return;
     }
-    readPeers(now);
     if (it == m_known.end()) {
         readList(now);
     }
@@ -238,79 +230,49 @@
     co_await m_mailbox->send(std::move(listed));
 }
 
-void VersionFetcher::readPeers(Instant now)
+/** Agents read from entries, whose links are wide and carry no answers of backend servers. */
+std::vector<WeightPeer> VersionFetcher::peers() const
 {
-    if (m_isAskingPeers || now - m_peersAskedAt < askPeersEvery) {
-        return;
-    }
-    m_isAskingPeers = true;
-    m_peersAskedAt = now;
-    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->askPeers(); },
-                   asio::detached);
-}
-
-Awaitable<void> VersionFetcher::askPeers()
-{
-    const Outcome<std::vector<ReplicaEntry>> read = co_await m_hooks.readReplicas();
-    FetcherPeers peers;
-    if (const Failure *failure = failureOf(read)) {
-        m_log.warning("weights.peers-unknown", {{"reason", failure->detail}});
-    } else {
-        peers.entries = std::get<std::vector<ReplicaEntry>>(read);
-    }
-    FetcherCommand command = std::move(peers);
-    co_await m_mailbox->send(std::move(command));
-}
-
-std::vector<InstanceId> VersionFetcher::members() const
-{
-    std::vector<InstanceId> members;
-    for (const ReplicaEntry &entry : m_entries) {
-        if (entry.service == m_options.service) {
-            members.push_back(agentBeside(entry.address));
+    std::vector<WeightPeer> peers;
+    for (const EntrySite &entry : m_entries) {
+        if (entry.ip != m_options.self.text()) {
+            const std::string address = entry.ip + ":" + std::to_string(m_options.peerPort);
+            peers.push_back({InstanceId(entry.ip), entry.zone, Address(address)});
         }
     }
-    return members;
+    return peers;
 }
 
-/** Those whose backend servers run the version already have no turn at reading it. */
-VersionPlaces VersionFetcher::placesOf(std::uint64_t version) const
+/** The entries of the zone bring a version into it; an agent does so only if there are none. */
+VersionPlaces VersionFetcher::places() const
 {
     std::set<ZoneName> zones {m_options.zone};
-    std::set<InstanceId> near {m_options.self};
-    for (const ReplicaEntry &entry : m_entries) {
-        if (entry.service != m_options.service || entry.loaded.wholeVersion() == version) {
-            continue;
-        }
+    std::set<InstanceId> members;
+    for (const EntrySite &entry : m_entries) {
         zones.insert(entry.zone);
         if (entry.zone == m_options.zone) {
-            near.insert(agentBeside(entry.address));
+            members.insert(InstanceId(entry.ip));
         }
     }
+    if (m_options.isSource || members.empty()) {
+        members.insert(m_options.self);
+    }
     VersionPlaces places;
-    places.members.assign(near.begin(), near.end());
+    places.members.assign(members.begin(), members.end());
     places.zones.assign(zones.begin(), zones.end());
     return places;
 }
 
-/** Without its peers each agent would read the whole version from the origin. */
 void VersionFetcher::tellKeeper()
 {
-    if (!m_arePeersKnown || !isNeeded() || !m_known.contains(m_wanted)) {
+    // Without its peers each process would read the whole version from the origin.
+    if (m_entries.empty() || !isNeeded() || !m_known.contains(m_wanted)) {
         return;
     }
-    std::vector<WeightPeer> peers;
-    for (const ReplicaEntry &entry : m_entries) {
-        const InstanceId agent = agentBeside(entry.address);
-        if (entry.service == m_options.service && agent != m_options.self) {
-            const std::string address = agent.text() + ":" + std::to_string(m_options.peerPort);
-            peers.push_back({agent, entry.zone, Address(address)});
-        }
-    }
-    m_hooks.weights->post(PeersKnown {std::move(peers)});
+    m_hooks.weights->post(PeersKnown {peers()});
     VersionsWanted wanted;
     for (const auto &[version, known] : m_known) {
-        wanted.versions.emplace(known.digest, placesOf(version));
+        wanted.versions.emplace(known.digest, places());
     }
     m_hooks.weights->post(std::move(wanted));
 }
@@ -321,7 +283,7 @@
         if (!known.isTold && m_complete.contains(known.digest)) {
             known.isTold = true;
             m_log.info("weights.held", {{"version", version}});
-            m_hooks.held({m_model, version, known.manifest, members()});
+            m_hooks.held({m_model, version, known.manifest});
         }
     }
 }
--- a/source/steward/versionfetcher.h
+++ b/source/exchange/versionfetcher.h
@@ -1,5 +1,5 @@
 /**
- * The task that has the newest named weights fetched: it reads the list of their pieces, and tells
+ * The task that has the newest named weights fetched, on an entry or an agent: it reads the list of their pieces, and tells
  * the keeper of weights what is wanted and where else it is.
  */
 #pragma once
@@ -27,22 +27,22 @@
     NamedVersion named;
 };
 
-/** Version that the backend server has loaded; 0 for none. */
+/** Versions that the backend servers in question have loaded; 0 for none. */
 struct FetcherLoaded
 {
-    std::uint64_t version = 0;
+    std::set<std::uint64_t> versions;
 };
 
-/** The weights that are held have changed. */
-struct FetcherHolds
+/** The entries that are known to run. */
+struct FetcherEntries
 {
-    std::set<Digest> complete;
+    std::vector<EntrySite> entries;
 };
 
-/** The backend servers were listed; empty if they could not be. */
-struct FetcherPeers
+/** The weights that are held have changed. */
+struct FetcherHolds
 {
-    std::vector<ReplicaEntry> entries;
+    std::set<Digest> complete;
 };
 
 /** The pieces of a version were listed, or could not be. */
@@ -57,8 +57,8 @@
 { };
 
 /** Messages to the fetcher. */
-using FetcherCommand = std::variant<FetcherRoutes, FetcherNamed, FetcherLoaded, FetcherHolds,
-                                    FetcherPeers, FetcherListed, FetcherTick>;
+using FetcherCommand = std::variant<FetcherRoutes, FetcherNamed, FetcherLoaded, FetcherEntries,
+                                    FetcherHolds, FetcherListed, FetcherTick>;
 
 /** A version that is held whole and verified. */
 struct HeldVersion
@@ -66,19 +66,19 @@
     ModelName model;
     std::uint64_t version = 0;
     Manifest manifest;
-    /** Agents whose backend servers run the same weights. */
-    std::vector<InstanceId> members;
 };
 
 /** What the fetcher is told at its start. */
 struct FetcherOptions
 {
-    /** Name of this agent among those that exchange weights. */
+    /** Name of this process among those that exchange weights: its machine's address. */
     InstanceId self;
     ZoneName zone;
-    /** The service of the backend server beside this agent. */
+    /** The service whose model is meant; empty for the one that there is. */
     ServiceName service;
-    /** Port on which agents exchange weights. */
+    /** Whether it passes weights on, as entries do, or only takes them. */
+    bool isSource = false;
+    /** Port on which weights are exchanged. */
     std::uint16_t peerPort = 0;
 };
 
@@ -86,8 +86,6 @@
 struct FetcherHooks
 {
     OpenOrigin openOrigin;
-    /** Reads the list of backend servers, decoded. */
-    std::function<Awaitable<Outcome<std::vector<ReplicaEntry>>>()> readReplicas;
     /** The task that holds the weights. */
     MailboxPtr<WeightCommand> weights;
     /** A version is held whole; it must not wait. */
@@ -122,8 +120,8 @@
     void apply(const FetcherRoutes &command);
     void apply(const FetcherNamed &command);
     void apply(const FetcherLoaded &command);
+    void apply(const FetcherEntries &command);
     void apply(const FetcherHolds &command);
-    void apply(const FetcherPeers &command);
     void apply(const FetcherListed &command);
     void apply(const FetcherTick &command);
     void advance();
@@ -131,12 +129,10 @@
     void tellKeeper();
     void tellHeld();
     void forgetOld();
-    void readPeers(Instant now);
     void readList(Instant now);
-    std::vector<InstanceId> members() const;
-    VersionPlaces placesOf(std::uint64_t version) const;
+    std::vector<WeightPeer> peers() const;
+    VersionPlaces places() const;
     Address originAddress() const;
-    Awaitable<void> askPeers();
     Awaitable<void> askList(std::uint64_t version);
     Awaitable<OriginAnswer> readPiece(Chunk chunk);
 
@@ -151,17 +147,13 @@
     Address m_originAddress;
     /** Version to have; models begin with the first. */
     std::uint64_t m_wanted = 1;
-    std::optional<std::uint64_t> m_loaded;
+    std::set<std::uint64_t> m_loaded;
     /** Versions whose pieces are known, the wanted one and the one before it. */
     std::map<std::uint64_t, Known> m_known;
     std::set<Digest> m_complete;
-    std::vector<ReplicaEntry> m_entries;
-    Instant m_peersAskedAt;
+    std::vector<EntrySite> m_entries;
     Instant m_listAskedAt;
-    bool m_isAskingPeers = false;
     bool m_isAskingList = false;
-    /** Whether the list was asked for since the version is wanted, with or without success. */
-    bool m_arePeersKnown = false;
 };
 
 /** @returns the name of the agent beside a backend server, which is its machine's address */
--- /dev/null
+++ b/source/exchange/weightexchange.cpp
@@ -0,0 +1,103 @@
+#include "exchange/weightexchange.h"
+
+#include "agent/peerchunks.h"
+#include "net/clock.h"
+
+namespace greengageseam {
+
+WeightExchange::WeightExchange(const asio::any_io_executor &executor, ExchangeOptions options,
+                               OpenOrigin openOrigin,
+                               std::function<void(const HeldVersion &held)> held,
+                               std::shared_ptr<Metrics> metrics, Log log)
+    : m_executor(executor), m_options(std::move(options)),
+      m_identity {"exchange", m_options.fetcher.self, m_options.fetcher.zone, m_options.secret},
+      m_metrics(std::move(metrics)), m_log(std::move(log)),
+      m_commands(WeightKeeper::makeCommands(executor))
+{
+    makeLinks();
+    makeKeeper(std::move(openOrigin), std::move(held));
+}
+
+void WeightExchange::makeLinks()
+{
+    LinkHooks hooks;
+    hooks.receive = [this](const PeerLinkHandle &link, const StreamMessage &message) {
+        receive(link, message);
+    };
+    hooks.ended = [this](const PeerLinkHandle &link, const LinkClosed &) {
+        m_links->mailbox()->post(PeerLinkEnded {link.peer().instance});
+    };
+    m_listener = std::make_shared<PeerListener>(m_executor, m_identity, hooks, m_log);
+
+    ChunkLinksHooks links;
+    links.have = [commands = m_commands](const PeerHas &has, bool isAnswerWanted) {
+        commands->post(PeerOffers {has, isAnswerWanted});
+    };
+    links.linked = [commands = m_commands](const InstanceId &peer) {
+        commands->post(PeerLinked {peer});
+    };
+    links.lost = [commands = m_commands](const InstanceId &peer) {
+        commands->post(PeerGone {peer});
+    };
+    links.asked = [this](const PeerLinkHandle &link, const StreamMessage &message) {
+        receive(link, message);
+    };
+    m_links = std::make_shared<ChunkLinks>(m_executor, m_identity, links, m_metrics, m_log);
+}
+
+void WeightExchange::makeKeeper(OpenOrigin openOrigin,
+                                std::function<void(const HeldVersion &held)> held)
+{
+    const auto serving = ServerOptions().withBytesPerSecond(m_options.linkBytesPerSecond);
+    m_server = std::make_shared<ChunkServer>(
+            m_executor, serving,
+            [commands = m_commands](std::uint64_t bytes) { commands->post(ServedSoFar {bytes}); },
+            m_metrics);
+    const FetcherHooks hooks {std::move(openOrigin), m_commands, std::move(held)};
+    m_fetcher = std::make_shared<VersionFetcher>(m_executor, m_options.fetcher, hooks, m_log);
+
+    TransferOptions transfer;
+    transfer.self = m_options.fetcher.self;
+    transfer.zone = m_options.fetcher.zone;
+    transfer.storeZone = m_options.originZone;
+    transfer.maxFetches = m_options.maxFetches;
+    transfer = transfer.withLinkBytesPerSecond(m_options.linkBytesPerSecond);
+    const WeightTasks tasks {m_links->mailbox(), m_server->mailbox()};
+    m_weights = std::make_shared<WeightKeeper>(
+            m_executor, m_commands, TransferPlanner(transfer, swarmPolicy(), monotonicNow()),
+            m_fetcher->sources(makePeerReader(m_executor, m_links->mailbox())), tasks,
+            [mailbox = m_fetcher->mailbox()](const WeightStatus &status) {
+                mailbox->post(FetcherHolds {status.holding});
+            },
+            m_metrics, m_log);
+}
+
+void WeightExchange::receive(const PeerLinkHandle &link, const StreamMessage &message)
+{
+    if (const auto *wanted = std::get_if<ChunkWantedMessage>(&message.message)) {
+        m_commands->post(ChunkAsked {wanted->digest, link, message.stream});
+    } else if (const auto *have = std::get_if<HaveMessage>(&message.message)) {
+        m_links->mailbox()->post(HaveHeard {link, *have});
+    }
+}
+
+Result<void> WeightExchange::start()
+{
+    const Address address(m_options.fetcher.self.text() + ":"
+                          + std::to_string(m_options.fetcher.peerPort));
+    BOOST_LEAF_CHECK(m_listener->listen(address));
+    m_listener->start();
+    m_links->start();
+    m_server->start();
+    m_weights->start();
+    m_fetcher->start();
+    return {};
+}
+
+Awaitable<void> WeightExchange::finish(Duration limit)
+{
+    co_await m_listener->finish(limit);
+    m_listener->stop();
+}
+
+} // namespace greengageseam
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -27,9 +27,22 @@
         wire::LoadWanted body;
         body.instance = wanted->instance.text();
         body.zone = wanted->zone.text();
+        body.known = static_cast<std::int64_t>(wanted->known);
         frame.__set_loadWanted(body);
         return frame;
     }
+    if (const auto *seen = std::get_if<EntriesSeen>(&datagram)) {
+        wire::EntriesSeen body;
+        for (const EntrySite &site : seen->entries) {
+            wire::EntrySite one;
+            one.instance = site.instance.text();
+            one.zone = site.zone.text();
+            one.ip = site.ip;
+            body.entries.push_back(one);
+        }
+        frame.__set_entriesSeen(body);
+        return frame;
+    }
     const auto &report = std::get<LoadReport>(datagram);
     wire::LoadSeen body;
     body.backend = report.backend.text();
@@ -72,7 +85,15 @@
     }
     if (frame.__isset.loadWanted) {
         return Datagram(LoadWanted {InstanceId(frame.loadWanted.instance),
-                                    ZoneName(frame.loadWanted.zone)});
+                                    ZoneName(frame.loadWanted.zone),
+                                    static_cast<std::uint64_t>(frame.loadWanted.known)});
+    }
+    if (frame.__isset.entriesSeen) {
+        EntriesSeen seen;
+        for (const wire::EntrySite &site : frame.entriesSeen.entries) {
+            seen.entries.push_back({InstanceId(site.instance), ZoneName(site.zone), site.ip});
+        }
+        return Datagram(std::move(seen));
     }
     const wire::LoadSeen &seen = frame.loadSeen;
     const bool isNegative = seen.bornMs < 0 || seen.weights < 0 || seen.waiting < 0
--- a/source/protocol/datagramcodec.h
+++ b/source/protocol/datagramcodec.h
@@ -4,11 +4,13 @@
 #pragma once
 
 #include "core/common/errors.h"
+#include "core/fleet/entrysites.h"
 #include "core/fleet/loadbook.h"
 
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace greengageseam {
 
@@ -17,15 +19,25 @@
 {
     InstanceId instance;
     ZoneName zone;
+    /** Checksum of the entries that the sender knows of. */
+    std::uint64_t known = 0;
 
     auto operator<=>(const LoadWanted &) const = default;
 };
 
+/** The entries that an agent has heard of. */
+struct EntriesSeen
+{
+    std::vector<EntrySite> entries;
+
+    auto operator<=>(const EntriesSeen &) const = default;
+};
+
 /** What a datagram says. */
-using Datagram = std::variant<LoadWanted, LoadReport>;
+using Datagram = std::variant<LoadWanted, LoadReport, EntriesSeen>;
 
 /** Largest datagram in bytes. */
-constexpr std::size_t maxDatagramBytes = 1200;
+constexpr std::size_t maxDatagramBytes = 8000;
 
 /** @returns the bytes of a datagram */
 std::string encodeDatagram(const Datagram &datagram);
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -260,6 +260,20 @@
 struct LoadWanted {
   1: string instance;
   2: string zone;
+  /** Checksum of the entries that the sender knows of. */
+  3: i64 known;
+}
+
+/** An entry, as an agent has heard of it. */
+struct EntrySite {
+  1: string instance;
+  2: string zone;
+  3: string ip;
+}
+
+/** Datagram of an agent to an entry: the entries that the agent has heard of. */
+struct EntriesSeen {
+  1: list<EntrySite> entries;
 }
 
 /** Datagram of an agent to an entry: what the backend server beside it reports. */
@@ -278,4 +292,5 @@
 union Datagram {
   1: LoadWanted loadWanted;
   2: LoadSeen loadSeen;
+  3: EntriesSeen entriesSeen;
 }
--- a/source/steward/loadteller.cpp
+++ b/source/steward/loadteller.cpp
@@ -17,9 +17,10 @@
 
 } // namespace
 
-LoadTeller::LoadTeller(const asio::any_io_executor &executor, Log log)
-    : m_executor(executor), m_log(std::move(log)),
-      m_mailbox(makeMailbox<LoadReport>(executor, mailboxCapacity)), m_socket(executor)
+LoadTeller::LoadTeller(const asio::any_io_executor &executor, EntriesObserver observer, Log log)
+    : m_executor(executor), m_observer(std::move(observer)), m_log(std::move(log)),
+      m_mailbox(makeMailbox<LoadReport>(executor, mailboxCapacity)), m_socket(executor),
+      m_sites(interestLasts)
 { }
 
 Result<void> LoadTeller::start(const std::string &ip, std::uint16_t port)
@@ -43,22 +44,36 @@
             m_log.debug("load.unreadable", {{"reason", failure->detail}});
             continue;
         }
-        const auto *wanted = std::get_if<LoadWanted>(&std::get<Datagram>(read));
-        if (wanted == nullptr || m_entries.size() >= maxEntries) {
-            continue;
-        }
-        const bool isNew = !m_entries.contains(received->sender);
-        m_entries[received->sender] = monotonicNow();
-        if (isNew) {
-            m_log.info("load.entry-asks", {{"entry", wanted->instance.text()}});
-            if (m_last) {
-                m_socket.send(encodeDatagram(*m_last), received->sender);
-            }
+        if (const auto *wanted = std::get_if<LoadWanted>(&std::get<Datagram>(read))) {
+            take(*wanted, received->sender);
         }
     }
     m_log.error("load.socket-failed");
 }
 
+void LoadTeller::take(const LoadWanted &wanted, const asio::ip::udp::endpoint &sender)
+{
+    if (m_entries.size() >= maxEntries) {
+        return;
+    }
+    const Instant now = monotonicNow();
+    const bool isNew = !m_entries.contains(sender);
+    m_entries[sender] = now;
+    m_sites.hear({wanted.instance, wanted.zone, sender.address().to_string()}, now);
+    if (m_sites.settle(now)) {
+        m_observer(m_sites.sites());
+    }
+    if (m_sites.checksum() != wanted.known) {
+        m_socket.send(encodeDatagram(EntriesSeen {m_sites.sites()}), sender);
+    }
+    if (isNew) {
+        m_log.info("load.entry-asks", {{"entry", wanted.instance.text()}});
+        if (m_last) {
+            m_socket.send(encodeDatagram(*m_last), sender);
+        }
+    }
+}
+
 Awaitable<void> LoadTeller::tell()
 {
     while (std::optional<LoadReport> report = co_await m_mailbox->receive()) {
--- a/source/steward/loadteller.h
+++ b/source/steward/loadteller.h
@@ -7,16 +7,20 @@
 #include "net/log.h"
 #include "protocol/datagramcodec.h"
 
+#include <functional>
 #include <map>
 #include <variant>
 
 namespace greengageseam {
 
+/** Hook that is told of the entries that ask; it must not wait. */
+using EntriesObserver = std::function<void(const std::vector<EntrySite> &entries)>;
+
 /** Tells each entry that has asked. */
 class LoadTeller : public std::enable_shared_from_this<LoadTeller>
 {
 public:
-    LoadTeller(const asio::any_io_executor &executor, Log log);
+    LoadTeller(const asio::any_io_executor &executor, EntriesObserver observer, Log log);
 
     /** @returns where to send new reports */
     const MailboxPtr<LoadReport> &mailbox() const { return m_mailbox; }
@@ -26,13 +30,16 @@
 private:
     Awaitable<void> listen();
     Awaitable<void> tell();
+    void take(const LoadWanted &wanted, const asio::ip::udp::endpoint &sender);
 
     asio::any_io_executor m_executor;
+    EntriesObserver m_observer;
     Log m_log;
     MailboxPtr<LoadReport> m_mailbox;
     DatagramSocket m_socket;
     /** Entries that asked, and when they did so last. */
     std::map<asio::ip::udp::endpoint, Instant> m_entries;
+    EntrySites m_sites;
     std::optional<LoadReport> m_last;
 };
 
--- a/source/steward/steward.h
+++ b/source/steward/steward.h
@@ -3,15 +3,11 @@
  */
 #pragma once
 
-#include "agent/chunklinks.h"
-#include "agent/chunkserver.h"
-#include "agent/weightkeeper.h"
 #include "edge/adapter.h"
 #include "edge/storefeeds.h"
-#include "net/peerlink.h"
+#include "exchange/weightexchange.h"
 #include "steward/loadteller.h"
 #include "steward/replicaprobe.h"
-#include "steward/versionfetcher.h"
 #include "steward/weightinstaller.h"
 
 namespace greengageseam {
@@ -43,11 +39,7 @@
     std::string m_secret;
     Log m_log;
     std::shared_ptr<Metrics> m_metrics;
-    std::shared_ptr<PeerListener> m_listener;
-    std::shared_ptr<ChunkLinks> m_links;
-    std::shared_ptr<ChunkServer> m_server;
-    std::shared_ptr<WeightKeeper> m_weights;
-    std::shared_ptr<VersionFetcher> m_fetcher;
+    std::shared_ptr<WeightExchange> m_exchange;
     std::shared_ptr<WeightInstaller> m_installer;
     std::shared_ptr<ReplicaProbe> m_probe;
     std::shared_ptr<LoadTeller> m_teller;
--- a/source/steward/weightinstaller.cpp
+++ b/source/steward/weightinstaller.cpp
@@ -28,9 +28,10 @@
 } // namespace
 
 WeightInstaller::WeightInstaller(const asio::any_io_executor &executor, InstallerOptions options,
-                                 ReplicaHooks replica, MailboxPtr<WeightCommand> weights, Log log)
+                                 ReplicaHooks replica, MailboxPtr<WeightCommand> weights,
+                                 ReadReplicas readReplicas, Log log)
     : m_executor(executor), m_options(std::move(options)), m_replica(std::move(replica)),
-      m_weights(std::move(weights)), m_log(std::move(log)),
+      m_weights(std::move(weights)), m_readReplicas(std::move(readReplicas)), m_log(std::move(log)),
       m_mailbox(makeMailbox<InstallerCommand>(executor, mailboxCapacity))
 { }
 
@@ -52,7 +53,33 @@
 
 void WeightInstaller::apply(const InstallerNamed &command)
 {
-    m_named.emplace(command.version, command.at);
+    const bool isNew = m_named.emplace(command.version, command.at).second;
+    if (isNew) {
+        asio::co_spawn(m_executor, [self = shared_from_this()] { return self->askMembers(); },
+                       asio::detached);
+    }
+}
+
+Awaitable<void> WeightInstaller::askMembers()
+{
+    const Outcome<std::vector<ReplicaEntry>> read = co_await m_readReplicas();
+    if (const Failure *failure = failureOf(read)) {
+        m_log.warning("weights.members-unknown", {{"reason", failure->detail}});
+        co_return;
+    }
+    InstallerMembers known;
+    for (const ReplicaEntry &entry : std::get<std::vector<ReplicaEntry>>(read)) {
+        if (entry.service == m_options.service) {
+            known.members.push_back(agentBeside(entry.address));
+        }
+    }
+    InstallerCommand command = std::move(known);
+    co_await m_mailbox->send(std::move(command));
+}
+
+void WeightInstaller::apply(const InstallerMembers &command)
+{
+    m_members = command.members;
 }
 
 void WeightInstaller::apply(const HeldVersion &command)
@@ -165,7 +192,7 @@
         return true;
     }
     const Duration turn =
-            rolloutTurn(m_held->members, m_options.self, m_version, m_options.rollout);
+            rolloutTurn(m_members, m_options.self, m_version, m_options.rollout);
     return now >= oldest->second + turn;
 }
 
--- a/source/steward/weightinstaller.h
+++ b/source/steward/weightinstaller.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "steward/versionfetcher.h"
+#include "exchange/versionfetcher.h"
 
 namespace greengageseam {
 
@@ -28,29 +28,41 @@
     Settled result;
 };
 
+/** The agents whose backend servers run the same weights. */
+struct InstallerMembers
+{
+    std::vector<InstanceId> members;
+};
+
 /** Time passes. */
 struct InstallerTick
 { };
 
 /** Messages to the installer. */
 using InstallerCommand = std::variant<InstallerNamed, HeldVersion, InstallerReport,
-                                      InstallerStepDone, InstallerTick>;
+                                      InstallerStepDone, InstallerMembers, InstallerTick>;
 
 /** What the installer is told at its start. */
 struct InstallerOptions
 {
     /** Name of this agent among those whose backend servers run the same weights. */
     InstanceId self;
+    /** The service of the backend server beside this agent. */
+    ServiceName service;
     RolloutOptions rollout;
 };
 
+/** Hook that reads the list of backend servers. */
+using ReadReplicas = std::function<Awaitable<Outcome<std::vector<ReplicaEntry>>>()>;
+
 /** Stages, verifies and orders. */
 class WeightInstaller : public std::enable_shared_from_this<WeightInstaller>
 {
 public:
     /** @param weights the task that holds the weights */
     WeightInstaller(const asio::any_io_executor &executor, InstallerOptions options,
-                    ReplicaHooks replica, MailboxPtr<WeightCommand> weights, Log log);
+                    ReplicaHooks replica, MailboxPtr<WeightCommand> weights,
+                    ReadReplicas readReplicas, Log log);
 
     /** @returns where to send commands */
     const MailboxPtr<InstallerCommand> &mailbox() const { return m_mailbox; }
@@ -65,7 +77,9 @@
     void apply(const HeldVersion &command);
     void apply(const InstallerReport &command);
     void apply(const InstallerStepDone &command);
+    void apply(const InstallerMembers &command);
     void apply(const InstallerTick &command);
+    Awaitable<void> askMembers();
     void advance();
     void begin(Stage stage);
     void enter(Stage stage);
@@ -81,6 +95,7 @@
     InstallerOptions m_options;
     ReplicaHooks m_replica;
     MailboxPtr<WeightCommand> m_weights;
+    ReadReplicas m_readReplicas;
     Log m_log;
     MailboxPtr<InstallerCommand> m_mailbox;
     /** When each version was named. */
@@ -88,6 +103,8 @@
     std::optional<ReplicaReport> m_report;
     /** The newest version that is held. */
     std::optional<HeldVersion> m_held;
+    /** Whose turns there are; nothing while it is not known. */
+    std::vector<InstanceId> m_members;
     /** Version that m_stage is about. */
     std::uint64_t m_version = 0;
     Stage m_stage = Stage::Idle;
