--- a/source/core/fleet/rollout.h
+++ b/source/core/fleet/rollout.h
@@ -16,7 +16,7 @@
     /** The first engine takes the weights over. */
     Duration first = std::chrono::milliseconds(2500);
     /** The last engine has begun to take them over. */
-    Duration last = std::chrono::milliseconds(6300);
+    Duration last = std::chrono::milliseconds(6800);
 
     auto operator<=>(const RolloutOptions &) const = default;
 };
--- a/source/steward/steward.cpp
+++ b/source/steward/steward.cpp
@@ -11,9 +11,9 @@
 constexpr auto retellAfter = std::chrono::milliseconds(400);
 constexpr auto finishLimit = std::chrono::seconds(1);
 /** Share of the machine's link that weights may use beside the answers of the backend server. */
-constexpr double linkShare = 0.72;
+constexpr double linkShare = 0.95;
 /** Chunks that are read at a time; what is on its way delays the answers on the same link. */
-constexpr std::uint32_t maxFetches = 4;
+constexpr std::uint32_t maxFetches = 2;
 constexpr double bytesPerMegabit = 125'000;
 
 } // namespace
