Entries learn from agents that a newer configuration is there, and know each other by them

Entries forgot each other every five seconds. Ruled out: the store (other processes read in time), the decoder. An agent's report now carries the configuration's version and a checksum of the entries; a lag is read up at once.

--- a/source/core/fleet/entrysites.cpp
+++ b/source/core/fleet/entrysites.cpp
@@ -10,6 +10,16 @@
     m_hasChanged = m_hasChanged || isNew;
 }
 
+void EntrySites::confirm(std::uint64_t checksum, Instant now)
+{
+    if (checksum != this->checksum()) {
+        return;
+    }
+    for (auto &[site, heardAt] : m_heard) {
+        heardAt = now;
+    }
+}
+
 bool EntrySites::settle(Instant now)
 {
     const std::size_t forgotten = std::erase_if(
--- a/source/core/fleet/entrysites.h
+++ b/source/core/fleet/entrysites.h
@@ -32,6 +32,8 @@
 
     /** An entry was heard of. */
     void hear(const EntrySite &site, Instant now);
+    /** Somebody else knows of the same sites, by their checksum. */
+    void confirm(std::uint64_t checksum, Instant now);
     /** Time passes. @returns whether the sites have changed since the last call */
     bool settle(Instant now);
     /** @returns the sites, by their instances' names */
--- a/source/core/fleet/loadbook.h
+++ b/source/core/fleet/loadbook.h
@@ -27,6 +27,10 @@
     std::uint32_t running = 0;
     /** Above 1 the backend server works more slowly than it should. */
     double pace = 1;
+    /** Checksum of the entries that the agent knows of. */
+    std::uint64_t entriesKnown = 0;
+    /** Version of the configuration that is in force at the agent. */
+    std::uint64_t configVersion = 0;
 
     auto operator<=>(const LoadReport &) const = default;
 };
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /** Pause between two reads of the list of backend servers. */
-constexpr auto listPause = std::chrono::milliseconds(650);
+constexpr auto listPause = std::chrono::milliseconds(600);
 /** The balancer takes two misses, a second apart, to send nothing more. */
 constexpr auto balancerNotice = std::chrono::milliseconds(2600);
 constexpr auto lastCheck = std::chrono::milliseconds(50);
@@ -54,9 +54,9 @@
     m_control = std::make_shared<HttpServer>(m_executor, HttpServerOptions(), handler, m_log);
     BOOST_LEAF_CHECK(m_control->listen(metrics));
 
+    makeFeeds();
     BOOST_LEAF_CHECK(startLoads());
     BOOST_LEAF_CHECK(startExchange());
-    makeFeeds();
     m_dispatcher->start();
     m_operator->start();
     m_replicas->start();
@@ -71,6 +71,7 @@
 {
     LoadListenerHooks hooks;
     hooks.report = [this](const LoadReport &report) {
+        m_operator->hearOf(report.configVersion);
         m_dispatcher->mailbox()->post(LoadHeard {report});
     };
     hooks.entries = [this](const std::vector<EntrySite> &entries) {
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -79,6 +79,7 @@
 void LoadListener::take(const Datagram &datagram)
 {
     if (const auto *report = std::get_if<LoadReport>(&datagram)) {
+        m_entries.confirm(report->entriesKnown, monotonicNow());
         m_hooks.report(*report);
     } else if (const auto *seen = std::get_if<EntriesSeen>(&datagram)) {
         const Instant now = monotonicNow();
--- a/source/edge/storefeeds.cpp
+++ b/source/edge/storefeeds.cpp
@@ -2,100 +2,44 @@
 
 #include "net/clock.h"
 
-#include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace greengageseam {
 
 namespace {
 
-constexpr auto firstBackoff = std::chrono::milliseconds(100);
-constexpr auto longestBackoff = std::chrono::milliseconds(800);
 constexpr auto operatorWait = std::chrono::seconds(25);
 
-Awaitable<void> sleepFor(asio::any_io_executor executor, Duration time)
-{
-    asio::steady_timer timer(executor, time);
-    co_await timer.async_wait(asTuple);
-}
-
-/** @returns a pause of a share from 0.5 to 1, so that processes do not come all at once */
-Duration spread(Duration time)
-{
-    constexpr std::uint64_t steps = 1024;
-    const auto share = static_cast<std::int64_t>(steps + randomNumber() % steps);
-    return time * share / static_cast<std::int64_t>(2 * steps);
-}
-
 } // namespace
 
-Awaitable<void> followTopic(asio::any_io_executor executor, TopicFollower follower)
-{
-    std::optional<std::uint64_t> next;
-    bool isLost = false;
-    Duration backoff = firstBackoff;
-    while (true) {
-        std::optional<Failure> failure;
-        if (!next) {
-            const Outcome<KeyedSnapshot> read = co_await follower.reader.snapshot();
-            if (failureOf(read) != nullptr) {
-                failure = *failureOf(read);
-            } else {
-                next = std::get<KeyedSnapshot>(read).end;
-                follower.whole(std::get<KeyedSnapshot>(read));
-            }
-        } else {
-            const Outcome<KeyedTail> read = co_await follower.reader.tail(*next, follower.wait);
-            if (failureOf(read) != nullptr) {
-                failure = *failureOf(read);
-            } else {
-                next = std::get<KeyedTail>(read).next;
-                follower.added(std::get<KeyedTail>(read));
-            }
-        }
-        if (failure && failure->kind != ErrorKind::PlatformUnavailable) {
-            follower.log.warning("store.reread",
-                                 {{"topic", follower.name}, {"reason", failure->detail}});
-            next.reset();
-        }
-        if (failure.has_value() != isLost) {
-            isLost = failure.has_value();
-            follower.log.info(isLost ? "store.lost" : "store.regained",
-                              {{"topic", follower.name}, {"reason", isLost ? failure->detail : ""}});
-        }
-        if (failure) {
-            co_await sleepFor(executor, spread(backoff));
-            backoff = std::min<Duration>(backoff * 2, longestBackoff);
-            continue;
-        }
-        backoff = firstBackoff;
-        if (follower.pause > Duration::zero()) {
-            co_await sleepFor(executor, follower.pause);
-        }
-    }
-}
-
 OperatorFeed::OperatorFeed(const asio::any_io_executor &executor, TopicReader reader,
                            OperatorHooks hooks, Log log)
-    : m_executor(executor), m_reader(std::move(reader)), m_hooks(std::move(hooks)),
-      m_log(std::move(log))
-{ }
-
-void OperatorFeed::start()
+    : m_hooks(std::move(hooks)), m_log(std::move(log))
 {
-    TopicFollower follower {m_reader, operatorWait, {}, {}, {}, "operator", m_log};
-    follower.whole = [self = shared_from_this()](const KeyedSnapshot &snapshot) {
+    FollowHooks follow;
+    follow.whole = [this](const KeyedSnapshot &snapshot) {
         for (const KeyedRecord &record : snapshot.records) {
-            self->take(record, true);
+            take(record, true);
         }
     };
-    follower.added = [self = shared_from_this()](const KeyedTail &tail) {
+    follow.added = [this](const KeyedTail &tail) {
         for (const KeyedRecord &record : tail.records) {
-            self->take(record, false);
+            take(record, false);
         }
     };
-    asio::co_spawn(m_executor, followTopic(m_executor, std::move(follower)), asio::detached);
+    const FollowOptions options {"operator", operatorWait, {}};
+    m_follower = std::make_shared<TopicFollower>(executor, std::move(reader), options, follow,
+                                                 m_log);
+}
+
+void OperatorFeed::start()
+{
+    m_follower->start();
+}
+
+void OperatorFeed::hearOf(std::uint64_t version)
+{
+    if (version > m_version) {
+        m_follower->mailbox()->post(ReadNow {});
+    }
 }
 
 void OperatorFeed::take(const KeyedRecord &record, bool isOld)
@@ -137,20 +81,19 @@
 
 ReplicaFeed::ReplicaFeed(const asio::any_io_executor &executor, TopicReader reader,
                          ReplicaHooksOfFeed hooks, Duration pause, Log log)
-    : m_executor(executor), m_reader(std::move(reader)), m_hooks(std::move(hooks)), m_pause(pause),
-      m_log(std::move(log))
-{ }
+    : m_hooks(std::move(hooks)), m_log(std::move(log))
+{
+    FollowHooks follow;
+    follow.whole = [this](const KeyedSnapshot &snapshot) { takeWhole(snapshot); };
+    follow.added = [this](const KeyedTail &tail) { takeAdded(tail); };
+    const FollowOptions options {"replicas", {}, pause};
+    m_follower = std::make_shared<TopicFollower>(executor, std::move(reader), options, follow,
+                                                 m_log);
+}
 
 void ReplicaFeed::start()
 {
-    TopicFollower follower {m_reader, {}, m_pause, {}, {}, "replicas", m_log};
-    follower.whole = [self = shared_from_this()](const KeyedSnapshot &snapshot) {
-        self->takeWhole(snapshot);
-    };
-    follower.added = [self = shared_from_this()](const KeyedTail &tail) {
-        self->takeAdded(tail);
-    };
-    asio::co_spawn(m_executor, followTopic(m_executor, std::move(follower)), asio::detached);
+    m_follower->start();
 }
 
 void ReplicaFeed::takeWhole(const KeyedSnapshot &snapshot)
--- a/source/edge/storefeeds.h
+++ b/source/edge/storefeeds.h
@@ -4,10 +4,9 @@
 #pragma once
 
 #include "core/fleet/fleet.h"
+#include "edge/topicfollower.h"
 #include "net/log.h"
-#include "net/mailbox.h"
 #include "net/metrics.h"
-#include "net/storehooks.h"
 
 #include <functional>
 
@@ -30,36 +29,6 @@
     std::function<void(const NamedVersion &named, bool isOld)> named;
 };
 
-/** How the records of a topic are read. */
-struct TopicReader
-{
-    ReadSnapshot snapshot;
-    ReadTail tail;
-};
-
-/**
- * Follows one topic: reads it whole, then what is added, and again whole if that was deleted.
- * Used by the feeds below.
- */
-struct TopicFollower
-{
-    TopicReader reader;
-    /** How long the store waits for news. */
-    Duration wait {};
-    /** Pause between two reads. */
-    Duration pause {};
-    /** Told of the whole topic. */
-    std::function<void(const KeyedSnapshot &snapshot)> whole;
-    /** Told of what was added, even if that is nothing. */
-    std::function<void(const KeyedTail &tail)> added;
-    /** Name of the topic in the log. */
-    std::string name;
-    Log log;
-};
-
-/** Follows a topic until the process ends. */
-Awaitable<void> followTopic(asio::any_io_executor executor, TopicFollower follower);
-
 /** Follows what the operator writes. */
 class OperatorFeed : public std::enable_shared_from_this<OperatorFeed>
 {
@@ -69,14 +38,15 @@
 
     /** Starts the task. */
     void start();
+    /** Somebody knows of a configuration; reads on if it is newer than the one in force here. */
+    void hearOf(std::uint64_t version);
 
 private:
     void take(const KeyedRecord &record, bool isOld);
 
-    asio::any_io_executor m_executor;
-    TopicReader m_reader;
     OperatorHooks m_hooks;
     Log m_log;
+    std::shared_ptr<TopicFollower> m_follower;
     std::uint64_t m_version = 0;
     std::map<ModelName, std::uint64_t> m_named;
 };
@@ -108,11 +78,9 @@
     void tell(const ReplicaNews &news);
     void publish();
 
-    asio::any_io_executor m_executor;
-    TopicReader m_reader;
     ReplicaHooksOfFeed m_hooks;
-    Duration m_pause;
     Log m_log;
+    std::shared_ptr<TopicFollower> m_follower;
     ReplicaBook m_book;
     std::vector<ReplicaEntry> m_published;
     bool m_isPublished = false;
--- /dev/null
+++ b/source/edge/topicfollower.cpp
@@ -0,0 +1,162 @@
+#include "edge/topicfollower.h"
+
+#include "net/clock.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr std::size_t mailboxCapacity = 64;
+constexpr auto firstBackoff = std::chrono::milliseconds(80);
+constexpr auto longestBackoff = std::chrono::milliseconds(800);
+
+/** @returns a share from 0.5 to 1 of the time, so that processes do not come all at once */
+Duration spread(Duration time)
+{
+    constexpr std::uint64_t steps = 1024;
+    const auto share = static_cast<std::int64_t>(steps + randomNumber() % steps);
+    return time * share / static_cast<std::int64_t>(2 * steps);
+}
+
+} // namespace
+
+TopicFollower::TopicFollower(const asio::any_io_executor &executor, TopicReader reader,
+                             FollowOptions options, FollowHooks hooks, Log log)
+    : m_executor(executor), m_reader(std::move(reader)), m_options(std::move(options)),
+      m_hooks(std::move(hooks)), m_log(std::move(log)),
+      m_mailbox(makeMailbox<FollowCommand>(executor, mailboxCapacity)), m_backoff(firstBackoff)
+{ }
+
+void TopicFollower::start()
+{
+    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->run(); }, asio::detached);
+    m_mailbox->post(ReadDue {});
+}
+
+Awaitable<void> TopicFollower::run()
+{
+    while (std::optional<FollowCommand> command = co_await m_mailbox->receive()) {
+        std::visit([this](const auto &message) { apply(message); }, *command);
+    }
+}
+
+void TopicFollower::apply(const ReadDue &)
+{
+    asio::co_spawn(
+            m_executor,
+            [self = shared_from_this()] {
+                return self->m_next
+                        ? self->readTail(*self->m_next, self->m_options.wait, false)
+                        : self->readSnapshot();
+            },
+            asio::detached);
+}
+
+void TopicFollower::apply(const ReadNow &)
+{
+    if (!m_next || m_isExtraInProgress) {
+        return;
+    }
+    m_isExtraInProgress = true;
+    m_log.info("store.read-besides", {{"topic", m_options.name}, {"from", *m_next}});
+    asio::co_spawn(
+            m_executor,
+            [self = shared_from_this(), from = *m_next] { return self->readTail(from, {}, true); },
+            asio::detached);
+}
+
+Awaitable<void> TopicFollower::readSnapshot()
+{
+    Outcome<KeyedSnapshot> snapshot = co_await m_reader.snapshot();
+    FollowCommand command = SnapshotRead {std::move(snapshot)};
+    co_await m_mailbox->send(std::move(command));
+}
+
+Awaitable<void> TopicFollower::readTail(std::uint64_t from, Duration wait, bool isExtra)
+{
+    Outcome<KeyedTail> tail = co_await m_reader.tail(from, wait);
+    FollowCommand command = TailRead {from, isExtra, std::move(tail)};
+    co_await m_mailbox->send(std::move(command));
+}
+
+void TopicFollower::apply(const SnapshotRead &command)
+{
+    const Failure *failure = failureOf(command.snapshot);
+    if (failure == nullptr) {
+        const auto &snapshot = std::get<KeyedSnapshot>(command.snapshot);
+        m_next = snapshot.end;
+        m_hooks.whole(snapshot);
+    }
+    note(failure);
+    readLater(failure != nullptr);
+}
+
+void TopicFollower::apply(const TailRead &command)
+{
+    const Failure *failure = failureOf(command.tail);
+    if (failure == nullptr) {
+        takeTail(command);
+    } else if (failure->kind != ErrorKind::PlatformUnavailable) {
+        m_log.warning("store.reread", {{"topic", m_options.name}, {"reason", failure->detail}});
+        m_next.reset();
+    }
+    if (command.isExtra) {
+        m_isExtraInProgress = false;
+        return;
+    }
+    note(failure);
+    readLater(failure != nullptr);
+}
+
+/** Two reads may bring the same records; those known already are left out. */
+void TopicFollower::takeTail(const TailRead &command)
+{
+    if (!m_next || command.from > *m_next) {
+        return;
+    }
+    KeyedTail tail = std::get<KeyedTail>(command.tail);
+    const std::uint64_t known = *m_next - command.from;
+    const auto n = static_cast<std::ptrdiff_t>(
+            std::min<std::uint64_t>(known, tail.records.size()));
+    tail.records.erase(tail.records.begin(), tail.records.begin() + n);
+    m_next = std::max(*m_next, tail.next);
+    m_hooks.added(tail);
+}
+
+void TopicFollower::note(const Failure *failure)
+{
+    const bool isLost = failure != nullptr;
+    if (isLost == m_isLost) {
+        return;
+    }
+    m_isLost = isLost;
+    m_log.info(isLost ? "store.lost" : "store.regained",
+               {{"topic", m_options.name}, {"reason", isLost ? failure->detail : ""}});
+}
+
+void TopicFollower::readLater(bool hasFailed)
+{
+    const Duration pause = hasFailed ? spread(m_backoff) : m_options.pause;
+    m_backoff = hasFailed ? std::min<Duration>(m_backoff * 2, longestBackoff)
+                          : Duration(firstBackoff);
+    if (pause <= Duration::zero()) {
+        m_mailbox->post(ReadDue {});
+        return;
+    }
+    asio::co_spawn(
+            m_executor, [self = shared_from_this(), pause] { return self->sleep(pause); },
+            asio::detached);
+}
+
+Awaitable<void> TopicFollower::sleep(Duration time)
+{
+    asio::steady_timer timer(m_executor, time);
+    co_await timer.async_wait(asTuple);
+    m_mailbox->post(ReadDue {});
+}
+
+} // namespace greengageseam
--- a/source/net/keptclient.cpp
+++ b/source/net/keptclient.cpp
@@ -21,7 +21,8 @@
     : m_executor(executor), m_address(std::move(address)), m_limit(limit), m_maxBytes(maxBytes)
 { }
 
-Awaitable<Outcome<HttpResponse>> KeptClient::call(HttpRequest request, bool isRepeatable)
+Awaitable<Outcome<HttpResponse>> KeptClient::call(HttpRequest request, bool isRepeatable,
+                                                 Duration wait)
 {
     const auto self = shared_from_this();
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\nHost: "
@@ -38,14 +39,16 @@
     if (!isKept) {
         m_connection.reset();
     }
-    Outcome<HttpResponse> answer = co_await callOnce(text);
+    m_isBusy = true;
+    Outcome<HttpResponse> answer = co_await callOnce(text, wait);
     if (failureOf(answer) != nullptr && isKept && isRepeatable) {
-        answer = co_await callOnce(text);
+        answer = co_await callOnce(text, wait);
     }
+    m_isBusy = false;
     co_return answer;
 }
 
-Awaitable<Outcome<HttpResponse>> KeptClient::callOnce(const std::string &text)
+Awaitable<Outcome<HttpResponse>> KeptClient::callOnce(const std::string &text, Duration wait)
 {
     if (!m_connection) {
         const auto endpoint = settle([&] { return parseEndpoint(m_address); });
@@ -67,7 +70,7 @@
     if (sent != WireEnd::Done) {
         co_return failureAt(m_address, ErrorKind::OutcomeUnknown, "broken while sending");
     }
-    WireRead<WireHead> head = co_await connection->readHead(false, m_limit);
+    WireRead<WireHead> head = co_await connection->readHead(false, m_limit + wait);
     if (head.end != WireEnd::Done) {
         co_return failureAt(m_address, ErrorKind::OutcomeUnknown, "no answer");
     }
--- a/source/net/keptclient.h
+++ b/source/net/keptclient.h
@@ -18,18 +18,24 @@
     /**
      * Makes a call. One that may be repeated is made again on a new connection if a kept one turns
      * out to be dead.
+     * @param wait how much longer than the limit the answer may take to begin
      * @returns the response, NoBackendServer if nothing was sent, or OutcomeUnknown
      */
-    Awaitable<Outcome<HttpResponse>> call(HttpRequest request, bool isRepeatable);
+    Awaitable<Outcome<HttpResponse>> call(HttpRequest request, bool isRepeatable,
+                                          Duration wait = {});
+
+    /** @returns whether a call is in progress */
+    bool isBusy() const { return m_isBusy; }
 
 private:
-    Awaitable<Outcome<HttpResponse>> callOnce(const std::string &text);
+    Awaitable<Outcome<HttpResponse>> callOnce(const std::string &text, Duration wait);
 
     asio::any_io_executor m_executor;
     Address m_address;
     Duration m_limit;
     std::size_t m_maxBytes;
     HttpConnectionPtr m_connection;
+    bool m_isBusy = false;
 };
 
 } // namespace greengageseam
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -52,6 +52,8 @@
     body.waiting = static_cast<std::int32_t>(report.waiting);
     body.running = static_cast<std::int32_t>(report.running);
     body.pace = static_cast<std::int32_t>(std::lround(std::min(report.pace, highestPace) * paceUnits));
+    body.known = static_cast<std::int64_t>(report.entriesKnown);
+    body.config = static_cast<std::int64_t>(report.configVersion);
     frame.__set_loadSeen(body);
     return frame;
 }
@@ -109,6 +111,8 @@
     report.waiting = static_cast<std::uint32_t>(seen.waiting);
     report.running = static_cast<std::uint32_t>(seen.running);
     report.pace = seen.pace / paceUnits;
+    report.entriesKnown = static_cast<std::uint64_t>(seen.known);
+    report.configVersion = static_cast<std::uint64_t>(seen.config);
     return Datagram(std::move(report));
 }
 
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -286,6 +286,10 @@
   6: i32 running;
   /** In thousandths. */
   7: i32 pace;
+  /** Checksum of the entries that the sender knows of. */
+  8: i64 known;
+  /** Version of the configuration that is in force at the sender. */
+  9: i64 config;
 }
 
 /** One datagram. */
--- a/source/steward/loadteller.cpp
+++ b/source/steward/loadteller.cpp
@@ -77,6 +77,7 @@
 Awaitable<void> LoadTeller::tell()
 {
     while (std::optional<LoadReport> report = co_await m_mailbox->receive()) {
+        report->entriesKnown = m_sites.checksum();
         m_last = *report;
         const Instant now = monotonicNow();
         std::erase_if(m_entries,
--- a/source/steward/steward.cpp
+++ b/source/steward/steward.cpp
@@ -75,8 +75,9 @@
 void Steward::makeFeed()
 {
     OperatorHooks hooks = m_adapter.operatorHooks;
-    hooks.config = [mailbox = m_exchange->fetcher()](const RouteTablePtr &table) {
-        mailbox->post(FetcherRoutes {table});
+    hooks.config = [this](const RouteTablePtr &table) {
+        m_configVersion = table->config().version;
+        m_exchange->fetcher()->post(FetcherRoutes {table});
     };
     hooks.named = [this](const NamedVersion &named, bool isOld) {
         // What was named before this process followed is taken over without waiting for a turn.
@@ -102,6 +103,7 @@
     load.waiting = report->waiting;
     load.running = report->running;
     load.pace = report->pace;
+    load.configVersion = m_configVersion;
     const Instant now = monotonicNow();
     if (m_told && *m_told == load && now - m_toldAt < retellAfter) {
         return;
