--- a/source/core/fleet/loadbook.cpp
+++ b/source/core/fleet/loadbook.cpp
@@ -15,6 +15,15 @@
 constexpr double waitShare = 0.35;
 /** Time for which a backend server that rejected a request is left alone. */
 constexpr auto restAfterRejection = std::chrono::milliseconds(60);
+/** The same for one that is not what it was taken for, until better is known of it. */
+constexpr auto restAfterMisdirection = std::chrono::milliseconds(700);
+/** Time in which the memory of late answers fades to a third. */
+constexpr double lateFadeMs = 1500;
+/** Share of a new answer in that memory. */
+constexpr double lateWeight = 0.3;
+/** Time to the beginning of an answer that is usual beyond the wait. */
+constexpr double usualAnswerMs = 130;
+constexpr double longestLateMs = 3000;
 /** Requests beyond the slots that a plain service may have waiting. */
 constexpr std::uint32_t plainQueue = 6;
 
@@ -79,7 +88,10 @@
 
 bool LoadBook::isUsable(const Known &known, std::uint64_t oldestWeights, Instant now) const
 {
-    if (known.entry.isDraining || known.health.at(now).isEjected()) {
+    // A backend server that has started again under the same address has another id.
+    const bool isReplaced = known.report && known.entry.bornMs != 0
+            && known.report->bornMs > known.entry.bornMs;
+    if (known.entry.isDraining || isReplaced || known.health.at(now).isEjected()) {
         return false;
     }
     if (!m_engines.contains(known.entry.service)) {
@@ -168,7 +180,7 @@
             || !hasRoom(known, wish, now)) {
             continue;
         }
-        const double cost = waitMs(known, now) + penaltyMs(known);
+        const double cost = waitMs(known, now) + penaltyMs(known) + lateMs(known, now);
         if (best == nullptr || cost < bestCost) {
             best = &known;
             bestCost = cost;
@@ -182,7 +194,22 @@
     return best->entry;
 }
 
-void LoadBook::ended(const ReplicaId &id, ReplicaVerdict verdict, Instant now)
+double LoadBook::lateMs(const Known &known, Instant now) const
+{
+    const double ageMs = std::chrono::duration<double, std::milli>(now - known.lateAt).count();
+    return known.lateMs * std::exp(-ageMs / lateFadeMs);
+}
+
+void LoadBook::noteAnswer(Known &known, Duration answeredAfter, Instant now)
+{
+    const double took = std::chrono::duration<double, std::milli>(answeredAfter).count();
+    const double late = std::clamp(took - usualAnswerMs - waitMs(known, now), 0.0, longestLateMs);
+    known.lateMs = lateMs(known, now) * (1 - lateWeight) + late * lateWeight;
+    known.lateAt = now;
+}
+
+void LoadBook::ended(const ReplicaId &id, ReplicaVerdict verdict,
+                     std::optional<Duration> answeredAfter, Instant now)
 {
     const auto it = m_known.find(id);
     if (it == m_known.end()) {
@@ -191,14 +218,19 @@
     Known &known = it->second;
     known.own -= known.own > 0 ? 1 : 0;
     known.ownAtReport -= known.ownAtReport > 0 ? 1 : 0;
+    if (answeredAfter) {
+        noteAnswer(known, *answeredAfter, now);
+    }
     switch (verdict) {
     case ReplicaVerdict::Answered:
         known.health = known.health.succeeded(m_options.health);
         break;
     case ReplicaVerdict::Full:
-    case ReplicaVerdict::Misdirected:
         known.restUntil = now + restAfterRejection;
         break;
+    case ReplicaVerdict::Misdirected:
+        known.restUntil = now + restAfterMisdirection;
+        break;
     case ReplicaVerdict::Failed:
         known.health = known.health.failed(now, m_options.health);
         break;
--- a/source/core/fleet/loadbook.h
+++ b/source/core/fleet/loadbook.h
@@ -29,8 +29,8 @@
     double pace = 1;
     /** Checksum of the entries that the agent knows of. */
     std::uint64_t entriesKnown = 0;
-    /** Version of the configuration that is in force at the agent. */
-    std::uint64_t configVersion = 0;
+    /** What the agent has heard of the operator's doings; grows with each of them. */
+    std::uint64_t news = 0;
 
     auto operator<=>(const LoadReport &) const = default;
 };
@@ -103,8 +103,12 @@
 
     /** Chooses a backend server and counts the request there. @returns nothing if none has room */
     std::optional<ReplicaEntry> take(const ReplicaWish &wish, Instant now, std::uint64_t random);
-    /** Counts an attempt as ended. */
-    void ended(const ReplicaId &id, ReplicaVerdict verdict, Instant now);
+    /**
+     * Counts an attempt as ended.
+     * @param answeredAfter time from the send to the beginning of the answer, if there was one
+     */
+    void ended(const ReplicaId &id, ReplicaVerdict verdict, std::optional<Duration> answeredAfter,
+               Instant now);
 
     /** @returns the version of the weights that a backend server is believed to run, or 0 */
     std::uint64_t weights(const ReplicaId &id, Instant now) const;
@@ -128,6 +132,9 @@
         std::uint32_t ownAtReport = 0;
         /** It rejected a request; nothing is sent to it before. */
         Instant restUntil;
+        /** How much later than expected answers began of late, in milliseconds. */
+        double lateMs = 0;
+        Instant lateAt;
     };
 
     bool isUsable(const Known &known, std::uint64_t oldestWeights, Instant now) const;
@@ -138,6 +145,8 @@
     double slotMs(const ServiceName &service) const;
     double waitMs(const Known &known, Instant now) const;
     double penaltyMs(const Known &known) const;
+    double lateMs(const Known &known, Instant now) const;
+    void noteAnswer(Known &known, Duration answeredAfter, Instant now);
     bool hasRoom(const Known &known, const ReplicaWish &wish, Instant now) const;
 
     LoadBookOptions m_options;
--- a/source/core/weights/transferplan.cpp
+++ b/source/core/weights/transferplan.cpp
@@ -11,8 +11,12 @@
 
 namespace {
 
-constexpr auto minPatience = std::chrono::seconds(2);
-constexpr int shareFactor = 2;
+constexpr auto minPatience = std::chrono::milliseconds(600);
+/** Owners may take so many percent of the time in which the longest share should be read. */
+constexpr int sharePercent = 120;
+constexpr int percent = 100;
+/** A chunk that takes longer fills the link, which others use as well. */
+constexpr auto slowChunk = std::chrono::milliseconds(150);
 /** Chunks in a step of what a peer has served. */
 constexpr std::uint64_t chunksPerServedStep = 2;
 constexpr std::uint32_t manifestPeerTries = 20;
@@ -143,8 +147,13 @@
     if (m_reading.size() >= m_options.maxFetches || m_pace.wait() > Duration::zero()) {
         return;
     }
+    if (isLinkSlow() && !m_reading.empty()) {
+        return;
+    }
     for (Wish &wish : wishes(digest, version, now)) {
-        if (m_reading.size() >= m_options.maxFetches || m_pace.wait() > Duration::zero()) {
+        const bool isFull = m_reading.size() >= m_options.maxFetches
+                || (isLinkSlow() && !m_reading.empty());
+        if (isFull || m_pace.wait() > Duration::zero()) {
             return;
         }
         const Chunk &chunk = version.manifest->chunks()[wish.index];
@@ -159,6 +168,14 @@
     }
 }
 
+/** Chunks of the last while were slow, wherever they came from. */
+bool TransferPlanner::isLinkSlow() const
+{
+    return m_options.yieldsWhenSlow && !m_chunkTime.empty()
+            && std::all_of(m_chunkTime.begin(), m_chunkTime.end(),
+                           [](const auto &entry) { return entry.second > slowChunk; });
+}
+
 /** The missing chunks that somebody offers or that are to be read from the origin, rarest first. */
 std::vector<TransferPlanner::Wish>
 TransferPlanner::wishes(const Digest &digest, const Version &version, Instant now) const
@@ -234,7 +251,7 @@
     const auto ownShare =
             static_cast<Duration::rep>(std::max<std::size_t>(1, version.turns.ownShare));
     const auto most = static_cast<Duration::rep>(version.turns.largestShare);
-    const Duration wholeShare = *version.shareTook / ownShare * most * shareFactor;
+    const Duration wholeShare = *version.shareTook / ownShare * most * sharePercent / percent;
     const Duration patience = std::max<Duration>(minPatience, wholeShare);
     state.passes = static_cast<std::uint32_t>((now - version.since) / patience);
     return state;
--- a/source/core/weights/transferplanner.h
+++ b/source/core/weights/transferplanner.h
@@ -21,6 +21,8 @@
     ZoneName storeZone;
     /** Chunks that are read at a time. */
     std::uint32_t maxFetches = 12;
+    /** Whether chunks are read one by one while they are slow, since others use the link. */
+    bool yieldsWhenSlow = false;
     std::uint32_t maxFetchesPerPeer = 2;
     std::uint32_t maxOriginFetches = 2;
     /** Bytes a second that are asked for; 0 is without limit. */
@@ -148,6 +150,7 @@
     void setPhase(const Digest &chunk, ChunkPhase phase);
     ChunkPhase phaseOf(const Digest &chunk) const;
     bool isOriginUsable(Instant now) const;
+    bool isLinkSlow() const;
     bool isFar(const ChunkSource &source) const;
     Duration patienceFor(const ChunkSource &source) const;
 
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -22,7 +22,6 @@
 /** A connection is given up so long before the backend server closes it. */
 constexpr auto idleMargin = std::chrono::milliseconds(800);
 constexpr auto shortestRetryAfter = std::chrono::milliseconds(150);
-constexpr auto longestRetryAfter = std::chrono::milliseconds(1500);
 
 } // namespace
 
@@ -111,15 +110,18 @@
     const Duration turnover = m_loads.turnover(command.wish.service);
     const auto excess = busy.taken > busy.slots ? busy.taken - busy.slots : 0;
     const Duration wait = turnover * static_cast<std::int64_t>(excess + m_waiting.size() + 1) * 2;
+    // Callers wait for a third of the time that they have left, and come back once.
+    const Duration longest = std::max<Duration>(shortestRetryAfter, (command.deadline - now) / 3);
+    const bool isHopeless = kind == ErrorKind::NoBackendServer;
     const Duration retryAfter =
-            std::clamp<Duration>(wait, shortestRetryAfter, longestRetryAfter);
+            isHopeless ? longest : std::clamp<Duration>(wait, shortestRetryAfter, longest);
     command.reply->post(NoReplica {kind, retryAfter});
 }
 
 void Dispatcher::apply(const LeaseEnded &command)
 {
     const Instant now = monotonicNow();
-    m_loads.ended(command.replica, command.verdict, now);
+    m_loads.ended(command.replica, command.verdict, command.answeredAfter, now);
     if (command.connection && command.connection->isReusable()) {
         const Duration kept =
                 command.keptFor ? Duration(*command.keptFor - idleMargin) : Duration(usualIdle);
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -67,6 +67,8 @@
     bool wantsIdle = false;
     /** Longest time to wait for a backend server with room. */
     Instant waitUntil;
+    /** When the caller gives the request up. */
+    Instant deadline;
     MailboxPtr<std::variant<ReplicaLease, NoReplica>> reply;
 };
 
@@ -76,6 +78,8 @@
     ReplicaId replica;
     Address address;
     ReplicaVerdict verdict = ReplicaVerdict::Neutral;
+    /** Time from the send to the beginning of the answer, if there was one. */
+    std::optional<Duration> answeredAfter;
     /** The connection, if it can be used again. */
     HttpConnectionPtr connection;
     /** How long the backend server keeps the connection. */
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+/** How long the store waits for something that the operator does. */
+constexpr auto operatorWait = std::chrono::seconds(25);
 /** Pause between two reads of the list of backend servers. */
 constexpr auto listPause = std::chrono::milliseconds(600);
 /** The balancer takes two misses, a second apart, to send nothing more. */
@@ -54,8 +56,8 @@
     m_control = std::make_shared<HttpServer>(m_executor, HttpServerOptions(), handler, m_log);
     BOOST_LEAF_CHECK(m_control->listen(metrics));
 
-    makeFeeds();
     BOOST_LEAF_CHECK(startLoads());
+    makeFeeds();
     BOOST_LEAF_CHECK(startExchange());
     m_dispatcher->start();
     m_operator->start();
@@ -71,7 +73,7 @@
 {
     LoadListenerHooks hooks;
     hooks.report = [this](const LoadReport &report) {
-        m_operator->hearOf(report.configVersion);
+        m_operator->hearOf(report.news);
         m_dispatcher->mailbox()->post(LoadHeard {report});
     };
     hooks.entries = [this](const std::vector<EntrySite> &entries) {
@@ -96,10 +98,11 @@
     options.secret = m_secret;
     options.linkBytesPerSecond =
             static_cast<std::uint64_t>(m_settings.linkMbps * bytesPerMegabit * linkShare);
+    options.serveBytesPerSecond = options.linkBytesPerSecond;
     options.maxFetches = maxFetches;
     m_exchange = std::make_shared<WeightExchange>(
-            m_executor, options, m_adapter.openOrigin, [](const HeldVersion &) {}, m_metrics,
-            m_log);
+            m_executor, options, m_adapter.openOrigin, ReadStagedPiece(),
+            [](const HeldVersion &) {}, m_metrics, m_log);
     BOOST_LEAF_CHECK(m_exchange->start());
     return m_loads->start();
 }
@@ -121,7 +124,10 @@
         m_dispatcher->mailbox()->post(WeightsNamed {named, at});
         m_exchange->fetcher()->post(FetcherNamed {named});
     };
-    m_operator = std::make_shared<OperatorFeed>(m_executor, m_adapter.operatorTopic, hooks, m_log);
+    hooks.readUpTo = [this](std::uint64_t offset) { m_loads->mailbox()->post(NewsRead {offset}); };
+    const FollowOptions follow {"operator", operatorWait, {}};
+    m_operator = std::make_shared<OperatorFeed>(m_executor, m_adapter.operatorTopic, follow, hooks,
+                                                m_log);
 
     ReplicaHooksOfFeed feed;
     feed.decode = m_adapter.decodeReplica;
@@ -138,15 +144,20 @@
     m_entries = std::move(entries);
     AgentsKnown agents;
     FetcherLoaded loaded;
+    FetcherAgents holders;
     for (const ReplicaEntry &entry : m_entries) {
         const Service *service = m_table ? m_table->service(entry.service) : nullptr;
         if (service != nullptr && service->engine) {
             agents.backends.push_back(entry.address);
             loaded.versions.insert(entry.loaded.wholeVersion());
+            const InstanceId agent = agentBeside(entry.address);
+            const std::string address = agent.text() + ":" + std::to_string(m_settings.firstPort);
+            holders.agents.push_back({agent, entry.zone, Address(address)});
         }
     }
     m_loads->mailbox()->post(std::move(agents));
     m_exchange->fetcher()->post(std::move(loaded));
+    m_exchange->fetcher()->post(std::move(holders));
     m_dispatcher->mailbox()->post(ReplicasChanged {m_entries});
 }
 
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -23,7 +23,7 @@
                            std::uint16_t port, LoadListenerHooks hooks, Log log)
     : m_executor(executor), m_self(std::move(self)), m_port(port),
       m_hooks(std::move(hooks)), m_log(std::move(log)),
-      m_mailbox(makeMailbox<AgentsKnown>(executor, mailboxCapacity)), m_socket(executor),
+      m_mailbox(makeMailbox<ListenerCommand>(executor, mailboxCapacity)), m_socket(executor),
       m_entries(entryLifetime)
 { }
 
@@ -46,20 +46,31 @@
 
 Awaitable<void> LoadListener::learn()
 {
-    while (std::optional<AgentsKnown> known = co_await m_mailbox->receive()) {
-        std::vector<asio::ip::udp::endpoint> agents;
-        for (const Address &backend : known->backends) {
-            const auto endpoint = settle([&] { return parseEndpoint(backend); });
-            if (const auto *tcp = std::get_if<asio::ip::tcp::endpoint>(&endpoint)) {
-                agents.emplace_back(tcp->address(), m_port);
-            }
-        }
-        const bool isNew = agents.size() > m_agents.size();
-        m_agents = std::move(agents);
-        if (isNew) {
-            ask();
+    while (std::optional<ListenerCommand> command = co_await m_mailbox->receive()) {
+        std::visit([this](const auto &message) { apply(message); }, *command);
+    }
+}
+
+void LoadListener::apply(const AgentsKnown &command)
+{
+    std::vector<asio::ip::udp::endpoint> agents;
+    for (const Address &backend : command.backends) {
+        const auto endpoint = settle([&] { return parseEndpoint(backend); });
+        if (const auto *tcp = std::get_if<asio::ip::tcp::endpoint>(&endpoint)) {
+            agents.emplace_back(tcp->address(), m_port);
         }
     }
+    const bool isNew = agents.size() > m_agents.size();
+    m_agents = std::move(agents);
+    if (isNew) {
+        ask();
+    }
+}
+
+void LoadListener::apply(const NewsRead &command)
+{
+    m_news = command.offset;
+    ask();
 }
 
 void LoadListener::ask()
@@ -70,7 +81,7 @@
         m_hooks.entries(m_entries.sites());
     }
     const std::string bytes =
-            encodeDatagram(LoadWanted {m_self.instance, m_self.zone, m_entries.checksum()});
+            encodeDatagram(LoadWanted {m_self.instance, m_self.zone, m_entries.checksum(), m_news});
     for (const auto &agent : m_agents) {
         m_socket.send(bytes, agent);
     }
--- a/source/edge/loadlistener.h
+++ b/source/edge/loadlistener.h
@@ -9,6 +9,7 @@
 #include "protocol/datagramcodec.h"
 
 #include <functional>
+#include <variant>
 #include <vector>
 
 namespace greengageseam {
@@ -19,6 +20,15 @@
     std::vector<Address> backends;
 };
 
+/** What the operator does was read up to an offset, which agents are told. */
+struct NewsRead
+{
+    std::uint64_t offset = 0;
+};
+
+/** Messages to the task. */
+using ListenerCommand = std::variant<AgentsKnown, NewsRead>;
+
 /** What is passed on; the hooks must not wait. */
 struct LoadListenerHooks
 {
@@ -36,13 +46,15 @@
                  LoadListenerHooks hooks, Log log);
 
     /** @returns where to send what is known of agents */
-    const MailboxPtr<AgentsKnown> &mailbox() const { return m_mailbox; }
+    const MailboxPtr<ListenerCommand> &mailbox() const { return m_mailbox; }
     /** Binds the socket and starts the task. */
     Result<void> start();
 
 private:
     Awaitable<void> listen();
     Awaitable<void> learn();
+    void apply(const AgentsKnown &command);
+    void apply(const NewsRead &command);
     void ask();
     void take(const Datagram &datagram);
 
@@ -51,10 +63,11 @@
     std::uint16_t m_port;
     LoadListenerHooks m_hooks;
     Log m_log;
-    MailboxPtr<AgentsKnown> m_mailbox;
+    MailboxPtr<ListenerCommand> m_mailbox;
     DatagramSocket m_socket;
     std::vector<asio::ip::udp::endpoint> m_agents;
     EntrySites m_entries;
+    std::uint64_t m_news = 0;
 };
 
 } // namespace greengageseam
--- a/source/edge/requestrun.cpp
+++ b/source/edge/requestrun.cpp
@@ -19,7 +19,7 @@
 /** Bodies beyond this are sent while the answer is awaited, which may come early. */
 constexpr std::size_t eagerBody = 16 * 1024;
 /** Silence on a stream after which it goes on elsewhere, where it may. */
-constexpr auto streamSilence = std::chrono::milliseconds(1100);
+constexpr auto streamSilence = std::chrono::milliseconds(1500);
 /** Share of the objective for which a request waits for a backend server with room. */
 constexpr double waitShare = 0.3;
 /** Share of the time left for which an answer that may be asked for again is awaited. */
@@ -190,6 +190,7 @@
     ask.wantsIdle = mayRepeat();
     const Duration wait = std::min(scaled(route.objective, waitShare), scaled(left(), waitShare));
     ask.waitUntil = monotonicNow() + wait;
+    ask.deadline = m_deadline;
     ask.reply = reply;
     if (m_context.dispatcher->post(std::move(ask))) {
         auto answer = co_await reply->receive();
@@ -221,6 +222,8 @@
     m_events.beginRun();
     std::string text = m_context.codec.encodeSend(m_request, fields);
     ++m_sends;
+    m_sentAt = monotonicNow();
+    m_answeredAt.reset();
     if (m_request.body.size() > eagerBody) {
         asio::co_spawn(m_context.executor, sendBeside(m_connection, std::move(text), left()),
                        asio::detached);
@@ -324,6 +327,7 @@
         }
         const Instant now = monotonicNow();
         if (events.count > 0) {
+            m_answeredAt = m_answeredAt.value_or(now);
             m_longestGap = m_lastEventAt ? std::max(m_longestGap, now - *m_lastEventAt)
                                          : m_longestGap;
             m_lastEventAt = now;
@@ -364,6 +368,11 @@
     ended.address = lease.replica.address;
     ended.verdict = m_caller.isGone() ? ReplicaVerdict::Neutral : verdictOf(sent.end);
     ended.keptFor = sent.keptFor;
+    if (m_answeredAt) {
+        ended.answeredAfter = *m_answeredAt - m_sentAt;
+    } else if (sent.end == SendEnd::Silent) {
+        ended.answeredAfter = monotonicNow() - m_sentAt;
+    }
     const HttpConnectionPtr connection = m_connection ? m_connection : lease.connection;
     if (connection && connection->isReusable()) {
         ended.connection = connection;
--- a/source/edge/requestrun.h
+++ b/source/edge/requestrun.h
@@ -79,6 +79,9 @@
     std::uint32_t m_sends = 0;
     /** Set once the first event was passed on. */
     std::optional<Instant> m_firstEventAt;
+    Instant m_sentAt;
+    /** Beginning of the answer to the present send. */
+    std::optional<Instant> m_answeredAt;
     std::optional<Instant> m_lastEventAt;
     /** Longest pause between two events so far. */
     Duration m_longestGap {};
--- a/source/edge/storefeeds.cpp
+++ b/source/edge/storefeeds.cpp
@@ -4,14 +4,8 @@
 
 namespace greengageseam {
 
-namespace {
-
-constexpr auto operatorWait = std::chrono::seconds(25);
-
-} // namespace
-
 OperatorFeed::OperatorFeed(const asio::any_io_executor &executor, TopicReader reader,
-                           OperatorHooks hooks, Log log)
+                           FollowOptions options, OperatorHooks hooks, Log log)
     : m_hooks(std::move(hooks)), m_log(std::move(log))
 {
     FollowHooks follow;
@@ -19,13 +13,14 @@
         for (const KeyedRecord &record : snapshot.records) {
             take(record, true);
         }
+        noteOffset(snapshot.end);
     };
     follow.added = [this](const KeyedTail &tail) {
         for (const KeyedRecord &record : tail.records) {
             take(record, false);
         }
+        noteOffset(tail.next);
     };
-    const FollowOptions options {"operator", operatorWait, {}};
     m_follower = std::make_shared<TopicFollower>(executor, std::move(reader), options, follow,
                                                  m_log);
 }
@@ -35,9 +30,17 @@
     m_follower->start();
 }
 
-void OperatorFeed::hearOf(std::uint64_t version)
+void OperatorFeed::noteOffset(std::uint64_t offset)
+{
+    if (offset > m_offset) {
+        m_offset = offset;
+        m_hooks.readUpTo(offset);
+    }
+}
+
+void OperatorFeed::hearOf(std::uint64_t offset)
 {
-    if (version > m_version) {
+    if (offset > m_offset) {
         m_follower->mailbox()->post(ReadNow {});
     }
 }
--- a/source/edge/storefeeds.h
+++ b/source/edge/storefeeds.h
@@ -27,27 +27,32 @@
     std::function<void(RouteTablePtr table)> config;
     /** Weights were named. @p isOld whether that was before this process began to follow */
     std::function<void(const NamedVersion &named, bool isOld)> named;
+    /** The topic was read up to a higher offset. */
+    std::function<void(std::uint64_t offset)> readUpTo;
 };
 
 /** Follows what the operator writes. */
 class OperatorFeed : public std::enable_shared_from_this<OperatorFeed>
 {
 public:
-    OperatorFeed(const asio::any_io_executor &executor, TopicReader reader, OperatorHooks hooks,
-                 Log log);
+    OperatorFeed(const asio::any_io_executor &executor, TopicReader reader, FollowOptions options,
+                 OperatorHooks hooks, Log log);
 
     /** Starts the task. */
     void start();
-    /** Somebody knows of a configuration; reads on if it is newer than the one in force here. */
-    void hearOf(std::uint64_t version);
+    /** Somebody has read up to an offset; reads on if that is beyond what was read here. */
+    void hearOf(std::uint64_t offset);
 
 private:
     void take(const KeyedRecord &record, bool isOld);
+    void noteOffset(std::uint64_t offset);
 
     OperatorHooks m_hooks;
     Log m_log;
     std::shared_ptr<TopicFollower> m_follower;
     std::uint64_t m_version = 0;
+    /** Offset up to which the topic was read. */
+    std::uint64_t m_offset = 0;
     std::map<ModelName, std::uint64_t> m_named;
 };
 
--- a/source/exchange/versionfetcher.cpp
+++ b/source/exchange/versionfetcher.cpp
@@ -90,7 +90,11 @@
         const auto number = static_cast<std::uint32_t>(it - digests.begin());
         const ModelName model = known.list.model;
         const std::uint64_t ofVersion = version;
-        answer.bytes = co_await m_origin.readPiece(model, ofVersion, number);
+        if (isAtHand()) {
+            answer.bytes = co_await m_hooks.readStaged(model, number);
+        } else {
+            answer.bytes = co_await m_origin.readPiece(model, ofVersion, number);
+        }
         co_return answer;
     }
     co_return answer;
@@ -132,7 +136,11 @@
 
 void VersionFetcher::apply(const FetcherLoaded &command)
 {
+    if (m_loaded == command.versions) {
+        return;
+    }
     m_loaded = command.versions;
+    tellKeeper();
     advance();
 }
 
@@ -142,6 +150,14 @@
     tellKeeper();
 }
 
+void VersionFetcher::apply(const FetcherAgents &command)
+{
+    if (m_agents != command.agents) {
+        m_agents = command.agents;
+        tellKeeper();
+    }
+}
+
 void VersionFetcher::apply(const FetcherHolds &command)
 {
     m_complete = command.complete;
@@ -188,8 +204,15 @@
 
 bool VersionFetcher::isNeeded() const
 {
-    return std::any_of(m_loaded.begin(), m_loaded.end(),
-                       [this](std::uint64_t version) { return version != m_wanted; });
+    return isAtHand()
+            || std::any_of(m_loaded.begin(), m_loaded.end(),
+                           [this](std::uint64_t version) { return version != m_wanted; });
+}
+
+/** The backend server runs the version, so its pieces are staged beside this agent. */
+bool VersionFetcher::isAtHand() const
+{
+    return m_hooks.readStaged && m_loaded == std::set<std::uint64_t> {m_wanted};
 }
 
 void VersionFetcher::advance()
@@ -240,6 +263,12 @@
             peers.push_back({InstanceId(entry.ip), entry.zone, Address(address)});
         }
     }
+    // Those of other zones would be read from over the links between zones.
+    for (const WeightPeer &agent : m_agents) {
+        if (agent.zone == m_options.zone) {
+            peers.push_back(agent);
+        }
+    }
     return peers;
 }
 
@@ -254,6 +283,10 @@
             members.insert(InstanceId(entry.ip));
         }
     }
+    if (isAtHand()) {
+        zones = {m_options.zone};
+        members = {m_options.self};
+    }
     if (m_options.isSource || members.empty()) {
         members.insert(m_options.self);
     }
@@ -266,7 +299,7 @@
 void VersionFetcher::tellKeeper()
 {
     // Without its peers each process would read the whole version from the origin.
-    if (m_entries.empty() || !isNeeded() || !m_known.contains(m_wanted)) {
+    if ((m_entries.empty() && !isAtHand()) || !isNeeded() || !m_known.contains(m_wanted)) {
         return;
     }
     m_hooks.weights->post(PeersKnown {peers()});
--- a/source/exchange/versionfetcher.h
+++ b/source/exchange/versionfetcher.h
@@ -56,8 +56,14 @@
 struct FetcherTick
 { };
 
+/** Agents that may hold weights. */
+struct FetcherAgents
+{
+    std::vector<WeightPeer> agents;
+};
+
 /** Messages to the fetcher. */
-using FetcherCommand = std::variant<FetcherRoutes, FetcherNamed, FetcherLoaded, FetcherEntries,
+using FetcherCommand = std::variant<FetcherRoutes, FetcherNamed, FetcherLoaded, FetcherEntries, FetcherAgents,
                                     FetcherHolds, FetcherListed, FetcherTick>;
 
 /** A version that is held whole and verified. */
@@ -82,12 +88,18 @@
     std::uint16_t peerPort = 0;
 };
 
+/** Hook that reads a piece that is staged at hand, not verified. */
+using ReadStagedPiece =
+        std::function<Awaitable<Outcome<std::string>>(ModelName model, std::uint32_t number)>;
+
 /** What the fetcher deals with. */
 struct FetcherHooks
 {
     OpenOrigin openOrigin;
     /** The task that holds the weights. */
     MailboxPtr<WeightCommand> weights;
+    /** Reads a piece that is staged at hand; empty if none can be. */
+    ReadStagedPiece readStaged;
     /** A version is held whole; it must not wait. */
     std::function<void(const HeldVersion &held)> held;
 };
@@ -121,11 +133,13 @@
     void apply(const FetcherNamed &command);
     void apply(const FetcherLoaded &command);
     void apply(const FetcherEntries &command);
+    void apply(const FetcherAgents &command);
     void apply(const FetcherHolds &command);
     void apply(const FetcherListed &command);
     void apply(const FetcherTick &command);
     void advance();
     bool isNeeded() const;
+    bool isAtHand() const;
     void tellKeeper();
     void tellHeld();
     void forgetOld();
@@ -152,6 +166,7 @@
     std::map<std::uint64_t, Known> m_known;
     std::set<Digest> m_complete;
     std::vector<EntrySite> m_entries;
+    std::vector<WeightPeer> m_agents;
     Instant m_listAskedAt;
     bool m_isAskingList = false;
 };
--- a/source/exchange/weightexchange.cpp
+++ b/source/exchange/weightexchange.cpp
@@ -6,7 +6,7 @@
 namespace greengageseam {
 
 WeightExchange::WeightExchange(const asio::any_io_executor &executor, ExchangeOptions options,
-                               OpenOrigin openOrigin,
+                               OpenOrigin openOrigin, ReadStagedPiece readStaged,
                                std::function<void(const HeldVersion &held)> held,
                                std::shared_ptr<Metrics> metrics, Log log)
     : m_executor(executor), m_options(std::move(options)),
@@ -15,7 +15,7 @@
       m_commands(WeightKeeper::makeCommands(executor))
 {
     makeLinks();
-    makeKeeper(std::move(openOrigin), std::move(held));
+    makeKeeper({std::move(openOrigin), m_commands, std::move(readStaged), std::move(held)});
 }
 
 void WeightExchange::makeLinks()
@@ -45,22 +45,22 @@
     m_links = std::make_shared<ChunkLinks>(m_executor, m_identity, links, m_metrics, m_log);
 }
 
-void WeightExchange::makeKeeper(OpenOrigin openOrigin,
-                                std::function<void(const HeldVersion &held)> held)
+void WeightExchange::makeKeeper(FetcherHooks hooks)
 {
-    const auto serving = ServerOptions().withBytesPerSecond(m_options.linkBytesPerSecond);
+    const auto serving = ServerOptions().withBytesPerSecond(m_options.serveBytesPerSecond);
     m_server = std::make_shared<ChunkServer>(
             m_executor, serving,
             [commands = m_commands](std::uint64_t bytes) { commands->post(ServedSoFar {bytes}); },
             m_metrics);
-    const FetcherHooks hooks {std::move(openOrigin), m_commands, std::move(held)};
-    m_fetcher = std::make_shared<VersionFetcher>(m_executor, m_options.fetcher, hooks, m_log);
+    m_fetcher = std::make_shared<VersionFetcher>(m_executor, m_options.fetcher, std::move(hooks),
+                                                 m_log);
 
     TransferOptions transfer;
     transfer.self = m_options.fetcher.self;
     transfer.zone = m_options.fetcher.zone;
     transfer.storeZone = m_options.originZone;
     transfer.maxFetches = m_options.maxFetches;
+    transfer.yieldsWhenSlow = m_options.yieldsWhenSlow;
     transfer = transfer.withLinkBytesPerSecond(m_options.linkBytesPerSecond);
     const WeightTasks tasks {m_links->mailbox(), m_server->mailbox()};
     m_weights = std::make_shared<WeightKeeper>(
--- a/source/exchange/weightexchange.h
+++ b/source/exchange/weightexchange.h
@@ -22,6 +22,10 @@
     std::uint64_t linkBytesPerSecond = 0;
     /** Chunks that are read at a time. */
     std::uint32_t maxFetches = 0;
+    /** Bytes a second that are served; they share the link with other traffic. */
+    std::uint64_t serveBytesPerSecond = 0;
+    /** Whether chunks are read one by one while they are slow. */
+    bool yieldsWhenSlow = false;
     /** Zone in which the origin stands; empty if it is not known. */
     ZoneName originZone;
 };
@@ -30,9 +34,13 @@
 class WeightExchange
 {
 public:
-    /** @param held is told of each version that is held whole; it must not wait */
+    /**
+     * @param readStaged reads a piece that is staged at hand; empty if none can be
+     * @param held is told of each version that is held whole; it must not wait
+     */
     WeightExchange(const asio::any_io_executor &executor, ExchangeOptions options,
-                   OpenOrigin openOrigin, std::function<void(const HeldVersion &held)> held,
+                   OpenOrigin openOrigin, ReadStagedPiece readStaged,
+                   std::function<void(const HeldVersion &held)> held,
                    std::shared_ptr<Metrics> metrics, Log log);
 
     /** Starts all tasks. @returns InvalidRequest if the address cannot be listened on */
@@ -47,7 +55,7 @@
 private:
     void receive(const PeerLinkHandle &link, const StreamMessage &message);
     void makeLinks();
-    void makeKeeper(OpenOrigin openOrigin, std::function<void(const HeldVersion &held)> held);
+    void makeKeeper(FetcherHooks hooks);
 
     asio::any_io_executor m_executor;
     ExchangeOptions m_options;
--- a/source/net/keptclient.cpp
+++ b/source/net/keptclient.cpp
@@ -34,38 +34,37 @@
         text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     }
     text += "\r\n" + request.body;
-    const bool isKept = m_connection && m_connection->isReusable() && m_connection->isQuiet()
-            && monotonicNow() - m_connection->idleSince() < longestIdle;
+    // Taken out while in use, so that neither a failed one nor another call's is used.
+    HttpConnectionPtr kept = std::move(m_connection);
+    m_connection.reset();
+    const bool isKept = kept && kept->isReusable() && kept->isQuiet()
+            && monotonicNow() - kept->idleSince() < longestIdle;
     if (!isKept) {
-        m_connection.reset();
+        kept.reset();
     }
-    m_isBusy = true;
-    Outcome<HttpResponse> answer = co_await callOnce(text, wait);
+    Outcome<HttpResponse> answer = co_await callOnce(std::move(kept), text, wait);
     if (failureOf(answer) != nullptr && isKept && isRepeatable) {
-        answer = co_await callOnce(text, wait);
+        HttpConnectionPtr none;
+        answer = co_await callOnce(std::move(none), text, wait);
     }
-    m_isBusy = false;
     co_return answer;
 }
 
-Awaitable<Outcome<HttpResponse>> KeptClient::callOnce(const std::string &text, Duration wait)
+Awaitable<Outcome<HttpResponse>> KeptClient::callOnce(HttpConnectionPtr connection,
+                                                      const std::string &text, Duration wait)
 {
-    if (!m_connection) {
+    if (!connection) {
         const auto endpoint = settle([&] { return parseEndpoint(m_address); });
         if (const Failure *failure = failureOf(endpoint)) {
             co_return *failure;
         }
-        m_connection = std::make_shared<HttpConnection>(m_executor);
-        const WireEnd end = co_await m_connection->connect(
+        connection = std::make_shared<HttpConnection>(m_executor);
+        const WireEnd end = co_await connection->connect(
                 std::get<asio::ip::tcp::endpoint>(endpoint), m_limit);
         if (end != WireEnd::Done) {
-            m_connection.reset();
             co_return failureAt(m_address, ErrorKind::NoBackendServer, "no connection");
         }
     }
-    // Taken out while in use, so that a failed connection is never used again.
-    const HttpConnectionPtr connection = std::move(m_connection);
-    m_connection.reset();
     const WireEnd sent = co_await connection->send(text, m_limit);
     if (sent != WireEnd::Done) {
         co_return failureAt(m_address, ErrorKind::OutcomeUnknown, "broken while sending");
--- a/source/net/keptclient.h
+++ b/source/net/keptclient.h
@@ -7,7 +7,10 @@
 
 namespace greengageseam {
 
-/** Calls one address. Used by one task at a time. Construct it with std::make_shared. */
+/**
+ * Calls one address. Calls that overlap use connections of their own, of which the last to end is
+ * kept. Construct it with std::make_shared.
+ */
 class KeptClient : public std::enable_shared_from_this<KeptClient>
 {
 public:
@@ -24,18 +27,15 @@
     Awaitable<Outcome<HttpResponse>> call(HttpRequest request, bool isRepeatable,
                                           Duration wait = {});
 
-    /** @returns whether a call is in progress */
-    bool isBusy() const { return m_isBusy; }
-
 private:
-    Awaitable<Outcome<HttpResponse>> callOnce(const std::string &text, Duration wait);
+    Awaitable<Outcome<HttpResponse>> callOnce(HttpConnectionPtr connection, const std::string &text,
+                                              Duration wait);
 
     asio::any_io_executor m_executor;
     Address m_address;
     Duration m_limit;
     std::size_t m_maxBytes;
     HttpConnectionPtr m_connection;
-    bool m_isBusy = false;
 };
 
 } // namespace greengageseam
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -28,6 +28,7 @@
         body.instance = wanted->instance.text();
         body.zone = wanted->zone.text();
         body.known = static_cast<std::int64_t>(wanted->known);
+        body.news = static_cast<std::int64_t>(wanted->news);
         frame.__set_loadWanted(body);
         return frame;
     }
@@ -53,7 +54,7 @@
     body.running = static_cast<std::int32_t>(report.running);
     body.pace = static_cast<std::int32_t>(std::lround(std::min(report.pace, highestPace) * paceUnits));
     body.known = static_cast<std::int64_t>(report.entriesKnown);
-    body.config = static_cast<std::int64_t>(report.configVersion);
+    body.news = static_cast<std::int64_t>(report.news);
     frame.__set_loadSeen(body);
     return frame;
 }
@@ -88,7 +89,8 @@
     if (frame.__isset.loadWanted) {
         return Datagram(LoadWanted {InstanceId(frame.loadWanted.instance),
                                     ZoneName(frame.loadWanted.zone),
-                                    static_cast<std::uint64_t>(frame.loadWanted.known)});
+                                    static_cast<std::uint64_t>(frame.loadWanted.known),
+                                    static_cast<std::uint64_t>(frame.loadWanted.news)});
     }
     if (frame.__isset.entriesSeen) {
         EntriesSeen seen;
@@ -112,7 +114,7 @@
     report.running = static_cast<std::uint32_t>(seen.running);
     report.pace = seen.pace / paceUnits;
     report.entriesKnown = static_cast<std::uint64_t>(seen.known);
-    report.configVersion = static_cast<std::uint64_t>(seen.config);
+    report.news = static_cast<std::uint64_t>(seen.news);
     return Datagram(std::move(report));
 }
 
--- a/source/protocol/datagramcodec.h
+++ b/source/protocol/datagramcodec.h
@@ -21,6 +21,8 @@
     ZoneName zone;
     /** Checksum of the entries that the sender knows of. */
     std::uint64_t known = 0;
+    /** What the sender knows of the operator's doings; grows with each of them. */
+    std::uint64_t news = 0;
 
     auto operator<=>(const LoadWanted &) const = default;
 };
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -262,6 +262,8 @@
   2: string zone;
   /** Checksum of the entries that the sender knows of. */
   3: i64 known;
+  /** What the sender knows of the operator's doings; grows with each of them. */
+  4: i64 news;
 }
 
 /** An entry, as an agent has heard of it. */
@@ -288,8 +290,8 @@
   7: i32 pace;
   /** Checksum of the entries that the sender knows of. */
   8: i64 known;
-  /** Version of the configuration that is in force at the sender. */
-  9: i64 config;
+  /** What the sender has heard of the operator's doings; grows with each of them. */
+  9: i64 news;
 }
 
 /** One datagram. */
--- a/source/steward/loadteller.cpp
+++ b/source/steward/loadteller.cpp
@@ -2,6 +2,7 @@
 
 #include "net/clock.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -17,8 +18,8 @@
 
 } // namespace
 
-LoadTeller::LoadTeller(const asio::any_io_executor &executor, EntriesObserver observer, Log log)
-    : m_executor(executor), m_observer(std::move(observer)), m_log(std::move(log)),
+LoadTeller::LoadTeller(const asio::any_io_executor &executor, LoadTellerHooks hooks, Log log)
+    : m_executor(executor), m_hooks(std::move(hooks)), m_log(std::move(log)),
       m_mailbox(makeMailbox<LoadReport>(executor, mailboxCapacity)), m_socket(executor),
       m_sites(interestLasts)
 { }
@@ -61,8 +62,10 @@
     m_entries[sender] = now;
     m_sites.hear({wanted.instance, wanted.zone, sender.address().to_string()}, now);
     if (m_sites.settle(now)) {
-        m_observer(m_sites.sites());
+        m_hooks.entries(m_sites.sites());
     }
+    m_news = std::max(m_news, wanted.news);
+    m_hooks.news(m_news);
     if (m_sites.checksum() != wanted.known) {
         m_socket.send(encodeDatagram(EntriesSeen {m_sites.sites()}), sender);
     }
@@ -78,6 +81,7 @@
 {
     while (std::optional<LoadReport> report = co_await m_mailbox->receive()) {
         report->entriesKnown = m_sites.checksum();
+        report->news = m_news;
         m_last = *report;
         const Instant now = monotonicNow();
         std::erase_if(m_entries,
--- a/source/steward/loadteller.h
+++ b/source/steward/loadteller.h
@@ -13,14 +13,20 @@
 
 namespace greengageseam {
 
-/** Hook that is told of the entries that ask; it must not wait. */
-using EntriesObserver = std::function<void(const std::vector<EntrySite> &entries)>;
+/** What the task passes on; the hooks must not wait. */
+struct LoadTellerHooks
+{
+    /** The entries that ask have changed. */
+    std::function<void(const std::vector<EntrySite> &entries)> entries;
+    /** An entry has read what the operator does up to an offset. */
+    std::function<void(std::uint64_t offset)> news;
+};
 
 /** Tells each entry that has asked. */
 class LoadTeller : public std::enable_shared_from_this<LoadTeller>
 {
 public:
-    LoadTeller(const asio::any_io_executor &executor, EntriesObserver observer, Log log);
+    LoadTeller(const asio::any_io_executor &executor, LoadTellerHooks hooks, Log log);
 
     /** @returns where to send new reports */
     const MailboxPtr<LoadReport> &mailbox() const { return m_mailbox; }
@@ -33,7 +39,7 @@
     void take(const LoadWanted &wanted, const asio::ip::udp::endpoint &sender);
 
     asio::any_io_executor m_executor;
-    EntriesObserver m_observer;
+    LoadTellerHooks m_hooks;
     Log m_log;
     MailboxPtr<LoadReport> m_mailbox;
     DatagramSocket m_socket;
@@ -41,6 +47,8 @@
     std::map<asio::ip::udp::endpoint, Instant> m_entries;
     EntrySites m_sites;
     std::optional<LoadReport> m_last;
+    /** The highest offset that an entry told of. */
+    std::uint64_t m_news = 0;
 };
 
 } // namespace greengageseam
--- a/source/steward/steward.cpp
+++ b/source/steward/steward.cpp
@@ -6,12 +6,16 @@
 
 namespace {
 
+/** Entries tell of what the operator does; the store is read without them only now and then. */
+constexpr auto operatorPause = std::chrono::seconds(10);
 constexpr auto probePeriod = std::chrono::milliseconds(100);
 /** A report that says nothing new is told again after so long. */
 constexpr auto retellAfter = std::chrono::milliseconds(400);
 constexpr auto finishLimit = std::chrono::seconds(1);
 /** Share of the machine's link that weights may use beside the answers of the backend server. */
 constexpr double linkShare = 0.95;
+/** The same for weights that are served, which go the way of the answers. */
+constexpr double serveShare = 0.3;
 /** Chunks that are read at a time; what is on its way delays the answers on the same link. */
 constexpr std::uint32_t maxFetches = 2;
 constexpr double bytesPerMegabit = 125'000;
@@ -26,12 +30,12 @@
 
 Result<void> Steward::start()
 {
-    m_teller = std::make_shared<LoadTeller>(
-            m_executor,
-            [this](const std::vector<EntrySite> &entries) {
-                m_exchange->fetcher()->post(FetcherEntries {entries});
-            },
-            m_log);
+    LoadTellerHooks hooks;
+    hooks.entries = [this](const std::vector<EntrySite> &entries) {
+        m_exchange->fetcher()->post(FetcherEntries {entries});
+    };
+    hooks.news = [this](std::uint64_t offset) { m_feed->hearOf(offset); };
+    m_teller = std::make_shared<LoadTeller>(m_executor, hooks, m_log);
     BOOST_LEAF_CHECK(m_teller->start(m_settings.ip, m_settings.firstPort + 1));
 
     makeWeightTasks();
@@ -59,8 +63,12 @@
     options.linkBytesPerSecond =
             static_cast<std::uint64_t>(m_settings.linkMbps * bytesPerMegabit * linkShare);
     options.maxFetches = maxFetches;
+    options.serveBytesPerSecond =
+            static_cast<std::uint64_t>(m_settings.linkMbps * bytesPerMegabit * serveShare);
+    options.yieldsWhenSlow = true;
     m_exchange = std::make_shared<WeightExchange>(
             m_executor, options, m_adapter.openOrigin,
+            m_adapter.openReplica(m_settings.backend).readStaged,
             [this](const HeldVersion &held) { m_installer->mailbox()->post(held); }, m_metrics,
             m_log);
 
@@ -76,7 +84,6 @@
 {
     OperatorHooks hooks = m_adapter.operatorHooks;
     hooks.config = [this](const RouteTablePtr &table) {
-        m_configVersion = table->config().version;
         m_exchange->fetcher()->post(FetcherRoutes {table});
     };
     hooks.named = [this](const NamedVersion &named, bool isOld) {
@@ -85,7 +92,10 @@
         m_installer->mailbox()->post(InstallerNamed {named.version, at});
         m_exchange->fetcher()->post(FetcherNamed {named});
     };
-    m_feed = std::make_shared<OperatorFeed>(m_executor, m_adapter.operatorTopic, hooks, m_log);
+    hooks.readUpTo = [](std::uint64_t) {};
+    const FollowOptions follow {"operator", {}, operatorPause};
+    m_feed = std::make_shared<OperatorFeed>(m_executor, m_adapter.operatorTopic, follow, hooks,
+                                            m_log);
 }
 
 void Steward::onReport(const std::optional<ReplicaReport> &report)
@@ -103,7 +113,6 @@
     load.waiting = report->waiting;
     load.running = report->running;
     load.pace = report->pace;
-    load.configVersion = m_configVersion;
     const Instant now = monotonicNow();
     if (m_told && *m_told == load && now - m_toldAt < retellAfter) {
         return;
--- a/source/steward/steward.h
+++ b/source/steward/steward.h
@@ -46,7 +46,6 @@
     std::shared_ptr<OperatorFeed> m_feed;
     std::optional<LoadReport> m_told;
     Instant m_toldAt;
-    std::uint64_t m_configVersion = 0;
 };
 
 } // namespace greengageseam
