--- a/source/core/fleet/loadbook.cpp
+++ b/source/core/fleet/loadbook.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace greengageseam {
 
@@ -26,6 +27,21 @@
 constexpr double longestLateMs = 3000;
 /** Requests beyond the slots that a plain service may have waiting. */
 constexpr std::uint32_t plainQueue = 6;
+/** Share of the other entries that send where this one does. */
+constexpr double othersAlike = 0.25;
+/** Backend servers with room that are compared for a request, so that entries differ. */
+constexpr std::size_t mostCompared = 3;
+
+/** @returns a step that visits each of @p n places once, drawn at random */
+std::size_t strideFor(std::size_t n, std::uint64_t random)
+{
+    constexpr std::uint64_t mix = 0x9e3779b97f4a7c15;
+    std::size_t step = 1 + (random * mix >> 33U) % std::max<std::size_t>(1, n);
+    while (std::gcd(step, n) != 1) {
+        ++step;
+    }
+    return step;
+}
 
 } // namespace
 
@@ -110,7 +126,10 @@
     const std::uint32_t reported = known.report->running + known.report->waiting;
     const std::uint32_t others =
             reported > known.ownAtReport ? reported - known.ownAtReport : 0;
-    return known.own + others;
+    // Other entries see the same report and have sent there as well since.
+    const std::uint32_t since = known.own > known.ownAtReport ? known.own - known.ownAtReport : 0;
+    const double alike = since * (m_entries - 1) * othersAlike;
+    return known.own + others + static_cast<std::uint32_t>(alike);
 }
 
 double LoadBook::slotMs(const ServiceName &service) const
@@ -174,12 +193,15 @@
     Known *best = nullptr;
     double bestCost = 0;
     const std::size_t n = pool->second.size();
-    for (std::size_t i = 0; i < n; ++i) {
-        Known &known = m_known.at(pool->second[(i + random) % n]);
+    std::size_t compared = 0;
+    const std::size_t step = strideFor(n, random);
+    for (std::size_t i = 0; i < n && compared < mostCompared; ++i) {
+        Known &known = m_known.at(pool->second[(random + i * step) % n]);
         if (!isUsable(known, wish.oldestWeights, now) || wish.tried.contains(known.entry.id)
             || !hasRoom(known, wish, now)) {
             continue;
         }
+        ++compared;
         const double cost = waitMs(known, now) + penaltyMs(known) + lateMs(known, now);
         if (best == nullptr || cost < bestCost) {
             best = &known;
--- a/source/core/weights/transferplan.cpp
+++ b/source/core/weights/transferplan.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr auto minPatience = std::chrono::milliseconds(600);
+/** Those who own nothing leave the owners more time, lest they crowd the origin. */
+constexpr auto guestPatience = std::chrono::milliseconds(2500);
 /** Owners may take so many percent of the time in which the longest share should be read. */
 constexpr int sharePercent = 120;
 constexpr int percent = 100;
@@ -252,7 +254,8 @@
             static_cast<Duration::rep>(std::max<std::size_t>(1, version.turns.ownShare));
     const auto most = static_cast<Duration::rep>(version.turns.largestShare);
     const Duration wholeShare = *version.shareTook / ownShare * most * sharePercent / percent;
-    const Duration patience = std::max<Duration>(minPatience, wholeShare);
+    const bool isGuest = version.turns.ownShare == 0;
+    const Duration patience = std::max<Duration>(isGuest ? guestPatience : minPatience, wholeShare);
     state.passes = static_cast<std::uint32_t>((now - version.since) / patience);
     return state;
 }
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -97,6 +97,9 @@
         for (const EntrySite &site : seen->entries) {
             m_entries.hear(site, now);
         }
+        if (m_entries.settle(now)) {
+            m_hooks.entries(m_entries.sites());
+        }
     }
 }
 
--- a/source/steward/loadteller.cpp
+++ b/source/steward/loadteller.cpp
@@ -77,6 +77,19 @@
     }
 }
 
+/** Entries that have just started learn of each other at once. */
+void LoadTeller::tellSites()
+{
+    if (m_sites.checksum() == m_toldSites) {
+        return;
+    }
+    m_toldSites = m_sites.checksum();
+    const std::string bytes = encodeDatagram(EntriesSeen {m_sites.sites()});
+    for (const auto &[entry, askedAt] : m_entries) {
+        m_socket.send(bytes, entry);
+    }
+}
+
 Awaitable<void> LoadTeller::tell()
 {
     while (std::optional<LoadReport> report = co_await m_mailbox->receive()) {
@@ -87,6 +100,7 @@
         std::erase_if(m_entries,
                       [&](const auto &entry) { return now - entry.second > interestLasts; });
         const std::string bytes = encodeDatagram(*report);
+        tellSites();
         for (const auto &[entry, askedAt] : m_entries) {
             m_socket.send(bytes, entry);
         }
--- a/source/steward/loadteller.h
+++ b/source/steward/loadteller.h
@@ -36,6 +36,7 @@
 private:
     Awaitable<void> listen();
     Awaitable<void> tell();
+    void tellSites();
     void take(const LoadWanted &wanted, const asio::ip::udp::endpoint &sender);
 
     asio::any_io_executor m_executor;
@@ -49,6 +50,8 @@
     std::optional<LoadReport> m_last;
     /** The highest offset that an entry told of. */
     std::uint64_t m_news = 0;
+    /** Checksum of the entries that all entries were told of last. */
+    std::uint64_t m_toldSites = 0;
 };
 
 } // namespace greengageseam
