--- a/source/core/weights/transferplan.cpp
+++ b/source/core/weights/transferplan.cpp
@@ -15,7 +15,7 @@
 /** Those who own nothing leave the owners more time, lest they crowd the origin. */
 constexpr auto guestPatience = std::chrono::milliseconds(2500);
 /** Owners may take so many percent of the time in which the longest share should be read. */
-constexpr int sharePercent = 120;
+constexpr int sharePercent = 100;
 constexpr int percent = 100;
 /** A chunk that takes longer fills the link, which others use as well. */
 constexpr auto slowChunk = std::chrono::milliseconds(150);
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t mailboxCapacity = 16384;
 constexpr auto tickPeriod = std::chrono::milliseconds(25);
 /** Entries are counted on while none has been heard of. */
-constexpr std::uint32_t usualEntries = 8;
+constexpr std::uint32_t usualEntries = 6;
 /** Time before the end of the bound from which on only the named weights are used. */
 constexpr auto weightsMargin = std::chrono::milliseconds(1000);
 /** How long a connection is kept if the backend server does not say. */
@@ -161,7 +161,8 @@
 
 void Dispatcher::apply(const EntriesCounted &command)
 {
-    m_entries = std::max<std::uint32_t>(1, command.entries);
+    // Entries that are not heard of may be cut off, and send all the same.
+    m_entries = std::max(m_entries, command.entries);
     m_loads.setEntries(m_entries);
 }
 
@@ -172,25 +173,26 @@
     dropIdle(now);
 }
 
+/**
+ * The newest come first: in an overload, those that are served then hardly wait, and those that
+ * waited in vain are refused.
+ */
 void Dispatcher::serveWaiting()
 {
     const Instant now = monotonicNow();
     std::deque<TakeReplica> waiting;
     std::swap(waiting, m_waiting);
-    for (TakeReplica &command : waiting) {
-        if (!command.reply->isOpen()) {
-            continue;
-        }
-        if (tryTake(command, now)) {
+    for (auto it = waiting.rbegin(); it != waiting.rend(); ++it) {
+        if (!it->reply->isOpen() || tryTake(*it, now)) {
             continue;
         }
-        if (command.waitUntil <= now) {
-            const std::uint64_t weights = requiredWeights(command.wish.service, now);
-            const bool isHopeless = !m_loads.hasUsable(command.wish.service, weights, now);
-            refuse(command, now, isHopeless ? ErrorKind::NoBackendServer : ErrorKind::Overloaded);
+        if (it->waitUntil <= now) {
+            const std::uint64_t weights = requiredWeights(it->wish.service, now);
+            const bool isHopeless = !m_loads.hasUsable(it->wish.service, weights, now);
+            refuse(*it, now, isHopeless ? ErrorKind::NoBackendServer : ErrorKind::Overloaded);
             continue;
         }
-        m_waiting.push_back(std::move(command));
+        m_waiting.push_front(std::move(*it));
     }
 }
 
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -187,6 +187,7 @@
     std::map<ModelName, std::map<std::uint64_t, Instant>> m_named;
     std::deque<TakeReplica> m_waiting;
     std::map<Address, std::deque<Idle>> m_idle;
+    /** The most entries that were known to run at a time. */
     std::uint32_t m_entries;
 };
 
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -13,9 +13,9 @@
 
 constexpr std::size_t mailboxCapacity = 16;
 /** Well below the time for which an agent goes on sending. */
-constexpr auto askEvery = std::chrono::seconds(1);
-/** An agent forgets an entry a little earlier. */
-constexpr auto entryLifetime = std::chrono::seconds(5);
+constexpr auto askEvery = std::chrono::milliseconds(300);
+/** Agents confirm the entries that they know of several times in this time. */
+constexpr auto entryLifetime = std::chrono::milliseconds(500);
 
 } // namespace
 
--- a/source/steward/loadteller.cpp
+++ b/source/steward/loadteller.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t mailboxCapacity = 16;
 /** An entry that has not asked for so long is forgotten. */
-constexpr auto interestLasts = std::chrono::milliseconds(3500);
+constexpr auto interestLasts = std::chrono::milliseconds(800);
 /** Entries that are told at most. */
 constexpr std::size_t maxEntries = 1024;
 
