--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -14,9 +14,9 @@
 #include "agent/incarnationkeeper.h"
 #include "agent/placer.h"
 #include "agent/weightkeeper.h"
+#include "logservice/logservice.h"
 #include "net/httpserver.h"
 #include "net/metrics.h"
-#include "logservice/logservice.h"
 
 #include <memory>
 
--- a/source/agent/entrylinks.h
+++ b/source/agent/entrylinks.h
@@ -8,10 +8,10 @@
 #include "agent/weightkeeper.h"
 #include "core/config/config.h"
 #include "engine/engine.h"
-#include "net/log.h"
-#include "net/peerlink.h"
 #include "logservice/configkeeper.h"
 #include "logservice/listclient.h"
+#include "net/log.h"
+#include "net/peerlink.h"
 
 #include <functional>
 #include <map>
--- a/source/agent/incarnationkeeper.h
+++ b/source/agent/incarnationkeeper.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "core/placement/placement.h"
-#include "net/log.h"
 #include "logservice/logclient.h"
+#include "net/log.h"
 
 #include <functional>
 #include <memory>
--- a/source/agent/placer.h
+++ b/source/agent/placer.h
@@ -8,8 +8,8 @@
 #include "agent/gate.h"
 #include "agent/weightkeeper.h"
 #include "core/placement/placement.h"
-#include "net/mailbox.h"
 #include "logservice/configkeeper.h"
+#include "net/mailbox.h"
 
 #include <functional>
 #include <memory>
--- a/source/agent/weightkeeper.h
+++ b/source/agent/weightkeeper.h
@@ -7,9 +7,9 @@
 #include "agent/chunkserver.h"
 #include "agent/peerchunks.h"
 #include "core/weights/weights.h"
+#include "logservice/storeclient.h"
 #include "net/log.h"
 #include "net/metrics.h"
-#include "logservice/storeclient.h"
 
 #include <functional>
 #include <map>
--- a/source/core/fleet/delivery.cpp
+++ b/source/core/fleet/delivery.cpp
@@ -21,8 +21,7 @@
         SendEndMeaning {SendEnd::Silent, "silent", Ran::Unknown, ErrorKind::OutcomeUnknown},
         SendEndMeaning {SendEnd::DeadlineReached, "deadline-reached", Ran::Unknown,
                         ErrorKind::DeadlineExceeded},
-        SendEndMeaning {SendEnd::FailedAnswer, "failed-answer", Ran::Yes,
-                        ErrorKind::BackendFailed},
+        SendEndMeaning {SendEnd::FailedAnswer, "failed-answer", Ran::Yes, ErrorKind::BackendFailed},
         SendEndMeaning {SendEnd::Answered, "answered", Ran::Yes, ErrorKind::Internal},
 };
 
--- a/source/core/fleet/eventsplitter.h
+++ b/source/core/fleet/eventsplitter.h
@@ -29,8 +29,8 @@
 {
 public:
     /** @param lastEventId what the caller has already; nothing for a new stream */
-    explicit EventSplitter(std::optional<std::uint64_t> lastEventId = {}) : m_lastId(lastEventId) {
-    }
+    explicit EventSplitter(std::optional<std::uint64_t> lastEventId = {})
+        : m_lastId(lastEventId) { }
 
     /** @returns the whole events that @p bytes complete, without those passed on before */
     WholeEvents feed(std::string_view bytes);
--- a/source/core/fleet/loadbook.cpp
+++ b/source/core/fleet/loadbook.cpp
@@ -105,8 +105,8 @@
 bool LoadBook::isUsable(const Known &known, std::uint64_t oldestWeights, Instant now) const
 {
     // A backend server that has started again under the same address has another id.
-    const bool isReplaced = known.report && known.entry.bornMs != 0
-            && known.report->bornMs > known.entry.bornMs;
+    const bool isReplaced =
+            known.report && known.entry.bornMs != 0 && known.report->bornMs > known.entry.bornMs;
     if (known.entry.isDraining || isReplaced || known.health.at(now).isEjected()) {
         return false;
     }
@@ -124,8 +124,7 @@
         return known.own * std::max<std::uint32_t>(1, m_entries);
     }
     const std::uint32_t reported = known.report->running + known.report->waiting;
-    const std::uint32_t others =
-            reported > known.ownAtReport ? reported - known.ownAtReport : 0;
+    const std::uint32_t others = reported > known.ownAtReport ? reported - known.ownAtReport : 0;
     // Other entries see the same report and have sent there as well since.
     const std::uint32_t since = known.own > known.ownAtReport ? known.own - known.ownAtReport : 0;
     const double alike = since * (m_entries - 1) * othersAlike;
@@ -295,8 +294,7 @@
                                  / static_cast<double>(std::max<std::size_t>(1, n))));
 }
 
-bool LoadBook::hasUsable(const ServiceName &service, std::uint64_t oldestWeights,
-                         Instant now) const
+bool LoadBook::hasUsable(const ServiceName &service, std::uint64_t oldestWeights, Instant now) const
 {
     return occupancy(service, oldestWeights, now).usable > 0;
 }
--- a/source/core/fleet/loadbook.h
+++ b/source/core/fleet/loadbook.h
@@ -113,8 +113,7 @@
     /** @returns the version of the weights that a backend server is believed to run, or 0 */
     std::uint64_t weights(const ReplicaId &id, Instant now) const;
     /** @returns how busy a service is, as far as this entry knows */
-    Occupancy occupancy(const ServiceName &service, std::uint64_t oldestWeights,
-                        Instant now) const;
+    Occupancy occupancy(const ServiceName &service, std::uint64_t oldestWeights, Instant now) const;
     /** @returns in how long a place of the service becomes free, on average */
     Duration turnover(const ServiceName &service) const;
     /** @returns whether any backend server of the service takes work, full or not */
--- a/source/core/fleet/routetable.cpp
+++ b/source/core/fleet/routetable.cpp
@@ -51,9 +51,10 @@
     if (routes == m_byHost.end()) {
         return Failure {ErrorKind::NotFound, "no route has this host"};
     }
-    const auto position = std::find_if(
-            routes->second.begin(), routes->second.end(),
-            [&](std::size_t n) { return path.starts_with(m_config.routes[n].pathPrefix); });
+    const auto position =
+            std::find_if(routes->second.begin(), routes->second.end(), [&](std::size_t n) {
+                return path.starts_with(m_config.routes[n].pathPrefix);
+            });
     if (position == routes->second.end()) {
         return Failure {ErrorKind::NotFound, "no route of this host has this path"};
     }
--- a/source/core/weights/transferplan.cpp
+++ b/source/core/weights/transferplan.cpp
@@ -153,8 +153,8 @@
         return;
     }
     for (Wish &wish : wishes(digest, version, now)) {
-        const bool isFull = m_reading.size() >= m_options.maxFetches
-                || (isLinkSlow() && !m_reading.empty());
+        const bool isFull =
+                m_reading.size() >= m_options.maxFetches || (isLinkSlow() && !m_reading.empty());
         if (isFull || m_pace.wait() > Duration::zero()) {
             return;
         }
--- a/source/daemon/fleetmain.cpp
+++ b/source/daemon/fleetmain.cpp
@@ -115,8 +115,8 @@
         std::cerr << "greengageseam-fleetd: "
                   << (failure != nullptr ? failure->detail
                                          : "GREENGAGESEAM_LOG_LEVEL: '" + levelName
-                                                 + "' is not allowed; allowed is error, warning, "
-                                                   "info or debug")
+                                      + "' is not allowed; allowed is error, warning, "
+                                        "info or debug")
                   << "\n";
         return exitSettings;
     }
--- a/source/edge/callerconnection.cpp
+++ b/source/edge/callerconnection.cpp
@@ -58,8 +58,8 @@
     setWireOptions(m_socket);
     enter(Phase::Idle);
     const auto executor = m_socket.get_executor();
-    asio::co_spawn(executor, [self = shared_from_this()] { return self->readLoop(); },
-                   asio::detached);
+    asio::co_spawn(
+            executor, [self = shared_from_this()] { return self->readLoop(); }, asio::detached);
     asio::co_spawn(executor, [self = shared_from_this()] { return self->serve(); }, asio::detached);
     watch();
 }
@@ -98,8 +98,7 @@
         const bool isIdleOver = self->m_phase == Phase::Idle
                 && (since > limits.idleTimeout || self->m_server->closesIdle);
         const bool isSlow = (self->m_phase == Phase::Header && since > limits.headerTimeout)
-                || (self->m_phase == Phase::Body
-                    && since > limits.headerTimeout * bodyLimitFactor);
+                || (self->m_phase == Phase::Body && since > limits.headerTimeout * bodyLimitFactor);
         if (isIdleOver) {
             self->close();
             return;
@@ -175,8 +174,8 @@
                 {std::string(field.name_string()), std::string(field.value())});
     }
     call.request.body = std::move(message.body());
-    const bool isAmbiguous = call.request.header("Transfer-Encoding")
-            && call.request.header("Content-Length");
+    const bool isAmbiguous =
+            call.request.header("Transfer-Encoding") && call.request.header("Content-Length");
     CallerEvent event = isAmbiguous ? CallerEvent(CallRejected {ErrorKind::InvalidRequest, 0})
                                     : CallerEvent(std::move(call));
     enter(Phase::Busy);
--- a/source/edge/callerserver.cpp
+++ b/source/edge/callerserver.cpp
@@ -24,8 +24,9 @@
 
 void CallerServer::start()
 {
-    asio::co_spawn(m_context.executor,
-                   [self = shared_from_this()] { return self->acceptLoop(); }, asio::detached);
+    asio::co_spawn(
+            m_context.executor, [self = shared_from_this()] { return self->acceptLoop(); },
+            asio::detached);
 }
 
 void CallerServer::stop()
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -122,9 +122,9 @@
 { };
 
 /** Messages to the dispatcher. */
-using DispatchCommand = std::variant<AdmitCall, TakeReplica, LeaseEnded, RoutesChanged,
-                                     ReplicasChanged, WeightsNamed, LoadHeard, EntriesCounted,
-                                     DispatchTick>;
+using DispatchCommand =
+        std::variant<AdmitCall, TakeReplica, LeaseEnded, RoutesChanged, ReplicasChanged,
+                     WeightsNamed, LoadHeard, EntriesCounted, DispatchTick>;
 
 /** Bounds of the dispatcher. */
 struct DispatcherOptions
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -32,8 +32,7 @@
 Edge::Edge(const asio::any_io_executor &executor, NodeSettings settings, PlatformAdapter adapter,
            std::string secret, Log log)
     : m_executor(executor), m_settings(std::move(settings)), m_adapter(std::move(adapter)),
-      m_secret(std::move(secret)), m_log(std::move(log)),
-      m_metrics(std::make_shared<Metrics>())
+      m_secret(std::move(secret)), m_log(std::move(log)), m_metrics(std::make_shared<Metrics>())
 { }
 
 Result<void> Edge::start()
@@ -82,9 +81,8 @@
         m_exchange->fetcher()->post(FetcherEntries {entries});
     };
     const EntrySite self {m_settings.instance, m_settings.zone, m_settings.ip};
-    m_loads = std::make_shared<LoadListener>(m_executor, self,
-                                             static_cast<std::uint16_t>(m_settings.firstPort + 1),
-                                             hooks, m_log);
+    m_loads = std::make_shared<LoadListener>(
+            m_executor, self, static_cast<std::uint16_t>(m_settings.firstPort + 1), hooks, m_log);
     return {};
 }
 
@@ -102,7 +100,7 @@
     options.maxFetches = maxFetches;
     m_exchange = std::make_shared<WeightExchange>(
             m_executor, options, m_adapter.openOrigin, ReadStagedPiece(),
-            [](const HeldVersion &) {}, m_metrics, m_log);
+            [](const HeldVersion &) { }, m_metrics, m_log);
     BOOST_LEAF_CHECK(m_exchange->start());
     return m_loads->start();
 }
@@ -118,9 +116,8 @@
         onReplicas(m_entries);
     };
     hooks.named = [this](const NamedVersion &named, bool isOld) {
-        const Instant at = isOld
-                ? monotonicNow() - m_settings.bounds.weightsApply + oldWeightsLead
-                : monotonicNow();
+        const Instant at = isOld ? monotonicNow() - m_settings.bounds.weightsApply + oldWeightsLead
+                                 : monotonicNow();
         m_dispatcher->mailbox()->post(WeightsNamed {named, at});
         m_exchange->fetcher()->post(FetcherNamed {named});
     };
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -21,19 +21,18 @@
 
 LoadListener::LoadListener(const asio::any_io_executor &executor, EntrySite self,
                            std::uint16_t port, LoadListenerHooks hooks, Log log)
-    : m_executor(executor), m_self(std::move(self)), m_port(port),
-      m_hooks(std::move(hooks)), m_log(std::move(log)),
-      m_mailbox(makeMailbox<ListenerCommand>(executor, mailboxCapacity)), m_socket(executor),
-      m_entries(entryLifetime)
+    : m_executor(executor), m_self(std::move(self)), m_port(port), m_hooks(std::move(hooks)),
+      m_log(std::move(log)), m_mailbox(makeMailbox<ListenerCommand>(executor, mailboxCapacity)),
+      m_socket(executor), m_entries(entryLifetime)
 { }
 
 Result<void> LoadListener::start()
 {
     BOOST_LEAF_CHECK(m_socket.bind(m_self.ip, m_port));
-    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->listen(); },
-                   asio::detached);
-    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->learn(); },
-                   asio::detached);
+    asio::co_spawn(
+            m_executor, [self = shared_from_this()] { return self->listen(); }, asio::detached);
+    asio::co_spawn(
+            m_executor, [self = shared_from_this()] { return self->learn(); }, asio::detached);
     startTicker(m_executor, askEvery, [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self) {
--- a/source/edge/requestrun.cpp
+++ b/source/edge/requestrun.cpp
@@ -328,8 +328,8 @@
         const Instant now = monotonicNow();
         if (events.count > 0) {
             m_answeredAt = m_answeredAt.value_or(now);
-            m_longestGap = m_lastEventAt ? std::max(m_longestGap, now - *m_lastEventAt)
-                                         : m_longestGap;
+            m_longestGap =
+                    m_lastEventAt ? std::max(m_longestGap, now - *m_lastEventAt) : m_longestGap;
             m_lastEventAt = now;
         }
         if (events.count > 0 && !m_isStreaming) {
--- a/source/edge/storefeeds.cpp
+++ b/source/edge/storefeeds.cpp
@@ -21,8 +21,8 @@
         }
         noteOffset(tail.next);
     };
-    m_follower = std::make_shared<TopicFollower>(executor, std::move(reader), options, follow,
-                                                 m_log);
+    m_follower =
+            std::make_shared<TopicFollower>(executor, std::move(reader), options, follow, m_log);
 }
 
 void OperatorFeed::start()
@@ -90,8 +90,8 @@
     follow.whole = [this](const KeyedSnapshot &snapshot) { takeWhole(snapshot); };
     follow.added = [this](const KeyedTail &tail) { takeAdded(tail); };
     const FollowOptions options {"replicas", {}, pause};
-    m_follower = std::make_shared<TopicFollower>(executor, std::move(reader), options, follow,
-                                                 m_log);
+    m_follower =
+            std::make_shared<TopicFollower>(executor, std::move(reader), options, follow, m_log);
 }
 
 void ReplicaFeed::start()
@@ -151,8 +151,7 @@
 
 void ReplicaFeed::tell(const ReplicaNews &news)
 {
-    m_log.info("replica.changed",
-               {{"replica", news.id.text()}, {"change", textOf(news.change)}});
+    m_log.info("replica.changed", {{"replica", news.id.text()}, {"change", textOf(news.change)}});
 }
 
 void ReplicaFeed::publish()
--- a/source/edge/storefeeds.h
+++ b/source/edge/storefeeds.h
@@ -1,5 +1,6 @@
 /**
- * Tasks that follow the platform's store: what the operator writes, and the list of backend servers.
+ * Tasks that follow the platform's store: what the operator writes, and the list of backend
+ * servers.
  */
 #pragma once
 
--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -49,9 +49,8 @@
     asio::co_spawn(
             m_executor,
             [self = shared_from_this()] {
-                return self->m_next
-                        ? self->readTail(*self->m_next, self->m_options.wait, false)
-                        : self->readSnapshot();
+                return self->m_next ? self->readTail(*self->m_next, self->m_options.wait, false)
+                                    : self->readSnapshot();
             },
             asio::detached);
 }
@@ -120,8 +119,7 @@
     }
     KeyedTail tail = std::get<KeyedTail>(command.tail);
     const std::uint64_t known = *m_next - command.from;
-    const auto n = static_cast<std::ptrdiff_t>(
-            std::min<std::uint64_t>(known, tail.records.size()));
+    const auto n = static_cast<std::ptrdiff_t>(std::min<std::uint64_t>(known, tail.records.size()));
     tail.records.erase(tail.records.begin(), tail.records.begin() + n);
     m_next = std::max(*m_next, tail.next);
     m_hooks.added(tail);
@@ -141,8 +139,8 @@
 void TopicFollower::readLater(bool hasFailed)
 {
     const Duration pause = hasFailed ? spread(m_backoff) : m_options.pause;
-    m_backoff = hasFailed ? std::min<Duration>(m_backoff * 2, longestBackoff)
-                          : Duration(firstBackoff);
+    m_backoff =
+            hasFailed ? std::min<Duration>(m_backoff * 2, longestBackoff) : Duration(firstBackoff);
     if (pause <= Duration::zero()) {
         m_mailbox->post(ReadDue {});
         return;
--- a/source/entry/adminkeeper.h
+++ b/source/entry/adminkeeper.h
@@ -7,10 +7,10 @@
 #include "core/config/config.h"
 #include "entry/entrysettings.h"
 #include "entry/fleetkeeper.h"
+#include "logservice/logservice.h"
 #include "net/http.h"
 #include "net/log.h"
 #include "net/mailbox.h"
-#include "logservice/logservice.h"
 
 #include <map>
 #include <memory>
--- a/source/entry/claimkeeper.h
+++ b/source/entry/claimkeeper.h
@@ -5,10 +5,10 @@
 
 #include "core/once/once.h"
 #include "entry/claimtail.h"
+#include "logservice/logclient.h"
 #include "net/log.h"
 #include "net/mailbox.h"
 #include "net/metrics.h"
-#include "logservice/logclient.h"
 #include "protocol/claimcodec.h"
 
 #include <map>
--- a/source/entry/claimtail.h
+++ b/source/entry/claimtail.h
@@ -3,8 +3,8 @@
  */
 #pragma once
 
-#include "net/log.h"
 #include "logservice/logclient.h"
+#include "net/log.h"
 
 #include <functional>
 
--- a/source/entry/entry.h
+++ b/source/entry/entry.h
@@ -16,9 +16,9 @@
 #include "entry/fleetkeeper.h"
 #include "entry/peerentries.h"
 #include "entry/router.h"
+#include "logservice/logservice.h"
 #include "net/httpserver.h"
 #include "net/metrics.h"
-#include "logservice/logservice.h"
 
 #include <memory>
 
--- a/source/entry/fleetkeeper.h
+++ b/source/entry/fleetkeeper.h
@@ -6,9 +6,9 @@
 #include "core/membership/membership.h"
 #include "entry/entrysettings.h"
 #include "entry/peerentries.h"
+#include "logservice/logservice.h"
 #include "net/log.h"
 #include "net/peerlink.h"
-#include "logservice/logservice.h"
 
 #include <functional>
 #include <map>
--- a/source/entry/peerentries.h
+++ b/source/entry/peerentries.h
@@ -7,9 +7,9 @@
 #pragma once
 
 #include "entry/entrysettings.h"
+#include "logservice/logservice.h"
 #include "net/log.h"
 #include "net/peerlink.h"
-#include "logservice/logservice.h"
 
 #include <functional>
 #include <map>
--- a/source/exchange/versionfetcher.cpp
+++ b/source/exchange/versionfetcher.cpp
@@ -62,8 +62,8 @@
     WeightSources sources;
     sources.readPeer = std::move(readPeer);
     // Manifests are made here, so the keeper never reads one from elsewhere.
-    sources.readManifest = [self = shared_from_this()](Digest digest)
-            -> Awaitable<Outcome<Manifest>> {
+    sources.readManifest =
+            [self = shared_from_this()](Digest digest) -> Awaitable<Outcome<Manifest>> {
         for (const auto &[version, known] : self->m_known) {
             if (known.digest == digest) {
                 co_return known.manifest;
--- a/source/exchange/versionfetcher.h
+++ b/source/exchange/versionfetcher.h
@@ -1,6 +1,6 @@
 /**
- * The task that has the newest named weights fetched, on an entry or an agent: it reads the list of their pieces, and tells
- * the keeper of weights what is wanted and where else it is.
+ * The task that has the newest named weights fetched, on an entry or an agent: it reads the list of
+ * their pieces, and tells the keeper of weights what is wanted and where else it is.
  */
 #pragma once
 
@@ -63,8 +63,8 @@
 };
 
 /** Messages to the fetcher. */
-using FetcherCommand = std::variant<FetcherRoutes, FetcherNamed, FetcherLoaded, FetcherEntries, FetcherAgents,
-                                    FetcherHolds, FetcherListed, FetcherTick>;
+using FetcherCommand = std::variant<FetcherRoutes, FetcherNamed, FetcherLoaded, FetcherEntries,
+                                    FetcherAgents, FetcherHolds, FetcherListed, FetcherTick>;
 
 /** A version that is held whole and verified. */
 struct HeldVersion
--- a/source/logservice/configkeeper.h
+++ b/source/logservice/configkeeper.h
@@ -5,11 +5,11 @@
 #pragma once
 
 #include "core/config/config.h"
+#include "logservice/logclient.h"
 #include "net/clock.h"
 #include "net/log.h"
 #include "net/mailbox.h"
 #include "net/metrics.h"
-#include "logservice/logclient.h"
 
 #include <functional>
 #include <map>
--- a/source/logservice/logtail.h
+++ b/source/logservice/logtail.h
@@ -3,9 +3,9 @@
  */
 #pragma once
 
-#include "net/log.h"
 #include "logservice/configkeeper.h"
 #include "logservice/logclient.h"
+#include "net/log.h"
 
 #include <memory>
 
--- a/source/logservice/snapshotwriter.h
+++ b/source/logservice/snapshotwriter.h
@@ -4,9 +4,9 @@
  */
 #pragma once
 
+#include "logservice/configkeeper.h"
 #include "net/log.h"
 #include "net/mailbox.h"
-#include "logservice/configkeeper.h"
 
 #include <memory>
 #include <variant>
--- /dev/null
+++ b/source/net/boundedsink.cpp
@@ -0,0 +1,66 @@
+#include "net/boundedsink.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+namespace greengageseam {
+
+namespace {
+
+constexpr std::size_t maxWaiting = 1024;
+/** A pipe that polls as writable takes so many bytes without blocking. */
+constexpr std::size_t maxLineBytes = 4096;
+
+} // namespace
+
+bool BoundedSink::canWrite() const
+{
+    pollfd wish {m_descriptor, POLLOUT, 0};
+    return ::poll(&wish, 1, 0) > 0 && (wish.revents & POLLOUT) != 0;
+}
+
+void BoundedSink::sink_it_(const spdlog::details::log_msg &message)
+{
+    std::string line(message.payload.data(), message.payload.size());
+    // A longer line would have to be cut, and would not be JSON any more.
+    if (line.size() >= maxLineBytes) {
+        line = R"({"event":"log.line-too-long","bytes":)" + std::to_string(line.size()) + "}";
+    }
+    keep(line + "\n");
+    drain();
+}
+
+void BoundedSink::flush_()
+{
+    drain();
+}
+
+void BoundedSink::keep(std::string line)
+{
+    if (m_waiting.size() >= maxWaiting) {
+        ++m_dropped;
+        ++m_untold;
+        return;
+    }
+    m_waiting.push_back(std::move(line));
+}
+
+void BoundedSink::drain()
+{
+    while (!m_waiting.empty() && canWrite()) {
+        const std::string &line = m_waiting.front();
+        if (::write(m_descriptor, line.data(), line.size()) < 0) {
+            ++m_dropped;
+            ++m_untold;
+        }
+        m_waiting.pop_front();
+    }
+    if (m_untold > 0 && m_waiting.empty()) {
+        const std::string line =
+                R"({"event":"log.dropped","lines":)" + std::to_string(m_untold) + "}\n";
+        m_untold = 0;
+        m_waiting.push_back(line);
+    }
+}
+
+} // namespace greengageseam
--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -99,7 +99,8 @@
         return WireEnd::TimedOut;
     }
     const bool isCut = ec == http::error::end_of_stream || ec == http::error::partial_message;
-    const bool isHttp = ec.category() == http::make_error_code(http::error::end_of_stream).category();
+    const bool isHttp =
+            ec.category() == http::make_error_code(http::error::end_of_stream).category();
     return isHttp && !isCut ? WireEnd::Malformed : WireEnd::Broken;
 }
 
--- a/source/net/keptclient.cpp
+++ b/source/net/keptclient.cpp
@@ -22,11 +22,11 @@
 { }
 
 Awaitable<Outcome<HttpResponse>> KeptClient::call(HttpRequest request, bool isRepeatable,
-                                                 Duration wait)
+                                                  Duration wait)
 {
     const auto self = shared_from_this();
-    std::string text = request.method + " " + request.target + " HTTP/1.1\r\nHost: "
-            + m_address.text() + "\r\n";
+    std::string text = request.method + " " + request.target
+            + " HTTP/1.1\r\nHost: " + m_address.text() + "\r\n";
     for (const HttpHeader &field : request.headers) {
         text += field.name + ": " + field.value + "\r\n";
     }
@@ -59,8 +59,8 @@
             co_return *failure;
         }
         connection = std::make_shared<HttpConnection>(m_executor);
-        const WireEnd end = co_await connection->connect(
-                std::get<asio::ip::tcp::endpoint>(endpoint), m_limit);
+        const WireEnd end =
+                co_await connection->connect(std::get<asio::ip::tcp::endpoint>(endpoint), m_limit);
         if (end != WireEnd::Done) {
             co_return failureAt(m_address, ErrorKind::NoBackendServer, "no connection");
         }
--- a/source/net/log.cpp
+++ b/source/net/log.cpp
@@ -1,10 +1,11 @@
 #include "net/log.h"
 
+#include "net/boundedsink.h"
 #include "net/clock.h"
 
 #include <boost/json.hpp>
 #include <spdlog/logger.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
 
 namespace greengageseam {
 
@@ -12,8 +13,8 @@
 
 std::shared_ptr<spdlog::logger> makeLogger()
 {
-    auto logger = std::make_shared<spdlog::logger>(
-            "greengageseam", std::make_shared<spdlog::sinks::stderr_sink_st>());
+    auto logger = std::make_shared<spdlog::logger>("greengageseam",
+                                                   std::make_shared<BoundedSink>(STDOUT_FILENO));
     logger->set_pattern("%v");
     return logger;
 }
--- a/source/net/log.h
+++ b/source/net/log.h
@@ -21,7 +21,7 @@
 /** @returns the level called `error`, `warning`, `info` or `debug`, or nothing */
 std::optional<LogLevel> logLevelNamed(std::string_view name);
 
-/** Writes JSON lines to the standard error stream. */
+/** Writes JSON lines to the standard output, without ever waiting for it. */
 class Log
 {
 public:
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -52,7 +52,8 @@
     body.isOrderBusy = report.isOrderBusy;
     body.waiting = static_cast<std::int32_t>(report.waiting);
     body.running = static_cast<std::int32_t>(report.running);
-    body.pace = static_cast<std::int32_t>(std::lround(std::min(report.pace, highestPace) * paceUnits));
+    body.pace =
+            static_cast<std::int32_t>(std::lround(std::min(report.pace, highestPace) * paceUnits));
     body.known = static_cast<std::int64_t>(report.entriesKnown);
     body.news = static_cast<std::int64_t>(report.news);
     frame.__set_loadSeen(body);
@@ -72,9 +73,8 @@
 
 Result<Datagram> decodeDatagram(std::string_view bytes)
 {
-    const auto limits = std::make_shared<TConfiguration>(static_cast<int>(maxDatagramBytes),
-                                                         static_cast<int>(maxDatagramBytes),
-                                                         maxNesting);
+    const auto limits = std::make_shared<TConfiguration>(
+            static_cast<int>(maxDatagramBytes), static_cast<int>(maxDatagramBytes), maxNesting);
     const auto buffer = std::make_shared<TMemoryBuffer>(limits);
     buffer->resetBuffer(reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data())),
                         static_cast<std::uint32_t>(bytes.size()));
--- a/source/steward/loadteller.cpp
+++ b/source/steward/loadteller.cpp
@@ -27,10 +27,10 @@
 Result<void> LoadTeller::start(const std::string &ip, std::uint16_t port)
 {
     BOOST_LEAF_CHECK(m_socket.bind(ip, port));
-    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->listen(); },
-                   asio::detached);
-    asio::co_spawn(m_executor, [self = shared_from_this()] { return self->tell(); },
-                   asio::detached);
+    asio::co_spawn(
+            m_executor, [self = shared_from_this()] { return self->listen(); }, asio::detached);
+    asio::co_spawn(
+            m_executor, [self = shared_from_this()] { return self->tell(); }, asio::detached);
     return {};
 }
 
--- a/source/steward/replicaprobe.cpp
+++ b/source/steward/replicaprobe.cpp
@@ -37,9 +37,8 @@
         m_log.info(m_isLost ? "replica.lost" : "replica.regained",
                    {{"reason", m_isLost ? failure->detail : ""}});
     }
-    m_observer(failure == nullptr
-                       ? std::optional<ReplicaReport>(std::get<ReplicaReport>(read))
-                       : std::nullopt);
+    m_observer(failure == nullptr ? std::optional<ReplicaReport>(std::get<ReplicaReport>(read))
+                                  : std::nullopt);
 }
 
 } // namespace greengageseam
--- a/source/steward/steward.cpp
+++ b/source/steward/steward.cpp
@@ -92,7 +92,7 @@
         m_installer->mailbox()->post(InstallerNamed {named.version, at});
         m_exchange->fetcher()->post(FetcherNamed {named});
     };
-    hooks.readUpTo = [](std::uint64_t) {};
+    hooks.readUpTo = [](std::uint64_t) { };
     const FollowOptions follow {"operator", {}, operatorPause};
     m_feed = std::make_shared<OperatorFeed>(m_executor, m_adapter.operatorTopic, follow, hooks,
                                             m_log);
--- a/source/steward/weightinstaller.cpp
+++ b/source/steward/weightinstaller.cpp
@@ -55,8 +55,9 @@
 {
     const bool isNew = m_named.emplace(command.version, command.at).second;
     if (isNew) {
-        asio::co_spawn(m_executor, [self = shared_from_this()] { return self->askMembers(); },
-                       asio::detached);
+        asio::co_spawn(
+                m_executor, [self = shared_from_this()] { return self->askMembers(); },
+                asio::detached);
     }
 }
 
@@ -191,20 +192,20 @@
     if (loaded == 0 || oldest == m_named.end()) {
         return true;
     }
-    const Duration turn =
-            rolloutTurn(m_members, m_options.self, m_version, m_options.rollout);
+    const Duration turn = rolloutTurn(m_members, m_options.self, m_version, m_options.rollout);
     return now >= oldest->second + turn;
 }
 
 void WeightInstaller::begin(Stage stage)
 {
     enter(stage);
-    asio::co_spawn(m_executor,
-                   [self = shared_from_this(), step = ++m_step, version = *m_held, stage] {
-                       return stage == Stage::Staging ? self->stage(step, version)
-                                                      : self->order(step, version);
-                   },
-                   asio::detached);
+    asio::co_spawn(
+            m_executor,
+            [self = shared_from_this(), step = ++m_step, version = *m_held, stage] {
+                return stage == Stage::Staging ? self->stage(step, version)
+                                               : self->order(step, version);
+            },
+            asio::detached);
 }
 
 Awaitable<void> WeightInstaller::finish(std::uint64_t step, Settled result)
@@ -287,7 +288,9 @@
         m_log.info("weights.ordered",
                    {{"version", version.version},
                     {"outcome",
-                     failure != nullptr ? failure->detail : isUnfit ? "unfit" : "accepted"}});
+                     failure != nullptr ? failure->detail
+                             : isUnfit  ? "unfit"
+                                        : "accepted"}});
         // Without an answer the order may have been accepted; the report shows it.
         if (failure != nullptr && failure->kind != ErrorKind::OutcomeUnknown) {
             result = *failure;
--- /dev/null
+++ b/tests/failure/tst_edge.cpp
@@ -0,0 +1,356 @@
+/**
+ * An entry on the platform, between callers, a store and backend servers that fail in each way.
+ * labels: platform
+ */
+#include "edge/edge.h"
+#include "fleetstandin.h"
+#include "net/clock.h"
+#include "platform/platform.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+namespace greengageseam {
+namespace {
+
+constexpr auto patience = std::chrono::seconds(10);
+
+/** An address on loopback that is free now. */
+Address freeAddress(asio::io_context &context)
+{
+    asio::ip::tcp::acceptor acceptor(context);
+    const Result<void> opened = openAcceptor(acceptor, Address("127.0.0.1:0"));
+    REQUIRE(opened);
+    return addressOf(acceptor.local_endpoint());
+}
+
+std::uint16_t portOf(const Address &address)
+{
+    return static_cast<std::uint16_t>(
+            std::stoi(address.text().substr(address.text().rfind(':') + 1)));
+}
+
+class EdgeFixture
+{
+protected:
+    EdgeFixture()
+        : m_log(LogLevel::Error, {}), m_store(m_context.get_executor(), m_log),
+          m_first(m_context.get_executor(), "i-1", m_log),
+          m_second(m_context.get_executor(), "i-2", m_log)
+    {
+        m_settings.instance = InstanceId("entry-1");
+        m_settings.zone = ZoneName("a");
+        m_settings.ip = "127.0.0.1";
+        m_settings.callers = freeAddress(m_context);
+        m_settings.ready = freeAddress(m_context);
+        m_settings.control = freeAddress(m_context);
+        m_settings.firstPort = portOf(freeAddress(m_context));
+        m_settings.lastPort = portOf(freeAddress(m_context));
+        m_settings.store = m_store.address();
+    }
+
+    /** @param kind of the only route, which may be sent to @p attempts backend servers */
+    void configure(const std::string &kind, int attempts, int version = 1)
+    {
+        m_store.put("keyed.op", "config",
+                    R"({"version":)" + std::to_string(version)
+                            + R"(,"routes":[{"name":"r","host":"a.example","pathPrefix":"/x/",)"
+                            + R"("routeKind":")" + kind
+                            + R"(","timeoutMs":3000,"targetLatencyMs":400,"priority":1,)"
+                            + R"("service":"p","maxAttempts":)" + std::to_string(attempts)
+                            + R"(,"streamResume":true}],"services":[{"name":"p"}],)"
+                            + R"("tenants":[{"name":"ann","apiKeys":["key"]}]})");
+    }
+
+    void startEntry()
+    {
+        m_edge.emplace(m_context.get_executor(), m_settings,
+                       makePlatformAdapter(m_context.get_executor(), m_settings), "secret", m_log);
+        REQUIRE(m_edge->start());
+    }
+
+    /** Starts an entry that knows its configuration and @p replicas. */
+    void startWith(const std::string &kind, int attempts,
+                   const std::vector<const ReplicaStandin *> &replicas)
+    {
+        configure(kind, attempts);
+        for (const ReplicaStandin *replica : replicas) {
+            m_store.put("keyed.servers", replica->id(), replica->entry("p", "ready"));
+        }
+        startEntry();
+        REQUIRE(waitUntil([this] { return ask(m_settings.ready, "/-/readiness").status == 200; }));
+    }
+
+    /** Runs the tasks until a condition holds. */
+    bool waitUntil(const std::function<bool()> &condition)
+    {
+        const Instant end = monotonicNow() + patience;
+        while (!condition()) {
+            if (monotonicNow() > end) {
+                return false;
+            }
+            m_context.run_for(std::chrono::milliseconds(10));
+        }
+        return true;
+    }
+
+    static HttpRequest request(const std::string &target, const std::string &key = "key")
+    {
+        return {"POST",
+                target,
+                {{"Host", "a.example"},
+                 {"Attempt-Id", "id-1"},
+                 {"Key", key},
+                 {"Remaining-Time-Ms", "2500"}},
+                "body"};
+    }
+
+    /** What a caller got; status 0 for none, and isWhole if the answer came to its end. */
+    struct Got
+    {
+        int status = 0;
+        bool isWhole = false;
+        std::string body;
+        WireHead head;
+    };
+
+    Got send(const Address &address, const std::string &text)
+    {
+        std::optional<Got> got;
+        asio::co_spawn(m_context, exchange(address, text, got), asio::detached);
+        REQUIRE(waitUntil([&] { return got.has_value(); }));
+        return *got;
+    }
+
+    Got call(const HttpRequest &request)
+    {
+        std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+        for (const HttpHeader &field : request.headers) {
+            text += field.name + ": " + field.value + "\r\n";
+        }
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n"
+                + request.body;
+        return send(m_settings.callers, text);
+    }
+
+    Got ask(const Address &address, const std::string &target)
+    {
+        return send(address, "GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+
+    Awaitable<void> exchange(Address address, std::string text, std::optional<Got> &got)
+    {
+        const auto connection = std::make_shared<HttpConnection>(m_context.get_executor());
+        const auto endpoint = settle([&] { return parseEndpoint(address); });
+        Got result;
+        const WireEnd connected = co_await connection->connect(
+                std::get<asio::ip::tcp::endpoint>(endpoint), std::chrono::seconds(1));
+        if (connected == WireEnd::Done) {
+            co_await connection->send(std::move(text), std::chrono::seconds(1));
+            WireRead<WireHead> head = co_await connection->readHead(false, std::chrono::seconds(5));
+            if (head.end == WireEnd::Done) {
+                result.status = head.value.status;
+                result.head = head.value;
+                WireRead<std::string> body =
+                        co_await connection->readBody(100'000, std::chrono::seconds(5));
+                result.isWhole = body.end == WireEnd::Done;
+                result.body = body.value;
+            }
+        }
+        got = result;
+    }
+
+    asio::io_context m_context;
+    Log m_log;
+    NodeSettings m_settings;
+    StoreStandin m_store;
+    ReplicaStandin m_first;
+    ReplicaStandin m_second;
+    std::optional<Edge> m_edge;
+};
+
+TEST_CASE_METHOD(EdgeFixture, "entry_healthyBackend_answersWithItsSealAndTheAccount")
+{
+    startWith("idempotent", 2, {&m_first});
+    const Got got = call(request("/x/1"));
+    REQUIRE(got.status == 200);
+    REQUIRE(got.body == "answer of i-1");
+    REQUIRE(got.head.header("Server-Seal") == "seal-of-i-1");
+    REQUIRE(m_first.seen().front().header("Tenant-Name") == "ann");
+    REQUIRE(m_first.seen().front().header("Expected-Instance") == "i-1");
+    REQUIRE_FALSE(m_first.seen().front().header("Key"));
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_unknownKeyOrRoute_isRefusedWithoutASend")
+{
+    startWith("idempotent", 2, {&m_first});
+    REQUIRE(call(request("/x/1", "other")).status == 401);
+    REQUIRE(call(request("/y/1")).status == 404);
+    REQUIRE(m_first.seen().empty());
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_noConfigurationYet_isNotReadyAndAnswers503")
+{
+    m_store.failWith(503);
+    startEntry();
+    REQUIRE(waitUntil([this] { return ask(m_settings.ready, "/-/readiness").status == 503; }));
+    const Got got = call(request("/x/1"));
+    REQUIRE(got.status == 503);
+    REQUIRE(got.head.header("Retry-After"));
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_storeGoesAway_servesWithWhatItKnows")
+{
+    startWith("idempotent", 2, {&m_first});
+    m_store.failWith(503);
+    m_context.run_for(std::chrono::milliseconds(900));
+    REQUIRE(call(request("/x/1")).status == 200);
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_newConfiguration_isInForceWithinTheBound")
+{
+    startWith("idempotent", 2, {&m_first});
+    m_store.put("keyed.op", "config", R"({"version":9,"routes":[],"services":[]})");
+    const Instant begin = monotonicNow();
+    REQUIRE(waitUntil([this] { return call(request("/x/1")).status == 404; }));
+    REQUIRE(monotonicNow() - begin < m_settings.bounds.configApply);
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_backendDrains_getsNothingAfterTheBound")
+{
+    startWith("idempotent", 2, {&m_first});
+    m_store.put("keyed.servers", "i-1", m_first.entry("p", "draining"));
+    m_context.run_for(m_settings.bounds.drain);
+    REQUIRE(call(request("/x/1")).status == 503);
+    REQUIRE(m_first.seen().empty());
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_idempotentCallBrokenOff_isSentToAnotherBackend")
+{
+    startWith("idempotent", 2, {&m_first, &m_second});
+    for (const ReplicaManner manner :
+         {ReplicaManner::BreaksBeforeAnswer, ReplicaManner::Fails, ReplicaManner::AnswersUnsealed,
+          ReplicaManner::AnswersAnother, ReplicaManner::Rejects, ReplicaManner::IsAnother}) {
+        m_first.behave(manner);
+        CAPTURE(static_cast<int>(manner));
+        const Got got = call(request("/x/1"));
+        REQUIRE(got.status == 200);
+        REQUIRE(got.body == "answer of i-2");
+    }
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_callThatMayNotBeRepeatedBrokenOff_runsOnceAndPromisesNothing")
+{
+    startWith("non_idempotent", 2, {&m_first, &m_second});
+    m_first.behave(ReplicaManner::BreaksBeforeAnswer);
+    m_second.behave(ReplicaManner::BreaksBeforeAnswer);
+    const Got got = call(request("/x/1"));
+    REQUIRE((got.status == 502 || got.status == 504));
+    REQUIRE(m_first.runs() + m_second.runs() == 1);
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_callThatMayNotBeRepeatedRejected_isRefusedAsNotRun")
+{
+    startWith("non_idempotent", 1, {&m_first});
+    m_first.behave(ReplicaManner::Rejects);
+    const Got got = call(request("/x/1"));
+    REQUIRE(got.status == 503);
+    REQUIRE(got.head.header("Retry-After"));
+    REQUIRE(m_first.runs() == 0);
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_callThatMayNotBeRepeatedUnanswered_endsAtItsDeadlineAsUnknown")
+{
+    startWith("non_idempotent", 2, {&m_first, &m_second});
+    m_first.behave(ReplicaManner::Hangs);
+    m_second.behave(ReplicaManner::Hangs);
+    const Got got = call(request("/x/1"));
+    REQUIRE(got.status == 504);
+    REQUIRE(m_first.runs() + m_second.runs() == 1);
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_streamBreaksWithinAnEvent_goesOnAtAnotherBackend")
+{
+    startWith("streaming", 2, {&m_first, &m_second});
+    m_first.behave(ReplicaManner::BreaksWithinStream);
+    m_second.behave(ReplicaManner::Streams);
+    Got got = call(request("/x/1"));
+    while (got.head.header("Server-Seal") != "seal-of-i-1") {
+        got = call(request("/x/1"));
+    }
+    REQUIRE(got.isWhole);
+    REQUIRE(got.body
+            == "id: 1\ndata: i-1\n\nid: 2\ndata: i-1\n\nid: 3\ndata: i-2\n\nid: 4\ndata: i-2\n\n");
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_streamBreaksEverywhere_staysVisiblyIncomplete")
+{
+    startWith("streaming", 2, {&m_first});
+    m_first.behave(ReplicaManner::BreaksWithinStream);
+    const Got got = call(request("/x/1"));
+    REQUIRE(got.status == 200);
+    REQUIRE_FALSE(got.isWhole);
+    REQUIRE(got.body == "id: 1\ndata: i-1\n\nid: 2\ndata: i-1\n\n");
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_malformedOrOversizedRequest_isRefused")
+{
+    startWith("idempotent", 2, {&m_first});
+    REQUIRE(send(m_settings.callers, "what is this\r\n\r\n").status == 400);
+    REQUIRE(send(m_settings.callers,
+                 "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 3\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+                    .status
+            == 400);
+    REQUIRE(send(m_settings.callers,
+                 "GET /x/1 HTTP/1.1\r\nA: " + std::string(20'000, 'a') + "\r\n\r\n")
+                    .status
+            == 431);
+    REQUIRE(send(m_settings.callers,
+                 "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 99999999\r\n\r\n")
+                    .status
+            == 413);
+    REQUIRE(m_first.seen().empty());
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_callerGoesAway_theBackendIsLeftWithinHalfASecond")
+{
+    startWith("idempotent", 1, {&m_first});
+    m_first.behave(ReplicaManner::Hangs);
+    asio::ip::tcp::socket caller(m_context);
+    const auto endpoint = settle([&] { return parseEndpoint(m_settings.callers); });
+    caller.connect(std::get<asio::ip::tcp::endpoint>(endpoint));
+    const std::string text =
+            "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\nKey: key\r\n"
+            "Content-Length: 0\r\n\r\n";
+    caller.send(asio::buffer(text));
+    REQUIRE(waitUntil([this] { return m_first.runs() == 1; }));
+    caller.close();
+    const Instant begin = monotonicNow();
+    REQUIRE(waitUntil([this] {
+        return ask(Address("127.0.0.1:" + std::to_string(m_settings.lastPort)), "/metrics")
+                       .body.find("outcome=\"caller-gone\"")
+                != std::string::npos;
+    }));
+    REQUIRE(monotonicNow() - begin < std::chrono::milliseconds(500));
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_stoppedWhileARequestRuns_answersItFirst")
+{
+    startWith("streaming", 1, {&m_first});
+    m_first.behave(ReplicaManner::Streams);
+    bool isStopped = false;
+    asio::co_spawn(m_context, m_edge->shutDown(),
+                   [&isStopped](const std::exception_ptr &) { isStopped = true; });
+    m_context.run_for(std::chrono::milliseconds(50));
+    REQUIRE(ask(m_settings.ready, "/-/readiness").status == 503);
+    const Got got = call(request("/x/1"));
+    REQUIRE(got.isWhole);
+    REQUIRE(got.head.header("Connection") == "close");
+    REQUIRE(waitUntil([&] { return isStopped; }));
+}
+
+} // namespace
+} // namespace greengageseam
--- /dev/null
+++ b/tests/unit/tst_eventsplitter.cpp
@@ -0,0 +1,76 @@
+/**
+ * Tests of the splitter of event streams.
+ */
+#include "core/fleet/fleet.h"
+
+#include <catch2/catch.hpp>
+
+namespace greengageseam {
+namespace {
+
+class EventSplitterFixture
+{
+protected:
+    static std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
+
+    EventSplitter m_splitter;
+};
+
+TEST_CASE_METHOD(EventSplitterFixture, "splitter_eventInTwoParts_isGivenWhole")
+{
+    const std::string bytes = event(1);
+    REQUIRE(m_splitter.feed(bytes.substr(0, 7)).count == 0);
+    REQUIRE(m_splitter.hasPartial());
+    const WholeEvents whole = m_splitter.feed(bytes.substr(7));
+    REQUIRE(whole.bytes == bytes);
+    REQUIRE_FALSE(m_splitter.hasPartial());
+}
+
+TEST_CASE_METHOD(EventSplitterFixture, "splitter_everySplitOfAStream_givesTheSameEvents")
+{
+    const std::string bytes = event(1) + event(2) + "weight-versions: 3\nid: 3\ndata: y\n\n";
+    for (std::size_t first = 0; first < bytes.size(); ++first) {
+        for (std::size_t second = first; second < bytes.size(); ++second) {
+            EventSplitter splitter;
+            std::string given = splitter.feed(bytes.substr(0, first)).bytes;
+            given += splitter.feed(bytes.substr(first, second - first)).bytes;
+            given += splitter.feed(bytes.substr(second)).bytes;
+            REQUIRE(given == bytes);
+            REQUIRE(splitter.lastId() == 3);
+        }
+    }
+}
+
+TEST_CASE_METHOD(EventSplitterFixture,
+                 "splitter_runBreaksWithinEvent_nextRunGoesOnAfterTheLastWhole")
+{
+    m_splitter.feed(event(1) + event(2) + "id: 3\nda");
+    REQUIRE(m_splitter.lastId() == 2);
+    m_splitter.beginRun();
+    REQUIRE(m_splitter.feed(event(3)).bytes == event(3));
+    REQUIRE_FALSE(m_splitter.hasGap());
+}
+
+TEST_CASE_METHOD(EventSplitterFixture, "splitter_nextRunRepeatsEvents_dropsThem")
+{
+    m_splitter.feed(event(1) + event(2));
+    m_splitter.beginRun();
+    REQUIRE(m_splitter.feed(event(1) + event(2) + event(3)).bytes == event(3));
+}
+
+TEST_CASE_METHOD(EventSplitterFixture, "splitter_eventIsMissing_saysSo")
+{
+    m_splitter.feed(event(1));
+    m_splitter.feed(event(3));
+    REQUIRE(m_splitter.hasGap());
+}
+
+TEST_CASE_METHOD(EventSplitterFixture, "splitter_carriageReturns_endAnEventToo")
+{
+    const WholeEvents whole = m_splitter.feed("id: 1\r\ndata: x\r\n\r\nid: 2");
+    REQUIRE(whole.count == 1);
+    REQUIRE(m_splitter.lastId() == 1);
+}
+
+} // namespace
+} // namespace greengageseam
--- /dev/null
+++ b/tests/unit/tst_loadbook.cpp
@@ -0,0 +1,165 @@
+/**
+ * Tests of the choice among backend servers.
+ */
+#include "core/fleet/fleet.h"
+
+#include <catch2/catch.hpp>
+
+namespace greengageseam {
+namespace {
+
+using std::chrono::milliseconds;
+
+class LoadBookFixture
+{
+protected:
+    LoadBookFixture() : m_book(LoadBookOptions {ZoneName("a")})
+    {
+        EngineCosts engine;
+        engine.slots = 2;
+        engine.stepMs = 7;
+        engine.usualAnswerTokens = 100;
+        engine.model = ModelName("m");
+        Service pool;
+        pool.name = ServiceName("pool");
+        pool.engine = engine;
+        m_book.setServices({{pool.name, pool}});
+        m_wish.service = pool.name;
+        m_wish.objective = milliseconds(400);
+    }
+
+    static ReplicaEntry replica(const std::string &id, std::uint64_t weights = 1)
+    {
+        ReplicaEntry entry;
+        entry.id = ReplicaId(id);
+        entry.service = ServiceName("pool");
+        entry.address = Address("127.0.0.1:" + std::to_string(id.front()));
+        entry.zone = ZoneName("a");
+        entry.slots = 2;
+        entry.bornMs = 10;
+        entry.loaded.version = weights;
+        return entry;
+    }
+
+    static LoadReport report(const ReplicaEntry &entry, std::uint32_t running)
+    {
+        LoadReport report;
+        report.backend = entry.address;
+        report.bornMs = entry.bornMs;
+        report.weights = entry.loaded.version;
+        report.running = running;
+        return report;
+    }
+
+    std::optional<std::string> take(std::uint64_t random = 0)
+    {
+        const auto taken = m_book.take(m_wish, m_now, random);
+        return taken ? std::optional(taken->id.text()) : std::nullopt;
+    }
+
+    LoadBook m_book;
+    ReplicaWish m_wish;
+    Instant m_now {milliseconds(1000)};
+};
+
+TEST_CASE_METHOD(LoadBookFixture, "take_oneIsBusyByItsReport_takesTheOther")
+{
+    m_book.setReplicas({replica("a"), replica("b")});
+    m_book.hear(report(replica("a"), 2), m_now);
+    m_book.hear(report(replica("b"), 0), m_now);
+    for (std::uint64_t random = 0; random < 8; ++random) {
+        REQUIRE(take(random) == "b");
+        m_book.ended(ReplicaId("b"), ReplicaVerdict::Answered, std::nullopt, m_now);
+    }
+}
+
+TEST_CASE_METHOD(LoadBookFixture, "take_emptyEngine_isNotUsed")
+{
+    m_book.setReplicas({replica("a", 0)});
+    REQUIRE_FALSE(take());
+}
+
+TEST_CASE_METHOD(LoadBookFixture, "take_olderWeightsThanRequired_isNotUsed")
+{
+    m_book.setReplicas({replica("a", 1), replica("b", 2)});
+    m_wish.oldestWeights = 2;
+    REQUIRE(take() == "b");
+}
+
+TEST_CASE_METHOD(LoadBookFixture, "take_reportSaysItLoads_isNotUsed")
+{
+    m_book.setReplicas({replica("a")});
+    LoadReport loading = report(replica("a"), 0);
+    loading.isOrderBusy = true;
+    m_book.hear(loading, m_now);
+    REQUIRE_FALSE(take());
+}
+
+TEST_CASE_METHOD(LoadBookFixture, "take_startedAgainUnderTheSameAddress_isNotUsed")
+{
+    m_book.setReplicas({replica("a")});
+    LoadReport successor = report(replica("a"), 0);
+    successor.bornMs = 20;
+    m_book.hear(successor, m_now);
+    REQUIRE_FALSE(take());
+}
+
+TEST_CASE_METHOD(LoadBookFixture, "take_draining_isNotUsed")
+{
+    ReplicaEntry leaving = replica("a");
+    leaving.isDraining = true;
+    m_book.setReplicas({leaving});
+    REQUIRE_FALSE(take());
+}
+
+TEST_CASE_METHOD(LoadBookFixture, "take_triedBefore_isNotUsed")
+{
+    m_book.setReplicas({replica("a")});
+    m_wish.tried = {ReplicaId("a")};
+    REQUIRE_FALSE(take());
+}
+
+TEST_CASE_METHOD(LoadBookFixture, "take_allSlotsTakenAndNoReport_hasNoRoom")
+{
+    m_book.setReplicas({replica("a")});
+    REQUIRE(take());
+    REQUIRE(take());
+    REQUIRE_FALSE(take());
+}
+
+TEST_CASE_METHOD(LoadBookFixture, "take_rejectedJustNow_restsAWhile")
+{
+    m_book.setReplicas({replica("a")});
+    REQUIRE(take());
+    m_book.ended(ReplicaId("a"), ReplicaVerdict::Full, std::nullopt, m_now);
+    REQUIRE_FALSE(take());
+    m_now += milliseconds(100);
+    REQUIRE(take());
+}
+
+TEST_CASE_METHOD(LoadBookFixture, "take_oneAnswersLate_takesTheOtherForAWhile")
+{
+    m_book.setReplicas({replica("a"), replica("b")});
+    m_wish.tried = {ReplicaId("b")};
+    REQUIRE(take() == "a");
+    m_wish.tried.clear();
+    m_book.ended(ReplicaId("a"), ReplicaVerdict::Answered, milliseconds(2000), m_now);
+    for (std::uint64_t random = 0; random < 8; ++random) {
+        REQUIRE(take(random) == "b");
+        m_book.ended(ReplicaId("b"), ReplicaVerdict::Answered, milliseconds(100), m_now);
+    }
+}
+
+TEST_CASE_METHOD(LoadBookFixture, "take_threeFailuresInARow_isEjected")
+{
+    m_book.setReplicas({replica("a")});
+    for (int n = 0; n < 3; ++n) {
+        REQUIRE(take());
+        m_book.ended(ReplicaId("a"), ReplicaVerdict::Failed, std::nullopt, m_now);
+    }
+    REQUIRE_FALSE(take());
+    REQUIRE_FALSE(m_book.hasUsable(m_wish.service, 0, m_now));
+}
+
+} // namespace
+} // namespace greengageseam
--- /dev/null
+++ b/tests/unit/tst_platform.cpp
@@ -0,0 +1,209 @@
+/**
+ * Tests of the adapter: what the platform writes is decoded into what it says.
+ */
+#include "platform/platform.h"
+
+#include <catch2/catch.hpp>
+
+namespace greengageseam {
+namespace {
+
+class PlatformFixture
+{
+protected:
+    static std::string settingsText()
+    {
+        return "nodeName=front-a-1\nzone=a\nregion=r\nzones.a=r\nzones.b=s\nip=127.0.0.1\n"
+               "listenAddrs.front=127.0.0.1:8005\nlistenAddrs.ready=127.0.0.1:8002\n"
+               "internalPortRange=7700,7715\nplatform.address=127.0.0.1:8007\n"
+               "bounds.drainMs=2000\nbounds.graceS=8\nbounds.retryBudgetRatio=0.25\n"
+               "limits.linkMbps=7.6\nnewField=whatever\n";
+    }
+
+    template <typename T>
+    static std::string detailOf(const Outcome<T> &outcome)
+    {
+        const Failure *failure = failureOf(outcome);
+        return failure == nullptr ? std::string() : failure->detail;
+    }
+
+    static HttpRequest request()
+    {
+        return {"POST",
+                "/a/b?c=d",
+                {{"Host", "a.example"},
+                 {"Attempt-Id", "9c41"},
+                 {"Token-Count", "1460,80"},
+                 {"Remaining-Time-Ms", "6000"},
+                 {"Key", "secret"},
+                 {"Tenant-Name", "forged"},
+                 {"Expected-Instance", "forged"},
+                 {"Connection", "keep-alive, X-Hop"},
+                 {"X-Hop", "1"},
+                 {"Transfer-Encoding", "chunked"},
+                 {"X-Other", "kept"}},
+                "body"};
+    }
+};
+
+TEST_CASE_METHOD(PlatformFixture, "decodeSettings_completeFile_isRead")
+{
+    const auto read = settle([] { return decodeSettings(settingsText()); });
+    REQUIRE(detailOf(read).empty());
+    const auto &settings = std::get<NodeSettings>(read);
+    REQUIRE(settings.instance.text() == "front-a-1");
+    REQUIRE(settings.zones.size() == 2);
+    REQUIRE(settings.firstPort == 7700);
+    REQUIRE(settings.lastPort == 7715);
+    REQUIRE(settings.bounds.drain == std::chrono::seconds(2));
+    REQUIRE(settings.bounds.retryRatio == 0.25);
+}
+
+TEST_CASE_METHOD(PlatformFixture, "decodeSettings_badValue_namesTheSetting")
+{
+    const auto read =
+            settle([] { return decodeSettings(settingsText() + "bounds.graceS=soon\n"); });
+    REQUIRE_THAT(detailOf(read), Catch::Contains("bounds.graceS") && Catch::Contains("'soon'"));
+}
+
+TEST_CASE_METHOD(PlatformFixture, "decodeSettings_noStore_namesTheSetting")
+{
+    const auto read = settle([] {
+        return decodeSettings("nodeName=a\nzone=a\nip=1.2.3.4\n"
+                              "internalPortRange=1,2\n");
+    });
+    REQUIRE_THAT(detailOf(read), Catch::Contains("platform.address"));
+}
+
+TEST_CASE_METHOD(PlatformFixture, "decodeConfig_routeAndTenant_areRead")
+{
+    const auto read = settle([] {
+        return decodeConfig(
+                R"({"version":7,"routes":[{"name":"r","host":"A.example","pathPrefix":"/x/",)"
+                R"("routeKind":"streaming","timeoutMs":6000,"targetLatencyMs":400,"priority":1,)"
+                R"("trafficSplit":[{"service":"p","weight":90},{"service":"q","weight":10}],)"
+                R"("maxAttempts":2,"streamResume":true,"gapAimMs":300}],"services":[{"name":"p",)"
+                R"("engine":{"slots":16,"step_ms":6.73,"chunks":64,"models":[{"name":"m"}]}}],)"
+                R"("tenants":[{"name":"t","apiKeys":["k"],"priority":1}]})");
+    });
+    REQUIRE(detailOf(read).empty());
+    const auto &config = std::get<FleetConfig>(read);
+    REQUIRE(config.version == 7);
+    REQUIRE(config.routes.front().host == "a.example");
+    REQUIRE(config.routes.front().kind == RouteKind::Streaming);
+    REQUIRE(config.routes.front().targets.size() == 2);
+    REQUIRE(config.routes.front().canResume);
+    REQUIRE(config.services.at(ServiceName("p")).engine->model.text() == "m");
+    REQUIRE(config.accounts->front().keys == std::vector<std::string> {"k"});
+}
+
+TEST_CASE_METHOD(PlatformFixture, "decodeConfig_unknownRouteKind_mayNotBeRepeated")
+{
+    const auto read = settle([] {
+        return decodeConfig(R"({"version":1,"routes":[{"host":"h","pathPrefix":"/",)"
+                            R"("routeKind":"novel","timeoutMs":1,"service":"p"}]})");
+    });
+    REQUIRE(std::get<FleetConfig>(read).routes.front().kind == RouteKind::NonIdempotent);
+}
+
+TEST_CASE_METHOD(PlatformFixture, "decodeReplica_rubbish_namesNoBackendServer")
+{
+    const ReplicaId id("i-1");
+    const std::vector<std::string> entries {
+            "not json",
+            "[]",
+            R"({"service":"p","address":"127.0.0.1:1","zone":"a","slots":2,"state":"odd"})",
+            R"({"service":"p","address":"nowhere","zone":"a","slots":2,"state":"ready"})",
+            R"({"service":7,"address":"127.0.0.1:1","zone":"a","slots":2,"state":"ready"})",
+            R"({"address":"127.0.0.1:1","zone":"a","slots":2,"state":"ready"})"};
+    for (const std::string &entry : entries) {
+        CAPTURE(entry);
+        REQUIRE_FALSE(detailOf(settle([&] { return decodeReplica(id, entry); })).empty());
+    }
+}
+
+TEST_CASE_METHOD(PlatformFixture, "decodeReplica_engine_tellsItsWeights")
+{
+    const auto read = settle([] {
+        return decodeReplica(ReplicaId("i-1"),
+                             R"({"service":"p","address":"127.0.0.1:1","zone":"a","slots":16,)"
+                             R"("state":"draining","born":5,"models":[{"name":"m","version":3}],)"
+                             R"("layers":{"from":0,"to":16,"version":3}})");
+    });
+    const auto &entry = std::get<ReplicaEntry>(read);
+    REQUIRE(entry.isDraining);
+    REQUIRE(entry.bornMs == 5);
+    REQUIRE(entry.loaded.wholeVersion() == 3);
+}
+
+TEST_CASE_METHOD(PlatformFixture, "decodeTail_twoRecordsAndARemoval_areRead")
+{
+    std::string bytes(16, '\0');
+    bytes += std::string("\0\0\0\4\1ava", 8) + std::string("\0\0\0\2\1b", 6);
+    const auto read = settle([&] { return decodeTail(bytes, 40); });
+    const auto &tail = std::get<KeyedTail>(read);
+    REQUIRE(tail.next == 42);
+    REQUIRE(tail.records[0] == KeyedRecord {"a", "va"});
+    REQUIRE(tail.records[1] == KeyedRecord {"b", std::nullopt});
+}
+
+TEST_CASE_METHOD(PlatformFixture, "decodeTail_cutWithinARecord_isRefused")
+{
+    const std::string bytes = std::string(16, '\0') + std::string("\0\0\0\x09\1a", 6);
+    REQUIRE_FALSE(detailOf(settle([&] { return decodeTail(bytes, 0); })).empty());
+}
+
+TEST_CASE_METHOD(PlatformFixture, "decodeNewest_page_isRead")
+{
+    bool hasMore = false;
+    const auto read = settle([&] {
+        return decodeNewest(
+                R"({"items":[{"key":"config","value":"eHk=","offset":4}],"hasMore":true,"end":6})",
+                hasMore);
+    });
+    const auto &page = std::get<KeyedSnapshot>(read);
+    REQUIRE(hasMore);
+    REQUIRE(page.end == 6);
+    REQUIRE(page.records.front() == KeyedRecord {"config", "xy"});
+}
+
+TEST_CASE_METHOD(PlatformFixture, "decodeCall_fields_areRead")
+{
+    const CallFields call = decodeCall(request());
+    REQUIRE(call.attemptId == "9c41");
+    REQUIRE(call.promptTokens == 1460);
+    REQUIRE(call.maxAnswerTokens == 80);
+    REQUIRE(call.remaining == std::chrono::seconds(6));
+    REQUIRE(call.key == "secret");
+}
+
+TEST_CASE_METHOD(PlatformFixture, "encodeSend_request_keepsNeitherKeyNorForgedFields")
+{
+    SendFields fields;
+    fields.replica = ReplicaId("i-1");
+    fields.remaining = std::chrono::milliseconds(1500);
+    fields.account = AccountName("ann");
+    const std::string text = encodeSend(request(), fields);
+    REQUIRE_THAT(text, Catch::StartsWith("POST /a/b?c=d HTTP/1.1\r\n"));
+    REQUIRE_THAT(text, Catch::EndsWith("Content-Length: 4\r\n\r\nbody"));
+    REQUIRE_THAT(text, Catch::Contains("Expected-Instance: i-1\r\n"));
+    REQUIRE_THAT(text, Catch::Contains("Tenant-Name: ann\r\n"));
+    REQUIRE_THAT(text, Catch::Contains("Remaining-Time-Ms: 1500\r\n"));
+    REQUIRE_THAT(text, Catch::Contains("X-Other: kept\r\n"));
+    REQUIRE_THAT(text, !Catch::Contains("secret") && !Catch::Contains("forged"));
+    REQUIRE_THAT(text, !Catch::Contains("X-Hop") && !Catch::Contains("chunked"));
+}
+
+TEST_CASE_METHOD(PlatformFixture, "decodeAnswer_rejection_saysNotRun")
+{
+    WireHead head {503, {{"Not-Executed", "1"}}, true, 0};
+    REQUIRE(decodeAnswer(head).isNotRun);
+    head = {421, {{"Replica-Id", "i-2"}}, true, 0};
+    REQUIRE(decodeAnswer(head).isNotRun);
+    REQUIRE(decodeAnswer(head).isMisdirected);
+    head = {503, {}, true, 0};
+    REQUIRE_FALSE(decodeAnswer(head).isNotRun);
+}
+
+} // namespace
+} // namespace greengageseam
--- /dev/null
+++ b/tests/unit/tst_routetable.cpp
@@ -0,0 +1,91 @@
+/**
+ * Tests of the index of routes, and of the choice of a service.
+ */
+#include "core/fleet/fleet.h"
+
+#include <catch2/catch.hpp>
+
+namespace greengageseam {
+namespace {
+
+class RouteTableFixture
+{
+protected:
+    static Route route(const std::string &name, const std::string &prefix)
+    {
+        Route route;
+        route.name = RouteName(name);
+        route.host = "a.example";
+        route.pathPrefix = prefix;
+        route.targets = {{ServiceName("pool"), 1}};
+        return route;
+    }
+
+    RouteTableFixture()
+    {
+        m_config.routes = {route("short", "/x/"), route("long", "/x/y/")};
+        m_config.accounts = {FleetAccount {AccountName("ann"), {"key-1"}, std::nullopt}};
+    }
+
+    std::string nameFor(const std::string &host, const std::string &target,
+                        const std::string &key) const
+    {
+        const RouteTable table(m_config);
+        const Outcome<Routed> found = table.find(host, target, key);
+        const Failure *failure = failureOf(found);
+        return failure == nullptr ? std::get<Routed>(found).route->name.text()
+                                  : std::string(answerFor(failure->kind).name);
+    }
+
+    FleetConfig m_config;
+};
+
+TEST_CASE_METHOD(RouteTableFixture, "find_twoPrefixesFit_takesTheLonger")
+{
+    REQUIRE(nameFor("a.example", "/x/y/2", "key-1") == "long");
+    REQUIRE(nameFor("a.example", "/x/z", "key-1") == "short");
+}
+
+TEST_CASE_METHOD(RouteTableFixture, "find_hostInCapitalsWithPort_isTheSameHost")
+{
+    REQUIRE(nameFor("A.Example:8080", "/x/z", "key-1") == "short");
+}
+
+TEST_CASE_METHOD(RouteTableFixture, "find_slashOnlyInQuery_doesNotFit")
+{
+    REQUIRE(nameFor("a.example", "/x?/y/", "key-1") == "not-found");
+}
+
+TEST_CASE_METHOD(RouteTableFixture, "find_unknownHostOrPath_isNotFound")
+{
+    REQUIRE(nameFor("b.example", "/x/z", "key-1") == "not-found");
+    REQUIRE(nameFor("a.example", "/q/", "key-1") == "not-found");
+}
+
+TEST_CASE_METHOD(RouteTableFixture, "find_unknownKey_isUnauthenticated")
+{
+    REQUIRE(nameFor("a.example", "/x/z", "key-2") == "unauthenticated");
+    REQUIRE(nameFor("a.example", "/x/z", "") == "unauthenticated");
+}
+
+TEST_CASE_METHOD(RouteTableFixture, "find_anonymousRoute_needsNoKey")
+{
+    m_config.routes[0].isAnonymous = true;
+    REQUIRE(nameFor("a.example", "/x/z", "") == "short");
+}
+
+TEST_CASE_METHOD(RouteTableFixture, "chooseService_ninetyToTen_splitsByWeight")
+{
+    Route split = route("split", "/");
+    split.targets = {{ServiceName("a"), 90}, {ServiceName("b"), 10}};
+    constexpr std::uint64_t steps = 1000;
+    constexpr std::uint64_t step = UINT64_MAX / steps;
+    std::size_t first = 0;
+    for (std::uint64_t n = 0; n < steps; ++n) {
+        first += chooseService(split, n * step).text() == "a" ? 1 : 0;
+    }
+    REQUIRE(first == 900);
+}
+
+} // namespace
+} // namespace greengageseam
