--- a/source/agent/weightkeeper.cpp
+++ b/source/agent/weightkeeper.cpp
@@ -18,6 +18,7 @@
 constexpr auto announceFarEvery = std::chrono::milliseconds(150);
 /** Partners follow from the plan, which changes without any news of the zone. */
 constexpr auto keepPartnersEvery = std::chrono::milliseconds(200);
+constexpr auto tellProgressEvery = std::chrono::milliseconds(500);
 constexpr auto manifestPatience = std::chrono::seconds(2);
 
 FetchResult resultOf(const Failure &failure)
@@ -209,6 +210,13 @@
     plan(TimePassed {});
     announceNews();
     const Instant now = monotonicNow();
+    if (!m_planner.isDone() && now - m_progressToldAt >= tellProgressEvery) {
+        m_progressToldAt = now;
+        m_log.info("weights.progress", {{"held_bytes", m_planner.heldBytes()},
+                                        {"origin_bytes", m_originBytes},
+                                        {"reading", m_readings.size()},
+                                        {"partners", m_partners.size()}});
+    }
     if (now - m_partnersKeptAt >= keepPartnersEvery) {
         m_partnersKeptAt = now;
         keepPartners();
--- a/source/agent/weightkeeper.h
+++ b/source/agent/weightkeeper.h
@@ -177,6 +177,7 @@
     std::vector<WeightPeer> m_known;
     std::vector<WeightPeer> m_partners;
     Instant m_partnersKeptAt;
+    Instant m_progressToldAt;
     /** What the peers of the zone, and those of other zones, were last told. */
     std::map<Digest, ChunkBits> m_toldNear;
     std::map<Digest, ChunkBits> m_toldFar;
--- a/source/core/fleet/loadbook.cpp
+++ b/source/core/fleet/loadbook.cpp
@@ -13,7 +13,7 @@
 /** Milliseconds that a request of a plain service takes, for want of a better figure. */
 constexpr double plainRequestMs = 25;
 /** Share of the objective that a request may wait for a place at a backend server. */
-constexpr double waitShare = 0.35;
+constexpr double waitShare = 0.15;
 /** Time for which a backend server that rejected a request is left alone. */
 constexpr auto restAfterRejection = std::chrono::milliseconds(60);
 /** The same for one that is not what it was taken for, until better is known of it. */
--- a/source/core/weights/transferplan.cpp
+++ b/source/core/weights/transferplan.cpp
@@ -124,8 +124,8 @@
                 InstanceId(digest.text()), version.places.members, version.places.members.size());
         ChunkSource source;
         const bool isOwner = owners.empty() || owners.front() == m_options.self;
-        const bool asksOrigin = isOwner
-                ? version.manifestTries % 2 == 0
+        const bool asksOrigin = m_options.makesManifests || isOwner
+                ? m_options.makesManifests || version.manifestTries % 2 == 0
                 : version.manifestTries % manifestPeerTries == manifestPeerTries - 1;
         if (!asksOrigin) {
             const std::size_t n = version.manifestTries % std::max<std::size_t>(1, owners.size());
--- a/source/core/weights/transferplanner.h
+++ b/source/core/weights/transferplanner.h
@@ -21,6 +21,8 @@
     ZoneName storeZone;
     /** Chunks that are read at a time. */
     std::uint32_t maxFetches = 12;
+    /** Whether manifests are made at hand, so that no peer is asked for one. */
+    bool makesManifests = false;
     /** Whether chunks are read one by one while they are slow, since others use the link. */
     bool yieldsWhenSlow = false;
     std::uint32_t maxFetchesPerPeer = 2;
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -78,13 +78,23 @@
     if (tryTake(command, now)) {
         return;
     }
+    if (m_waiting.size() >= m_options.maxWaiting) {
+        refuse(command, now, ErrorKind::Overloaded);
+    } else if (!refuseIfDue(command, now)) {
+        m_waiting.push_back(command);
+    }
+}
+
+/** @returns whether the request has waited for as long as it may, and was refused */
+bool Dispatcher::refuseIfDue(const TakeReplica &command, Instant now)
+{
     const std::uint64_t weights = requiredWeights(command.wish.service, now);
-    const bool isHopeless = !m_loads.hasUsable(command.wish.service, weights, now);
-    if (command.waitUntil <= now || m_waiting.size() >= m_options.maxWaiting) {
-        refuse(command, now, isHopeless ? ErrorKind::NoBackendServer : ErrorKind::Overloaded);
-        return;
+    const bool hasUsable = m_loads.hasUsable(command.wish.service, weights, now);
+    if (now < (hasUsable ? command.waitUntil : command.waitForAnyUntil)) {
+        return false;
     }
-    m_waiting.push_back(command);
+    refuse(command, now, hasUsable ? ErrorKind::Overloaded : ErrorKind::NoBackendServer);
+    return true;
 }
 
 bool Dispatcher::tryTake(const TakeReplica &command, Instant now)
@@ -186,13 +196,9 @@
         if (!it->reply->isOpen() || tryTake(*it, now)) {
             continue;
         }
-        if (it->waitUntil <= now) {
-            const std::uint64_t weights = requiredWeights(it->wish.service, now);
-            const bool isHopeless = !m_loads.hasUsable(it->wish.service, weights, now);
-            refuse(*it, now, isHopeless ? ErrorKind::NoBackendServer : ErrorKind::Overloaded);
-            continue;
+        if (!refuseIfDue(*it, now)) {
+            m_waiting.push_front(std::move(*it));
         }
-        m_waiting.push_front(std::move(*it));
     }
 }
 
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -67,6 +67,8 @@
     bool wantsIdle = false;
     /** Longest time to wait for a backend server with room. */
     Instant waitUntil;
+    /** The same while no backend server can be used at all. */
+    Instant waitForAnyUntil;
     /** When the caller gives the request up. */
     Instant deadline;
     MailboxPtr<std::variant<ReplicaLease, NoReplica>> reply;
@@ -167,6 +169,7 @@
     void apply(const EntriesCounted &command);
     void apply(const DispatchTick &command);
     bool tryTake(const TakeReplica &command, Instant now);
+    bool refuseIfDue(const TakeReplica &command, Instant now);
     void refuse(const TakeReplica &command, Instant now, ErrorKind kind);
     void serveWaiting();
     HttpConnectionPtr takeIdle(const Address &address, Instant now);
--- a/source/edge/requestrun.cpp
+++ b/source/edge/requestrun.cpp
@@ -22,6 +22,8 @@
 constexpr auto streamSilence = std::chrono::milliseconds(1500);
 /** Share of the objective for which a request waits for a backend server with room. */
 constexpr double waitShare = 0.3;
+/** Time for which a request waits while no backend server can be used, such as after a restart. */
+constexpr auto longestWaitForAny = std::chrono::seconds(1);
 /** Share of the time left for which an answer that may be asked for again is awaited. */
 constexpr double silenceShare = 0.4;
 constexpr int statusOk = 200;
@@ -190,6 +192,7 @@
     ask.wantsIdle = mayRepeat();
     const Duration wait = std::min(scaled(route.objective, waitShare), scaled(left(), waitShare));
     ask.waitUntil = monotonicNow() + wait;
+    ask.waitForAnyUntil = monotonicNow() + std::min<Duration>(longestWaitForAny, left() / 6);
     ask.deadline = m_deadline;
     ask.reply = reply;
     if (m_context.dispatcher->post(std::move(ask))) {
--- a/source/exchange/weightexchange.cpp
+++ b/source/exchange/weightexchange.cpp
@@ -60,6 +60,7 @@
     transfer.zone = m_options.fetcher.zone;
     transfer.storeZone = m_options.originZone;
     transfer.maxFetches = m_options.maxFetches;
+    transfer.makesManifests = true;
     transfer.yieldsWhenSlow = m_options.yieldsWhenSlow;
     transfer = transfer.withLinkBytesPerSecond(m_options.linkBytesPerSecond);
     const WeightTasks tasks {m_links->mailbox(), m_server->mailbox()};
--- /dev/null
+++ b/tests/unit/tst_transferplanner.cpp
@@ -0,0 +1,87 @@
+/**
+ * Tests of the transfer planner where an owner of chunks or of the manifest cannot be reached.
+ */
+#include "core/common/hashing.h"
+#include "core/weights/weights.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace greengageseam {
+namespace {
+
+using std::chrono::milliseconds;
+
+class TransferPlannerFixture
+{
+protected:
+    TransferPlannerFixture()
+    {
+        std::vector<Chunk> chunks;
+        for (int n = 0; n < 16; ++n) {
+            chunks.push_back({digestOf(std::to_string(n)), 1000});
+        }
+        m_manifest = Manifest(chunks);
+        m_options.self = InstanceId("self");
+        m_options.zone = ZoneName("a");
+        m_options.makesManifests = true;
+    }
+
+    VersionsWanted wanted(const std::vector<std::string> &members) const
+    {
+        VersionPlaces places;
+        for (const std::string &member : members) {
+            places.members.emplace_back(member);
+        }
+        places.zones = {ZoneName("a")};
+        return {{{m_manifest.digest(), places}}};
+    }
+
+    static std::size_t originReads(const std::vector<TransferAction> &actions)
+    {
+        return static_cast<std::size_t>(
+                std::count_if(actions.begin(), actions.end(), [](const TransferAction &action) {
+                    const auto *read = std::get_if<ReadChunk>(&action);
+                    return read != nullptr && read->source.isOrigin();
+                }));
+    }
+
+    Manifest m_manifest;
+    TransferOptions m_options;
+};
+
+TEST_CASE_METHOD(TransferPlannerFixture, "planner_manifestMadeAtHand_asksNoPeerForIt")
+{
+    for (const std::string other : {"b", "c", "d", "e", "f", "g"}) {
+        TransferPlanner planner(m_options, swarmPolicy(), Instant());
+        const auto actions = planner.step(wanted({"self", other}), Instant());
+        REQUIRE(actions.size() == 1);
+        REQUIRE(std::get<ReadManifest>(actions.front()).source.isOrigin());
+    }
+}
+
+TEST_CASE_METHOD(TransferPlannerFixture, "planner_guestWhileOwnersRead_leavesTheOriginAlone")
+{
+    TransferPlanner planner(m_options, swarmPolicy(), Instant());
+    planner.step(wanted({"b", "c"}), Instant());
+    planner.step(ManifestKnown {m_manifest.digest(), m_manifest}, Instant());
+    for (int ms = 0; ms < 2000; ms += 20) {
+        const auto actions = planner.step(TimePassed {}, Instant(milliseconds(ms)));
+        REQUIRE(originReads(actions) == 0);
+    }
+}
+
+TEST_CASE_METHOD(TransferPlannerFixture, "planner_ownersAreSilent_guestReadsTheOriginInTheEnd")
+{
+    TransferPlanner planner(m_options, swarmPolicy(), Instant());
+    planner.step(wanted({"b"}), Instant());
+    planner.step(ManifestKnown {m_manifest.digest(), m_manifest}, Instant());
+    std::size_t reads = 0;
+    for (int ms = 0; ms < 12'000; ms += 20) {
+        reads += originReads(planner.step(TimePassed {}, Instant(milliseconds(ms))));
+    }
+    REQUIRE(reads > 0);
+}
+
+} // namespace
+} // namespace greengageseam
