--- a/source/core/weights/transferplan.cpp
+++ b/source/core/weights/transferplan.cpp
@@ -11,12 +11,10 @@
 
 namespace {
 
-constexpr auto minPatience = std::chrono::milliseconds(600);
+constexpr auto minPatience = std::chrono::seconds(2);
+constexpr int shareFactor = 2;
 /** Those who own nothing leave the owners more time, lest they crowd the origin. */
-constexpr auto guestPatience = std::chrono::milliseconds(2500);
-/** Owners may take so many percent of the time in which the longest share should be read. */
-constexpr int sharePercent = 100;
-constexpr int percent = 100;
+constexpr int guestFactor = 2;
 /** A chunk that takes longer fills the link, which others use as well. */
 constexpr auto slowChunk = std::chrono::milliseconds(150);
 /** Chunks in a step of what a peer has served. */
@@ -243,19 +241,26 @@
     return question;
 }
 
-/** Owners are passed over after the time in which the one with the most chunks should be done. */
+/**
+ * Owners are passed over after a fixed time, if one is set, or else after the time in which the one
+ * with the most chunks should be done.
+ */
 TurnState TransferPlanner::turnState(const Version &version, Instant now) const
 {
     TurnState state {m_originCopies, 0};
-    if (!version.shareTook) {
-        return state;
+    Duration patience = m_options.ownerPatience;
+    if (patience > Duration::zero() && version.turns.ownShare == 0) {
+        patience *= guestFactor;
+    } else if (patience == Duration::zero()) {
+        if (!version.shareTook) {
+            return state;
+        }
+        const auto ownShare =
+                static_cast<Duration::rep>(std::max<std::size_t>(1, version.turns.ownShare));
+        const auto most = static_cast<Duration::rep>(version.turns.largestShare);
+        const Duration wholeShare = *version.shareTook / ownShare * most * shareFactor;
+        patience = std::max<Duration>(minPatience, wholeShare);
     }
-    const auto ownShare =
-            static_cast<Duration::rep>(std::max<std::size_t>(1, version.turns.ownShare));
-    const auto most = static_cast<Duration::rep>(version.turns.largestShare);
-    const Duration wholeShare = *version.shareTook / ownShare * most * sharePercent / percent;
-    const bool isGuest = version.turns.ownShare == 0;
-    const Duration patience = std::max<Duration>(isGuest ? guestPatience : minPatience, wholeShare);
     state.passes = static_cast<std::uint32_t>((now - version.since) / patience);
     return state;
 }
--- a/source/core/weights/transferplanner.h
+++ b/source/core/weights/transferplanner.h
@@ -23,6 +23,8 @@
     std::uint32_t maxFetches = 12;
     /** Whether manifests are made at hand, so that no peer is asked for one. */
     bool makesManifests = false;
+    /** Time after which the next owner of a chunk may read it; 0 to tell by the own share. */
+    Duration ownerPatience {};
     /** Whether chunks are read one by one while they are slow, since others use the link. */
     bool yieldsWhenSlow = false;
     std::uint32_t maxFetchesPerPeer = 2;
--- a/source/exchange/weightexchange.cpp
+++ b/source/exchange/weightexchange.cpp
@@ -5,6 +5,13 @@
 
 namespace greengageseam {
 
+namespace {
+
+/** An owner may be cut off from the others while agents still hear of it. */
+constexpr auto ownerPatience = std::chrono::milliseconds(1200);
+
+} // namespace
+
 WeightExchange::WeightExchange(const asio::any_io_executor &executor, ExchangeOptions options,
                                OpenOrigin openOrigin, ReadStagedPiece readStaged,
                                std::function<void(const HeldVersion &held)> held,
@@ -61,6 +68,7 @@
     transfer.storeZone = m_options.originZone;
     transfer.maxFetches = m_options.maxFetches;
     transfer.makesManifests = true;
+    transfer.ownerPatience = ownerPatience;
     transfer.yieldsWhenSlow = m_options.yieldsWhenSlow;
     transfer = transfer.withLinkBytesPerSecond(m_options.linkBytesPerSecond);
     const WeightTasks tasks {m_links->mailbox(), m_server->mailbox()};
--- a/tests/unit/tst_transferplanner.cpp
+++ b/tests/unit/tst_transferplanner.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 
 namespace greengageseam {
 namespace {
@@ -25,6 +26,7 @@
         m_options.self = InstanceId("self");
         m_options.zone = ZoneName("a");
         m_options.makesManifests = true;
+        m_options.ownerPatience = milliseconds(1200);
     }
 
     VersionsWanted wanted(const std::vector<std::string> &members) const
@@ -71,6 +73,26 @@
     }
 }
 
+TEST_CASE_METHOD(TransferPlannerFixture, "planner_otherOwnerIsSilent_isPassedOver")
+{
+    TransferPlanner planner(m_options, swarmPolicy(), Instant());
+    planner.step(wanted({"self", "b"}), Instant());
+    planner.step(ManifestKnown {m_manifest.digest(), m_manifest}, Instant());
+    std::set<Digest> held;
+    std::vector<TransferAction> actions;
+    for (int ms = 0; ms < 1300; ms += 20) {
+        const Instant now {milliseconds(ms)};
+        actions = planner.step(TimePassed {}, now);
+        for (const TransferAction &action : actions) {
+            if (const auto *read = std::get_if<ReadChunk>(&action)) {
+                held.insert(read->chunk.digest);
+                planner.step(FetchEnded {read->chunk, read->source, FetchResult::Verified}, now);
+            }
+        }
+    }
+    REQUIRE(held.size() == m_manifest.chunks().size());
+}
+
 TEST_CASE_METHOD(TransferPlannerFixture, "planner_ownersAreSilent_guestReadsTheOriginInTheEnd")
 {
     TransferPlanner planner(m_options, swarmPolicy(), Instant());
