--- a/source/exchange/weightexchange.cpp
+++ b/source/exchange/weightexchange.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /** An owner may be cut off from the others while agents still hear of it. */
-constexpr auto ownerPatience = std::chrono::milliseconds(1200);
+constexpr auto ownerPatience = std::chrono::milliseconds(900);
 
 } // namespace
 
