--- a/source/agent/weightkeeper.cpp
+++ b/source/agent/weightkeeper.cpp
@@ -212,10 +212,11 @@
     const Instant now = monotonicNow();
     if (!m_planner.isDone() && now - m_progressToldAt >= tellProgressEvery) {
         m_progressToldAt = now;
-        m_log.info("weights.progress", {{"held_bytes", m_planner.heldBytes()},
-                                        {"origin_bytes", m_originBytes},
-                                        {"reading", m_readings.size()},
-                                        {"partners", m_partners.size()}});
+        m_log.info("weights.progress",
+                   {{"held_bytes", m_planner.heldBytes()},
+                    {"origin_bytes", m_originBytes},
+                    {"reading", m_readings.size()},
+                    {"partners", m_partners.size()}});
     }
     if (now - m_partnersKeptAt >= keepPartnersEvery) {
         m_partnersKeptAt = now;
--- a/source/core/fleet/loadbook.h
+++ b/source/core/fleet/loadbook.h
@@ -64,7 +64,6 @@
 struct LoadBookOptions
 {
     ZoneName zone;
-    std::map<ZoneName, RegionName> regions;
     /** What a send to another zone is held to cost besides its time, in milliseconds of waiting. */
     double zonePenaltyMs = 15;
     /** A report that is older says nothing of the load any more. */
--- a/source/edge/callerchannel.cpp
+++ b/source/edge/callerchannel.cpp
@@ -44,7 +44,6 @@
     if (m_isGone) {
         co_return false;
     }
-    m_hasBegun = true;
     auto [ec, n] = co_await asio::async_write(m_socket, asio::buffer(bytes), asTuple);
     if (ec) {
         markGone();
--- a/source/edge/callerchannel.h
+++ b/source/edge/callerchannel.h
@@ -41,10 +41,6 @@
     /** Sets what is called when the caller closes its connection; empty for nothing. */
     void onGone(std::function<void()> hook) { m_onGone = std::move(hook); }
 
-    /** @returns whether anything of an answer was sent */
-    bool hasBegun() const { return m_hasBegun; }
-    /** The connection ends after this answer. */
-    void closeAfter() { m_closes = true; }
     /** @returns whether the connection has to be closed after this answer */
     bool closes() const { return m_closes; }
 
@@ -58,7 +54,6 @@
     bool m_isOld;
     bool m_closes;
     bool m_isGone = false;
-    bool m_hasBegun = false;
 };
 
 } // namespace greengageseam
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -39,7 +39,6 @@
 {
     DispatcherOptions options;
     options.loads.zone = m_settings.zone;
-    options.loads.regions = m_settings.zones;
     options.bounds = m_settings.bounds;
     m_dispatcher = std::make_shared<Dispatcher>(m_executor, options, m_metrics, m_log);
 
--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -125,7 +125,6 @@
 {
     const auto self = shared_from_this();
     m_isSent = false;
-    ++m_requests;
     expectWithin(limit);
     auto [ec, n] = co_await asio::async_write(m_socket, asio::buffer(text), asTuple);
     m_isSent = !ec;
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -89,8 +89,6 @@
     bool isQuiet();
     /** @returns when the last answer was complete */
     Instant idleSince() const { return m_idleSince; }
-    /** @returns how many requests were sent */
-    std::uint32_t requests() const { return m_requests; }
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -105,7 +103,6 @@
     std::optional<Parser> m_parser;
     Instant m_deadline;
     Instant m_idleSince;
-    std::uint32_t m_requests = 0;
     bool m_isTimerArmed = false;
     bool m_isWaiting = false;
     bool m_isTimedOut = false;
