--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint32_t usualEntries = 6;
 /** Time before the end of the bound from which on only the named weights are used. */
 constexpr auto weightsMargin = std::chrono::milliseconds(1000);
+/** A request that has not begun is taken back so long before the end of the bound. */
+constexpr auto beginMargin = std::chrono::milliseconds(400);
 /** How long a connection is kept if the backend server does not say. */
 constexpr auto usualIdle = std::chrono::seconds(4);
 /** A connection is given up so long before the backend server closes it. */
@@ -107,6 +109,7 @@
     }
     ReplicaLease lease {*replica, nullptr, std::nullopt};
     lease.weights = expectedWeights(*replica, now);
+    lease.beginBy = beginBy(*replica, now);
     if (command.wantsIdle) {
         lease.connection = takeIdle(replica->address, now);
     }
@@ -259,6 +262,20 @@
     return m_loads.weights(replica.id, now) == newest ? std::optional(newest) : std::nullopt;
 }
 
+/** A request that waits at a backend server must not begin on weights that are too old by then. */
+std::optional<Instant> Dispatcher::beginBy(const ReplicaEntry &replica, Instant now) const
+{
+    const auto it = m_named.find(replica.loaded.model);
+    if (it == m_named.end()) {
+        return std::nullopt;
+    }
+    const auto newer = it->second.upper_bound(m_loads.weights(replica.id, now));
+    if (newer == it->second.end()) {
+        return std::nullopt;
+    }
+    return newer->second + m_options.bounds.weightsApply - beginMargin;
+}
+
 /** The named weights are required from a little before the bound on; until then any will do. */
 std::uint64_t Dispatcher::requiredWeights(const ServiceName &service, Instant now) const
 {
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -44,6 +44,8 @@
     HttpConnectionPtr connection;
     /** Weights that the backend server must have; nothing if any will do. */
     std::optional<std::uint64_t> weights;
+    /** The request must have begun by then, since newer weights are required from then on. */
+    std::optional<Instant> beginBy;
 };
 
 /** Why a request is not sent anywhere. */
@@ -176,6 +178,7 @@
     void dropIdle(Instant now);
     RetryAllowance &allowance(const ServiceName &service);
     std::optional<std::uint64_t> expectedWeights(const ReplicaEntry &replica, Instant now) const;
+    std::optional<Instant> beginBy(const ReplicaEntry &replica, Instant now) const;
     std::uint64_t requiredWeights(const ServiceName &service, Instant now) const;
 
     asio::any_io_executor m_executor;
--- a/source/edge/requestrun.cpp
+++ b/source/edge/requestrun.cpp
@@ -86,6 +86,13 @@
 
 /** How long an answer, or the next event of one, may keep silent before it is given up. */
 Duration RequestRun::silenceLimit() const
+{
+    const bool hasToBegin = m_beginBy && !m_answeredAt;
+    const Duration usual = usualSilenceLimit();
+    return hasToBegin ? std::min<Duration>(usual, *m_beginBy - monotonicNow()) : usual;
+}
+
+Duration RequestRun::usualSilenceLimit() const
 {
     if (!mayRepeat() || m_sends >= m_admission.routed.route->maxAttempts) {
         return left();
@@ -227,6 +234,7 @@
     ++m_sends;
     m_sentAt = monotonicNow();
     m_answeredAt.reset();
+    m_beginBy = lease.beginBy;
     if (m_request.body.size() > eagerBody) {
         asio::co_spawn(m_context.executor, sendBeside(m_connection, std::move(text), left()),
                        asio::detached);
--- a/source/edge/requestrun.h
+++ b/source/edge/requestrun.h
@@ -62,6 +62,7 @@
     bool mayRepeat() const;
     Duration left() const;
     Duration silenceLimit() const;
+    Duration usualSilenceLimit() const;
 
     const RequestContext &m_context;
     const HttpRequest &m_request;
@@ -80,6 +81,8 @@
     /** Set once the first event was passed on. */
     std::optional<Instant> m_firstEventAt;
     Instant m_sentAt;
+    /** When the present send must have begun. */
+    std::optional<Instant> m_beginBy;
     /** Beginning of the answer to the present send. */
     std::optional<Instant> m_answeredAt;
     std::optional<Instant> m_lastEventAt;
--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -315,6 +315,29 @@
     REQUIRE(m_first.seen().empty());
 }
 
+TEST_CASE_METHOD(EdgeFixture,
+                 "entry_requestHasNotBegunAsNewWeightsBecomeDue_isTakenBackBeforeTheBound")
+{
+    m_settings.bounds.weightsApply = std::chrono::seconds(3);
+    m_store.put("keyed.op", "config",
+                R"({"version":1,"routes":[{"name":"r","host":"a.example","pathPrefix":"/x/",)"
+                R"("routeKind":"streaming","timeoutMs":6000,"targetLatencyMs":400,"service":"p",)"
+                R"("maxAttempts":1,"streamResume":true,"anonymous":true}],"services":[{"name":"p",)"
+                R"("engine":{"slots":8,"step_ms":7,"usual":{"prompt":9,"answer":9},)"
+                R"("models":[{"name":"m"}]}}]})");
+    m_store.put("keyed.servers", "i-1", m_first.engineEntry("p", "m", 1));
+    startEntry();
+    REQUIRE(waitUntil([this] { return ask(m_settings.ready, "/-/readiness").status == 200; }));
+    m_first.behave(ReplicaManner::Hangs);
+    m_store.put("keyed.op", "version/m", R"({"model":"m","version":2})");
+    const Instant named = monotonicNow();
+    m_context.run_for(std::chrono::milliseconds(1000));
+    const Got got = call(request("/x/1"));
+    REQUIRE(m_first.runs() == 1);
+    REQUIRE(got.status == 504);
+    REQUIRE(monotonicNow() - named < m_settings.bounds.weightsApply);
+}
+
 TEST_CASE_METHOD(EdgeFixture, "entry_callerGoesAway_theBackendIsLeftWithinHalfASecond")
 {
     startWith("idempotent", 1, {&m_first});
--- a/tests/standins/fleetstandin.cpp
+++ b/tests/standins/fleetstandin.cpp
@@ -136,6 +136,14 @@
                                          {"born", 1}});
 }
 
+std::string ReplicaStandin::engineEntry(const std::string &service, const std::string &model,
+                                        std::uint64_t version) const
+{
+    json::object entry = json::parse(this->entry(service, "ready")).as_object();
+    entry["models"] = json::array {json::object {{"name", model}, {"version", version}}};
+    return json::serialize(entry);
+}
+
 Awaitable<void> ReplicaStandin::handle(HttpExchange &exchange)
 {
     const HttpRequest &request = exchange.request();
--- a/tests/standins/fleetstandin.h
+++ b/tests/standins/fleetstandin.h
@@ -79,6 +79,9 @@
     std::size_t runs() const { return m_runs; }
     /** @returns its entry in the list */
     std::string entry(const std::string &service, const std::string &state) const;
+    /** @returns its entry as an engine that runs a version of a model */
+    std::string engineEntry(const std::string &service, const std::string &model,
+                            std::uint64_t version) const;
 
 private:
     Awaitable<void> handle(HttpExchange &exchange);
