Dial an agent's entries that failed at once where there are no others

Ruled out: the entry's question (it never gets a heartbeat to ask on), the list of instances (not in the outage, names the entry). Entries that failed now stand behind all others instead of being left out.

--- a/source/agent/entrylinks.cpp
+++ b/source/agent/entrylinks.cpp
@@ -19,7 +19,8 @@
 constexpr std::size_t entriesPerAgent = 2;
 /** Silence after which an entry is given up for a while. */
 constexpr auto entrySilentAfter = std::chrono::seconds(3);
-constexpr auto dialAgainAfter = std::chrono::seconds(5);
+/** Time for which an entry that failed stands behind all others. */
+constexpr auto avoidedAfterFailure = std::chrono::seconds(5);
 constexpr auto listEveryOften = std::chrono::seconds(1);
 constexpr auto listEverySeldom = std::chrono::minutes(1);
 
@@ -177,22 +178,26 @@
     beat();
 }
 
-/** All entries that did not fail lately, the one that suits this agent best first. */
+/**
+ * All entries, the one that suits this agent best first. Those that failed lately come last, so that
+ * they are dialed again at once where there are no others.
+ */
 std::vector<Address> EntryLinks::entriesByScore() const
 {
     const Instant now = monotonicNow();
     std::set<Address> known(m_settings.entries.begin(), m_settings.entries.end());
     known.insert(m_listed.begin(), m_listed.end());
-    std::erase_if(known, [&](const Address &address) {
+    const auto hasFailed = [&](const Address &address) {
         const auto failed = m_failedAt.find(address);
-        return failed != m_failedAt.end() && now - failed->second < dialAgainAfter;
-    });
-    std::vector<Address> sorted(known.begin(), known.end());
-    const auto score = [this](const Address &address) {
-        return rendezvousScore(m_settings.instance.text(), address.text());
+        return failed != m_failedAt.end() && now - failed->second < avoidedAfterFailure;
     };
+    const auto rank = [&](const Address &address) {
+        return std::pair(!hasFailed(address),
+                         rendezvousScore(m_settings.instance.text(), address.text()));
+    };
+    std::vector<Address> sorted(known.begin(), known.end());
     std::sort(sorted.begin(), sorted.end(), [&](const Address &left, const Address &right) {
-        return score(left) > score(right);
+        return rank(left) > rank(right);
     });
     return sorted;
 }
