Tell entries before weights are loaded, and cut off what does not end in time

Ruled out: the time of loading (0.35 s), of the check of what is staged (0.08 s), the engines' pace. Now an agent says first that its replica takes nothing new; what still runs after 0.7 s is cut off where every route may go on elsewhere, and resumed by the entries.

--- a/source/core/fleet/loadbook.h
+++ b/source/core/fleet/loadbook.h
@@ -21,7 +21,7 @@
     std::uint64_t bornMs = 0;
     /** Version of the weights that are whole; 0 for none. */
     std::uint64_t weights = 0;
-    /** An order is being carried out, during which nothing new is begun. */
+    /** An order is being carried out or about to be given; until its end nothing new is begun. */
     bool isOrderBusy = false;
     std::uint32_t waiting = 0;
     std::uint32_t running = 0;
--- a/source/core/fleet/rollout.cpp
+++ b/source/core/fleet/rollout.cpp
@@ -26,4 +26,15 @@
     return options.first + span * before / count;
 }
 
+bool isLoadDue(const ReplicaReport &report, Duration since, bool mayCut,
+               const RolloutOptions &options)
+{
+    if (since < options.notice) {
+        return false;
+    }
+    // An engine that may not be cut off ends what it runs by itself.
+    return !mayCut || since >= options.leaving
+            || report.running + report.waiting <= options.fewRunning;
+}
+
 } // namespace greengageseam
--- a/source/core/fleet/rollout.h
+++ b/source/core/fleet/rollout.h
@@ -5,6 +5,7 @@
 
 #include "core/common/ids.h"
 #include "core/common/time.h"
+#include "core/fleet/replica.h"
 
 #include <vector>
 
@@ -17,6 +18,12 @@
     Duration first = std::chrono::milliseconds(2500);
     /** The last engine has begun to take them over. */
     Duration last = std::chrono::milliseconds(6800);
+    /** Time in which all entries hear that an engine is about to stop. */
+    Duration notice = std::chrono::milliseconds(150);
+    /** What still runs after this time is cut off, where it can go on elsewhere. */
+    Duration leaving = std::chrono::milliseconds(700);
+    /** So few requests are cut off at once. */
+    std::uint32_t fewRunning = 1;
 
     auto operator<=>(const RolloutOptions &) const = default;
 };
@@ -30,4 +37,12 @@
 Duration rolloutTurn(const std::vector<InstanceId> &members, const InstanceId &self,
                      std::uint64_t version, const RolloutOptions &options);
 
+/**
+ * @param report the engine's newest @param since when entries were told to send it nothing more
+ * @param mayCut whether what it runs can go on at another engine
+ * @returns whether the engine may be told to load now
+ */
+bool isLoadDue(const ReplicaReport &report, Duration since, bool mayCut,
+               const RolloutOptions &options);
+
 } // namespace greengageseam
--- a/source/core/fleet/routetable.cpp
+++ b/source/core/fleet/routetable.cpp
@@ -1,5 +1,7 @@
 #include "core/fleet/routetable.h"
 
+#include "core/fleet/delivery.h"
+
 #include <algorithm>
 
 namespace greengageseam {
@@ -93,4 +95,14 @@
     return route.targets.back().service;
 }
 
+bool mayMoveRequests(const FleetConfig &config, const ServiceName &service)
+{
+    return std::all_of(config.routes.begin(), config.routes.end(), [&](const Route &route) {
+        const bool goesThere =
+                std::any_of(route.targets.begin(), route.targets.end(),
+                            [&](const RouteTarget &target) { return target.service == service; });
+        return !goesThere || (isRepeatable(route.kind, route.canResume) && route.maxAttempts > 1);
+    });
+}
+
 } // namespace greengageseam
--- a/source/core/fleet/routetable.h
+++ b/source/core/fleet/routetable.h
@@ -59,4 +59,7 @@
  */
 const ServiceName &chooseService(const Route &route, std::uint64_t random);
 
+/** @returns whether everything that is sent to a service may go on at another backend server */
+bool mayMoveRequests(const FleetConfig &config, const ServiceName &service);
+
 } // namespace greengageseam
--- a/source/net/replicahooks.h
+++ b/source/net/replicahooks.h
@@ -19,6 +19,8 @@
 {
     ModelName model;
     std::uint64_t version = 0;
+    /** What runs is cut off; otherwise the backend server ends it first. */
+    bool cutsRunning = false;
 
     auto operator<=>(const LoadOrder &) const = default;
 };
--- a/source/steward/steward.cpp
+++ b/source/steward/steward.cpp
@@ -77,7 +77,12 @@
     installing.service = m_settings.backendService;
     m_installer = std::make_shared<WeightInstaller>(
             m_executor, installing, m_adapter.openReplica(m_settings.backend),
-            m_exchange->weights(), [this] { return readReplicas(); }, m_log);
+            m_exchange->weights(), [this] { return readReplicas(); },
+            [this](bool isLeaving) {
+                m_isLeaving = isLeaving;
+                tellLoad();
+            },
+            m_log);
 }
 
 void Steward::makeFeed()
@@ -85,6 +90,8 @@
     OperatorHooks hooks = m_adapter.operatorHooks;
     hooks.config = [this](const RouteTablePtr &table) {
         m_exchange->fetcher()->post(FetcherRoutes {table});
+        const bool mayCut = mayMoveRequests(table->config(), m_settings.backendService);
+        m_installer->mailbox()->post(InstallerMayCut {mayCut});
     };
     hooks.named = [this](const NamedVersion &named, bool isOld) {
         // What was named before this process followed is taken over without waiting for a turn.
@@ -105,14 +112,23 @@
     }
     m_installer->mailbox()->post(InstallerReport {*report});
     m_exchange->fetcher()->post(FetcherLoaded {{report->loaded.wholeVersion()}});
+    m_report = report;
+    tellLoad();
+}
+
+void Steward::tellLoad()
+{
+    if (!m_report) {
+        return;
+    }
     LoadReport load;
     load.backend = m_settings.backend;
-    load.bornMs = report->bornMs;
-    load.weights = report->loaded.wholeVersion();
-    load.isOrderBusy = report->isOrderBusy;
-    load.waiting = report->waiting;
-    load.running = report->running;
-    load.pace = report->pace;
+    load.bornMs = m_report->bornMs;
+    load.weights = m_report->loaded.wholeVersion();
+    load.isOrderBusy = m_report->isOrderBusy || m_isLeaving;
+    load.waiting = m_report->waiting;
+    load.running = m_report->running;
+    load.pace = m_report->pace;
     const Instant now = monotonicNow();
     if (m_told && *m_told == load && now - m_toldAt < retellAfter) {
         return;
--- a/source/steward/steward.h
+++ b/source/steward/steward.h
@@ -31,6 +31,7 @@
     void makeWeightTasks();
     void makeFeed();
     void onReport(const std::optional<ReplicaReport> &report);
+    void tellLoad();
     Awaitable<Outcome<std::vector<ReplicaEntry>>> readReplicas() const;
 
     asio::any_io_executor m_executor;
@@ -44,6 +45,10 @@
     std::shared_ptr<ReplicaProbe> m_probe;
     std::shared_ptr<LoadTeller> m_teller;
     std::shared_ptr<OperatorFeed> m_feed;
+    /** The newest report of the backend server. */
+    std::optional<ReplicaReport> m_report;
+    /** The backend server is to load weights, and should get nothing new. */
+    bool m_isLeaving = false;
     std::optional<LoadReport> m_told;
     Instant m_toldAt;
 };
--- a/source/steward/weightinstaller.cpp
+++ b/source/steward/weightinstaller.cpp
@@ -17,8 +17,8 @@
 constexpr auto retryAfterFailure = std::chrono::milliseconds(250);
 /** An order that shows no effect for so long is given again. */
 constexpr auto orderPatience = std::chrono::milliseconds(1500);
-constexpr std::array<std::string_view, 5> stageNames {"idle", "staging", "staged", "ordering",
-                                                      "ordered"};
+constexpr std::array<std::string_view, 6> stageNames {"idle",    "staging",  "staged",
+                                                      "leaving", "ordering", "ordered"};
 
 std::string_view nameOf(std::size_t stage)
 {
@@ -29,9 +29,10 @@
 
 WeightInstaller::WeightInstaller(const asio::any_io_executor &executor, InstallerOptions options,
                                  ReplicaHooks replica, MailboxPtr<WeightCommand> weights,
-                                 ReadReplicas readReplicas, Log log)
+                                 ReadReplicas readReplicas, TellLeaving tellLeaving, Log log)
     : m_executor(executor), m_options(std::move(options)), m_replica(std::move(replica)),
-      m_weights(std::move(weights)), m_readReplicas(std::move(readReplicas)), m_log(std::move(log)),
+      m_weights(std::move(weights)), m_readReplicas(std::move(readReplicas)),
+      m_tellLeaving(std::move(tellLeaving)), m_log(std::move(log)),
       m_mailbox(makeMailbox<InstallerCommand>(executor, mailboxCapacity))
 { }
 
@@ -83,6 +84,11 @@
     m_members = command.members;
 }
 
+void WeightInstaller::apply(const InstallerMayCut &command)
+{
+    m_mayCut = command.mayCut;
+}
+
 void WeightInstaller::apply(const HeldVersion &command)
 {
     if (!m_held || m_held->version < command.version) {
@@ -131,6 +137,17 @@
     m_stageSince = monotonicNow();
     m_log.info("weights.stage",
                {{"version", m_version}, {"stage", nameOf(static_cast<std::size_t>(stage))}});
+    tellLeaving();
+}
+
+void WeightInstaller::tellLeaving()
+{
+    const bool isLeaving =
+            m_stage == Stage::Leaving || m_stage == Stage::Ordering || m_stage == Stage::Ordered;
+    if (isLeaving != m_isLeaving) {
+        m_isLeaving = isLeaving;
+        m_tellLeaving(isLeaving);
+    }
 }
 
 void WeightInstaller::restart(std::string_view reason)
@@ -140,6 +157,7 @@
     }
     ++m_step;
     m_stage = Stage::Idle;
+    tellLeaving();
 }
 
 /** Takes the next step, if there is one to take. */
@@ -168,9 +186,12 @@
         break;
     case Stage::Staged:
         if (!m_report->isOrderBusy && isTurn(now)) {
-            begin(Stage::Ordering);
+            leaveOrLoad(now);
         }
         break;
+    case Stage::Leaving:
+        leaveOrLoad(now);
+        break;
     case Stage::Ordered:
         if (!m_report->isOrderBusy && now - m_stageSince > orderPatience) {
             restart("the order has shown no effect");
@@ -181,6 +202,19 @@
     }
 }
 
+/** Entries send a backend server nothing more before what still runs on it is cut off. */
+void WeightInstaller::leaveOrLoad(Instant now)
+{
+    const bool isEmpty = m_report->loaded.wholeVersion() == 0;
+    if (isEmpty) {
+        begin(Stage::Ordering);
+    } else if (m_stage == Stage::Staged) {
+        enter(Stage::Leaving);
+    } else if (isLoadDue(*m_report, now - m_stageSince, m_mayCut, m_options.rollout)) {
+        begin(Stage::Ordering);
+    }
+}
+
 /**
  * An empty backend server serves nobody, so it loads at once. The others' turns count from the
  * naming of the oldest version that they lack, whose bound ends first.
@@ -280,13 +314,15 @@
         co_return;
     }
     if (failureOf(result) == nullptr) {
-        const LoadOrder order {version.model, version.version};
+        const LoadOrder order {version.model, version.version, m_mayCut};
         const Outcome<OrderAnswer> answer = co_await m_replica.giveOrder(order);
         const Failure *failure = failureOf(answer);
         const bool isUnfit =
                 failure == nullptr && std::get<OrderAnswer>(answer) == OrderAnswer::Unfit;
         m_log.info("weights.ordered",
                    {{"version", version.version},
+                    {"cuts", order.cutsRunning},
+                    {"running", m_report->running},
                     {"outcome",
                      failure != nullptr ? failure->detail
                              : isUnfit  ? "unfit"
--- a/source/steward/weightinstaller.h
+++ b/source/steward/weightinstaller.h
@@ -34,13 +34,20 @@
     std::vector<InstanceId> members;
 };
 
+/** Whether what the backend server runs may go on elsewhere. */
+struct InstallerMayCut
+{
+    bool mayCut = false;
+};
+
 /** Time passes. */
 struct InstallerTick
 { };
 
 /** Messages to the installer. */
-using InstallerCommand = std::variant<InstallerNamed, HeldVersion, InstallerReport,
-                                      InstallerStepDone, InstallerMembers, InstallerTick>;
+using InstallerCommand =
+        std::variant<InstallerNamed, HeldVersion, InstallerReport, InstallerStepDone,
+                     InstallerMembers, InstallerMayCut, InstallerTick>;
 
 /** What the installer is told at its start. */
 struct InstallerOptions
@@ -52,6 +59,9 @@
     RolloutOptions rollout;
 };
 
+/** Hook that is told whether the backend server should get nothing new, since it is to load. */
+using TellLeaving = std::function<void(bool isLeaving)>;
+
 /** Hook that reads the list of backend servers. */
 using ReadReplicas = std::function<Awaitable<Outcome<std::vector<ReplicaEntry>>>()>;
 
@@ -62,7 +72,7 @@
     /** @param weights the task that holds the weights */
     WeightInstaller(const asio::any_io_executor &executor, InstallerOptions options,
                     ReplicaHooks replica, MailboxPtr<WeightCommand> weights,
-                    ReadReplicas readReplicas, Log log);
+                    ReadReplicas readReplicas, TellLeaving tellLeaving, Log log);
 
     /** @returns where to send commands */
     const MailboxPtr<InstallerCommand> &mailbox() const { return m_mailbox; }
@@ -70,7 +80,7 @@
     void start();
 
 private:
-    enum class Stage { Idle, Staging, Staged, Ordering, Ordered };
+    enum class Stage { Idle, Staging, Staged, Leaving, Ordering, Ordered };
 
     Awaitable<void> run();
     void apply(const InstallerNamed &command);
@@ -78,11 +88,14 @@
     void apply(const InstallerReport &command);
     void apply(const InstallerStepDone &command);
     void apply(const InstallerMembers &command);
+    void apply(const InstallerMayCut &command);
     void apply(const InstallerTick &command);
     Awaitable<void> askMembers();
     void advance();
     void begin(Stage stage);
     void enter(Stage stage);
+    void leaveOrLoad(Instant now);
+    void tellLeaving();
     void restart(std::string_view reason);
     bool isTurn(Instant now) const;
     Awaitable<void> stage(std::uint64_t step, HeldVersion version);
@@ -96,6 +109,7 @@
     ReplicaHooks m_replica;
     MailboxPtr<WeightCommand> m_weights;
     ReadReplicas m_readReplicas;
+    TellLeaving m_tellLeaving;
     Log m_log;
     MailboxPtr<InstallerCommand> m_mailbox;
     /** When each version was named. */
@@ -110,6 +124,9 @@
     Stage m_stage = Stage::Idle;
     Instant m_stageSince;
     Instant m_notBefore;
+    bool m_mayCut = false;
+    /** What entries were told last. */
+    bool m_isLeaving = false;
     /** Number of the step in progress; the results of earlier ones are dropped. */
     std::uint64_t m_step = 0;
 };
--- a/tests/unit/tst_fleetparts.cpp
+++ b/tests/unit/tst_fleetparts.cpp
@@ -74,6 +74,37 @@
     REQUIRE(turn == options.first);
 }
 
+class LoadDueFixture
+{
+protected:
+    bool isDue(std::uint32_t running, int ms, bool mayCut) const
+    {
+        ReplicaReport report;
+        report.running = running;
+        return isLoadDue(report, milliseconds(ms), mayCut, m_options);
+    }
+
+    RolloutOptions m_options;
+};
+
+TEST_CASE_METHOD(LoadDueFixture, "load_entriesHaveNotHeardYet_isNotDue")
+{
+    REQUIRE_FALSE(isDue(0, 100, true));
+    REQUIRE_FALSE(isDue(0, 100, false));
+}
+
+TEST_CASE_METHOD(LoadDueFixture, "load_muchRunsThatMayGoOnElsewhere_waitsForTheMost")
+{
+    REQUIRE_FALSE(isDue(9, 400, true));
+    REQUIRE(isDue(1, 400, true));
+    REQUIRE(isDue(9, 700, true));
+}
+
+TEST_CASE_METHOD(LoadDueFixture, "load_whatRunsMayNotBeCut_isDueAfterTheNotice")
+{
+    REQUIRE(isDue(9, 150, false));
+}
+
 class EntrySitesFixture
 {
 protected:
--- a/tests/unit/tst_routetable.cpp
+++ b/tests/unit/tst_routetable.cpp
@@ -87,5 +87,27 @@
     REQUIRE(first == 900);
 }
 
+TEST_CASE_METHOD(RouteTableFixture, "mayMove_allRoutesOfTheServiceMayBeRepeated_isSo")
+{
+    for (Route &route : m_config.routes) {
+        route.kind = RouteKind::Streaming;
+        route.canResume = true;
+        route.maxAttempts = 2;
+    }
+    Route other = route("other", "/o/");
+    other.targets = {{ServiceName("desk"), 1}};
+    m_config.routes.push_back(other);
+    REQUIRE(mayMoveRequests(m_config, ServiceName("pool")));
+    REQUIRE_FALSE(mayMoveRequests(m_config, ServiceName("desk")));
+}
+
+TEST_CASE_METHOD(RouteTableFixture, "mayMove_oneStreamMayNotBeResumed_isNotSo")
+{
+    m_config.routes.front().kind = RouteKind::Idempotent;
+    m_config.routes.front().maxAttempts = 2;
+    m_config.routes.back().kind = RouteKind::Streaming;
+    REQUIRE_FALSE(mayMoveRequests(m_config, ServiceName("pool")));
+}
+
 } // namespace
 } // namespace greengageseam
