--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -103,9 +103,7 @@
     const WeightSettings &settings = m_settings.weights;
     const auto commands = WeightKeeper::makeCommands(m_executor);
     const auto serverOptions = ServerOptions().withBytesPerSecond(settings.linkBytesPerSecond);
-    m_chunkServer = std::make_shared<ChunkServer>(
-            m_executor, serverOptions,
-            [commands](std::uint64_t bytes) { commands->post(ServedSoFar {bytes}); }, m_metrics);
+    m_chunkServer = std::make_shared<ChunkServer>(m_executor, serverOptions, m_metrics);
 
     ChunkLinksHooks hooks;
     hooks.have = [commands](const PeerHas &has, bool isAnswerWanted) {
--- a/source/agent/chunklinks.cpp
+++ b/source/agent/chunklinks.cpp
@@ -120,8 +120,7 @@
         m_hooks.linked(peer.instance);
     }
     link.usedAt = monotonicNow();
-    m_hooks.have({peer.instance, peer.zone, command.have.manifest, command.have.bits,
-                  command.have.servedBytes},
+    m_hooks.have({peer.instance, peer.zone, command.have.manifest, command.have.bits},
                  command.have.isAnswerWanted);
 }
 
--- a/source/agent/chunkserver.cpp
+++ b/source/agent/chunkserver.cpp
@@ -23,9 +23,8 @@
 }
 
 ChunkServer::ChunkServer(const asio::any_io_executor &executor, ServerOptions options,
-                         ServedObserver observer, std::shared_ptr<Metrics> metrics)
-    : m_executor(executor), m_options(options), m_observer(std::move(observer)),
-      m_metrics(std::move(metrics)),
+                         std::shared_ptr<Metrics> metrics)
+    : m_executor(executor), m_options(options), m_metrics(std::move(metrics)),
       m_mailbox(makeMailbox<ServerCommand>(executor, mailboxCapacity)),
       m_wake(makeMailbox<std::monostate>(executor, 1)),
       m_pace(options.bytesPerSecond, monotonicNow())
@@ -100,14 +99,12 @@
         co_return;
     }
     upload.sent += n;
-    m_servedBytes += n;
     if (!isLast) {
         m_uploads.push_back(std::move(upload));
         co_return;
     }
     m_metrics->count("weight_bytes_served_total", "Bytes of weights served to peers", {},
                      static_cast<double>(bytes.size()));
-    m_observer(m_servedBytes);
 }
 
 } // namespace greengageseam
--- a/source/agent/chunkserver.h
+++ b/source/agent/chunkserver.h
@@ -28,9 +28,6 @@
 /** Messages to the server. */
 using ServerCommand = std::variant<ServeBytes, LiveLoadSeen>;
 
-/** Hook that is told how many bytes have been served so far; it must not wait. */
-using ServedObserver = std::function<void(std::uint64_t servedBytes)>;
-
 /** Bounds of the server. */
 struct ServerOptions
 {
@@ -50,7 +47,7 @@
 {
 public:
     ChunkServer(const asio::any_io_executor &executor, ServerOptions options,
-                ServedObserver observer, std::shared_ptr<Metrics> metrics);
+                std::shared_ptr<Metrics> metrics);
 
     /** @returns where to send commands */
     const MailboxPtr<ServerCommand> &mailbox() const { return m_mailbox; }
@@ -73,7 +70,6 @@
 
     asio::any_io_executor m_executor;
     ServerOptions m_options;
-    ServedObserver m_observer;
     std::shared_ptr<Metrics> m_metrics;
     MailboxPtr<ServerCommand> m_mailbox;
     /** Wakes the send loop. */
@@ -82,7 +78,6 @@
     /** Uploads in turn. Invariant: at most as many as there are slots. */
     std::deque<Upload> m_uploads;
     LinkPace m_pace;
-    std::uint64_t m_servedBytes = 0;
 };
 
 } // namespace greengageseam
--- a/source/agent/weightkeeper.cpp
+++ b/source/agent/weightkeeper.cpp
@@ -89,7 +89,9 @@
 {
     m_known = command.peers;
     plan(command);
-    keepPartners();
+    // Others than partners may be asked for something, too.
+    m_partners = m_planner.partners();
+    m_tasks.links->post(KeepPartners {m_known, m_partners});
 }
 
 void WeightKeeper::apply(const OriginCopiesSet &command)
@@ -179,11 +181,6 @@
     }
 }
 
-void WeightKeeper::apply(const ServedSoFar &command)
-{
-    m_servedBytes = command.bytes;
-}
-
 void WeightKeeper::apply(const ManifestRead &command)
 {
     const Manifest *manifest = m_planner.manifest(command.manifest);
@@ -354,7 +351,7 @@
 
 HaveMessage WeightKeeper::haveOf(const Digest &manifest, bool isAnswerWanted) const
 {
-    return {manifest, m_planner.held(manifest), m_servedBytes, isAnswerWanted};
+    return {manifest, m_planner.held(manifest), isAnswerWanted};
 }
 
 void WeightKeeper::publish()
--- a/source/agent/weightkeeper.h
+++ b/source/agent/weightkeeper.h
@@ -56,12 +56,6 @@
     InstanceId peer;
 };
 
-/** How much has been served to peers so far. */
-struct ServedSoFar
-{
-    std::uint64_t bytes = 0;
-};
-
 /** The engine asks for a manifest's text. */
 struct ManifestRead
 {
@@ -81,10 +75,9 @@
 { };
 
 /** Messages to the keeper. */
-using WeightCommand =
-        std::variant<VersionsWanted, PeersKnown, OriginCopiesSet, PeerGone, LiveLoadSeen,
-                     ManifestFetched, ChunkFetched, ChunkAsked, PeerOffers, PeerLinked, ServedSoFar,
-                     ManifestRead, ChunkRead, WeightTick>;
+using WeightCommand = std::variant<VersionsWanted, PeersKnown, OriginCopiesSet, PeerGone,
+                                   LiveLoadSeen, ManifestFetched, ChunkFetched, ChunkAsked,
+                                   PeerOffers, PeerLinked, ManifestRead, ChunkRead, WeightTick>;
 
 /** What the keeper tells of itself. */
 struct WeightStatus
@@ -144,7 +137,6 @@
     void apply(const ChunkAsked &command);
     void apply(const PeerOffers &command);
     void apply(const PeerLinked &command);
-    void apply(const ServedSoFar &command);
     void apply(const ManifestRead &command);
     void apply(const ChunkRead &command);
     void apply(const WeightTick &command);
@@ -183,7 +175,6 @@
     std::map<Digest, ChunkBits> m_toldFar;
     Instant m_toldNearAt;
     Instant m_toldFarAt;
-    std::uint64_t m_servedBytes = 0;
     std::uint64_t m_originBytes = 0;
     /** What the metric says is held. */
     std::uint64_t m_reportedBytes = 0;
--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -5,6 +5,7 @@
 
 #include "core/fleet/call.h"
 #include "core/fleet/delivery.h"
+#include "core/fleet/enginemodel.h"
 #include "core/fleet/entrysites.h"
 #include "core/fleet/eventsplitter.h"
 #include "core/fleet/fleetconfig.h"
--- a/source/core/fleet/loadbook.cpp
+++ b/source/core/fleet/loadbook.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/** Share by which reading the prompts of others makes a request last longer. */
-constexpr double readingStretch = 1.6;
 /** Milliseconds that a request of a plain service takes, for want of a better figure. */
 constexpr double plainRequestMs = 25;
 /** Share of the objective that a request may wait for a place at a backend server. */
@@ -22,9 +20,13 @@
 constexpr double lateFadeMs = 1500;
 /** Share of a new answer in that memory. */
 constexpr double lateWeight = 0.3;
-/** Time to the beginning of an answer that is usual beyond the wait. */
-constexpr double usualAnswerMs = 130;
+/** Time to the beginning of an answer that is usual beyond what is expected of the engine. */
+constexpr double usualExtraMs = 30;
 constexpr double longestLateMs = 3000;
+/** Share of the slots that requests may fill whose answers will be late. */
+constexpr double lateShare = 0.7;
+/** Share of the objective in which an answer is expected to begin where a request is sent. */
+constexpr double beginShare = 0.8;
 /** Requests beyond the slots that a plain service may have waiting. */
 constexpr std::uint32_t plainQueue = 6;
 /** Share of the other entries that send where this one does. */
@@ -60,8 +62,11 @@
         }
         next.entry = entry;
         known.emplace(entry.id, std::move(next));
-        m_byAddress.insert_or_assign(entry.address, entry.id);
         m_byService[entry.service].push_back(entry.id);
+        const auto [other, isFirst] = m_byAddress.emplace(entry.address, entry.id);
+        if (!isFirst && known.at(other->second).entry.bornMs < entry.bornMs) {
+            other->second = entry.id;
+        }
     }
     m_known = std::move(known);
 }
@@ -89,6 +94,7 @@
     known.report = report;
     known.reportedAt = now;
     known.ownAtReport = known.own;
+    known.unbegunAtReport = known.unbegun;
 }
 
 bool LoadBook::isFresh(const Known &known, Instant now) const
@@ -107,7 +113,8 @@
     // A backend server that has started again under the same address has another id.
     const bool isReplaced =
             known.report && known.entry.bornMs != 0 && known.report->bornMs > known.entry.bornMs;
-    if (known.entry.isDraining || isReplaced || known.health.at(now).isEjected()) {
+    const bool isSuperseded = m_byAddress.at(known.entry.address) != known.entry.id;
+    if (known.entry.isDraining || isReplaced || isSuperseded || known.health.at(now).isEjected()) {
         return false;
     }
     if (!m_engines.contains(known.entry.service)) {
@@ -125,35 +132,58 @@
     }
     const std::uint32_t reported = known.report->running + known.report->waiting;
     const std::uint32_t others = reported > known.ownAtReport ? reported - known.ownAtReport : 0;
-    // Other entries see the same report and have sent there as well since.
+    return known.own + others + static_cast<std::uint32_t>(othersSince(known));
+}
+
+/** Other entries see the same report and have sent there as well since. */
+double LoadBook::othersSince(const Known &known) const
+{
     const std::uint32_t since = known.own > known.ownAtReport ? known.own - known.ownAtReport : 0;
-    const double alike = since * (m_entries - 1) * othersAlike;
-    return known.own + others + static_cast<std::uint32_t>(alike);
+    return since * (m_entries - 1) * othersAlike;
 }
 
-double LoadBook::slotMs(const ServiceName &service) const
+const EngineCosts *LoadBook::engine(const ServiceName &service) const
 {
     const auto it = m_engines.find(service);
-    if (it == m_engines.end() || it->second.slots == 0) {
-        return plainRequestMs;
+    return it == m_engines.end() || it->second.slots == 0 ? nullptr : &it->second;
+}
+
+double LoadBook::slotMs(const ServiceName &service) const
+{
+    const EngineCosts *costs = engine(service);
+    return costs == nullptr ? plainRequestMs : placeMs(*costs);
+}
+
+/** What the report counts as waiting has not been read yet, whoever sent it. */
+EngineWork LoadBook::workOf(const Known &known, const EngineCosts &costs, Instant now) const
+{
+    EngineWork work;
+    const double usualMs = promptMs(costs, 0);
+    if (!isFresh(known, now)) {
+        work.running = known.own * m_entries;
+        work.unreadMs = known.unreadMs * m_entries;
+        return work;
     }
-    const EngineCosts &engine = it->second;
-    const double context = engine.usualPromptTokens + engine.usualAnswerTokens / 2;
-    const double stepMs = engine.stepMs
-            + engine.slots * (engine.perSequenceMs + engine.contextPerThousandMs * context / 1000);
-    return engine.usualAnswerTokens * stepMs * readingStretch / engine.slots;
+    const LoadReport &report = *known.report;
+    const double others =
+            report.waiting > known.unbegunAtReport ? report.waiting - known.unbegunAtReport : 0;
+    const double pace = std::max(1.0, report.pace);
+    work.running = report.running;
+    work.unreadMs = (known.unreadMs + (others + othersSince(known)) * usualMs) * pace;
+    return work;
 }
 
-double LoadBook::waitMs(const Known &known, Instant now) const
+/** @returns in how many milliseconds an answer is expected to begin */
+double LoadBook::waitMs(const Known &known, double promptTokens, Instant now) const
 {
     const std::uint32_t slots = std::max<std::uint32_t>(1, known.entry.slots);
     const std::uint32_t taken = load(known, now);
-    const double pace = isFresh(known, now) ? std::max(1.0, known.report->pace) : 1;
-    const double perSlot = slotMs(known.entry.service) * pace;
-    // Below its slots a backend server is slower the more it has to do.
-    const double shared = perSlot * std::min(taken, slots) / slots;
-    const double queued = taken < slots ? 0 : (taken - slots + 1) * perSlot;
-    return shared + queued;
+    const double queued = taken < slots ? 0 : (taken - slots + 1) * slotMs(known.entry.service);
+    if (const EngineCosts *costs = engine(known.entry.service)) {
+        return queued + firstEventMs(*costs, workOf(known, *costs, now), promptTokens);
+    }
+    // Below its slots a plain service is slower the more it has to do.
+    return queued + plainRequestMs * std::min(taken, slots) / slots;
 }
 
 double LoadBook::penaltyMs(const Known &known) const
@@ -171,15 +201,27 @@
     if (known.own >= known.health.at(now).allowance() || now < known.restUntil) {
         return false;
     }
-    if (!m_engines.contains(wish.service)) {
-        return taken < slots + plainQueue;
+    if (const EngineCosts *costs = engine(wish.service)) {
+        return hasEngineRoom(known, *costs, wish, now);
     }
-    if (taken < slots) {
-        return true;
+    return taken < slots + plainQueue;
+}
+
+/** A request goes where its answer is likely to begin in time; late ones take what is left over. */
+bool LoadBook::hasEngineRoom(const Known &known, const EngineCosts &costs, const ReplicaWish &wish,
+                             Instant now) const
+{
+    const std::uint32_t slots = std::max<std::uint32_t>(1, known.entry.slots);
+    const std::uint32_t taken = load(known, now);
+    if (wish.isLate) {
+        return taken < slots * lateShare && workOf(known, costs, now).unreadMs < promptMs(costs, 0);
     }
     const double objectiveMs = std::chrono::duration<double, std::milli>(wish.objective).count();
-    const double queued = (taken - slots + 1) * slotMs(wish.service);
-    return isFresh(known, now) && queued <= objectiveMs * waitShare;
+    if (taken >= slots) {
+        const double queued = (taken - slots + 1) * slotMs(wish.service);
+        return isFresh(known, now) && queued <= objectiveMs * waitShare;
+    }
+    return taken == 0 || waitMs(known, wish.promptTokens, now) <= objectiveMs * beginShare;
 }
 
 std::optional<ReplicaEntry> LoadBook::take(const ReplicaWish &wish, Instant now,
@@ -201,7 +243,8 @@
             continue;
         }
         ++compared;
-        const double cost = waitMs(known, now) + penaltyMs(known) + lateMs(known, now);
+        const double cost =
+                waitMs(known, wish.promptTokens, now) + penaltyMs(known) + lateMs(known, now);
         if (best == nullptr || cost < bestCost) {
             best = &known;
             bestCost = cost;
@@ -212,9 +255,29 @@
     }
     best->health = best->health.at(now);
     ++best->own;
+    if (const EngineCosts *costs = engine(wish.service)) {
+        ++best->unbegun;
+        best->unreadMs += promptMs(*costs, wish.promptTokens);
+    }
     return best->entry;
 }
 
+void LoadBook::begun(const ReplicaId &id, double promptTokens)
+{
+    const auto it = m_known.find(id);
+    const EngineCosts *costs = it == m_known.end() ? nullptr : engine(it->second.entry.service);
+    if (costs != nullptr) {
+        noteBegun(it->second, promptMs(*costs, promptTokens));
+    }
+}
+
+void LoadBook::noteBegun(Known &known, double promptMs)
+{
+    known.unbegun -= known.unbegun > 0 ? 1 : 0;
+    known.unbegunAtReport -= known.unbegunAtReport > 0 ? 1 : 0;
+    known.unreadMs = known.unbegun == 0 ? 0 : std::max(0.0, known.unreadMs - promptMs);
+}
+
 double LoadBook::lateMs(const Known &known, Instant now) const
 {
     const double ageMs = std::chrono::duration<double, std::milli>(now - known.lateAt).count();
@@ -224,7 +287,8 @@
 void LoadBook::noteAnswer(Known &known, Duration answeredAfter, Instant now)
 {
     const double took = std::chrono::duration<double, std::milli>(answeredAfter).count();
-    const double late = std::clamp(took - usualAnswerMs - waitMs(known, now), 0.0, longestLateMs);
+    const double expected = usualExtraMs + waitMs(known, 0, now);
+    const double late = std::clamp(took - expected, 0.0, longestLateMs);
     known.lateMs = lateMs(known, now) * (1 - lateWeight) + late * lateWeight;
     known.lateAt = now;
 }
--- a/source/core/fleet/loadbook.h
+++ b/source/core/fleet/loadbook.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "core/fleet/enginemodel.h"
 #include "core/fleet/fleetconfig.h"
 #include "core/fleet/replica.h"
 #include "core/routing/backendhealth.h"
@@ -45,6 +46,10 @@
     std::uint64_t oldestWeights = 0;
     /** Time in which the operator wants the answer to begin. */
     Duration objective {};
+    /** The answer will be late, so it may only take places that others do not need. */
+    bool isLate = false;
+    /** Tokens of the prompt; 0 if they are not known. */
+    double promptTokens = 0;
 
     auto operator<=>(const ReplicaWish &) const = default;
 };
@@ -102,8 +107,10 @@
 
     /** Chooses a backend server and counts the request there. @returns nothing if none has room */
     std::optional<ReplicaEntry> take(const ReplicaWish &wish, Instant now, std::uint64_t random);
+    /** The answer to an attempt has begun. @param promptTokens as in the wish */
+    void begun(const ReplicaId &id, double promptTokens);
     /**
-     * Counts an attempt as ended.
+     * Counts an attempt as ended; one that never began is to be counted as begun before.
      * @param answeredAfter time from the send to the beginning of the answer, if there was one
      */
     void ended(const ReplicaId &id, ReplicaVerdict verdict, std::optional<Duration> answeredAfter,
@@ -128,6 +135,11 @@
         Instant reportedAt;
         /** Requests of this entry that the report counts already. */
         std::uint32_t ownAtReport = 0;
+        /** Requests of this entry whose answers have not begun, and how long their prompts take. */
+        std::uint32_t unbegun = 0;
+        double unreadMs = 0;
+        /** Those of them that the report counts. */
+        std::uint32_t unbegunAtReport = 0;
         /** It rejected a request; nothing is sent to it before. */
         Instant restUntil;
         /** How much later than expected answers began of late, in milliseconds. */
@@ -140,16 +152,25 @@
     bool isFresh(const Known &known, Instant now) const;
     /** Requests at a backend server, those of other entries among them. */
     std::uint32_t load(const Known &known, Instant now) const;
+    /** Requests that other entries are likely to have sent since the report. */
+    double othersSince(const Known &known) const;
+    /** @returns the costs of the service's engines, or null for a plain service */
+    const EngineCosts *engine(const ServiceName &service) const;
+    EngineWork workOf(const Known &known, const EngineCosts &costs, Instant now) const;
     double slotMs(const ServiceName &service) const;
-    double waitMs(const Known &known, Instant now) const;
+    double waitMs(const Known &known, double promptTokens, Instant now) const;
+    bool hasEngineRoom(const Known &known, const EngineCosts &costs, const ReplicaWish &wish,
+                       Instant now) const;
     double penaltyMs(const Known &known) const;
     double lateMs(const Known &known, Instant now) const;
+    static void noteBegun(Known &known, double promptMs);
     void noteAnswer(Known &known, Duration answeredAfter, Instant now);
     bool hasRoom(const Known &known, const ReplicaWish &wish, Instant now) const;
 
     LoadBookOptions m_options;
     std::uint32_t m_entries = 1;
     std::map<ReplicaId, Known> m_known;
+    /** The last to have started of those that name an address; entries of the dead stay a while. */
     std::map<Address, ReplicaId> m_byAddress;
     std::map<ServiceName, std::vector<ReplicaId>> m_byService;
     std::map<ServiceName, EngineCosts> m_engines;
--- a/source/core/weights/sources.cpp
+++ b/source/core/weights/sources.cpp
@@ -10,8 +10,8 @@
     const auto best = std::min_element(
             question.candidates.begin(), question.candidates.end(),
             [](const SourceCandidate &left, const SourceCandidate &right) {
-                return std::tie(left.isFar, left.outstanding, left.servedSteps, left.tieBreak)
-                        < std::tie(right.isFar, right.outstanding, right.servedSteps,
+                return std::tie(left.isFar, left.outstanding, left.waitedSteps, left.tieBreak)
+                        < std::tie(right.isFar, right.outstanding, right.waitedSteps,
                                    right.tieBreak);
             });
     if (best != question.candidates.end()) {
--- a/source/core/weights/sources.h
+++ b/source/core/weights/sources.h
@@ -41,8 +41,8 @@
     bool isFar = false;
     /** Chunks that are being read from the peer. */
     std::uint32_t outstanding = 0;
-    /** How much the peer has served to anybody, in coarse steps, so that few rush to one peer. */
-    std::uint64_t servedSteps = 0;
+    /** How long chunks of it were waited for in all, in coarse steps; slow peers are asked less. */
+    std::uint64_t waitedSteps = 0;
     /** Spreads readers over peers that are alike. */
     std::uint64_t tieBreak = 0;
 
--- a/source/core/weights/transferevents.h
+++ b/source/core/weights/transferevents.h
@@ -54,7 +54,6 @@
     ZoneName zone;
     Digest manifest;
     ChunkBits bits;
-    std::uint64_t servedBytes = 0;
 };
 
 /** The link to a peer has ended; what it offered is no longer known. */
--- a/source/core/weights/transferplan.cpp
+++ b/source/core/weights/transferplan.cpp
@@ -17,8 +17,8 @@
 constexpr int guestFactor = 2;
 /** A chunk that takes longer fills the link, which others use as well. */
 constexpr auto slowChunk = std::chrono::milliseconds(150);
-/** Chunks in a step of what a peer has served. */
-constexpr std::uint64_t chunksPerServedStep = 2;
+/** Step in which the times spent on peers are compared. */
+constexpr auto waitedStep = std::chrono::milliseconds(40);
 constexpr std::uint32_t manifestPeerTries = 20;
 
 } // namespace
@@ -211,8 +211,6 @@
 {
     const ChunkTurn &turn = version.turns.turns[index];
     SourceQuestion question {m_options.self, version.places.members, {}, false, false};
-    const std::uint64_t servedStep = std::max<std::uint64_t>(
-            1, version.manifest->chunks()[index].size * chunksPerServedStep);
     bool isOffered = false;
     for (const auto &[instance, peer] : m_peers) {
         const auto bits = peer.bits.find(digest);
@@ -228,7 +226,8 @@
         if (isAllowed && peer.leftAloneUntil <= now
             && peer.outstanding < m_options.maxFetchesPerPeer) {
             question.candidates.push_back(
-                    {instance, isPeerFar, peer.outstanding, peer.servedBytes / servedStep,
+                    {instance, isPeerFar, peer.outstanding,
+                     static_cast<std::uint64_t>(peer.waited / waitedStep),
                      checksumOf(m_options.self.text(), index * peer.tieBreak)});
         }
     }
--- a/source/core/weights/transferplanner.cpp
+++ b/source/core/weights/transferplanner.cpp
@@ -123,7 +123,6 @@
     Peer &peer = m_peers[event.peer];
     peer.info.instance = event.peer;
     peer.info.zone = event.zone;
-    peer.servedBytes = event.servedBytes;
     peer.tieBreak = checksumOf(event.peer.text(), 1);
     peer.bits.insert_or_assign(event.manifest, event.bits);
 }
@@ -148,6 +147,7 @@
         --m_originReading;
     } else if (const auto peer = m_peers.find(event.source.peer); peer != m_peers.end()) {
         --peer->second.outstanding;
+        peer->second.waited += took;
     }
     if (event.result != FetchResult::Verified) {
         setPhase(event.chunk.digest, ChunkPhase::Missing);
--- a/source/core/weights/transferplanner.h
+++ b/source/core/weights/transferplanner.h
@@ -106,7 +106,8 @@
         WeightPeer info;
         std::map<Digest, ChunkBits> bits;
         std::uint32_t outstanding = 0;
-        std::uint64_t servedBytes = 0;
+        /** Time that was spent on reading chunks from it. */
+        Duration waited {};
         std::uint32_t failures = 0;
         Instant leftAloneUntil;
         std::uint64_t tieBreak = 1;
--- a/source/core/weights/weights.h
+++ b/source/core/weights/weights.h
@@ -5,6 +5,7 @@
 
 #include "core/weights/chunkbits.h"
 #include "core/weights/linkpace.h"
+#include "core/weights/listsource.h"
 #include "core/weights/manifest.h"
 #include "core/weights/sources.h"
 #include "core/weights/transferevents.h"
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -23,6 +23,8 @@
 constexpr auto usualIdle = std::chrono::seconds(4);
 /** A connection is given up so long before the backend server closes it. */
 constexpr auto idleMargin = std::chrono::milliseconds(800);
+/** Share of the longest patience below which a request is held to have come back. */
+constexpr double returnedShare = 0.75;
 constexpr auto shortestRetryAfter = std::chrono::milliseconds(150);
 
 } // namespace
@@ -64,11 +66,23 @@
         return;
     }
     const auto &routed = std::get<Routed>(found);
-    Admission admission {m_table, routed, chooseService(*routed.route, randomNumber())};
-    allowance(admission.service).countRequest(monotonicNow());
+    const Instant now = monotonicNow();
+    Admission admission {m_table, routed, chooseService(*routed.route, randomNumber()),
+                         askedAt(*routed.route, command.remaining, now)};
+    allowance(admission.service).countRequest(now);
     command.reply->post(std::move(admission));
 }
 
+/** A caller that comes back after a refusal has clearly less time left than at its first try. */
+Instant Dispatcher::askedAt(const Route &route, std::optional<Duration> remaining, Instant now)
+{
+    const Duration left = std::min(remaining.value_or(route.timeout), route.timeout);
+    Duration &longest = m_patience[route.name];
+    longest = std::min(std::max(longest, left), route.timeout);
+    const bool hasReturned = left < std::chrono::duration_cast<Duration>(longest * returnedShare);
+    return hasReturned ? now - (longest - left) : now;
+}
+
 void Dispatcher::apply(const TakeReplica &command)
 {
     const Instant now = monotonicNow();
@@ -92,7 +106,9 @@
 {
     const std::uint64_t weights = requiredWeights(command.wish.service, now);
     const bool hasUsable = m_loads.hasUsable(command.wish.service, weights, now);
-    if (now < (hasUsable ? command.waitUntil : command.waitForAnyUntil)) {
+    // A late request may as well wait for places that are left over.
+    const bool waitsLong = !hasUsable || now >= command.lateFrom;
+    if (now < (waitsLong ? command.waitForAnyUntil : command.waitUntil)) {
         return false;
     }
     refuse(command, now, hasUsable ? ErrorKind::Overloaded : ErrorKind::NoBackendServer);
@@ -103,6 +119,7 @@
 {
     ReplicaWish wish = command.wish;
     wish.oldestWeights = requiredWeights(wish.service, now);
+    wish.isLate = now >= command.lateFrom;
     const std::optional<ReplicaEntry> replica = m_loads.take(wish, now, randomNumber());
     if (!replica) {
         return false;
@@ -110,6 +127,7 @@
     ReplicaLease lease {*replica, nullptr, std::nullopt};
     lease.weights = expectedWeights(*replica, now);
     lease.beginBy = beginBy(*replica, now);
+    lease.isLate = wish.isLate;
     if (command.wantsIdle) {
         lease.connection = takeIdle(replica->address, now);
     }
@@ -131,9 +149,17 @@
     command.reply->post(NoReplica {kind, retryAfter});
 }
 
+void Dispatcher::apply(const LeaseBegun &command)
+{
+    m_loads.begun(command.replica, command.promptTokens);
+}
+
 void Dispatcher::apply(const LeaseEnded &command)
 {
     const Instant now = monotonicNow();
+    if (!command.hasBegun) {
+        m_loads.begun(command.replica, command.promptTokens);
+    }
     m_loads.ended(command.replica, command.verdict, command.answeredAfter, now);
     if (command.connection && command.connection->isReusable()) {
         const Duration kept =
@@ -149,6 +175,7 @@
 void Dispatcher::apply(const RoutesChanged &command)
 {
     m_table = command.table;
+    m_patience.clear();
     m_loads.setServices(m_table->config().services);
     serveWaiting();
 }
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -25,6 +25,8 @@
     RouteTablePtr table;
     Routed routed;
     ServiceName service;
+    /** When the caller is likely to have asked first. */
+    Instant askedAt;
 };
 
 /** Asks where a request goes. */
@@ -33,6 +35,8 @@
     std::string host;
     std::string target;
     std::string key;
+    /** How long the caller will wait; nothing if it does not say. */
+    std::optional<Duration> remaining;
     MailboxPtr<Outcome<Admission>> reply;
 };
 
@@ -46,6 +50,8 @@
     std::optional<std::uint64_t> weights;
     /** The request must have begun by then, since newer weights are required from then on. */
     std::optional<Instant> beginBy;
+    /** The answer will be late, so others go first. */
+    bool isLate = false;
 };
 
 /** Why a request is not sent anywhere. */
@@ -73,15 +79,27 @@
     Instant waitForAnyUntil;
     /** When the caller gives the request up. */
     Instant deadline;
+    /** An answer that has not begun by then is late. */
+    Instant lateFrom;
     MailboxPtr<std::variant<ReplicaLease, NoReplica>> reply;
 };
 
+/** The answer to a send has begun. */
+struct LeaseBegun
+{
+    ReplicaId replica;
+    double promptTokens = 0;
+};
+
 /** A lease has ended. */
 struct LeaseEnded
 {
     ReplicaId replica;
     Address address;
     ReplicaVerdict verdict = ReplicaVerdict::Neutral;
+    /** Whether the beginning of the answer was told before. */
+    bool hasBegun = false;
+    double promptTokens = 0;
     /** Time from the send to the beginning of the answer, if there was one. */
     std::optional<Duration> answeredAfter;
     /** The connection, if it can be used again. */
@@ -127,7 +145,7 @@
 
 /** Messages to the dispatcher. */
 using DispatchCommand =
-        std::variant<AdmitCall, TakeReplica, LeaseEnded, RoutesChanged, ReplicasChanged,
+        std::variant<AdmitCall, TakeReplica, LeaseBegun, LeaseEnded, RoutesChanged, ReplicasChanged,
                      WeightsNamed, LoadHeard, EntriesCounted, DispatchTick>;
 
 /** Bounds of the dispatcher. */
@@ -163,6 +181,7 @@
     Awaitable<void> run();
     void apply(const AdmitCall &command);
     void apply(const TakeReplica &command);
+    void apply(const LeaseBegun &command);
     void apply(const LeaseEnded &command);
     void apply(const RoutesChanged &command);
     void apply(const ReplicasChanged &command);
@@ -177,6 +196,7 @@
     HttpConnectionPtr takeIdle(const Address &address, Instant now);
     void dropIdle(Instant now);
     RetryAllowance &allowance(const ServiceName &service);
+    Instant askedAt(const Route &route, std::optional<Duration> remaining, Instant now);
     std::optional<std::uint64_t> expectedWeights(const ReplicaEntry &replica, Instant now) const;
     std::optional<Instant> beginBy(const ReplicaEntry &replica, Instant now) const;
     std::uint64_t requiredWeights(const ServiceName &service, Instant now) const;
@@ -189,6 +209,9 @@
     RouteTablePtr m_table;
     LoadBook m_loads;
     std::map<ServiceName, RetryAllowance> m_allowances;
+    /** The longest that callers of a route said they will wait, which they do at their first try.
+     */
+    std::map<RouteName, Duration> m_patience;
     /** Versions of the weights of each model, and when they were named. */
     std::map<ModelName, std::map<std::uint64_t, Instant>> m_named;
     std::deque<TakeReplica> m_waiting;
--- a/source/edge/requestrun.cpp
+++ b/source/edge/requestrun.cpp
@@ -22,8 +22,12 @@
 constexpr auto streamSilence = std::chrono::milliseconds(1500);
 /** Share of the objective for which a request waits for a backend server with room. */
 constexpr double waitShare = 0.3;
-/** Time for which a request waits while no backend server can be used, such as after a restart. */
-constexpr auto longestWaitForAny = std::chrono::seconds(1);
+/** Share of the time left for which a request that has come back waits for any backend server. */
+constexpr double returnedWaitShare = 0.5;
+/** Callers give a stream up that has not begun after about two seconds. */
+constexpr auto longestWaitForAny = std::chrono::milliseconds(1200);
+/** Urgency of a request whose answer will be late; others have the usual 5. */
+constexpr std::uint32_t lateUrgency = 7;
 /** Share of the time left for which an answer that may be asked for again is awaited. */
 constexpr double silenceShare = 0.4;
 constexpr int statusOk = 200;
@@ -120,7 +124,7 @@
 {
     const auto reply = makeMailbox<Outcome<Admission>>(m_context.executor, 1);
     AdmitCall ask {m_request.header("Host").value_or(std::string()), m_request.target, m_call.key,
-                   reply};
+                   m_call.remaining, reply};
     if (!m_context.dispatcher->post(std::move(ask))) {
         co_await fail(ErrorKind::Overloaded, Ran::No, std::chrono::milliseconds(500));
         co_return false;
@@ -195,12 +199,18 @@
     ask.wish.service = m_admission.service;
     ask.wish.tried = m_tried;
     ask.wish.objective = route.objective;
+    ask.wish.promptTokens = static_cast<double>(m_call.promptTokens);
     ask.isAgain = m_sends > 0;
     ask.wantsIdle = mayRepeat();
     const Duration wait = std::min(scaled(route.objective, waitShare), scaled(left(), waitShare));
     ask.waitUntil = monotonicNow() + wait;
-    ask.waitForAnyUntil = monotonicNow() + std::min<Duration>(longestWaitForAny, left() / 6);
+    const bool hasReturned = m_arrivedAt - m_admission.askedAt > route.objective;
+    const Duration longWait =
+            std::min<Duration>(longestWaitForAny, scaled(left(), returnedWaitShare));
+    const Duration waitForAny = hasReturned ? longWait : wait;
+    ask.waitForAnyUntil = monotonicNow() + std::max(wait, waitForAny);
     ask.deadline = m_deadline;
+    ask.lateFrom = m_admission.askedAt + route.objective;
     ask.reply = reply;
     if (m_context.dispatcher->post(std::move(ask))) {
         auto answer = co_await reply->receive();
@@ -213,6 +223,8 @@
 
 Awaitable<RequestRun::Sent> RequestRun::send(const ReplicaLease &lease)
 {
+    m_answeredAt.reset();
+    m_replica = lease.replica.id;
     const WireEnd connected = co_await connect(lease);
     if (connected != WireEnd::Done) {
         co_return Sent {SendEnd::NotConnected, {}, {}};
@@ -228,12 +240,14 @@
     if (m_admission.routed.account != nullptr) {
         fields.account = m_admission.routed.account->name;
     }
+    if (lease.isLate && !m_isStreaming) {
+        fields.urgency = lateUrgency;
+    }
     fields.lastEventId = m_events.lastId();
     m_events.beginRun();
     std::string text = m_context.codec.encodeSend(m_request, fields);
     ++m_sends;
     m_sentAt = monotonicNow();
-    m_answeredAt.reset();
     m_beginBy = lease.beginBy;
     if (m_request.body.size() > eagerBody) {
         asio::co_spawn(m_context.executor, sendBeside(m_connection, std::move(text), left()),
@@ -338,7 +352,7 @@
         }
         const Instant now = monotonicNow();
         if (events.count > 0) {
-            m_answeredAt = m_answeredAt.value_or(now);
+            noteBegun(now);
             m_longestGap =
                     m_lastEventAt ? std::max(m_longestGap, now - *m_lastEventAt) : m_longestGap;
             m_lastEventAt = now;
@@ -372,11 +386,22 @@
     }
 }
 
+void RequestRun::noteBegun(Instant now)
+{
+    if (m_answeredAt) {
+        return;
+    }
+    m_answeredAt = now;
+    m_context.dispatcher->post(LeaseBegun {m_replica, static_cast<double>(m_call.promptTokens)});
+}
+
 void RequestRun::finishLease(const ReplicaLease &lease, const Sent &sent)
 {
     LeaseEnded ended;
     ended.replica = lease.replica.id;
     ended.address = lease.replica.address;
+    ended.hasBegun = m_answeredAt.has_value();
+    ended.promptTokens = static_cast<double>(m_call.promptTokens);
     ended.verdict = m_caller.isGone() ? ReplicaVerdict::Neutral : verdictOf(sent.end);
     ended.keptFor = sent.keptFor;
     if (m_answeredAt) {
@@ -439,6 +464,7 @@
         fields["cause"] = cause;
     }
     if (route != nullptr) {
+        fields["asked_ms"] = (now - m_admission.askedAt).count() / 1000;
         fields["route"] = route->name.text();
         fields["config"] = m_admission.table->config().version;
     }
--- a/source/edge/requestrun.h
+++ b/source/edge/requestrun.h
@@ -54,6 +54,7 @@
     Awaitable<Sent> receiveWhole(const WireHead &head, const AnswerFields &fields);
     Awaitable<Sent> receiveStream(const WireHead &head);
     SendEnd endOfWait(WireEnd end, bool hasHead) const;
+    void noteBegun(Instant now);
     void finishLease(const ReplicaLease &lease, const Sent &sent);
     Awaitable<void> giveUp(const Sent &sent);
     Awaitable<void> fail(ErrorKind kind, Ran ran, Duration retryAfter);
@@ -83,6 +84,8 @@
     Instant m_sentAt;
     /** When the present send must have begun. */
     std::optional<Instant> m_beginBy;
+    /** Whom the present send is for. */
+    ReplicaId m_replica;
     /** Beginning of the answer to the present send. */
     std::optional<Instant> m_answeredAt;
     std::optional<Instant> m_lastEventAt;
--- a/source/exchange/versionfetcher.cpp
+++ b/source/exchange/versionfetcher.cpp
@@ -13,7 +13,9 @@
 
 constexpr std::size_t mailboxCapacity = 256;
 constexpr auto tickPeriod = std::chrono::milliseconds(100);
-constexpr auto askListEvery = std::chrono::milliseconds(250);
+constexpr auto askListEvery = std::chrono::milliseconds(150);
+/** Processes whose questions are kept at a time. */
+constexpr std::size_t mostAskers = 1024;
 /** Versions whose pieces are remembered. */
 constexpr std::size_t mostVersions = 2;
 
@@ -112,7 +114,6 @@
         m_originAddress = origin;
         m_origin = origin.isEmpty() ? WeightOriginHooks {} : m_hooks.openOrigin(origin);
     }
-    advance();
 }
 
 Address VersionFetcher::originAddress() const
@@ -147,6 +148,7 @@
 void VersionFetcher::apply(const FetcherEntries &command)
 {
     m_entries = command.entries;
+    tellPeers();
     tellKeeper();
 }
 
@@ -154,6 +156,7 @@
 {
     if (m_agents != command.agents) {
         m_agents = command.agents;
+        tellPeers();
         tellKeeper();
     }
 }
@@ -181,9 +184,31 @@
     known.digest = known.manifest.digest();
     m_known.insert_or_assign(command.version, std::move(known));
     forgetOld();
-    m_log.info("weights.fetching", {{"version", command.version}});
+    m_log.info("weights.fetching", {{"version", command.version}, {"tries", m_listTries}});
     tellKeeper();
     tellHeld();
+    answerAskers();
+}
+
+void VersionFetcher::apply(const FetcherAsked &command)
+{
+    if (m_askers.size() < mostAskers) {
+        m_askers.push_back(command);
+    }
+    answerAskers();
+}
+
+/** Those that ask for older versions will not be answered, and ask for newer ones themselves. */
+void VersionFetcher::answerAskers()
+{
+    std::erase_if(m_askers, [this](const FetcherAsked &asker) {
+        const auto known = m_known.find(asker.version);
+        const bool isKnown = known != m_known.end() && known->second.list.model == asker.model;
+        if (isKnown) {
+            asker.reply(known->second.list);
+        }
+        return isKnown || asker.version < m_wanted;
+    });
 }
 
 void VersionFetcher::apply(const FetcherTick &)
@@ -234,23 +259,53 @@
 
 void VersionFetcher::readList(Instant now)
 {
+    if (m_missing != m_wanted) {
+        m_missing = m_wanted;
+        m_missingSince = now;
+        m_listTries = 0;
+    }
     if (m_isAskingList || now - m_listAskedAt < askListEvery || !m_origin.readList) {
         return;
     }
+    const std::optional<ChunkSource> source = chooseListSource(
+            {m_options.self, entriesOfZone(), m_wanted, now - m_missingSince, m_listTries});
+    if (!source) {
+        return;
+    }
+    ++m_listTries;
     m_isAskingList = true;
     m_listAskedAt = now;
     asio::co_spawn(
             m_executor,
-            [self = shared_from_this(), version = m_wanted] { return self->askList(version); },
+            [self = shared_from_this(), version = m_wanted, peer = source->peer] {
+                return self->askList(version, peer);
+            },
             asio::detached);
 }
 
-Awaitable<void> VersionFetcher::askList(std::uint64_t version)
+/** @param peer whom to ask; empty for the origin */
+Awaitable<void> VersionFetcher::askList(std::uint64_t version, InstanceId peer)
 {
     const ModelName model = m_model;
-    Outcome<PieceList> list = co_await m_origin.readList(model, version);
-    FetcherCommand listed = FetcherListed {version, std::move(list)};
-    co_await m_mailbox->send(std::move(listed));
+    FetcherListed listed {version, Failure()};
+    if (peer.isEmpty()) {
+        listed.list = co_await m_origin.readList(model, version);
+    } else {
+        listed.list = co_await m_hooks.readPeerList(peer, model, version);
+    }
+    FetcherCommand command = std::move(listed);
+    co_await m_mailbox->send(std::move(command));
+}
+
+std::vector<InstanceId> VersionFetcher::entriesOfZone() const
+{
+    std::vector<InstanceId> entries;
+    for (const EntrySite &entry : m_entries) {
+        if (entry.zone == m_options.zone) {
+            entries.emplace_back(entry.ip);
+        }
+    }
+    return entries;
 }
 
 /** Agents read from entries, whose links are wide and carry no answers of backend servers. */
@@ -279,9 +334,9 @@
     std::set<InstanceId> members;
     for (const EntrySite &entry : m_entries) {
         zones.insert(entry.zone);
-        if (entry.zone == m_options.zone) {
-            members.insert(InstanceId(entry.ip));
-        }
+    }
+    for (const InstanceId &entry : entriesOfZone()) {
+        members.insert(entry);
     }
     if (isAtHand()) {
         zones = {m_options.zone};
@@ -296,13 +351,17 @@
     return places;
 }
 
+void VersionFetcher::tellPeers()
+{
+    m_hooks.weights->post(PeersKnown {peers()});
+}
+
 void VersionFetcher::tellKeeper()
 {
     // Without its peers each process would read the whole version from the origin.
     if ((m_entries.empty() && !isAtHand()) || !isNeeded() || !m_known.contains(m_wanted)) {
         return;
     }
-    m_hooks.weights->post(PeersKnown {peers()});
     VersionsWanted wanted;
     for (const auto &[version, known] : m_known) {
         wanted.versions.emplace(known.digest, places());
--- a/source/exchange/versionfetcher.h
+++ b/source/exchange/versionfetcher.h
@@ -6,6 +6,7 @@
 
 #include "agent/weightkeeper.h"
 #include "core/fleet/fleet.h"
+#include "exchange/peerlists.h"
 #include "net/log.h"
 #include "net/replicahooks.h"
 
@@ -52,6 +53,15 @@
     Outcome<PieceList> list;
 };
 
+/** Another process asks for the list of a version's pieces. */
+struct FetcherAsked
+{
+    ModelName model;
+    std::uint64_t version = 0;
+    /** Gets the list once it is known; it must not wait. */
+    std::function<void(const PieceList &list)> reply;
+};
+
 /** Time passes. */
 struct FetcherTick
 { };
@@ -63,8 +73,9 @@
 };
 
 /** Messages to the fetcher. */
-using FetcherCommand = std::variant<FetcherRoutes, FetcherNamed, FetcherLoaded, FetcherEntries,
-                                    FetcherAgents, FetcherHolds, FetcherListed, FetcherTick>;
+using FetcherCommand =
+        std::variant<FetcherRoutes, FetcherNamed, FetcherLoaded, FetcherEntries, FetcherAgents,
+                     FetcherHolds, FetcherListed, FetcherAsked, FetcherTick>;
 
 /** A version that is held whole and verified. */
 struct HeldVersion
@@ -98,6 +109,7 @@
     OpenOrigin openOrigin;
     /** The task that holds the weights. */
     MailboxPtr<WeightCommand> weights;
+    ReadPeerList readPeerList;
     /** Reads a piece that is staged at hand; empty if none can be. */
     ReadStagedPiece readStaged;
     /** A version is held whole; it must not wait. */
@@ -136,18 +148,22 @@
     void apply(const FetcherAgents &command);
     void apply(const FetcherHolds &command);
     void apply(const FetcherListed &command);
+    void apply(const FetcherAsked &command);
     void apply(const FetcherTick &command);
     void advance();
     bool isNeeded() const;
     bool isAtHand() const;
+    void tellPeers();
     void tellKeeper();
+    void answerAskers();
+    std::vector<InstanceId> entriesOfZone() const;
     void tellHeld();
     void forgetOld();
     void readList(Instant now);
     std::vector<WeightPeer> peers() const;
     VersionPlaces places() const;
     Address originAddress() const;
-    Awaitable<void> askList(std::uint64_t version);
+    Awaitable<void> askList(std::uint64_t version, InstanceId peer);
     Awaitable<OriginAnswer> readPiece(Chunk chunk);
 
     asio::any_io_executor m_executor;
@@ -167,6 +183,12 @@
     std::set<Digest> m_complete;
     std::vector<EntrySite> m_entries;
     std::vector<WeightPeer> m_agents;
+    /** Those that wait for a list that is not known yet. */
+    std::vector<FetcherAsked> m_askers;
+    /** Version whose list is missing, and since when. */
+    std::uint64_t m_missing = 0;
+    Instant m_missingSince;
+    std::uint32_t m_listTries = 0;
     Instant m_listAskedAt;
     bool m_isAskingList = false;
 };
--- a/source/exchange/weightexchange.cpp
+++ b/source/exchange/weightexchange.cpp
@@ -22,7 +22,8 @@
       m_commands(WeightKeeper::makeCommands(executor))
 {
     makeLinks();
-    makeKeeper({std::move(openOrigin), m_commands, std::move(readStaged), std::move(held)});
+    makeKeeper({std::move(openOrigin), m_commands, makeListReader(executor, m_links->mailbox()),
+                std::move(readStaged), std::move(held)});
 }
 
 void WeightExchange::makeLinks()
@@ -55,10 +56,7 @@
 void WeightExchange::makeKeeper(FetcherHooks hooks)
 {
     const auto serving = ServerOptions().withBytesPerSecond(m_options.serveBytesPerSecond);
-    m_server = std::make_shared<ChunkServer>(
-            m_executor, serving,
-            [commands = m_commands](std::uint64_t bytes) { commands->post(ServedSoFar {bytes}); },
-            m_metrics);
+    m_server = std::make_shared<ChunkServer>(m_executor, serving, m_metrics);
     m_fetcher = std::make_shared<VersionFetcher>(m_executor, m_options.fetcher, std::move(hooks),
                                                  m_log);
 
@@ -87,6 +85,11 @@
         m_commands->post(ChunkAsked {wanted->digest, link, message.stream});
     } else if (const auto *have = std::get_if<HaveMessage>(&message.message)) {
         m_links->mailbox()->post(HaveHeard {link, *have});
+    } else if (const auto *list = std::get_if<ListWantedMessage>(&message.message)) {
+        const auto reply = [link, stream = message.stream](const PieceList &known) {
+            link.post(stream, PieceListMessage {known});
+        };
+        m_fetcher->mailbox()->post(FetcherAsked {list->model, list->version, reply});
     }
 }
 
--- a/source/protocol/framecodec.cpp
+++ b/source/protocol/framecodec.cpp
@@ -186,6 +186,24 @@
         m_body.__set_chunkPart(part);
     }
 
+    void operator()(const ListWantedMessage &message)
+    {
+        wire::ListWanted wanted;
+        wanted.model = message.model.text();
+        wanted.version = static_cast<std::int64_t>(message.version);
+        m_body.__set_listWanted(wanted);
+    }
+
+    void operator()(const PieceListMessage &message)
+    {
+        wire::PieceList list;
+        list.model = message.list.model.text();
+        list.version = static_cast<std::int64_t>(message.list.version);
+        list.pieceBytes = static_cast<std::int64_t>(message.list.pieceBytes);
+        list.digests = packDigests(message.list.digests);
+        m_body.__set_pieceList(list);
+    }
+
     void operator()(const EntryAliveMessage &) { m_body.__set_entryAlive({}); }
 
     void operator()(const ConfigAppliedMessage &message)
@@ -219,7 +237,6 @@
         wire::Have have;
         have.manifest = packDigest(message.manifest);
         have.bits = message.bits.packed();
-        have.servedBytes = static_cast<std::int64_t>(message.servedBytes);
         have.wanted = message.isAnswerWanted;
         m_body.__set_have(have);
     }
@@ -256,6 +273,13 @@
                              static_cast<std::uint64_t>(body.knownRevision)};
 }
 
+Message pieceListFromWire(const wire::PieceList &list)
+{
+    return PieceListMessage {{ModelName(list.model), static_cast<std::uint64_t>(list.version),
+                              static_cast<std::uint64_t>(list.pieceBytes),
+                              unpackDigests(list.digests)}};
+}
+
 Message ackFromWire(const wire::HeartbeatAck &ack)
 {
     return HeartbeatAckMessage {static_cast<std::uint64_t>(ack.sequence), fromWire(ack.neighbours),
@@ -315,6 +339,13 @@
     if (isset.chunkPart) {
         return ChunkPartMessage {body.chunkPart.bytes, body.chunkPart.last};
     }
+    if (isset.listWanted) {
+        return ListWantedMessage {ModelName(body.listWanted.model),
+                                  static_cast<std::uint64_t>(body.listWanted.version)};
+    }
+    if (isset.pieceList) {
+        return pieceListFromWire(body.pieceList);
+    }
     if (isset.entryAlive) {
         return EntryAliveMessage {};
     }
@@ -335,7 +366,7 @@
     }
     if (isset.have) {
         return HaveMessage {unpackDigest(body.have.manifest), ChunkBits(body.have.bits),
-                            static_cast<std::uint64_t>(body.have.servedBytes), body.have.wanted};
+                            body.have.wanted};
     }
     return fail(ErrorKind::ProtocolViolation, "a frame holds no message that is known here");
 }
--- a/source/protocol/membershipcodec.cpp
+++ b/source/protocol/membershipcodec.cpp
@@ -37,11 +37,6 @@
     return Digest(std::move(text));
 }
 
-namespace {
-
-/** Length of a manifest's digest in a summary, where only those of the table are told apart. */
-constexpr std::size_t summaryDigestBytes = 8;
-
 std::vector<std::string> packDigests(const std::vector<Digest> &digests)
 {
     std::vector<std::string> packed;
@@ -62,6 +57,11 @@
     return digests;
 }
 
+namespace {
+
+/** Length of a manifest's digest in a summary, where only those of the table are told apart. */
+constexpr std::size_t summaryDigestBytes = 8;
+
 template <typename Value>
 std::int32_t toCount(Value value)
 {
--- a/source/protocol/membershipcodec.h
+++ b/source/protocol/membershipcodec.h
@@ -19,6 +19,10 @@
 std::string packDigest(const Digest &digest);
 /** @returns the text of a packed digest */
 Digest unpackDigest(const std::string &packed);
+/** @see packDigest */
+std::vector<std::string> packDigests(const std::vector<Digest> &digests);
+/** @see unpackDigest */
+std::vector<Digest> unpackDigests(const std::vector<std::string> &packed);
 
 /** @returns the value as the wire has it */
 wire::HeartbeatBody toWire(const Heartbeat &heartbeat);
--- a/source/protocol/messages.h
+++ b/source/protocol/messages.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/common/common.h"
+#include "core/fleet/pieces.h"
 #include "core/membership/membership.h"
 #include "core/membership/roster.h"
 #include "core/once/agentstamp.h"
@@ -211,6 +212,23 @@
     auto operator<=>(const ChunkPartMessage &) const = default;
 };
 
+/** Asks a peer for the list of a version's pieces; it answers once it has it. */
+struct ListWantedMessage
+{
+    ModelName model;
+    std::uint64_t version = 0;
+
+    auto operator<=>(const ListWantedMessage &) const = default;
+};
+
+/** The list of a version's pieces. */
+struct PieceListMessage
+{
+    PieceList list;
+
+    auto operator<=>(const PieceListMessage &) const = default;
+};
+
 /** Sign of life between entries. */
 struct EntryAliveMessage
 {
@@ -244,8 +262,6 @@
 {
     Digest manifest;
     ChunkBits bits;
-    /** Bytes of weights that the agent has served so far. */
-    std::uint64_t servedBytes = 0;
     /** Whether the receiver is to answer with its own. */
     bool isAnswerWanted = false;
 
@@ -258,7 +274,8 @@
                      FailedMessage, CreditMessage, CancelMessage, CancelSeenMessage,
                      HeartbeatMessage, HeartbeatAckMessage, ConfigPushMessage, ConfigAppliedMessage,
                      ConfigWantedMessage, ChunkWantedMessage, ChunkPartMessage, EntryAliveMessage,
-                     ZoneDigestMessage, DigestWantedMessage, ZoneSummaryMessage, HaveMessage>;
+                     ZoneDigestMessage, DigestWantedMessage, ZoneSummaryMessage, HaveMessage,
+                     ListWantedMessage, PieceListMessage>;
 
 /** A message with the stream that it belongs to. */
 struct StreamMessage
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -161,6 +161,19 @@
   2: bool last;
 }
 
+/** Asks a peer for the list of a version's pieces. */
+struct ListWanted {
+  1: string model;
+  2: i64 version;
+}
+
+struct PieceList {
+  1: string model;
+  2: i64 version;
+  3: i64 pieceBytes;
+  4: list<binary> digests;
+}
+
 /** Sign of life between entries. */
 struct EntryAlive {
 }
@@ -220,7 +233,6 @@
 struct Have {
   1: binary manifest;
   2: binary bits;
-  3: i64 servedBytes;
   /** The receiver is to answer with its own. */
   4: bool wanted;
 }
@@ -248,6 +260,8 @@
   22: DigestWanted digestWanted;
   23: ZoneSummary zoneSummary;
   50: Have have;
+  51: ListWanted listWanted;
+  52: PieceList pieceList;
 }
 
 /** Stream 0 belongs to the link; the side that opened the link numbers the others. */
--- a/tests/differential/tst_weights.cpp
+++ b/tests/differential/tst_weights.cpp
@@ -190,7 +190,7 @@
         for (std::size_t other = 0; other < m_peers.size(); ++other) {
             if (other != n) {
                 tell(other,
-                     PeerHas {m_peers[n].instance, m_peers[n].zone, m_manifest.digest(), bits, 0});
+                     PeerHas {m_peers[n].instance, m_peers[n].zone, m_manifest.digest(), bits});
             }
         }
     }
--- a/tests/unit/tst_framecodec.cpp
+++ b/tests/unit/tst_framecodec.cpp
@@ -90,7 +90,7 @@
 TEST_CASE_METHOD(FrameFixture, "frame_have_comesBackEqual")
 {
     const ChunkBits bits(std::vector<bool> {true, false, true});
-    const StreamMessage message {0, HaveMessage {digestOf("manifest"), bits, 7, true}};
+    const StreamMessage message {0, HaveMessage {digestOf("manifest"), bits, true}};
     REQUIRE(std::get<StreamMessage>(roundTrip(message)) == message);
 }
 
@@ -100,5 +100,15 @@
     REQUIRE(failureOf(decoded)->kind == ErrorKind::ProtocolViolation);
 }
 
+TEST_CASE_METHOD(FrameFixture, "frame_listOfPiecesAndQuestion_comeBackEqual")
+{
+    const PieceList list {ModelName("m"), 3, 32768, {digestOf("one"), digestOf("two")}};
+    for (const Message &message :
+         {Message(ListWantedMessage {ModelName("m"), 3}), Message(PieceListMessage {list})}) {
+        const StreamMessage sent {7, message};
+        REQUIRE(std::get<StreamMessage>(roundTrip(sent)) == sent);
+    }
+}
+
 } // namespace
 } // namespace greengageseam
--- a/tests/unit/tst_loadbook.cpp
+++ b/tests/unit/tst_loadbook.cpp
@@ -161,5 +161,84 @@
     REQUIRE_FALSE(m_book.hasUsable(m_wish.service, 0, m_now));
 }
 
+TEST_CASE_METHOD(LoadBookFixture, "take_olderEntryHasTheSameAddress_onlyTheNewerCounts")
+{
+    ReplicaEntry older = replica("z");
+    ReplicaEntry newer = replica("b", 0);
+    newer.address = older.address;
+    newer.bornMs = older.bornMs + 1;
+    m_book.setReplicas({newer, older});
+    REQUIRE_FALSE(take().has_value());
+    REQUIRE_FALSE(m_book.hasUsable(m_wish.service, 0, m_now));
+    m_book.hear(report(newer, 0), m_now);
+    newer.loaded.version = 1;
+    m_book.setReplicas({newer, older});
+    m_book.hear(report(newer, 0), m_now);
+    REQUIRE(take() == "b");
+}
+
+TEST_CASE_METHOD(LoadBookFixture, "take_lateRequest_leavesPlacesToOthers")
+{
+    ReplicaEntry entry = replica("b");
+    entry.slots = 10;
+    m_book.setReplicas({entry});
+    m_book.hear(report(entry, 6), m_now);
+    m_wish.isLate = true;
+    REQUIRE_FALSE(take().has_value());
+    m_wish.isLate = false;
+    REQUIRE(take() == "b");
+}
+
+TEST_CASE_METHOD(LoadBookFixture, "take_longPromptWaitsAtOne_shortOneGoesToTheOther")
+{
+    EngineCosts engine;
+    engine.slots = 10;
+    engine.stepMs = 7;
+    engine.readTokensPerSecond = 10'000;
+    engine.usualPromptTokens = 100;
+    engine.usualAnswerTokens = 100;
+    engine.model = ModelName("m");
+    Service pool;
+    pool.name = ServiceName("pool");
+    pool.engine = engine;
+    m_book.setServices({{pool.name, pool}});
+    ReplicaEntry first = replica("b");
+    ReplicaEntry second = replica("c");
+    first.slots = 10;
+    second.slots = 10;
+    m_book.setReplicas({first, second});
+    m_wish.promptTokens = 2000;
+    const std::string busy = *take(0);
+    m_wish.promptTokens = 100;
+    for (std::uint64_t n = 0; n < 5; ++n) {
+        REQUIRE(take(n) != busy);
+    }
+    m_book.begun(ReplicaId(busy), 2000);
+    REQUIRE(take(0) == busy);
+}
+
+TEST_CASE_METHOD(LoadBookFixture, "take_answerWouldBeginTooLateEverywhere_waits")
+{
+    EngineCosts engine;
+    engine.slots = 10;
+    engine.stepMs = 7;
+    engine.readTokensPerSecond = 10'000;
+    engine.usualPromptTokens = 1000;
+    engine.usualAnswerTokens = 100;
+    engine.model = ModelName("m");
+    Service pool;
+    pool.name = ServiceName("pool");
+    pool.engine = engine;
+    m_book.setServices({{pool.name, pool}});
+    ReplicaEntry entry = replica("b");
+    entry.slots = 10;
+    m_book.setReplicas({entry});
+    for (int n = 0; n < 3; ++n) {
+        REQUIRE(take() == "b");
+    }
+    // The fourth would begin after four prompts of 100 ms.
+    REQUIRE_FALSE(take().has_value());
+}
+
 } // namespace
 } // namespace greengageseam
--- a/tests/unit/tst_transferplanner.cpp
+++ b/tests/unit/tst_transferplanner.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <set>
 
 namespace greengageseam {
@@ -59,6 +60,11 @@
         }
     }
 
+    ChunkBits allChunks() const
+    {
+        return ChunkBits(std::vector<bool>(m_manifest.chunks().size(), true));
+    }
+
     static std::size_t originReads(const std::vector<TransferAction> &actions)
     {
         return static_cast<std::size_t>(
@@ -119,5 +125,29 @@
     REQUIRE(reads > 0);
 }
 
+TEST_CASE_METHOD(TransferPlannerFixture, "planner_oneOfTwoPeersIsSlow_mostIsReadFromTheOther")
+{
+    m_options.maxFetches = 1;
+    TransferPlanner planner(m_options, swarmPolicy(), Instant());
+    const std::map<InstanceId, milliseconds> peers {{InstanceId("slow"), milliseconds(280)},
+                                                    {InstanceId("quick"), milliseconds(40)}};
+    for (const auto &[peer, time] : peers) {
+        planner.step(PeerHas {peer, ZoneName("a"), m_manifest.digest(), allChunks()}, Instant());
+    }
+    planner.step(wanted({"slow", "quick"}), Instant());
+    auto actions = planner.step(ManifestKnown {m_manifest.digest(), m_manifest}, Instant());
+    std::map<InstanceId, int> reads;
+    Instant now;
+    while (!planner.isDone()) {
+        REQUIRE(actions.size() == 1);
+        const auto &read = std::get<ReadChunk>(actions.front());
+        ++reads[read.source.peer];
+        now += peers.at(read.source.peer);
+        actions = planner.step(FetchEnded {read.chunk, read.source, FetchResult::Verified}, now);
+    }
+    REQUIRE(reads[InstanceId("slow")] <= 4);
+    REQUIRE(reads[InstanceId("quick")] >= 12);
+}
+
 } // namespace
 } // namespace greengageseam
