--- a/source/core/fleet/loadbook.cpp
+++ b/source/core/fleet/loadbook.cpp
@@ -23,6 +23,8 @@
 /** Time to the beginning of an answer that is usual beyond what is expected of the engine. */
 constexpr double usualExtraMs = 30;
 constexpr double longestLateMs = 3000;
+/** What a send is held to cost to a backend server whose reports have stopped. */
+constexpr double silentPenaltyMs = 300;
 /** Share of the slots that requests may fill whose answers will be late. */
 constexpr double lateShare = 0.7;
 /** Share of the objective in which an answer is expected to begin where a request is sent. */
@@ -186,12 +188,12 @@
     return queued + plainRequestMs * std::min(taken, slots) / slots;
 }
 
-double LoadBook::penaltyMs(const Known &known) const
+double LoadBook::penaltyMs(const Known &known, Instant now) const
 {
-    if (known.entry.zone == m_options.zone) {
-        return 0;
-    }
-    return m_options.zonePenaltyMs;
+    // One whose reports have stopped may be cut off, or its agent may be.
+    const double silent = known.report && !isFresh(known, now) ? silentPenaltyMs : 0;
+    const double far = known.entry.zone == m_options.zone ? 0 : m_options.zonePenaltyMs;
+    return silent + far;
 }
 
 bool LoadBook::hasRoom(const Known &known, const ReplicaWish &wish, Instant now) const
@@ -244,7 +246,7 @@
         }
         ++compared;
         const double cost =
-                waitMs(known, wish.promptTokens, now) + penaltyMs(known) + lateMs(known, now);
+                waitMs(known, wish.promptTokens, now) + penaltyMs(known, now) + lateMs(known, now);
         if (best == nullptr || cost < bestCost) {
             best = &known;
             bestCost = cost;
--- a/source/core/fleet/loadbook.h
+++ b/source/core/fleet/loadbook.h
@@ -161,7 +161,7 @@
     double waitMs(const Known &known, double promptTokens, Instant now) const;
     bool hasEngineRoom(const Known &known, const EngineCosts &costs, const ReplicaWish &wish,
                        Instant now) const;
-    double penaltyMs(const Known &known) const;
+    double penaltyMs(const Known &known, Instant now) const;
     double lateMs(const Known &known, Instant now) const;
     static void noteBegun(Known &known, double promptMs);
     void noteAnswer(Known &known, Duration answeredAfter, Instant now);
--- a/source/core/weights/transferplanner.cpp
+++ b/source/core/weights/transferplanner.cpp
@@ -15,7 +15,7 @@
 constexpr auto busyPause = std::chrono::milliseconds(40);
 constexpr auto firstPause = std::chrono::milliseconds(250);
 constexpr auto corruptPause = std::chrono::seconds(10);
-constexpr std::uint32_t maxDoublings = 6;
+constexpr std::uint32_t maxDoublings = 2;
 constexpr auto manifestPause = std::chrono::milliseconds(100);
 constexpr auto keepTime = std::chrono::seconds(30);
 
@@ -40,12 +40,26 @@
     }
     admit();
     planManifests(now, actions);
-    for (auto &[digest, version] : m_versions) {
+    for (const Digest &digest : missingInOrder()) {
+        planChunks(digest, m_versions.at(digest), now, actions);
+    }
+    return actions;
+}
+
+std::vector<Digest> TransferPlanner::missingInOrder() const
+{
+    std::vector<std::pair<std::uint64_t, Digest>> missing;
+    for (const auto &[digest, version] : m_versions) {
         if (version.isWanted && version.missing > 0 && !version.isRefused) {
-            planChunks(digest, version, now, actions);
+            missing.emplace_back(version.places.order, digest);
         }
     }
-    return actions;
+    std::sort(missing.begin(), missing.end());
+    std::vector<Digest> digests;
+    for (const auto &[order, digest] : missing) {
+        digests.push_back(digest);
+    }
+    return digests;
 }
 
 void TransferPlanner::apply(const VersionsWanted &event, Instant now, Actions &actions)
--- a/source/core/weights/transferplanner.h
+++ b/source/core/weights/transferplanner.h
@@ -129,6 +129,9 @@
 
     using Actions = std::vector<TransferAction>;
 
+    /** @returns the versions of which chunks are missing, in the order in which they are read */
+    std::vector<Digest> missingInOrder() const;
+
     void apply(const VersionsWanted &event, Instant now, Actions &actions);
     void apply(const PeersKnown &event, Instant now, Actions &actions);
     void apply(const OriginCopiesSet &event, Instant now, Actions &actions);
--- a/source/core/weights/turns.h
+++ b/source/core/weights/turns.h
@@ -16,6 +16,8 @@
     std::vector<InstanceId> members;
     /** Zones that have replicas and that can be reached from here, the own one among them. */
     std::vector<ZoneName> zones;
+    /** Versions with a lower one are read first. */
+    std::uint64_t order = 0;
 
     auto operator<=>(const VersionPlaces &) const = default;
 };
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -8,8 +8,9 @@
 
 /** How long the store waits for something that the operator does. */
 constexpr auto operatorWait = std::chrono::seconds(25);
-/** Pause between two reads of configurations that come in quick succession. */
-constexpr auto stormPause = std::chrono::milliseconds(250);
+/** Part of the time in which a configuration has to be in force that passes between two reads
+ * while configurations come in quick succession; each read brings the whole of one. */
+constexpr int stormReads = 4;
 /** Pause between two reads of the list of backend servers. */
 constexpr auto listPause = std::chrono::milliseconds(600);
 /** The balancer takes two misses, a second apart, to send nothing more. */
@@ -129,7 +130,7 @@
     FollowOptions follow;
     follow.name = "operator";
     follow.wait = operatorWait;
-    follow.stormPause = stormPause;
+    follow.stormPause = m_settings.bounds.configApply / stormReads;
     m_operator = std::make_shared<OperatorFeed>(m_executor, m_adapter.operatorTopic, follow, hooks,
                                                 m_log);
 
--- a/source/edge/requestrun.cpp
+++ b/source/edge/requestrun.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-constexpr auto connectLimit = std::chrono::milliseconds(700);
+/** Another backend server is tried while the answer can still be in time. */
+constexpr auto connectLimit = std::chrono::milliseconds(300);
 /** A send with less time left would not be answered any more. */
 constexpr auto shortestSend = std::chrono::milliseconds(15);
 constexpr std::size_t maxBufferedBody = 16ULL * 1024 * 1024;
--- a/source/edge/storefeeds.cpp
+++ b/source/edge/storefeeds.cpp
@@ -43,7 +43,7 @@
 void OperatorFeed::hearOf(std::uint64_t offset)
 {
     if (offset > m_offset) {
-        m_follower->mailbox()->post(ReadNow {});
+        m_follower->mailbox()->post(ReadNow {offset});
     }
 }
 
--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -17,6 +17,8 @@
 constexpr auto stormGap = std::chrono::milliseconds(700);
 /** Silence after which a follower that relies on others reads the topic itself. */
 constexpr auto silentAfter = std::chrono::milliseconds(1000);
+/** Time that the read in progress has to bring what somebody else has read. */
+constexpr auto extraPatience = std::chrono::milliseconds(250);
 constexpr auto relyPause = std::chrono::milliseconds(200);
 
 /** @returns a share from 0.5 to 1 of the time, so that processes do not come all at once */
@@ -57,7 +59,7 @@
 void TopicFollower::apply(const ReadDue &)
 {
     if (m_next && m_reliesOnOthers && monotonicNow() - m_heardAt < silentAfter) {
-        sleepFor(relyPause);
+        sleepFor(relyPause, ReadDue {});
         return;
     }
     asio::co_spawn(
@@ -70,12 +72,22 @@
             asio::detached);
 }
 
-void TopicFollower::apply(const ReadNow &)
+void TopicFollower::apply(const ReadNow &command)
 {
-    if (!m_next || m_isExtraInProgress) {
+    const bool isBehind = m_next && *m_next < command.upTo;
+    if (!isBehind || m_isExtraInProgress || m_isStorm) {
         return;
     }
     m_isExtraInProgress = true;
+    sleepFor(extraPatience, ExtraDue {command.upTo});
+}
+
+void TopicFollower::apply(const ExtraDue &command)
+{
+    m_isExtraInProgress = m_next && *m_next < command.upTo && !m_isStorm;
+    if (!m_isExtraInProgress) {
+        return;
+    }
     m_log.info("store.read-besides", {{"topic", m_options.name}, {"from", *m_next}});
     asio::co_spawn(
             m_executor,
@@ -155,14 +167,13 @@
 
 void TopicFollower::apply(const ReadElsewhere &command)
 {
-    if (!m_next || command.from > *m_next) {
+    if (!m_next || command.from > *m_next || command.next < *m_next) {
         return;
     }
+    // A read that brought nothing is news, too: the list is as it was.
     m_heardAt = monotonicNow();
-    if (command.next > *m_next) {
-        m_next = command.next;
-        command.takeOver();
-    }
+    m_next = command.next;
+    command.takeOver();
 }
 
 void TopicFollower::apply(const ReliesOnOthers &command)
@@ -191,21 +202,24 @@
         m_mailbox->post(ReadDue {});
         return;
     }
-    sleepFor(pause);
+    sleepFor(pause, ReadDue {});
 }
 
-void TopicFollower::sleepFor(Duration time)
+void TopicFollower::sleepFor(Duration time, FollowCommand then)
 {
     asio::co_spawn(
-            m_executor, [self = shared_from_this(), time] { return self->sleep(time); },
+            m_executor,
+            [self = shared_from_this(), time, next = std::move(then)] {
+                return self->sleep(time, next);
+            },
             asio::detached);
 }
 
-Awaitable<void> TopicFollower::sleep(Duration time)
+Awaitable<void> TopicFollower::sleep(Duration time, FollowCommand then)
 {
     asio::steady_timer timer(m_executor, time);
     co_await timer.async_wait(asTuple);
-    m_mailbox->post(ReadDue {});
+    m_mailbox->post(std::move(then));
 }
 
 } // namespace greengageseam
--- a/source/edge/topicfollower.h
+++ b/source/edge/topicfollower.h
@@ -50,9 +50,17 @@
 struct ReadDue
 { };
 
-/** There may be news that the read in progress does not bring. */
+/** Somebody has read further; the read in progress should bring that, too. */
 struct ReadNow
-{ };
+{
+    std::uint64_t upTo = 0;
+};
+
+/** The read in progress had time to bring what somebody else has read. */
+struct ExtraDue
+{
+    std::uint64_t upTo = 0;
+};
 
 /** The whole topic was read, or could not be. */
 struct SnapshotRead
@@ -74,7 +82,7 @@
 {
     std::uint64_t from = 0;
     std::uint64_t next = 0;
-    /** Takes over what is new; called only if nothing before it was missed. */
+    /** Takes over what is new, even if that is nothing; called only if nothing was missed. */
     std::function<void()> takeOver;
 };
 
@@ -85,8 +93,8 @@
 };
 
 /** Messages to a follower. */
-using FollowCommand =
-        std::variant<ReadDue, ReadNow, SnapshotRead, TailRead, ReadElsewhere, ReliesOnOthers>;
+using FollowCommand = std::variant<ReadDue, ReadNow, ExtraDue, SnapshotRead, TailRead,
+                                   ReadElsewhere, ReliesOnOthers>;
 
 /** Follows a topic until the process ends. */
 class TopicFollower : public std::enable_shared_from_this<TopicFollower>
@@ -104,6 +112,7 @@
     Awaitable<void> run();
     void apply(const ReadDue &command);
     void apply(const ReadNow &command);
+    void apply(const ExtraDue &command);
     void apply(const SnapshotRead &command);
     void apply(const TailRead &command);
     void apply(const ReadElsewhere &command);
@@ -111,12 +120,12 @@
     void takeTail(const TailRead &command);
     void note(const Failure *failure);
     void readLater(bool hasFailed);
-    void sleepFor(Duration time);
+    void sleepFor(Duration time, FollowCommand then);
     void noteChange(bool hasChanged);
     bool readsWhole() const;
     Awaitable<void> readSnapshot();
     Awaitable<void> readTail(std::uint64_t from, Duration wait, bool isExtra);
-    Awaitable<void> sleep(Duration time);
+    Awaitable<void> sleep(Duration time, FollowCommand then);
 
     asio::any_io_executor m_executor;
     TopicReader m_reader;
--- a/source/exchange/versionfetcher.cpp
+++ b/source/exchange/versionfetcher.cpp
@@ -165,6 +165,11 @@
 {
     m_complete = command.complete;
     tellHeld();
+    const std::size_t before = m_known.size();
+    forgetOld();
+    if (m_known.size() != before) {
+        tellKeeper();
+    }
 }
 
 void VersionFetcher::apply(const FetcherListed &command)
@@ -216,11 +221,18 @@
     advance();
 }
 
-/** The one before the wanted version is kept only if it is whole, since it may be loading. */
+/**
+ * The one before the wanted version is kept if it is whole, since it may be loading, or as long as
+ * it may come sooner than the wanted one.
+ */
 void VersionFetcher::forgetOld()
 {
-    std::erase_if(m_known, [this](const auto &entry) {
-        return entry.first != m_wanted && !m_complete.contains(entry.second.digest);
+    const auto wanted = m_known.find(m_wanted);
+    const bool isWhole = wanted != m_known.end() && m_complete.contains(wanted->second.digest);
+    const std::uint64_t loaded = m_loaded.empty() ? 0 : *m_loaded.begin();
+    std::erase_if(m_known, [&](const auto &entry) {
+        const bool isOfUse = !isWhole && entry.first > loaded;
+        return entry.first != m_wanted && !m_complete.contains(entry.second.digest) && !isOfUse;
     });
     while (m_known.size() > mostVersions) {
         m_known.erase(m_known.begin());
@@ -364,7 +376,9 @@
     }
     VersionsWanted wanted;
     for (const auto &[version, known] : m_known) {
-        wanted.versions.emplace(known.digest, places());
+        VersionPlaces where = places();
+        where.order = version;
+        wanted.versions.emplace(known.digest, std::move(where));
     }
     m_hooks.weights->post(std::move(wanted));
 }
--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -205,6 +205,8 @@
 {
     m_isAborted = true;
     boost::system::error_code ignored;
+    // A reset drops what is still held up on its way, which must not arrive later.
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
     m_socket.close(ignored);
     m_timer.cancel();
 }
--- a/source/steward/weightinstaller.cpp
+++ b/source/steward/weightinstaller.cpp
@@ -175,7 +175,8 @@
     if (loaded >= m_held->version) {
         return;
     }
-    const bool isReplaceable = m_stage == Stage::Staging || m_stage == Stage::Staged;
+    const bool isReplaceable =
+            m_stage == Stage::Staging || m_stage == Stage::Staged || m_stage == Stage::Leaving;
     if (m_version != m_held->version && (isReplaceable || m_stage == Stage::Idle)) {
         restart("newer weights are held");
         m_version = m_held->version;
--- a/tests/unit/tst_loadbook.cpp
+++ b/tests/unit/tst_loadbook.cpp
@@ -240,5 +240,19 @@
     REQUIRE_FALSE(take().has_value());
 }
 
+TEST_CASE_METHOD(LoadBookFixture, "take_reportsOfOneHaveStopped_theOthersAreTaken")
+{
+    const ReplicaEntry silent = replica("b");
+    const ReplicaEntry heard = replica("c");
+    m_book.setReplicas({silent, heard});
+    m_book.hear(report(silent, 0), m_now);
+    m_now += std::chrono::seconds(2);
+    m_book.hear(report(heard, 1), m_now);
+    for (std::uint64_t n = 0; n < 2; ++n) {
+        REQUIRE(take(n) == "c");
+        m_book.ended(ReplicaId("c"), ReplicaVerdict::Neutral, std::nullopt, m_now);
+    }
+}
+
 } // namespace
 } // namespace greengageseam
--- a/tests/unit/tst_transferplanner.cpp
+++ b/tests/unit/tst_transferplanner.cpp
@@ -149,5 +149,39 @@
     REQUIRE(reads[InstanceId("quick")] >= 12);
 }
 
+TEST_CASE_METHOD(TransferPlannerFixture, "planner_twoVersionsAreMissing_theOneThatComesFirstIsRead")
+{
+    m_options.maxFetches = 4;
+    std::vector<Chunk> chunks;
+    for (int n = 0; n < 16; ++n) {
+        chunks.push_back({digestOf("newer" + std::to_string(n)), 1000});
+    }
+    const Manifest newer(chunks);
+    for (const std::uint64_t order : {1, 3}) {
+        TransferPlanner planner(m_options, swarmPolicy(), Instant());
+        VersionsWanted both = wanted({"self"});
+        both.versions.begin()->second.order = 2;
+        VersionPlaces places = both.versions.begin()->second;
+        places.order = order;
+        both.versions.emplace(newer.digest(), places);
+        planner.step(both, Instant());
+        auto actions = planner.step(ManifestKnown {m_manifest.digest(), m_manifest}, Instant());
+        for (const TransferAction &action : actions) {
+            const auto *read = std::get_if<ReadChunk>(&action);
+            planner.step(FetchEnded {read->chunk, read->source, FetchResult::Failed}, Instant());
+        }
+        planner.step(ManifestKnown {newer.digest(), newer}, Instant());
+        actions = planner.step(TimePassed {}, Instant(std::chrono::seconds(10)));
+        REQUIRE_FALSE(actions.empty());
+        for (const TransferAction &action : actions) {
+            const auto &digest = std::get<ReadChunk>(action).chunk.digest;
+            const bool isNewer = std::any_of(chunks.begin(), chunks.end(), [&](const Chunk &one) {
+                return one.digest == digest;
+            });
+            REQUIRE(isNewer == (order == 1));
+        }
+    }
+}
+
 } // namespace
 } // namespace greengageseam
