--- a/source/core/fleet/loadbook.cpp
+++ b/source/core/fleet/loadbook.cpp
@@ -33,7 +33,8 @@
 constexpr std::uint32_t plainQueue = 6;
 /** Share of the other entries that send where this one does. */
 constexpr double othersAlike = 0.25;
-/** Backend servers with room that are compared for a request, so that entries differ. */
+/** Backend servers with room that are compared for a request in the own zone and in others each,
+ * so that entries differ. */
 constexpr std::size_t mostCompared = 3;
 
 /** @returns a step that visits each of @p n places once, drawn at random */
@@ -226,32 +227,46 @@
     return taken == 0 || waitMs(known, wish.promptTokens, now) <= objectiveMs * beginShare;
 }
 
-std::optional<ReplicaEntry> LoadBook::take(const ReplicaWish &wish, Instant now,
-                                           std::uint64_t random)
+double LoadBook::costMs(const Known &known, const ReplicaWish &wish, Instant now) const
+{
+    return waitMs(known, wish.promptTokens, now) + penaltyMs(known, now) + lateMs(known, now);
+}
+
+/** @returns the cheapest of a few with room that are drawn at random, or null */
+LoadBook::Known *LoadBook::cheapest(const std::vector<ReplicaId> &pool, const ReplicaWish &wish,
+                                    bool isNear, Instant now, std::uint64_t random)
 {
-    const auto pool = m_byService.find(wish.service);
-    if (pool == m_byService.end()) {
-        return std::nullopt;
-    }
     Known *best = nullptr;
-    double bestCost = 0;
-    const std::size_t n = pool->second.size();
-    std::size_t compared = 0;
+    const std::size_t n = pool.size();
     const std::size_t step = strideFor(n, random);
+    std::size_t compared = 0;
     for (std::size_t i = 0; i < n && compared < mostCompared; ++i) {
-        Known &known = m_known.at(pool->second[(random + i * step) % n]);
-        if (!isUsable(known, wish.oldestWeights, now) || wish.tried.contains(known.entry.id)
-            || !hasRoom(known, wish, now)) {
+        Known &known = m_known.at(pool[(random + i * step) % n]);
+        const bool isMeant = (known.entry.zone == m_options.zone) == isNear
+                && !wish.tried.contains(known.entry.id);
+        if (!isMeant || !isUsable(known, wish.oldestWeights, now) || !hasRoom(known, wish, now)) {
             continue;
         }
         ++compared;
-        const double cost =
-                waitMs(known, wish.promptTokens, now) + penaltyMs(known, now) + lateMs(known, now);
-        if (best == nullptr || cost < bestCost) {
+        if (best == nullptr || costMs(known, wish, now) < costMs(*best, wish, now)) {
             best = &known;
-            bestCost = cost;
         }
     }
+    return best;
+}
+
+std::optional<ReplicaEntry> LoadBook::take(const ReplicaWish &wish, Instant now,
+                                           std::uint64_t random)
+{
+    const auto pool = m_byService.find(wish.service);
+    if (pool == m_byService.end()) {
+        return std::nullopt;
+    }
+    Known *near = cheapest(pool->second, wish, true, now, random);
+    Known *far = cheapest(pool->second, wish, false, now, random);
+    const bool isNear = far == nullptr
+            || (near != nullptr && costMs(*near, wish, now) <= costMs(*far, wish, now));
+    Known *best = isNear ? near : far;
     if (best == nullptr) {
         return std::nullopt;
     }
--- a/source/core/fleet/loadbook.h
+++ b/source/core/fleet/loadbook.h
@@ -70,7 +70,7 @@
 {
     ZoneName zone;
     /** What a send to another zone is held to cost besides its time, in milliseconds of waiting. */
-    double zonePenaltyMs = 15;
+    double zonePenaltyMs = 40;
     /** A report that is older says nothing of the load any more. */
     Duration reportLife = std::chrono::seconds(1);
     HealthOptions health;
@@ -163,6 +163,9 @@
                        Instant now) const;
     double penaltyMs(const Known &known, Instant now) const;
     double lateMs(const Known &known, Instant now) const;
+    double costMs(const Known &known, const ReplicaWish &wish, Instant now) const;
+    Known *cheapest(const std::vector<ReplicaId> &pool, const ReplicaWish &wish, bool isNear,
+                    Instant now, std::uint64_t random);
     static void noteBegun(Known &known, double promptMs);
     void noteAnswer(Known &known, Duration answeredAfter, Instant now);
     bool hasRoom(const Known &known, const ReplicaWish &wish, Instant now) const;
--- a/source/core/weights/transferplanner.cpp
+++ b/source/core/weights/transferplanner.cpp
@@ -46,6 +46,11 @@
     return actions;
 }
 
+const ZoneName &TransferPlanner::storeZone(const VersionPlaces &places) const
+{
+    return places.origin.isEmpty() ? m_options.storeZone : places.origin;
+}
+
 std::vector<Digest> TransferPlanner::missingInOrder() const
 {
     std::vector<std::pair<std::uint64_t, Digest>> missing;
@@ -77,7 +82,7 @@
             version.places = places;
             if (version.manifest) {
                 version.turns =
-                        makeTurns(*version.manifest, places, m_options.self, m_options.storeZone);
+                        makeTurns(*version.manifest, places, m_options.self, storeZone(places));
             }
         }
     }
@@ -112,7 +117,8 @@
     version.manifest = event.manifest;
     version.isManifestRead = false;
     version.since = now;
-    version.turns = makeTurns(event.manifest, version.places, m_options.self, m_options.storeZone);
+    version.turns =
+            makeTurns(event.manifest, version.places, m_options.self, storeZone(version.places));
     const std::vector<Chunk> &chunks = event.manifest.chunks();
     for (std::size_t i = 0; i < chunks.size(); ++i) {
         version.index[chunks[i].digest].push_back(i);
--- a/source/core/weights/transferplanner.h
+++ b/source/core/weights/transferplanner.h
@@ -131,6 +131,7 @@
 
     /** @returns the versions of which chunks are missing, in the order in which they are read */
     std::vector<Digest> missingInOrder() const;
+    const ZoneName &storeZone(const VersionPlaces &places) const;
 
     void apply(const VersionsWanted &event, Instant now, Actions &actions);
     void apply(const PeersKnown &event, Instant now, Actions &actions);
--- a/source/core/weights/turns.h
+++ b/source/core/weights/turns.h
@@ -16,6 +16,8 @@
     std::vector<InstanceId> members;
     /** Zones that have replicas and that can be reached from here, the own one among them. */
     std::vector<ZoneName> zones;
+    /** Zone of the origin, which reads everything from it; empty to spread that over all zones. */
+    ZoneName origin;
     /** Versions with a lower one are read first. */
     std::uint64_t order = 0;
 
--- a/source/exchange/versionfetcher.cpp
+++ b/source/exchange/versionfetcher.cpp
@@ -116,14 +116,26 @@
     }
 }
 
-Address VersionFetcher::originAddress() const
+const Service *VersionFetcher::originService() const
 {
     for (const auto &[name, service] : m_table->config().services) {
         if (!service.origin.isEmpty()) {
-            return service.origin;
+            return &service;
         }
     }
-    return {};
+    return nullptr;
+}
+
+Address VersionFetcher::originAddress() const
+{
+    const Service *service = originService();
+    return service == nullptr ? Address() : service->origin;
+}
+
+ZoneName VersionFetcher::originZone() const
+{
+    const Service *service = m_table == nullptr ? nullptr : originService();
+    return service == nullptr ? ZoneName() : service->originZone;
 }
 
 void VersionFetcher::apply(const FetcherNamed &command)
@@ -358,6 +370,7 @@
         members.insert(m_options.self);
     }
     VersionPlaces places;
+    places.origin = originZone();
     places.members.assign(members.begin(), members.end());
     places.zones.assign(zones.begin(), zones.end());
     return places;
--- a/source/exchange/versionfetcher.h
+++ b/source/exchange/versionfetcher.h
@@ -162,7 +162,9 @@
     void readList(Instant now);
     std::vector<WeightPeer> peers() const;
     VersionPlaces places() const;
+    const Service *originService() const;
     Address originAddress() const;
+    ZoneName originZone() const;
     Awaitable<void> askList(std::uint64_t version, InstanceId peer);
     Awaitable<OriginAnswer> readPiece(Chunk chunk);
 
--- a/source/exchange/weightexchange.cpp
+++ b/source/exchange/weightexchange.cpp
@@ -63,7 +63,6 @@
     TransferOptions transfer;
     transfer.self = m_options.fetcher.self;
     transfer.zone = m_options.fetcher.zone;
-    transfer.storeZone = m_options.originZone;
     transfer.maxFetches = m_options.maxFetches;
     transfer.makesManifests = true;
     transfer.ownerPatience = ownerPatience;
--- a/source/exchange/weightexchange.h
+++ b/source/exchange/weightexchange.h
@@ -26,8 +26,6 @@
     std::uint64_t serveBytesPerSecond = 0;
     /** Whether chunks are read one by one while they are slow. */
     bool yieldsWhenSlow = false;
-    /** Zone in which the origin stands; empty if it is not known. */
-    ZoneName originZone;
 };
 
 /** Brings the tasks together. */
