--- a/source/agent/entrylinks.cpp
+++ b/source/agent/entrylinks.cpp
@@ -179,8 +179,8 @@
 }
 
 /**
- * All entries, the one that suits this agent best first. Those that failed lately come last, so that
- * they are dialed again at once where there are no others.
+ * All entries, the one that suits this agent best first. Those that failed lately come last, so
+ * that they are dialed again at once where there are no others.
  */
 std::vector<Address> EntryLinks::entriesByScore() const
 {
@@ -196,9 +196,8 @@
                          rendezvousScore(m_settings.instance.text(), address.text()));
     };
     std::vector<Address> sorted(known.begin(), known.end());
-    std::sort(sorted.begin(), sorted.end(), [&](const Address &left, const Address &right) {
-        return rank(left) > rank(right);
-    });
+    std::sort(sorted.begin(), sorted.end(),
+              [&](const Address &left, const Address &right) { return rank(left) > rank(right); });
     return sorted;
 }
 
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -140,6 +140,7 @@
         m_hasReplicas = true;
         onReplicas(std::move(entries));
     };
+    feed.regained = [this] { m_operator->readAnew(); };
     feed.read = [this](const ListNews &news) { m_loads->mailbox()->post(PassList {news}); };
     m_replicas = std::make_shared<ReplicaFeed>(m_executor, m_adapter.replicaTopic, feed, listPause,
                                                m_log);
--- a/source/edge/storefeeds.cpp
+++ b/source/edge/storefeeds.cpp
@@ -77,6 +77,11 @@
     }
 }
 
+void OperatorFeed::readAnew()
+{
+    m_follower->mailbox()->post(ReadAnew {});
+}
+
 void OperatorFeed::hearNamed(const NamedVersion &named)
 {
     if (m_hasRead) {
@@ -102,6 +107,7 @@
     FollowHooks follow;
     follow.whole = [this](const KeyedSnapshot &snapshot) { takeWhole(snapshot); };
     follow.added = [this](std::uint64_t from, const KeyedTail &tail) { takeAdded(from, tail); };
+    follow.regained = [this] { m_hooks.regained(); };
     FollowOptions options;
     options.name = "replicas";
     options.pause = pause;
--- a/source/edge/storefeeds.h
+++ b/source/edge/storefeeds.h
@@ -43,6 +43,8 @@
     void start();
     /** Somebody has read up to an offset; reads on if that is beyond what was read here. */
     void hearOf(std::uint64_t offset);
+    /** The store was away; a read that waits may wait on a connection that has fallen silent. */
+    void readAnew();
     /** Somebody has read that weights were named; believed once the topic was read here. */
     void hearNamed(const NamedVersion &named);
 
@@ -70,6 +72,8 @@
     std::function<void(std::vector<ReplicaEntry> entries)> changed;
     /** The list was read on, and brought this. */
     std::function<void(const ListNews &news)> read;
+    /** The store can be read again after it could not be. */
+    std::function<void()> regained;
 };
 
 /** Follows the list of backend servers. */
--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -18,7 +18,7 @@
 /** Silence after which a follower that relies on others reads the topic itself. */
 constexpr auto silentAfter = std::chrono::milliseconds(1000);
 /** Time that the read in progress has to bring what somebody else has read. */
-constexpr auto extraPatience = std::chrono::milliseconds(250);
+constexpr auto readPatience = std::chrono::milliseconds(250);
 constexpr auto relyPause = std::chrono::milliseconds(200);
 
 /** @returns a share from 0.5 to 1 of the time, so that processes do not come all at once */
@@ -56,18 +56,20 @@
     return !m_next || m_options.readsNewest || m_isStorm;
 }
 
-void TopicFollower::apply(const ReadDue &)
+void TopicFollower::apply(const ReadDue &command)
 {
+    if (command.reading != m_reading) {
+        return;
+    }
     if (m_next && m_reliesOnOthers && monotonicNow() - m_heardAt < silentAfter) {
-        sleepFor(relyPause, ReadDue {});
+        sleepFor(relyPause, command);
         return;
     }
     asio::co_spawn(
             m_executor,
-            [self = shared_from_this()] {
-                return self->readsWhole()
-                        ? self->readSnapshot()
-                        : self->readTail(*self->m_next, self->m_options.wait, false);
+            [self = shared_from_this(), reading = m_reading] {
+                return self->readsWhole() ? self->readSnapshot(reading)
+                                          : self->readTail(reading, *self->m_next);
             },
             asio::detached);
 }
@@ -75,37 +77,40 @@
 void TopicFollower::apply(const ReadNow &command)
 {
     const bool isBehind = m_next && *m_next < command.upTo;
-    if (!isBehind || m_isExtraInProgress || m_isStorm) {
+    if (!isBehind || m_isCheckPending || m_isStorm) {
         return;
     }
-    m_isExtraInProgress = true;
-    sleepFor(extraPatience, ExtraDue {command.upTo});
+    m_isCheckPending = true;
+    sleepFor(readPatience, CheckDue {command.upTo});
 }
 
-void TopicFollower::apply(const ExtraDue &command)
+void TopicFollower::apply(const CheckDue &command)
 {
-    m_isExtraInProgress = m_next && *m_next < command.upTo && !m_isStorm;
-    if (!m_isExtraInProgress) {
-        return;
+    m_isCheckPending = false;
+    if (m_next && *m_next < command.upTo) {
+        apply(ReadAnew {});
     }
-    m_log.info("store.read-besides", {{"topic", m_options.name}, {"from", *m_next}});
-    asio::co_spawn(
-            m_executor,
-            [self = shared_from_this(), from = *m_next] { return self->readTail(from, {}, true); },
-            asio::detached);
 }
 
-Awaitable<void> TopicFollower::readSnapshot()
+/** A read that waits on a connection that has fallen silent is given up. */
+void TopicFollower::apply(const ReadAnew &)
+{
+    ++m_reading;
+    m_log.info("store.read-anew", {{"topic", m_options.name}, {"from", m_next.value_or(0)}});
+    m_mailbox->post(ReadDue {m_reading});
+}
+
+Awaitable<void> TopicFollower::readSnapshot(std::uint64_t reading)
 {
     Outcome<KeyedSnapshot> snapshot = co_await m_reader.snapshot();
-    FollowCommand command = SnapshotRead {std::move(snapshot)};
+    FollowCommand command = SnapshotRead {reading, std::move(snapshot)};
     co_await m_mailbox->send(std::move(command));
 }
 
-Awaitable<void> TopicFollower::readTail(std::uint64_t from, Duration wait, bool isExtra)
+Awaitable<void> TopicFollower::readTail(std::uint64_t reading, std::uint64_t from)
 {
-    Outcome<KeyedTail> tail = co_await m_reader.tail(from, wait);
-    FollowCommand command = TailRead {from, isExtra, std::move(tail)};
+    Outcome<KeyedTail> tail = co_await m_reader.tail(from, m_options.wait);
+    FollowCommand command = TailRead {reading, from, std::move(tail)};
     co_await m_mailbox->send(std::move(command));
 }
 
@@ -113,10 +118,27 @@
 {
     const Failure *failure = failureOf(command.snapshot);
     if (failure == nullptr) {
-        const auto &snapshot = std::get<KeyedSnapshot>(command.snapshot);
-        noteChange(m_next && snapshot.end > *m_next);
-        m_next = snapshot.end;
-        m_hooks.whole(snapshot);
+        takeSnapshot(std::get<KeyedSnapshot>(command.snapshot));
+    }
+    goOn(command.reading, failure);
+}
+
+/** One that was read before a later tail says nothing new. */
+void TopicFollower::takeSnapshot(const KeyedSnapshot &snapshot)
+{
+    if (m_next && snapshot.end < *m_next) {
+        return;
+    }
+    noteChange(m_next && snapshot.end > *m_next);
+    m_next = snapshot.end;
+    m_hooks.whole(snapshot);
+}
+
+/** A reading that was given up starts no other, and its failure says nothing of the store. */
+void TopicFollower::goOn(std::uint64_t reading, const Failure *failure)
+{
+    if (reading != m_reading) {
+        return;
     }
     note(failure);
     readLater(failure != nullptr);
@@ -131,12 +153,7 @@
         m_log.warning("store.reread", {{"topic", m_options.name}, {"reason", failure->detail}});
         m_next.reset();
     }
-    if (command.isExtra) {
-        m_isExtraInProgress = false;
-        return;
-    }
-    note(failure);
-    readLater(failure != nullptr);
+    goOn(command.reading, failure);
 }
 
 /** Two reads may bring the same records; those known already are left out. */
@@ -190,6 +207,9 @@
     m_isLost = isLost;
     m_log.info(isLost ? "store.lost" : "store.regained",
                {{"topic", m_options.name}, {"reason", isLost ? failure->detail : ""}});
+    if (!isLost && m_hooks.regained) {
+        m_hooks.regained();
+    }
 }
 
 void TopicFollower::readLater(bool hasFailed)
@@ -199,10 +219,10 @@
     m_backoff =
             hasFailed ? std::min<Duration>(m_backoff * 2, longestBackoff) : Duration(firstBackoff);
     if (pause <= Duration::zero()) {
-        m_mailbox->post(ReadDue {});
+        m_mailbox->post(ReadDue {m_reading});
         return;
     }
-    sleepFor(pause, ReadDue {});
+    sleepFor(pause, ReadDue {m_reading});
 }
 
 void TopicFollower::sleepFor(Duration time, FollowCommand then)
--- a/source/edge/topicfollower.h
+++ b/source/edge/topicfollower.h
@@ -44,11 +44,16 @@
     std::function<void(const KeyedSnapshot &snapshot)> whole;
     /** What was added from an offset on was read, even if that is nothing. */
     std::function<void(std::uint64_t from, const KeyedTail &tail)> added;
+    /** The store can be read again; may be empty. */
+    std::function<void()> regained;
 };
 
 /** Time to read. */
 struct ReadDue
-{ };
+{
+    /** Number of the reading that this belongs to; earlier ones were given up. */
+    std::uint64_t reading = 0;
+};
 
 /** Somebody has read further; the read in progress should bring that, too. */
 struct ReadNow
@@ -57,23 +62,27 @@
 };
 
 /** The read in progress had time to bring what somebody else has read. */
-struct ExtraDue
+struct CheckDue
 {
     std::uint64_t upTo = 0;
 };
 
+/** The connections to the store may have fallen silent. */
+struct ReadAnew
+{ };
+
 /** The whole topic was read, or could not be. */
 struct SnapshotRead
 {
+    std::uint64_t reading = 0;
     Outcome<KeyedSnapshot> snapshot;
 };
 
 /** What was added was read, or could not be. */
 struct TailRead
 {
+    std::uint64_t reading = 0;
     std::uint64_t from = 0;
-    /** Whether it was read besides the read in progress. */
-    bool isExtra = false;
     Outcome<KeyedTail> tail;
 };
 
@@ -93,7 +102,7 @@
 };
 
 /** Messages to a follower. */
-using FollowCommand = std::variant<ReadDue, ReadNow, ExtraDue, SnapshotRead, TailRead,
+using FollowCommand = std::variant<ReadDue, ReadNow, CheckDue, ReadAnew, SnapshotRead, TailRead,
                                    ReadElsewhere, ReliesOnOthers>;
 
 /** Follows a topic until the process ends. */
@@ -112,19 +121,22 @@
     Awaitable<void> run();
     void apply(const ReadDue &command);
     void apply(const ReadNow &command);
-    void apply(const ExtraDue &command);
+    void apply(const CheckDue &command);
+    void apply(const ReadAnew &command);
     void apply(const SnapshotRead &command);
     void apply(const TailRead &command);
     void apply(const ReadElsewhere &command);
     void apply(const ReliesOnOthers &command);
+    void takeSnapshot(const KeyedSnapshot &snapshot);
     void takeTail(const TailRead &command);
+    void goOn(std::uint64_t reading, const Failure *failure);
     void note(const Failure *failure);
     void readLater(bool hasFailed);
     void sleepFor(Duration time, FollowCommand then);
     void noteChange(bool hasChanged);
     bool readsWhole() const;
-    Awaitable<void> readSnapshot();
-    Awaitable<void> readTail(std::uint64_t from, Duration wait, bool isExtra);
+    Awaitable<void> readSnapshot(std::uint64_t reading);
+    Awaitable<void> readTail(std::uint64_t reading, std::uint64_t from);
     Awaitable<void> sleep(Duration time, FollowCommand then);
 
     asio::any_io_executor m_executor;
@@ -144,7 +156,9 @@
     Instant m_changedAt;
     /** Whether changes come in quick succession. */
     bool m_isStorm = false;
-    bool m_isExtraInProgress = false;
+    /** Number of the reading in progress; the results of earlier ones start no other. */
+    std::uint64_t m_reading = 0;
+    bool m_isCheckPending = false;
 };
 
 } // namespace greengageseam
--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -32,6 +32,13 @@
         };
         reader.tail = [this](std::uint64_t from, Duration) -> Awaitable<Outcome<KeyedTail>> {
             ++m_tailReads;
+            if (m_isSilent) {
+                asio::steady_timer timer(m_context, milliseconds(20'000));
+                co_await timer.async_wait(asTuple);
+            }
+            if (m_isAway) {
+                co_return Failure {ErrorKind::PlatformUnavailable, "away"};
+            }
             KeyedTail tail {{}, m_records.size()};
             tail.records.assign(m_records.begin() + static_cast<std::ptrdiff_t>(from),
                                 m_records.end());
@@ -60,6 +67,7 @@
             return entry;
         };
         hooks.changed = [this](std::vector<ReplicaEntry> entries) { m_known = std::move(entries); };
+        hooks.regained = [this] { ++m_regained; };
         hooks.read = [this](const ListNews &news) { m_passedOn.push_back(news); };
         m_feed = std::make_shared<ReplicaFeed>(m_context.get_executor(), reader(), hooks,
                                                milliseconds(100), m_log);
@@ -77,6 +85,11 @@
     Log m_log;
     std::vector<KeyedRecord> m_records;
     std::map<std::string, std::string> m_newest;
+    /** Reads are not answered. */
+    bool m_isSilent = false;
+    /** Reads fail. */
+    bool m_isAway = false;
+    int m_regained = 0;
     int m_wholeReads = 0;
     int m_tailReads = 0;
     std::vector<ReplicaEntry> m_known;
@@ -179,5 +192,42 @@
     REQUIRE(newest == "19");
 }
 
+TEST_CASE_METHOD(FeedFixture, "topic_readFellSilent_isReadAnewWhenOthersHaveReadFurther")
+{
+    FollowOptions options;
+    options.name = "operator";
+    options.wait = std::chrono::seconds(25);
+    std::string newest;
+    FollowHooks hooks;
+    hooks.whole = [](const KeyedSnapshot &) { };
+    hooks.added = [&](std::uint64_t, const KeyedTail &tail) {
+        newest = tail.records.empty() ? newest : *tail.records.back().value;
+    };
+    m_isSilent = true;
+    const auto follower = std::make_shared<TopicFollower>(m_context.get_executor(), reader(),
+                                                          options, hooks, m_log);
+    follower->start();
+    runFor(milliseconds(100));
+    m_isSilent = false;
+    write("config", "1");
+    runFor(milliseconds(500));
+    REQUIRE(newest.empty());
+    follower->mailbox()->post(ReadNow {1});
+    runFor(milliseconds(400));
+    m_isSilent = true;
+    REQUIRE(newest == "1");
+}
+
+TEST_CASE_METHOD(FeedFixture, "replicas_storeReturns_isTold")
+{
+    startReplicas();
+    m_isAway = true;
+    runFor(milliseconds(300));
+    REQUIRE(m_regained == 0);
+    m_isAway = false;
+    runFor(milliseconds(1200));
+    REQUIRE(m_regained == 1);
+}
+
 } // namespace
 } // namespace greengageseam
