--- a/source/edge/requestrun.cpp
+++ b/source/edge/requestrun.cpp
@@ -14,9 +14,6 @@
 
 /** Another backend server is tried while the answer can still be in time. */
 constexpr auto connectLimit = std::chrono::milliseconds(300);
-/** A send with less time left would not be answered any more. */
-constexpr auto shortestSend = std::chrono::milliseconds(15);
-constexpr std::size_t maxBufferedBody = 16ULL * 1024 * 1024;
 /** Bodies beyond this are sent while the answer is awaited, which may come early. */
 constexpr std::size_t eagerBody = 16 * 1024;
 /** Silence on a stream after which it goes on elsewhere, where it may. */
@@ -31,9 +28,6 @@
 constexpr std::uint32_t lateUrgency = 7;
 /** Share of the time left for which an answer that may be asked for again is awaited. */
 constexpr double silenceShare = 0.4;
-constexpr int statusOk = 200;
-constexpr int statusBadRequest = 400;
-constexpr int statusServerError = 500;
 
 Duration scaled(Duration time, double share)
 {
@@ -158,6 +152,8 @@
             co_return;
         }
         const auto &lease = std::get<ReplicaLease>(taken);
+        m_answeredAt.reset();
+        m_replica = lease.replica.id;
         if (m_caller.isGone()) {
             finishLease(lease, Sent {SendEnd::DeadlineReached, {}, {}});
             note("caller-gone", 0, "before a send");
@@ -224,8 +220,6 @@
 
 Awaitable<RequestRun::Sent> RequestRun::send(const ReplicaLease &lease)
 {
-    m_answeredAt.reset();
-    m_replica = lease.replica.id;
     const WireEnd connected = co_await connect(lease);
     if (connected != WireEnd::Done) {
         co_return Sent {SendEnd::NotConnected, {}, {}};
@@ -282,120 +276,6 @@
     co_return co_await m_connection->connect(std::get<asio::ip::tcp::endpoint>(endpoint), limit);
 }
 
-SendEnd RequestRun::endOfWait(WireEnd end, bool hasHead) const
-{
-    if (end == WireEnd::TimedOut) {
-        return left() <= shortestSend ? SendEnd::DeadlineReached : SendEnd::Silent;
-    }
-    if (end == WireEnd::Malformed) {
-        return SendEnd::Garbled;
-    }
-    return hasHead ? SendEnd::BrokenAnswer : SendEnd::BrokenBeforeAnswer;
-}
-
-Awaitable<RequestRun::Sent> RequestRun::receive()
-{
-    WireRead<WireHead> head =
-            co_await m_connection->readHead(m_request.method == "HEAD", silenceLimit());
-    if (head.end != WireEnd::Done) {
-        co_return Sent {endOfWait(head.end, false), {}, {}};
-    }
-    const AnswerFields fields = m_context.codec.decodeAnswer(head.value);
-    const bool isOther = !fields.attemptId.empty() && fields.attemptId != m_call.attemptId;
-    const bool isSuccess = head.value.status >= statusOk && head.value.status < statusBadRequest;
-    if (isOther || fields.isEncoded || (isSuccess && !fields.isSealed)) {
-        co_return Sent {SendEnd::Garbled, {}, {}};
-    }
-    if (fields.isNotRun) {
-        co_await m_connection->readBody(maxBufferedBody, silenceLimit());
-        co_return Sent {fields.isMisdirected ? SendEnd::Misdirected : SendEnd::Rejected,
-                        {},
-                        fields.keptFor};
-    }
-    if (isSuccess && fields.isEventStream) {
-        co_return co_await receiveStream(head.value);
-    }
-    co_return co_await receiveWhole(head.value, fields);
-}
-
-Awaitable<RequestRun::Sent> RequestRun::receiveWhole(const WireHead &head,
-                                                     const AnswerFields &fields)
-{
-    WireRead<std::string> body = co_await m_connection->readBody(maxBufferedBody, silenceLimit());
-    if (body.end != WireEnd::Done) {
-        co_return Sent {endOfWait(body.end, true), {}, {}};
-    }
-    HttpResponse answer;
-    answer.status = head.status;
-    answer.headers = m_context.codec.forwardedFields(head);
-    answer.body = std::move(body.value);
-    if (answer.status >= statusServerError) {
-        co_return Sent {SendEnd::FailedAnswer, std::move(answer), fields.keptFor};
-    }
-    if (m_isStreaming) {
-        co_return Sent {SendEnd::Garbled, {}, fields.keptFor};
-    }
-    const int status = answer.status;
-    const std::vector<HttpHeader> headers = answer.headers;
-    co_await m_caller.respond(status, headers, std::move(answer.body));
-    note("answered", status, {});
-    co_return Sent {SendEnd::Answered, {}, fields.keptFor};
-}
-
-Awaitable<RequestRun::Sent> RequestRun::receiveStream(const WireHead &head)
-{
-    const std::optional<Duration> keptFor = m_context.codec.decodeAnswer(head).keptFor;
-    while (true) {
-        WireRead<std::string> part = co_await m_connection->readPart(silenceLimit());
-        WholeEvents events = m_events.feed(part.value);
-        if (m_events.hasGap()) {
-            co_return Sent {SendEnd::Garbled, {}, {}};
-        }
-        const Instant now = monotonicNow();
-        if (events.count > 0) {
-            noteBegun(now);
-            m_longestGap =
-                    m_lastEventAt ? std::max(m_longestGap, now - *m_lastEventAt) : m_longestGap;
-            m_lastEventAt = now;
-        }
-        if (events.count > 0 && !m_isStreaming) {
-            m_isStreaming = true;
-            m_firstEventAt = now;
-            const std::vector<HttpHeader> fields = m_context.codec.forwardedFields(head);
-            co_await m_caller.beginStream(head.status, fields, std::move(events.bytes));
-        } else if (events.count > 0) {
-            co_await m_caller.sendPart(std::move(events.bytes));
-        }
-        if (part.end != WireEnd::Done) {
-            co_return Sent {endOfWait(part.end, true), {}, {}};
-        }
-        if (!part.value.empty()) {
-            continue;
-        }
-        if (m_events.hasPartial()) {
-            co_return Sent {SendEnd::BrokenAnswer, {}, {}};
-        }
-        if (!m_isStreaming) {
-            m_isStreaming = true;
-            const std::vector<HttpHeader> fields = m_context.codec.forwardedFields(head);
-            std::string nothing;
-            co_await m_caller.beginStream(head.status, fields, std::move(nothing));
-        }
-        co_await m_caller.endStream();
-        note("answered", head.status, {});
-        co_return Sent {SendEnd::Answered, {}, keptFor};
-    }
-}
-
-void RequestRun::noteBegun(Instant now)
-{
-    if (m_answeredAt) {
-        return;
-    }
-    m_answeredAt = now;
-    m_context.dispatcher->post(LeaseBegun {m_replica, static_cast<double>(m_call.promptTokens)});
-}
-
 void RequestRun::finishLease(const ReplicaLease &lease, const Sent &sent)
 {
     LeaseEnded ended;
--- a/source/edge/requestrun.h
+++ b/source/edge/requestrun.h
@@ -36,6 +36,9 @@
     Awaitable<void> run();
 
 private:
+    /** A send with less time left would not be answered any more. */
+    static constexpr Duration shortestSend = std::chrono::milliseconds(15);
+
     /** How one send went. */
     struct Sent
     {
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/generated/wire_types.h"
 
+#include <algorithm>
 #include <cmath>
 #include <memory>
 #include <thrift/protocol/TCompactProtocol.h>
@@ -74,6 +75,18 @@
     return passed;
 }
 
+bool hasNegative(const wire::ListPassed &passed)
+{
+    return passed.fromOffset < 0 || passed.nextOffset < passed.fromOffset
+            || std::any_of(
+                    passed.changed.begin(), passed.changed.end(),
+                    [](const wire::ReplicaSeen &seen) {
+                        return seen.slots < 0 || seen.bornMs < 0 || seen.version < 0
+                                || seen.layersFrom < 0 || seen.layersTo < 0
+                                || seen.layersVersion < 0;
+                    });
+}
+
 ListNews listFromWire(const wire::ListPassed &passed)
 {
     ListNews news;
@@ -177,6 +190,9 @@
         return Datagram(std::move(wanted));
     }
     if (frame.__isset.listPassed) {
+        if (hasNegative(frame.listPassed)) {
+            return fail(ErrorKind::ProtocolViolation, "a list is passed on with negative numbers");
+        }
         return Datagram(listFromWire(frame.listPassed));
     }
     if (frame.__isset.entriesSeen) {
--- a/source/steward/weightinstaller.cpp
+++ b/source/steward/weightinstaller.cpp
@@ -207,11 +207,12 @@
 void WeightInstaller::leaveOrLoad(Instant now)
 {
     const bool isEmpty = m_report->loaded.wholeVersion() == 0;
-    if (isEmpty) {
-        begin(Stage::Ordering);
-    } else if (m_stage == Stage::Staged) {
+    if (!isEmpty && m_stage == Stage::Staged) {
         enter(Stage::Leaving);
-    } else if (isLoadDue(*m_report, now - m_stageSince, m_mayCut, m_options.rollout)) {
+        return;
+    }
+    const Duration since = now - m_stageSince;
+    if (isEmpty || isLoadDue(*m_report, since, m_mayCut, m_options.rollout)) {
         begin(Stage::Ordering);
     }
 }
--- a/tests/differential/tst_platformdecoders.cpp
+++ b/tests/differential/tst_platformdecoders.cpp
@@ -128,6 +128,11 @@
     report.running = 7;
     feed(encodeDatagram(report), decodeDatagram);
     feed(encodeDatagram(LoadWanted {InstanceId("a"), ZoneName("b"), 7, 9}), decodeDatagram);
+    ReplicaEntry entry;
+    entry.id = ReplicaId("i-1");
+    entry.address = Address("127.0.0.1:1");
+    entry.loaded.layers = LayerSpan {0, 16, 2};
+    feed(encodeDatagram(ListNews {1, 2, {entry}, {ReplicaId("i-2")}}), decodeDatagram);
     feed(encodeDatagram(EntriesSeen {{{InstanceId("a"), ZoneName("b"), "127.0.0.1"}}}),
          decodeDatagram);
 }
