--- a/tests/unit/tst_loadbook.cpp
+++ b/tests/unit/tst_loadbook.cpp
@@ -51,6 +51,22 @@
         return report;
     }
 
+    /** The service's engines read ten tokens in a millisecond. */
+    void useReadingEngine(double usualPromptTokens)
+    {
+        EngineCosts engine;
+        engine.slots = 10;
+        engine.stepMs = 7;
+        engine.readTokensPerSecond = 10'000;
+        engine.usualPromptTokens = usualPromptTokens;
+        engine.usualAnswerTokens = 100;
+        engine.model = ModelName("m");
+        Service pool;
+        pool.name = m_wish.service;
+        pool.engine = engine;
+        m_book.setServices({{pool.name, pool}});
+    }
+
     std::optional<std::string> take(std::uint64_t random = 0)
     {
         const auto taken = m_book.take(m_wish, m_now, random);
@@ -191,17 +207,7 @@
 
 TEST_CASE_METHOD(LoadBookFixture, "take_longPromptWaitsAtOne_shortOneGoesToTheOther")
 {
-    EngineCosts engine;
-    engine.slots = 10;
-    engine.stepMs = 7;
-    engine.readTokensPerSecond = 10'000;
-    engine.usualPromptTokens = 100;
-    engine.usualAnswerTokens = 100;
-    engine.model = ModelName("m");
-    Service pool;
-    pool.name = ServiceName("pool");
-    pool.engine = engine;
-    m_book.setServices({{pool.name, pool}});
+    useReadingEngine(100);
     ReplicaEntry first = replica("b");
     ReplicaEntry second = replica("c");
     first.slots = 10;
@@ -219,17 +225,7 @@
 
 TEST_CASE_METHOD(LoadBookFixture, "take_answerWouldBeginTooLateEverywhere_waits")
 {
-    EngineCosts engine;
-    engine.slots = 10;
-    engine.stepMs = 7;
-    engine.readTokensPerSecond = 10'000;
-    engine.usualPromptTokens = 1000;
-    engine.usualAnswerTokens = 100;
-    engine.model = ModelName("m");
-    Service pool;
-    pool.name = ServiceName("pool");
-    pool.engine = engine;
-    m_book.setServices({{pool.name, pool}});
+    useReadingEngine(1000);
     ReplicaEntry entry = replica("b");
     entry.slots = 10;
     m_book.setReplicas({entry});
