Log which backend server took a request, and what its choice was based on

The log could not tell why a request ran on replaced weights: an entry that had not heard of the newer version, one that allowed the older version for too long, one that believed the backend server to run the newer one, or a request that waited there. request.done now names the backend server, the version that it was believed to run, the lowest version that was acceptable, and the age of the report that told it; weights.deadline-set tells from when an entry requires a version.

--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -388,6 +388,13 @@
     return it == m_replicas.end() ? 0 : effectiveWeightsVersion(it->second, now);
 }
 
+std::optional<Duration> LoadBalancer::reportAge(const ReplicaId &id, Instant now) const
+{
+    const auto it = m_replicas.find(id);
+    const bool isKnown = it != m_replicas.end() && hasFreshReport(it->second, now);
+    return isKnown ? std::optional<Duration>(now - it->second.reportedAt) : std::nullopt;
+}
+
 Occupancy LoadBalancer::occupancy(const ServiceName &service, std::uint64_t minWeightsVersion,
                                   Instant now) const
 {
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -142,6 +142,8 @@
 
     /** @returns the last known version of the weights that a backend server runs; 0 if unknown */
     std::uint64_t weightsVersion(const ReplicaId &id, Instant now) const;
+    /** @returns the age of its latest load report; empty if there is none that is still valid */
+    std::optional<Duration> reportAge(const ReplicaId &id, Instant now) const;
     /** @returns the occupancy of a service as estimated by this entry */
     Occupancy occupancy(const ServiceName &service, std::uint64_t minWeightsVersion,
                         Instant now) const;
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -131,8 +131,11 @@
     if (!replica) {
         return false;
     }
-    ReplicaLease lease {*replica, nullptr, std::nullopt};
+    ReplicaLease lease;
+    lease.replica = *replica;
     lease.weightsVersion = expectedWeightsVersion(*replica, now);
+    lease.weightsBasis = {m_loads.weightsVersion(replica->id, now), requirements.minWeightsVersion,
+                          m_loads.reportAge(replica->id, now)};
     lease.startDeadline = startDeadline(*replica, now);
     lease.isLate = requirements.missesObjective;
     if (command.allowsPooledConnection) {
@@ -196,8 +199,16 @@
 
 void Dispatcher::apply(const TargetVersionChanged &command)
 {
-    m_targetVersions[command.targetVersion.model].emplace(command.targetVersion.version,
-                                                          command.announcedAt);
+    const TargetVersion &target = command.targetVersion;
+    const auto [it, isNew] =
+            m_targetVersions[target.model].emplace(target.version, command.announcedAt);
+    if (isNew) {
+        const Duration remaining = requiredFrom(it->second) - monotonicNow();
+        m_log.info("weights.deadline-set",
+                   {{"model", target.model.text()},
+                    {"version", target.version},
+                    {"required_in_ms", remaining.count() / 1000}});
+    }
 }
 
 void Dispatcher::apply(const LoadReportReceived &command)
@@ -317,6 +328,12 @@
     return newer->second + m_options.bounds.weightsApply - startDeadlineMargin;
 }
 
+/** @returns the time from which a version is required that was announced at @p announcedAt */
+Instant Dispatcher::requiredFrom(Instant announcedAt) const
+{
+    return announcedAt + m_options.bounds.weightsApply - weightsDeadlineMargin;
+}
+
 /**
  * @returns the oldest version of the weights that requests may use, or 0 if any version will do. A
  *          target version becomes required weightsDeadlineMargin before its bound expires.
@@ -333,7 +350,7 @@
     }
     std::uint64_t required = 0;
     for (const auto &[version, at] : it->second) {
-        if (now >= at + m_options.bounds.weightsApply - weightsDeadlineMargin) {
+        if (now >= requiredFrom(at)) {
             required = std::max(required, version);
         }
     }
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -41,6 +41,19 @@
     MailboxPtr<Outcome<Admission>> reply;
 };
 
+/** What the choice of a backend server was based on, as far as it concerns weights. */
+struct WeightsBasis
+{
+    /** Version that the backend server was believed to run; 0 if unknown, or without an engine. */
+    std::uint64_t believed = 0;
+    /** Lowest version that was acceptable; 0 if any version was. */
+    std::uint64_t required = 0;
+    /** Age of the load report that told the version; empty if it was taken from the list. */
+    std::optional<Duration> reportAge;
+
+    auto operator<=>(const WeightsBasis &) const = default;
+};
+
 /** A slot reserved on a backend server for one upstream attempt. */
 struct ReplicaLease
 {
@@ -49,6 +62,8 @@
     HttpConnectionPtr connection;
     /** Version of the weights that the backend server must run; empty if any version will do. */
     std::optional<std::uint64_t> weightsVersion;
+    /** What was known about weights when the backend server was chosen; for the log. */
+    WeightsBasis weightsBasis;
     /**
      * The response must have started by then, because newer weights are required from that time
      * on; empty if no newer version was announced.
@@ -212,6 +227,7 @@
     std::optional<std::uint64_t> expectedWeightsVersion(const ReplicaEntry &replica,
                                                         Instant now) const;
     std::optional<Instant> startDeadline(const ReplicaEntry &replica, Instant now) const;
+    Instant requiredFrom(Instant announcedAt) const;
     std::uint64_t requiredWeightsVersion(const ServiceName &service, Instant now) const;
 
     asio::any_io_executor m_executor;
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -157,6 +157,7 @@
         const auto &lease = std::get<ReplicaLease>(acquired);
         m_responseStartedAt.reset();
         m_replica = lease.replica.id;
+        m_weightsBasis = lease.weightsBasis;
         if (m_writer.isDisconnected()) {
             releaseLease(lease, AttemptResult {UpstreamOutcome::DeadlineReached, {}, {}});
             recordOutcome("caller-gone", 0, "before an attempt");
@@ -342,6 +343,23 @@
     recordOutcome("refused", problem.status, answer.name);
 }
 
+/** Adds the backend server of the last attempt, and what its choice was based on. */
+void RequestProxy::addReplicaFields(boost::json::object &fields) const
+{
+    if (m_replica.isEmpty()) {
+        return;
+    }
+    fields["replica"] = m_replica.text();
+    if (m_weightsBasis.believed == 0 && m_weightsBasis.required == 0) {
+        return;
+    }
+    fields["weights"] = m_weightsBasis.believed;
+    fields["required"] = m_weightsBasis.required;
+    if (m_weightsBasis.reportAge) {
+        fields["report_ms"] = m_weightsBasis.reportAge->count() / 1000;
+    }
+}
+
 void RequestProxy::recordOutcome(std::string_view outcome, int status, std::string_view cause)
 {
     const Instant now = monotonicNow();
@@ -360,6 +378,7 @@
         fields["route"] = route->name.text();
         fields["config"] = m_admission.table->config().version;
     }
+    addReplicaFields(fields);
     if (m_firstEventAt) {
         fields["first_ms"] = (*m_firstEventAt - m_arrivedAt).count() / 1000;
         fields["gap_ms"] = m_longestGap.count() / 1000;
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -76,6 +76,7 @@
     void releaseLease(const ReplicaLease &lease, const AttemptResult &result);
     Awaitable<void> giveUp(const AttemptResult &result);
     Awaitable<void> respondWithError(ErrorKind kind, ExecutionStatus ran, Duration retryAfter);
+    void addReplicaFields(boost::json::object &fields) const;
     /** Writes the log record and the metrics of the finished request. */
     void recordOutcome(std::string_view outcome, int status, std::string_view cause);
 
@@ -106,8 +107,10 @@
     Instant m_attemptStartedAt;
     /** Time by which the response to the current attempt must start. */
     std::optional<Instant> m_startDeadline;
-    /** Backend server of the current attempt. */
+    /** Backend server of the current or last attempt. */
     ReplicaId m_replica;
+    /** What its choice was based on. */
+    WeightsBasis m_weightsBasis;
     /** When the response to the current attempt started; empty before. */
     std::optional<Instant> m_responseStartedAt;
     std::optional<Instant> m_lastEventAt;
