--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -71,6 +71,18 @@
                             + R"("tenants":[{"name":"ann","apiKeys":["key"]}]})");
     }
 
+    /** Writes a configuration with one route to an engine, and an engine on version 1 of "m". */
+    void configureEngine()
+    {
+        m_store.put("keyed.op", "config",
+                    R"({"version":1,"routes":[{"name":"r","host":"a.example","pathPrefix":"/x/",)"
+                    R"("routeKind":"streaming","timeoutMs":6000,"targetLatencyMs":400,)"
+                    R"("service":"p","maxAttempts":1,"streamResume":true,"anonymous":true}],)"
+                    R"("services":[{"name":"p","engine":{"slots":8,"step_ms":7,)"
+                    R"("usual":{"prompt":9,"answer":9},"models":[{"name":"m"}]}}]})");
+        m_store.put("keyed.servers", "i-1", m_first.engineListEntry("p", "m", 1));
+    }
+
     void startEntry()
     {
         m_edge.emplace(m_context.get_executor(), m_settings,
@@ -334,13 +346,7 @@
                  "entry_requestNotStartedWhenNewWeightsBecomeDue_isAbortedBeforeTheBound")
 {
     m_settings.bounds.weightsApply = std::chrono::seconds(3);
-    m_store.put("keyed.op", "config",
-                R"({"version":1,"routes":[{"name":"r","host":"a.example","pathPrefix":"/x/",)"
-                R"("routeKind":"streaming","timeoutMs":6000,"targetLatencyMs":400,"service":"p",)"
-                R"("maxAttempts":1,"streamResume":true,"anonymous":true}],"services":[{"name":"p",)"
-                R"("engine":{"slots":8,"step_ms":7,"usual":{"prompt":9,"answer":9},)"
-                R"("models":[{"name":"m"}]}}]})");
-    m_store.put("keyed.servers", "i-1", m_first.engineListEntry("p", "m", 1));
+    configureEngine();
     startEntry();
     REQUIRE(waitUntil(
             [this] { return httpGet(m_settings.readyAddress, "/-/readiness").status == 200; }));
@@ -354,6 +360,22 @@
     REQUIRE(monotonicNow() - named < m_settings.bounds.weightsApply);
 }
 
+// A version that was announced before the start must not be dated by the entry's first read.
+TEST_CASE_METHOD(EdgeFixture, "entry_firstReadLongAfterStart_requiresAnnouncedWeightsAtOnce")
+{
+    configureEngine();
+    m_store.put("keyed.op", "version/m", R"({"model":"m","version":2})");
+    m_store.failWith(503);
+    startEntry();
+    m_context.run_for(std::chrono::milliseconds(3000));
+    m_store.failWith(200);
+    REQUIRE(waitUntil(
+            [this] { return httpGet(m_settings.readyAddress, "/-/readiness").status == 200; }));
+    const Received received = sendRequest(request("/x/1"));
+    REQUIRE(received.status == 503);
+    REQUIRE(m_first.runs() == 0);
+}
+
 TEST_CASE_METHOD(EdgeFixture, "entry_callerDisconnects_attemptIsAbortedWithinHalfASecond")
 {
     startEntryWith("idempotent", 1, {&m_first});
