Count the grace for announced weights from the start of the process

Cause: a restarted entry can't know when a version was announced that it finds in its first read. It allowed the older weights for 2 to 2.6 s from that read, however late the read came.

Ruled out: a wrong belief about the backend server (request.done says that version 1 was believed), and requests waiting there.

The grace now counts from the start of the process. Why the reads come late is a second fault, still open here.

--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -25,8 +25,8 @@
 /** The process exits this long before the platform would kill it. */
 constexpr auto graceMargin = std::chrono::milliseconds(400);
 /**
- * Time after the start at which the bound expires for target versions that were announced before
- * the start.
+ * Time after the start of the process at which the bound expires for target versions that were
+ * announced before. It does not depend on when the store could be read: the announcement is older.
  */
 constexpr auto initialTargetGrace = std::chrono::seconds(3);
 constexpr std::size_t maxCallerConnections = 2000;
@@ -49,6 +49,7 @@
 
 Result<void> Edge::start()
 {
+    m_startedAt = monotonicNow();
     DispatcherOptions options;
     options.loads.zone = m_settings.zone;
     options.bounds = m_settings.bounds;
@@ -134,7 +135,7 @@
     };
     hooks.onTargetVersion = [this](const TargetVersion &targetVersion, bool isInitial) {
         const Instant at = isInitial
-                ? monotonicNow() - m_settings.bounds.weightsApply + initialTargetGrace
+                ? m_startedAt - m_settings.bounds.weightsApply + initialTargetGrace
                 : monotonicNow();
         m_dispatcher->mailbox()->post(TargetVersionChanged {targetVersion, at});
         m_exchange->fetcher()->post(FetcherTargetVersionChanged {targetVersion});
--- a/source/edge/edge.h
+++ b/source/edge/edge.h
@@ -54,6 +54,7 @@
     std::shared_ptr<ReplicaWatcher> m_replicaWatcher;
     std::shared_ptr<LoadListener> m_loadListener;
     std::shared_ptr<WeightExchange> m_exchange;
+    Instant m_startedAt;
     RouteTablePtr m_routes;
     std::vector<ReplicaEntry> m_replicaEntries;
     bool m_hasReplicaList = false;
