Restart a read that was overtaken less and less often, and close the one given up

Cause: a follower that was told of a further offset gave its read up after 250 ms and began anew, and again every 250 ms.

Change: the time until the next restart doubles with each one that brought nothing, and starts anew when a record arrives. A read that is receiving its result is not restarted. A read that is given up closes its connection, which KeepAliveClient::abort() does; the hooks of a topic share one client, so at most one read of it is in progress.

Tests, on the code before: topic_slowRead_isNotRestartedRepeatedly failed with 10 reads of a result that takes 2.5 s (at most 4 now); topic_readSuperseded_isCancelled with 4 open connections after three restarts (1 now).

--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -17,8 +17,12 @@
 constexpr auto maxBurstGap = std::chrono::milliseconds(700);
 /** A follower that relies on its peers reads the topic itself after they were silent this long. */
 constexpr auto peerSilenceTimeout = std::chrono::milliseconds(1000);
-/** Time within which the read in progress must return records that another process has read. */
-constexpr auto catchUpTimeout = std::chrono::milliseconds(250);
+/**
+ * Time within which the read in progress must return records that another process has read. It
+ * doubles with each read that is restarted without a result, up to the maximum.
+ */
+constexpr auto initialCatchUpTimeout = std::chrono::milliseconds(250);
+constexpr auto maxCatchUpTimeout = std::chrono::milliseconds(8000);
 /** Interval at which a follower that relies on its peers checks whether they are silent. */
 constexpr auto peerSilenceCheckInterval = std::chrono::milliseconds(200);
 
@@ -36,7 +40,8 @@
                              FollowOptions options, FollowHooks hooks, Log log)
     : m_executor(executor), m_reader(std::move(reader)), m_options(std::move(options)),
       m_hooks(std::move(hooks)), m_log(std::move(log)),
-      m_mailbox(makeMailbox<FollowCommand>(executor, mailboxCapacity)), m_backoff(initialBackoff)
+      m_mailbox(makeMailbox<FollowCommand>(executor, mailboxCapacity)), m_backoff(initialBackoff),
+      m_catchUpTimeout(initialCatchUpTimeout)
 { }
 
 void TopicFollower::start()
@@ -82,23 +87,38 @@
         return;
     }
     m_isCatchUpCheckPending = true;
-    postAfter(catchUpTimeout, CatchUpCheckDue {command.upTo});
+    postAfter(m_catchUpTimeout, CatchUpCheckDue {command.upTo});
 }
 
+/** A read that is slow but makes progress is not restarted, since it would start from nothing. */
 void TopicFollower::apply(const CatchUpCheckDue &command)
 {
     m_isCatchUpCheckPending = false;
-    if (m_nextOffset && *m_nextOffset < command.upTo) {
-        apply(RestartRead {});
+    if (!m_nextOffset || *m_nextOffset >= command.upTo) {
+        return;
+    }
+    m_catchUpTimeout = std::min<Duration>(m_catchUpTimeout * 2, maxCatchUpTimeout);
+    const bool isReceiving = m_reader.isReceiving && m_reader.isReceiving();
+    if (!isReceiving) {
+        restartRead();
     }
 }
 
-/** Abandons the read in progress, which may wait on a connection that never returns anything. */
 void TopicFollower::apply(const RestartRead &)
+{
+    m_catchUpTimeout = initialCatchUpTimeout;
+    restartRead();
+}
+
+/** Abandons the read in progress, which may wait on a connection that never returns anything. */
+void TopicFollower::restartRead()
 {
     ++m_readId;
     m_log.info("store.read-restarted",
                {{"topic", m_options.name}, {"from", m_nextOffset.value_or(0)}});
+    if (m_reader.cancel) {
+        m_reader.cancel();
+    }
     m_mailbox->post(ReadDue {m_readId});
 }
 
@@ -131,7 +151,9 @@
     if (m_nextOffset && snapshot.endOffset < *m_nextOffset) {
         return;
     }
-    detectBurst(m_nextOffset && snapshot.endOffset > *m_nextOffset);
+    const bool hasChanged = m_nextOffset && snapshot.endOffset > *m_nextOffset;
+    detectBurst(hasChanged);
+    m_catchUpTimeout = hasChanged ? Duration(initialCatchUpTimeout) : m_catchUpTimeout;
     m_nextOffset = snapshot.endOffset;
     m_hooks.onSnapshot(snapshot);
 }
@@ -169,11 +191,16 @@
         return;
     }
     KeyedBatch tail = std::get<KeyedBatch>(command.tail);
-    const std::uint64_t known = *m_nextOffset - command.from;
+    // The records may be only the newest one of each key; then none of them can be left out.
+    const bool isEveryRecord = tail.nextOffset - command.from == tail.records.size();
+    const std::uint64_t known = isEveryRecord ? *m_nextOffset - command.from : 0;
     const auto n = static_cast<std::ptrdiff_t>(std::min<std::uint64_t>(known, tail.records.size()));
     tail.records.erase(tail.records.begin(), tail.records.begin() + n);
     detectBurst(!tail.records.empty());
     const std::uint64_t from = *m_nextOffset;
+    if (tail.nextOffset > from) {
+        m_catchUpTimeout = initialCatchUpTimeout;
+    }
     m_nextOffset = std::max(*m_nextOffset, tail.nextOffset);
     m_hooks.onTail(from, tail);
 }
--- a/source/edge/topicfollower.h
+++ b/source/edge/topicfollower.h
@@ -21,6 +21,13 @@
     ReadSnapshot snapshot;
     /** Reads the records from an offset on. */
     ReadTail tail;
+    /**
+     * @returns whether a part of the result of the read in progress has been received lately; may
+     *     be empty
+     */
+    std::function<bool()> isReceiving;
+    /** Gives up the read in progress, so that it stops using the network; may be empty. */
+    std::function<void()> cancel;
 };
 
 /** Options of TopicFollower. */
@@ -133,6 +140,7 @@
     void apply(const TailRead &command);
     void apply(const PeerReadReceived &command);
     void apply(const RelyOnPeers &command);
+    void restartRead();
     void applySnapshot(const KeyedSnapshot &snapshot);
     void applyTail(const TailRead &command);
     void finishRead(std::uint64_t readId, const Failure *failure);
@@ -168,6 +176,8 @@
     /** Id of the read in progress. Results of earlier reads do not schedule another read. */
     std::uint64_t m_readId = 0;
     bool m_isCatchUpCheckPending = false;
+    /** Time within which the read in progress must return records that another process has read. */
+    Duration m_catchUpTimeout;
 };
 
 } // namespace greengageseam
--- a/source/net/keepaliveclient.cpp
+++ b/source/net/keepaliveclient.cpp
@@ -36,31 +36,50 @@
     text += "\r\n" + request.body;
     // The connection is removed while in use: an overlapping call must not use it, and a failed
     // connection must not be kept.
-    HttpConnectionPtr reused = std::move(m_connection);
+    const HttpConnectionPtr reused = std::move(m_connection);
     m_connection.reset();
     const bool isReused = reused && reused->isReusable() && reused->isIdleAndOpen()
             && monotonicNow() - reused->idleSince() < maxIdleTime;
-    if (!isReused) {
-        reused.reset();
+    const std::uint64_t aborts = m_aborts;
+    const auto connection = isReused ? reused : std::make_shared<HttpConnection>(m_executor);
+    Outcome<HttpResponse> answer = co_await callOn(connection, isReused, text, extraResponseTime);
+    if (failureOf(answer) != nullptr && isReused && isIdempotent && aborts == m_aborts) {
+        const auto fresh = std::make_shared<HttpConnection>(m_executor);
+        answer = co_await callOn(fresh, false, text, extraResponseTime);
     }
-    Outcome<HttpResponse> answer = co_await callOnce(std::move(reused), text, extraResponseTime);
-    if (failureOf(answer) != nullptr && isReused && isIdempotent) {
-        HttpConnectionPtr none;
-        answer = co_await callOnce(std::move(none), text, extraResponseTime);
+    co_return answer;
+}
+
+void KeepAliveClient::abort()
+{
+    ++m_aborts;
+    for (const HttpConnectionPtr &connection : m_activeConnections) {
+        connection->abort();
     }
+}
+
+/** Makes a call during which its connection can be aborted. */
+Awaitable<Outcome<HttpResponse>> KeepAliveClient::callOn(HttpConnectionPtr connection,
+                                                         bool isConnected, const std::string &text,
+                                                         Duration extraResponseTime)
+{
+    m_activeConnections.insert(connection);
+    Outcome<HttpResponse> answer =
+            co_await callOnce(connection, isConnected, text, extraResponseTime);
+    m_activeConnections.erase(connection);
     co_return answer;
 }
 
 Awaitable<Outcome<HttpResponse>> KeepAliveClient::callOnce(HttpConnectionPtr connection,
+                                                           bool isConnected,
                                                            const std::string &text,
                                                            Duration extraResponseTime)
 {
-    if (!connection) {
+    if (!isConnected) {
         const auto endpoint = toOutcome([&] { return parseEndpoint(m_address); });
         if (const Failure *failure = failureOf(endpoint)) {
             co_return *failure;
         }
-        connection = std::make_shared<HttpConnection>(m_executor);
         const HttpIoStatus connected = co_await connection->connect(
                 std::get<asio::ip::tcp::endpoint>(endpoint), m_timeout);
         if (connected != HttpIoStatus::Done) {
@@ -79,7 +98,8 @@
         co_return failureAt(m_address, ErrorKind::OutcomeUnknown,
                             "no valid response head was received in time");
     }
-    HttpReadResult<std::string> body = co_await connection->readBody(m_maxBytes, m_timeout);
+    m_receivedAt = monotonicNow();
+    HttpReadResult<std::string> body = co_await readBody(connection);
     if (body.ioStatus != HttpIoStatus::Done) {
         co_return failureAt(m_address, ErrorKind::OutcomeUnknown,
                             "the response body is incomplete or exceeds the size limit");
@@ -94,4 +114,21 @@
     co_return response;
 }
 
+/** Reads the remaining body, and records when each part of it arrives. */
+Awaitable<HttpReadResult<std::string>> KeepAliveClient::readBody(HttpConnectionPtr connection)
+{
+    std::string body;
+    while (true) {
+        const HttpReadResult<std::string> part = co_await connection->readBodyPart(m_timeout);
+        body += part.value;
+        if (part.ioStatus != HttpIoStatus::Done || part.value.empty()) {
+            co_return HttpReadResult<std::string> {part.ioStatus, std::move(body)};
+        }
+        m_receivedAt = monotonicNow();
+        if (body.size() > m_maxBytes) {
+            co_return HttpReadResult<std::string> {HttpIoStatus::Malformed, {}};
+        }
+    }
+}
+
 } // namespace greengageseam
--- a/source/net/keepaliveclient.h
+++ b/source/net/keepaliveclient.h
@@ -5,6 +5,8 @@
 
 #include "net/httpconnection.h"
 
+#include <set>
+
 namespace greengageseam {
 
 /**
@@ -31,16 +33,31 @@
      */
     Awaitable<Outcome<HttpResponse>> call(HttpRequest request, bool isIdempotent,
                                           Duration extraResponseTime = {});
+    /** Closes the connections of all calls in progress, which then fail and are not retried. */
+    void abort();
+    /** @returns when a part of a response was last received */
+    Instant receivedAt() const { return m_receivedAt; }
+    /** @returns whether a call is in progress */
+    bool isCalling() const { return !m_activeConnections.empty(); }
 
 private:
-    Awaitable<Outcome<HttpResponse>> callOnce(HttpConnectionPtr connection, const std::string &text,
-                                              Duration extraResponseTime);
+    Awaitable<Outcome<HttpResponse>> callOn(HttpConnectionPtr connection, bool isConnected,
+                                            const std::string &text, Duration extraResponseTime);
+    Awaitable<Outcome<HttpResponse>> callOnce(HttpConnectionPtr connection, bool isConnected,
+                                              const std::string &text, Duration extraResponseTime);
+    Awaitable<HttpReadResult<std::string>> readBody(HttpConnectionPtr connection);
 
     asio::any_io_executor m_executor;
     Address m_address;
     Duration m_timeout;
     std::size_t m_maxBytes;
+    /** The connection that is kept for reuse. */
     HttpConnectionPtr m_connection;
+    /** The connections of the calls in progress. */
+    std::set<HttpConnectionPtr> m_activeConnections;
+    /** Number of calls to abort(). */
+    std::uint64_t m_aborts = 0;
+    Instant m_receivedAt;
 };
 
 } // namespace greengageseam
--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -5,7 +5,12 @@
  */
 #include "edge/storewatchers.h"
 #include "net/clock.h"
+#include "net/endpoint.h"
+#include "platform/keyedstore.h"
 
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 namespace greengageseam {
@@ -37,6 +42,10 @@
                 asio::steady_timer timer(m_context, milliseconds(20'000));
                 co_await timer.async_wait(asTuple);
             }
+            if (m_readTime > Duration::zero()) {
+                asio::steady_timer timer(m_context, m_readTime);
+                co_await timer.async_wait(asTuple);
+            }
             if (m_readsFail) {
                 co_return Failure {ErrorKind::PlatformUnavailable, "away"};
             }
@@ -90,6 +99,8 @@
     std::map<std::string, std::string> m_newest;
     /** Whether reads get no response. */
     bool m_readsHang = false;
+    /** Time that a read of records takes. */
+    Duration m_readTime {};
     /** Whether reads fail. */
     bool m_readsFail = false;
     int m_recoveries = 0;
@@ -224,6 +235,97 @@
     REQUIRE(newest == "1");
 }
 
+// Each restart of a read sends the whole result again. On a shared link, reads that are restarted
+// faster than they can finish displace each other until none finishes.
+TEST_CASE_METHOD(StoreWatcherFixture, "topic_slowRead_isNotRestartedRepeatedly")
+{
+    FollowOptions options;
+    options.name = "operator";
+    options.pollTimeout = std::chrono::seconds(25);
+    std::string newest;
+    FollowHooks hooks;
+    hooks.onSnapshot = [](const KeyedSnapshot &) { };
+    hooks.onTail = [&](std::uint64_t, const KeyedBatch &tail) {
+        newest = tail.records.empty() ? newest : *tail.records.back().value;
+    };
+    m_readTime = milliseconds(2500);
+    const auto follower = std::make_shared<TopicFollower>(m_context.get_executor(), reader(),
+                                                          options, hooks, m_log);
+    follower->start();
+    runFor(milliseconds(100));
+    write("config", "1");
+    for (int n = 0; n < 80; ++n) {
+        follower->mailbox()->post(CatchUp {1});
+        runFor(milliseconds(50));
+    }
+    REQUIRE(newest == "1");
+    REQUIRE(m_tailReads <= 4);
+}
+
+/** A store whose HTTP server accepts connections and requests, and never responds. */
+class SilentStoreFixture : protected StoreWatcherFixture
+{
+protected:
+    SilentStoreFixture() : m_acceptor(m_context)
+    {
+        REQUIRE(openAcceptor(m_acceptor, Address("127.0.0.1:0")));
+        asio::co_spawn(m_context, acceptLoop(), asio::detached);
+    }
+
+    Awaitable<void> acceptLoop()
+    {
+        while (true) {
+            auto [ec, socket] = co_await m_acceptor.async_accept(asTuple);
+            if (ec) {
+                co_return;
+            }
+            ++m_openConnections;
+            asio::co_spawn(m_context, readUntilClosed(std::move(socket)), asio::detached);
+        }
+    }
+
+    Awaitable<void> readUntilClosed(asio::ip::tcp::socket socket)
+    {
+        std::array<char, 1024> buf {};
+        bool isOpen = true;
+        while (isOpen) {
+            auto [ec, n] = co_await socket.async_read_some(asio::buffer(buf), asTuple);
+            isOpen = !ec;
+        }
+        --m_openConnections;
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    int m_openConnections = 0;
+};
+
+// A read that was given up for a new one must not go on using the link to the store.
+TEST_CASE_METHOD(SilentStoreFixture, "topic_readSuperseded_isCancelled")
+{
+    const KeyedStore store(m_context.get_executor(), addressOf(m_acceptor.local_endpoint()),
+                           std::chrono::seconds(20));
+    const TopicReader silent = store.topicReader("keyed.op");
+    TopicReader both = reader();
+    both.tail = silent.tail;
+    both.cancel = silent.cancel;
+    FollowOptions options;
+    options.name = "operator";
+    options.pollTimeout = std::chrono::seconds(25);
+    FollowHooks hooks;
+    hooks.onSnapshot = [](const KeyedSnapshot &) { };
+    hooks.onTail = [](std::uint64_t, const KeyedBatch &) { };
+    const auto follower =
+            std::make_shared<TopicFollower>(m_context.get_executor(), both, options, hooks, m_log);
+    follower->start();
+    runFor(milliseconds(100));
+    REQUIRE(m_openConnections == 1);
+    for (int n = 0; n < 3; ++n) {
+        follower->mailbox()->post(RestartRead {});
+        runFor(milliseconds(100));
+    }
+    REQUIRE(m_openConnections == 1);
+}
+
 TEST_CASE_METHOD(StoreWatcherFixture, "replicas_storeRecovers_isReported")
 {
     startReplicaWatcher();
