Read the operator's topic from the store once a zone, and pass it on over links

Change: zoneReaderOrder() ranks the entries of a zone. The first one reads the store; the others form a tree below it, and agents spread over the entries (chooseTopicSource). At the start, a process waits until it knows other entries, so the entries ask all listed backend servers for reports until they have a configuration.

--- a/source/core/fleet/entryregistry.cpp
+++ b/source/core/fleet/entryregistry.cpp
@@ -3,9 +3,23 @@
 #include "core/common/hashing.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace greengageseam {
 
+namespace {
+
+/** @returns whether an entry is to read from the store rather than the other one */
+bool ranksBefore(const EntryLocation &left, const EntryLocation &right)
+{
+    const auto rankOf = [](const EntryLocation &location) {
+        return std::pair(checksumOf("list/" + location.ip, 0), location.ip);
+    };
+    return rankOf(left) < rankOf(right);
+}
+
+} // namespace
+
 void EntryRegistry::refresh(const EntryLocation &location, Instant now)
 {
     const auto [it, isNew] = m_lastSeen.insert_or_assign(location, now);
@@ -49,15 +63,20 @@
     return sum;
 }
 
+std::vector<EntryLocation> zoneReaderOrder(const std::vector<EntryLocation> &entries,
+                                           const ZoneName &zone)
+{
+    std::vector<EntryLocation> order;
+    std::copy_if(entries.begin(), entries.end(), std::back_inserter(order),
+                 [&](const EntryLocation &location) { return location.zone == zone; });
+    std::sort(order.begin(), order.end(), ranksBefore);
+    return order;
+}
+
 bool isListReader(const std::vector<EntryLocation> &entries, const EntryLocation &self)
 {
-    const auto scoreOf = [](const EntryLocation &location) {
-        return checksumOf("list/" + location.ip, 0);
-    };
-    return std::none_of(entries.begin(), entries.end(), [&](const EntryLocation &other) {
-        return other.zone == self.zone && other.ip != self.ip
-                && std::pair(scoreOf(other), other.ip) < std::pair(scoreOf(self), self.ip);
-    });
+    const std::vector<EntryLocation> order = zoneReaderOrder(entries, self.zone);
+    return order.empty() || !ranksBefore(order.front(), self);
 }
 
 } // namespace greengageseam
--- a/source/core/fleet/entryregistry.h
+++ b/source/core/fleet/entryregistry.h
@@ -49,8 +49,16 @@
 };
 
 /**
- * Elects one entry in each zone that reads the list of backend servers from the platform's store,
- * by rendezvous hashing of the IP addresses. The other entries of the zone receive deltas from it.
+ * Ranks the entries of a zone by rendezvous hashing of their IP addresses. The first one reads from
+ * the platform's store for the others.
+ * @returns the entries of the zone, in the same order at every process that knows the same entries
+ */
+std::vector<EntryLocation> zoneReaderOrder(const std::vector<EntryLocation> &entries,
+                                           const ZoneName &zone);
+
+/**
+ * Elects one entry in each zone that reads the list of backend servers from the platform's store:
+ * the first one of zoneReaderOrder(). The other entries of the zone receive deltas from it.
  * @returns whether @p self is the reader of its zone
  */
 bool isListReader(const std::vector<EntryLocation> &entries, const EntryLocation &self);
--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "core/fleet/compactedtopic.h"
 #include "core/fleet/enginemodel.h"
 #include "core/fleet/entryregistry.h"
 #include "core/fleet/eventsplitter.h"
@@ -19,4 +20,5 @@
 #include "core/fleet/routetable.h"
 #include "core/fleet/sharedretrybudget.h"
 #include "core/fleet/storerecords.h"
+#include "core/fleet/topicsource.h"
 #include "core/fleet/upstreamoutcome.h"
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -68,9 +68,12 @@
     BOOST_LEAF_CHECK(m_controlServer->listen(metrics));
 
     BOOST_LEAF_CHECK(makeLoadListener());
+    makeTopicRelay();
     makeWatchers();
+    makeReplicaWatcher();
     BOOST_LEAF_CHECK(startExchange());
     m_dispatcher->start();
+    m_topicRelay->start();
     m_operatorWatcher->start();
     m_replicaWatcher->start();
     m_readinessServer->start();
@@ -94,6 +97,7 @@
                 EntryCountChanged {static_cast<std::uint32_t>(entries.size())});
         m_exchange->fetcher()->post(FetcherEntriesChanged {entries});
         m_replicaWatcher->relyOnPeers(!isListReader(entries, self));
+        m_operatorReader->setEntries(entries);
     };
     hooks.onListDelta = [this](const ReplicaListDelta &delta) {
         m_replicaWatcher->applyPeerDelta(delta);
@@ -115,6 +119,11 @@
             static_cast<std::uint64_t>(m_settings.linkMbps * bytesPerMegabit * weightsLinkShare);
     options.serveBytesPerSecond = options.linkBytesPerSecond;
     options.maxFetches = maxFetches;
+    options.onTopicRequest = [relay = m_topicRelay->mailbox()](const PeerLinkHandle &link,
+                                                               StreamId stream,
+                                                               const TopicRequestMessage &request) {
+        relay->post(TopicRequested {request, link, stream});
+    };
     m_exchange = std::make_shared<WeightExchange>(
             m_executor, options, m_adapter.openOrigin, ReadStagedPiece(),
             [](const CompleteVersion &) { }, m_metrics, m_log);
@@ -122,6 +131,22 @@
     return m_loadListener->start();
 }
 
+void Edge::makeTopicRelay()
+{
+    m_topicRelay = std::make_shared<TopicRelay>(m_executor, std::string(operatorTopicName));
+    RelayedReaderOptions options;
+    options.topic = operatorTopicName;
+    options.identity = {std::string(topicLinkRole), InstanceId(m_settings.ip), m_settings.zone,
+                        m_secret};
+    options.peerPort = m_settings.firstPort;
+    m_operatorReader = std::make_shared<RelayedReader>(
+            m_executor, options, m_adapter.operatorTopic,
+            [relay = m_topicRelay->mailbox()](const CompactedTopicPtr &topic, bool isFromStore) {
+                relay->post(TopicUpdated {topic, isFromStore});
+            },
+            m_log);
+}
+
 void Edge::makeWatchers()
 {
     OperatorHooks hooks = m_adapter.operatorHooks;
@@ -144,20 +169,25 @@
         m_loadListener->mailbox()->post(OperatorOffsetUpdated {offset});
     };
     FollowOptions followOptions;
-    followOptions.name = "operator";
+    followOptions.name = operatorTopicName;
     followOptions.pollTimeout = operatorPollTimeout;
     followOptions.burstInterval = m_settings.bounds.configApply / burstReadsPerBound;
-    m_operatorWatcher = std::make_shared<OperatorWatcher>(m_executor, m_adapter.operatorTopic,
+    m_operatorWatcher = std::make_shared<OperatorWatcher>(m_executor, m_operatorReader->reader(),
                                                           followOptions, hooks, m_log);
+}
 
+void Edge::makeReplicaWatcher()
+{
     ReplicaWatcherHooks watcherHooks;
     watcherHooks.decode = m_adapter.decodeReplica;
     watcherHooks.onChanged = [this](std::vector<ReplicaEntry> entries) {
         m_hasReplicaList = true;
+        m_operatorReader->limitWaitForEntries();
         onReplicasChanged(std::move(entries));
     };
     watcherHooks.onStoreRecovered = [this] { m_operatorWatcher->restartRead(); };
     watcherHooks.onDelta = [this](const ReplicaListDelta &delta) {
+        m_topicRelay->mailbox()->post(StoreReached {});
         m_loadListener->mailbox()->post(RelayListDelta {delta});
     };
     m_replicaWatcher = std::make_shared<ReplicaWatcher>(m_executor, m_adapter.replicaTopic,
@@ -172,8 +202,13 @@
     FetcherAgentsChanged holders;
     for (const ReplicaEntry &entry : m_replicaEntries) {
         const Service *service = m_routes ? m_routes->service(entry.service) : nullptr;
-        if (service != nullptr && service->engine) {
+        const bool hasEngine = service != nullptr && service->engine;
+        // Agents tell the entries of each other. An entry needs to know the others before its first
+        // configuration, and any backend server may have an agent then.
+        if (hasEngine || !m_routes) {
             agents.backends.push_back(entry.address);
+        }
+        if (hasEngine) {
             loaded.versions.insert(entry.loaded.runnableVersion());
             const InstanceId agent = agentOfBackend(entry.address);
             const std::string address = agent.text() + ":" + std::to_string(m_settings.firstPort);
--- a/source/edge/edge.h
+++ b/source/edge/edge.h
@@ -8,7 +8,9 @@
 #include "edge/callerserver.h"
 #include "edge/dispatcher.h"
 #include "edge/loadlistener.h"
+#include "edge/relayedreader.h"
 #include "edge/storewatchers.h"
+#include "edge/topicrelay.h"
 #include "exchange/weightexchange.h"
 #include "net/httpserver.h"
 
@@ -33,7 +35,9 @@
     Awaitable<void> shutDown();
 
 private:
+    void makeTopicRelay();
     void makeWatchers();
+    void makeReplicaWatcher();
     Result<void> makeLoadListener();
     Result<void> startExchange();
     void onReplicasChanged(std::vector<ReplicaEntry> entries);
@@ -50,6 +54,8 @@
     std::shared_ptr<CallerServer> m_callerServer;
     std::shared_ptr<HttpServer> m_readinessServer;
     std::shared_ptr<HttpServer> m_controlServer;
+    std::shared_ptr<TopicRelay> m_topicRelay;
+    std::shared_ptr<RelayedReader> m_operatorReader;
     std::shared_ptr<OperatorWatcher> m_operatorWatcher;
     std::shared_ptr<ReplicaWatcher> m_replicaWatcher;
     std::shared_ptr<LoadListener> m_loadListener;
--- /dev/null
+++ b/source/edge/relayedreader.cpp
@@ -0,0 +1,374 @@
+#include "edge/relayedreader.h"
+
+#include "net/clock.h"
+#include "protocol/framecodec.h"
+
+#include <algorithm>
+
+namespace greengageseam {
+
+namespace {
+
+/** How long an entry may hold a request that it has nothing new for. */
+constexpr auto pollTimeout = std::chrono::milliseconds(700);
+/** Time for connecting to an entry, and again for the handshake. */
+constexpr auto connectTimeout = std::chrono::milliseconds(700);
+/** Time within which an entry must begin its answer, in addition to the time that it may wait. */
+constexpr auto answerTimeout = std::chrono::milliseconds(900);
+/** Time within which the next part of an answer must arrive. */
+constexpr auto partTimeout = std::chrono::milliseconds(1000);
+/** An answer of which a part arrived this recently counts as being received. */
+constexpr auto receivingTime = std::chrono::milliseconds(400);
+/** Time after which a source that has failed is tried again. */
+constexpr auto failureMemory = std::chrono::seconds(30);
+/** Maximum time for which the first read waits until other entries are known. */
+constexpr auto startTimeout = std::chrono::milliseconds(1000);
+/** The same once entries are being looked for. */
+constexpr auto discoveryTimeout = std::chrono::milliseconds(400);
+/** Number of reads without a result that are given up before the source counts as failed. */
+constexpr int maxCancelledReads = 2;
+/** Number of events of one answer that may be queued. */
+constexpr std::size_t eventCapacity = 256;
+constexpr std::size_t maxAnswerBytes = maxFrameBytes;
+
+Failure unavailable(std::string reason)
+{
+    return {ErrorKind::PlatformUnavailable, std::move(reason)};
+}
+
+} // namespace
+
+RelayedReader::RelayedReader(const asio::any_io_executor &executor, RelayedReaderOptions options,
+                             TopicReader store, TopicReadObserver onRead, Log log)
+    : m_executor(executor), m_options(std::move(options)), m_store(std::move(store)),
+      m_onRead(std::move(onRead)), m_log(std::move(log)),
+      m_startDeadline(monotonicNow() + startTimeout), m_startTimer(executor)
+{ }
+
+TopicReader RelayedReader::reader()
+{
+    const auto self = shared_from_this();
+    TopicReader reader;
+    reader.snapshot = [self] { return self->readSnapshot(); };
+    reader.tail = [self](std::uint64_t from, Duration wait) { return self->readTail(from, wait); };
+    reader.isReceiving = [self] { return self->isReceiving(); };
+    reader.cancel = [self] { self->cancelRead(); };
+    return reader;
+}
+
+void RelayedReader::setEntries(const std::vector<EntryLocation> &entries)
+{
+    std::vector<InstanceId> order;
+    for (const EntryLocation &location : zoneReaderOrder(entries, m_options.identity.zone)) {
+        order.emplace_back(location.ip);
+    }
+    if (order == m_entries) {
+        return;
+    }
+    m_entries = std::move(order);
+    m_failures = 0;
+    m_reason = "entries changed";
+    m_startTimer.cancel();
+    if (m_isReading && m_source && currentChoice().entry != m_source->entry && !isReceiving()) {
+        m_isRedirected = true;
+        closeLink("another entry is preferred");
+        if (!m_source->entry && m_store.cancel) {
+            m_store.cancel();
+        }
+    }
+}
+
+void RelayedReader::limitWaitForEntries()
+{
+    m_startDeadline = std::min(m_startDeadline, monotonicNow() + discoveryTimeout);
+    m_startTimer.cancel();
+}
+
+/**
+ * Waits at the start until other entries are known. Processes that start together would otherwise
+ * all read the whole topic from the store.
+ */
+Awaitable<void> RelayedReader::waitForEntries()
+{
+    const auto isAlone = [this] {
+        return std::all_of(m_entries.begin(), m_entries.end(), [this](const InstanceId &entry) {
+            return entry == m_options.identity.instance;
+        });
+    };
+    while (isAlone() && monotonicNow() < m_startDeadline) {
+        m_startTimer.expires_after(m_startDeadline - monotonicNow());
+        co_await m_startTimer.async_wait(asTuple);
+    }
+}
+
+Awaitable<Outcome<KeyedSnapshot>> RelayedReader::readSnapshot()
+{
+    const auto self = shared_from_this();
+    const Duration wait = m_topic ? Duration::zero() : Duration(pollTimeout);
+    const Request request {startRead(), m_topic ? m_topic->endOffset() : 0, wait, true};
+    co_await waitForEntries();
+    const std::optional<Failure> failure = co_await update(request);
+    if (failure) {
+        co_return *failure;
+    }
+    co_return m_topic->snapshot();
+}
+
+Awaitable<Outcome<KeyedBatch>> RelayedReader::readTail(std::uint64_t from, Duration wait)
+{
+    const auto self = shared_from_this();
+    const Request request {startRead(), from, wait, false};
+    const std::optional<Failure> failure = co_await update(request);
+    if (failure) {
+        co_return *failure;
+    }
+    const TopicChanges changes = m_topic->changesSince(from);
+    co_return KeyedBatch {changes.records, std::max(from, changes.endOffset)};
+}
+
+/** Reads from one source after the other until one succeeds or none is left to try at once. */
+Awaitable<std::optional<Failure>> RelayedReader::update(Request request)
+{
+    const Failure givenUp = unavailable("the read was given up for a new one");
+    while (request.readId == m_readId) {
+        const TopicSource source = chooseSource();
+        const Outcome<CompactedTopic> read = co_await readFrom(source, request);
+        if (request.readId != m_readId) {
+            break;
+        }
+        if (const auto *topic = std::get_if<CompactedTopic>(&read)) {
+            m_isReading = false;
+            m_cancelledReads = 0;
+            m_isStoreConfirmed = !source.entry;
+            m_topic = std::make_shared<const CompactedTopic>(*topic);
+            m_onRead(m_topic, m_isStoreConfirmed);
+            co_return std::nullopt;
+        }
+        if (m_isRedirected) {
+            m_isRedirected = false;
+            continue;
+        }
+        const Failure &failure = *failureOf(read);
+        if (failure.kind == ErrorKind::PlatformUnavailable) {
+            recordFailure(failure.detail);
+        }
+        if (!source.hasUntriedAlternative) {
+            m_isReading = false;
+            co_return failure;
+        }
+    }
+    co_return givenUp;
+}
+
+Awaitable<Outcome<CompactedTopic>> RelayedReader::readFrom(TopicSource source, Request request)
+{
+    if (source.entry) {
+        const InstanceId entry = *source.entry;
+        Outcome<CompactedTopic> read = co_await readFromEntry(entry, request);
+        co_return read;
+    }
+    Outcome<CompactedTopic> read = co_await readFromStore(request);
+    co_return read;
+}
+
+Awaitable<Outcome<CompactedTopic>> RelayedReader::readFromStore(Request request)
+{
+    if (!request.isSnapshot || (m_options.continuesSnapshots && m_topic)) {
+        // Only the reader of the zone learns from the list of backend servers whether it is still
+        // in touch with the store; the others keep their waits short to learn it from this topic.
+        const bool mayWait = currentChoice().entry == std::nullopt && m_failures == 0
+                && m_isStoreConfirmed && !request.isSnapshot;
+        const Duration wait =
+                mayWait ? request.wait : std::min<Duration>(request.wait, pollTimeout);
+        const std::uint64_t from = request.from;
+        const Outcome<KeyedBatch> tail = co_await m_store.tail(from, wait);
+        const Failure *failure = failureOf(tail);
+        if (failure == nullptr) {
+            const CompactedTopic known = m_topic ? *m_topic : CompactedTopic();
+            co_return known.withTail(from, std::get<KeyedBatch>(tail));
+        }
+        if (!request.isSnapshot || failure->kind == ErrorKind::PlatformUnavailable) {
+            co_return *failure;
+        }
+    }
+    const Outcome<KeyedSnapshot> snapshot = co_await m_store.snapshot();
+    if (const Failure *failure = failureOf(snapshot)) {
+        co_return *failure;
+    }
+    const auto &newest = std::get<KeyedSnapshot>(snapshot);
+    co_return m_topic ? m_topic->withSnapshot(newest) : CompactedTopic(newest);
+}
+
+Awaitable<Outcome<CompactedTopic>> RelayedReader::readFromEntry(InstanceId entry, Request request)
+{
+    const Outcome<PeerLinkHandle> linked = co_await linkTo(entry);
+    if (const Failure *failure = failureOf(linked)) {
+        co_return *failure;
+    }
+    const auto &link = std::get<PeerLinkHandle>(linked);
+    const StreamId stream = link.nextStream();
+    const Duration wait = std::min<Duration>(request.wait, pollTimeout);
+    const auto events = makeMailbox<StreamEvent>(m_executor, eventCapacity);
+    m_events = events;
+    link.subscribe(stream, events);
+    link.post(stream, TopicRequestMessage {m_options.topic, request.from, wait});
+    const Outcome<TopicChanges> answer = co_await receiveAnswer(events, wait);
+    link.unsubscribe(stream);
+    if (const Failure *failure = failureOf(answer)) {
+        if (events == m_events) {
+            closeLink(failure->detail);
+        }
+        co_return unavailable(entry.text() + ": " + failure->detail);
+    }
+    const CompactedTopic known = m_topic ? *m_topic : CompactedTopic();
+    const auto &changes = std::get<TopicChanges>(answer);
+    co_return m_topic || !changes.isWhole
+            ? known.withChanges(request.from, changes)
+            : CompactedTopic(KeyedSnapshot {changes.records, changes.endOffset});
+}
+
+/** @returns what the entry knows, or a failure if it has not got the topic or stops answering */
+Awaitable<Outcome<TopicChanges>> RelayedReader::receiveAnswer(MailboxPtr<StreamEvent> events,
+                                                              Duration wait)
+{
+    std::string bytes;
+    Duration timeout = wait + answerTimeout;
+    while (true) {
+        const std::optional<StreamEvent> event = co_await events->receiveWithin(timeout);
+        const auto *message = event ? std::get_if<Message>(&*event) : nullptr;
+        const auto *part = message == nullptr ? nullptr : std::get_if<TopicPartMessage>(message);
+        if (part == nullptr) {
+            co_return unavailable(event ? "the link was closed" : "no answer in time");
+        }
+        if (!part->isAvailable) {
+            co_return unavailable("the topic is not available there");
+        }
+        m_receivedAt = monotonicNow();
+        timeout = partTimeout;
+        bytes += part->bytes;
+        if (bytes.size() > maxAnswerBytes) {
+            co_return unavailable("the answer is too large");
+        }
+        if (part->isLast) {
+            const auto records = toOutcome([&] { return decodeRecords(bytes); });
+            if (const Failure *failure = failureOf(records)) {
+                co_return unavailable(failure->detail);
+            }
+            co_return TopicChanges {std::get<std::vector<KeyedRecord>>(records), part->isWhole,
+                                    part->endOffset};
+        }
+    }
+}
+
+Awaitable<Outcome<PeerLinkHandle>> RelayedReader::linkTo(InstanceId entry)
+{
+    if (m_link && m_linkedEntry == entry) {
+        co_return m_link;
+    }
+    closeLink("another entry is preferred");
+    const std::uint64_t linkId = m_linkId;
+    LinkHooks hooks;
+    hooks.onMessage = [](const PeerLinkHandle &, const StreamMessage &) { };
+    hooks.onClosed = [weak = weak_from_this(), linkId](const PeerLinkHandle &, const LinkClosed &) {
+        const auto self = weak.lock();
+        if (self && self->m_linkId == linkId) {
+            self->closeLink("the link was closed");
+        }
+    };
+    const Address address(entry.text() + ":" + std::to_string(m_options.peerPort));
+    const Outcome<PeerLinkHandle> dialed = co_await dialPeer(
+            m_executor, address, m_options.identity, hooks, connectTimeout, m_log);
+    if (const Failure *failure = failureOf(dialed)) {
+        co_return unavailable(failure->detail);
+    }
+    const auto &link = std::get<PeerLinkHandle>(dialed);
+    if (m_linkId != linkId) {
+        link.close("another entry is preferred");
+        co_return unavailable("the link was given up for another one");
+    }
+    m_link = link;
+    m_linkedEntry = entry;
+    co_return link;
+}
+
+/** Closes the link, so that an answer in transit does not go on using the network. */
+void RelayedReader::closeLink(const std::string &reason)
+{
+    ++m_linkId;
+    if (m_link) {
+        m_link.close(reason);
+        m_link = {};
+    }
+    if (m_events) {
+        m_events->post(StreamEvent(LinkClosed {reason}));
+        m_events.reset();
+    }
+}
+
+/** Starts a read in place of the one in progress. @returns its id */
+std::uint64_t RelayedReader::startRead()
+{
+    cancelRead();
+    m_isReading = true;
+    m_isRedirected = false;
+    return ++m_readId;
+}
+
+/** Gives up the read in progress, after which the next one may use another source. */
+void RelayedReader::cancelRead()
+{
+    if (!m_isReading) {
+        return;
+    }
+    m_isReading = false;
+    ++m_readId;
+    ++m_cancelledReads;
+    closeLink("the read was given up");
+    if (m_store.cancel) {
+        m_store.cancel();
+    }
+    if (m_cancelledReads >= maxCancelledReads) {
+        m_cancelledReads = 0;
+        recordFailure("the reads were given up");
+    }
+}
+
+TopicSource RelayedReader::currentChoice() const
+{
+    return chooseTopicSource({m_options.identity.instance, m_entries, m_failures});
+}
+
+TopicSource RelayedReader::chooseSource()
+{
+    if (m_failures > 0 && monotonicNow() - m_failedAt > failureMemory) {
+        m_failures = 0;
+        m_reason = "the failure was long ago";
+    }
+    TopicSource source = currentChoice();
+    if (!m_source || m_source->entry != source.entry) {
+        m_log.info("topic.source-changed",
+                   {{"topic", m_options.topic},
+                    {"source", source.entry ? source.entry->text() : "store"},
+                    {"reason", m_reason}});
+    }
+    m_source = source;
+    return source;
+}
+
+void RelayedReader::recordFailure(const std::string &reason)
+{
+    ++m_failures;
+    m_failedAt = monotonicNow();
+    m_reason = reason;
+}
+
+bool RelayedReader::isReceiving() const
+{
+    if (!m_isReading) {
+        return false;
+    }
+    const bool isStoreReceiving = m_store.isReceiving && m_store.isReceiving();
+    return isStoreReceiving || monotonicNow() - m_receivedAt < receivingTime;
+}
+
+} // namespace greengageseam
--- /dev/null
+++ b/source/edge/relayedreader.h
@@ -0,0 +1,132 @@
+/**
+ * Reads a topic of the platform's store through the entries of the zone, and from the store itself
+ * only if this process is the one that reads it for the others, or if the others do not have it.
+ */
+#pragma once
+
+#include "core/fleet/compactedtopic.h"
+#include "core/fleet/entryregistry.h"
+#include "core/fleet/topicsource.h"
+#include "edge/topicfollower.h"
+#include "net/peerlink.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace greengageseam {
+
+/** Name of the operator's topic in requests between processes. */
+constexpr std::string_view operatorTopicName = "operator";
+/** Role that a process presents on the links over which it requests topics. */
+constexpr std::string_view topicLinkRole = "topic";
+
+/** Options of RelayedReader. */
+struct RelayedReaderOptions
+{
+    /** Name of the topic in requests to entries. */
+    std::string topic;
+    /** Identity that this process presents to entries; the instance is its IP address. */
+    PeerIdentity identity;
+    /** TCP port on which entries accept links. */
+    std::uint16_t peerPort = 0;
+    /**
+     * Whether the store is asked only for newer records once the topic is known, even if a snapshot
+     * is due. Suits a process that reads at long intervals.
+     */
+    bool continuesSnapshots = false;
+};
+
+/** Hook that is called after each successful read. It must not block. */
+using TopicReadObserver = std::function<void(const CompactedTopicPtr &topic, bool isFromStore)>;
+
+/**
+ * Reads of one topic, one at a time. It remembers what was read, so that only changes are requested
+ * from entries. Must be created with std::make_shared.
+ */
+class RelayedReader : public std::enable_shared_from_this<RelayedReader>
+{
+public:
+    /** @param store reads the topic from the store */
+    RelayedReader(const asio::any_io_executor &executor, RelayedReaderOptions options,
+                  TopicReader store, TopicReadObserver onRead, Log log);
+
+    /** @returns the hooks through which a TopicFollower reads */
+    TopicReader reader();
+    /** Replaces the running entries, from all zones. */
+    void setEntries(const std::vector<EntryLocation> &entries);
+    /**
+     * Limits the time for which the first read waits until other entries are known. Call it when
+     * entries are being looked for.
+     */
+    void limitWaitForEntries();
+
+private:
+    /** A read in progress. */
+    struct Request
+    {
+        std::uint64_t readId = 0;
+        /** Offset of the first record to read. */
+        std::uint64_t from = 0;
+        Duration wait {};
+        bool isSnapshot = false;
+    };
+
+    Awaitable<Outcome<KeyedSnapshot>> readSnapshot();
+    Awaitable<Outcome<KeyedBatch>> readTail(std::uint64_t from, Duration wait);
+    Awaitable<std::optional<Failure>> update(Request request);
+    Awaitable<Outcome<CompactedTopic>> readFrom(TopicSource source, Request request);
+    Awaitable<Outcome<CompactedTopic>> readFromStore(Request request);
+    Awaitable<Outcome<CompactedTopic>> readFromEntry(InstanceId entry, Request request);
+    Awaitable<Outcome<TopicChanges>> receiveAnswer(MailboxPtr<StreamEvent> events, Duration wait);
+    Awaitable<Outcome<PeerLinkHandle>> linkTo(InstanceId entry);
+    Awaitable<void> waitForEntries();
+    std::uint64_t startRead();
+    void cancelRead();
+    void closeLink(const std::string &reason);
+    TopicSource chooseSource();
+    TopicSource currentChoice() const;
+    void recordFailure(const std::string &reason);
+    bool isReceiving() const;
+
+    asio::any_io_executor m_executor;
+    RelayedReaderOptions m_options;
+    TopicReader m_store;
+    TopicReadObserver m_onRead;
+    Log m_log;
+    /** What was read so far; null until the first read. */
+    CompactedTopicPtr m_topic;
+    /** The entries of the zone in the order of zoneReaderOrder(). */
+    std::vector<InstanceId> m_entries;
+    /** Number of sources that have failed since the entries last changed. */
+    std::uint32_t m_failures = 0;
+    Instant m_failedAt;
+    /** Source of the latest read; empty before the first read. */
+    std::optional<TopicSource> m_source;
+    /** Why the next read may use another source. */
+    std::string m_reason = "start";
+    /** Id of the latest read; earlier ones were given up. */
+    std::uint64_t m_readId = 0;
+    bool m_isReading = false;
+    /** Whether the read in progress was interrupted because another source is now preferred. */
+    bool m_isRedirected = false;
+    /** Whether the latest successful read was from the store. */
+    bool m_isStoreConfirmed = false;
+    /** Number of reads given up since the last successful one. */
+    int m_cancelledReads = 0;
+    /** When a part of an answer was last received from an entry. */
+    Instant m_receivedAt;
+    PeerLinkHandle m_link;
+    InstanceId m_linkedEntry;
+    /** Number of the latest link; earlier ones are closed. */
+    std::uint64_t m_linkId = 0;
+    /** Receives the answer of an entry to the read in progress. */
+    MailboxPtr<StreamEvent> m_events;
+    Instant m_startDeadline;
+    asio::steady_timer m_startTimer;
+};
+
+} // namespace greengageseam
--- a/source/exchange/weightexchange.cpp
+++ b/source/exchange/weightexchange.cpp
@@ -37,7 +37,10 @@
         receive(link, message);
     };
     hooks.onClosed = [this](const PeerLinkHandle &link, const LinkClosed &) {
-        m_links->mailbox()->post(PeerLinkClosed {link.peer().instance});
+        // Links on which topics are requested are accepted here too, but carry no weights.
+        if (link.peer().role == m_identity.role) {
+            m_links->mailbox()->post(PeerLinkClosed {link.peer().instance});
+        }
     };
     m_listener = std::make_shared<PeerListener>(m_executor, m_identity, hooks, m_log);
 
@@ -94,6 +97,10 @@
             link.post(stream, PieceListMessage {known});
         };
         m_fetcher->mailbox()->post(FetcherListQuery {list->model, list->version, reply});
+    } else if (const auto *topic = std::get_if<TopicRequestMessage>(&message.message)) {
+        if (m_options.onTopicRequest) {
+            m_options.onTopicRequest(link, message.stream, *topic);
+        }
     }
 }
 
--- a/source/exchange/weightexchange.h
+++ b/source/exchange/weightexchange.h
@@ -10,8 +10,14 @@
 #include "exchange/versionfetcher.h"
 #include "net/peerlink.h"
 
+#include <functional>
+
 namespace greengageseam {
 
+/** Hook that is called when a peer requests a topic of the platform's store. It must not block. */
+using TopicRequestObserver = std::function<void(const PeerLinkHandle &link, StreamId stream,
+                                                const TopicRequestMessage &request)>;
+
 /** Configuration of WeightExchange. */
 struct ExchangeOptions
 {
@@ -26,6 +32,8 @@
     std::uint64_t serveBytesPerSecond = 0;
     /** Whether to limit fetches to one at a time while they are slow. */
     bool singleFetchWhenSlow = false;
+    /** Takes the requests for topics that arrive on the peer address; may be empty. */
+    TopicRequestObserver onTopicRequest;
 };
 
 /**
--- a/source/protocol/framecodec.cpp
+++ b/source/protocol/framecodec.cpp
@@ -205,6 +205,26 @@
         m_body.__set_pieceList(list);
     }
 
+    void operator()(const TopicRequestMessage &message)
+    {
+        wire::TopicWanted wanted;
+        wanted.topic = message.topic;
+        wanted.fromOffset = static_cast<std::int64_t>(message.from);
+        wanted.wait = message.wait.count();
+        m_body.__set_topicWanted(wanted);
+    }
+
+    void operator()(const TopicPartMessage &message)
+    {
+        wire::TopicPart part;
+        part.available = message.isAvailable;
+        part.whole = message.isWhole;
+        part.endOffset = static_cast<std::int64_t>(message.endOffset);
+        part.bytes = message.bytes;
+        part.last = message.isLast;
+        m_body.__set_topicPart(part);
+    }
+
     void operator()(const EntryKeepAliveMessage &) { m_body.__set_entryAlive({}); }
 
     void operator()(const ConfigAppliedMessage &message)
@@ -281,6 +301,18 @@
                               unpackDigests(list.digests)}};
 }
 
+Message topicRequestFromWire(const wire::TopicWanted &wanted)
+{
+    return TopicRequestMessage {wanted.topic, static_cast<std::uint64_t>(wanted.fromOffset),
+                                Duration(wanted.wait)};
+}
+
+Message topicPartFromWire(const wire::TopicPart &part)
+{
+    return TopicPartMessage {part.available, part.whole, static_cast<std::uint64_t>(part.endOffset),
+                             part.bytes, part.last};
+}
+
 Message ackFromWire(const wire::HeartbeatAck &ack)
 {
     return HeartbeatAckMessage {static_cast<std::uint64_t>(ack.sequence), fromWire(ack.neighbours),
@@ -347,6 +379,12 @@
     if (isset.pieceList) {
         return pieceListFromWire(body.pieceList);
     }
+    if (isset.topicWanted) {
+        return topicRequestFromWire(body.topicWanted);
+    }
+    if (isset.topicPart) {
+        return topicPartFromWire(body.topicPart);
+    }
     if (isset.entryAlive) {
         return EntryKeepAliveMessage {};
     }
@@ -428,4 +466,40 @@
     return StreamMessage {frame.stream, std::move(message)};
 }
 
+std::string encodeRecords(const std::vector<KeyedRecord> &records)
+{
+    wire::TopicRecords wireRecords;
+    for (const KeyedRecord &record : records) {
+        wire::TopicRecord &wireRecord = wireRecords.records.emplace_back();
+        wireRecord.key = record.key;
+        if (record.value) {
+            wireRecord.__set_value(*record.value);
+        }
+    }
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    wireRecords.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+Result<std::vector<KeyedRecord>> decodeRecords(std::string_view bytes)
+{
+    const auto buffer = std::make_shared<TMemoryBuffer>(boundedThriftConfiguration());
+    buffer->resetBuffer(reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data())),
+                        static_cast<std::uint32_t>(bytes.size()));
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    wire::TopicRecords wireRecords;
+    try {
+        wireRecords.read(&protocol);
+    } catch (const std::exception &e) {
+        return fail(ErrorKind::ProtocolViolation, std::string("malformed records: ") + e.what());
+    }
+    std::vector<KeyedRecord> records;
+    for (const wire::TopicRecord &record : wireRecords.records) {
+        const bool hasValue = record.__isset.value;
+        records.push_back({record.key, hasValue ? std::optional(record.value) : std::nullopt});
+    }
+    return records;
+}
+
 } // namespace greengageseam
--- a/source/protocol/framecodec.h
+++ b/source/protocol/framecodec.h
@@ -5,12 +5,14 @@
 #pragma once
 
 #include "core/common/errors.h"
+#include "core/fleet/storerecords.h"
 #include "protocol/messages.h"
 
 #include <array>
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace greengageseam {
 
@@ -35,4 +37,10 @@
  */
 Result<StreamMessage> decodeFrame(std::string_view bytes);
 
+/** Encodes records of a topic, whose bytes are sent in the parts of a TopicPartMessage. */
+std::string encodeRecords(const std::vector<KeyedRecord> &records);
+
+/** Decodes the records of a topic. @returns the records, or ProtocolViolation */
+Result<std::vector<KeyedRecord>> decodeRecords(std::string_view bytes);
+
 } // namespace greengageseam
--- a/source/protocol/messages.h
+++ b/source/protocol/messages.h
@@ -231,6 +231,37 @@
     auto operator<=>(const PieceListMessage &) const = default;
 };
 
+/** Requests what has changed in a topic of the platform's store since an offset. */
+struct TopicRequestMessage
+{
+    /** Name of the topic in the log. */
+    std::string topic;
+    std::uint64_t from = 0;
+    /** How long the peer may wait for records before it answers that there are none. */
+    Duration wait {};
+
+    auto operator<=>(const TopicRequestMessage &) const = default;
+};
+
+/** Part of the answer to a TopicRequestMessage. */
+struct TopicPartMessage
+{
+    /**
+     * Whether the peer knows the topic and has lately been in touch with the store, itself or
+     * through others. If not, there are no further parts.
+     */
+    bool isAvailable = false;
+    /** Whether the records are those of all keys. @see TopicChanges */
+    bool isWhole = false;
+    /** Offset after the last record of the topic. */
+    std::uint64_t endOffset = 0;
+    /** Part of the encoded records. @see encodeRecords */
+    std::string bytes;
+    bool isLast = false;
+
+    auto operator<=>(const TopicPartMessage &) const = default;
+};
+
 /** Keep-alive between entries. */
 struct EntryKeepAliveMessage
 {
@@ -277,7 +308,8 @@
                      HeartbeatMessage, HeartbeatAckMessage, ConfigPushMessage, ConfigAppliedMessage,
                      ConfigRequestMessage, ChunkRequestMessage, ChunkPartMessage,
                      EntryKeepAliveMessage, ZoneDigestMessage, ZoneDigestRequestMessage,
-                     ZoneSummaryMessage, HaveMessage, PieceListRequestMessage, PieceListMessage>;
+                     ZoneSummaryMessage, HaveMessage, PieceListRequestMessage, PieceListMessage,
+                     TopicRequestMessage, TopicPartMessage>;
 
 /** A message and the stream that it belongs to. */
 struct StreamMessage
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -174,6 +174,35 @@
   4: list<binary> digests;
 }
 
+/** Asks an entry for the records of a topic of the platform's store. */
+struct TopicWanted {
+  1: string topic;
+  2: i64 fromOffset;
+  /** How long the answer may wait for new records, in microseconds. */
+  3: i64 wait;
+}
+
+/** A record of a topic; without a value it removes the key. */
+struct TopicRecord {
+  1: string key;
+  2: optional binary value;
+}
+
+struct TopicRecords {
+  1: list<TopicRecord> records;
+}
+
+/** Part of the answer: TopicRecords in Thrift's compact protocol, cut into parts. */
+struct TopicPart {
+  /** False if the sender does not know the topic, or not well enough; then this is the only part. */
+  1: bool available;
+  /** The records are the newest ones of all keys, not only of those that have changed. */
+  2: bool whole;
+  3: i64 endOffset;
+  4: binary bytes;
+  5: bool last;
+}
+
 /** Sign of life between entries. */
 struct EntryAlive {
 }
@@ -262,6 +291,8 @@
   50: Have have;
   51: ListWanted listWanted;
   52: PieceList pieceList;
+  53: TopicWanted topicWanted;
+  54: TopicPart topicPart;
 }
 
 /** Stream 0 belongs to the link; the side that opened the link numbers the others. */
--- a/source/sidecar/sidecar.cpp
+++ b/source/sidecar/sidecar.cpp
@@ -41,6 +41,7 @@
     LoadReporterHooks hooks;
     hooks.onEntriesChanged = [this](const std::vector<EntryLocation> &entries) {
         m_exchange->fetcher()->post(FetcherEntriesChanged {entries});
+        m_operatorReader->setEntries(entries);
     };
     hooks.onTargetVersion = [this](const TargetVersion &named) {
         m_operatorWatcher->applyPeerTargetVersion(named);
@@ -112,10 +113,19 @@
     };
     hooks.onOffsetAdvanced = [](std::uint64_t) { };
     FollowOptions follow;
-    follow.name = "operator";
+    follow.name = operatorTopicName;
     follow.pollInterval = operatorPollPeriod;
     follow.readsSnapshotsOnly = true;
-    m_operatorWatcher = std::make_shared<OperatorWatcher>(m_executor, m_adapter.operatorTopic,
+    RelayedReaderOptions options;
+    options.topic = operatorTopicName;
+    options.identity = {std::string(topicLinkRole), InstanceId(m_settings.ip), m_settings.zone,
+                        m_secret};
+    options.peerPort = m_settings.firstPort;
+    options.continuesSnapshots = true;
+    m_operatorReader = std::make_shared<RelayedReader>(
+            m_executor, options, m_adapter.operatorTopic, [](const CompactedTopicPtr &, bool) { },
+            m_log);
+    m_operatorWatcher = std::make_shared<OperatorWatcher>(m_executor, m_operatorReader->reader(),
                                                           follow, hooks, m_log);
 }
 
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "edge/adapter.h"
+#include "edge/relayedreader.h"
 #include "edge/storewatchers.h"
 #include "exchange/weightexchange.h"
 #include "sidecar/loadreporter.h"
@@ -45,6 +46,7 @@
     std::shared_ptr<WeightInstaller> m_installer;
     std::shared_ptr<ReplicaProbe> m_probe;
     std::shared_ptr<LoadReporter> m_loadReporter;
+    std::shared_ptr<RelayedReader> m_operatorReader;
     std::shared_ptr<OperatorWatcher> m_operatorWatcher;
     /** The latest report of the backend server. */
     std::optional<ReplicaReport> m_report;
--- /dev/null
+++ b/tests/unit/tst_compactedtopic.cpp
@@ -0,0 +1,58 @@
+/**
+ * Tests of the newest records of a topic, as they are passed from one process to another.
+ */
+#include "core/fleet/compactedtopic.h"
+
+#include <catch2/catch.hpp>
+
+namespace greengageseam {
+namespace {
+
+/** A topic whose snapshot ends at offset 10 and contains the keys "a" and "b". */
+class CompactedTopicFixture
+{
+protected:
+    CompactedTopicFixture() : m_topic(KeyedSnapshot {{{"a", "1"}, {"b", "2"}}, 10}) { }
+
+    CompactedTopic m_topic;
+};
+
+TEST_CASE_METHOD(CompactedTopicFixture, "changesSince_offsetBeforeTheSnapshot_isWhole")
+{
+    REQUIRE(m_topic.changesSince(9) == TopicChanges {{{"a", "1"}, {"b", "2"}}, true, 10});
+    REQUIRE(m_topic.changesSince(10) == TopicChanges {{}, false, 10});
+}
+
+TEST_CASE_METHOD(CompactedTopicFixture, "changesSince_tailApplied_onlyNewestOfChangedKeys")
+{
+    const CompactedTopic topic =
+            m_topic.withTail(10, {{{"a", "3"}, {"b", std::nullopt}, {"a", "4"}}, 13});
+    REQUIRE(topic.changesSince(10) == TopicChanges {{{"a", "4"}, {"b", std::nullopt}}, false, 13});
+    REQUIRE(topic.changesSince(12) == TopicChanges {{{"a", "4"}}, false, 13});
+    REQUIRE(topic.snapshot() == KeyedSnapshot {{{"a", "4"}}, 13});
+}
+
+TEST_CASE_METHOD(CompactedTopicFixture, "withSnapshot_keyUnchangedOrGone_onlyChangesArePassedOn")
+{
+    const CompactedTopic topic = m_topic.withSnapshot({{{"a", "1"}, {"c", "5"}}, 14});
+    REQUIRE(topic.changesSince(10) == TopicChanges {{{"b", std::nullopt}, {"c", "5"}}, false, 14});
+    REQUIRE(topic.withSnapshot({{}, 12}) == topic);
+}
+
+TEST_CASE_METHOD(CompactedTopicFixture, "withTail_recordsBeforeItMissingOrKnown_isUnchanged")
+{
+    REQUIRE(m_topic.withTail(11, {{{"a", "3"}}, 12}) == m_topic);
+    REQUIRE(m_topic.withTail(8, {{{"a", "0"}, {"a", "1"}}, 10}) == m_topic);
+}
+
+TEST_CASE_METHOD(CompactedTopicFixture, "withChanges_ofAnotherProcess_reachesTheSameState")
+{
+    const CompactedTopic source =
+            m_topic.withTail(10, {{{"a", "3"}, {"b", std::nullopt}, {"a", "4"}}, 13});
+    REQUIRE(m_topic.withChanges(10, source.changesSince(10)).snapshot() == source.snapshot());
+    REQUIRE(CompactedTopic().withChanges(0, source.changesSince(0)).snapshot()
+            == source.snapshot());
+}
+
+} // namespace
+} // namespace greengageseam
--- a/tests/unit/tst_framecodec.cpp
+++ b/tests/unit/tst_framecodec.cpp
@@ -110,5 +110,34 @@
     }
 }
 
+TEST_CASE_METHOD(FrameFixture, "frame_topicMessages_roundTrip")
+{
+    const TopicRequestMessage request {"operator", 7, std::chrono::milliseconds(700)};
+    const TopicPartMessage part {true, true, 9, std::string("\0\x01\xff", 3), true};
+    for (const Message &message :
+         {Message(request), Message(part), Message(TopicPartMessage {false, false, 0, {}, true})}) {
+        const StreamMessage sent {7, message};
+        REQUIRE(std::get<StreamMessage>(roundTrip(sent)) == sent);
+    }
+}
+
+TEST_CASE_METHOD(FrameFixture, "records_encodedAndDecoded_areEqual")
+{
+    const std::vector<KeyedRecord> records {
+            {"config", std::string(400'000, '\xff')}, {"version/m", std::nullopt}, {"empty", ""}};
+    for (const auto &sent : {records, std::vector<KeyedRecord> {}}) {
+        const auto decoded = toOutcome([&] { return decodeRecords(encodeRecords(sent)); });
+        REQUIRE(std::get<std::vector<KeyedRecord>>(decoded) == sent);
+    }
+}
+
+TEST_CASE_METHOD(FrameFixture, "records_truncated_areAProtocolViolation")
+{
+    const std::string bytes = encodeRecords({{"config", "value"}});
+    const auto decoded =
+            toOutcome([&] { return decodeRecords(bytes.substr(0, bytes.size() / 2)); });
+    REQUIRE(failureOf(decoded)->kind == ErrorKind::ProtocolViolation);
+}
+
 } // namespace
 } // namespace greengageseam
