Skip interim heads before a response, and give up after eight of them

A backend server that sent "HTTP/1.1 103 Early Hints" without end had the first of these heads relayed to the caller as the whole answer: an interim head (1xx) has no body and was taken for the response.

HttpConnection::readHead() now skips interim heads, up to eight, under one deadline for all of them; more are malformed. A stand-in that sends bytes until it is closed plays this.

Passed on the unchanged code as well: connection_endlessBytesInsteadOfHead_areMalformed, connection_headDripsIn_timesOut, report_endlessBody_failsAtTheSizeLimit, report_bytesAfterTheResponse_closeTheConnection.

--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -19,6 +19,10 @@
 
 constexpr std::size_t maxBodyPartBytes = 16 * 1024;
 constexpr std::size_t maxHeadBytes = 64 * 1024;
+/** Status codes below this one belong to interim heads, which precede the response. */
+constexpr unsigned firstFinalStatus = 200;
+/** Maximum number of interim heads before a response. */
+constexpr int maxInterimHeads = 8;
 /** TCP_USER_TIMEOUT: the connection is closed if sent data is not acknowledged for this long. */
 constexpr unsigned userTimeoutMs = 3000;
 /** Seconds without traffic before the first keep-alive probe, and between two probes. */
@@ -142,6 +146,22 @@
                                                                      Duration timeout)
 {
     const auto self = shared_from_this();
+    const Instant end = monotonicNow() + timeout;
+    m_isKeepAlive = false;
+    for (int interimHeads = 0; interimHeads <= maxInterimHeads; ++interimHeads) {
+        const HttpIoStatus status = co_await parseHead(isHeadRequest, end - monotonicNow());
+        if (status != HttpIoStatus::Done) {
+            co_return HttpReadResult<HttpResponseHead> {status, {}};
+        }
+        if (m_parser->get().result_int() >= firstFinalStatus) {
+            co_return HttpReadResult<HttpResponseHead> {HttpIoStatus::Done, takeHead()};
+        }
+    }
+    co_return HttpReadResult<HttpResponseHead> {HttpIoStatus::Malformed, {}};
+}
+
+Awaitable<HttpIoStatus> HttpConnection::parseHead(bool isHeadRequest, Duration timeout)
+{
     m_parser.emplace();
     m_parser->body_limit(boost::none);
     m_parser->header_limit(maxHeadBytes);
@@ -149,9 +169,11 @@
     startDeadline(timeout);
     auto [ec, n] = co_await http::async_read_header(m_socket, m_buf, *m_parser, asTuple);
     m_isDeadlineActive = false;
-    if (ec) {
-        co_return HttpReadResult<HttpResponseHead> {ioStatusOf(ec), {}};
-    }
+    co_return ioStatusOf(ec);
+}
+
+HttpResponseHead HttpConnection::takeHead()
+{
     const auto &message = m_parser->get();
     HttpResponseHead head;
     head.status = static_cast<int>(message.result_int());
@@ -167,7 +189,7 @@
     if (m_parser->is_done()) {
         m_idleSince = monotonicNow();
     }
-    co_return HttpReadResult<HttpResponseHead> {HttpIoStatus::Done, std::move(head)};
+    return head;
 }
 
 Awaitable<HttpReadResult<std::string>> HttpConnection::readBodyPart(Duration timeout)
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -25,7 +25,7 @@
     ConnectFailed,
     /** The peer closed or reset the connection. */
     ConnectionLost,
-    /** The received bytes are not valid HTTP. */
+    /** The received bytes are not valid HTTP, or exceed a size limit. */
     Malformed,
     /** The operation did not finish within its timeout. */
     TimedOut,
@@ -79,8 +79,9 @@
     Awaitable<HttpIoStatus> send(std::string text, Duration timeout);
 
     /**
-     * Reads the head of the next response.
+     * Reads the head of the next response, and skips interim heads (1xx) before it.
      * @param isHeadRequest whether the request method was HEAD, so that no body follows
+     * @returns Malformed also if the head is too large or follows too many interim heads
      */
     Awaitable<HttpReadResult<HttpResponseHead>> readHead(bool isHeadRequest, Duration timeout);
 
@@ -114,6 +115,10 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    /** Reads one head, interim or final, into a new parser. */
+    Awaitable<HttpIoStatus> parseHead(bool isHeadRequest, Duration timeout);
+    /** @returns the head that was parsed last */
+    HttpResponseHead takeHead();
     void startDeadline(Duration timeout);
     void armTimer();
     HttpIoStatus ioStatusOf(const boost::system::error_code &ec) const;
--- /dev/null
+++ b/tests/failure/tst_endlessbytes.cpp
@@ -0,0 +1,208 @@
+/**
+ * Guards against servers that send bytes without end: a call must fail in time, hold little memory,
+ * and reset the connection.
+ * labels: platform
+ */
+#include "endlessstandin.h"
+#include "net/clock.h"
+#include "net/httpconnection.h"
+#include "net/log.h"
+#include "platform/enginecalls.h"
+#include "platform/keyedstore.h"
+#include "sidecar/replicaprobe.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+
+namespace greengageseam {
+namespace {
+
+/** Longer than any call below may take. */
+constexpr auto conditionTimeout = std::chrono::seconds(8);
+constexpr auto headTimeout = std::chrono::milliseconds(500);
+constexpr auto dripPause = std::chrono::milliseconds(50);
+constexpr auto storeTimeout = std::chrono::milliseconds(200);
+/** A report of a backend server is far smaller than this, and so is a page of the store. */
+constexpr std::size_t maxBytesSent = 12ULL * 1024 * 1024;
+/** Bytes that a connection may take in before it has found that they are no head or chunk. */
+constexpr std::size_t maxFramingBytesSent = 2ULL * 1024 * 1024;
+
+const std::string okLine = "HTTP/1.1 200 OK\r\n";
+const std::string chunkedHead = okLine + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string chunk = "400\r\n" + std::string(0x400, 'x') + "\r\n";
+const std::string longHead = okLine + "Content-Length: 1000000000000\r\n\r\n";
+const std::string slowHead = okLine + "Content-Length: 100000\r\n\r\n";
+
+class EndlessBytesFixture
+{
+protected:
+    EndlessBytesFixture() : m_server(m_context.get_executor(), {}) { }
+
+    /** Runs the tasks until a condition holds. @returns false if it does not hold in time */
+    bool waitUntil(const std::function<bool()> &condition)
+    {
+        const Instant end = monotonicNow() + conditionTimeout;
+        while (!condition()) {
+            if (monotonicNow() > end) {
+                return false;
+            }
+            m_context.run_for(std::chrono::milliseconds(10));
+        }
+        return true;
+    }
+
+    /** Awaits a result. It is empty if there is none in time. */
+    template <typename T>
+    std::optional<T> resultOf(std::function<Awaitable<T>()> task)
+    {
+        const auto result = std::make_shared<std::optional<T>>();
+        asio::co_spawn(
+                m_context,
+                [task = std::move(task), result]() -> Awaitable<void> {
+                    T value = co_await task();
+                    result->emplace(std::move(value));
+                },
+                asio::detached);
+        waitUntil([result] { return result->has_value(); });
+        return *result;
+    }
+
+    /** Connects and sends a request. */
+    Awaitable<HttpConnectionPtr> sendRequest(std::string method)
+    {
+        const auto endpoint = toOutcome([this] { return parseEndpoint(m_server.address()); });
+        const auto connection = std::make_shared<HttpConnection>(m_context.get_executor());
+        co_await connection->connect(std::get<asio::ip::tcp::endpoint>(endpoint), headTimeout);
+        std::string text = method + " / HTTP/1.1\r\nHost: a\r\n\r\n";
+        co_await connection->send(std::move(text), headTimeout);
+        co_return connection;
+    }
+
+    /** Sends a request and reads the head of the response; then drops the connection. */
+    Awaitable<HttpReadResult<HttpResponseHead>> readHead()
+    {
+        std::string method = "GET";
+        const HttpConnectionPtr connection = co_await sendRequest(std::move(method));
+        co_return co_await connection->readHead(false, headTimeout);
+    }
+
+    /** Sends a request for a head alone, and reads the response with its body. */
+    Awaitable<HttpReadResult<std::string>> readBodyAfterHead()
+    {
+        std::string method = "HEAD";
+        const HttpConnectionPtr connection = co_await sendRequest(std::move(method));
+        co_await connection->readHead(true, headTimeout);
+        co_return co_await connection->readBody(1, headTimeout);
+    }
+
+    std::optional<HttpReadResult<HttpResponseHead>> headOf(EndlessBytes bytes)
+    {
+        m_server.setBytes(std::move(bytes));
+        return resultOf<HttpReadResult<HttpResponseHead>>([this] { return readHead(); });
+    }
+
+    std::optional<Outcome<ReplicaReport>> reportOf(EndlessBytes bytes)
+    {
+        m_server.setBytes(std::move(bytes));
+        return resultOf<Outcome<ReplicaReport>>(
+                makeReplicaHooks(m_context.get_executor(), m_server.address()).readReport);
+    }
+
+    std::optional<Outcome<KeyedSnapshot>> snapshotOf(EndlessBytes bytes)
+    {
+        m_server.setBytes(std::move(bytes));
+        const KeyedStore store(m_context.get_executor(), m_server.address(), storeTimeout);
+        return resultOf<Outcome<KeyedSnapshot>>(store.snapshotReader("keyed.op"));
+    }
+
+    bool isEveryConnectionClosed()
+    {
+        return waitUntil([this] { return m_server.closedConnections() == m_server.requests(); });
+    }
+
+    asio::io_context m_context;
+    EndlessStandin m_server;
+};
+
+TEST_CASE_METHOD(EndlessBytesFixture, "connection_endlessBytesInsteadOfHead_areMalformed")
+{
+    const EndlessBytes bytes =
+            GENERATE(EndlessBytes {"", "x"}, EndlessBytes {"HTTP/1.1 200 ", "x"},
+                     EndlessBytes {okLine, "A: b\r\n"}, EndlessBytes {okLine + "A: ", "b"});
+    CAPTURE(bytes.opening, bytes.repeated);
+    const auto head = headOf(bytes);
+    REQUIRE(head);
+    REQUIRE(head->ioStatus == HttpIoStatus::Malformed);
+    REQUIRE(isEveryConnectionClosed());
+    REQUIRE(m_server.mostBytesSent() < maxFramingBytesSent);
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "connection_headDripsIn_timesOut")
+{
+    const auto head = headOf({okLine, "A: b\r\n", dripPause});
+    REQUIRE(head);
+    REQUIRE(head->ioStatus == HttpIoStatus::TimedOut);
+    REQUIRE(isEveryConnectionClosed());
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "connection_endlessInterimHeads_areMalformed")
+{
+    const auto head = headOf({"", "HTTP/1.1 103 Early Hints\r\n\r\n"});
+    REQUIRE(head);
+    REQUIRE(head->ioStatus == HttpIoStatus::Malformed);
+    REQUIRE(isEveryConnectionClosed());
+    REQUIRE(m_server.mostBytesSent() < maxFramingBytesSent);
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "connection_interimHeadsDripIn_timeOut")
+{
+    const auto head =
+            headOf({"", "HTTP/1.1 102 Processing\r\n\r\n", std::chrono::milliseconds(200)});
+    REQUIRE(head);
+    REQUIRE(head->ioStatus == HttpIoStatus::TimedOut);
+    REQUIRE(isEveryConnectionClosed());
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "connection_interimHeadBeforeResponse_isSkipped")
+{
+    const auto head = headOf(
+            {"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + okLine + "Content-Length: 0\r\n\r\n",
+             ""});
+    REQUIRE(head);
+    REQUIRE(head->ioStatus == HttpIoStatus::Done);
+    REQUIRE(head->value.status == 200);
+    REQUIRE_FALSE(head->value.header("A"));
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "report_endlessBody_failsAtTheSizeLimit")
+{
+    const EndlessBytes bytes =
+            GENERATE(EndlessBytes {longHead, "x"}, EndlessBytes {chunkedHead, chunk},
+                     EndlessBytes {okLine + "\r\n", "x"});
+    CAPTURE(bytes.opening, bytes.repeated);
+    const auto report = reportOf(bytes);
+    REQUIRE(report);
+    REQUIRE(failureOf(*report) != nullptr);
+    REQUIRE(failureOf(*report)->kind == ErrorKind::OutcomeUnknown);
+    REQUIRE(isEveryConnectionClosed());
+    REQUIRE(m_server.mostBytesSent() < maxBytesSent);
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "report_bytesAfterTheResponse_closeTheConnection")
+{
+    const ReplicaHooks hooks = makeReplicaHooks(m_context.get_executor(), m_server.address());
+    m_server.setBytes({okLine + "Content-Length: 13\r\n\r\n{\"models\":[]}", "x"});
+    for (std::size_t n = 1; n <= 2; ++n) {
+        const auto report = resultOf<Outcome<ReplicaReport>>(hooks.readReport);
+        REQUIRE(report);
+        REQUIRE(failureOf(*report) == nullptr);
+        REQUIRE(m_server.requests() == n);
+    }
+    REQUIRE(waitUntil([this] { return m_server.closedConnections() >= 1; }));
+}
+
+} // namespace
+} // namespace greengageseam
