Limit the bytes of a chunk header or a trailer that are buffered

A server that never ended a chunk header, a chunk extension or a trailer made the process hold all that it sent: 610 MB of one report within its 2 s. The parser limits only the head; it waits for the end of these lines, and the buffer before it had no limit.

The buffer now holds 64 KiB, the limit of a head. A full buffer is an error of the parser, and so malformed.

Before: report_endlessChunkFraming_failsWithLittleMemory failed in all 4 cases. After: green; the server can send less than 2 MiB before it is reset.

--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr std::size_t maxBodyPartBytes = 16 * 1024;
+/** Maximum size of a head, and of the chunk headers and trailers that are buffered unparsed. */
 constexpr std::size_t maxHeadBytes = 64 * 1024;
 /** Status codes below this one belong to interim heads, which precede the response. */
 constexpr unsigned firstFinalStatus = 200;
@@ -58,7 +59,7 @@
 }
 
 HttpConnection::HttpConnection(const asio::any_io_executor &executor)
-    : m_socket(executor), m_timer(executor)
+    : m_socket(executor), m_timer(executor), m_buf(maxHeadBytes)
 { }
 
 void HttpConnection::startDeadline(Duration timeout)
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -125,6 +125,7 @@
 
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
+    /** Received bytes that are not parsed yet. Its size is limited. */
     boost::beast::flat_buffer m_buf;
     std::optional<Parser> m_parser;
     Instant m_deadline;
--- a/tests/failure/tst_endlessbytes.cpp
+++ b/tests/failure/tst_endlessbytes.cpp
@@ -177,6 +177,20 @@
     REQUIRE_FALSE(head->value.header("A"));
 }
 
+TEST_CASE_METHOD(EndlessBytesFixture, "report_endlessChunkFraming_failsWithLittleMemory")
+{
+    const EndlessBytes bytes =
+            GENERATE(EndlessBytes {chunkedHead, "x"}, EndlessBytes {chunkedHead + "5;a=", "b"},
+                     EndlessBytes {chunkedHead + "0\r\n", "A: b\r\n"},
+                     EndlessBytes {chunkedHead + "2\r\n{}\r\n0\r\nA: ", "b"});
+    CAPTURE(bytes.opening, bytes.repeated);
+    const auto report = reportOf(bytes);
+    REQUIRE(report);
+    REQUIRE(failureOf(*report) != nullptr);
+    REQUIRE(isEveryConnectionClosed());
+    REQUIRE(m_server.mostBytesSent() < maxFramingBytesSent);
+}
+
 TEST_CASE_METHOD(EndlessBytesFixture, "report_endlessBody_failsAtTheSizeLimit")
 {
     const EndlessBytes bytes =
