Give the whole body of a response a deadline, not each part of it

A server that sent a byte now and then held a call for ever: the timeout of readBody() began anew with each part. A caller of a non-idempotent route received nothing within 5 s, with a deadline of 2.5 s; an agent's probe stopped and reported neither a loss nor a recovery; a read of the store did not end.

readBody() and readBodyPart() take one deadline for all their reads. A failed call resets its connection.

--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -196,6 +196,7 @@
 Awaitable<HttpReadResult<std::string>> HttpConnection::readBodyPart(Duration timeout)
 {
     const auto self = shared_from_this();
+    const Instant end = monotonicNow() + timeout;
     std::string bytes;
     while (bytes.empty() && !m_parser->is_done()) {
         bytes.resize(maxBodyPartBytes);
@@ -203,7 +204,7 @@
         body.data = bytes.data();
         body.size = bytes.size();
         body.more = true;
-        startDeadline(timeout);
+        startDeadline(end - monotonicNow());
         auto [ec, n] = co_await http::async_read_some(m_socket, m_buf, *m_parser, asTuple);
         m_isDeadlineActive = false;
         bytes.resize(bytes.size() - body.size);
@@ -217,12 +218,17 @@
     co_return HttpReadResult<std::string> {HttpIoStatus::Done, std::move(bytes)};
 }
 
-Awaitable<HttpReadResult<std::string>> HttpConnection::readBody(std::size_t maxBytes,
-                                                                Duration timeout)
+Awaitable<HttpReadResult<std::string>>
+HttpConnection::readBody(std::size_t maxBytes, Duration timeout, Duration partTimeout)
 {
+    const Instant end = monotonicNow() + timeout;
     std::string body;
     while (true) {
-        HttpReadResult<std::string> part = co_await readBodyPart(timeout);
+        const Duration left = end - monotonicNow();
+        if (left <= Duration() && !m_parser->is_done()) {
+            co_return HttpReadResult<std::string> {HttpIoStatus::TimedOut, std::move(body)};
+        }
+        HttpReadResult<std::string> part = co_await readBodyPart(std::min(left, partTimeout));
         body += part.value;
         if (part.ioStatus != HttpIoStatus::Done || part.value.empty()) {
             co_return HttpReadResult<std::string> {part.ioStatus, std::move(body)};
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -90,10 +90,12 @@
 
     /**
      * Reads the remaining body.
-     * @param timeout time limit for each read, not for the whole body
+     * @param timeout time limit for the whole body
+     * @param partTimeout time limit for each part of the body
      * @returns Malformed if the body is longer than @p maxBytes
      */
-    Awaitable<HttpReadResult<std::string>> readBody(std::size_t maxBytes, Duration timeout);
+    Awaitable<HttpReadResult<std::string>> readBody(std::size_t maxBytes, Duration timeout,
+                                                    Duration partTimeout = Duration::max());
 
     /** Resets the connection immediately; pending operations return Aborted. */
     void abort();
--- a/source/net/keepaliveclient.cpp
+++ b/source/net/keepaliveclient.cpp
@@ -16,9 +16,30 @@
 
 } // namespace
 
+KeepAliveClientOptions KeepAliveClientOptions::withStepTimeout(Duration value) const
+{
+    KeepAliveClientOptions options = *this;
+    options.stepTimeout = value;
+    return options;
+}
+
+KeepAliveClientOptions KeepAliveClientOptions::withBodyTimeout(Duration value) const
+{
+    KeepAliveClientOptions options = *this;
+    options.bodyTimeout = value;
+    return options;
+}
+
+KeepAliveClientOptions KeepAliveClientOptions::withMaxBytes(std::size_t value) const
+{
+    KeepAliveClientOptions options = *this;
+    options.maxBytes = value;
+    return options;
+}
+
 KeepAliveClient::KeepAliveClient(const asio::any_io_executor &executor, Address address,
-                                 Duration timeout, std::size_t maxBytes)
-    : m_executor(executor), m_address(std::move(address)), m_timeout(timeout), m_maxBytes(maxBytes)
+                                 KeepAliveClientOptions options)
+    : m_executor(executor), m_address(std::move(address)), m_options(options)
 { }
 
 Awaitable<Outcome<HttpResponse>> KeepAliveClient::call(HttpRequest request, bool isIdempotent,
@@ -62,25 +83,29 @@
         }
         connection = std::make_shared<HttpConnection>(m_executor);
         const HttpIoStatus connected = co_await connection->connect(
-                std::get<asio::ip::tcp::endpoint>(endpoint), m_timeout);
+                std::get<asio::ip::tcp::endpoint>(endpoint), m_options.stepTimeout);
         if (connected != HttpIoStatus::Done) {
             co_return failureAt(m_address, ErrorKind::NoBackendServer,
                                 "connecting failed or timed out");
         }
     }
-    const HttpIoStatus sent = co_await connection->send(text, m_timeout);
+    const HttpIoStatus sent = co_await connection->send(text, m_options.stepTimeout);
     if (sent != HttpIoStatus::Done) {
+        connection->abort();
         co_return failureAt(m_address, ErrorKind::OutcomeUnknown,
                             "sending the request failed or timed out");
     }
     HttpReadResult<HttpResponseHead> head =
-            co_await connection->readHead(false, m_timeout + extraResponseTime);
+            co_await connection->readHead(false, m_options.stepTimeout + extraResponseTime);
     if (head.ioStatus != HttpIoStatus::Done) {
+        connection->abort();
         co_return failureAt(m_address, ErrorKind::OutcomeUnknown,
                             "no valid response head was received in time");
     }
-    HttpReadResult<std::string> body = co_await connection->readBody(m_maxBytes, m_timeout);
+    HttpReadResult<std::string> body = co_await connection->readBody(
+            m_options.maxBytes, m_options.bodyTimeout, m_options.stepTimeout);
     if (body.ioStatus != HttpIoStatus::Done) {
+        connection->abort();
         co_return failureAt(m_address, ErrorKind::OutcomeUnknown,
                             "the response body is incomplete or exceeds the size limit");
     }
--- a/source/net/keepaliveclient.h
+++ b/source/net/keepaliveclient.h
@@ -7,6 +7,22 @@
 
 namespace greengageseam {
 
+/** Limits of the calls of a client. */
+struct KeepAliveClientOptions
+{
+    /** Time limit for each step of a call: connecting, sending, and each read. */
+    Duration stepTimeout = std::chrono::seconds(1);
+    /** Time limit for the whole body of a response. */
+    Duration bodyTimeout = std::chrono::seconds(1);
+    /** Maximum size of the body of a response. */
+    std::size_t maxBytes = 1024 * 1024;
+
+    KeepAliveClientOptions withStepTimeout(Duration value) const;
+    KeepAliveClientOptions withBodyTimeout(Duration value) const;
+    KeepAliveClientOptions withMaxBytes(std::size_t value) const;
+    auto operator<=>(const KeepAliveClientOptions &) const = default;
+};
+
 /**
  * Sends requests to one address. Overlapping calls use separate connections; the connection of the
  * call that finishes last is kept for reuse. Must be created with std::make_shared.
@@ -14,12 +30,8 @@
 class KeepAliveClient : public std::enable_shared_from_this<KeepAliveClient>
 {
 public:
-    /**
-     * @param timeout time limit for each step of a call: connecting, sending, each read
-     * @param maxBytes maximum size of a response body
-     */
-    KeepAliveClient(const asio::any_io_executor &executor, Address address, Duration timeout,
-                    std::size_t maxBytes);
+    KeepAliveClient(const asio::any_io_executor &executor, Address address,
+                    KeepAliveClientOptions options);
 
     /**
      * Sends a request and reads the complete response.
@@ -38,8 +50,7 @@
 
     asio::any_io_executor m_executor;
     Address m_address;
-    Duration m_timeout;
-    std::size_t m_maxBytes;
+    KeepAliveClientOptions m_options;
     HttpConnectionPtr m_connection;
 };
 
--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -4,6 +4,7 @@
  * labels: platform
  */
 #include "edge/edge.h"
+#include "endlessstandin.h"
 #include "fleetstandin.h"
 #include "net/clock.h"
 #include "platform/platform.h"
@@ -17,6 +18,21 @@
 namespace {
 
 constexpr auto conditionTimeout = std::chrono::seconds(10);
+/** Remaining-Time-Ms of the requests below. */
+constexpr auto callerPatience = std::chrono::milliseconds(2500);
+constexpr auto dripPause = std::chrono::milliseconds(100);
+/** Bytes that an entry may take in before it gives an upstream attempt up. */
+constexpr std::size_t maxBytesTaken = 8ULL * 1024 * 1024;
+
+/** Start of a successful response, up to the first of its fields that tell how it ends. */
+const std::string sealedHead =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: ATTEMPT\r\nServer-Seal: seal-of-i-1\r\n";
+const std::string chunkedHead = sealedHead + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string longHead = sealedHead + "Content-Length: 1000000000000\r\n\r\n";
+const std::string slowHead = sealedHead + "Content-Length: 100000\r\n\r\n";
+const std::string streamHead = sealedHead
+        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "17\r\nid: 1\ndata: i-1\n\nid: 2\n\r\n";
 
 /** @returns a loopback address that is currently free */
 Address freeAddress(asio::io_context &context)
@@ -91,6 +107,23 @@
                 [this] { return httpGet(m_settings.readyAddress, "/-/readiness").status == 200; }));
     }
 
+    /** Like startEntryWith(), with a server i-1 that sends endless bytes. */
+    void startEntryWithEndless(const std::string &kind, int attempts, EndlessBytes bytes,
+                               const std::vector<const ReplicaStandin *> &replicas)
+    {
+        m_endless.emplace(m_context.get_executor(), std::move(bytes));
+        m_store.put("keyed.servers", "i-1",
+                    R"({"service":"p","address":")" + m_endless->address().text()
+                            + R"(","zone":"a","slots":8,"state":"ready","born":1})");
+        startEntryWith(kind, attempts, replicas);
+    }
+
+    bool isEveryConnectionClosed()
+    {
+        return waitUntil(
+                [this] { return m_endless->closedConnections() == m_endless->requests(); });
+    }
+
     /** Runs the tasks until a condition holds. @returns false if it does not hold in time */
     bool waitUntil(const std::function<bool()> &condition)
     {
@@ -145,6 +178,16 @@
         return send(m_settings.frontAddress, text);
     }
 
+    /** Sends requests until one of them has reached the server that sends endless bytes. */
+    Received sendToEndless()
+    {
+        Received received = sendRequest(request("/x/1"));
+        while (m_endless->requests() == 0) {
+            received = sendRequest(request("/x/1"));
+        }
+        return received;
+    }
+
     Received httpGet(const Address &address, const std::string &target)
     {
         return send(address, "GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -179,6 +222,7 @@
     StoreStandin m_store;
     ReplicaStandin m_first;
     ReplicaStandin m_second;
+    std::optional<EndlessStandin> m_endless;
     std::optional<Edge> m_edge;
 };
 
@@ -391,5 +435,32 @@
     REQUIRE(waitUntil([&] { return isStopped; }));
 }
 
+TEST_CASE_METHOD(EdgeFixture,
+                 "entry_nonIdempotentResponseDripsIn_failsAtDeadlineWithUnknownOutcome")
+{
+    const EndlessBytes bytes = GENERATE(EndlessBytes {sealedHead, "A: b\r\n", dripPause},
+                                        EndlessBytes {slowHead, "x", dripPause},
+                                        EndlessBytes {chunkedHead, "1\r\nx\r\n", dripPause});
+    CAPTURE(bytes.opening, bytes.repeated);
+    startEntryWithEndless("non_idempotent", 2, bytes, {});
+    const Instant begin = monotonicNow();
+    const Received received = sendRequest(request("/x/1"));
+    REQUIRE(received.status == 504);
+    REQUIRE(monotonicNow() - begin < callerPatience + std::chrono::milliseconds(500));
+    REQUIRE(m_endless->requests() == 1);
+    REQUIRE(isEveryConnectionClosed());
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_endlessBytesAfterTheResponse_relaysTheResponseAlone")
+{
+    const std::string head = sealedHead + "Content-Length: 4\r\n\r\nbody";
+    startEntryWithEndless("non_idempotent", 1, {head, "x"}, {});
+    const Received received = sendRequest(request("/x/1"));
+    REQUIRE(received.status == 200);
+    REQUIRE(received.isComplete);
+    REQUIRE(received.body == "body");
+    REQUIRE(isEveryConnectionClosed());
+}
+
 } // namespace
 } // namespace greengageseam
--- a/tests/failure/tst_endlessbytes.cpp
+++ b/tests/failure/tst_endlessbytes.cpp
@@ -205,6 +205,19 @@
     REQUIRE(m_server.mostBytesSent() < maxBytesSent);
 }
 
+TEST_CASE_METHOD(EndlessBytesFixture, "report_bodyDripsIn_failsInTime")
+{
+    const EndlessBytes bytes = GENERATE(EndlessBytes {slowHead, "x", dripPause},
+                                        EndlessBytes {chunkedHead, "1\r\nx\r\n", dripPause},
+                                        EndlessBytes {chunkedHead + "5;a=", "b", dripPause},
+                                        EndlessBytes {okLine + "\r\n", "x", dripPause});
+    CAPTURE(bytes.opening, bytes.repeated);
+    const auto report = reportOf(bytes);
+    REQUIRE(report);
+    REQUIRE(failureOf(*report) != nullptr);
+    REQUIRE(isEveryConnectionClosed());
+}
+
 TEST_CASE_METHOD(EndlessBytesFixture, "report_bytesAfterTheResponse_closeTheConnection")
 {
     const ReplicaHooks hooks = makeReplicaHooks(m_context.get_executor(), m_server.address());
@@ -218,5 +231,33 @@
     REQUIRE(waitUntil([this] { return m_server.closedConnections() >= 1; }));
 }
 
+TEST_CASE_METHOD(EndlessBytesFixture, "snapshot_bodyDripsIn_failsInTime")
+{
+    const auto snapshot = snapshotOf({slowHead, "x", dripPause});
+    REQUIRE(snapshot);
+    REQUIRE(failureOf(*snapshot) != nullptr);
+    REQUIRE(failureOf(*snapshot)->kind == ErrorKind::PlatformUnavailable);
+    REQUIRE(isEveryConnectionClosed());
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "probe_reportDripsIn_isLostAndComesBack")
+{
+    std::vector<bool> polls;
+    const auto probe = std::make_shared<ReplicaProbe>(
+            m_context.get_executor(),
+            makeReplicaHooks(m_context.get_executor(), m_server.address()),
+            std::chrono::milliseconds(100),
+            [&polls](const std::optional<ReplicaReport> &report) {
+                polls.push_back(report.has_value());
+            },
+            Log(LogLevel::Error, {}));
+    m_server.setBytes({slowHead, "x", dripPause});
+    probe->start();
+    REQUIRE(waitUntil([&] { return polls.size() >= 2; }));
+    REQUIRE(polls == std::vector<bool> {false, false});
+    m_server.setBytes({okLine + "Content-Length: 13\r\n\r\n{\"models\":[]}", ""});
+    REQUIRE(waitUntil([&] { return polls.back(); }));
+}
+
 } // namespace
 } // namespace greengageseam
