--- a/source/edge/requestproxyresponse.cpp
+++ b/source/edge/requestproxyresponse.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr std::size_t maxBufferedBody = 16ULL * 1024 * 1024;
+/** Small enough that an entry holds the responses to many requests at once. */
+constexpr std::size_t maxBufferedBody = 1024ULL * 1024;
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 constexpr int statusServerError = 500;
--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -221,6 +221,10 @@
 Awaitable<HttpReadResult<std::string>>
 HttpConnection::readBody(std::size_t maxBytes, Duration timeout, Duration partTimeout)
 {
+    const auto length = m_parser->content_length_remaining();
+    if (length && *length > maxBytes && !m_parser->is_done()) {
+        co_return HttpReadResult<std::string> {HttpIoStatus::Malformed, {}};
+    }
     const Instant end = monotonicNow() + timeout;
     std::string body;
     while (true) {
--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -435,6 +435,46 @@
     REQUIRE(waitUntil([&] { return isStopped; }));
 }
 
+TEST_CASE_METHOD(EdgeFixture, "entry_idempotentRequestMeetsEndlessBytes_isRetriedOnAnotherBackend")
+{
+    const EndlessBytes bytes =
+            GENERATE(EndlessBytes {"", "x"}, EndlessBytes {sealedHead, "A: b\r\n"},
+                     EndlessBytes {sealedHead, "A: b\r\n", dripPause},
+                     EndlessBytes {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+                     EndlessBytes {longHead, "x"}, EndlessBytes {slowHead, "x", dripPause},
+                     EndlessBytes {chunkedHead, "x"}, EndlessBytes {chunkedHead, "4\r\nxxxx\r\n"},
+                     EndlessBytes {chunkedHead, "1\r\nx\r\n", dripPause},
+                     EndlessBytes {chunkedHead + "5;a=", "b"},
+                     EndlessBytes {chunkedHead + "0\r\n", "A: b\r\n"});
+    CAPTURE(bytes.opening, bytes.repeated, bytes.pause.count());
+    startEntryWithEndless("idempotent", 2, bytes, {&m_second});
+    const Instant begin = monotonicNow();
+    const Received received = sendToEndless();
+    REQUIRE(monotonicNow() - begin < callerPatience);
+    REQUIRE(received.status == 200);
+    REQUIRE(received.isComplete);
+    REQUIRE(received.body == "answer of i-2");
+    REQUIRE(isEveryConnectionClosed());
+    REQUIRE(m_endless->mostBytesSent() < maxBytesTaken);
+}
+
+TEST_CASE_METHOD(EdgeFixture,
+                 "entry_nonIdempotentRequestMeetsEndlessBytes_runsOnceWithUnknownOutcome")
+{
+    const EndlessBytes bytes = GENERATE(
+            EndlessBytes {"", "x"}, EndlessBytes {sealedHead, "A: b\r\n"},
+            EndlessBytes {"", "HTTP/1.1 103 Early Hints\r\n\r\n"}, EndlessBytes {longHead, "x"},
+            EndlessBytes {chunkedHead, "x"}, EndlessBytes {chunkedHead + "5;a=", "b"});
+    CAPTURE(bytes.opening, bytes.repeated);
+    startEntryWithEndless("non_idempotent", 2, bytes, {});
+    const Received received = sendRequest(request("/x/1"));
+    REQUIRE(received.status == 502);
+    REQUIRE(received.isComplete);
+    REQUIRE(m_endless->requests() == 1);
+    REQUIRE(isEveryConnectionClosed());
+    REQUIRE(m_endless->mostBytesSent() < maxBytesTaken);
+}
+
 TEST_CASE_METHOD(EdgeFixture,
                  "entry_nonIdempotentResponseDripsIn_failsAtDeadlineWithUnknownOutcome")
 {
--- a/tests/failure/tst_endlessbytes.cpp
+++ b/tests/failure/tst_endlessbytes.cpp
@@ -177,6 +177,15 @@
     REQUIRE_FALSE(head->value.header("A"));
 }
 
+TEST_CASE_METHOD(EndlessBytesFixture, "connection_headOfLargeBodyRequested_bodyIsEmpty")
+{
+    m_server.setBytes({longHead, ""});
+    const auto body = resultOf<HttpReadResult<std::string>>([this] { return readBodyAfterHead(); });
+    REQUIRE(body);
+    REQUIRE(body->ioStatus == HttpIoStatus::Done);
+    REQUIRE(body->value.empty());
+}
+
 TEST_CASE_METHOD(EndlessBytesFixture, "report_endlessChunkFraming_failsWithLittleMemory")
 {
     const EndlessBytes bytes =
@@ -231,6 +240,16 @@
     REQUIRE(waitUntil([this] { return m_server.closedConnections() >= 1; }));
 }
 
+TEST_CASE_METHOD(EndlessBytesFixture, "snapshot_endlessBody_failsAtTheSizeLimit")
+{
+    const auto snapshot = snapshotOf({longHead, "x"});
+    REQUIRE(snapshot);
+    REQUIRE(failureOf(*snapshot) != nullptr);
+    REQUIRE(failureOf(*snapshot)->kind == ErrorKind::PlatformUnavailable);
+    REQUIRE(isEveryConnectionClosed());
+    REQUIRE(m_server.mostBytesSent() < maxBytesSent);
+}
+
 TEST_CASE_METHOD(EndlessBytesFixture, "snapshot_bodyDripsIn_failsInTime")
 {
     const auto snapshot = snapshotOf({slowHead, "x", dripPause});
