Answer a rejected request at once, whatever follows the head of the rejection

A server that rejected a request and then sent its body byte by byte delayed the answer beyond the deadline of the request: the body, which is read only to reuse the connection, was waited for.

The body of such a response may take 100 ms and 64 KiB; then the connection is reset. The head has said that the request did not run, so the caller still receives 503.

--- a/source/edge/requestproxyresponse.cpp
+++ b/source/edge/requestproxyresponse.cpp
@@ -13,6 +13,9 @@
 
 /** Small enough that an entry holds the responses to many requests at once. */
 constexpr std::size_t maxBufferedBody = 1024ULL * 1024;
+/** The body of a response that is not relayed is read only to reuse the connection. */
+constexpr std::size_t maxDiscardedBody = 64ULL * 1024;
+constexpr auto discardTimeout = std::chrono::milliseconds(100);
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 constexpr int statusServerError = 500;
@@ -46,7 +49,8 @@
         co_return AttemptResult {UpstreamOutcome::Garbled, {}, {}};
     }
     if (fields.isNotExecuted) {
-        co_await m_connection->readBody(maxBufferedBody, readTimeout());
+        co_await m_connection->readBody(maxDiscardedBody,
+                                        std::min<Duration>(discardTimeout, remainingTime()));
         co_return AttemptResult {fields.isMisdirected ? UpstreamOutcome::Misdirected
                                                       : UpstreamOutcome::Rejected,
                                  {},
--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -491,6 +491,22 @@
     REQUIRE(isEveryConnectionClosed());
 }
 
+TEST_CASE_METHOD(EdgeFixture, "entry_rejectionWithEndlessBody_isReportedAtOnce")
+{
+    const std::string head = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: ";
+    const EndlessBytes bytes = GENERATE_COPY(EndlessBytes {head + "1000000000000\r\n\r\n", "x"},
+                                             EndlessBytes {head + "1000\r\n\r\n", "x", dripPause});
+    CAPTURE(bytes.opening, bytes.pause.count());
+    startEntryWithEndless("non_idempotent", 1, bytes, {});
+    const Instant begin = monotonicNow();
+    const Received received = sendRequest(request("/x/1"));
+    REQUIRE(monotonicNow() - begin < std::chrono::seconds(1));
+    REQUIRE(received.status == 503);
+    REQUIRE(received.head.header("Retry-After"));
+    REQUIRE(isEveryConnectionClosed());
+    REQUIRE(m_endless->mostBytesSent() < maxBytesTaken);
+}
+
 TEST_CASE_METHOD(EdgeFixture, "entry_endlessBytesAfterTheResponse_relaysTheResponseAlone")
 {
     const std::string head = sealedHead + "Content-Length: 4\r\n\r\nbody";
