Limit the size and the time of an event of a stream

A stream in which an event began and never ended was buffered for as long as the server sent it, up to the deadline of the request (14 MB and more), and a server that sent such an event byte by byte kept the stream from resuming elsewhere: the timeout for the next event began anew with each part of it.

An event may have 256 KiB; a longer one is garbled. The timeout for an event runs from the end of the event before.

Before, with none of these changes: entry_streamEventWithoutEnd_resumesOnAnotherBackend failed in 4 of 4 cases and entry_streamEventWithoutEndOnEveryBackend_isVisiblyIncomplete in 1 of 2. After: green.

--- a/source/core/fleet/eventsplitter.h
+++ b/source/core/fleet/eventsplitter.h
@@ -40,12 +40,17 @@
 
     /** @returns the id of the last event that was returned or that the caller had at the start */
     std::optional<std::uint64_t> lastId() const { return m_lastId; }
+    /** @returns whether an incomplete event is longer than an event may be */
+    bool isOverlong() const { return m_partial.size() > maxEventBytes; }
     /** @returns whether an incomplete event is buffered */
     bool hasPartial() const { return !m_partial.empty(); }
     /** @returns whether an id was skipped between two events */
     bool hasGap() const { return m_hasGap; }
 
 private:
+    /** An event carries a few tokens. */
+    static constexpr std::size_t maxEventBytes = 256ULL * 1024;
+
     std::string m_partial;
     std::optional<std::uint64_t> m_lastId;
     bool m_hasGap = false;
--- a/source/edge/requestproxyresponse.cpp
+++ b/source/edge/requestproxyresponse.cpp
@@ -92,10 +92,12 @@
 {
     const std::optional<Duration> keepAliveTimeout =
             m_context.codec.decodeResponseMetadata(head).keepAliveTimeout;
+    Instant eventDeadline = monotonicNow() + readTimeout();
     while (true) {
-        HttpReadResult<std::string> chunk = co_await m_connection->readBodyPart(readTimeout());
+        HttpReadResult<std::string> chunk =
+                co_await m_connection->readBodyPart(eventDeadline - monotonicNow());
         CompleteEvents events = m_events.feed(chunk.value);
-        if (m_events.hasGap()) {
+        if (m_events.hasGap() || m_events.isOverlong()) {
             co_return AttemptResult {UpstreamOutcome::Garbled, {}, {}};
         }
         const Instant now = monotonicNow();
@@ -113,6 +115,9 @@
         } else if (events.count > 0) {
             co_await m_writer.writeChunk(std::move(events.bytes));
         }
+        if (events.count > 0) {
+            eventDeadline = monotonicNow() + readTimeout();
+        }
         if (chunk.ioStatus != HttpIoStatus::Done) {
             co_return AttemptResult {classifyReadEnd(chunk.ioStatus, true), {}, {}};
         }
--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -518,5 +518,40 @@
     REQUIRE(isEveryConnectionClosed());
 }
 
+TEST_CASE_METHOD(EdgeFixture, "entry_streamEventWithoutEnd_resumesOnAnotherBackend")
+{
+    const EndlessBytes bytes =
+            GENERATE(EndlessBytes {streamHead, "5\r\ndata:\r\n"},
+                     EndlessBytes {streamHead, "1\r\nx\r\n", dripPause},
+                     EndlessBytes {streamHead + "5;a=", "b"}, EndlessBytes {streamHead, "x"});
+    CAPTURE(bytes.opening, bytes.repeated, bytes.pause.count());
+    startEntryWithEndless("streaming", 2, bytes, {&m_second});
+    m_second.setBehaviour(ReplicaBehaviour::Streams);
+    const Instant begin = monotonicNow();
+    const Received received = sendToEndless();
+    REQUIRE(monotonicNow() - begin < callerPatience);
+    REQUIRE(received.isComplete);
+    REQUIRE(received.body
+            == "id: 1\ndata: i-1\n\nid: 2\ndata: i-2\n\nid: 3\ndata: i-2\n\nid: 4\ndata: i-2\n\n");
+    REQUIRE(isEveryConnectionClosed());
+    REQUIRE(m_endless->mostBytesSent() < maxBytesTaken);
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_streamEventWithoutEndOnEveryBackend_isVisiblyIncomplete")
+{
+    const EndlessBytes bytes = GENERATE(EndlessBytes {streamHead, "5\r\ndata:\r\n"},
+                                        EndlessBytes {streamHead, "1\r\nx\r\n", dripPause});
+    CAPTURE(bytes.repeated);
+    startEntryWithEndless("streaming", 2, bytes, {});
+    const Instant begin = monotonicNow();
+    const Received received = sendRequest(request("/x/1"));
+    REQUIRE(monotonicNow() - begin < callerPatience + std::chrono::milliseconds(500));
+    REQUIRE(received.status == 200);
+    REQUIRE_FALSE(received.isComplete);
+    REQUIRE(received.body == "id: 1\ndata: i-1\n\n");
+    REQUIRE(isEveryConnectionClosed());
+    REQUIRE(m_endless->mostBytesSent() < maxBytesTaken);
+}
+
 } // namespace
 } // namespace greengageseam
--- a/tests/unit/tst_eventsplitter.cpp
+++ b/tests/unit/tst_eventsplitter.cpp
@@ -65,6 +65,19 @@
     REQUIRE(m_splitter.hasGap());
 }
 
+TEST_CASE_METHOD(EventSplitterFixture, "splitter_eventWithoutEnd_isOverlongAtTheLimit")
+{
+    const std::string part(1024, 'x');
+    m_splitter.feed(event(1) + "id: 2\ndata: ");
+    std::size_t bytes = 0;
+    for (; bytes < 1024 * 1024 && !m_splitter.isOverlong(); bytes += part.size()) {
+        REQUIRE(m_splitter.feed(part).count == 0);
+    }
+    REQUIRE(bytes == 256 * 1024);
+    m_splitter.beginAttempt();
+    REQUIRE_FALSE(m_splitter.isOverlong());
+}
+
 TEST_CASE_METHOD(EventSplitterFixture, "splitter_carriageReturns_endAnEvent")
 {
     const CompleteEvents complete = m_splitter.feed("id: 1\r\ndata: x\r\n\r\nid: 2");
