Never reuse a connection after bytes that are no response to the request

A connection on which a response to another request had arrived went back to the pool if that response was complete. The response to the request itself could still follow there, and be found by the next request, whose attempt then failed too.

An attempt that ends as garbled now resets its connection.

Before: entry_responseBelongsToAnotherRequest_connectionIsNotReused failed (the connection was still open). After: green.

--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -301,7 +301,8 @@
         released.timeToResponseStart = monotonicNow() - m_attemptStartedAt;
     }
     const HttpConnectionPtr connection = m_connection ? m_connection : lease.connection;
-    if (connection && connection->isReusable()) {
+    // After bytes that are no response to the request, the response may still follow.
+    if (connection && connection->isReusable() && result.end != UpstreamOutcome::Garbled) {
         released.connection = connection;
     } else if (connection) {
         connection->abort();
--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -518,6 +518,19 @@
     REQUIRE(isEveryConnectionClosed());
 }
 
+// The response may still follow on the connection, where it would be taken for another request's.
+TEST_CASE_METHOD(EdgeFixture, "entry_responseBelongsToAnotherRequest_connectionIsNotReused")
+{
+    startEntryWithEndless("idempotent", 2,
+                          {"HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nServer-Seal: s\r\n"
+                           "Content-Length: 0\r\n\r\n",
+                           ""},
+                          {&m_second});
+    REQUIRE(sendToEndless().body == "answer of i-2");
+    m_context.run_for(std::chrono::milliseconds(100));
+    REQUIRE(m_endless->closedConnections() == m_endless->requests());
+}
+
 TEST_CASE_METHOD(EdgeFixture, "entry_streamEventWithoutEnd_resumesOnAnotherBackend")
 {
     const EndlessBytes bytes =
