--- a/source/edge/requestproxyresponse.cpp
+++ b/source/edge/requestproxyresponse.cpp
@@ -11,7 +11,11 @@
 
 namespace {
 
-constexpr std::size_t maxBufferedBody = 16ULL * 1024 * 1024;
+/** Small enough that an entry holds the responses to many requests at once. */
+constexpr std::size_t maxBufferedBody = 1024ULL * 1024;
+/** The body of a response that is not relayed is read only to reuse the connection. */
+constexpr std::size_t maxDiscardedBody = 64ULL * 1024;
+constexpr auto discardTimeout = std::chrono::milliseconds(100);
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 constexpr int statusServerError = 500;
@@ -45,7 +49,8 @@
         co_return AttemptResult {UpstreamOutcome::Garbled, {}, {}};
     }
     if (fields.isNotExecuted) {
-        co_await m_connection->readBody(maxBufferedBody, readTimeout());
+        co_await m_connection->readBody(maxDiscardedBody,
+                                        std::min<Duration>(discardTimeout, remainingTime()));
         co_return AttemptResult {fields.isMisdirected ? UpstreamOutcome::Misdirected
                                                       : UpstreamOutcome::Rejected,
                                  {},
@@ -87,10 +92,12 @@
 {
     const std::optional<Duration> keepAliveTimeout =
             m_context.codec.decodeResponseMetadata(head).keepAliveTimeout;
+    Instant eventDeadline = monotonicNow() + readTimeout();
     while (true) {
-        HttpReadResult<std::string> chunk = co_await m_connection->readBodyPart(readTimeout());
+        HttpReadResult<std::string> chunk =
+                co_await m_connection->readBodyPart(eventDeadline - monotonicNow());
         CompleteEvents events = m_events.feed(chunk.value);
-        if (m_events.hasGap()) {
+        if (m_events.hasGap() || m_events.isOverlong()) {
             co_return AttemptResult {UpstreamOutcome::Garbled, {}, {}};
         }
         const Instant now = monotonicNow();
@@ -108,6 +115,9 @@
         } else if (events.count > 0) {
             co_await m_writer.writeChunk(std::move(events.bytes));
         }
+        if (events.count > 0) {
+            eventDeadline = monotonicNow() + readTimeout();
+        }
         if (chunk.ioStatus != HttpIoStatus::Done) {
             co_return AttemptResult {classifyReadEnd(chunk.ioStatus, true), {}, {}};
         }
--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -18,7 +18,12 @@
 namespace {
 
 constexpr std::size_t maxBodyPartBytes = 16 * 1024;
+/** Maximum size of a head, and of the chunk headers and trailers that are buffered unparsed. */
 constexpr std::size_t maxHeadBytes = 64 * 1024;
+/** Status codes below this one belong to interim heads, which precede the response. */
+constexpr unsigned firstFinalStatus = 200;
+/** Maximum number of interim heads before a response. */
+constexpr int maxInterimHeads = 8;
 /** TCP_USER_TIMEOUT: the connection is closed if sent data is not acknowledged for this long. */
 constexpr unsigned userTimeoutMs = 3000;
 /** Seconds without traffic before the first keep-alive probe, and between two probes. */
@@ -54,7 +59,7 @@
 }
 
 HttpConnection::HttpConnection(const asio::any_io_executor &executor)
-    : m_socket(executor), m_timer(executor)
+    : m_socket(executor), m_timer(executor), m_buf(maxHeadBytes)
 { }
 
 void HttpConnection::startDeadline(Duration timeout)
@@ -142,6 +147,22 @@
                                                                      Duration timeout)
 {
     const auto self = shared_from_this();
+    const Instant end = monotonicNow() + timeout;
+    m_isKeepAlive = false;
+    for (int interimHeads = 0; interimHeads <= maxInterimHeads; ++interimHeads) {
+        const HttpIoStatus status = co_await parseHead(isHeadRequest, end - monotonicNow());
+        if (status != HttpIoStatus::Done) {
+            co_return HttpReadResult<HttpResponseHead> {status, {}};
+        }
+        if (m_parser->get().result_int() >= firstFinalStatus) {
+            co_return HttpReadResult<HttpResponseHead> {HttpIoStatus::Done, takeHead()};
+        }
+    }
+    co_return HttpReadResult<HttpResponseHead> {HttpIoStatus::Malformed, {}};
+}
+
+Awaitable<HttpIoStatus> HttpConnection::parseHead(bool isHeadRequest, Duration timeout)
+{
     m_parser.emplace();
     m_parser->body_limit(boost::none);
     m_parser->header_limit(maxHeadBytes);
@@ -149,9 +170,12 @@
     startDeadline(timeout);
     auto [ec, n] = co_await http::async_read_header(m_socket, m_buf, *m_parser, asTuple);
     m_isDeadlineActive = false;
-    if (ec) {
-        co_return HttpReadResult<HttpResponseHead> {ioStatusOf(ec), {}};
-    }
+    m_receivedAt = monotonicNow();
+    co_return ioStatusOf(ec);
+}
+
+HttpResponseHead HttpConnection::takeHead()
+{
     const auto &message = m_parser->get();
     HttpResponseHead head;
     head.status = static_cast<int>(message.result_int());
@@ -167,12 +191,13 @@
     if (m_parser->is_done()) {
         m_idleSince = monotonicNow();
     }
-    co_return HttpReadResult<HttpResponseHead> {HttpIoStatus::Done, std::move(head)};
+    return head;
 }
 
 Awaitable<HttpReadResult<std::string>> HttpConnection::readBodyPart(Duration timeout)
 {
     const auto self = shared_from_this();
+    const Instant end = monotonicNow() + timeout;
     std::string bytes;
     while (bytes.empty() && !m_parser->is_done()) {
         bytes.resize(maxBodyPartBytes);
@@ -180,9 +205,10 @@
         body.data = bytes.data();
         body.size = bytes.size();
         body.more = true;
-        startDeadline(timeout);
+        startDeadline(end - monotonicNow());
         auto [ec, n] = co_await http::async_read_some(m_socket, m_buf, *m_parser, asTuple);
         m_isDeadlineActive = false;
+        m_receivedAt = monotonicNow();
         bytes.resize(bytes.size() - body.size);
         if (ec && ec != http::error::need_buffer) {
             co_return HttpReadResult<std::string> {ioStatusOf(ec), std::move(bytes)};
@@ -194,12 +220,21 @@
     co_return HttpReadResult<std::string> {HttpIoStatus::Done, std::move(bytes)};
 }
 
-Awaitable<HttpReadResult<std::string>> HttpConnection::readBody(std::size_t maxBytes,
-                                                                Duration timeout)
+Awaitable<HttpReadResult<std::string>>
+HttpConnection::readBody(std::size_t maxBytes, Duration timeout, Duration partTimeout)
 {
+    const auto length = m_parser->content_length_remaining();
+    if (length && *length > maxBytes && !m_parser->is_done()) {
+        co_return HttpReadResult<std::string> {HttpIoStatus::Malformed, {}};
+    }
+    const Instant end = monotonicNow() + timeout;
     std::string body;
     while (true) {
-        HttpReadResult<std::string> part = co_await readBodyPart(timeout);
+        const Duration left = end - monotonicNow();
+        if (left <= Duration() && !m_parser->is_done()) {
+            co_return HttpReadResult<std::string> {HttpIoStatus::TimedOut, std::move(body)};
+        }
+        HttpReadResult<std::string> part = co_await readBodyPart(std::min(left, partTimeout));
         body += part.value;
         if (part.ioStatus != HttpIoStatus::Done || part.value.empty()) {
             co_return HttpReadResult<std::string> {part.ioStatus, std::move(body)};
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -25,7 +25,7 @@
     ConnectFailed,
     /** The peer closed or reset the connection. */
     ConnectionLost,
-    /** The received bytes are not valid HTTP. */
+    /** The received bytes are not valid HTTP, or exceed a size limit. */
     Malformed,
     /** The operation did not finish within its timeout. */
     TimedOut,
@@ -79,8 +79,9 @@
     Awaitable<HttpIoStatus> send(std::string text, Duration timeout);
 
     /**
-     * Reads the head of the next response.
+     * Reads the head of the next response, and skips interim heads (1xx) before it.
      * @param isHeadRequest whether the request method was HEAD, so that no body follows
+     * @returns Malformed also if the head is too large or follows too many interim heads
      */
     Awaitable<HttpReadResult<HttpResponseHead>> readHead(bool isHeadRequest, Duration timeout);
 
@@ -89,10 +90,12 @@
 
     /**
      * Reads the remaining body.
-     * @param timeout time limit for each read, not for the whole body
+     * @param timeout time limit for the whole body
+     * @param partTimeout time limit for each part of the body
      * @returns Malformed if the body is longer than @p maxBytes
      */
-    Awaitable<HttpReadResult<std::string>> readBody(std::size_t maxBytes, Duration timeout);
+    Awaitable<HttpReadResult<std::string>> readBody(std::size_t maxBytes, Duration timeout,
+                                                    Duration partTimeout = Duration::max());
 
     /** Resets the connection immediately; pending operations return Aborted. */
     void abort();
@@ -110,20 +113,28 @@
     bool isIdleAndOpen();
     /** @returns when the last response was read completely */
     Instant idleSince() const { return m_idleSince; }
+    /** @returns when a part of a response was last received */
+    Instant receivedAt() const { return m_receivedAt; }
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    /** Reads one head, interim or final, into a new parser. */
+    Awaitable<HttpIoStatus> parseHead(bool isHeadRequest, Duration timeout);
+    /** @returns the head that was parsed last */
+    HttpResponseHead takeHead();
     void startDeadline(Duration timeout);
     void armTimer();
     HttpIoStatus ioStatusOf(const boost::system::error_code &ec) const;
 
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
+    /** Received bytes that are not parsed yet. Its size is limited. */
     boost::beast::flat_buffer m_buf;
     std::optional<Parser> m_parser;
     Instant m_deadline;
     Instant m_idleSince;
+    Instant m_receivedAt;
     bool m_isTimerArmed = false;
     bool m_isDeadlineActive = false;
     bool m_isTimedOut = false;
--- a/source/net/keepaliveclient.cpp
+++ b/source/net/keepaliveclient.cpp
@@ -2,6 +2,8 @@
 
 #include "net/clock.h"
 
+#include <algorithm>
+
 namespace greengageseam {
 
 namespace {
@@ -16,9 +18,30 @@
 
 } // namespace
 
+KeepAliveClientOptions KeepAliveClientOptions::withStepTimeout(Duration value) const
+{
+    KeepAliveClientOptions options = *this;
+    options.stepTimeout = value;
+    return options;
+}
+
+KeepAliveClientOptions KeepAliveClientOptions::withBodyTimeout(Duration value) const
+{
+    KeepAliveClientOptions options = *this;
+    options.bodyTimeout = value;
+    return options;
+}
+
+KeepAliveClientOptions KeepAliveClientOptions::withMaxBytes(std::size_t value) const
+{
+    KeepAliveClientOptions options = *this;
+    options.maxBytes = value;
+    return options;
+}
+
 KeepAliveClient::KeepAliveClient(const asio::any_io_executor &executor, Address address,
-                                 Duration timeout, std::size_t maxBytes)
-    : m_executor(executor), m_address(std::move(address)), m_timeout(timeout), m_maxBytes(maxBytes)
+                                 KeepAliveClientOptions options)
+    : m_executor(executor), m_address(std::move(address)), m_options(options)
 { }
 
 Awaitable<Outcome<HttpResponse>> KeepAliveClient::call(HttpRequest request, bool isIdempotent,
@@ -58,6 +81,15 @@
     }
 }
 
+Instant KeepAliveClient::receivedAt() const
+{
+    Instant latest;
+    for (const HttpConnectionPtr &connection : m_activeConnections) {
+        latest = std::max(latest, connection->receivedAt());
+    }
+    return latest;
+}
+
 /** Makes a call during which its connection can be aborted. */
 Awaitable<Outcome<HttpResponse>> KeepAliveClient::callOn(HttpConnectionPtr connection,
                                                          bool isConnected, const std::string &text,
@@ -81,26 +113,29 @@
             co_return *failure;
         }
         const HttpIoStatus connected = co_await connection->connect(
-                std::get<asio::ip::tcp::endpoint>(endpoint), m_timeout);
+                std::get<asio::ip::tcp::endpoint>(endpoint), m_options.stepTimeout);
         if (connected != HttpIoStatus::Done) {
             co_return failureAt(m_address, ErrorKind::NoBackendServer,
                                 "connecting failed or timed out");
         }
     }
-    const HttpIoStatus sent = co_await connection->send(text, m_timeout);
+    const HttpIoStatus sent = co_await connection->send(text, m_options.stepTimeout);
     if (sent != HttpIoStatus::Done) {
+        connection->abort();
         co_return failureAt(m_address, ErrorKind::OutcomeUnknown,
                             "sending the request failed or timed out");
     }
     HttpReadResult<HttpResponseHead> head =
-            co_await connection->readHead(false, m_timeout + extraResponseTime);
+            co_await connection->readHead(false, m_options.stepTimeout + extraResponseTime);
     if (head.ioStatus != HttpIoStatus::Done) {
+        connection->abort();
         co_return failureAt(m_address, ErrorKind::OutcomeUnknown,
                             "no valid response head was received in time");
     }
-    m_receivedAt = monotonicNow();
-    HttpReadResult<std::string> body = co_await readBody(connection);
+    HttpReadResult<std::string> body = co_await connection->readBody(
+            m_options.maxBytes, m_options.bodyTimeout, m_options.stepTimeout);
     if (body.ioStatus != HttpIoStatus::Done) {
+        connection->abort();
         co_return failureAt(m_address, ErrorKind::OutcomeUnknown,
                             "the response body is incomplete or exceeds the size limit");
     }
@@ -114,21 +149,4 @@
     co_return response;
 }
 
-/** Reads the remaining body, and records when each part of it arrives. */
-Awaitable<HttpReadResult<std::string>> KeepAliveClient::readBody(HttpConnectionPtr connection)
-{
-    std::string body;
-    while (true) {
-        const HttpReadResult<std::string> part = co_await connection->readBodyPart(m_timeout);
-        body += part.value;
-        if (part.ioStatus != HttpIoStatus::Done || part.value.empty()) {
-            co_return HttpReadResult<std::string> {part.ioStatus, std::move(body)};
-        }
-        m_receivedAt = monotonicNow();
-        if (body.size() > m_maxBytes) {
-            co_return HttpReadResult<std::string> {HttpIoStatus::Malformed, {}};
-        }
-    }
-}
-
 } // namespace greengageseam
--- a/source/net/keepaliveclient.h
+++ b/source/net/keepaliveclient.h
@@ -9,6 +9,22 @@
 
 namespace greengageseam {
 
+/** Limits of the calls of a client. */
+struct KeepAliveClientOptions
+{
+    /** Time limit for each step of a call: connecting, sending, and each read. */
+    Duration stepTimeout = std::chrono::seconds(1);
+    /** Time limit for the whole body of a response. */
+    Duration bodyTimeout = std::chrono::seconds(1);
+    /** Maximum size of the body of a response. */
+    std::size_t maxBytes = 1024 * 1024;
+
+    KeepAliveClientOptions withStepTimeout(Duration value) const;
+    KeepAliveClientOptions withBodyTimeout(Duration value) const;
+    KeepAliveClientOptions withMaxBytes(std::size_t value) const;
+    auto operator<=>(const KeepAliveClientOptions &) const = default;
+};
+
 /**
  * Sends requests to one address. Overlapping calls use separate connections; the connection of the
  * call that finishes last is kept for reuse. Must be created with std::make_shared.
@@ -16,12 +32,8 @@
 class KeepAliveClient : public std::enable_shared_from_this<KeepAliveClient>
 {
 public:
-    /**
-     * @param timeout time limit for each step of a call: connecting, sending, each read
-     * @param maxBytes maximum size of a response body
-     */
-    KeepAliveClient(const asio::any_io_executor &executor, Address address, Duration timeout,
-                    std::size_t maxBytes);
+    KeepAliveClient(const asio::any_io_executor &executor, Address address,
+                    KeepAliveClientOptions options);
 
     /**
      * Sends a request and reads the complete response.
@@ -35,8 +47,8 @@
                                           Duration extraResponseTime = {});
     /** Closes the connections of all calls in progress, which then fail and are not retried. */
     void abort();
-    /** @returns when a part of a response was last received */
-    Instant receivedAt() const { return m_receivedAt; }
+    /** @returns when a part of a response to a call in progress was last received */
+    Instant receivedAt() const;
     /** @returns whether a call is in progress */
     bool isCalling() const { return !m_activeConnections.empty(); }
 
@@ -45,19 +57,16 @@
                                             const std::string &text, Duration extraResponseTime);
     Awaitable<Outcome<HttpResponse>> callOnce(HttpConnectionPtr connection, bool isConnected,
                                               const std::string &text, Duration extraResponseTime);
-    Awaitable<HttpReadResult<std::string>> readBody(HttpConnectionPtr connection);
 
     asio::any_io_executor m_executor;
     Address m_address;
-    Duration m_timeout;
-    std::size_t m_maxBytes;
+    KeepAliveClientOptions m_options;
     /** The connection that is kept for reuse. */
     HttpConnectionPtr m_connection;
     /** The connections of the calls in progress. */
     std::set<HttpConnectionPtr> m_activeConnections;
     /** Number of calls to abort(). */
     std::uint64_t m_aborts = 0;
-    Instant m_receivedAt;
 };
 
 } // namespace greengageseam
