--- a/tests/failure/tst_endlessbytes.cpp
+++ b/tests/failure/tst_endlessbytes.cpp
@@ -115,7 +115,7 @@
     {
         m_server.setBytes(std::move(bytes));
         const KeyedStore store(m_context.get_executor(), m_server.address(), storeTimeout);
-        return resultOf<Outcome<KeyedSnapshot>>(store.snapshotReader("keyed.op"));
+        return resultOf<Outcome<KeyedSnapshot>>(store.topicReader("keyed.op").snapshot);
     }
 
     bool isEveryConnectionClosed()
