Let agents pass target versions of weights on to entries that lack them

Cause: entries told agents the target versions in their subscriptions, but agents told entries only how far the operator's topic was read. An entry that could not read the topic never learned that newer weights were named, and kept using replicas with old weights past the bound, though each agent knew.

Change: an agent keeps the newest target version of each model, from any entry or its own read. It answers a subscription that lacks one with a small datagram of its own (KnownTargetVersions). Load reports and subscriptions keep their bytes, and nothing is sent while all know the same. The datagram carries how long the agent has known the version; the entry dates it back by that time, but not beyond a version that it reads at its start. weights.target-changed has a new field `source`. Negative target versions in datagrams are rejected. An earlier process ignores the new datagram as one of an unknown kind.

Tests: entry_operatorTopicUnreadableAndAgentKnowsNewWeights_oldOnesGetNothing was red on the old code (tst_edge.cpp:402: 200 == 503; the other 16 tests of failure-edge passed) and passes now. New: failure-loadreports (6 tests), one test in failure-feeds, one more in failure-edge, 3 in differential-platformdecoders. The engine configuration of an existing edge test moved into the fixture, unchanged.

Measured: failure-loadreports 15 of 15 runs, failure-edge 3 of 3, failure-feeds 19 of 20 beside builds of others (load 14 to 25). The one failed run's output was not kept; 22 of its usual 23 assertions passed, so the failed one was the last of its test, which the new test's cannot be after those before it. It is not traced. With heard versions dated as of now, entry_startsAndAgentHasLongKnownNewWeights_theyAreDueAsAfterARead fails.

--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -95,6 +95,10 @@
         m_exchange->fetcher()->post(FetcherEntriesChanged {entries});
         m_replicaWatcher->relyOnPeers(!isListReader(entries, self));
     };
+    hooks.onTargetVersion = [this](const KnownTargetVersion &known) {
+        m_operatorWatcher->applyPeerTargetVersion(known.targetVersion, VersionSource::Agent,
+                                                  known.age);
+    };
     hooks.onListDelta = [this](const ReplicaListDelta &delta) {
         m_replicaWatcher->applyPeerDelta(delta);
     };
@@ -132,10 +136,11 @@
         m_exchange->fetcher()->post(FetcherConfigChanged {table});
         onReplicasChanged(m_replicaEntries);
     };
-    hooks.onTargetVersion = [this](const TargetVersion &targetVersion, bool isInitial) {
-        const Instant at = isInitial
-                ? monotonicNow() - m_settings.bounds.weightsApply + initialTargetGrace
-                : monotonicNow();
+    hooks.onTargetVersion = [this](const TargetVersion &targetVersion, bool isInitial,
+                                   Duration age) {
+        const Instant now = monotonicNow();
+        const Instant initialAt = now - m_settings.bounds.weightsApply + initialTargetGrace;
+        const Instant at = isInitial ? initialAt : std::min(now, std::max(initialAt, now - age));
         m_dispatcher->mailbox()->post(TargetVersionChanged {targetVersion, at});
         m_exchange->fetcher()->post(FetcherTargetVersionChanged {targetVersion});
         m_loadListener->mailbox()->post(AnnounceTargetVersion {targetVersion});
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -131,6 +131,10 @@
         m_hooks.onReport(*report);
     } else if (const auto *list = std::get_if<ReplicaListDelta>(&datagram)) {
         m_hooks.onListDelta(*list);
+    } else if (const auto *known = std::get_if<KnownTargetVersions>(&datagram)) {
+        for (const KnownTargetVersion &version : known->versions) {
+            m_hooks.onTargetVersion(version);
+        }
     } else if (const auto *seen = std::get_if<KnownEntries>(&datagram)) {
         const Instant now = monotonicNow();
         for (const EntryLocation &site : seen->entries) {
--- a/source/edge/loadlistener.h
+++ b/source/edge/loadlistener.h
@@ -50,6 +50,8 @@
     std::function<void(const LoadReport &report)> onReport;
     /** Called when the set of running entries has changed. The set includes this entry. */
     std::function<void(const std::vector<EntryLocation> &entries)> onEntriesChanged;
+    /** Called for each target version that an agent passes on; it may be known already. */
+    std::function<void(const KnownTargetVersion &known)> onTargetVersion;
     /** Called when another entry has read the list of backend servers and relays the delta. */
     std::function<void(const ReplicaListDelta &delta)> onListDelta;
 };
--- a/source/edge/storewatchers.cpp
+++ b/source/edge/storewatchers.cpp
@@ -4,6 +4,23 @@
 
 namespace greengageseam {
 
+namespace {
+
+/** @returns the name of a source in the log */
+std::string nameOf(VersionSource source)
+{
+    switch (source) {
+    case VersionSource::Agent:
+        return "agent";
+    case VersionSource::Entry:
+        return "entry";
+    default:
+        return "store";
+    }
+}
+
+} // namespace
+
 OperatorWatcher::OperatorWatcher(const asio::any_io_executor &executor, TopicReader reader,
                                  FollowOptions options, OperatorHooks hooks, Log log)
     : m_hooks(std::move(hooks)), m_log(std::move(log))
@@ -73,7 +90,8 @@
             m_log.error("weights.unreadable", {{"reason", failure->detail}});
             return;
         }
-        applyTargetVersion(std::get<TargetVersion>(read), isInitial);
+        applyTargetVersion(std::get<TargetVersion>(read), VersionSource::Store, isInitial,
+                           Duration());
     }
 }
 
@@ -82,14 +100,16 @@
     m_follower->mailbox()->post(RestartRead {});
 }
 
-void OperatorWatcher::applyPeerTargetVersion(const TargetVersion &targetVersion)
+void OperatorWatcher::applyPeerTargetVersion(const TargetVersion &targetVersion,
+                                             VersionSource source, Duration age)
 {
     if (m_hasSnapshot) {
-        applyTargetVersion(targetVersion, false);
+        applyTargetVersion(targetVersion, source, false, age);
     }
 }
 
-void OperatorWatcher::applyTargetVersion(const TargetVersion &targetVersion, bool isInitial)
+void OperatorWatcher::applyTargetVersion(const TargetVersion &targetVersion, VersionSource source,
+                                         bool isInitial, Duration age)
 {
     std::uint64_t &known = m_targetVersions[targetVersion.model];
     if (targetVersion.version <= known) {
@@ -97,8 +117,10 @@
     }
     known = targetVersion.version;
     m_log.info("weights.target-changed",
-               {{"model", targetVersion.model.text()}, {"version", targetVersion.version}});
-    m_hooks.onTargetVersion(targetVersion, isInitial);
+               {{"model", targetVersion.model.text()},
+                {"version", targetVersion.version},
+                {"source", nameOf(source)}});
+    m_hooks.onTargetVersion(targetVersion, isInitial, age);
 }
 
 ReplicaWatcher::ReplicaWatcher(const asio::any_io_executor &executor, TopicReader reader,
--- a/source/edge/storewatchers.h
+++ b/source/edge/storewatchers.h
@@ -13,6 +13,9 @@
 
 namespace greengageseam {
 
+/** Where a watcher learned of a target version. */
+enum class VersionSource { Store, Agent, Entry };
+
 /** Decoders and event handlers for the operator's topic. The hooks must not block. */
 struct OperatorHooks
 {
@@ -28,9 +31,11 @@
     std::function<void(RouteTablePtr table)> onConfig;
     /**
      * Called when a newer target version was announced. isInitial tells whether it was announced
-     * before this watcher read the topic for the first time.
+     * before this watcher read the topic for the first time; age is the time for which the process
+     * that passed the version on has known it, and 0 if this watcher read it.
      */
-    std::function<void(const TargetVersion &targetVersion, bool isInitial)> onTargetVersion;
+    std::function<void(const TargetVersion &targetVersion, bool isInitial, Duration age)>
+            onTargetVersion;
     /** Called when the topic was read up to a higher offset. */
     std::function<void(std::uint64_t offset)> onOffsetAdvanced;
 };
@@ -52,14 +57,17 @@
      */
     void restartRead();
     /**
-     * Applies a target version that another process has read. It is ignored until this watcher has
+     * Applies a target version that another process knows. It is ignored until this watcher has
      * read the topic once itself.
+     * @param age time for which the other process has known it
      */
-    void applyPeerTargetVersion(const TargetVersion &targetVersion);
+    void applyPeerTargetVersion(const TargetVersion &targetVersion, VersionSource source,
+                                Duration age);
 
 private:
     void applyRecord(const KeyedRecord &record, bool isInitial);
-    void applyTargetVersion(const TargetVersion &targetVersion, bool isInitial);
+    void applyTargetVersion(const TargetVersion &targetVersion, VersionSource source,
+                            bool isInitial, Duration age);
     void advanceOffset(std::uint64_t offset);
 
     OperatorHooks m_hooks;
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -101,6 +101,35 @@
     return delta;
 }
 
+wire::VersionsHeard versionsToWire(const KnownTargetVersions &known)
+{
+    wire::VersionsHeard heard;
+    for (const KnownTargetVersion &one : known.versions) {
+        wire::VersionHeard version;
+        version.model = one.targetVersion.model.text();
+        version.version = static_cast<std::int64_t>(one.targetVersion.version);
+        const Duration age = std::min<Duration>(one.age, maxKnownVersionAge);
+        version.ageMs = static_cast<std::int32_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+        heard.versions.push_back(version);
+    }
+    return heard;
+}
+
+Result<Datagram> versionsFromWire(const wire::VersionsHeard &heard)
+{
+    KnownTargetVersions known;
+    for (const wire::VersionHeard &one : heard.versions) {
+        if (one.version < 0 || one.ageMs < 0) {
+            return fail(ErrorKind::ProtocolViolation,
+                        "a datagram with target versions contains negative numbers");
+        }
+        known.versions.push_back({{ModelName(one.model), static_cast<std::uint64_t>(one.version)},
+                                  std::chrono::milliseconds(one.ageMs)});
+    }
+    return Datagram(std::move(known));
+}
+
 wire::Datagram toWire(const Datagram &datagram)
 {
     wire::Datagram frame;
@@ -123,6 +152,10 @@
         frame.__set_listPassed(listToWire(*delta));
         return frame;
     }
+    if (const auto *known = std::get_if<KnownTargetVersions>(&datagram)) {
+        frame.__set_versionsHeard(versionsToWire(*known));
+        return frame;
+    }
     if (const auto *seen = std::get_if<KnownEntries>(&datagram)) {
         wire::EntriesSeen body;
         for (const EntryLocation &site : seen->entries) {
@@ -183,6 +216,10 @@
                                        static_cast<std::uint64_t>(frame.loadWanted.news),
                                        {}};
         for (const wire::NamedVersion &named : frame.loadWanted.named) {
+            if (named.version < 0) {
+                return fail(ErrorKind::ProtocolViolation,
+                            "a subscription contains a negative target version");
+            }
             subscription.targetVersions.push_back(
                     {ModelName(named.model), static_cast<std::uint64_t>(named.version)});
         }
@@ -202,6 +239,9 @@
         }
         return Datagram(std::move(seen));
     }
+    if (frame.__isset.versionsHeard) {
+        return versionsFromWire(frame.versionsHeard);
+    }
     const wire::LoadSeen &seen = frame.loadSeen;
     const bool isNegative = seen.bornMs < 0 || seen.weights < 0 || seen.waiting < 0
             || seen.running < 0 || seen.pace < 0;
--- a/source/protocol/datagramcodec.h
+++ b/source/protocol/datagramcodec.h
@@ -42,11 +42,32 @@
     auto operator<=>(const KnownEntries &) const = default;
 };
 
+/** A target version of weights, and for how long the sender has known it. */
+struct KnownTargetVersion
+{
+    TargetVersion targetVersion;
+    /** In whole milliseconds; an older version has maxKnownVersionAge. */
+    Duration age {};
+
+    auto operator<=>(const KnownTargetVersion &) const = default;
+};
+
+/** Target versions that an agent knows, and that the entry's subscription lacked. */
+struct KnownTargetVersions
+{
+    std::vector<KnownTargetVersion> versions;
+
+    auto operator<=>(const KnownTargetVersions &) const = default;
+};
+
 /** Content of a datagram. */
-using Datagram = std::variant<LoadSubscription, LoadReport, KnownEntries, ReplicaListDelta>;
+using Datagram = std::variant<LoadSubscription, LoadReport, KnownEntries, ReplicaListDelta,
+                              KnownTargetVersions>;
 
 /** Maximum size of a datagram in bytes. */
 constexpr std::size_t maxDatagramBytes = 8000;
+/** Longer ages of target versions are encoded as this one. */
+constexpr auto maxKnownVersionAge = std::chrono::hours(1);
 
 /** Encodes a datagram. */
 std::string encodeDatagram(const Datagram &datagram);
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -339,10 +339,24 @@
   9: i64 news;
 }
 
+/** A named version of weights, as an agent has heard of it. */
+struct VersionHeard {
+  1: string model;
+  2: i64 version;
+  /** For how long the agent has known it, in milliseconds. */
+  3: i32 ageMs;
+}
+
+/** Datagram of an agent to an entry: named weights that the entry has shown not to know. */
+struct VersionsHeard {
+  1: list<VersionHeard> versions;
+}
+
 /** One datagram. */
 union Datagram {
   1: LoadWanted loadWanted;
   2: LoadSeen loadSeen;
   3: EntriesSeen entriesSeen;
   4: ListPassed listPassed;
+  5: VersionsHeard versionsHeard;
 }
--- a/source/sidecar/loadreporter.cpp
+++ b/source/sidecar/loadreporter.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t mailboxCapacity = 16;
+constexpr std::size_t mailboxCapacity = 64;
 /** Time after its last request at which an entry's subscription expires. */
 constexpr auto subscriptionTimeout = std::chrono::milliseconds(800);
 /** Minimum time between two reports to an entry of another zone without urgent changes. */
@@ -23,7 +23,7 @@
 LoadReporter::LoadReporter(const asio::any_io_executor &executor, ZoneName zone,
                            LoadReporterHooks hooks, Log log)
     : m_executor(executor), m_zone(std::move(zone)), m_hooks(std::move(hooks)),
-      m_log(std::move(log)), m_mailbox(makeMailbox<LoadReport>(executor, mailboxCapacity)),
+      m_log(std::move(log)), m_mailbox(makeMailbox<LoadReporterCommand>(executor, mailboxCapacity)),
       m_socket(executor), m_knownEntries(subscriptionTimeout)
 { }
 
@@ -33,7 +33,7 @@
     asio::co_spawn(
             m_executor, [self = shared_from_this()] { return self->listen(); }, asio::detached);
     asio::co_spawn(
-            m_executor, [self = shared_from_this()] { return self->sendReports(); },
+            m_executor, [self = shared_from_this()] { return self->runCommands(); },
             asio::detached);
     return {};
 }
@@ -74,8 +74,10 @@
     }
     m_operatorOffset = std::max(m_operatorOffset, subscription.operatorOffset);
     for (const TargetVersion &named : subscription.targetVersions) {
+        apply(TargetVersionKnown {named, now});
         m_hooks.onTargetVersion(named);
     }
+    sendMissingVersions(subscription, sender, now);
     if (m_knownEntries.checksum() != subscription.entriesChecksum) {
         m_socket.send(encodeDatagram(KnownEntries {m_knownEntries.locations()}), sender);
     }
@@ -87,6 +89,27 @@
     }
 }
 
+/** Tells an entry the target versions that are newer than those of its subscription. */
+void LoadReporter::sendMissingVersions(const LoadSubscription &subscription,
+                                       const asio::ip::udp::endpoint &sender, Instant now)
+{
+    KnownTargetVersions missing;
+    for (const auto &[model, known] : m_targetVersions) {
+        const bool isKnown =
+                std::any_of(subscription.targetVersions.begin(), subscription.targetVersions.end(),
+                            [&known](const TargetVersion &it) {
+                                return it.model == known.targetVersion.model
+                                        && it.version >= known.targetVersion.version;
+                            });
+        if (!isKnown) {
+            missing.versions.push_back({known.targetVersion, now - known.since});
+        }
+    }
+    if (!missing.versions.empty()) {
+        m_socket.send(encodeDatagram(missing), sender);
+    }
+}
+
 /** Sends the list of entries when it changes, so that new entries discover each other quickly. */
 void LoadReporter::sendEntries()
 {
@@ -117,24 +140,41 @@
             || last.startedAtMs != report.startedAtMs;
 }
 
-Awaitable<void> LoadReporter::sendReports()
+Awaitable<void> LoadReporter::runCommands()
 {
-    while (std::optional<LoadReport> report = co_await m_mailbox->receive()) {
-        report->entriesChecksum = m_knownEntries.checksum();
-        report->operatorOffset = m_operatorOffset;
-        m_lastReport = *report;
-        const Instant now = monotonicNow();
-        std::erase_if(m_subscribers, [&](const auto &entry) {
-            return now - entry.second.requestedAt > subscriptionTimeout;
-        });
-        const std::string bytes = encodeDatagram(*report);
-        sendEntries();
-        for (auto &[entry, subscriber] : m_subscribers) {
-            if (isDue(subscriber, *report, now)) {
-                subscriber.lastReport = *report;
-                subscriber.lastReportAt = now;
-                m_socket.send(bytes, entry);
-            }
+    while (std::optional<LoadReporterCommand> command = co_await m_mailbox->receive()) {
+        std::visit([this](const auto &message) { apply(message); }, *command);
+    }
+}
+
+/** Keeps the newest version of a model, and the earliest time at which it was known. */
+void LoadReporter::apply(const TargetVersionKnown &command)
+{
+    TargetVersionKnown &known =
+            m_targetVersions.try_emplace(command.targetVersion.model, command).first->second;
+    if (command.targetVersion.version > known.targetVersion.version) {
+        known = command;
+    } else if (command.targetVersion == known.targetVersion) {
+        known.since = std::min(known.since, command.since);
+    }
+}
+
+void LoadReporter::apply(LoadReport report)
+{
+    report.entriesChecksum = m_knownEntries.checksum();
+    report.operatorOffset = m_operatorOffset;
+    m_lastReport = report;
+    const Instant now = monotonicNow();
+    std::erase_if(m_subscribers, [&](const auto &entry) {
+        return now - entry.second.requestedAt > subscriptionTimeout;
+    });
+    const std::string bytes = encodeDatagram(report);
+    sendEntries();
+    for (auto &[entry, subscriber] : m_subscribers) {
+        if (isDue(subscriber, report, now)) {
+            subscriber.lastReport = report;
+            subscriber.lastReportAt = now;
+            m_socket.send(bytes, entry);
         }
     }
 }
--- a/source/sidecar/loadreporter.h
+++ b/source/sidecar/loadreporter.h
@@ -13,6 +13,17 @@
 
 namespace greengageseam {
 
+/** The agent knows a target version of weights. */
+struct TargetVersionKnown
+{
+    TargetVersion targetVersion;
+    /** When the version became known; a time long ago if it was named before this process began. */
+    Instant since;
+};
+
+/** Messages to the task: a new report of the local backend server, or a target version. */
+using LoadReporterCommand = std::variant<LoadReport, TargetVersionKnown>;
+
 /** Hooks for what entries send along with their subscriptions. They must not block. */
 struct LoadReporterHooks
 {
@@ -22,7 +33,11 @@
     std::function<void(const TargetVersion &named)> onTargetVersion;
 };
 
-/** Sends load reports to each entry that has subscribed, and handles its subscriptions. */
+/**
+ * Sends load reports to each entry that has subscribed, and handles its subscriptions. Tells an
+ * entry the target versions that its subscription lacks, since the entry may be unable to read them
+ * from the store.
+ */
 class LoadReporter : public std::enable_shared_from_this<LoadReporter>
 {
 public:
@@ -30,8 +45,8 @@
     LoadReporter(const asio::any_io_executor &executor, ZoneName zone, LoadReporterHooks hooks,
                  Log log);
 
-    /** @returns the mailbox for new reports */
-    const MailboxPtr<LoadReport> &mailbox() const { return m_mailbox; }
+    /** @returns the mailbox that takes commands */
+    const MailboxPtr<LoadReporterCommand> &mailbox() const { return m_mailbox; }
     /** Binds the socket and starts the task. @returns an error if the socket cannot be bound */
     Result<void> start(const std::string &ip, std::uint16_t port);
 
@@ -47,8 +62,12 @@
     };
 
     Awaitable<void> listen();
-    Awaitable<void> sendReports();
+    Awaitable<void> runCommands();
+    void apply(LoadReport report);
+    void apply(const TargetVersionKnown &command);
     void sendEntries();
+    void sendMissingVersions(const LoadSubscription &subscription,
+                             const asio::ip::udp::endpoint &sender, Instant now);
     bool isDue(const Subscriber &subscriber, const LoadReport &report, Instant now) const;
     void handleSubscription(const LoadSubscription &subscription,
                             const asio::ip::udp::endpoint &sender);
@@ -57,11 +76,13 @@
     ZoneName m_zone;
     LoadReporterHooks m_hooks;
     Log m_log;
-    MailboxPtr<LoadReport> m_mailbox;
+    MailboxPtr<LoadReporterCommand> m_mailbox;
     DatagramSocket m_socket;
     std::map<asio::ip::udp::endpoint, Subscriber> m_subscribers;
     EntryRegistry m_knownEntries;
     std::optional<LoadReport> m_lastReport;
+    /** The newest target version of the weights of each model. */
+    std::map<ModelName, TargetVersionKnown> m_targetVersions;
     /** The highest offset of the operator's log that an entry has reported. */
     std::uint64_t m_operatorOffset = 0;
     /** Checksum of the last list of entries that was sent to all subscribers. */
--- a/source/sidecar/sidecar.cpp
+++ b/source/sidecar/sidecar.cpp
@@ -43,7 +43,7 @@
         m_exchange->fetcher()->post(FetcherEntriesChanged {entries});
     };
     hooks.onTargetVersion = [this](const TargetVersion &named) {
-        m_operatorWatcher->applyPeerTargetVersion(named);
+        m_operatorWatcher->applyPeerTargetVersion(named, VersionSource::Entry, Duration());
     };
     m_loadReporter = std::make_shared<LoadReporter>(m_executor, m_settings.zone, hooks, m_log);
     BOOST_LEAF_CHECK(m_loadReporter->start(m_settings.ip, m_settings.firstPort + 1));
@@ -103,12 +103,13 @@
         const bool mayCancel = canFailOver(table->config(), m_settings.backendService);
         m_installer->mailbox()->post(InstallerCancelPolicyChanged {mayCancel});
     };
-    hooks.onTargetVersion = [this](const TargetVersion &named, bool isOld) {
+    hooks.onTargetVersion = [this](const TargetVersion &named, bool isOld, Duration) {
         // A version announced before this process started is installed without waiting for a
         // rollout slot.
         const Instant at = isOld ? Instant() : monotonicNow();
         m_installer->mailbox()->post(InstallerTargetVersionChanged {named.version, at});
         m_exchange->fetcher()->post(FetcherTargetVersionChanged {named});
+        m_loadReporter->mailbox()->post(TargetVersionKnown {named, at});
     };
     hooks.onOffsetAdvanced = [](std::uint64_t) { };
     FollowOptions follow;
--- a/tests/differential/tst_platformdecoders.cpp
+++ b/tests/differential/tst_platformdecoders.cpp
@@ -143,6 +143,9 @@
                  decodeDatagram);
     checkMutants(encodeDatagram(KnownEntries {{{InstanceId("a"), ZoneName("b"), "127.0.0.1"}}}),
                  decodeDatagram);
+    checkMutants(encodeDatagram(KnownTargetVersions {
+                         {{{ModelName("m"), 2}, std::chrono::milliseconds(700)}}}),
+                 decodeDatagram);
 }
 
 TEST_CASE_METHOD(PlatformDecodersFixture, "datagram_eachKind_isUnchangedByARoundTrip")
@@ -159,12 +162,57 @@
     report.operatorOffset = 12;
     const std::vector<Datagram> all {
             report, LoadSubscription {InstanceId("a"), ZoneName("b"), UINT64_MAX, 9},
-            KnownEntries {{{InstanceId("a"), ZoneName("b"), "127.0.0.1"}}}};
+            KnownEntries {{{InstanceId("a"), ZoneName("b"), "127.0.0.1"}}},
+            KnownTargetVersions {{{{ModelName("m"), 2}, std::chrono::milliseconds(700)},
+                                  {{ModelName("n"), 9}, maxKnownVersionAge}}}};
     for (const Datagram &datagram : all) {
         const auto read = toOutcome([&] { return decodeDatagram(encodeDatagram(datagram)); });
         REQUIRE(std::get<Datagram>(read) == datagram);
     }
 }
 
+TEST_CASE_METHOD(PlatformDecodersFixture, "datagram_ofAnUnknownKind_isRejected")
+{
+    const std::string bytes("\x9c\x15\x02\0\0", 5);
+    const auto read = toOutcome([&] { return decodeDatagram(bytes); });
+    REQUIRE(failureOf(read)->kind == ErrorKind::ProtocolViolation);
+}
+
+// Processes of an earlier landing send these bytes.
+TEST_CASE_METHOD(PlatformDecodersFixture, "datagram_ofAnEarlierLanding_isDecoded")
+{
+    const std::string subscription("\x1c\x18\x01"
+                                   "e\x18\x01"
+                                   "a\x16\x06\x16\x08\x19\x1c\x18\x01"
+                                   "m\x16\x0a\0\0\0",
+                                   21);
+    const auto wanted = toOutcome([&] { return decodeDatagram(subscription); });
+    REQUIRE(std::get<Datagram>(wanted)
+            == Datagram(LoadSubscription {
+                    InstanceId("e"), ZoneName("a"), 3, 4, {{ModelName("m"), 5}}}));
+    LoadReport report;
+    report.backend = Address("b");
+    report.weightsVersion = 3;
+    report.slowdown = 1.5;
+    report.operatorOffset = 12;
+    const std::string bytes("\x2c\x18\x01"
+                            "b\x16\0\x16\x06\x12\x15\0\x15\0\x15\xb8\x17\x16\0\x16\x18\0\0",
+                            22);
+    const auto seen = toOutcome([&] { return decodeDatagram(bytes); });
+    REQUIRE(std::get<Datagram>(seen) == Datagram(report));
+    REQUIRE(encodeDatagram(report) == bytes);
+}
+
+TEST_CASE_METHOD(PlatformDecodersFixture, "datagram_negativeTargetVersion_isRejected")
+{
+    for (const Datagram &datagram :
+         {Datagram(LoadSubscription {
+                  InstanceId("a"), ZoneName("b"), 7, 9, {{ModelName("m"), UINT64_MAX}}}),
+          Datagram(KnownTargetVersions {{{{ModelName("m"), UINT64_MAX}, Duration()}}})}) {
+        const auto read = toOutcome([&] { return decodeDatagram(encodeDatagram(datagram)); });
+        REQUIRE(failureOf(read)->kind == ErrorKind::ProtocolViolation);
+    }
+}
+
 } // namespace
 } // namespace greengageseam
--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -7,6 +7,7 @@
 #include "fleetstandin.h"
 #include "net/clock.h"
 #include "platform/platform.h"
+#include "sidecar/loadreporter.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -91,6 +92,46 @@
                 [this] { return httpGet(m_settings.readyAddress, "/-/readiness").status == 200; }));
     }
 
+    /** Starts an entry with one engine that runs version 1 of model m. */
+    void startEntryWithEngine()
+    {
+        m_store.put("keyed.op", "config",
+                    R"({"version":1,"routes":[{"name":"r","host":"a.example","pathPrefix":"/x/",)"
+                    R"("routeKind":"streaming","timeoutMs":6000,"targetLatencyMs":400,)"
+                    R"("service":"p","maxAttempts":1,"streamResume":true,"anonymous":true}],)"
+                    R"("services":[{"name":"p","engine":{"slots":8,"step_ms":7,)"
+                    R"("usual":{"prompt":9,"answer":9},"models":[{"name":"m"}]}}]})");
+        m_store.put("keyed.servers", "i-1", m_first.engineListEntry("p", "m", 1));
+        startEntry();
+        REQUIRE(waitUntil(
+                [this] { return httpGet(m_settings.readyAddress, "/-/readiness").status == 200; }));
+    }
+
+    /** Starts the reporter of the agent beside the backend servers; the entry gets another IP. */
+    void startAgent()
+    {
+        m_settings.ip = "127.0.0.2";
+        LoadReporterHooks hooks;
+        hooks.onEntriesChanged = [](const std::vector<EntryLocation> &) { };
+        hooks.onTargetVersion = [](const TargetVersion &) { };
+        m_agent = std::make_shared<LoadReporter>(m_context.get_executor(), m_settings.zone, hooks,
+                                                 m_log);
+        REQUIRE(m_agent->start("127.0.0.1", agentPort()));
+    }
+
+    std::uint16_t agentPort() const { return static_cast<std::uint16_t>(m_settings.firstPort + 1); }
+
+    /** Another entry tells the agent that a version of model m was named. */
+    void tellAgent(std::uint64_t version)
+    {
+        DatagramSocket other(m_context.get_executor());
+        REQUIRE(other.bind("127.0.0.3", 0));
+        other.send(
+                encodeDatagram(LoadSubscription {
+                        InstanceId("entry-2"), ZoneName("b"), 0, 0, {{ModelName("m"), version}}}),
+                {asio::ip::make_address("127.0.0.1"), agentPort()});
+    }
+
     /** Runs the tasks until a condition holds. @returns false if it does not hold in time */
     bool waitUntil(const std::function<bool()> &condition)
     {
@@ -180,6 +221,7 @@
     ReplicaStandin m_first;
     ReplicaStandin m_second;
     std::optional<Edge> m_edge;
+    std::shared_ptr<LoadReporter> m_agent;
 };
 
 TEST_CASE_METHOD(EdgeFixture, "entry_healthyBackend_relaysSealAndForwardsAccount")
@@ -334,16 +376,7 @@
                  "entry_requestNotStartedWhenNewWeightsBecomeDue_isAbortedBeforeTheBound")
 {
     m_settings.bounds.weightsApply = std::chrono::seconds(3);
-    m_store.put("keyed.op", "config",
-                R"({"version":1,"routes":[{"name":"r","host":"a.example","pathPrefix":"/x/",)"
-                R"("routeKind":"streaming","timeoutMs":6000,"targetLatencyMs":400,"service":"p",)"
-                R"("maxAttempts":1,"streamResume":true,"anonymous":true}],"services":[{"name":"p",)"
-                R"("engine":{"slots":8,"step_ms":7,"usual":{"prompt":9,"answer":9},)"
-                R"("models":[{"name":"m"}]}}]})");
-    m_store.put("keyed.servers", "i-1", m_first.engineListEntry("p", "m", 1));
-    startEntry();
-    REQUIRE(waitUntil(
-            [this] { return httpGet(m_settings.readyAddress, "/-/readiness").status == 200; }));
+    startEntryWithEngine();
     m_first.setBehaviour(ReplicaBehaviour::Hangs);
     m_store.put("keyed.op", "version/m", R"({"model":"m","version":2})");
     const Instant named = monotonicNow();
@@ -354,6 +387,33 @@
     REQUIRE(monotonicNow() - named < m_settings.bounds.weightsApply);
 }
 
+// An entry that cannot read the operator's topic must learn of named weights from agents.
+TEST_CASE_METHOD(EdgeFixture,
+                 "entry_operatorTopicUnreadableAndAgentKnowsNewWeights_oldOnesGetNothing")
+{
+    m_settings.bounds.weightsApply = std::chrono::seconds(3);
+    startAgent();
+    startEntryWithEngine();
+    m_store.failWith(503);
+    m_context.run_for(std::chrono::milliseconds(500));
+    REQUIRE(sendRequest(request("/x/1")).status == 200);
+    tellAgent(2);
+    m_context.run_for(m_settings.bounds.weightsApply);
+    REQUIRE(sendRequest(request("/x/2")).status == 503);
+    REQUIRE(m_first.receivedRequests().size() == 1);
+}
+
+// A version that agents have known for long must not be dated as if it had just been named.
+TEST_CASE_METHOD(EdgeFixture, "entry_startsAndAgentHasLongKnownNewWeights_theyAreDueAsAfterARead")
+{
+    startAgent();
+    m_agent->mailbox()->post(TargetVersionKnown {{ModelName("m"), 2}, Instant()});
+    startEntryWithEngine();
+    m_context.run_for(std::chrono::milliseconds(3300));
+    REQUIRE(sendRequest(request("/x/1")).status == 503);
+    REQUIRE(m_first.receivedRequests().empty());
+}
+
 TEST_CASE_METHOD(EdgeFixture, "entry_callerDisconnects_attemptIsAbortedWithinHalfASecond")
 {
     startEntryWith("idempotent", 1, {&m_first});
--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -84,6 +84,16 @@
         m_context.run_for(time);
     }
 
+    /** Runs the tasks until a condition holds. @returns false if it does not hold in time */
+    bool waitUntil(const std::function<bool()> &condition)
+    {
+        const Instant end = monotonicNow() + std::chrono::seconds(10);
+        while (!condition() && monotonicNow() < end) {
+            runFor(milliseconds(5));
+        }
+        return condition();
+    }
+
     asio::io_context m_context;
     Log m_log;
     std::vector<KeyedRecord> m_records;
@@ -224,6 +234,49 @@
     REQUIRE(newest == "1");
 }
 
+// Another process may repeat a target version, or know an older one.
+TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_passedOnByPeers_onlyNewerOnesCountOnce")
+{
+    std::vector<TargetVersion> applied;
+    Duration lastAge {};
+    OperatorHooks hooks;
+    hooks.isConfig = [](std::string_view) { return false; };
+    hooks.isTargetVersion = [](std::string_view) { return true; };
+    hooks.decodeTargetVersion = [](std::string_view bytes) -> Result<TargetVersion> {
+        return TargetVersion {ModelName("m"), std::stoull(std::string(bytes))};
+    };
+    hooks.onTargetVersion = [&](const TargetVersion &named, bool, Duration age) {
+        applied.push_back(named);
+        lastAge = age;
+    };
+    std::uint64_t offset = 0;
+    hooks.onOffsetAdvanced = [&](std::uint64_t next) { offset = next; };
+    write("version/m", "2");
+    FollowOptions options;
+    options.name = "operator";
+    options.pollInterval = milliseconds(20);
+    const auto watcher = std::make_shared<OperatorWatcher>(m_context.get_executor(), reader(),
+                                                           options, hooks, m_log);
+    const auto pass = [&](std::uint64_t version) {
+        watcher->applyPeerTargetVersion({ModelName("m"), version}, VersionSource::Agent,
+                                        milliseconds(700));
+    };
+    pass(3);
+    REQUIRE(applied.empty());
+    watcher->start();
+    REQUIRE(waitUntil([&] { return offset == 1; }));
+    REQUIRE(applied == std::vector<TargetVersion> {{ModelName("m"), 2}});
+    for (const std::uint64_t version : {3, 1, 3, 2}) {
+        pass(version);
+    }
+    REQUIRE(applied.size() == 2);
+    REQUIRE(applied.back().version == 3);
+    REQUIRE(lastAge == milliseconds(700));
+    write("version/m", "3");
+    REQUIRE(waitUntil([&] { return offset == 2; }));
+    REQUIRE(applied.size() == 2);
+}
+
 TEST_CASE_METHOD(StoreWatcherFixture, "replicas_storeRecovers_isReported")
 {
     startReplicaWatcher();
--- /dev/null
+++ b/tests/failure/tst_loadreports.cpp
@@ -0,0 +1,197 @@
+/**
+ * Failure tests of the datagrams between entries and agents: what an agent tells entries that
+ * cannot read the store.
+ * labels: failure
+ */
+#include "edge/loadlistener.h"
+#include "net/clock.h"
+#include "sidecar/loadreporter.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+namespace greengageseam {
+namespace {
+
+using std::chrono::milliseconds;
+
+const ModelName model("m");
+
+/** Runs the reporter of an agent, and sends subscriptions to it as two entries do. */
+class LoadReportsFixture
+{
+protected:
+    /** An entry as far as the agent sees it. */
+    struct EntryStandin
+    {
+        explicit EntryStandin(asio::io_context &context) : socket(context.get_executor()) { }
+
+        DatagramSocket socket;
+        std::vector<KnownTargetVersion> heard;
+        /** Lists of entries received; the agent sends one last in its answer to a subscription. */
+        std::size_t lists = 0;
+    };
+
+    LoadReportsFixture() : m_log(LogLevel::Error, {}), m_first(m_context), m_second(m_context)
+    {
+        asio::ip::udp::socket probe(
+                m_context, asio::ip::udp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        m_port = probe.local_endpoint().port();
+        probe.close();
+        LoadReporterHooks hooks;
+        hooks.onEntriesChanged = [](const std::vector<EntryLocation> &) { };
+        hooks.onTargetVersion = [this](const TargetVersion &named) { m_told.push_back(named); };
+        m_agent = std::make_shared<LoadReporter>(m_context.get_executor(), ZoneName("a"), hooks,
+                                                 m_log);
+        REQUIRE(m_agent->start("127.0.0.1", m_port));
+        listen(m_first, "127.0.0.2");
+        listen(m_second, "127.0.0.3");
+    }
+
+    void listen(EntryStandin &entry, const std::string &ip)
+    {
+        REQUIRE(entry.socket.bind(ip, 0));
+        asio::co_spawn(m_context, receive(entry), asio::detached);
+    }
+
+    static Awaitable<void> receive(EntryStandin &entry)
+    {
+        while (std::optional<ReceivedDatagram> received =
+                       co_await entry.socket.receive(maxDatagramBytes)) {
+            const auto read = toOutcome([&] { return decodeDatagram(received->bytes); });
+            const auto *datagram = std::get_if<Datagram>(&read);
+            const auto *known = datagram ? std::get_if<KnownTargetVersions>(datagram) : nullptr;
+            if (datagram != nullptr && std::holds_alternative<KnownEntries>(*datagram)) {
+                ++entry.lists;
+            }
+            if (known != nullptr) {
+                entry.heard.insert(entry.heard.end(), known->versions.begin(),
+                                   known->versions.end());
+            }
+        }
+    }
+
+    /**
+     * Subscribes an entry that knows a version of the model, or none if it is 0, and waits for the
+     * agent's answer.
+     */
+    void subscribe(EntryStandin &entry, std::uint64_t version)
+    {
+        LoadSubscription subscription {InstanceId("e"), ZoneName("b"), 0, 0, {}};
+        if (version != 0) {
+            subscription.targetVersions.push_back({model, version});
+        }
+        const std::size_t lists = entry.lists;
+        entry.socket.send(encodeDatagram(subscription),
+                          {asio::ip::make_address("127.0.0.1"), m_port});
+        REQUIRE(waitUntil([&] { return entry.lists > lists; }));
+    }
+
+    /** The agent itself reads a version of the model. */
+    void readVersion(std::uint64_t version, Instant since)
+    {
+        m_agent->mailbox()->post(TargetVersionKnown {{model, version}, since});
+        m_context.restart();
+        m_context.poll();
+    }
+
+    /** Runs the tasks until a condition holds. @returns false if it does not hold in time */
+    bool waitUntil(const std::function<bool()> &condition)
+    {
+        const Instant end = monotonicNow() + std::chrono::seconds(10);
+        while (!condition() && monotonicNow() < end) {
+            runFor(milliseconds(5));
+        }
+        return condition();
+    }
+
+    void runFor(Duration time)
+    {
+        m_context.restart();
+        m_context.run_for(time);
+    }
+
+    asio::io_context m_context;
+    Log m_log;
+    std::uint16_t m_port = 0;
+    EntryStandin m_first;
+    EntryStandin m_second;
+    std::vector<TargetVersion> m_told;
+    std::shared_ptr<LoadReporter> m_agent;
+};
+
+TEST_CASE_METHOD(LoadReportsFixture, "agent_toldOfTargetVersionByOneEntry_tellsAnother")
+{
+    subscribe(m_first, 2);
+    subscribe(m_second, 1);
+    REQUIRE(m_second.heard.size() == 1);
+    REQUIRE(m_second.heard.front().targetVersion == TargetVersion {model, 2});
+    REQUIRE(m_first.heard.empty());
+}
+
+TEST_CASE_METHOD(LoadReportsFixture, "agent_targetVersionUnknownToEntry_isRepeatedUntilItIsKnown")
+{
+    subscribe(m_first, 2);
+    subscribe(m_second, 0);
+    subscribe(m_second, 0);
+    REQUIRE(m_second.heard.size() == 2);
+    subscribe(m_second, 2);
+    subscribe(m_second, 3);
+    REQUIRE(m_second.heard.size() == 2);
+}
+
+TEST_CASE_METHOD(LoadReportsFixture, "agent_toldOfOlderTargetVersion_keepsTheNewerOne")
+{
+    subscribe(m_first, 3);
+    subscribe(m_second, 2);
+    readVersion(1, monotonicNow());
+    subscribe(m_second, 0);
+    REQUIRE(m_second.heard.size() == 2);
+    REQUIRE(m_second.heard.back().targetVersion == TargetVersion {model, 3});
+}
+
+TEST_CASE_METHOD(LoadReportsFixture, "agent_hasReadTargetVersionItself_tellsEntriesItsAge")
+{
+    const Instant since = monotonicNow() - milliseconds(4000);
+    readVersion(2, since);
+    subscribe(m_first, 0);
+    REQUIRE(m_first.heard.size() == 1);
+    REQUIRE(m_first.heard.front().age >= milliseconds(4000));
+    REQUIRE(m_first.heard.front().age <= monotonicNow() - since);
+}
+
+TEST_CASE_METHOD(LoadReportsFixture, "agent_readsThatKnownTargetVersionIsOld_tellsTheHigherAge")
+{
+    subscribe(m_first, 2);
+    readVersion(2, monotonicNow() - std::chrono::hours(2));
+    subscribe(m_second, 0);
+    REQUIRE(m_second.heard.size() == 1);
+    REQUIRE(m_second.heard.front().age == maxKnownVersionAge);
+}
+
+TEST_CASE_METHOD(LoadReportsFixture, "entry_agentKnowsNewerTargetVersion_hearsOfIt")
+{
+    std::vector<KnownTargetVersion> heard;
+    LoadListenerHooks hooks;
+    hooks.onReport = [](const LoadReport &) { };
+    hooks.onEntriesChanged = [](const std::vector<EntryLocation> &) { };
+    hooks.onTargetVersion = [&](const KnownTargetVersion &known) { heard.push_back(known); };
+    const auto listener = std::make_shared<LoadListener>(
+            m_context.get_executor(),
+            EntryLocation {InstanceId("entry-1"), ZoneName("a"), "127.0.0.4"}, m_port, hooks,
+            m_log);
+    REQUIRE(listener->start());
+    subscribe(m_first, 2);
+    listener->mailbox()->post(AgentsUpdated {{Address("127.0.0.1:80")}});
+    REQUIRE(waitUntil([&] { return !heard.empty(); }));
+    REQUIRE(heard.front().targetVersion == TargetVersion {model, 2});
+    listener->mailbox()->post(AnnounceTargetVersion {{model, 2}});
+    runFor(milliseconds(100));
+    const std::size_t count = heard.size();
+    runFor(milliseconds(700));
+    REQUIRE(heard.size() == count);
+}
+
+} // namespace
+} // namespace greengageseam
