--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -100,6 +100,10 @@
         m_replicaWatcher->relyOnPeers(!isListReader(entries, self));
         m_operatorReader->setEntries(entries);
     };
+    hooks.onTargetVersion = [this](const KnownTargetVersion &known) {
+        m_operatorWatcher->applyPeerTargetVersion(known.targetVersion, VersionSource::Agent,
+                                                  known.age);
+    };
     hooks.onListDelta = [this](const ReplicaListDelta &delta) {
         m_replicaWatcher->applyPeerDelta(delta);
     };
@@ -158,10 +162,11 @@
         m_exchange->fetcher()->post(FetcherConfigChanged {table});
         onReplicasChanged(m_replicaEntries);
     };
-    hooks.onTargetVersion = [this](const TargetVersion &targetVersion, bool isInitial) {
-        const Instant at = isInitial
-                ? m_startedAt - m_settings.bounds.weightsApply + initialTargetGrace
-                : monotonicNow();
+    hooks.onTargetVersion = [this](const TargetVersion &targetVersion, bool isInitial,
+                                   Duration age) {
+        const Instant now = monotonicNow();
+        const Instant initialAt = m_startedAt - m_settings.bounds.weightsApply + initialTargetGrace;
+        const Instant at = isInitial ? initialAt : std::min(now, std::max(initialAt, now - age));
         m_dispatcher->mailbox()->post(TargetVersionChanged {targetVersion, at});
         m_exchange->fetcher()->post(FetcherTargetVersionChanged {targetVersion});
         m_loadListener->mailbox()->post(AnnounceTargetVersion {targetVersion});
