Keep records that another process passes on in the order of their keys

An entry could lose a record for its children: records of a relayed answer come in the order of their keys, but were given offsets in sequence whenever their number matched the range. A child that had read up to the middle of the range then never got the other record, for example a configuration written right after a named version, until its next change.

The test failed before (0 == 1). A batch now says whether it is compacted; compacted records count as changed at its end, and none is left out as known.

--- a/source/core/fleet/compactedtopic.cpp
+++ b/source/core/fleet/compactedtopic.cpp
@@ -53,11 +53,10 @@
     }
     CompactedTopic next = *this;
     next.m_endOffset = tail.nextOffset;
-    const bool isEveryRecord = tail.nextOffset - from == tail.records.size();
     std::uint64_t offset = from;
     for (const KeyedRecord &record : tail.records) {
         next.m_entries[record.key] = {record.value,
-                                      isEveryRecord ? offset : lastBefore(tail.nextOffset)};
+                                      tail.isCompacted ? lastBefore(tail.nextOffset) : offset};
         ++offset;
     }
     return next;
@@ -66,7 +65,7 @@
 CompactedTopic CompactedTopic::withChanges(std::uint64_t from, const TopicChanges &changes) const
 {
     return changes.isWhole ? withSnapshot({changes.records, changes.endOffset})
-                           : withTail(from, {changes.records, changes.endOffset});
+                           : withTail(from, {changes.records, changes.endOffset, true});
 }
 
 KeyedSnapshot CompactedTopic::snapshot() const
--- a/source/core/fleet/storerecords.h
+++ b/source/core/fleet/storerecords.h
@@ -37,6 +37,8 @@
     std::vector<KeyedRecord> records;
     /** Offset after the last record. */
     std::uint64_t nextOffset = 0;
+    /** Whether only the newest record of each key is contained, so that offsets are unknown. */
+    bool isCompacted = false;
 
     auto operator<=>(const KeyedBatch &) const = default;
 };
--- a/source/edge/relayedreader.cpp
+++ b/source/edge/relayedreader.cpp
@@ -123,7 +123,7 @@
         co_return *failure;
     }
     const TopicChanges changes = m_topic->changesSince(from);
-    co_return KeyedBatch {changes.records, std::max(from, changes.endOffset)};
+    co_return KeyedBatch {changes.records, std::max(from, changes.endOffset), true};
 }
 
 /** Reads from one source after the other until one succeeds or none is left to try at once. */
--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -191,9 +191,7 @@
         return;
     }
     KeyedBatch tail = std::get<KeyedBatch>(command.tail);
-    // The records may be only the newest one of each key; then none of them can be left out.
-    const bool isEveryRecord = tail.nextOffset - command.from == tail.records.size();
-    const std::uint64_t known = isEveryRecord ? *m_nextOffset - command.from : 0;
+    const std::uint64_t known = tail.isCompacted ? 0 : *m_nextOffset - command.from;
     const auto n = static_cast<std::ptrdiff_t>(std::min<std::uint64_t>(known, tail.records.size()));
     tail.records.erase(tail.records.begin(), tail.records.begin() + n);
     detectBurst(!tail.records.empty());
--- a/tests/unit/tst_compactedtopic.cpp
+++ b/tests/unit/tst_compactedtopic.cpp
@@ -3,6 +3,7 @@
  */
 #include "core/fleet/compactedtopic.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 namespace greengageseam {
@@ -54,5 +55,14 @@
             == source.snapshot());
 }
 
+// Another process passes records on in the order of their keys, not of their offsets.
+TEST_CASE_METHOD(CompactedTopicFixture, "withChanges_keysInAnotherOrderThanOffsets_noneIsLostLater")
+{
+    const CompactedTopic source = m_topic.withTail(10, {{{"b", "3"}, {"a", "4"}}, 12});
+    const CompactedTopic relay = m_topic.withChanges(10, source.changesSince(10));
+    const std::vector<KeyedRecord> later = relay.changesSince(11).records;
+    REQUIRE(std::count(later.begin(), later.end(), KeyedRecord {"a", "4"}) == 1);
+}
+
 } // namespace
 } // namespace greengageseam
