Wait for the entry that reads a topic for the zone while its read makes progress

Entries turned to the store when the zone's read took longer than about a second, so that a slow link got the load of every entry again: two catch-ups counted a waiting entry as failed, an entry that was still reading answered that the topic is not available, and a store that returned restarted reads that were receiving their result. At the start of all processes they waited 1 s at most, whatever the list of backend servers took.

A read from an entry is now left alone (it ends within 1.1 s if the entry is silent), an entry whose own read makes progress asks the others to wait, a read that is receiving is never restarted, the wait at the start is limited once the list was read, and bursts slow down only the process that reads the store. The zone's reader polls the store every 4 s instead of 25 s, so that a connection that has gone silent holds back a zone for no longer.

--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /** Long-poll timeout for reads of the operator's topic. */
-constexpr auto operatorPollTimeout = std::chrono::seconds(25);
+constexpr auto operatorPollTimeout = std::chrono::seconds(4);
 /**
  * Number of reads within the bound on applying a configuration while configurations arrive in a
  * burst. Each of these reads returns a complete configuration.
@@ -138,7 +138,9 @@
 
 void Edge::makeTopicRelay()
 {
-    m_topicRelay = std::make_shared<TopicRelay>(m_executor, std::string(operatorTopicName));
+    m_topicRelay = std::make_shared<TopicRelay>(m_executor, std::string(operatorTopicName), [this] {
+        return m_operatorReader->isProgressing();
+    });
     RelayedReaderOptions options;
     options.topic = operatorTopicName;
     options.identity = {std::string(topicLinkRole), InstanceId(m_settings.ip), m_settings.zone,
--- a/source/edge/relayedreader.cpp
+++ b/source/edge/relayedreader.cpp
@@ -10,23 +10,17 @@
 namespace {
 
 /** How long an entry may hold a request that it has nothing new for. */
-constexpr auto pollTimeout = std::chrono::milliseconds(700);
+constexpr auto pollTimeout = std::chrono::milliseconds(600);
 /** Time for connecting to an entry, and again for the handshake. */
-constexpr auto connectTimeout = std::chrono::milliseconds(700);
+constexpr auto connectTimeout = std::chrono::milliseconds(400);
 /** Time within which an entry must begin its answer, in addition to the time that it may wait. */
-constexpr auto answerTimeout = std::chrono::milliseconds(900);
+constexpr auto answerTimeout = std::chrono::milliseconds(500);
 /** Time within which the next part of an answer must arrive. */
 constexpr auto partTimeout = std::chrono::milliseconds(1000);
-/** An answer of which a part arrived this recently counts as being received. */
-constexpr auto receivingTime = std::chrono::milliseconds(400);
 /** Time after which a source that has failed is tried again. */
 constexpr auto failureMemory = std::chrono::seconds(30);
-/** Maximum time for which the first read waits until other entries are known. */
-constexpr auto startTimeout = std::chrono::milliseconds(1000);
-/** The same once entries are being looked for. */
+/** Maximum time for which the first read waits once other entries are being looked for. */
 constexpr auto discoveryTimeout = std::chrono::milliseconds(400);
-/** Number of reads without a result that are given up before the source counts as failed. */
-constexpr int maxCancelledReads = 2;
 /** Number of events of one answer that may be queued. */
 constexpr std::size_t eventCapacity = 256;
 constexpr std::size_t maxAnswerBytes = maxFrameBytes;
@@ -42,7 +36,7 @@
                              TopicReader store, TopicReadObserver onRead, Log log)
     : m_executor(executor), m_options(std::move(options)), m_store(std::move(store)),
       m_onRead(std::move(onRead)), m_log(std::move(log)),
-      m_startDeadline(monotonicNow() + startTimeout), m_startTimer(executor)
+      m_startDeadline(monotonicNow() + m_options.startTimeout), m_startTimer(executor)
 { }
 
 TopicReader RelayedReader::reader()
@@ -52,6 +46,7 @@
     reader.snapshot = [self] { return self->readSnapshot(); };
     reader.tail = [self](std::uint64_t from, Duration wait) { return self->readTail(from, wait); };
     reader.isReceiving = [self] { return self->isReceiving(); };
+    reader.isRelayed = [self] { return self->isReadingFromEntry(); };
     reader.cancel = [self] { self->cancelRead(); };
     return reader;
 }
@@ -69,7 +64,7 @@
     m_failures = 0;
     m_reason = "entries changed";
     m_startTimer.cancel();
-    if (m_isReading && m_source && currentChoice().entry != m_source->entry && !isReceiving()) {
+    if (m_isReading && m_source && currentChoice().entry != m_source->entry && !isProgressing()) {
         m_isRedirected = true;
         closeLink("another entry is preferred");
         if (!m_source->entry && m_store.cancel) {
@@ -88,14 +83,14 @@
  * Waits at the start until other entries are known. Processes that start together would otherwise
  * all read the whole topic from the store.
  */
-Awaitable<void> RelayedReader::waitForEntries()
+Awaitable<void> RelayedReader::waitForEntries(std::uint64_t readId)
 {
     const auto isAlone = [this] {
         return std::all_of(m_entries.begin(), m_entries.end(), [this](const InstanceId &entry) {
             return entry == m_options.identity.instance;
         });
     };
-    while (isAlone() && monotonicNow() < m_startDeadline) {
+    while (readId == m_readId && isAlone() && monotonicNow() < m_startDeadline) {
         m_startTimer.expires_after(m_startDeadline - monotonicNow());
         co_await m_startTimer.async_wait(asTuple);
     }
@@ -106,7 +101,7 @@
     const auto self = shared_from_this();
     const Duration wait = m_topic ? Duration::zero() : Duration(pollTimeout);
     const Request request {startRead(), m_topic ? m_topic->endOffset() : 0, wait, true};
-    co_await waitForEntries();
+    co_await waitForEntries(request.readId);
     const std::optional<Failure> failure = co_await update(request);
     if (failure) {
         co_return *failure;
@@ -136,9 +131,13 @@
         if (request.readId != m_readId) {
             break;
         }
-        if (const auto *topic = std::get_if<CompactedTopic>(&read)) {
+        const auto *topic = std::get_if<CompactedTopic>(&read);
+        if (topic != nullptr && !m_topic && source.entry && topic->endOffset() == 0) {
+            // The entry is still reading the topic itself.
+            continue;
+        }
+        if (topic != nullptr) {
             m_isReading = false;
-            m_cancelledReads = 0;
             m_isStoreConfirmed = !source.entry;
             m_topic = std::make_shared<const CompactedTopic>(*topic);
             m_onRead(m_topic, m_isStoreConfirmed);
@@ -213,6 +212,7 @@
     link.subscribe(stream, events);
     link.post(stream, TopicRequestMessage {m_options.topic, request.from, wait});
     const Outcome<TopicChanges> answer = co_await receiveAnswer(events, wait);
+    m_hasPartialAnswer = false;
     link.unsubscribe(stream);
     if (const Failure *failure = failureOf(answer)) {
         if (events == m_events) {
@@ -243,7 +243,7 @@
         if (!part->isAvailable) {
             co_return unavailable("the topic is not available there");
         }
-        m_receivedAt = monotonicNow();
+        m_hasPartialAnswer = !part->isLast;
         timeout = partTimeout;
         bytes += part->bytes;
         if (bytes.size() > maxAnswerBytes) {
@@ -322,15 +322,10 @@
     }
     m_isReading = false;
     ++m_readId;
-    ++m_cancelledReads;
     closeLink("the read was given up");
     if (m_store.cancel) {
         m_store.cancel();
     }
-    if (m_cancelledReads >= maxCancelledReads) {
-        m_cancelledReads = 0;
-        recordFailure("the reads were given up");
-    }
 }
 
 TopicSource RelayedReader::currentChoice() const
@@ -362,13 +357,22 @@
     m_reason = reason;
 }
 
+bool RelayedReader::isReadingFromEntry() const
+{
+    return m_source && m_source->entry;
+}
+
+/** A read from an entry ends soon by itself if the entry does not answer. */
 bool RelayedReader::isReceiving() const
 {
-    if (!m_isReading) {
-        return false;
-    }
+    return m_isReading && (isReadingFromEntry() || isProgressing());
+}
+
+bool RelayedReader::isProgressing() const
+{
+    const bool isStarting = !m_source;
     const bool isStoreReceiving = m_store.isReceiving && m_store.isReceiving();
-    return isStoreReceiving || monotonicNow() - m_receivedAt < receivingTime;
+    return m_isReading && (isStarting || m_hasPartialAnswer || isStoreReceiving);
 }
 
 } // namespace greengageseam
--- a/source/edge/relayedreader.h
+++ b/source/edge/relayedreader.h
@@ -38,6 +38,8 @@
      * is due. Suits a process that reads at long intervals.
      */
     bool continuesSnapshots = false;
+    /** Maximum time for which the first read waits until other entries are known. */
+    Duration startTimeout = std::chrono::seconds(5);
 };
 
 /** Hook that is called after each successful read. It must not block. */
@@ -63,6 +65,11 @@
      * entries are being looked for.
      */
     void limitWaitForEntries();
+    /**
+     * @returns whether a read is in progress that will bring the topic, so that processes that read
+     *     from this one should wait for it
+     */
+    bool isProgressing() const;
 
 private:
     /** A read in progress. */
@@ -83,7 +90,7 @@
     Awaitable<Outcome<CompactedTopic>> readFromEntry(InstanceId entry, Request request);
     Awaitable<Outcome<TopicChanges>> receiveAnswer(MailboxPtr<StreamEvent> events, Duration wait);
     Awaitable<Outcome<PeerLinkHandle>> linkTo(InstanceId entry);
-    Awaitable<void> waitForEntries();
+    Awaitable<void> waitForEntries(std::uint64_t readId);
     std::uint64_t startRead();
     void cancelRead();
     void closeLink(const std::string &reason);
@@ -91,6 +98,7 @@
     TopicSource currentChoice() const;
     void recordFailure(const std::string &reason);
     bool isReceiving() const;
+    bool isReadingFromEntry() const;
 
     asio::any_io_executor m_executor;
     RelayedReaderOptions m_options;
@@ -115,10 +123,8 @@
     bool m_isRedirected = false;
     /** Whether the latest successful read was from the store. */
     bool m_isStoreConfirmed = false;
-    /** Number of reads given up since the last successful one. */
-    int m_cancelledReads = 0;
-    /** When a part of an answer was last received from an entry. */
-    Instant m_receivedAt;
+    /** Whether a part of an entry's answer was received, but not the last one. */
+    bool m_hasPartialAnswer = false;
     PeerLinkHandle m_link;
     InstanceId m_linkedEntry;
     /** Number of the latest link; earlier ones are closed. */
--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -90,7 +90,6 @@
     postAfter(m_catchUpTimeout, CatchUpCheckDue {command.upTo});
 }
 
-/** A read that is slow but makes progress is not restarted, since it would start from nothing. */
 void TopicFollower::apply(const CatchUpCheckDue &command)
 {
     m_isCatchUpCheckPending = false;
@@ -98,21 +97,23 @@
         return;
     }
     m_catchUpTimeout = std::min<Duration>(m_catchUpTimeout * 2, maxCatchUpTimeout);
-    const bool isReceiving = m_reader.isReceiving && m_reader.isReceiving();
-    if (!isReceiving) {
-        restartRead();
-    }
+    restartRead();
 }
 
 void TopicFollower::apply(const RestartRead &)
 {
-    m_catchUpTimeout = initialCatchUpTimeout;
     restartRead();
 }
 
-/** Abandons the read in progress, which may wait on a connection that never returns anything. */
+/**
+ * Abandons the read in progress, which may wait on a connection that never returns anything, unless
+ * it is receiving its result.
+ */
 void TopicFollower::restartRead()
 {
+    if (m_reader.isReceiving && m_reader.isReceiving()) {
+        return;
+    }
     ++m_readId;
     m_log.info("store.read-restarted",
                {{"topic", m_options.name}, {"from", m_nextOffset.value_or(0)}});
@@ -205,7 +206,9 @@
 
 void TopicFollower::detectBurst(bool hasChanged)
 {
-    if (m_options.burstInterval <= Duration::zero()) {
+    const bool isRelayed = m_reader.isRelayed && m_reader.isRelayed();
+    if (m_options.burstInterval <= Duration::zero() || isRelayed) {
+        m_isBurst = false;
         return;
     }
     const Instant now = monotonicNow();
--- a/source/edge/topicfollower.h
+++ b/source/edge/topicfollower.h
@@ -22,10 +22,12 @@
     /** Reads the records from an offset on. */
     ReadTail tail;
     /**
-     * @returns whether a part of the result of the read in progress has been received lately; may
-     *     be empty
+     * @returns whether the read in progress makes progress, or ends soon by itself, so that it must
+     *     not be restarted; may be empty
      */
     std::function<bool()> isReceiving;
+    /** @returns whether another process reads the store and passes the result on; may be empty */
+    std::function<bool()> isRelayed;
     /** Gives up the read in progress, so that it stops using the network; may be empty. */
     std::function<void()> cancel;
 };
--- a/source/edge/topicrelay.cpp
+++ b/source/edge/topicrelay.cpp
@@ -28,8 +28,9 @@
 
 } // namespace
 
-TopicRelay::TopicRelay(const asio::any_io_executor &executor, std::string topic)
-    : m_executor(executor), m_name(std::move(topic)),
+TopicRelay::TopicRelay(const asio::any_io_executor &executor, std::string topic,
+                       std::function<bool()> isProgressing)
+    : m_executor(executor), m_name(std::move(topic)), m_isProgressing(std::move(isProgressing)),
       m_mailbox(makeMailbox<TopicRelayCommand>(executor, mailboxCapacity))
 { }
 
@@ -52,7 +53,7 @@
 void TopicRelay::apply(const TopicRequested &command)
 {
     const Duration wait = std::clamp<Duration>(command.request.wait, Duration::zero(), maxWait);
-    const bool isLostOrRefused = m_topic != nullptr && !isAvailable();
+    const bool isLostOrRefused = m_topic != nullptr && !isAvailable() && !m_isProgressing();
     if (isLostOrRefused || command.request.topic != m_name || hasChangesFor(command)
         || wait == Duration::zero() || m_pending.size() >= maxPendingRequests) {
         answer(command);
@@ -95,7 +96,7 @@
 void TopicRelay::answerDueRequests()
 {
     const Instant now = monotonicNow();
-    const bool isLost = m_topic != nullptr && !isAvailable();
+    const bool isLost = m_topic != nullptr && !isAvailable() && !m_isProgressing();
     std::erase_if(m_pending, [&](const PendingRequest &pending) {
         const bool isDue = isLost || now >= pending.deadline || hasChangesFor(pending.command);
         if (isDue) {
@@ -108,7 +109,15 @@
 void TopicRelay::answer(const TopicRequested &command) const
 {
     const TopicPartMessage unavailable {false, false, 0, {}, true};
-    if (!isAvailable() || command.request.topic != m_name) {
+    const bool isKnownTopic = command.request.topic == m_name;
+    if (isKnownTopic && !isAvailable() && m_isProgressing()) {
+        // The peer should ask again: a read of its own would take longer.
+        command.link.post(
+                command.stream,
+                TopicPartMessage {true, false, command.request.from, encodeRecords({}), true});
+        return;
+    }
+    if (!isKnownTopic || !isAvailable()) {
         command.link.post(command.stream, unavailable);
         return;
     }
--- a/source/edge/topicrelay.h
+++ b/source/edge/topicrelay.h
@@ -8,6 +8,7 @@
 #include "net/mailbox.h"
 #include "net/peerlink.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <variant>
@@ -51,8 +52,12 @@
 class TopicRelay : public std::enable_shared_from_this<TopicRelay>
 {
 public:
-    /** @param topic name of the topic in the log */
-    TopicRelay(const asio::any_io_executor &executor, std::string topic);
+    /**
+     * @param topic name of the topic in the log
+     * @param isProgressing returns whether a read is in progress that will bring the topic
+     */
+    TopicRelay(const asio::any_io_executor &executor, std::string topic,
+               std::function<bool()> isProgressing);
 
     /** @returns the mailbox that takes commands */
     const MailboxPtr<TopicRelayCommand> &mailbox() const { return m_mailbox; }
@@ -80,6 +85,7 @@
 
     asio::any_io_executor m_executor;
     std::string m_name;
+    std::function<bool()> m_isProgressing;
     MailboxPtr<TopicRelayCommand> m_mailbox;
     /** Null until the topic was read. */
     CompactedTopicPtr m_topic;
--- a/source/sidecar/sidecar.cpp
+++ b/source/sidecar/sidecar.cpp
@@ -123,6 +123,7 @@
                         m_secret};
     options.peerPort = m_settings.firstPort;
     options.continuesSnapshots = true;
+    options.startTimeout = operatorPollPeriod;
     m_operatorReader = std::make_shared<RelayedReader>(
             m_executor, options, m_adapter.operatorTopic, [](const CompactedTopicPtr &, bool) { },
             m_log);
--- a/tests/failure/tst_topicrelay.cpp
+++ b/tests/failure/tst_topicrelay.cpp
@@ -39,7 +39,8 @@
     {
         const PeerIdentity identity {std::string(topicLinkRole), InstanceId(m_location.ip),
                                      m_location.zone, "secret"};
-        m_relay = std::make_shared<TopicRelay>(m_context.get_executor(), "operator");
+        m_relay = std::make_shared<TopicRelay>(m_context.get_executor(), "operator",
+                                               [this] { return m_reader->isProgressing(); });
         LinkHooks hooks;
         hooks.onMessage = [relay = m_relay->mailbox()](const PeerLinkHandle &link,
                                                        const StreamMessage &message) {
@@ -69,6 +70,10 @@
     }
 
     void setEntries(const std::vector<EntryLocation> &entries) { m_reader->setEntries(entries); }
+    /** Sets the time that the store takes to send a result, during which bytes arrive. */
+    void slowDown(Duration readTime) { m_readTime = readTime; }
+    /** Tells the process that another zone has read the topic up to an offset. */
+    void announce(std::uint64_t offset) { m_follower->mailbox()->post(CatchUp {offset}); }
     /** Sets whether the store does not respond to this process. */
     void cutOff(bool isCutOff) { m_isCutOff = isCutOff; }
     /** Stops running the process, as if it had received SIGSTOP. */
@@ -112,12 +117,19 @@
                 co_await timer.async_wait(asTuple);
                 co_return Failure {ErrorKind::PlatformUnavailable, "cut off"};
             }
+            if (m_readTime > Duration::zero()) {
+                m_isReceiving = true;
+                timer.expires_after(m_readTime);
+                co_await timer.async_wait(asTuple);
+                m_isReceiving = false;
+            }
             KeyedBatch tail {{}, m_topic.records.size()};
             tail.records.assign(m_topic.records.begin() + static_cast<std::ptrdiff_t>(from),
                                 m_topic.records.end());
             m_topic.reads += tail.records.empty() ? 0 : 1;
             co_return tail;
         };
+        reader.isReceiving = [this] { return m_isReceiving; };
         return reader;
     }
 
@@ -156,6 +168,8 @@
     Log m_log;
     asio::io_context m_context;
     bool m_isCutOff = false;
+    Duration m_readTime {};
+    bool m_isReceiving = false;
     bool m_isFrozen = false;
     std::string m_newest;
     std::shared_ptr<TopicRelay> m_relay;
@@ -315,6 +329,24 @@
     REQUIRE(m_topic.reads == 1);
 }
 
+// The others must not turn to the store as well because the read for the zone takes long.
+TEST_CASE_METHOD(TopicRelayFixture, "topic_zonesReaderIsSlow_othersWaitForIt")
+{
+    startEntries(13);
+    runFor(milliseconds(1000));
+    m_nodes.front()->slowDown(milliseconds(2500));
+    m_topic.reads = 0;
+    m_topic.write("1");
+    const auto allHaveItOrAreTold = [this] {
+        for (const auto &node : m_nodes) {
+            node->announce(m_topic.records.size());
+        }
+        return allHave("1", 0);
+    };
+    REQUIRE(waitUntil(allHaveItOrAreTold, std::chrono::seconds(4)));
+    REQUIRE(m_topic.reads == 1);
+}
+
 // After an outage, most entries must get what they missed from each other.
 TEST_CASE_METHOD(TopicRelayFixture, "topic_storeWasAway_isReadByFewEntriesAfterwards")
 {
