Leave a relayed read alone while its entry answers, and return to the preferred entry sooner

Known entries came and went several times a second under load, and each change made an entry begin with its first choice again and drop an answer on its way.

Change: a read from an entry is supervised by its own timeouts and is not restarted for news of others; only a read from the store is restarted when the list is regained. The choice starts anew only if another parent is due, an entry that is still known may finish its answer, and the preferred source is tried again 5 s after a failure, not 30 s. An entry whose read of the topic from the store fails counts as out of touch although the list can be read. A peer that asks again replaces its earlier request.

Tests: topic_entriesSeemToComeAndGo_oneStoreReadAChange is new; failure-topicrelay, failure-feeds and failure-edge pass.

--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -139,12 +139,14 @@
     options.identity = {std::string(topicLinkRole), InstanceId(m_settings.ip), m_settings.zone,
                         m_secret};
     options.peerPort = m_settings.firstPort;
-    m_operatorReader = std::make_shared<RelayedReader>(
-            m_executor, options, m_adapter.operatorTopic,
-            [relay = m_topicRelay->mailbox()](const CompactedTopicPtr &topic, bool isFromStore) {
-                relay->post(TopicUpdated {topic, isFromStore});
-            },
-            m_log);
+    RelayedReaderHooks hooks;
+    hooks.onRead = [relay = m_topicRelay->mailbox()](const CompactedTopicPtr &topic,
+                                                     bool isFromStore) {
+        relay->post(TopicUpdated {topic, isFromStore});
+    };
+    hooks.onStoreFailed = [relay = m_topicRelay->mailbox()] { relay->post(TopicReadFailed {}); };
+    m_operatorReader = std::make_shared<RelayedReader>(m_executor, options, m_adapter.operatorTopic,
+                                                       hooks, m_log);
 }
 
 void Edge::makeWatchers()
@@ -185,7 +187,11 @@
         m_operatorReader->limitWaitForEntries();
         onReplicasChanged(std::move(entries));
     };
-    watcherHooks.onStoreRecovered = [this] { m_operatorWatcher->restartRead(); };
+    watcherHooks.onStoreRecovered = [this] {
+        if (m_operatorReader->isReadingStore()) {
+            m_operatorWatcher->restartRead();
+        }
+    };
     watcherHooks.onDelta = [this](const ReplicaListDelta &delta) {
         m_topicRelay->mailbox()->post(StoreReached {});
         m_loadListener->mailbox()->post(RelayListDelta {delta});
--- a/source/edge/relayedreader.cpp
+++ b/source/edge/relayedreader.cpp
@@ -17,10 +17,10 @@
 constexpr auto answerTimeout = std::chrono::milliseconds(900);
 /** Time within which the next part of an answer must arrive. */
 constexpr auto partTimeout = std::chrono::milliseconds(1000);
-/** An answer of which a part arrived this recently counts as being received. */
+/** An answer of which a part arrived this recently is not interrupted. */
 constexpr auto receivingTime = std::chrono::milliseconds(400);
-/** Time after which a source that has failed is tried again. */
-constexpr auto failureMemory = std::chrono::seconds(30);
+/** Time after the last failure at which the preferred source is tried again. */
+constexpr auto failureMemory = std::chrono::seconds(5);
 /** Maximum time for which the first read waits until other entries are known. */
 constexpr auto startTimeout = std::chrono::milliseconds(1000);
 /** The same once entries are being looked for. */
@@ -39,9 +39,9 @@
 } // namespace
 
 RelayedReader::RelayedReader(const asio::any_io_executor &executor, RelayedReaderOptions options,
-                             TopicReader store, TopicReadObserver onRead, Log log)
+                             TopicReader store, RelayedReaderHooks hooks, Log log)
     : m_executor(executor), m_options(std::move(options)), m_store(std::move(store)),
-      m_onRead(std::move(onRead)), m_log(std::move(log)),
+      m_hooks(std::move(hooks)), m_log(std::move(log)),
       m_startDeadline(monotonicNow() + startTimeout), m_startTimer(executor)
 { }
 
@@ -65,11 +65,15 @@
     if (order == m_entries) {
         return;
     }
+    const TopicSource preferred = choiceAfter(0);
     m_entries = std::move(order);
+    m_startTimer.cancel();
+    if (choiceAfter(0).entry == preferred.entry) {
+        return;
+    }
     m_failures = 0;
     m_reason = "entries changed";
-    m_startTimer.cancel();
-    if (m_isReading && m_source && currentChoice().entry != m_source->entry && !isReceiving()) {
+    if (mayInterrupt()) {
         m_isRedirected = true;
         closeLink("another entry is preferred");
         if (!m_source->entry && m_store.cancel) {
@@ -78,6 +82,24 @@
     }
 }
 
+/**
+ * @returns whether to interrupt the read in progress because another source is now preferred. An
+ *     entry that is still running may finish its answer, since the set of known entries may change
+ *     often and briefly.
+ */
+bool RelayedReader::mayInterrupt() const
+{
+    if (!m_isReading || !m_source || choiceAfter(0).entry == m_source->entry) {
+        return false;
+    }
+    if (isReadingStore()) {
+        return !isReceiving();
+    }
+    const bool isListed =
+            std::find(m_entries.begin(), m_entries.end(), *m_source->entry) != m_entries.end();
+    return !isListed && monotonicNow() - m_receivedAt >= receivingTime;
+}
+
 void RelayedReader::limitWaitForEntries()
 {
     m_startDeadline = std::min(m_startDeadline, monotonicNow() + discoveryTimeout);
@@ -137,11 +159,7 @@
             break;
         }
         if (const auto *topic = std::get_if<CompactedTopic>(&read)) {
-            m_isReading = false;
-            m_cancelledReads = 0;
-            m_isStoreConfirmed = !source.entry;
-            m_topic = std::make_shared<const CompactedTopic>(*topic);
-            m_onRead(m_topic, m_isStoreConfirmed);
+            recordResult(source, *topic);
             co_return std::nullopt;
         }
         if (m_isRedirected) {
@@ -152,6 +170,12 @@
         if (failure.kind == ErrorKind::PlatformUnavailable) {
             recordFailure(failure.detail);
         }
+        if (!source.entry) {
+            m_isStoreConfirmed = false;
+            if (m_hooks.onStoreFailed) {
+                m_hooks.onStoreFailed();
+            }
+        }
         if (!source.hasUntriedAlternative) {
             m_isReading = false;
             co_return failure;
@@ -160,6 +184,17 @@
     co_return givenUp;
 }
 
+void RelayedReader::recordResult(const TopicSource &source, const CompactedTopic &topic)
+{
+    m_isReading = false;
+    m_cancelledReads = 0;
+    m_isStoreConfirmed = !source.entry;
+    m_topic = std::make_shared<const CompactedTopic>(topic);
+    if (m_hooks.onRead) {
+        m_hooks.onRead(m_topic, m_isStoreConfirmed);
+    }
+}
+
 Awaitable<Outcome<CompactedTopic>> RelayedReader::readFrom(TopicSource source, Request request)
 {
     if (source.entry) {
@@ -176,8 +211,8 @@
     if (!request.isSnapshot || (m_options.continuesSnapshots && m_topic)) {
         // Only the reader of the zone learns from the list of backend servers whether it is still
         // in touch with the store; the others keep their waits short to learn it from this topic.
-        const bool mayWait = currentChoice().entry == std::nullopt && m_failures == 0
-                && m_isStoreConfirmed && !request.isSnapshot;
+        const bool isZonesReader = !choiceAfter(0).entry;
+        const bool mayWait = isZonesReader && m_isStoreConfirmed && !request.isSnapshot;
         const Duration wait =
                 mayWait ? request.wait : std::min<Duration>(request.wait, pollTimeout);
         const std::uint64_t from = request.from;
@@ -333,9 +368,10 @@
     }
 }
 
-TopicSource RelayedReader::currentChoice() const
+/** @returns the source to use after a number of failures */
+TopicSource RelayedReader::choiceAfter(std::uint32_t failures) const
 {
-    return chooseTopicSource({m_options.identity.instance, m_entries, m_failures});
+    return chooseTopicSource({m_options.identity.instance, m_entries, failures});
 }
 
 TopicSource RelayedReader::chooseSource()
@@ -344,7 +380,7 @@
         m_failures = 0;
         m_reason = "the failure was long ago";
     }
-    TopicSource source = currentChoice();
+    TopicSource source = choiceAfter(m_failures);
     if (!m_source || m_source->entry != source.entry) {
         m_log.info("topic.source-changed",
                    {{"topic", m_options.topic},
@@ -362,13 +398,21 @@
     m_reason = reason;
 }
 
+bool RelayedReader::isReadingStore() const
+{
+    return m_isReading && m_source && !m_source->entry;
+}
+
+/**
+ * A read from an entry has timeouts of its own, and a new one would only ask the same again. It
+ * counts as being received, so that the follower does not restart it.
+ */
 bool RelayedReader::isReceiving() const
 {
-    if (!m_isReading) {
-        return false;
+    if (isReadingStore()) {
+        return m_store.isReceiving && m_store.isReceiving();
     }
-    const bool isStoreReceiving = m_store.isReceiving && m_store.isReceiving();
-    return isStoreReceiving || monotonicNow() - m_receivedAt < receivingTime;
+    return m_isReading;
 }
 
 } // namespace greengageseam
--- a/source/edge/relayedreader.h
+++ b/source/edge/relayedreader.h
@@ -40,8 +40,14 @@
     bool continuesSnapshots = false;
 };
 
-/** Hook that is called after each successful read. It must not block. */
-using TopicReadObserver = std::function<void(const CompactedTopicPtr &topic, bool isFromStore)>;
+/** Hooks of RelayedReader; they may be empty and must not block. */
+struct RelayedReaderHooks
+{
+    /** Called after each successful read, even if nothing has changed. */
+    std::function<void(const CompactedTopicPtr &topic, bool isFromStore)> onRead;
+    /** Called when the topic could not be read from the store. */
+    std::function<void()> onStoreFailed;
+};
 
 /**
  * Reads of one topic, one at a time. It remembers what was read, so that only changes are requested
@@ -52,7 +58,7 @@
 public:
     /** @param store reads the topic from the store */
     RelayedReader(const asio::any_io_executor &executor, RelayedReaderOptions options,
-                  TopicReader store, TopicReadObserver onRead, Log log);
+                  TopicReader store, RelayedReaderHooks hooks, Log log);
 
     /** @returns the hooks through which a TopicFollower reads */
     TopicReader reader();
@@ -63,6 +69,8 @@
      * entries are being looked for.
      */
     void limitWaitForEntries();
+    /** @returns whether the read in progress is from the store itself */
+    bool isReadingStore() const;
 
 private:
     /** A read in progress. */
@@ -87,15 +95,17 @@
     std::uint64_t startRead();
     void cancelRead();
     void closeLink(const std::string &reason);
+    void recordResult(const TopicSource &source, const CompactedTopic &topic);
     TopicSource chooseSource();
-    TopicSource currentChoice() const;
+    TopicSource choiceAfter(std::uint32_t failures) const;
+    bool mayInterrupt() const;
     void recordFailure(const std::string &reason);
     bool isReceiving() const;
 
     asio::any_io_executor m_executor;
     RelayedReaderOptions m_options;
     TopicReader m_store;
-    TopicReadObserver m_onRead;
+    RelayedReaderHooks m_hooks;
     Log m_log;
     /** What was read so far; null until the first read. */
     CompactedTopicPtr m_topic;
--- a/source/edge/topicrelay.cpp
+++ b/source/edge/topicrelay.cpp
@@ -51,6 +51,10 @@
 
 void TopicRelay::apply(const TopicRequested &command)
 {
+    // A peer has one read in progress. It has given up an earlier one that still waits here.
+    std::erase_if(m_pending, [&](const PendingRequest &pending) {
+        return pending.command.link.peer().instance == command.link.peer().instance;
+    });
     const Duration wait = std::clamp<Duration>(command.request.wait, Duration::zero(), maxWait);
     const bool isLostOrRefused = m_topic != nullptr && !isAvailable();
     if (isLostOrRefused || command.request.topic != m_name || hasChangesFor(command)
@@ -76,6 +80,11 @@
     }
 }
 
+void TopicRelay::apply(const TopicReadFailed &)
+{
+    m_isFromStore = false;
+}
+
 void TopicRelay::apply(const RelayTick &)
 {
     answerDueRequests();
--- a/source/edge/topicrelay.h
+++ b/source/edge/topicrelay.h
@@ -36,12 +36,17 @@
 struct StoreReached
 { };
 
+/** This entry could not read the topic from the store, whatever it hears of other topics. */
+struct TopicReadFailed
+{ };
+
 /** Periodic check of the requests that wait. */
 struct RelayTick
 { };
 
 /** Messages to the task. */
-using TopicRelayCommand = std::variant<TopicRequested, TopicUpdated, StoreReached, RelayTick>;
+using TopicRelayCommand =
+        std::variant<TopicRequested, TopicUpdated, StoreReached, TopicReadFailed, RelayTick>;
 
 /**
  * Answers the requests of peers: with the changes as soon as there are any, that there are none
@@ -71,6 +76,7 @@
     void apply(const TopicRequested &command);
     void apply(const TopicUpdated &command);
     void apply(const StoreReached &command);
+    void apply(const TopicReadFailed &command);
     void apply(const RelayTick &command);
     /** @returns whether this entry knows the topic and is in touch with the store */
     bool isAvailable() const;
@@ -83,6 +89,7 @@
     MailboxPtr<TopicRelayCommand> m_mailbox;
     /** Null until the topic was read. */
     CompactedTopicPtr m_topic;
+    /** Whether the latest read of the topic was from the store, and successful. */
     bool m_isFromStore = false;
     /** When this entry was last in touch with the store, itself or through others. */
     Instant m_confirmedAt;
--- a/source/sidecar/sidecar.cpp
+++ b/source/sidecar/sidecar.cpp
@@ -122,9 +122,8 @@
                         m_secret};
     options.peerPort = m_settings.firstPort;
     options.continuesSnapshots = true;
-    m_operatorReader = std::make_shared<RelayedReader>(
-            m_executor, options, m_adapter.operatorTopic, [](const CompactedTopicPtr &, bool) { },
-            m_log);
+    m_operatorReader = std::make_shared<RelayedReader>(m_executor, options, m_adapter.operatorTopic,
+                                                       RelayedReaderHooks {}, m_log);
     m_operatorWatcher = std::make_shared<OperatorWatcher>(m_executor, m_operatorReader->reader(),
                                                           follow, hooks, m_log);
 }
--- a/tests/failure/tst_topicrelay.cpp
+++ b/tests/failure/tst_topicrelay.cpp
@@ -59,12 +59,16 @@
         options.identity = identity;
         options.peerPort = port;
         options.continuesSnapshots = !isEntry;
-        m_reader = std::make_shared<RelayedReader>(
-                m_context.get_executor(), options, storeReader(),
-                [relay = m_relay->mailbox()](const CompactedTopicPtr &known, bool isFromStore) {
-                    relay->post(TopicUpdated {known, isFromStore});
-                },
-                m_log);
+        RelayedReaderHooks readerHooks;
+        readerHooks.onRead = [relay = m_relay->mailbox()](const CompactedTopicPtr &known,
+                                                          bool isFromStore) {
+            relay->post(TopicUpdated {known, isFromStore});
+        };
+        readerHooks.onStoreFailed = [relay = m_relay->mailbox()] {
+            relay->post(TopicReadFailed {});
+        };
+        m_reader = std::make_shared<RelayedReader>(m_context.get_executor(), options, storeReader(),
+                                                   readerHooks, m_log);
         startFollower(isEntry);
     }
 
@@ -315,6 +319,30 @@
     REQUIRE(m_topic.reads == 1);
 }
 
+// Under load, entries are now and then taken for gone. Reads that are restarted for this reason
+// must not reach the store.
+TEST_CASE_METHOD(TopicRelayFixture, "topic_entriesSeemToComeAndGo_oneStoreReadAChange")
+{
+    startEntries(13);
+    runFor(milliseconds(800));
+    m_topic.reads = 0;
+    const std::string large(400'000, 'x');
+    for (std::size_t n = 0; n < 24; ++n) {
+        const EntryLocation gone = m_locations[1 + n % 12];
+        std::vector<EntryLocation> others = m_locations;
+        std::erase(others, gone);
+        for (const auto &node : m_nodes) {
+            node->setEntries(node->location() == gone ? m_locations : others);
+        }
+        if (n == 4) {
+            m_topic.write(large);
+        }
+        runFor(milliseconds(40));
+    }
+    REQUIRE(allHave(large, 0));
+    REQUIRE(m_topic.reads == 1);
+}
+
 // After an outage, most entries must get what they missed from each other.
 TEST_CASE_METHOD(TopicRelayFixture, "topic_storeWasAway_isReadByFewEntriesAfterwards")
 {
