--- a/source/edge/relayedreader.cpp
+++ b/source/edge/relayedreader.cpp
@@ -17,8 +17,8 @@
 constexpr auto answerTimeout = std::chrono::milliseconds(500);
 /** Time within which the next part of an answer must arrive. */
 constexpr auto partTimeout = std::chrono::milliseconds(1000);
-/** Time after which a source that has failed is tried again. */
-constexpr auto failureMemory = std::chrono::seconds(30);
+/** Time after the last failure at which the preferred source is tried again. */
+constexpr auto failureMemory = std::chrono::seconds(5);
 /** Maximum time for which the first read waits once other entries are being looked for. */
 constexpr auto discoveryTimeout = std::chrono::milliseconds(400);
 /** Number of events of one answer that may be queued. */
@@ -33,9 +33,9 @@
 } // namespace
 
 RelayedReader::RelayedReader(const asio::any_io_executor &executor, RelayedReaderOptions options,
-                             TopicReader store, TopicReadObserver onRead, Log log)
+                             TopicReader store, RelayedReaderHooks hooks, Log log)
     : m_executor(executor), m_options(std::move(options)), m_store(std::move(store)),
-      m_onRead(std::move(onRead)), m_log(std::move(log)),
+      m_hooks(std::move(hooks)), m_log(std::move(log)),
       m_startDeadline(monotonicNow() + m_options.startTimeout), m_startTimer(executor)
 { }
 
@@ -60,11 +60,15 @@
     if (order == m_entries) {
         return;
     }
+    const TopicSource preferred = choiceAfter(0);
     m_entries = std::move(order);
+    m_startTimer.cancel();
+    if (choiceAfter(0).entry == preferred.entry) {
+        return;
+    }
     m_failures = 0;
     m_reason = "entries changed";
-    m_startTimer.cancel();
-    if (m_isReading && m_source && currentChoice().entry != m_source->entry && !isProgressing()) {
+    if (mayInterrupt()) {
         m_isRedirected = true;
         closeLink("another entry is preferred");
         if (!m_source->entry && m_store.cancel) {
@@ -73,6 +77,24 @@
     }
 }
 
+/**
+ * @returns whether to interrupt the read in progress because another source is now preferred. An
+ *     entry that is still running may finish its answer, since the set of known entries may change
+ *     often and briefly.
+ */
+bool RelayedReader::mayInterrupt() const
+{
+    if (!m_isReading || !m_source || choiceAfter(0).entry == m_source->entry) {
+        return false;
+    }
+    if (isReadingStore()) {
+        return !isReceiving();
+    }
+    const bool isListed =
+            std::find(m_entries.begin(), m_entries.end(), *m_source->entry) != m_entries.end();
+    return !isListed && !m_hasPartialAnswer;
+}
+
 void RelayedReader::limitWaitForEntries()
 {
     m_startDeadline = std::min(m_startDeadline, monotonicNow() + discoveryTimeout);
@@ -137,10 +159,7 @@
             continue;
         }
         if (topic != nullptr) {
-            m_isReading = false;
-            m_isStoreConfirmed = !source.entry;
-            m_topic = std::make_shared<const CompactedTopic>(*topic);
-            m_onRead(m_topic, m_isStoreConfirmed);
+            recordResult(source, *topic);
             co_return std::nullopt;
         }
         if (m_isRedirected) {
@@ -151,6 +170,12 @@
         if (failure.kind == ErrorKind::PlatformUnavailable) {
             recordFailure(failure.detail);
         }
+        if (!source.entry) {
+            m_isStoreConfirmed = false;
+            if (m_hooks.onStoreFailed) {
+                m_hooks.onStoreFailed();
+            }
+        }
         if (!source.hasUntriedAlternative) {
             m_isReading = false;
             co_return failure;
@@ -159,6 +184,16 @@
     co_return givenUp;
 }
 
+void RelayedReader::recordResult(const TopicSource &source, const CompactedTopic &topic)
+{
+    m_isReading = false;
+    m_isStoreConfirmed = !source.entry;
+    m_topic = std::make_shared<const CompactedTopic>(topic);
+    if (m_hooks.onRead) {
+        m_hooks.onRead(m_topic, m_isStoreConfirmed);
+    }
+}
+
 Awaitable<Outcome<CompactedTopic>> RelayedReader::readFrom(TopicSource source, Request request)
 {
     if (source.entry) {
@@ -175,8 +210,8 @@
     if (!request.isSnapshot || (m_options.continuesSnapshots && m_topic)) {
         // Only the reader of the zone learns from the list of backend servers whether it is still
         // in touch with the store; the others keep their waits short to learn it from this topic.
-        const bool mayWait = currentChoice().entry == std::nullopt && m_failures == 0
-                && m_isStoreConfirmed && !request.isSnapshot;
+        const bool isZonesReader = !choiceAfter(0).entry;
+        const bool mayWait = isZonesReader && m_isStoreConfirmed && !request.isSnapshot;
         const Duration wait =
                 mayWait ? request.wait : std::min<Duration>(request.wait, pollTimeout);
         const std::uint64_t from = request.from;
@@ -328,9 +363,10 @@
     }
 }
 
-TopicSource RelayedReader::currentChoice() const
+/** @returns the source to use after a number of failures */
+TopicSource RelayedReader::choiceAfter(std::uint32_t failures) const
 {
-    return chooseTopicSource({m_options.identity.instance, m_entries, m_failures});
+    return chooseTopicSource({m_options.identity.instance, m_entries, failures});
 }
 
 TopicSource RelayedReader::chooseSource()
@@ -339,7 +375,7 @@
         m_failures = 0;
         m_reason = "the failure was long ago";
     }
-    TopicSource source = currentChoice();
+    TopicSource source = choiceAfter(m_failures);
     if (!m_source || m_source->entry != source.entry) {
         m_log.info("topic.source-changed",
                    {{"topic", m_options.topic},
@@ -357,15 +393,26 @@
     m_reason = reason;
 }
 
-bool RelayedReader::isReadingFromEntry() const
+bool RelayedReader::isReadingStore() const
 {
-    return m_source && m_source->entry;
+    return m_isReading && m_source && !m_source->entry;
 }
 
-/** A read from an entry ends soon by itself if the entry does not answer. */
+/**
+ * A read from an entry has timeouts of its own, and a new one would only ask the same again. It
+ * counts as being received, so that the follower does not restart it.
+ */
 bool RelayedReader::isReceiving() const
 {
-    return m_isReading && (isReadingFromEntry() || isProgressing());
+    if (isReadingStore()) {
+        return m_store.isReceiving && m_store.isReceiving();
+    }
+    return m_isReading;
+}
+
+bool RelayedReader::isReadingFromEntry() const
+{
+    return m_source && m_source->entry;
 }
 
 bool RelayedReader::isProgressing() const
