Pick the ports of the edge tests outside the range of the kernel's own connections

The fixture bound a port that the kernel chose and released it again, so that a connection or another test could be given it before the entry listened on it.

The ports are now taken from below the kernel's range, each one once.

--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <unistd.h>
 
 namespace greengageseam {
 namespace {
@@ -34,13 +35,27 @@
         + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
           "17\r\nid: 1\ndata: i-1\n\nid: 2\n\r\n";
 
-/** @returns a loopback address that is currently free */
+/** Below the ports that the kernel gives to connections, which could take a port meanwhile. */
+constexpr int firstTestPort = 20000;
+constexpr int testPorts = 12000;
+/** Also skips the port after a free one, which an entry uses as well. */
+constexpr int portStep = 2;
+
+/** @returns a loopback address that is currently free; a different one each time */
 Address freeAddress(asio::io_context &context)
 {
-    asio::ip::tcp::acceptor acceptor(context);
-    const Result<void> opened = openAcceptor(acceptor, Address("127.0.0.1:0"));
-    REQUIRE(opened);
-    return addressOf(acceptor.local_endpoint());
+    static int offset = ::getpid() * 61 % testPorts;
+    for (int n = 0; n < testPorts; n += portStep) {
+        offset = (offset + portStep) % testPorts;
+        const Address address("127.0.0.1:" + std::to_string(firstTestPort + offset));
+        asio::ip::tcp::acceptor acceptor(context);
+        const Result<void> opened = openAcceptor(acceptor, address);
+        if (opened) {
+            return address;
+        }
+    }
+    FAIL("no free port");
+    return Address("127.0.0.1:0");
 }
 
 std::uint16_t portOf(const Address &address)
