Split the settings of the daemon into usage text, environment, lookup and roles

One file held the usage text, the variables, the checks by type and the settings of both roles. No behaviour changes.

--- a/source/daemon/main.cpp
+++ b/source/daemon/main.cpp
@@ -3,6 +3,7 @@
  * one role, and shuts it down gracefully on SIGTERM or SIGINT.
  */
 #include "agent/agent.h"
+#include "daemon/daemonusage.h"
 #include "daemon/settings.h"
 #include "entry/entry.h"
 
--- a/source/daemon/settings.h
+++ b/source/daemon/settings.h
@@ -6,10 +6,10 @@
 
 #include "agent/agentsettings.h"
 #include "core/common/errors.h"
+#include "daemon/environment.h"
 #include "entry/entrysettings.h"
 #include "net/log.h"
 
-#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,18 +26,6 @@
     std::variant<EntrySettings, AgentSettings> role;
 };
 
-/** Environment variables, keyed by name. */
-using Environment = std::map<std::string, std::string>;
-
-/** Usage text, printed by `--help`. docopt derives the command-line parser from it. */
-extern const std::string daemonUsage;
-
-/**
- * @param variables null-terminated array of the form NAME=value, such as environ
- * @returns the variables whose names begin with `GREENGAGESEAM_`
- */
-Environment readEnvironment(const char *const *variables);
-
 /**
  * Reads and validates the settings. A flag overrides its environment variable.
  *
