Take the response and the claim of a request out of the forwarder

The forwarder kept the buffered response, its checksum and the claim beside the attempts and retries. ResponseRelay relays and verifies one response, RequestClaim holds one claim, and the result of an attempt and the request of a caller have headers of their own. No behaviour changes.

--- a/source/entry/forwarder.cpp
+++ b/source/entry/forwarder.cpp
@@ -1,9 +1,8 @@
 /**
- * The steps of a request: admission, claim, attempts, relay of the response, and errors.
+ * The steps of a request: admission, claim, attempts, and errors.
  */
 #include "entry/forwarder.h"
 
-#include "core/common/hashing.h"
 #include "net/clock.h"
 
 namespace greengageseam {
@@ -14,51 +13,6 @@
 constexpr std::size_t streamCapacity = 4096;
 constexpr std::int64_t streamWindowBytes = 128 * 1024;
 constexpr std::int64_t chunkOverheadBytes = 64;
-constexpr std::size_t maxBufferedBytes = 8U * 1024 * 1024;
-/** Largest response of a claimed request that is stored in the claim log. */
-constexpr std::size_t maxStoredResponseBytes = 4096;
-/** Largest age of a claim when an attempt starts; far below the retention window of claims. */
-constexpr auto maxClaimAge = std::chrono::seconds(30);
-
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-/** Counts server-sent events; engines send one event per token. */
-std::uint32_t countEvents(const std::string &bytes)
-{
-    constexpr std::string_view eventStart = "data: ";
-    std::uint32_t events = 0;
-    for (std::size_t n = bytes.find(eventStart); n != std::string::npos;
-         n = bytes.find(eventStart, n + eventStart.size())) {
-        ++events;
-    }
-    return events;
-}
-
-/** @returns what the result of an attempt says about the health of its backend server */
-AttemptVerdict verdictOf(const AttemptResult &result)
-{
-    if (!result.failure) {
-        return AttemptVerdict::Answered;
-    }
-    if (result.isCallerDisconnected || result.failure->kind == ErrorKind::Draining) {
-        return AttemptVerdict::Neutral;
-    }
-    return result.failure->kind == ErrorKind::Overloaded ? AttemptVerdict::Full
-                                                         : AttemptVerdict::Failed;
-}
-
-AttemptResult failedAttempt(ErrorKind kind, std::string detail, ExecutionStatus ran)
-{
-    return {Failure {kind, std::move(detail)}, ran, false};
-}
-
-AttemptResult callerDisconnected(ExecutionStatus ran)
-{
-    return {Failure {ErrorKind::AnswerBroken, "the caller has disconnected"}, ran, true};
-}
 
 } // namespace
 
@@ -68,7 +22,8 @@
     : m_executor(executor), m_exchange(exchange), m_request(std::move(request)),
       m_channels(std::move(channels)), m_deadline(monotonicNow() + timeout),
       m_metrics(std::move(metrics)), m_log(log.withFields({{"request", m_request.id.text()}})),
-      m_startedAt(monotonicNow())
+      m_startedAt(monotonicNow()), m_claim(executor, m_channels.claims),
+      m_response(exchange, m_request.id, m_request.isStreamed, m_startedAt, m_metrics)
 {
     m_request.routeQuery.deadline = m_deadline;
 }
@@ -85,14 +40,15 @@
     const AccountName account = grant.account;
     const ExecutionStatus ran = co_await runAdmitted(std::move(grant));
     const std::uint32_t charged = m_request.routeQuery.estimatedTokens;
-    const std::uint32_t used = ran == ExecutionStatus::NotExecuted
-            ? 0
-            : (m_streamedTokens > 0 ? m_streamedTokens : charged);
+    const std::uint32_t streamed = m_response.streamedTokens();
+    const std::uint32_t used =
+            ran == ExecutionStatus::NotExecuted ? 0 : (streamed > 0 ? streamed : charged);
     RouterCommand finished = RequestFinished {account, charged, used};
     co_await m_channels.router->send(std::move(finished));
+    const Duration elapsed = monotonicNow() - m_startedAt;
     m_metrics->observeSeconds("request_seconds",
                               "Time from the arrival of a request to the end of its response",
-                              toSeconds(monotonicNow() - m_startedAt));
+                              std::chrono::duration<double>(elapsed).count());
 }
 
 /** Claims a non-idempotent request before its first attempt, if it has an idempotency key. */
@@ -107,7 +63,7 @@
     }
     AttemptResult result = co_await runAttempts(std::move(grant));
     const ExecutionStatus ran = result.ran;
-    finishClaim(result);
+    m_claim.finish(ran, m_response.takeCopy());
     co_await completeResponse(std::move(result));
     co_return ran;
 }
@@ -115,9 +71,9 @@
 /** @returns true if the request may run; if false, the response was already sent to the caller */
 Awaitable<bool> Forwarder::claim(RouteGrant grant)
 {
-    ClaimReply reply = co_await requestClaim(grant.account);
-    if (const auto *granted = std::get_if<ClaimGrant>(&reply)) {
-        m_claim = *granted;
+    ClaimReply reply = co_await m_claim.acquire(grant.account, m_request, m_deadline);
+    if (std::holds_alternative<ClaimGrant>(reply)) {
+        m_response.keepCopy();
         co_return true;
     }
     if (auto *stored = std::get_if<StoredResponse>(&reply)) {
@@ -131,27 +87,6 @@
     co_return false;
 }
 
-Awaitable<ClaimReply> Forwarder::requestClaim(AccountName account)
-{
-    const std::string &key = m_request.idempotencyKey;
-    const auto keyCheck = toOutcome([&]() -> Result<std::monostate> {
-        BOOST_LEAF_CHECK(checkIdempotencyKey(key, IdempotencyKeyOptions(), wallNow()));
-        return std::monostate();
-    });
-    if (const Failure *failure = failureOf(keyCheck)) {
-        co_return ClaimRejection {*failure, descriptorFor(failure->kind).ran};
-    }
-    const auto reply = makeMailbox<ClaimReply>(m_executor, 1);
-    const std::uint64_t fingerprint = checksumOf(
-            m_request.routeQuery.method + "\n" + m_request.path + "\n" + m_request.body, 0);
-    const ClaimKey claimKey = makeClaimKey(account, m_request.routeQuery.service, key);
-    if (!m_channels.claims->post(ClaimRequest {claimKey, fingerprint, m_deadline, reply})) {
-        const Failure failure {ErrorKind::Overloaded, "the entry's claim queue is full"};
-        co_return ClaimRejection {failure, ExecutionStatus::NotExecuted};
-    }
-    co_return *(co_await reply->receive());
-}
-
 /** Sends the stored response of an earlier request with the same key. */
 Awaitable<void> Forwarder::replayResponse(StoredResponse stored)
 {
@@ -162,24 +97,6 @@
     co_await m_exchange.respond(std::move(response));
 }
 
-/** Records the outcome in the claim log, for a caller that repeats the request. */
-void Forwarder::finishClaim(const AttemptResult &result)
-{
-    if (!m_claim) {
-        return;
-    }
-    if (result.ran == ExecutionStatus::NotExecuted) {
-        m_channels.claims->post(ClaimReleased {m_claim->key, m_claim->position});
-        return;
-    }
-    m_channels.claims->post(ClaimFinished {m_claim->key, result.ran, std::move(m_storedResponse)});
-}
-
-bool Forwarder::isClaimExpired() const
-{
-    return m_claim && monotonicNow() - m_claim->claimedAt > maxClaimAge;
-}
-
 Awaitable<Outcome<RouteGrant>> Forwarder::admit()
 {
     const auto reply = makeMailbox<Outcome<RouteGrant>>(m_executor, 1);
@@ -221,7 +138,7 @@
         m_log.debug("request.done",
                     {{"agent", grant.instance.text()},
                      {"manifest", grant.manifest.text()},
-                     {"bytes", m_receivedBytes}});
+                     {"bytes", m_response.receivedBytes()}});
     }
     co_return result;
 }
@@ -241,11 +158,12 @@
 Awaitable<AttemptResult> Forwarder::attempt(RouteGrant grant)
 {
     using namespace asio::experimental::awaitable_operators;
-    resetResponse();
+    m_response.reset();
+    m_isResponseLost = false;
     const StreamId stream = grant.link.nextStream();
     const auto events = makeMailbox<StreamEvent>(m_executor, streamCapacity);
     const OpenMessage open = openMessage(grant);
-    if (isClaimExpired()) {
+    if (m_claim.isExpired()) {
         co_return failedAttempt(ErrorKind::PlatformUnavailable,
                                 "the claim is too old to start an attempt",
                                 ExecutionStatus::NotExecuted);
@@ -257,7 +175,7 @@
                                 ExecutionStatus::NotExecuted);
     }
     AttemptResult result;
-    if (m_claim) {
+    if (m_claim.isHeld()) {
         // A claimed request continues after its caller disconnects, so that a caller that repeats
         // it receives its outcome.
         result = co_await readResponse(events, grant.link, stream);
@@ -268,7 +186,7 @@
                                         : callerDisconnected(ExecutionStatus::Unknown);
     }
     if (result.failure && !result.isCallerDisconnected && result.ran == ExecutionStatus::Unknown
-        && m_receivedBytes == 0) {
+        && m_response.receivedBytes() == 0) {
         result = co_await resolveUnknownOutcome(grant, open.attempt, std::move(result));
     }
     if (result.failure) {
@@ -299,17 +217,6 @@
     co_return result;
 }
 
-/** Discards the response data of the previous attempt. */
-void Forwarder::resetResponse()
-{
-    m_streamedTokens = 0;
-    m_bufferedBody.clear();
-    m_head = HeadMessage();
-    m_receivedBytes = 0;
-    m_checksum = 0;
-    m_isResponseLost = false;
-}
-
 Awaitable<AttemptResult> Forwarder::readResponse(MailboxPtr<StreamEvent> events,
                                                  PeerLinkHandle link, StreamId stream)
 {
@@ -331,87 +238,20 @@
             co_return AttemptResult {failure->failure, failure->ran, false};
         }
         if (const auto *head = std::get_if<HeadMessage>(&message)) {
-            m_head = *head;
+            m_response.setHead(*head);
         } else if (auto *data = std::get_if<DataMessage>(&message)) {
             const auto n = static_cast<std::int64_t>(data->bytes.size());
-            if (!co_await relayData(std::move(*data))) {
+            const bool isRelayed = co_await m_response.relay(*data);
+            if (!isRelayed) {
                 co_return callerDisconnected(ExecutionStatus::Unknown);
             }
             link.post(stream, CreditMessage {n + chunkOverheadBytes});
         } else if (const auto *end = std::get_if<EndMessage>(&message)) {
-            co_return co_await finishResponse(*end);
+            co_return co_await m_response.finish(*end);
         }
     }
 }
 
-/**
- * Sends data to the caller, or buffers it while the response is not streamed. A response that
- * exceeds the buffer is streamed from then on.
- * @returns false if the caller has disconnected
- */
-Awaitable<bool> Forwarder::relayData(DataMessage data)
-{
-    m_receivedBytes += static_cast<std::int64_t>(data.bytes.size());
-    m_checksum = checksumOf(data.bytes, m_checksum);
-    if (m_request.isStreamed) {
-        m_streamedTokens += countEvents(data.bytes);
-    }
-    if (!m_request.isStreamed && m_bufferedBody.size() + data.bytes.size() <= maxBufferedBytes) {
-        m_bufferedBody += data.bytes;
-        co_return true;
-    }
-    if (!m_exchange.hasStarted()) {
-        m_metrics->observeSeconds("first_part_seconds",
-                                  "Time to the first chunk of a streamed response",
-                                  toSeconds(monotonicNow() - m_startedAt));
-        HttpResponse head {m_head.status, m_head.contentType, {}, {}};
-        head.headers.push_back({"X-Request-Id", m_request.id.text()});
-        if (!co_await m_exchange.beginStream(std::move(head))) {
-            co_return false;
-        }
-        m_request.isStreamed = true;
-        std::string buffered = std::move(m_bufferedBody);
-        m_bufferedBody.clear();
-        if (!co_await m_exchange.sendPart(std::move(buffered))) {
-            co_return false;
-        }
-    }
-    co_return co_await m_exchange.sendPart(std::move(data.bytes));
-}
-
-/** Completes the response only if the received data matches the length and checksum in @p end. */
-Awaitable<AttemptResult> Forwarder::finishResponse(EndMessage end)
-{
-    if (end.length != m_receivedBytes || end.checksum != m_checksum) {
-        co_return failedAttempt(ErrorKind::AnswerBroken,
-                                "the response does not match its length and checksum",
-                                ExecutionStatus::Unknown);
-    }
-    bool isDelivered = false;
-    storeResponse();
-    if (m_exchange.hasStarted()) {
-        isDelivered = co_await m_exchange.endStream();
-    } else {
-        HttpResponse response {m_head.status, m_head.contentType, {}, std::move(m_bufferedBody)};
-        response.headers.push_back({"X-Request-Id", m_request.id.text()});
-        isDelivered = co_await m_exchange.respond(std::move(response));
-    }
-    if (!isDelivered) {
-        co_return callerDisconnected(ExecutionStatus::Executed);
-    }
-    co_return AttemptResult {std::nullopt, ExecutionStatus::Executed, false};
-}
-
-/** Stores a short response of a claimed request for callers that repeat the request. */
-void Forwarder::storeResponse()
-{
-    const bool isStorable = m_claim && !m_exchange.hasStarted()
-            && m_bufferedBody.size() <= maxStoredResponseBytes && isRecordText(m_bufferedBody);
-    if (isStorable) {
-        m_storedResponse = StoredResponse {m_head.status, m_head.contentType, m_bufferedBody};
-    }
-}
-
 OpenMessage Forwarder::openMessage(const RouteGrant &grant) const
 {
     OpenMessage open;
@@ -429,10 +269,7 @@
     open.window = streamWindowBytes;
     open.incarnation = grant.incarnation;
     open.stamp = grant.agentTimestamp;
-    if (m_claim) {
-        open.claimOffset = m_claim->position.offset;
-        open.claimKey = textOf(m_claim->key);
-    }
+    m_claim.addTo(open);
     return open;
 }
 
--- a/source/entry/forwarder.h
+++ b/source/entry/forwarder.h
@@ -6,7 +6,10 @@
 #pragma once
 
 #include "entry/attemptquery.h"
-#include "entry/claimmanager.h"
+#include "entry/attemptresult.h"
+#include "entry/callerrequest.h"
+#include "entry/requestclaim.h"
+#include "entry/responserelay.h"
 #include "entry/router.h"
 #include "net/httpserver.h"
 #include "net/log.h"
@@ -17,35 +20,6 @@
 
 namespace greengageseam {
 
-/** A parsed and validated request of a caller. */
-struct CallerRequest
-{
-    RequestId id;
-    RouteQuery routeQuery;
-    std::string contentType;
-    std::string body;
-    /** Path and query string as sent to the backend server. */
-    std::string path;
-    /** The caller's `Idempotency-Key`; empty if the request has none. */
-    std::string idempotencyKey;
-    /** True if the caller requested a streamed response. */
-    bool isStreamed = false;
-
-    auto operator<=>(const CallerRequest &) const = default;
-};
-
-/** Result of an attempt as known to the entry. */
-struct AttemptResult
-{
-    /** Empty if the caller received the complete response. */
-    std::optional<Failure> failure;
-    ExecutionStatus ran = ExecutionStatus::Unknown;
-    /** True if the caller has disconnected; no response can be sent then. */
-    bool isCallerDisconnected = false;
-
-    auto operator<=>(const AttemptResult &) const = default;
-};
-
 /** Mailboxes and hooks that a Forwarder uses. */
 struct ForwarderChannels
 {
@@ -72,21 +46,14 @@
     /** @returns whether the request was executed */
     Awaitable<ExecutionStatus> runAdmitted(RouteGrant grant);
     Awaitable<bool> claim(RouteGrant grant);
-    Awaitable<ClaimReply> requestClaim(AccountName account);
     Awaitable<void> replayResponse(StoredResponse stored);
     Awaitable<AttemptResult> runAttempts(RouteGrant grant);
     Awaitable<void> completeResponse(AttemptResult result);
-    void finishClaim(const AttemptResult &result);
-    bool isClaimExpired() const;
     Awaitable<AttemptResult> resolveUnknownOutcome(RouteGrant grant, AttemptId attempt,
                                                    AttemptResult result);
-    void resetResponse();
     Awaitable<AttemptResult> attempt(RouteGrant grant);
     Awaitable<AttemptResult> readResponse(MailboxPtr<StreamEvent> events, PeerLinkHandle link,
                                           StreamId stream);
-    Awaitable<bool> relayData(DataMessage data);
-    Awaitable<AttemptResult> finishResponse(EndMessage end);
-    void storeResponse();
     OpenMessage openMessage(const RouteGrant &grant) const;
     Duration remainingTime() const;
     bool canRetry(const AttemptResult &result, const RouteGrant &grant) const;
@@ -101,19 +68,10 @@
     Log m_log;
     Instant m_startedAt;
     std::set<InstanceId> m_triedAgents;
-    /** The claim of the request; empty if it was not claimed. */
-    std::optional<ClaimGrant> m_claim;
-    /** The response to store in the claim log, for a caller that repeats the request. */
-    std::optional<StoredResponse> m_storedResponse;
-    /** The response body received so far, unless the response is streamed. */
-    std::string m_bufferedBody;
-    HeadMessage m_head;
-    std::int64_t m_receivedBytes = 0;
-    std::uint64_t m_checksum = 0;
+    RequestClaim m_claim;
+    ResponseRelay m_response;
     /** True if the attempt ended without an outcome from the agent. */
     bool m_isResponseLost = false;
-    /** Number of tokens of a streamed response that were relayed. */
-    std::uint32_t m_streamedTokens = 0;
 };
 
 } // namespace greengageseam
