Take decisions out of the tasks for the agents and the entries of a zone

How long a zone's summary is valid (ZoneSummaries) and in which order an agent prefers the entries of its zone (EntryRanking) are value types in core/membership now; the part of the configuration that an agent lacks is a pure function (missingConfig). No behaviour changes.

--- a/source/agent/entrylinks.cpp
+++ b/source/agent/entrylinks.cpp
@@ -1,6 +1,5 @@
 #include "agent/entrylinks.h"
 
-#include "core/common/hashing.h"
 #include "net/clock.h"
 #include "net/ticker.h"
 
@@ -19,8 +18,6 @@
 constexpr std::size_t entriesPerAgent = 2;
 /** Time without an acknowledgement after which the link to an entry is closed. */
 constexpr auto entrySilenceTimeout = std::chrono::seconds(3);
-/** Time for which an entry that failed is ranked behind all others. */
-constexpr auto failureCooldown = std::chrono::seconds(5);
 constexpr auto unlinkedPollInterval = std::chrono::seconds(1);
 constexpr auto linkedPollInterval = std::chrono::minutes(1);
 
@@ -31,7 +28,8 @@
                        ReadInstanceList readList, Log log)
     : m_executor(executor), m_settings(std::move(settings)), m_config(std::move(config)),
       m_hooks(std::move(hooks)), m_readList(std::move(readList)), m_log(std::move(log)),
-      m_mailbox(makeMailbox<EntryLinksCommand>(executor, mailboxCapacity))
+      m_mailbox(makeMailbox<EntryLinksCommand>(executor, mailboxCapacity)),
+      m_ranking(m_settings.instance, m_settings.seedEntries)
 {
     m_heartbeat.instance = m_settings.instance;
     m_heartbeat.zone = m_settings.zone;
@@ -97,7 +95,7 @@
 
 void EntryLinks::apply(const ListedEntriesUpdated &command)
 {
-    m_listedEntries = command.entries;
+    m_ranking = std::move(m_ranking).withListed(command.entries);
 }
 
 void EntryLinks::apply(const EntryDialed &command)
@@ -105,12 +103,12 @@
     if (const Failure *failure = failureOf(command.link)) {
         m_log.debug("entry.unreachable", {{"reason", failure->detail}});
         m_entries.erase(command.address);
-        m_failedAt.insert_or_assign(command.address, monotonicNow());
+        m_ranking = std::move(m_ranking).withFailure(command.address, monotonicNow());
         return;
     }
     const auto &link = std::get<PeerLinkHandle>(command.link);
     m_log.info("entry.linked", {{"entry", link.peer().instance.text()}});
-    m_failedAt.erase(command.address);
+    m_ranking = std::move(m_ranking).withoutFailure(command.address);
     m_entries.insert_or_assign(command.address, Entry {link, monotonicNow(), false, {}});
     sendHeartbeat();
 }
@@ -119,7 +117,7 @@
 {
     if (m_entries.erase(command.address) > 0) {
         m_log.warning("entry.lost", {{"entry", command.entry.text()}});
-        m_failedAt.insert_or_assign(command.address, monotonicNow());
+        m_ranking = std::move(m_ranking).withFailure(command.address, monotonicNow());
     }
 }
 
@@ -166,7 +164,7 @@
 void EntryLinks::apply(const HeartbeatTick &)
 {
     closeSilentLinks();
-    std::vector<Address> chosen = entriesByScore();
+    std::vector<Address> chosen = m_ranking.sorted(monotonicNow());
     chosen.resize(std::min(chosen.size(), entriesPerAgent));
     for (const Address &address : chosen) {
         if (m_entries.try_emplace(address).second) {
@@ -180,35 +178,12 @@
     sendHeartbeat();
 }
 
-/**
- * Sorts all entries by their rendezvous score, highest first. Entries that failed recently are
- * placed last rather than removed, so that they are redialed at once if there are no others.
- */
-std::vector<Address> EntryLinks::entriesByScore() const
-{
-    const Instant now = monotonicNow();
-    std::set<Address> knownEntries(m_settings.seedEntries.begin(), m_settings.seedEntries.end());
-    knownEntries.insert(m_listedEntries.begin(), m_listedEntries.end());
-    const auto hasFailed = [&](const Address &address) {
-        const auto failed = m_failedAt.find(address);
-        return failed != m_failedAt.end() && now - failed->second < failureCooldown;
-    };
-    const auto rank = [&](const Address &address) {
-        return std::pair(!hasFailed(address),
-                         rendezvousScore(m_settings.instance.text(), address.text()));
-    };
-    std::vector<Address> sorted(knownEntries.begin(), knownEntries.end());
-    std::sort(sorted.begin(), sorted.end(),
-              [&](const Address &left, const Address &right) { return rank(left) > rank(right); });
-    return sorted;
-}
-
 void EntryLinks::closeSilentLinks()
 {
     const Instant now = monotonicNow();
     for (const auto &[address, entry] : m_entries) {
         if (entry.link && now - entry.lastAckAt > entrySilenceTimeout) {
-            m_failedAt.insert_or_assign(address, now);
+            m_ranking = std::move(m_ranking).withFailure(address, now);
             entry.link.close("the entry sent no heartbeat acknowledgement in time");
         }
     }
@@ -266,7 +241,7 @@
  */
 void EntryLinks::notifyNeighboursChanged()
 {
-    for (const Address &address : entriesByScore()) {
+    for (const Address &address : m_ranking.sorted(monotonicNow())) {
         const auto it = m_entries.find(address);
         if (it == m_entries.end() || !it->second.isWarm) {
             continue;
--- a/source/agent/entrylinks.h
+++ b/source/agent/entrylinks.h
@@ -8,6 +8,7 @@
 #include "agent/gate.h"
 #include "agent/weightmanager.h"
 #include "core/config/config.h"
+#include "core/membership/membership.h"
 #include "engine/engine.h"
 #include "logservice/configmanager.h"
 #include "logservice/listclient.h"
@@ -17,7 +18,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <variant>
 
 namespace greengageseam {
@@ -119,7 +119,6 @@
     void applyConfigPush(const ConfigPushMessage &push);
     void sendSnapshot(const ConfigRequestMessage &request, const PeerLinkHandle &link);
     void applyHeartbeatAck(const EntryLinkMessageReceived &command, const HeartbeatAckMessage &ack);
-    std::vector<Address> entriesByScore() const;
     void closeSilentLinks();
     void closeSurplusLinks(const std::vector<Address> &chosen);
     void notifyNeighboursChanged();
@@ -133,7 +132,7 @@
     Log m_log;
     MailboxPtr<EntryLinksCommand> m_mailbox;
     Heartbeat m_heartbeat;
-    std::vector<Address> m_listedEntries;
+    EntryRanking m_ranking;
     /** An entry that was dialed. The link is empty while the entry is being dialed. */
     struct Entry
     {
@@ -145,7 +144,6 @@
     };
 
     std::map<Address, Entry> m_entries;
-    std::map<Address, Instant> m_failedAt;
     /**
      * Version of the neighbours that the hook was last called with: epoch of the entry that sent
      * them, and its revision.
--- a/source/core/membership/membership.h
+++ b/source/core/membership/membership.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include "core/membership/entryranking.h"
 #include "core/membership/memberchangelog.h"
 #include "core/membership/membertable.h"
 #include "core/membership/zonedigest.h"
+#include "core/membership/zonesummaries.h"
--- a/source/entry/fleetmanager.cpp
+++ b/source/entry/fleetmanager.cpp
@@ -3,9 +3,9 @@
  */
 #include "entry/fleetmanager.h"
 
+#include "entry/configpush.h"
 #include "net/clock.h"
 #include "net/ticker.h"
-#include "protocol/configcodec.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -26,8 +26,6 @@
 constexpr auto warmUpTime = std::chrono::milliseconds(2500);
 /** Time without a heartbeat after which an agent's model versions are placed on other agents. */
 constexpr auto replacementTimeout = std::chrono::seconds(8);
-/** Time without a new summary after which a zone's summary is discarded. */
-constexpr auto summaryLifetime = std::chrono::seconds(12);
 
 } // namespace
 
@@ -218,8 +216,9 @@
             manifests.insert(modelVersion.manifest);
         }
     }
-    m_zoneSummaries.insert_or_assign(summary.zone, expandManifestPrefixes(summary, manifests));
-    m_summaryReceivedAt.insert_or_assign(summary.zone, monotonicNow());
+    m_zoneSummaries =
+            std::move(m_zoneSummaries)
+                    .withSummary(expandManifestPrefixes(summary, manifests), monotonicNow());
 }
 
 /**
@@ -302,10 +301,7 @@
 
 void FleetManager::removeSilent()
 {
-    const Instant now = monotonicNow();
-    std::erase_if(m_zoneSummaries, [&](const auto &entry) {
-        return now - m_summaryReceivedAt[entry.first] > summaryLifetime;
-    });
+    m_zoneSummaries = std::move(m_zoneSummaries).advancedTo(monotonicNow());
     std::erase_if(m_remoteMembers, [this](const auto &entry) {
         return std::none_of(
                 m_linkedEntries.begin(), m_linkedEntries.end(),
@@ -330,31 +326,15 @@
     command.link.post(linkStream, std::move(ack));
 }
 
-/** Sends an agent the records that it lacks, or a snapshot if they are no longer buffered here. */
 void FleetManager::sendMissingConfig(const InstanceId &instance, Offset applied)
 {
     const auto link = m_heartbeatLinks.find(instance);
     if (link == m_heartbeatLinks.end() || !m_config.isReady()) {
         return;
     }
-    const bool isBehind = applied < m_config.state->applied || applied.value == 0;
-    if (!isBehind) {
-        return;
+    if (std::optional<ConfigPushMessage> push = missingConfig(m_config, applied)) {
+        link->second.post(linkStream, std::move(*push));
     }
-    const std::vector<LogRecord> &recent = *m_config.recentRecords;
-    const auto first = std::find_if(recent.begin(), recent.end(), [&](const LogRecord &record) {
-        return record.offset > applied;
-    });
-    ConfigPushMessage push;
-    push.logId = m_config.state->logId;
-    if (first == recent.end() || first->offset.value != applied.value + 1) {
-        push.snapshot = encodeSnapshot(makeSnapshot(*m_config.state));
-    } else {
-        push.firstOffset = first->offset;
-        std::transform(first, recent.end(), std::back_inserter(push.records),
-                       [](const LogRecord &record) { return record.text; });
-    }
-    link->second.post(linkStream, std::move(push));
 }
 
 void FleetManager::dialMissing()
@@ -390,7 +370,7 @@
 void FleetManager::publish()
 {
     FleetView view;
-    view.zones = m_zoneSummaries;
+    view.zones = m_zoneSummaries.summaries();
     for (const auto &[instance, member] : m_memberTable.members()) {
         view.members.push_back(member);
         const auto link = m_requestLinks.find(instance);
--- a/source/entry/fleetmanager.h
+++ b/source/entry/fleetmanager.h
@@ -169,8 +169,7 @@
     /** The members reported by each other entry of the zone. */
     std::map<InstanceId, RemoteMembers> m_remoteMembers;
     std::vector<LinkedEntry> m_linkedEntries;
-    std::map<ZoneName, ZoneSummary> m_zoneSummaries;
-    std::map<ZoneName, Instant> m_summaryReceivedAt;
+    ZoneSummaries m_zoneSummaries;
     Instant m_startedAt;
     Instant m_lastDigestAt;
     Instant m_lastSummaryAt;
