--- a/source/agent/weightmanager.cpp
+++ b/source/agent/weightmanager.cpp
@@ -1,6 +1,5 @@
 #include "agent/weightmanager.h"
 
-#include "core/common/hashing.h"
 #include "net/clock.h"
 #include "net/ticker.h"
 
@@ -12,17 +11,13 @@
 namespace {
 
 constexpr std::size_t mailboxCapacity = 8192;
-constexpr std::uint64_t maxManifestBytes = 64ULL * 1024 * 1024;
 constexpr auto tickPeriod = std::chrono::milliseconds(20);
-constexpr auto zoneAnnounceInterval = std::chrono::milliseconds(60);
-constexpr auto otherZonesAnnounceInterval = std::chrono::milliseconds(150);
 /**
  * Interval between updates of the peers to link. They depend on the state of the planner, which
  * also changes while the agents of the zone stay the same.
  */
 constexpr auto peersToLinkInterval = std::chrono::milliseconds(200);
 constexpr auto progressLogInterval = std::chrono::milliseconds(500);
-constexpr auto manifestStallTimeout = std::chrono::seconds(2);
 
 FetchResult fetchResultFor(const Failure &failure)
 {
@@ -39,19 +34,6 @@
     }
 }
 
-/** @returns the bytes if they match their digest, CorruptData otherwise */
-Outcome<ChunkBytes> verifyChunk(Outcome<std::string> read, const Chunk &chunk)
-{
-    if (const Failure *failure = failureOf(read)) {
-        return *failure;
-    }
-    if (digestOf(std::get<std::string>(read)) != chunk.digest) {
-        return Failure {ErrorKind::CorruptData,
-                        "chunk " + chunk.digest.text() + " does not match its digest"};
-    }
-    return std::make_shared<const std::string>(std::get<std::string>(std::move(read)));
-}
-
 } // namespace
 
 WeightManager::WeightManager(const asio::any_io_executor &executor,
@@ -125,7 +107,7 @@
     }
     plan(ManifestReceived {command.digest, std::get<Manifest>(command.manifest)});
     if (m_planner.manifest(command.digest) != nullptr) {
-        m_tasks.links->post(AnnounceChunks {makeHaveMessage(command.digest, true)});
+        m_tasks.links->post(AnnounceChunks {makeHaveMessage(m_planner, command.digest, true)});
     }
 }
 
@@ -176,16 +158,16 @@
     }
     plan(command.chunks);
     if (command.isAnswerWanted) {
-        m_tasks.links->post(AnnounceChunks {makeHaveMessage(manifest, false), PeerScope::All,
-                                            command.chunks.peer});
+        m_tasks.links->post(AnnounceChunks {makeHaveMessage(m_planner, manifest, false),
+                                            PeerScope::All, command.chunks.peer});
     }
 }
 
 void WeightManager::apply(const PeerLinked &command)
 {
     for (const Digest &manifest : m_planner.offeredVersions()) {
-        m_tasks.links->post(
-                AnnounceChunks {makeHaveMessage(manifest, true), PeerScope::All, command.peer});
+        m_tasks.links->post(AnnounceChunks {makeHaveMessage(m_planner, manifest, true),
+                                            PeerScope::All, command.peer});
     }
 }
 
@@ -274,38 +256,15 @@
 
 Awaitable<void> WeightManager::fetchManifest(FetchManifest action)
 {
-    Outcome<Manifest> manifest = Failure {};
-    if (action.source.isOrigin()) {
-        manifest = co_await m_sources.readManifest(action.digest);
-    } else {
-        PeerReadRequest read {action.source.peer, action.digest, maxManifestBytes,
-                              manifestStallTimeout, makeReadEvents(m_executor)};
-        const Outcome<std::string> text = co_await m_sources.readPeer(std::move(read));
-        const Failure *failure = failureOf(text);
-        manifest = failure != nullptr ? Outcome<Manifest>(*failure) : toOutcome([&] {
-            return parseManifest(std::get<std::string>(text), action.digest);
-        });
-    }
-    WeightCommand fetched = ManifestFetched {action.digest, std::move(manifest)};
+    ManifestFetched result = co_await readManifest(m_executor, m_sources, action);
+    WeightCommand fetched = std::move(result);
     co_await m_mailbox->send(std::move(fetched));
 }
 
 Awaitable<void> WeightManager::fetchChunk(FetchChunk action, MailboxPtr<StreamEvent> events)
 {
-    Outcome<std::string> bytes = Failure {};
-    Duration retryAfter {};
-    if (action.source.isOrigin()) {
-        OriginResponse response = co_await m_sources.readOrigin(action.chunk);
-        bytes = std::move(response.bytes);
-        retryAfter = response.retryAfter;
-    } else {
-        PeerReadRequest read {action.source.peer, action.chunk.digest, action.chunk.size,
-                              action.stallTimeout, std::move(events)};
-        bytes = co_await m_sources.readPeer(std::move(read));
-    }
-    Outcome<ChunkBytes> checked = verifyChunk(std::move(bytes), action.chunk);
-    WeightCommand fetched =
-            ChunkFetched {action.chunk, action.source, std::move(checked), retryAfter};
+    ChunkFetched result = co_await readChunk(m_sources, action, events);
+    WeightCommand fetched = std::move(result);
     co_await m_mailbox->send(std::move(fetched));
 }
 
@@ -330,40 +289,11 @@
     }
 }
 
-/**
- * Announces new chunks to the peers. The interval is longer for other zones, to save bandwidth on
- * the links between zones.
- */
 void WeightManager::announceChanges()
 {
-    const Instant now = monotonicNow();
-    if (now >= m_lastZoneAnnouncement + zoneAnnounceInterval) {
-        m_lastZoneAnnouncement = now;
-        announceTo(PeerScope::SameZone, m_announcedInZone);
+    for (AnnounceChunks &announcement : m_announcements.takeDue(m_planner, monotonicNow())) {
+        m_tasks.links->post(std::move(announcement));
     }
-    if (now >= m_lastOtherZonesAnnouncement + otherZonesAnnounceInterval) {
-        m_lastOtherZonesAnnouncement = now;
-        announceTo(PeerScope::OtherZones, m_announcedToOtherZones);
-    }
-}
-
-void WeightManager::announceTo(PeerScope scope, std::map<Digest, ChunkBits> &announced)
-{
-    for (const Digest &manifest : m_planner.offeredVersions()) {
-        HaveMessage have = makeHaveMessage(manifest, false);
-        ChunkBits &lastBits = announced[manifest];
-        if (lastBits != have.bits) {
-            lastBits = have.bits;
-            m_tasks.links->post(AnnounceChunks {std::move(have), scope});
-        }
-    }
-    std::erase_if(announced,
-                  [this](const auto &entry) { return m_planner.manifest(entry.first) == nullptr; });
-}
-
-HaveMessage WeightManager::makeHaveMessage(const Digest &manifest, bool isAnswerWanted) const
-{
-    return {manifest, m_planner.storedChunks(manifest), isAnswerWanted};
 }
 
 void WeightManager::publishStatus()
--- a/source/agent/weightmanager.h
+++ b/source/agent/weightmanager.h
@@ -4,10 +4,10 @@
  */
 #pragma once
 
+#include "agent/chunkannouncements.h"
 #include "agent/chunkserver.h"
-#include "agent/peerchunks.h"
+#include "agent/weightreads.h"
 #include "core/weights/weights.h"
-#include "logservice/storeclient.h"
 #include "net/log.h"
 #include "net/metrics.h"
 
@@ -19,23 +19,6 @@
 
 namespace greengageseam {
 
-/** Reading a manifest has succeeded or failed. */
-struct ManifestFetched
-{
-    Digest digest;
-    Outcome<Manifest> manifest;
-};
-
-/** Reading and verifying a chunk has succeeded or failed. */
-struct ChunkFetched
-{
-    Chunk chunk;
-    ChunkSource source;
-    Outcome<ChunkBytes> bytes;
-    /** Delay before the next read that the origin requested; 0 if it requested none. */
-    Duration retryAfter {};
-};
-
 /** A peer requests a chunk or a manifest on a stream of its link. */
 struct ChunkRequested
 {
@@ -98,14 +81,6 @@
 /** Hook that is called with each new status. It must not block. */
 using WeightObserver = std::function<void(const WeightStatus &status)>;
 
-/** Hooks that read weights from the origin and from peers. */
-struct WeightSources
-{
-    ReadOriginManifest readManifest;
-    ReadOriginChunk readOrigin;
-    ReadPeer readPeer;
-};
-
 /** Mailboxes of the tasks that the manager sends commands to. */
 struct WeightTasks
 {
@@ -164,8 +139,6 @@
     void recordFetchFailure(const Failure &failure, const ChunkSource &source);
     void updatePeersToLink();
     void announceChanges();
-    void announceTo(PeerScope scope, std::map<Digest, ChunkBits> &announced);
-    HaveMessage makeHaveMessage(const Digest &manifest, bool isAnswerWanted) const;
     void publishStatus();
 
     asio::any_io_executor m_executor;
@@ -184,11 +157,7 @@
     std::vector<WeightPeer> m_peersToLink;
     Instant m_peersToLinkUpdatedAt;
     Instant m_progressLoggedAt;
-    /** Chunks last announced to the peers of the zone, and to those of other zones. */
-    std::map<Digest, ChunkBits> m_announcedInZone;
-    std::map<Digest, ChunkBits> m_announcedToOtherZones;
-    Instant m_lastZoneAnnouncement;
-    Instant m_lastOtherZonesAnnouncement;
+    ChunkAnnouncements m_announcements;
     std::uint64_t m_originBytes = 0;
     /** Value of the metric for stored bytes. */
     std::uint64_t m_storedBytesMetric = 0;
