Print the result of every simple call of the operators' tool in one place

drainInstance() repeated the call, the errors and the output that printQueryResult() had. Both use printCallResult() now. No behaviour changes.

--- a/source/tool/commands.cpp
+++ b/source/tool/commands.cpp
@@ -35,11 +35,10 @@
 
 using Printer = std::function<void(std::ostream &, const json::object &)>;
 
-/** Sends a GET request to the administration API, and prints the result. */
-Awaitable<ToolExit> printQueryResult(asio::any_io_executor executor, ToolSettings settings,
-                                     std::string target, Printer printer)
+/** Calls the administration API, and prints the result. */
+Awaitable<ToolExit> printCallResult(asio::any_io_executor executor, ToolSettings settings,
+                                    AdminApiCall call, Printer printer)
 {
-    AdminApiCall call {"GET", std::move(target), ""};
     const Outcome<AdminResponse> outcome = co_await callAdmin(executor, settings, std::move(call));
     if (const Failure *failure = failureOf(outcome)) {
         co_return printFailure(*failure);
@@ -56,6 +55,14 @@
     co_return ToolExit::Done;
 }
 
+/** Sends a GET request to the administration API, and prints the result. */
+Awaitable<ToolExit> printQueryResult(asio::any_io_executor executor, ToolSettings settings,
+                                     std::string target, Printer printer)
+{
+    AdminApiCall call {"GET", std::move(target), ""};
+    co_return co_await printCallResult(executor, settings, std::move(call), printer);
+}
+
 Result<json::array> parseEdits(const std::vector<std::string> &edits)
 {
     json::array array;
@@ -171,20 +178,10 @@
                                   std::string instance)
 {
     AdminApiCall call {"POST", "/admin/v1/instances/" + instance + "/drain", "{}"};
-    const Outcome<AdminResponse> outcome = co_await callAdmin(executor, settings, std::move(call));
-    if (const Failure *failure = failureOf(outcome)) {
-        co_return printFailure(*failure);
-    }
-    const auto &result = std::get<AdminResponse>(outcome);
-    if (result.status != statusOk) {
-        co_return printProblem(result);
-    }
-    if (settings.asJson) {
-        std::cout << json::serialize(result.body) << "\n";
-    } else {
-        std::cout << instance << " is draining and admits no new requests\n";
-    }
-    co_return ToolExit::Done;
+    const Printer printer = [&](std::ostream &out, const json::object &) {
+        out << instance << " is draining and admits no new requests\n";
+    };
+    co_return co_await printCallResult(executor, settings, std::move(call), printer);
 }
 
 } // namespace greengageseam
