Start the stand-ins of the test fleet and reserve ports in one place

Three functions that start a stand-in differed in one word. The reservation of a port has a file of its own, so that the benchmark of rollouts can use it too. No check changes.

--- a/tests/failure/fleet.cpp
+++ b/tests/failure/fleet.cpp
@@ -1,10 +1,10 @@
 #include "fleet.h"
 
 #include "core/weights/weights.h"
+#include "freeport.h"
 #include "net/httpclient.h"
 #include "protocol/jsontext.h"
 
-#include <arpa/inet.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <csignal>
@@ -12,9 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
-#include <netinet/in.h>
 #include <stdexcept>
-#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
@@ -40,24 +38,6 @@
     return path;
 }
 
-/** Binds a free port without listening on it. @param port receives the port */
-int bindFreePort(std::uint16_t &port)
-{
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t n = sizeof(address);
-    auto *generic = reinterpret_cast<sockaddr *>(&address);
-    if (bind(fd, generic, n) != 0 || getsockname(fd, generic, &n) != 0) {
-        throw std::runtime_error("cannot bind a free port");
-    }
-    port = ntohs(address.sin_port);
-    return fd;
-}
-
 StringList joined(StringList commandLine, const StringList &more)
 {
     commandLine.insert(commandLine.end(), more.begin(), more.end());
@@ -135,26 +115,23 @@
 
 void Fleet::startPlatform(const StringList &extra)
 {
-    const FleetAddresses addresses = reserve();
-    const StringList commandLine {binFolder + "/greengageseam-standin", "platform",
-                                  "--listen=" + addresses.http.text(),
-                                  "--admin=" + addresses.peerOrAdmin.text()};
-    start("platform", joined(commandLine, extra), addresses);
+    startStandin("platform", "platform", extra);
 }
 
 void Fleet::startEngine(const std::string &name, const StringList &extra)
 {
-    const FleetAddresses addresses = reserve();
-    const StringList commandLine {binFolder + "/greengageseam-standin", "engine",
-                                  "--listen=" + addresses.http.text(),
-                                  "--admin=" + addresses.peerOrAdmin.text()};
-    start(name, joined(commandLine, extra), addresses);
+    startStandin(name, "engine", extra);
 }
 
 void Fleet::startService(const std::string &name, const StringList &extra)
+{
+    startStandin(name, "service", extra);
+}
+
+void Fleet::startStandin(const std::string &name, const std::string &kind, const StringList &extra)
 {
     const FleetAddresses addresses = reserve();
-    const StringList commandLine {binFolder + "/greengageseam-standin", "service",
+    const StringList commandLine {binFolder + "/greengageseam-standin", kind,
                                   "--listen=" + addresses.http.text(),
                                   "--admin=" + addresses.peerOrAdmin.text()};
     start(name, joined(commandLine, extra), addresses);
--- a/tests/failure/fleet.h
+++ b/tests/failure/fleet.h
@@ -135,6 +135,7 @@
     };
 
     FleetAddresses reserve();
+    void startStandin(const std::string &name, const std::string &kind, const StringList &extra);
     void start(const std::string &name, StringList commandLine, const FleetAddresses &addresses);
 
     std::string m_folder;
