--- a/bench/rolloutfleet.cpp
+++ b/bench/rolloutfleet.cpp
@@ -1,16 +1,15 @@
 #include "rolloutfleet.h"
 
 #include "core/common/hashing.h"
+#include "freeport.h"
 
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <netinet/in.h>
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -29,25 +28,14 @@
     return std::filesystem::read_symlink("/proc/self/exe").parent_path();
 }
 
-int bindFreePort(std::uint16_t &port)
+} // namespace
+
+std::string nameOf(const RolloutCase &rolloutCase)
 {
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t n = sizeof(address);
-    auto *generic = reinterpret_cast<sockaddr *>(&address);
-    if (bind(fd, generic, n) != 0 || getsockname(fd, generic, &n) != 0) {
-        throw std::runtime_error("cannot bind a free port");
-    }
-    port = ntohs(address.sin_port);
-    return fd;
+    return rolloutCase.policy + "-" + std::to_string(rolloutCase.originCopies) + "-"
+            + std::to_string(rolloutCase.replicas) + "-zones" + std::to_string(rolloutCase.zones);
 }
 
-} // namespace
-
 RolloutFleet::RolloutFleet(const asio::any_io_executor &executor, RolloutCase rolloutCase)
     : m_executor(executor), m_case(std::move(rolloutCase)),
       m_folder((std::filesystem::temp_directory_path() / "rollout-XXXXXX").string())
--- a/bench/rolloutfleet.h
+++ b/bench/rolloutfleet.h
@@ -35,6 +35,9 @@
     auto operator<=>(const RolloutCase &) const = default;
 };
 
+/** @returns policy, origin copies, replicas and zones, for example swarm-1-48-zones1 */
+std::string nameOf(const RolloutCase &rolloutCase);
+
 /** A process of the fleet. */
 struct FleetProcess
 {
