Log pauses of a process, and how old a target version is when it is heard of

ListeningHistory detects that a process did not run, and tells since when a change may date that the process hears of afterwards.

--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -9,6 +9,7 @@
 #include "core/fleet/entryregistry.h"
 #include "core/fleet/eventsplitter.h"
 #include "core/fleet/fleetconfig.h"
+#include "core/fleet/listeninghistory.h"
 #include "core/fleet/loadbalancer.h"
 #include "core/fleet/nodesettings.h"
 #include "core/fleet/pieces.h"
--- a/source/edge/storewatchers.cpp
+++ b/source/edge/storewatchers.cpp
@@ -1,11 +1,15 @@
 #include "edge/storewatchers.h"
 
 #include "net/clock.h"
+#include "net/ticker.h"
 
 namespace greengageseam {
 
 namespace {
 
+/** Interval at which a watcher records that its process runs. */
+constexpr auto runningCheckInterval = std::chrono::milliseconds(100);
+
 /** @returns the name of a source in the log */
 std::string nameOf(VersionSource source)
 {
@@ -23,21 +27,17 @@
 
 OperatorWatcher::OperatorWatcher(const asio::any_io_executor &executor, TopicReader reader,
                                  FollowOptions options, OperatorHooks hooks, Log log)
-    : m_hooks(std::move(hooks)), m_log(std::move(log))
+    : m_executor(executor), m_hooks(std::move(hooks)), m_log(std::move(log))
 {
     FollowHooks followHooks;
     followHooks.onSnapshot = [this](const KeyedSnapshot &snapshot) {
         const bool isInitial = !m_hasSnapshot;
         m_hasSnapshot = true;
-        for (const KeyedRecord &record : snapshot.records) {
-            applyRecord(record, isInitial);
-        }
+        applyRecords(snapshot.records, isInitial);
         advanceOffset(snapshot.endOffset);
     };
     followHooks.onTail = [this](std::uint64_t, const KeyedBatch &tail) {
-        for (const KeyedRecord &record : tail.records) {
-            applyRecord(record, false);
-        }
+        applyRecords(tail.records, false);
         advanceOffset(tail.nextOffset);
     };
     m_follower = std::make_shared<TopicFollower>(executor, std::move(reader), options, followHooks,
@@ -46,9 +46,24 @@
 
 void OperatorWatcher::start()
 {
+    startTicker(m_executor, runningCheckInterval, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self) {
+            self->recordRunning();
+        }
+        return self != nullptr;
+    });
     m_follower->start();
 }
 
+/** Detects pauses. It must precede whatever the process does first after a pause. */
+void OperatorWatcher::recordRunning()
+{
+    if (const std::optional<Duration> pause = m_listening.recordRunning(monotonicNow())) {
+        m_log.info("process.paused", {{"paused_ms", pause->count() / 1000}});
+    }
+}
+
 void OperatorWatcher::advanceOffset(std::uint64_t offset)
 {
     if (offset > m_offset) {
@@ -64,6 +79,15 @@
     }
 }
 
+void OperatorWatcher::applyRecords(const std::vector<KeyedRecord> &records, bool isInitial)
+{
+    recordRunning();
+    for (const KeyedRecord &record : records) {
+        applyRecord(record, isInitial);
+    }
+    m_listening.recordRead(monotonicNow());
+}
+
 void OperatorWatcher::applyRecord(const KeyedRecord &record, bool isInitial)
 {
     if (!record.value) {
@@ -104,6 +128,7 @@
                                              VersionSource source, Duration age)
 {
     if (m_hasSnapshot) {
+        recordRunning();
         applyTargetVersion(targetVersion, source, false, age);
     }
 }
@@ -119,7 +144,8 @@
     m_log.info("weights.target-changed",
                {{"model", targetVersion.model.text()},
                 {"version", targetVersion.version},
-                {"source", nameOf(source)}});
+                {"source", nameOf(source)},
+                {"dated_back_ms", age.count() / 1000}});
     m_hooks.onTargetVersion(targetVersion, isInitial, age);
 }
 
--- a/source/edge/storewatchers.h
+++ b/source/edge/storewatchers.h
@@ -65,14 +65,18 @@
                                 Duration age);
 
 private:
+    void recordRunning();
+    void applyRecords(const std::vector<KeyedRecord> &records, bool isInitial);
     void applyRecord(const KeyedRecord &record, bool isInitial);
     void applyTargetVersion(const TargetVersion &targetVersion, VersionSource source,
                             bool isInitial, Duration age);
     void advanceOffset(std::uint64_t offset);
 
+    asio::any_io_executor m_executor;
     OperatorHooks m_hooks;
     Log m_log;
     std::shared_ptr<TopicFollower> m_follower;
+    ListeningHistory m_listening;
     /** Version of the newest configuration. */
     std::uint64_t m_configVersion = 0;
     /** Offset up to which the topic was read. */
