--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 #include <unistd.h>
 
 namespace greengageseam {
@@ -186,6 +187,9 @@
                 {asio::ip::make_address("127.0.0.1"), agentPort()});
     }
 
+    /** Pauses the entry, whose tasks run only while this thread runs them. */
+    static void pause(Duration time) { std::this_thread::sleep_for(time); }
+
     /** Runs the tasks until a condition holds. @returns false if it does not hold in time */
     bool waitUntil(const std::function<bool()> &condition)
     {
@@ -468,6 +472,19 @@
     REQUIRE(m_first.runs() == 0);
 }
 
+// An entry that was paused as weights were announced must not date them by when it woke up.
+TEST_CASE_METHOD(EdgeFixture, "entry_pausedAsWeightsAreAnnounced_requiresThemAsIfItHadNotPaused")
+{
+    m_settings.bounds.weightsApply = std::chrono::seconds(3);
+    startEntryWithEngine();
+    m_context.run_for(std::chrono::milliseconds(500));
+    m_store.put("keyed.op", "version/m", R"({"model":"m","version":2})");
+    pause(std::chrono::milliseconds(2500));
+    m_context.run_for(std::chrono::milliseconds(500));
+    REQUIRE(sendRequest(request("/x/1")).status == 503);
+    REQUIRE(m_first.runs() == 0);
+}
+
 // An entry that cannot read the operator's topic must learn of named weights from agents.
 TEST_CASE_METHOD(EdgeFixture,
                  "entry_operatorTopicUnreadableAndAgentKnowsNewWeights_oldOnesGetNothing")
