Date new weights by when a process could have heard of them, not by when it did

Cause: an entry counts the bound of a target version from the moment at which it hears of it. An entry that was paused as the version was named hears of it when it wakes, and then lets requests run on the old weights for the length of the pause too long.

Why this works: ListeningHistory detects the pause by the gap between two signs that the process runs, before the first message after it is applied, and dates what is heard within 0.5 s after it by the start of the pause. That is never later than the announcement. It holds for entries and agents, and for whichever source is heard first.

--- a/source/edge/storewatchers.cpp
+++ b/source/edge/storewatchers.cpp
@@ -3,6 +3,8 @@
 #include "net/clock.h"
 #include "net/ticker.h"
 
+#include <algorithm>
+
 namespace greengageseam {
 
 namespace {
@@ -141,12 +143,14 @@
         return;
     }
     known = targetVersion.version;
+    const Instant now = monotonicNow();
+    const Duration oldest = std::max(age, now - m_listening.earliestChange(now));
     m_log.info("weights.target-changed",
                {{"model", targetVersion.model.text()},
                 {"version", targetVersion.version},
                 {"source", nameOf(source)},
-                {"dated_back_ms", age.count() / 1000}});
-    m_hooks.onTargetVersion(targetVersion, isInitial, age);
+                {"dated_back_ms", oldest.count() / 1000}});
+    m_hooks.onTargetVersion(targetVersion, isInitial, oldest);
 }
 
 ReplicaWatcher::ReplicaWatcher(const asio::any_io_executor &executor, TopicReader reader,
--- a/source/edge/storewatchers.h
+++ b/source/edge/storewatchers.h
@@ -31,8 +31,9 @@
     std::function<void(RouteTablePtr table)> onConfig;
     /**
      * Called when a newer target version was announced. isInitial tells whether it was announced
-     * before this watcher read the topic for the first time; age is the time for which the process
-     * that passed the version on has known it, and 0 if this watcher read it.
+     * before this watcher read the topic for the first time. The age is the longest time since the
+     * announcement that is possible: the time for which another process has known the version, or
+     * for which this one has not been listening.
      */
     std::function<void(const TargetVersion &targetVersion, bool isInitial, Duration age)>
             onTargetVersion;
--- a/source/sidecar/sidecar.cpp
+++ b/source/sidecar/sidecar.cpp
@@ -104,10 +104,10 @@
         const bool mayCancel = canFailOver(table->config(), m_settings.backendService);
         m_installer->mailbox()->post(InstallerCancelPolicyChanged {mayCancel});
     };
-    hooks.onTargetVersion = [this](const TargetVersion &named, bool isOld, Duration) {
+    hooks.onTargetVersion = [this](const TargetVersion &named, bool isOld, Duration age) {
         // A version announced before this process started is installed without waiting for a
         // rollout slot.
-        const Instant at = isOld ? Instant() : monotonicNow();
+        const Instant at = isOld ? Instant() : monotonicNow() - age;
         m_installer->mailbox()->post(InstallerTargetVersionChanged {named.version, at});
         m_exchange->fetcher()->post(FetcherTargetVersionChanged {named});
         m_loadReporter->mailbox()->post(TargetVersionKnown {named, at});
