Reset a connection whose response timed out, so that its request does not arrive later

Cause: a read that times out closed the socket in an orderly way, which delivers whatever is still on its way. The abort that follows found the socket closed already, so its reset was never sent. Only callers that left were covered.

Why this works: both ways end in one function that closes with SO_LINGER 0.

connection_responseTimesOut_isResetAtPeer failed before (end of file in place of connection reset).

--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -94,8 +94,7 @@
             return;
         }
         self->m_isTimedOut = true;
-        boost::system::error_code ignored;
-        self->m_socket.close(ignored);
+        self->closeWithReset();
     });
 }
 
@@ -248,12 +247,17 @@
 void HttpConnection::abort()
 {
     m_isAborted = true;
+    closeWithReset();
+    m_timer.cancel();
+}
+
+/** With SO_LINGER 0, close() sends a reset and discards unsent data, which must not arrive later.
+ */
+void HttpConnection::closeWithReset()
+{
     boost::system::error_code ignored;
-    // With SO_LINGER 0, close() sends a reset and discards unsent data, which must not arrive
-    // later.
     m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
     m_socket.close(ignored);
-    m_timer.cancel();
 }
 
 bool HttpConnection::isReusable() const
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -125,6 +125,7 @@
     HttpResponseHead takeHead();
     void startDeadline(Duration timeout);
     void armTimer();
+    void closeWithReset();
     HttpIoStatus ioStatusOf(const boost::system::error_code &ec) const;
 
     asio::ip::tcp::socket m_socket;
--- a/tests/failure/tst_httpconnection.cpp
+++ b/tests/failure/tst_httpconnection.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
 
 namespace greengageseam {
 namespace {
@@ -19,8 +20,11 @@
         : m_acceptor(m_context, {asio::ip::make_address("127.0.0.1"), 0}), m_peer(m_context)
     { }
 
-    /** Connects, sends @p text, aborts the connection, and reads at the peer until an error. */
-    void sendAndAbort(const std::string &text)
+    /** Ends a connection on which a request was sent. */
+    using EndConnection = std::function<Awaitable<void>(HttpConnectionPtr)>;
+
+    /** Connects, sends @p text, ends the connection, and reads at the peer until an error. */
+    void sendAndEnd(const std::string &text, const EndConnection &end)
     {
         const auto connection = std::make_shared<HttpConnection>(m_context.get_executor());
         m_acceptor.async_accept(m_peer, [](const boost::system::error_code &) { });
@@ -31,7 +35,7 @@
                     co_await connection->connect(m_acceptor.local_endpoint(), limit);
                     std::string bytes = text;
                     co_await connection->send(std::move(bytes), limit);
-                    connection->abort();
+                    co_await end(connection);
                 },
                 asio::detached);
         m_context.run();
@@ -50,7 +54,19 @@
 // A reset also discards bytes that are still delayed in the network stack.
 TEST_CASE_METHOD(HttpConnectionFixture, "connection_aborted_isResetAtPeer")
 {
-    sendAndAbort("GET / HTTP/1.1\r\n\r\n");
+    sendAndEnd("GET / HTTP/1.1\r\n\r\n", [](HttpConnectionPtr connection) -> Awaitable<void> {
+        connection->abort();
+        co_return;
+    });
+    REQUIRE(m_readError == asio::error::connection_reset);
+}
+
+// A request that was given up because no response came must not arrive later.
+TEST_CASE_METHOD(HttpConnectionFixture, "connection_responseTimesOut_isResetAtPeer")
+{
+    sendAndEnd("GET / HTTP/1.1\r\n\r\n", [](HttpConnectionPtr connection) -> Awaitable<void> {
+        co_await connection->readHead(false, std::chrono::milliseconds(50));
+    });
     REQUIRE(m_readError == asio::error::connection_reset);
 }
 
