Date new weights by the last complete read if the read after it was lost

A connection may go silent for good while new ones work. The read that waits on it hears of nothing until the list of backend servers shows that the store is in touch, and a new read is started. What that read returns was dated by when it arrived.

Why this works: a read that was lost once, between two that succeeded, dates what the next one returns by the one before it, by two seconds at the most, by which time the lost read is given up. Reads that fail again and again show an outage of the topic, in which nobody hears of anything: they date nothing back, since entries that require new weights before their backend servers can have them reject requests for nothing.

targetVersion_readWasHanging_isDatedByTheReadBefore failed before (0 us >= 800 ms).

--- a/source/edge/storewatchers.cpp
+++ b/source/edge/storewatchers.cpp
@@ -42,6 +42,7 @@
         applyRecords(tail.records, false);
         advanceOffset(tail.nextOffset);
     };
+    followHooks.onReadLost = [this] { m_listening.recordLostRead(); };
     m_follower = std::make_shared<TopicFollower>(executor, std::move(reader), options, followHooks,
                                                  m_log);
 }
--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -120,9 +120,17 @@
     if (m_reader.cancel) {
         m_reader.cancel();
     }
+    notifyReadLost();
     m_mailbox->post(ReadDue {m_readId});
 }
 
+void TopicFollower::notifyReadLost() const
+{
+    if (m_hooks.onReadLost) {
+        m_hooks.onReadLost();
+    }
+}
+
 Awaitable<void> TopicFollower::readSnapshot(std::uint64_t readId)
 {
     Outcome<KeyedSnapshot> snapshot = co_await m_reader.snapshot();
@@ -169,6 +177,9 @@
         return;
     }
     reportAvailability(failure);
+    if (failure != nullptr) {
+        notifyReadLost();
+    }
     scheduleNextRead(failure != nullptr);
 }
 
--- a/source/edge/topicfollower.h
+++ b/source/edge/topicfollower.h
@@ -59,6 +59,8 @@
     std::function<void(std::uint64_t from, const KeyedBatch &tail)> onTail;
     /** Called when the store is available again after a failure; may be empty. */
     std::function<void()> onStoreRecovered;
+    /** Called when a read has failed or was given up before it returned anything; may be empty. */
+    std::function<void()> onReadLost;
 };
 
 /** The next read is due. */
@@ -143,6 +145,7 @@
     void apply(const PeerReadReceived &command);
     void apply(const RelyOnPeers &command);
     void restartRead();
+    void notifyReadLost() const;
     void applySnapshot(const KeyedSnapshot &snapshot);
     void applyTail(const TailRead &command);
     void finishRead(std::uint64_t readId, const Failure *failure);
--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -87,6 +87,27 @@
         runFor(milliseconds(50));
     }
 
+    /** @returns a watcher whose records are target versions of model m, which onTarget receives */
+    std::shared_ptr<OperatorWatcher>
+    makeVersionWatcher(std::function<void(const TargetVersion &target, Duration age)> onTarget)
+    {
+        OperatorHooks hooks;
+        hooks.isConfig = [](std::string_view) { return false; };
+        hooks.isTargetVersion = [](std::string_view) { return true; };
+        hooks.decodeTargetVersion = [](std::string_view bytes) -> Result<TargetVersion> {
+            return TargetVersion {ModelName("m"), std::stoull(std::string(bytes))};
+        };
+        hooks.onTargetVersion = [onTarget](const TargetVersion &target, bool, Duration age) {
+            onTarget(target, age);
+        };
+        hooks.onOffsetAdvanced = [this](std::uint64_t next) { m_offset = next; };
+        FollowOptions options;
+        options.name = "operator";
+        options.pollInterval = milliseconds(20);
+        return std::make_shared<OperatorWatcher>(m_context.get_executor(), reader(), options, hooks,
+                                                 m_log);
+    }
+
     void runFor(Duration time)
     {
         m_context.restart();
@@ -119,6 +140,8 @@
     std::vector<ReplicaEntry> m_known;
     std::vector<ReplicaListDelta> m_relayedDeltas;
     std::shared_ptr<ReplicaWatcher> m_watcher;
+    /** Offset up to which a watcher of target versions has read. */
+    std::uint64_t m_offset = 0;
 };
 
 TEST_CASE_METHOD(StoreWatcherFixture, "replicas_noPeerToRelyOn_areReadAndRelayed")
@@ -336,29 +359,37 @@
     REQUIRE(m_openConnections == 1);
 }
 
+// A version that was announced while a read was hanging must not be dated by the read after it.
+TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_readWasHanging_isDatedByTheReadBefore")
+{
+    Duration age {};
+    write("version/m", "1");
+    const auto watcher =
+            makeVersionWatcher([&](const TargetVersion &, Duration oldest) { age = oldest; });
+    watcher->start();
+    REQUIRE(waitUntil([&] { return m_offset == 1; }));
+    runFor(milliseconds(100));
+    m_readsHang = true;
+    runFor(milliseconds(100));
+    write("version/m", "2");
+    runFor(milliseconds(800));
+    m_readsHang = false;
+    watcher->restartRead();
+    REQUIRE(waitUntil([&] { return m_offset == 2; }));
+    REQUIRE(age >= milliseconds(800));
+    REQUIRE(age < milliseconds(1500));
+}
+
 // Another process may repeat a target version, or know an older one.
 TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_passedOnByPeers_onlyNewerOnesCountOnce")
 {
     std::vector<TargetVersion> applied;
     Duration lastAge {};
-    OperatorHooks hooks;
-    hooks.isConfig = [](std::string_view) { return false; };
-    hooks.isTargetVersion = [](std::string_view) { return true; };
-    hooks.decodeTargetVersion = [](std::string_view bytes) -> Result<TargetVersion> {
-        return TargetVersion {ModelName("m"), std::stoull(std::string(bytes))};
-    };
-    hooks.onTargetVersion = [&](const TargetVersion &named, bool, Duration age) {
+    write("version/m", "2");
+    const auto watcher = makeVersionWatcher([&](const TargetVersion &named, Duration age) {
         applied.push_back(named);
         lastAge = age;
-    };
-    std::uint64_t offset = 0;
-    hooks.onOffsetAdvanced = [&](std::uint64_t next) { offset = next; };
-    write("version/m", "2");
-    FollowOptions options;
-    options.name = "operator";
-    options.pollInterval = milliseconds(20);
-    const auto watcher = std::make_shared<OperatorWatcher>(m_context.get_executor(), reader(),
-                                                           options, hooks, m_log);
+    });
     const auto pass = [&](std::uint64_t version) {
         watcher->applyPeerTargetVersion({ModelName("m"), version}, VersionSource::Agent,
                                         milliseconds(700));
@@ -366,7 +397,7 @@
     pass(3);
     REQUIRE(applied.empty());
     watcher->start();
-    REQUIRE(waitUntil([&] { return offset == 1; }));
+    REQUIRE(waitUntil([&] { return m_offset == 1; }));
     REQUIRE(applied == std::vector<TargetVersion> {{ModelName("m"), 2}});
     for (const std::uint64_t version : {3, 1, 3, 2}) {
         pass(version);
@@ -375,7 +406,7 @@
     REQUIRE(applied.back().version == 3);
     REQUIRE(lastAge == milliseconds(700));
     write("version/m", "3");
-    REQUIRE(waitUntil([&] { return offset == 2; }));
+    REQUIRE(waitUntil([&] { return m_offset == 2; }));
     REQUIRE(applied.size() == 2);
 }
 
