--- a/source/edge/relayedreader.cpp
+++ b/source/edge/relayedreader.cpp
@@ -1,7 +1,6 @@
 #include "edge/relayedreader.h"
 
 #include "net/clock.h"
-#include "protocol/framecodec.h"
 
 #include <algorithm>
 
@@ -11,19 +10,10 @@
 
 /** How long an entry may hold a request that it has nothing new for. */
 constexpr auto pollTimeout = std::chrono::milliseconds(600);
-/** Time for connecting to an entry, and again for the handshake. */
-constexpr auto connectTimeout = std::chrono::milliseconds(400);
-/** Time within which an entry must begin its answer, in addition to the time that it may wait. */
-constexpr auto answerTimeout = std::chrono::milliseconds(500);
-/** Time within which the next part of an answer must arrive. */
-constexpr auto partTimeout = std::chrono::milliseconds(1000);
 /** Time after the last failure at which the preferred source is tried again. */
 constexpr auto failureMemory = std::chrono::seconds(5);
 /** Maximum time for which the first read waits once other entries are being looked for. */
 constexpr auto discoveryTimeout = std::chrono::milliseconds(400);
-/** Number of events of one answer that may be queued. */
-constexpr std::size_t eventCapacity = 256;
-constexpr std::size_t maxAnswerBytes = maxFrameBytes;
 
 Failure unavailable(std::string reason)
 {
@@ -36,6 +26,8 @@
                              TopicReader store, RelayedReaderHooks hooks, Log log)
     : m_executor(executor), m_options(std::move(options)), m_store(std::move(store)),
       m_hooks(std::move(hooks)), m_log(std::move(log)),
+      m_link(std::make_shared<TopicLink>(executor, m_options.topic, m_options.identity,
+                                         m_options.peerPort, m_log)),
       m_startDeadline(monotonicNow() + m_options.startTimeout), m_startTimer(executor)
 { }
 
@@ -70,7 +62,7 @@
     m_reason = "entries changed";
     if (mayInterrupt()) {
         m_isRedirected = true;
-        closeLink("another entry is preferred");
+        m_link->close("another entry is preferred");
         if (!m_source->entry && m_store.cancel) {
             m_store.cancel();
         }
@@ -92,7 +84,7 @@
     }
     const bool isListed =
             std::find(m_entries.begin(), m_entries.end(), *m_source->entry) != m_entries.end();
-    return !isListed && !m_hasPartialAnswer;
+    return !isListed && !m_link->hasPartialAnswer();
 }
 
 void RelayedReader::limitWaitForEntries()
@@ -235,25 +227,10 @@
 
 Awaitable<Outcome<CompactedTopic>> RelayedReader::readFromEntry(InstanceId entry, Request request)
 {
-    const Outcome<PeerLinkHandle> linked = co_await linkTo(entry);
-    if (const Failure *failure = failureOf(linked)) {
-        co_return *failure;
-    }
-    const auto &link = std::get<PeerLinkHandle>(linked);
-    const StreamId stream = link.nextStream();
     const Duration wait = std::min<Duration>(request.wait, pollTimeout);
-    const auto events = makeMailbox<StreamEvent>(m_executor, eventCapacity);
-    m_events = events;
-    link.subscribe(stream, events);
-    link.post(stream, TopicRequestMessage {m_options.topic, request.from, wait});
-    const Outcome<TopicChanges> answer = co_await receiveAnswer(events, wait);
-    m_hasPartialAnswer = false;
-    link.unsubscribe(stream);
+    const Outcome<TopicChanges> answer = co_await m_link->request(entry, request.from, wait);
     if (const Failure *failure = failureOf(answer)) {
-        if (events == m_events) {
-            closeLink(failure->detail);
-        }
-        co_return unavailable(entry.text() + ": " + failure->detail);
+        co_return *failure;
     }
     const CompactedTopic known = m_topic ? *m_topic : CompactedTopic();
     const auto &changes = std::get<TopicChanges>(answer);
@@ -262,84 +239,6 @@
             : CompactedTopic(KeyedSnapshot {changes.records, changes.endOffset});
 }
 
-/** @returns what the entry knows, or a failure if it has not got the topic or stops answering */
-Awaitable<Outcome<TopicChanges>> RelayedReader::receiveAnswer(MailboxPtr<StreamEvent> events,
-                                                              Duration wait)
-{
-    std::string bytes;
-    Duration timeout = wait + answerTimeout;
-    while (true) {
-        const std::optional<StreamEvent> event = co_await events->receiveWithin(timeout);
-        const auto *message = event ? std::get_if<Message>(&*event) : nullptr;
-        const auto *part = message == nullptr ? nullptr : std::get_if<TopicPartMessage>(message);
-        if (part == nullptr) {
-            co_return unavailable(event ? "the link was closed" : "no answer in time");
-        }
-        if (!part->isAvailable) {
-            co_return unavailable("the topic is not available there");
-        }
-        m_hasPartialAnswer = !part->isLast;
-        timeout = partTimeout;
-        bytes += part->bytes;
-        if (bytes.size() > maxAnswerBytes) {
-            co_return unavailable("the answer is too large");
-        }
-        if (part->isLast) {
-            const auto records = toOutcome([&] { return decodeRecords(bytes); });
-            if (const Failure *failure = failureOf(records)) {
-                co_return unavailable(failure->detail);
-            }
-            co_return TopicChanges {std::get<std::vector<KeyedRecord>>(records), part->isWhole,
-                                    part->endOffset};
-        }
-    }
-}
-
-Awaitable<Outcome<PeerLinkHandle>> RelayedReader::linkTo(InstanceId entry)
-{
-    if (m_link && m_linkedEntry == entry) {
-        co_return m_link;
-    }
-    closeLink("another entry is preferred");
-    const std::uint64_t linkId = m_linkId;
-    LinkHooks hooks;
-    hooks.onMessage = [](const PeerLinkHandle &, const StreamMessage &) { };
-    hooks.onClosed = [weak = weak_from_this(), linkId](const PeerLinkHandle &, const LinkClosed &) {
-        const auto self = weak.lock();
-        if (self && self->m_linkId == linkId) {
-            self->closeLink("the link was closed");
-        }
-    };
-    const Address address(entry.text() + ":" + std::to_string(m_options.peerPort));
-    const Outcome<PeerLinkHandle> dialed = co_await dialPeer(
-            m_executor, address, m_options.identity, hooks, connectTimeout, m_log);
-    if (const Failure *failure = failureOf(dialed)) {
-        co_return unavailable(failure->detail);
-    }
-    const auto &link = std::get<PeerLinkHandle>(dialed);
-    if (m_linkId != linkId) {
-        link.close("another entry is preferred");
-        co_return unavailable("the link was given up for another one");
-    }
-    m_link = link;
-    m_linkedEntry = entry;
-    co_return link;
-}
-
-/** Closes the link, so that an answer in transit does not go on using the network. */
-void RelayedReader::closeLink(const std::string &reason)
-{
-    ++m_linkId;
-    if (m_link) {
-        m_link.close(reason);
-        m_link = {};
-    }
-    if (m_events) {
-        m_events->post(StreamEvent(LinkClosed {reason}));
-        m_events.reset();
-    }
-}
-
 /** Starts a read in place of the one in progress. @returns its id */
 std::uint64_t RelayedReader::startRead()
 {
@@ -357,7 +256,7 @@
     }
     m_isReading = false;
     ++m_readId;
-    closeLink("the read was given up");
+    m_link->close("the read was given up");
     if (m_store.cancel) {
         m_store.cancel();
     }
@@ -419,7 +318,7 @@
 {
     const bool isStarting = !m_source;
     const bool isStoreReceiving = m_store.isReceiving && m_store.isReceiving();
-    return m_isReading && (isStarting || m_hasPartialAnswer || isStoreReceiving);
+    return m_isReading && (isStarting || m_link->hasPartialAnswer() || isStoreReceiving);
 }
 
 } // namespace greengageseam
--- a/source/edge/relayedreader.h
+++ b/source/edge/relayedreader.h
@@ -8,7 +8,7 @@
 #include "core/fleet/entryregistry.h"
 #include "core/fleet/topicsource.h"
 #include "edge/topicfollower.h"
-#include "net/peerlink.h"
+#include "edge/topiclink.h"
 
 #include <functional>
 #include <memory>
@@ -21,8 +21,6 @@
 
 /** Name of the operator's topic in requests between processes. */
 constexpr std::string_view operatorTopicName = "operator";
-/** Role that a process presents on the links over which it requests topics. */
-constexpr std::string_view topicLinkRole = "topic";
 
 /** Options of RelayedReader. */
 struct RelayedReaderOptions
@@ -96,12 +94,9 @@
     Awaitable<Outcome<CompactedTopic>> readFrom(TopicSource source, Request request);
     Awaitable<Outcome<CompactedTopic>> readFromStore(Request request);
     Awaitable<Outcome<CompactedTopic>> readFromEntry(InstanceId entry, Request request);
-    Awaitable<Outcome<TopicChanges>> receiveAnswer(MailboxPtr<StreamEvent> events, Duration wait);
-    Awaitable<Outcome<PeerLinkHandle>> linkTo(InstanceId entry);
     Awaitable<void> waitForEntries(std::uint64_t readId);
     std::uint64_t startRead();
     void cancelRead();
-    void closeLink(const std::string &reason);
     void recordResult(const TopicSource &source, const CompactedTopic &topic);
     TopicSource chooseSource();
     TopicSource choiceAfter(std::uint32_t failures) const;
@@ -133,14 +128,7 @@
     bool m_isRedirected = false;
     /** Whether the latest successful read was from the store. */
     bool m_isStoreConfirmed = false;
-    /** Whether a part of an entry's answer was received, but not the last one. */
-    bool m_hasPartialAnswer = false;
-    PeerLinkHandle m_link;
-    InstanceId m_linkedEntry;
-    /** Number of the latest link; earlier ones are closed. */
-    std::uint64_t m_linkId = 0;
-    /** Receives the answer of an entry to the read in progress. */
-    MailboxPtr<StreamEvent> m_events;
+    std::shared_ptr<TopicLink> m_link;
     Instant m_startDeadline;
     asio::steady_timer m_startTimer;
 };
