Count suspended time in the monotonic time and the timers

Cause: monotonicNow() and all timers read CLOCK_MONOTONIC, which stands still while the machine is suspended, whereas leases, deadlines and bounds elsewhere run on. CLOCK_BOOTTIME is monotonic and counts that time.

Why this works: timers have the clock of monotonicNow(), so an Instant is a timer's expiry and no conversion between clocks is left. The kernel's timer below still counts time without suspensions, but every process has tickers of at most some 100 ms, and when one of them fires, all timers that are due by the new clock fire too. The timeouts within Beast's streams (links between processes, the product's own HTTP server and calls) still run on the steady clock: they end late by the length of a suspension.

--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -163,7 +163,7 @@
     m_log.info("agent.draining");
     const auto reply = makeMailbox<Released>(m_executor, 1);
     m_gate->mailbox()->post(DrainGate {reply});
-    asio::steady_timer propagationTimer(m_executor, drainPropagationTime);
+    Timer propagationTimer(m_executor, drainPropagationTime);
     co_await reply->receiveWithin(m_settings.drainTimeout);
     if (m_incarnationNumber.value != 0) {
         const auto endRecorded = makeMailbox<bool>(m_executor, 1);
--- a/source/agent/attempt.h
+++ b/source/agent/attempt.h
@@ -73,7 +73,7 @@
     Log m_log;
     HttpCall m_call;
     /** Cancelled to wake the sender when credit or a cancellation arrives. */
-    asio::steady_timer m_creditArrived;
+    Timer m_creditArrived;
     std::int64_t m_credit;
     Instant m_deadline;
     bool m_isCancelled = false;
--- a/source/agent/chunkserver.cpp
+++ b/source/agent/chunkserver.cpp
@@ -64,7 +64,7 @@
 
 Awaitable<void> ChunkServer::sendLoop()
 {
-    asio::steady_timer timer(m_executor);
+    Timer timer(m_executor);
     while (true) {
         while (m_uploads.size() < m_options.maxUploads && !m_pendingUploads.empty()) {
             m_uploads.push_back({std::move(m_pendingUploads.front()), 0});
--- a/source/agent/entrylinks.cpp
+++ b/source/agent/entrylinks.cpp
@@ -58,7 +58,7 @@
  */
 Awaitable<void> EntryLinks::pollInstanceList()
 {
-    asio::steady_timer timer(m_executor);
+    Timer timer(m_executor);
     while (true) {
         Outcome<std::vector<ListedInstance>> list = co_await m_readList();
         ListedEntriesUpdated listed;
--- a/source/agent/incarnationmanager.cpp
+++ b/source/agent/incarnationmanager.cpp
@@ -51,7 +51,7 @@
 {
     const Offset number = co_await appendRegistration();
     const Instant registeredAt = monotonicNow();
-    asio::steady_timer timer(m_executor);
+    Timer timer(m_executor);
     while (!co_await readToEnd()) {
         timer.expires_after(retryDelay);
         co_await timer.async_wait(asTuple);
@@ -73,7 +73,7 @@
 {
     const std::string text = json::serialize(
             json::object {{"instance", m_instance.text()}, {"process", m_processId}});
-    asio::steady_timer timer(m_executor);
+    Timer timer(m_executor);
     while (true) {
         const Outcome<Offset> appended = co_await m_hooks.append(incarnationStream, text);
         if (const auto *number = std::get_if<Offset>(&appended)) {
--- a/source/edge/callerconnection.h
+++ b/source/edge/callerconnection.h
@@ -81,7 +81,7 @@
     const RequestContext &m_context;
     std::shared_ptr<CallerServerState> m_server;
     MailboxPtr<ConnectionEvent> m_events;
-    asio::steady_timer m_timer;
+    Timer m_timer;
     boost::beast::flat_buffer m_buf;
     Phase m_phase = Phase::Idle;
     Instant m_phaseSince;
--- a/source/edge/callerserver.cpp
+++ b/source/edge/callerserver.cpp
@@ -42,7 +42,7 @@
     while (m_acceptor.is_open()) {
         auto [ec, socket] = co_await m_acceptor.async_accept(asTuple);
         if (ec || m_state->connections >= m_maxConnections) {
-            asio::steady_timer timer(m_context.executor, acceptRetryDelay);
+            Timer timer(m_context.executor, acceptRetryDelay);
             co_await timer.async_wait(asTuple);
             continue;
         }
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -267,7 +267,7 @@
     m_isDraining = true;
     m_log.info("entry.draining", {{"in_progress", m_callerServer->inProgress()}});
     m_callerServer->drain();
-    asio::steady_timer timer(m_executor, balancerDeregistrationTime);
+    Timer timer(m_executor, balancerDeregistrationTime);
     co_await timer.async_wait(asTuple);
     m_callerServer->stop();
     while (m_callerServer->connections() > 0 && monotonicNow() < deadline) {
--- a/source/edge/relayedreader.h
+++ b/source/edge/relayedreader.h
@@ -142,7 +142,7 @@
     /** Receives the answer of an entry to the read in progress. */
     MailboxPtr<StreamEvent> m_events;
     Instant m_startDeadline;
-    asio::steady_timer m_startTimer;
+    Timer m_startTimer;
 };
 
 } // namespace greengageseam
--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -271,7 +271,7 @@
 
 Awaitable<void> TopicFollower::waitAndPost(Duration delay, FollowCommand command)
 {
-    asio::steady_timer timer(m_executor, delay);
+    Timer timer(m_executor, delay);
     co_await timer.async_wait(asTuple);
     m_mailbox->post(std::move(command));
 }
--- a/source/entry/claimfollower.cpp
+++ b/source/entry/claimfollower.cpp
@@ -43,7 +43,7 @@
 Awaitable<void> followShard(asio::any_io_executor executor, std::size_t shard, ReadLog read,
                             OnShardRead onRead, Log log)
 {
-    asio::steady_timer retryTimer(executor);
+    Timer retryTimer(executor);
     Duration retryDelay = minRetryDelay;
     ShardPosition position;
     Duration pollTimeout {};
--- a/source/entry/entry.cpp
+++ b/source/entry/entry.cpp
@@ -232,7 +232,7 @@
     m_log.info("entry.draining");
     m_router->mailbox()->post(DrainRouter {});
     m_httpServer->drain();
-    asio::steady_timer timer(m_executor, m_settings.drainNotice);
+    Timer timer(m_executor, m_settings.drainNotice);
     co_await timer.async_wait(asTuple);
     m_httpServer->stop();
     const Instant deadline = monotonicNow() + m_settings.drainTimeout;
@@ -291,7 +291,7 @@
 {
     const ReadInstanceList read =
             makeListReader(m_executor, m_settings.listAddress, platformTimeout);
-    asio::steady_timer timer(m_executor);
+    Timer timer(m_executor);
     while (true) {
         Outcome<std::vector<ListedInstance>> list = co_await read();
         if (failureOf(list) == nullptr) {
--- a/source/logservice/logfollower.cpp
+++ b/source/logservice/logfollower.cpp
@@ -24,7 +24,7 @@
 
 Awaitable<void> LogFollower::run()
 {
-    asio::steady_timer retryTimer(m_executor);
+    Timer retryTimer(m_executor);
     Duration retryDelay = m_options.minRetryDelay;
     Duration pollTimeout {};
     while (true) {
--- a/source/net/clock.cpp
+++ b/source/net/clock.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <chrono>
 #include <cstdio>
+#include <ctime>
 #include <random>
 
 namespace greengageseam {
@@ -23,8 +24,10 @@
 
 Instant monotonicNow()
 {
-    const auto now = std::chrono::steady_clock::now().time_since_epoch();
-    return Instant(std::chrono::duration_cast<Duration>(now));
+    timespec now {};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    const auto sinceBoot = std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+    return Instant(std::chrono::duration_cast<Duration>(sinceBoot));
 }
 
 WallTime wallNow()
--- a/source/net/clock.h
+++ b/source/net/clock.h
@@ -11,7 +11,10 @@
 
 namespace greengageseam {
 
-/** @returns the time of the monotonic clock, which starts at an arbitrary point */
+/**
+ * @returns the time of the monotonic clock, which starts at an arbitrary point. It counts the time
+ *          for which the machine is suspended, since leases and deadlines elsewhere run on.
+ */
 Instant monotonicNow();
 
 /** @returns the time of the system clock (UTC), which may jump when the clock is adjusted */
--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -67,7 +67,7 @@
     m_deadline = monotonicNow() + timeout;
     m_isDeadlineActive = true;
     m_isTimedOut = false;
-    if (!m_isTimerArmed || m_timer.expiry().time_since_epoch() > m_deadline.time_since_epoch()) {
+    if (!m_isTimerArmed || m_timer.expiry() > m_deadline) {
         armTimer();
     }
 }
@@ -79,7 +79,7 @@
 void HttpConnection::armTimer()
 {
     m_isTimerArmed = true;
-    m_timer.expires_at(std::chrono::steady_clock::time_point(m_deadline.time_since_epoch()));
+    m_timer.expires_at(m_deadline);
     m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
         const auto self = weak.lock();
         if (ec || !self) {
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -128,7 +128,7 @@
     HttpIoStatus ioStatusOf(const boost::system::error_code &ec) const;
 
     asio::ip::tcp::socket m_socket;
-    asio::steady_timer m_timer;
+    Timer m_timer;
     /** Received bytes that are not parsed yet. Its size is limited. */
     boost::beast::flat_buffer m_buf;
     std::optional<Parser> m_parser;
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -146,7 +146,7 @@
     char byte = 0;
     const bool hasMore = !ec && recv(socket.native_handle(), &byte, 1, MSG_PEEK) > 0;
     if (hasMore) {
-        asio::steady_timer never(socket.get_executor(), asio::steady_timer::time_point::max());
+        Timer never(socket.get_executor(), Instant::max());
         co_await never.async_wait(asTuple);
     }
 }
@@ -207,7 +207,7 @@
 
 Awaitable<void> HttpServer::acceptLoop()
 {
-    asio::steady_timer pause(m_executor);
+    Timer pause(m_executor);
     while (!m_isStopping) {
         if (m_connectionCount >= m_options.maxConnections) {
             pause.expires_after(acceptRetryDelay);
--- a/source/net/mailbox.h
+++ b/source/net/mailbox.h
@@ -6,14 +6,13 @@
  */
 #pragma once
 
-#include "core/common/time.h"
+#include "net/timer.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/experimental/channel.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <memory>
 #include <optional>
@@ -76,7 +75,7 @@
     Awaitable<std::optional<T>> receiveWithin(Duration timeout)
     {
         using namespace asio::experimental::awaitable_operators;
-        asio::steady_timer timer(m_channel.get_executor(), timeout);
+        Timer timer(m_channel.get_executor(), timeout);
         auto first = co_await (receive() || timer.async_wait(asTuple));
         if (first.index() == 0) {
             co_return std::get<0>(std::move(first));
--- a/source/net/peerhandshake.cpp
+++ b/source/net/peerhandshake.cpp
@@ -4,7 +4,6 @@
 #include "net/clock.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 namespace greengageseam {
 
@@ -87,7 +86,7 @@
                                                         Duration timeout)
 {
     using namespace asio::experimental::awaitable_operators;
-    asio::steady_timer timer(socket->get_executor(), timeout);
+    Timer timer(socket->get_executor(), timeout);
     auto first = co_await (performHandshake(socket, identity, end) || timer.async_wait(asTuple));
     if (first.index() == 0) {
         co_return std::get<0>(std::move(first));
--- a/source/net/peerlistener.cpp
+++ b/source/net/peerlistener.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 namespace greengageseam {
 
@@ -90,7 +89,7 @@
 
 Awaitable<void> PeerListener::acceptLoop()
 {
-    asio::steady_timer pause(m_executor);
+    Timer pause(m_executor);
     while (m_acceptor.is_open()) {
         auto [ec, accepted] = co_await m_acceptor.async_accept(asTuple);
         if (ec) {
--- a/source/net/ticker.cpp
+++ b/source/net/ticker.cpp
@@ -11,7 +11,7 @@
 
 Awaitable<void> tick(asio::any_io_executor executor, Duration period, OnTick onTick)
 {
-    asio::steady_timer timer(executor);
+    Timer timer(executor);
     while (onTick()) {
         timer.expires_after(period);
         co_await timer.async_wait(asTuple);
--- a/source/sidecar/replicaprobe.cpp
+++ b/source/sidecar/replicaprobe.cpp
@@ -20,7 +20,7 @@
 
 Awaitable<void> ReplicaProbe::run()
 {
-    asio::steady_timer timer(m_executor);
+    Timer timer(m_executor);
     while (true) {
         timer.expires_after(m_period);
         const Outcome<ReplicaReport> result = co_await m_hooks.readReport();
--- a/source/tool/publish.cpp
+++ b/source/tool/publish.cpp
@@ -52,7 +52,7 @@
         if (failureOf(result) == nullptr) {
             co_return result;
         }
-        asio::steady_timer timer(executor, retryDelay);
+        Timer timer(executor, retryDelay);
         co_await timer.async_wait(asTuple);
     }
     co_return result;
