--- a/source/edge/relayedreader.h
+++ b/source/edge/relayedreader.h
@@ -130,7 +130,7 @@
     bool m_isStoreConfirmed = false;
     std::shared_ptr<TopicLink> m_link;
     Instant m_startDeadline;
-    asio::steady_timer m_startTimer;
+    Timer m_startTimer;
 };
 
 } // namespace greengageseam
