Believe an answer on a kept connection only if it names its attempt

What callers see: a faulty replica writes an earlier refusal (503, Not-Executed) once more on a kept connection. If it named no attempt, the entry took it for the answer to the request sent last: it told the caller "not run", or sent the request to a second replica, while the first one was running it. A 500, 404 or sealed 200 without an attempt id was passed on in the same way.

Cause: an empty Attempt-Id of an answer counted as equal to any.

Now an answer without an attempt id is accepted only on a connection that has carried no earlier request, and a request without an attempt id gets a new connection. An answer that isn't certainly this attempt's counts as garbled: run or not is unknown, and the connection is reset.

--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -203,7 +203,8 @@
     query.requirements.latencyObjective = route.latencyObjective;
     query.requirements.promptTokens = static_cast<double>(m_call.promptTokens);
     query.isRetry = m_attempts > 0;
-    query.allowsPooledConnection = canRetry();
+    // Without an attempt id, a late response to an earlier request could not be told apart.
+    query.allowsPooledConnection = canRetry() && !m_call.attemptId.empty();
     const Duration wait = std::min(scaled(route.latencyObjective, queueWaitRatio),
                                    scaled(remainingTime(), queueWaitRatio));
     query.waitUntil = monotonicNow() + wait;
@@ -273,7 +274,8 @@
 
 Awaitable<HttpIoStatus> RequestProxy::connect(const ReplicaLease &lease)
 {
-    if (lease.connection) {
+    m_isConnectionPooled = lease.connection != nullptr;
+    if (m_isConnectionPooled) {
         m_connection = lease.connection;
         co_return HttpIoStatus::Done;
     }
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -69,6 +69,8 @@
                                                    const ResponseMetadata &fields);
     /** Relays an event stream as it arrives, in complete events. */
     Awaitable<AttemptResult> relayStream(const HttpResponseHead &head);
+    /** @returns whether a response certainly belongs to the current attempt */
+    bool isForThisAttempt(const ResponseMetadata &fields) const;
     /** @returns how the attempt ended, given the error of a read from the backend server */
     UpstreamOutcome classifyReadEnd(HttpIoStatus end, bool hasHead) const;
     void recordResponseStart(Instant now);
@@ -96,6 +98,8 @@
     Admission m_admission;
     std::set<ReplicaId> m_triedReplicas;
     HttpConnectionPtr m_connection;
+    /** Whether the connection has carried an earlier request. */
+    bool m_isConnectionPooled = false;
     EventSplitter m_events;
     /** Whether any attempt so far has run the request. */
     ExecutionStatus m_ran = ExecutionStatus::NotExecuted;
--- a/source/edge/requestproxyresponse.cpp
+++ b/source/edge/requestproxyresponse.cpp
@@ -22,6 +22,16 @@
 
 } // namespace
 
+/**
+ * A response without an attempt id is accepted only on a new connection. On one that carried an
+ * earlier request, it may be that request's response once more.
+ */
+bool RequestProxy::isForThisAttempt(const ResponseMetadata &fields) const
+{
+    return fields.attemptId == m_call.attemptId
+            || (fields.attemptId.empty() && !m_isConnectionPooled);
+}
+
 UpstreamOutcome RequestProxy::classifyReadEnd(HttpIoStatus end, bool hasHead) const
 {
     if (end == HttpIoStatus::TimedOut) {
@@ -42,8 +52,7 @@
         co_return AttemptResult {classifyReadEnd(head.ioStatus, false), {}, {}};
     }
     const ResponseMetadata fields = m_context.codec.decodeResponseMetadata(head.value);
-    const bool isForOtherAttempt =
-            !fields.attemptId.empty() && fields.attemptId != m_call.attemptId;
+    const bool isForOtherAttempt = !isForThisAttempt(fields);
     const bool isSuccess = head.value.status >= statusOk && head.value.status < statusBadRequest;
     if (isForOtherAttempt || fields.isEncoded || (isSuccess && !fields.isSealed)) {
         co_return AttemptResult {UpstreamOutcome::Garbled, {}, {}};
