Pass on no refusal status that doesn't say "not executed"

What callers see: a backend server answers a request that it has run, or is running, with 408, 429 or 503 and without Not-Executed (a faulty one, or something in front of it). The entry passed the status on, and to its caller these statuses promise that the request has not run and never will (REFUSED).

Cause: everything below 500 was relayed as it was, and a failure from 500 on too when no attempt was left; only the header was read as the promise, not the status.

Now such an answer to a request that may run only once ends as a failed attempt, and the caller gets the entry's own 502 without the backend server's seal. Requests that may be repeated get it unchanged as before, because the promise is worth nothing to them.

Red before: answers_refusalStatusThatDoesNotSayNotExecuted_isNoPromiseToTheCaller, tst_answers.cpp:152 FAILED REQUIRE( response.status == 502 ), 408 == 502, 429 == 502, 503 == 502.

--- a/source/edge/requestproxyresponse.cpp
+++ b/source/edge/requestproxyresponse.cpp
@@ -6,6 +6,7 @@
 #include "net/clock.h"
 
 #include <algorithm>
+#include <array>
 
 namespace greengageseam {
 
@@ -19,6 +20,14 @@
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 constexpr int statusServerError = 500;
+/** Statuses that tell a caller that its request was not executed. */
+constexpr std::array refusalStatuses {408, 429, 503};
+
+bool promisesNotExecuted(int status)
+{
+    return std::find(refusalStatuses.begin(), refusalStatuses.end(), status)
+            != refusalStatuses.end();
+}
 
 } // namespace
 
@@ -83,6 +92,11 @@
     response.status = head.status;
     response.headers = m_context.codec.forwardedFields(head);
     response.body = std::move(body.value);
+    const bool isRefusal = !canRetry() && promisesNotExecuted(response.status);
+    if (isRefusal) {
+        // The status promises the caller what the backend server has not said.
+        co_return AttemptResult {UpstreamOutcome::FailedAnswer, {}, fields.keepAliveTimeout};
+    }
     if (response.status >= statusServerError) {
         co_return AttemptResult {UpstreamOutcome::FailedAnswer, std::move(response),
                                  fields.keepAliveTimeout};
--- a/tests/failure/tst_answers.cpp
+++ b/tests/failure/tst_answers.cpp
@@ -139,6 +139,22 @@
     }
 }
 
+// The statuses that promise "not executed" must not be passed on without that promise.
+TEST_CASE_METHOD(ScriptedFleet,
+                 "answers_refusalStatusThatDoesNotSayNotExecuted_isNoPromiseToTheCaller")
+{
+    const std::string status = GENERATE(as<std::string>(), "408", "429", "503");
+    CAPTURE(status);
+    startFleet(
+            "non_idempotent",
+            {{"HTTP/1.1 " + status
+              + " No\r\nAttempt-Id: ATTEMPT\r\nServer-Seal: s\r\nContent-Length: 3\r\n\r\nran"}});
+    const CallerResponse response = sendRequest("one");
+    REQUIRE(response.status == 502);
+    REQUIRE_FALSE(response.head.header("Server-Seal"));
+    REQUIRE(m_script->requests.size() == 1);
+}
+
 TEST_CASE_METHOD(ScriptedFleet, "answers_headCutAtAnyPlace_isNeverASuccess")
 {
     const std::string framing = GENERATE(as<std::string>(), "Content-Length: 5\r\n",
