Take an answer that was reset during the sending of its request for broken

What callers see: a 200 with a short body, framed as whole. A replica begins to answer a request with a long body before it has read it, with neither a length nor chunks, and resets the connection.

Cause: the write and the read of the connection fail with the same reset, and the kernel reports it once. The write got it, the read then saw a normal end, which completes an answer without framing.

Now an answer that ends with its connection is complete only if its request was written completely. Without a failed write, reads see the reset themselves (guarded for both front ends).

Red before: answers_unframedAnswerResetDuringALongBody_isNotComplete, tst_answers.cpp:267 FAILED REQUIRE( response.status == 502 ) 200 == 502 It needs a server with a small receive buffer; with the kernel's default the write finished first.

--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -180,6 +180,8 @@
     HttpResponseHead head;
     head.status = static_cast<int>(message.result_int());
     head.isKeepAlive = message.keep_alive() && !message.need_eof();
+    head.isFramed = m_parser->is_done() || !message.need_eof();
+    m_isFramed = head.isFramed;
     const auto length = m_parser->content_length();
     if (length) {
         head.length = *length;
@@ -217,7 +219,10 @@
     if (m_parser->is_done()) {
         m_idleSince = monotonicNow();
     }
-    co_return HttpReadResult<std::string> {HttpIoStatus::Done, std::move(bytes)};
+    // A failed write consumes the error of a reset, so that reads see a normal end.
+    const bool mayBeReset = m_parser->is_done() && !m_isFramed && !m_isRequestSent;
+    co_return HttpReadResult<std::string> {
+            mayBeReset ? HttpIoStatus::ConnectionLost : HttpIoStatus::Done, std::move(bytes)};
 }
 
 Awaitable<HttpReadResult<std::string>>
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -42,6 +42,9 @@
     bool isKeepAlive = false;
     /** Length of the body; empty if it is chunked or ends with the connection. */
     std::optional<std::uint64_t> length;
+    /** Whether the response itself tells where its body ends; otherwise the connection's end does.
+     */
+    bool isFramed = true;
 
     auto operator<=>(const HttpResponseHead &) const = default;
 
@@ -85,7 +88,11 @@
      */
     Awaitable<HttpReadResult<HttpResponseHead>> readHead(bool isHeadRequest, Duration timeout);
 
-    /** Reads the next bytes of the body. An empty result with Done means the body is complete. */
+    /**
+     * Reads the next bytes of the body. An empty result with Done means the body is complete. A
+     * body that ends with the connection is complete only if the peer closed it after it received
+     * the whole request.
+     */
     Awaitable<HttpReadResult<std::string>> readBodyPart(Duration timeout);
 
     /**
@@ -142,6 +149,8 @@
     /** Whether the last request was written completely. */
     bool m_isRequestSent = true;
     bool m_isKeepAlive = false;
+    /** HttpResponseHead::isFramed of the current response. */
+    bool m_isFramed = true;
 };
 
 using HttpConnectionPtr = std::shared_ptr<HttpConnection>;
--- a/tests/failure/tst_answers.cpp
+++ b/tests/failure/tst_answers.cpp
@@ -194,6 +194,30 @@
     REQUIRE((response.body == "whole") == !isReset);
 }
 
+// The failed write of a long body takes the reset away from the read, which then sees an end.
+TEST_CASE_METHOD(ScriptedFleet, "answers_unframedAnswerResetDuringALongBody_isNotComplete")
+{
+    startFleet("non_idempotent", {{sealed + "\r\nwho", AfterAnswer::Resets}}, false);
+    const CallerResponse response =
+            send(m_settings.frontAddress, requestText("one", std::string(4'000'000, 'b')));
+    REQUIRE(response.status == 502);
+}
+
+TEST_CASE_METHOD(ScriptedFleet, "answers_unframedStream_isCompleteOnlyWhenClosedAfterAWholeEvent")
+{
+    const bool isReset = GENERATE(false, true);
+    const bool isInsideEvent = GENERATE(false, true);
+    CAPTURE(isReset, isInsideEvent);
+    const std::string rest = isInsideEvent ? "id: 3\ndata: x\n" : "";
+    startFleet("streaming",
+               {{streamHead + "\r\n" + event(1) + event(2) + rest,
+                 isReset ? AfterAnswer::Resets : AfterAnswer::Closes}},
+               true, false);
+    const CallerResponse response = sendRequest("one");
+    REQUIRE(response.body == event(1) + event(2));
+    REQUIRE(response.isComplete == (!isReset && !isInsideEvent));
+}
+
 /** Reads answers of a scripted server as an agent does. */
 class BackendCallFixture
 {
