Join a resumed stream only with what certainly goes on from its last event

Answers that are no event stream (500, 404, 429, with and without seal, 503 Not-Executed, 421, a plain 200, bytes that are no answer) never reached the stream; they stay in the test as guards.

Cause: an event without an id, or with one that goes back, was passed on or dropped as if it were in order, and an unframed body without any event counted as whole.

Now EventSplitter tells for each event whether it is next, a repeat at the start of an attempt, or out of order, and stops at the last kind; until its first new id a resumed attempt may send comments only. The proxy relays what came before, and resumes after it elsewhere. A stream without ids isn't resumed.

--- a/source/core/fleet/eventsplitter.cpp
+++ b/source/core/fleet/eventsplitter.cpp
@@ -49,6 +49,44 @@
     return std::nullopt;
 }
 
+bool endsWithEvent(std::string_view end)
+{
+    return end.ends_with("\n\n") || end.ends_with("\n\r\n");
+}
+
+bool isComment(std::string_view event)
+{
+    for (std::size_t at = 0; at < event.size(); at = event.find('\n', at) + 1) {
+        const char first = event[at];
+        if (first != ':' && first != '\r' && first != '\n') {
+            return false;
+        }
+    }
+    return true;
+}
+
+void EventSplitter::beginAttempt()
+{
+    m_partial.clear();
+    m_hasNewId = false;
+    m_hasEvents = false;
+    m_isOutOfOrder = false;
+}
+
+EventSplitter::Position EventSplitter::positionOf(std::string_view event,
+                                                  std::optional<std::uint64_t> id) const
+{
+    if (!id) {
+        // Before its first new id, nothing shows that a resumed stream goes on where it broke off.
+        const bool isContinued = m_hasNewId || !m_lastId || isComment(event);
+        return isContinued ? Position::Next : Position::OutOfOrder;
+    }
+    if (m_lastId && *id <= *m_lastId) {
+        return m_hasNewId ? Position::OutOfOrder : Position::Repeated;
+    }
+    return !m_lastId || *id == *m_lastId + 1 ? Position::Next : Position::OutOfOrder;
+}
+
 CompleteEvents EventSplitter::feed(std::string_view bytes)
 {
     // The terminator of an event may be split between two reads, so the search starts up to three
@@ -58,19 +96,21 @@
     CompleteEvents complete;
     std::size_t begin = 0;
     std::size_t searchFrom = searchStart;
-    while (true) {
+    while (!m_isOutOfOrder) {
         const std::size_t end = endOfEvent(m_partial, searchFrom);
         if (end == std::string::npos) {
             break;
         }
         const std::string_view event = std::string_view(m_partial).substr(begin, end - begin);
         const std::optional<std::uint64_t> id = eventId(event);
-        const bool isDuplicate = id && m_lastId && *id <= *m_lastId;
-        if (!isDuplicate) {
-            m_hasGap = m_hasGap || (id && m_lastId && *id != *m_lastId + 1);
+        const Position position = positionOf(event, id);
+        m_isOutOfOrder = position == Position::OutOfOrder;
+        m_hasEvents = m_hasEvents || position != Position::OutOfOrder;
+        if (position == Position::Next) {
             complete.bytes.append(event);
             ++complete.count;
             m_lastId = id ? id : m_lastId;
+            m_hasNewId = m_hasNewId || id.has_value();
         }
         begin = end;
         searchFrom = end;
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -181,7 +181,8 @@
                             {"end", outcomeInfo(last.end).name},
                             {"ran", textOf(m_ran)},
                             {"left_ms", remainingTime().count() / 1000}});
-        const bool isAllowed = mayRetry(last.end, route.kind, route.canResume)
+        const bool isResumable = !m_isStreaming || m_events.lastId();
+        const bool isAllowed = mayRetry(last.end, route.kind, route.canResume) && isResumable
                 && m_attempts < route.maxAttempts && remainingTime() > minAttemptTime;
         if (!isAllowed) {
             co_await giveUp(last);
--- a/source/edge/requestproxyresponse.cpp
+++ b/source/edge/requestproxyresponse.cpp
@@ -120,9 +120,6 @@
         HttpReadResult<std::string> chunk =
                 co_await m_connection->readBodyPart(eventDeadline - monotonicNow());
         CompleteEvents events = m_events.feed(chunk.value);
-        if (m_events.hasGap() || m_events.isOverlong()) {
-            co_return AttemptResult {UpstreamOutcome::Garbled, {}, {}};
-        }
         const Instant now = monotonicNow();
         if (events.count > 0) {
             recordResponseStart(now);
@@ -141,13 +138,17 @@
         if (events.count > 0) {
             eventDeadline = monotonicNow() + readTimeout();
         }
+        if (m_events.isOutOfOrder() || m_events.isOverlong()) {
+            co_return AttemptResult {UpstreamOutcome::Garbled, {}, {}};
+        }
         if (chunk.ioStatus != HttpIoStatus::Done) {
             co_return AttemptResult {classifyReadEnd(chunk.ioStatus, true), {}, {}};
         }
         if (!chunk.value.empty()) {
             continue;
         }
-        if (m_events.hasPartial()) {
+        // A server that stops after its head also ends an unframed stream, before its first event.
+        if (m_events.hasPartial() || (!head.isFramed && !m_events.hasEvents())) {
             co_return AttemptResult {UpstreamOutcome::BrokenAnswer, {}, {}};
         }
         if (!m_isStreaming) {
--- a/tests/failure/tst_answers.cpp
+++ b/tests/failure/tst_answers.cpp
@@ -155,6 +155,72 @@
     REQUIRE(m_script->requests.size() == 1);
 }
 
+TEST_CASE_METHOD(ScriptedFleet, "answers_streamBreaksAndNextServerFails_isVisiblyIncomplete")
+{
+    const std::string head = "HTTP/1.1 500 No\r\nAttempt-Id: ATTEMPT\r\n";
+    const std::string body = "Content-Length: 5\r\n\r\nerror";
+    const std::string next = GENERATE_COPY(
+            head + body, head + "Server-Seal: s\r\n" + body,
+            head
+                    + "Server-Seal: s\r\nContent-Type: text/event-stream\r\nContent-Length: "
+                      "24\r\n\r\nid: 3\ndata: error-text\n\n",
+            refusal("Attempt-Id: ATTEMPT\r\n"), refusal("Attempt-Id: ATTEMPT\r\n", 421),
+            "HTTP/1.1 404 No\r\nAttempt-Id: ATTEMPT\r\nServer-Seal: s\r\n" + body,
+            "HTTP/1.1 429 No\r\nAttempt-Id: ATTEMPT\r\n" + body, sealed + body,
+            sealed + "Content-Length: 0\r\n\r\n", std::string("id: 3\ndata: error\n\n"),
+            chunkedStream + chunk(event(4) + event(5)) + lastChunk,
+            chunkedStream + chunk("data: error\n\n") + lastChunk,
+            chunkedStream + chunk("event: error\ndata: {}\n\n" + event(3)) + lastChunk);
+    CAPTURE(next);
+    startFleet("streaming", {brokenStream, {next}});
+    const CallerResponse response = sendRequest("one");
+    REQUIRE(response.status == 200);
+    REQUIRE_FALSE(response.isComplete);
+    REQUIRE(response.body == event(1) + event(2));
+    REQUIRE(m_script->requests.size() == 2);
+}
+
+TEST_CASE_METHOD(ScriptedFleet, "answers_resumedStreamEndsWithItsConnectionAtOnce_isIncomplete")
+{
+    const AfterAnswer after = GENERATE(AfterAnswer::Closes, AfterAnswer::Resets);
+    startFleet("streaming", {brokenStream, {streamHead + "\r\n", after}});
+    const CallerResponse response = sendRequest("one");
+    REQUIRE_FALSE(response.isComplete);
+    REQUIRE(response.body == event(1) + event(2));
+}
+
+TEST_CASE_METHOD(ScriptedFleet, "answers_streamWithoutIdsBreaks_isNotContinuedByAnotherRun")
+{
+    const std::string pair = "data: a\n\ndata: b\n\n";
+    startFleet("streaming",
+               {{chunkedStream + chunk(pair), AfterAnswer::Resets},
+                {chunkedStream + chunk(pair) + lastChunk}});
+    const CallerResponse response = sendRequest("one");
+    REQUIRE_FALSE(response.isComplete);
+    REQUIRE(response.body == pair);
+    REQUIRE(m_script->requests.size() == 1);
+}
+
+// What was read with a skipped id must be neither lost nor counted as delivered.
+TEST_CASE_METHOD(ScriptedFleet, "answers_streamSkipsAnId_resumesAfterTheLastEventInOrder")
+{
+    const std::string order = GENERATE(event(2) + event(4), event(2) + event(1));
+    startFleet("streaming",
+               {{chunkedStream + chunk(event(1)) + chunk(order) + lastChunk}, {streamOf(3, 4)}});
+    const CallerResponse response = sendRequest("one");
+    REQUIRE(response.isComplete);
+    REQUIRE(response.body == fourEvents);
+    REQUIRE(fieldOf(m_script->requests.back(), "Last-Event-Id") == "2");
+}
+
+TEST_CASE_METHOD(ScriptedFleet, "answers_streamThatRepeatsItsBeginning_resumesInOrder")
+{
+    startFleet("streaming", {brokenStream, {streamOf(1, 4)}});
+    const CallerResponse response = sendRequest("one");
+    REQUIRE(response.isComplete);
+    REQUIRE(response.body == fourEvents);
+}
+
 TEST_CASE_METHOD(ScriptedFleet, "answers_headCutAtAnyPlace_isNeverASuccess")
 {
     const std::string framing = GENERATE(as<std::string>(), "Content-Length: 5\r\n",
--- a/tests/unit/tst_eventsplitter.cpp
+++ b/tests/unit/tst_eventsplitter.cpp
@@ -48,7 +48,7 @@
     REQUIRE(m_splitter.lastId() == 2);
     m_splitter.beginAttempt();
     REQUIRE(m_splitter.feed(event(3)).bytes == event(3));
-    REQUIRE_FALSE(m_splitter.hasGap());
+    REQUIRE_FALSE(m_splitter.isOutOfOrder());
 }
 
 TEST_CASE_METHOD(EventSplitterFixture, "splitter_nextAttemptRepeatsEvents_dropsThem")
@@ -62,7 +62,43 @@
 {
     m_splitter.feed(event(1));
     m_splitter.feed(event(3));
-    REQUIRE(m_splitter.hasGap());
+    REQUIRE(m_splitter.isOutOfOrder());
+}
+
+TEST_CASE_METHOD(EventSplitterFixture, "splitter_eventIsOutOfOrder_nextAttemptResumesBeforeIt")
+{
+    const std::string wrong = GENERATE(event(4), event(2), event(1), event(4) + event(3));
+    REQUIRE(m_splitter.feed(event(1) + event(2) + wrong).bytes == event(1) + event(2));
+    REQUIRE(m_splitter.isOutOfOrder());
+    REQUIRE(m_splitter.lastId() == 2);
+    m_splitter.beginAttempt();
+    REQUIRE(m_splitter.feed(event(3)).bytes == event(3));
+    REQUIRE_FALSE(m_splitter.isOutOfOrder());
+}
+
+TEST_CASE_METHOD(EventSplitterFixture, "splitter_resumedStreamBeginsWithoutAnId_isOutOfOrder")
+{
+    m_splitter.feed(event(1));
+    m_splitter.beginAttempt();
+    REQUIRE(m_splitter.feed("data: other\n\n").count == 0);
+    REQUIRE(m_splitter.isOutOfOrder());
+}
+
+TEST_CASE_METHOD(EventSplitterFixture, "splitter_resumedStreamBeginsWithAComment_isInOrder")
+{
+    m_splitter.feed(event(1));
+    m_splitter.beginAttempt();
+    REQUIRE(m_splitter.feed(": wait\r\n\r\n" + event(2)).count == 2);
+    REQUIRE_FALSE(m_splitter.isOutOfOrder());
+}
+
+TEST_CASE_METHOD(EventSplitterFixture, "streamEnd_afterAndInsideAnEvent_areToldApart")
+{
+    REQUIRE(endsWithEvent("a\n\n"));
+    REQUIRE(endsWithEvent("\r\n\r\n"));
+    REQUIRE_FALSE(endsWithEvent("data"));
+    REQUIRE_FALSE(endsWithEvent("a\r\n"));
+    REQUIRE_FALSE(endsWithEvent(""));
 }
 
 TEST_CASE_METHOD(EventSplitterFixture, "splitter_eventWithoutEnd_isOverlongAtTheLimit")
