Reset the connection of an HTTP/1.0 caller whose stream broke off

What callers see: a stream that broke off ends like a whole one for callers of HTTP/1.0, which has no chunks: the end of the connection is the end mark, and the entry closed it in the normal way.

Now an aborted stream resets such a connection.

Red before: answers_streamBreaksForAnHttp10Caller_isVisiblyIncomplete, tst_answers.cpp:291 FAILED REQUIRE_FALSE( response.isComplete )

--- a/source/edge/responsewriter.cpp
+++ b/source/edge/responsewriter.cpp
@@ -92,6 +92,16 @@
     co_return co_await write(std::move(text));
 }
 
+void ResponseWriter::abortStream()
+{
+    m_closesConnection = true;
+    if (m_isHttp10) {
+        boost::system::error_code ignored;
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        m_socket.close(ignored);
+    }
+}
+
 void ResponseWriter::markDisconnected()
 {
     if (m_isDisconnected) {
--- a/source/edge/responsewriter.h
+++ b/source/edge/responsewriter.h
@@ -39,9 +39,10 @@
     Awaitable<bool> endStream();
     /**
      * Leaves a streamed response without its end marker and requests that the connection closes, so
-     * that the caller can tell that the response is incomplete.
+     * that the caller can tell that the response is incomplete. Resets the connection of an
+     * HTTP/1.0 caller, for whom a normal close is the end marker.
      */
-    void abortStream() { m_closesConnection = true; }
+    void abortStream();
 
     /** Records that the caller has closed its connection, and runs the onDisconnect() hook. */
     void markDisconnected();
--- a/tests/failure/tst_answers.cpp
+++ b/tests/failure/tst_answers.cpp
@@ -284,6 +284,15 @@
     REQUIRE(response.isComplete == (!isReset && !isInsideEvent));
 }
 
+// HTTP/1.0 has no end marker: only a reset shows that the stream is incomplete.
+TEST_CASE_METHOD(ScriptedFleet, "answers_streamBreaksForAnHttp10Caller_isVisiblyIncomplete")
+{
+    startFleet("streaming", {brokenStream}, false);
+    const CallerResponse response =
+            send(m_settings.frontAddress, requestText("one", "body", "1.0"));
+    REQUIRE_FALSE(response.isComplete);
+}
+
 /** Reads answers of a scripted server as an agent does. */
 class BackendCallFixture
 {
