Tell a stream of an engine that ends inside an event from a whole one

What callers of the product's own interface see: an engine that crashes in the middle of an event, or right after its head, ends the answer like a complete one if it uses neither a length nor chunks. The agent sent the end mark with the length and checksum of the truncated body, and the entry completed it.

Now HttpCall reports an event stream that ends with its connection as broken unless its last bytes end an event. The entry then breaks the caller's stream off, as for any other broken answer.

Red before: call_unframedStreamEndsInsideAnEvent_isBroken, tst_answers.cpp:355 FAILED, 4 of 4 ends REQUIRE( failureOf(cut) != nullptr ) The other two reports can't happen on this front end: an agent uses one connection for each request, so no earlier refusal can precede an answer, and an entry starts no second attempt after the first byte of an answer; a head cut at any place is a failure (call_answerCutAtAnyPlace_isAFailure).

--- a/source/net/httpclient.cpp
+++ b/source/net/httpclient.cpp
@@ -1,5 +1,8 @@
 #include "net/httpclient.h"
 
+#include "core/fleet/eventsplitter.h"
+
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
@@ -70,9 +73,11 @@
         co_return Failure {ErrorKind::OutcomeUnknown, address.text() + ": " + readError.message()};
     }
     const auto &head = m_parser.get();
+    const std::string contentType(head[http::field::content_type]);
+    m_isUnframedStream =
+            contentType.starts_with("text/event-stream") && !m_parser.is_done() && head.need_eof();
     const auto retryAfter = head[http::field::retry_after];
-    co_return HttpCallHead {static_cast<int>(head.result_int()),
-                            std::string(head[http::field::content_type]),
+    co_return HttpCallHead {static_cast<int>(head.result_int()), contentType,
                             parseSeconds({retryAfter.data(), retryAfter.size()})};
 }
 
@@ -91,9 +96,19 @@
         co_return Failure {ErrorKind::AnswerBroken, ec.message()};
     }
     bytes.resize(bytes.size() - body.size);
+    m_bodyEnd += bytes.substr(bytes.size() - std::min(bytes.size(), eventEndBytes));
+    m_bodyEnd.erase(0, m_bodyEnd.size() - std::min(m_bodyEnd.size(), eventEndBytes));
+    if (m_parser.is_done() && isBrokenStream()) {
+        co_return Failure {ErrorKind::AnswerBroken, "the event stream ended inside an event"};
+    }
     co_return HttpBodyPart {std::move(bytes), m_parser.is_done()};
 }
 
+bool HttpCall::isBrokenStream() const
+{
+    return m_isUnframedStream && !endsWithEvent(m_bodyEnd);
+}
+
 void HttpCall::abort()
 {
     m_stream.close();
--- a/source/net/httpclient.h
+++ b/source/net/httpclient.h
@@ -56,7 +56,8 @@
      * Reads the next part of the response body.
      * @param timeout time limit for the part
      * @returns the part, or AnswerBroken if the connection ends before the body is complete, the
-     *     body is malformed, or the part does not arrive in time
+     *     body is malformed, or the part does not arrive in time; also if an event stream that
+     *     ends with the connection does not end after a complete event
      */
     Awaitable<Outcome<HttpBodyPart>> readBodyPart(Duration timeout);
 
@@ -64,9 +65,16 @@
     void abort();
 
 private:
+    /** @returns whether the body, which has ended, is an event stream that was broken off */
+    bool isBrokenStream() const;
+
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buf;
     boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
+    /** Whether the response is an event stream that ends with the connection. */
+    bool m_isUnframedStream = false;
+    /** The last eventEndBytes of the body. */
+    std::string m_bodyEnd;
 };
 
 /**
--- a/tests/failure/tst_answers.cpp
+++ b/tests/failure/tst_answers.cpp
@@ -347,5 +347,24 @@
     REQUIRE(failureOf(reset) != nullptr);
 }
 
+TEST_CASE_METHOD(BackendCallFixture, "call_unframedStreamEndsInsideAnEvent_isBroken")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    const std::string rest = GENERATE(as<std::string>(), "", "data: a\n\ndata: b", "data: a\n",
+                                      "data: a\r\n\r\ndata: b\r\n");
+    CAPTURE(rest);
+    const Outcome<HttpResponse> cut = call({head + rest, AfterAnswer::Closes});
+    REQUIRE(failureOf(cut) != nullptr);
+}
+
+TEST_CASE_METHOD(BackendCallFixture, "call_unframedStreamEndsAfterAnEvent_isComplete")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    const std::string rest = GENERATE(as<std::string>(), "data: a\n\n", "data: a\r\n\r\n");
+    const Outcome<HttpResponse> closed = call({head + rest, AfterAnswer::Closes});
+    REQUIRE(failureOf(closed) == nullptr);
+    REQUIRE(std::get<HttpResponse>(closed).body == rest);
+}
+
 } // namespace
 } // namespace greengageseam
