Find target versions of weights by the model of the service, not by what the list says is loaded

Cause: the entry looked up the target versions by the model that the list names for the backend server. While a server loads weights, and up to a heartbeat later, the list names none; the entry already uses it, on its agent's report. Its requests then had no deadline for their start and named no expected version, so they stayed in the server's queue past the bound. The class of fault: one decision that rests on two sources of different age, the report for the version and the list for the model.

Evidence: of the requests that had not begun 0.4 s before the bound, those of the zones whose reading of the list held the entry without weights were all kept, those of the other zones were all taken back.

Why this works: the configuration says which model the service runs, and it is what the minimum version goes by already.

Both tests failed before: entry_engineListedWithoutWeights_requestIsAbortedBeforeTheBound (3.60 s < 3 s) and entry_engineListedWithoutWeights_newestOnesAreExpected (no header == "2").

--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -295,6 +295,21 @@
     return m_retryBudgets.emplace(service, SharedRetryBudget(options)).first->second;
 }
 
+/**
+ * @returns the target versions of the weights that a service runs, with the time at which each was
+ *          announced; null if there are none. The configuration tells which weights these are: the
+ *          list does not while a backend server loads them.
+ */
+const Dispatcher::AnnouncementTimes *Dispatcher::targetVersions(const ServiceName &service) const
+{
+    const Service *known = m_table == nullptr ? nullptr : m_table->service(service);
+    if (known == nullptr || !known->engine) {
+        return nullptr;
+    }
+    const auto it = m_targetVersions.find(known->engine->model);
+    return it == m_targetVersions.end() || it->second.empty() ? nullptr : &it->second;
+}
+
 /**
  * @returns the newest target version if the backend server is believed to run it. Otherwise the
  *          result is empty, because the backend server may switch to a newer version at any time.
@@ -302,11 +317,11 @@
 std::optional<std::uint64_t> Dispatcher::expectedWeightsVersion(const ReplicaEntry &replica,
                                                                 Instant now) const
 {
-    const auto it = m_targetVersions.find(replica.loaded.model);
-    if (it == m_targetVersions.end() || it->second.empty()) {
+    const AnnouncementTimes *targets = targetVersions(replica.service);
+    if (targets == nullptr) {
         return std::nullopt;
     }
-    const std::uint64_t newest = it->second.rbegin()->first;
+    const std::uint64_t newest = targets->rbegin()->first;
     return m_loads.weightsVersion(replica.id, now) == newest ? std::optional(newest) : std::nullopt;
 }
 
@@ -317,12 +332,12 @@
  */
 std::optional<Instant> Dispatcher::startDeadline(const ReplicaEntry &replica, Instant now) const
 {
-    const auto it = m_targetVersions.find(replica.loaded.model);
-    if (it == m_targetVersions.end()) {
+    const AnnouncementTimes *targets = targetVersions(replica.service);
+    if (targets == nullptr) {
         return std::nullopt;
     }
-    const auto newer = it->second.upper_bound(m_loads.weightsVersion(replica.id, now));
-    if (newer == it->second.end()) {
+    const auto newer = targets->upper_bound(m_loads.weightsVersion(replica.id, now));
+    if (newer == targets->end()) {
         return std::nullopt;
     }
     return newer->second + m_options.bounds.weightsApply - startDeadlineMargin;
@@ -340,16 +355,12 @@
  */
 std::uint64_t Dispatcher::requiredWeightsVersion(const ServiceName &service, Instant now) const
 {
-    const Service *known = m_table == nullptr ? nullptr : m_table->service(service);
-    if (known == nullptr || !known->engine) {
-        return 0;
-    }
-    const auto it = m_targetVersions.find(known->engine->model);
-    if (it == m_targetVersions.end()) {
+    const AnnouncementTimes *targets = targetVersions(service);
+    if (targets == nullptr) {
         return 0;
     }
     std::uint64_t required = 0;
-    for (const auto &[version, at] : it->second) {
+    for (const auto &[version, at] : *targets) {
         if (now >= requiredFrom(at)) {
             required = std::max(required, version);
         }
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -204,6 +204,9 @@
         Instant expiresAt;
     };
 
+    /** Target versions of a model's weights, with the time at which each was announced. */
+    using AnnouncementTimes = std::map<std::uint64_t, Instant>;
+
     Awaitable<void> run();
     void apply(const AdmissionQuery &command);
     void apply(const AcquireReplica &command);
@@ -224,6 +227,7 @@
     SharedRetryBudget &retryBudget(const ServiceName &service);
     Instant estimateFirstAttempt(const Route &route, std::optional<Duration> remaining,
                                  Instant now);
+    const AnnouncementTimes *targetVersions(const ServiceName &service) const;
     std::optional<std::uint64_t> expectedWeightsVersion(const ReplicaEntry &replica,
                                                         Instant now) const;
     std::optional<Instant> startDeadline(const ReplicaEntry &replica, Instant now) const;
@@ -243,8 +247,7 @@
      * one with its first attempt.
      */
     std::map<RouteName, Duration> m_longestTimeouts;
-    /** Target versions of each model's weights, with the time at which each was announced. */
-    std::map<ModelName, std::map<std::uint64_t, Instant>> m_targetVersions;
+    std::map<ModelName, AnnouncementTimes> m_targetVersions;
     std::deque<AcquireReplica> m_pending;
     std::map<Address, std::deque<PooledConnection>> m_connectionPool;
     /** The largest number of entries that were known to be running at the same time. */
--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -190,6 +190,31 @@
     /** Pauses the entry, whose tasks run only while this thread runs them. */
     static void pause(Duration time) { std::this_thread::sleep_for(time); }
 
+    /**
+     * Starts an entry with an engine that the list names without weights, as while it loads them.
+     */
+    void startEntryWithEngineListedEmpty()
+    {
+        startAgent();
+        configureEngine();
+        m_store.put("keyed.servers", "i-1", m_first.listEntry("p", "ready"));
+        startEntry();
+        REQUIRE(waitUntil(
+                [this] { return httpGet(m_settings.readyAddress, "/-/readiness").status == 200; }));
+        m_context.run_for(std::chrono::milliseconds(500));
+    }
+
+    /** The agent reports that the engine has just loaded a version of its weights. */
+    void reportLoaded(std::uint64_t version)
+    {
+        LoadReport report;
+        report.backend = m_first.address();
+        report.startedAtMs = 1;
+        report.weightsVersion = version;
+        m_agent->mailbox()->post(report);
+        m_context.run_for(std::chrono::milliseconds(100));
+    }
+
     /** Runs the tasks until a condition holds. @returns false if it does not hold in time */
     bool waitUntil(const std::function<bool()> &condition)
     {
@@ -456,6 +481,32 @@
     REQUIRE(monotonicNow() - named < m_settings.bounds.weightsApply);
 }
 
+// The list names an engine that has just loaded weights without them for up to a heartbeat.
+TEST_CASE_METHOD(EdgeFixture, "entry_engineListedWithoutWeights_requestIsAbortedBeforeTheBound")
+{
+    m_settings.bounds.weightsApply = std::chrono::seconds(3);
+    startEntryWithEngineListedEmpty();
+    m_first.setBehaviour(ReplicaBehaviour::Hangs);
+    m_store.put("keyed.op", "version/m", R"({"model":"m","version":2})");
+    const Instant named = monotonicNow();
+    m_context.run_for(std::chrono::milliseconds(1000));
+    reportLoaded(1);
+    const Received received = sendRequest(request("/x/1"));
+    REQUIRE(m_first.runs() == 1);
+    REQUIRE(received.status == 504);
+    REQUIRE(monotonicNow() - named < m_settings.bounds.weightsApply);
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_engineListedWithoutWeights_newestOnesAreExpected")
+{
+    startEntryWithEngineListedEmpty();
+    m_store.put("keyed.op", "version/m", R"({"model":"m","version":2})");
+    m_context.run_for(std::chrono::milliseconds(300));
+    reportLoaded(2);
+    sendRequest(request("/x/1"));
+    REQUIRE(m_first.receivedRequests().back().header("Expected-Version") == "2");
+}
+
 // A version that was announced before the start must not be dated by the entry's first read.
 TEST_CASE_METHOD(EdgeFixture, "entry_firstReadLongAfterStart_requiresAnnouncedWeightsAtOnce")
 {
