--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -181,7 +181,8 @@
                             {"end", outcomeInfo(last.end).name},
                             {"ran", textOf(m_ran)},
                             {"left_ms", remainingTime().count() / 1000}});
-        const bool isAllowed = mayRetry(last.end, route.kind, route.canResume)
+        const bool isResumable = !m_isStreaming || m_events.lastId();
+        const bool isAllowed = mayRetry(last.end, route.kind, route.canResume) && isResumable
                 && m_attempts < route.maxAttempts && remainingTime() > minAttemptTime;
         if (!isAllowed) {
             co_await giveUp(last);
@@ -203,7 +204,8 @@
     query.requirements.latencyObjective = route.latencyObjective;
     query.requirements.promptTokens = static_cast<double>(m_call.promptTokens);
     query.isRetry = m_attempts > 0;
-    query.allowsPooledConnection = canRetry();
+    // Without an attempt id, a late response to an earlier request could not be told apart.
+    query.allowsPooledConnection = canRetry() && !m_call.attemptId.empty();
     const Duration wait = std::min(scaled(route.latencyObjective, queueWaitRatio),
                                    scaled(remainingTime(), queueWaitRatio));
     query.waitUntil = monotonicNow() + wait;
@@ -273,7 +275,8 @@
 
 Awaitable<HttpIoStatus> RequestProxy::connect(const ReplicaLease &lease)
 {
-    if (lease.connection) {
+    m_isConnectionPooled = lease.connection != nullptr;
+    if (m_isConnectionPooled) {
         m_connection = lease.connection;
         co_return HttpIoStatus::Done;
     }
--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -120,9 +120,17 @@
     if (m_reader.cancel) {
         m_reader.cancel();
     }
+    notifyReadLost();
     m_mailbox->post(ReadDue {m_readId});
 }
 
+void TopicFollower::notifyReadLost() const
+{
+    if (m_hooks.onReadLost) {
+        m_hooks.onReadLost();
+    }
+}
+
 Awaitable<void> TopicFollower::readSnapshot(std::uint64_t readId)
 {
     Outcome<KeyedSnapshot> snapshot = co_await m_reader.snapshot();
@@ -169,6 +177,9 @@
         return;
     }
     reportAvailability(failure);
+    if (failure != nullptr) {
+        notifyReadLost();
+    }
     scheduleNextRead(failure != nullptr);
 }
 
@@ -271,7 +282,7 @@
 
 Awaitable<void> TopicFollower::waitAndPost(Duration delay, FollowCommand command)
 {
-    asio::steady_timer timer(m_executor, delay);
+    Timer timer(m_executor, delay);
     co_await timer.async_wait(asTuple);
     m_mailbox->post(std::move(command));
 }
