Count the grace of removed backend servers from the attempts to read

Cause: a gap of over 2.5 s between two reads counted as an outage of the store, and the grace counted from the read that ended the gap. The store's return happens elsewhere; a pause of this process says nothing about it.

Now the registry is told of each read that starts. The grace ends 2.2 s after the read, but at the latest 2.2 s after the time by which a running process would have read the list again: 2.5 s (the timeouts of a call and the retry delay) after the last read that failed, or after the last one that succeeded if none has failed. So nothing changes for a process that runs and tries, and the time that it lost itself no longer extends the grace.

Evidence: red before were registry_readLongAfterTheLastAttempt_removesAtOnce (Lapsed instead of Gone, 6 == 5), registry_pausedAfterAnOutage_dropsTheGraceThatHasPassed (0 == 1) and, with the old rule in the registry, replicas_readIsLaterThanTheGrace_removedEntryIsGoneAtOnce. Green before and after: replicas_readsFailForLong_removedEntryIsKeptForTheGrace, which fails if attempts are not recorded.

The three older tests of the grace played an outage as a gap without any attempt, which is what a pause looks like. They now record the attempts of the outage; what they require is unchanged.

--- a/source/core/fleet/replicaregistry.cpp
+++ b/source/core/fleet/replicaregistry.cpp
@@ -4,12 +4,21 @@
 
 namespace greengageseam {
 
+void ReplicaRegistry::recordAttempt(Instant now)
+{
+    m_failedAttempt = m_lastAttempt;
+    m_lastAttempt = now;
+}
+
 void ReplicaRegistry::recordRead(Instant now)
 {
     if (m_lastRead && now - *m_lastRead > m_options.outageAfter) {
-        m_graceUntil = now + m_options.removalGrace;
+        const Instant lastLost = m_failedAttempt.value_or(*m_lastRead);
+        m_graceUntil = std::min(now, lastLost + m_options.maxRetryTime) + m_options.removalGrace;
     }
     m_lastRead = now;
+    m_lastAttempt.reset();
+    m_failedAttempt.reset();
 }
 
 std::optional<ReplicaUpdate> ReplicaRegistry::put(const ReplicaEntry &entry)
--- a/source/core/fleet/replicaregistry.h
+++ b/source/core/fleet/replicaregistry.h
@@ -16,6 +16,11 @@
 {
     /** A longer interval between two successful reads counts as an outage of the list. */
     Duration outageAfter = std::chrono::milliseconds(2500);
+    /**
+     * Maximum time from the start of a read that fails to the end of the next one, while this
+     * process runs: the timeouts of a call and the retry delay.
+     */
+    Duration maxRetryTime = std::chrono::milliseconds(2500);
     /**
      * Time after an outage for which removed entries are kept, because backend servers could not
      * renew their registrations during the outage.
@@ -40,7 +45,8 @@
 /**
  * Applies entries and removals. After an outage of the list, it keeps removed entries for a grace
  * period, so that backend servers whose registrations expired only because of the outage stay in
- * use.
+ * use. The grace period counts from the end of the outage as far as the attempts to read show it:
+ * a read that is late because this process was paused does not extend it.
  *
  * It is modified in place, because entries are renewed continually.
  */
@@ -49,6 +55,8 @@
 public:
     explicit ReplicaRegistry(ReplicaRegistryOptions options = {}) : m_options(options) { }
 
+    /** Records the start of a read of the list, whether it succeeds or not. */
+    void recordAttempt(Instant now);
     /** Records a successful read of the list. Call it before applying the changes of that read. */
     void recordRead(Instant now);
     /** Applies a written entry. @returns the change, if the entry differs from the last one */
@@ -79,6 +87,10 @@
     ReplicaRegistryOptions m_options;
     std::map<ReplicaId, Record> m_records;
     std::optional<Instant> m_lastRead;
+    /** Start of the newest read, if it is not known to have succeeded. */
+    std::optional<Instant> m_lastAttempt;
+    /** Start of the last read that has failed since m_lastRead. */
+    std::optional<Instant> m_failedAttempt;
     /** Until this time, removals are attributed to an outage and entries are kept. */
     std::optional<Instant> m_graceUntil;
 };
--- a/source/edge/storewatchers.cpp
+++ b/source/edge/storewatchers.cpp
@@ -136,8 +136,22 @@
     FollowOptions options;
     options.name = "replicas";
     options.pollInterval = pollInterval;
-    m_follower = std::make_shared<TopicFollower>(executor, std::move(reader), options, followHooks,
-                                                 m_log);
+    m_follower = std::make_shared<TopicFollower>(executor, recordAttempts(std::move(reader)),
+                                                 options, followHooks, m_log);
+}
+
+/** @returns the reader, which tells the registry of each read that starts */
+TopicReader ReplicaWatcher::recordAttempts(TopicReader reader)
+{
+    reader.snapshot = [this, read = std::move(reader.snapshot)] {
+        m_replicas.recordAttempt(monotonicNow());
+        return read();
+    };
+    reader.tail = [this, read = std::move(reader.tail)](std::uint64_t from, Duration timeout) {
+        m_replicas.recordAttempt(monotonicNow());
+        return read(from, timeout);
+    };
+    return reader;
 }
 
 void ReplicaWatcher::start()
--- a/source/edge/storewatchers.h
+++ b/source/edge/storewatchers.h
@@ -112,6 +112,7 @@
     void applyPeerDelta(const ReplicaListDelta &update);
 
 private:
+    TopicReader recordAttempts(TopicReader reader);
     void applySnapshot(const KeyedSnapshot &snapshot);
     void applyTail(std::uint64_t from, const KeyedBatch &tail);
     std::optional<ReplicaEntry> applyRecord(const KeyedRecord &record, Instant now);
--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 
 namespace greengageseam {
@@ -191,6 +192,33 @@
     REQUIRE(m_known.empty());
 }
 
+// Only this read was late: the entry may have been missing for long.
+TEST_CASE_METHOD(StoreWatcherFixture, "replicas_readIsLaterThanTheGrace_removedEntryIsGoneAtOnce")
+{
+    write("i-1", "p");
+    startReplicaWatcher();
+    m_readTime = milliseconds(5500);
+    runFor(milliseconds(300));
+    write("i-1", std::nullopt);
+    m_readTime = Duration::zero();
+    runFor(milliseconds(5600));
+    REQUIRE(m_tailReads > 1);
+    REQUIRE(m_known.empty());
+}
+
+TEST_CASE_METHOD(StoreWatcherFixture, "replicas_readsFailForLong_removedEntryIsKeptForTheGrace")
+{
+    write("i-1", "p");
+    startReplicaWatcher();
+    m_readsFail = true;
+    runFor(milliseconds(5200));
+    write("i-1", std::nullopt);
+    m_readsFail = false;
+    REQUIRE(waitUntil([this] { return m_recoveries == 1; }));
+    REQUIRE(m_known.size() == 1);
+    REQUIRE(waitUntil([this] { return m_known.empty(); }));
+}
+
 TEST_CASE_METHOD(StoreWatcherFixture, "topic_burstOfChanges_onlySnapshotsAreRead")
 {
     FollowOptions options;
--- a/tests/unit/tst_replicaregistry.cpp
+++ b/tests/unit/tst_replicaregistry.cpp
@@ -25,6 +25,14 @@
 
     static Instant at(int ms) { return Instant(milliseconds(ms)); }
 
+    /** Attempts to read the list without an answer, once a second. */
+    void tryInVain(int fromMs, int toMs)
+    {
+        for (int ms = fromMs; ms <= toMs; ms += 1000) {
+            m_registry.recordAttempt(at(ms));
+        }
+    }
+
     ReplicaRegistry m_registry;
 };
 
@@ -41,6 +49,7 @@
 {
     m_registry.recordRead(at(0));
     m_registry.put(entry("a"));
+    tryInVain(600, 7600);
     m_registry.recordRead(at(8000));
     REQUIRE(m_registry.remove(ReplicaId("a"), at(8000))->change == ReplicaChange::Lapsed);
     REQUIRE(m_registry.entries().size() == 1);
@@ -52,6 +61,7 @@
 {
     m_registry.recordRead(at(0));
     m_registry.put(entry("a"));
+    tryInVain(600, 7600);
     m_registry.recordRead(at(8000));
     m_registry.remove(ReplicaId("a"), at(8000));
     REQUIRE(m_registry.put(entry("a"))->change == ReplicaChange::Returned);
@@ -64,8 +74,32 @@
     ReplicaEntry leaving = entry("a");
     leaving.isDraining = true;
     m_registry.put(leaving);
+    tryInVain(600, 7600);
+    m_registry.recordRead(at(8000));
+    REQUIRE(m_registry.remove(ReplicaId("a"), at(8000))->change == ReplicaChange::Gone);
+}
+
+// The process was paused, or its read took long: others know since when the entry is missing.
+TEST_CASE_METHOD(ReplicaRegistryFixture, "registry_readLongAfterTheLastAttempt_removesAtOnce")
+{
+    m_registry.recordRead(at(0));
+    m_registry.put(entry("a"));
+    m_registry.recordAttempt(at(600));
     m_registry.recordRead(at(8000));
     REQUIRE(m_registry.remove(ReplicaId("a"), at(8000))->change == ReplicaChange::Gone);
+    REQUIRE(m_registry.entries().empty());
+}
+
+TEST_CASE_METHOD(ReplicaRegistryFixture, "registry_pausedAfterAnOutage_dropsTheGraceThatHasPassed")
+{
+    m_registry.recordRead(at(0));
+    m_registry.put(entry("a"));
+    tryInVain(600, 5600);
+    m_registry.recordAttempt(at(9000));
+    m_registry.recordRead(at(9100));
+    REQUIRE(m_registry.remove(ReplicaId("a"), at(9100))->change == ReplicaChange::Lapsed);
+    REQUIRE(m_registry.expire(at(10'300)).size() == 1);
+    REQUIRE(m_registry.entries().empty());
 }
 
 TEST_CASE_METHOD(ReplicaRegistryFixture, "registry_sameIdWithOtherStartTime_isRestarted")
