Read the members of a rollout until they are known

Cause: WeightInstaller read the list once for each announced version. After a failure it knew no members, and a rollout of one member starts at once.

Now the read is repeated, after 250 ms and at most 1 s, until it succeeds, a newer version is announced, or the last slot has passed; the members of an earlier read stay in use meanwhile. An agent that knows no members takes the place that its hash has among all possible ones: the order is that of rolloutDelay(), and agents without the list spread over the whole rollout.

New unit test: rolloutDelayWithoutMembers_manyAgents_areSpreadInTheirOrder. rolloutDelay() itself is unchanged.

--- a/source/core/fleet/rollout.h
+++ b/source/core/fleet/rollout.h
@@ -40,6 +40,14 @@
 Duration rolloutDelay(const std::vector<InstanceId> &members, const InstanceId &self,
                       std::uint64_t version, const RolloutOptions &options);
 
+/**
+ * The slot of an instance that does not know the members yet. Its order among the others is that of
+ * rolloutDelay(), its place in the rollout is estimated from its hash.
+ * @returns the time after the announcement at which @p self starts to load
+ */
+Duration rolloutDelayWithoutMembers(const InstanceId &self, std::uint64_t version,
+                                    const RolloutOptions &options);
+
 /**
  * @param report the latest report of the engine
  * @param drainingFor time since the entries were notified to send it no more requests
--- a/source/sidecar/weightinstaller.cpp
+++ b/source/sidecar/weightinstaller.cpp
@@ -4,6 +4,7 @@
 #include "net/clock.h"
 #include "net/ticker.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -15,6 +16,9 @@
 constexpr std::size_t mailboxCapacity = 256;
 constexpr auto tickPeriod = std::chrono::milliseconds(100);
 constexpr auto retryAfterFailure = std::chrono::milliseconds(250);
+/** Delays before the list of backend servers is read again after a failure; they double. */
+constexpr auto initialMembersRetry = std::chrono::milliseconds(250);
+constexpr auto maxMembersRetry = std::chrono::milliseconds(1000);
 /** Time after which an order without visible effect is sent again. */
 constexpr auto orderTimeout = std::chrono::milliseconds(1500);
 constexpr std::array<std::string_view, 6> stageNames {"idle",    "staging",  "staged",
@@ -58,26 +62,47 @@
     const bool isNew = m_announcedAt.emplace(command.version, command.announcedAt).second;
     if (isNew) {
         asio::co_spawn(
-                m_executor, [self = shared_from_this()] { return self->readMembers(); },
+                m_executor,
+                [self = shared_from_this(), at = command.announcedAt, readId = ++m_membersRead] {
+                    return self->readMembers(readId, at);
+                },
                 asio::detached);
     }
 }
 
-Awaitable<void> WeightInstaller::readMembers()
+/** Reads the members until a read succeeds, a newer one starts, or the last slot has passed. */
+Awaitable<void> WeightInstaller::readMembers(std::uint64_t readId, Instant announcedAt)
 {
-    const Outcome<std::vector<ReplicaEntry>> read = co_await m_readReplicas();
-    if (const Failure *failure = failureOf(read)) {
+    const Instant end = announcedAt + m_options.rollout.lastStart;
+    Duration delay = initialMembersRetry;
+    while (readId == m_membersRead) {
+        const Outcome<std::vector<ReplicaEntry>> read = co_await m_readReplicas();
+        const Failure *failure = failureOf(read);
+        if (failure == nullptr) {
+            InstallerCommand command = membersIn(std::get<std::vector<ReplicaEntry>>(read));
+            co_await m_mailbox->send(std::move(command));
+            co_return;
+        }
         m_log.warning("weights.members-unknown", {{"reason", failure->detail}});
-        co_return;
+        if (monotonicNow() + delay >= end) {
+            co_return;
+        }
+        Timer timer(m_executor, delay);
+        co_await timer.async_wait(asTuple);
+        delay = std::min<Duration>(delay * 2, maxMembersRetry);
     }
+}
+
+/** @returns the agents of the backend servers in the list that run the same weights */
+InstallerMembersChanged WeightInstaller::membersIn(const std::vector<ReplicaEntry> &list) const
+{
     InstallerMembersChanged changed;
-    for (const ReplicaEntry &entry : std::get<std::vector<ReplicaEntry>>(read)) {
+    for (const ReplicaEntry &entry : list) {
         if (entry.service == m_options.service) {
             changed.members.push_back(agentOfBackend(entry.address));
         }
     }
-    InstallerCommand command = std::move(changed);
-    co_await m_mailbox->send(std::move(command));
+    return changed;
 }
 
 void WeightInstaller::apply(const InstallerMembersChanged &command)
@@ -236,8 +261,10 @@
     if (loaded == 0 || oldest == m_announcedAt.end()) {
         return true;
     }
-    const Duration slotOffset =
-            rolloutDelay(m_members, m_options.self, m_stageVersion, m_options.rollout);
+    const RolloutOptions &rollout = m_options.rollout;
+    const Duration slotOffset = m_members
+            ? rolloutDelay(*m_members, m_options.self, m_stageVersion, rollout)
+            : rolloutDelayWithoutMembers(m_options.self, m_stageVersion, rollout);
     return now >= oldest->second + slotOffset;
 }
 
--- a/source/sidecar/weightinstaller.h
+++ b/source/sidecar/weightinstaller.h
@@ -101,7 +101,8 @@
     void apply(const InstallerMembersChanged &command);
     void apply(const InstallerCancelPolicyChanged &command);
     void apply(const InstallerTick &command);
-    Awaitable<void> readMembers();
+    Awaitable<void> readMembers(std::uint64_t readId, Instant announcedAt);
+    InstallerMembersChanged membersIn(const std::vector<ReplicaEntry> &list) const;
     void advance();
     void startStep(Stage stage);
     void enterStage(Stage stage);
@@ -128,8 +129,10 @@
     std::optional<ReplicaReport> m_report;
     /** The newest complete version. */
     std::optional<CompleteVersion> m_newestComplete;
-    /** The members of the rollout; empty until they are known. */
-    std::vector<InstanceId> m_members;
+    /** The members of the rollout as last read; empty until a read has succeeded. */
+    std::optional<std::vector<InstanceId>> m_members;
+    /** Number of the newest read of the members; earlier ones are not repeated. */
+    std::uint64_t m_membersRead = 0;
     /** The version that m_stage refers to. */
     std::uint64_t m_stageVersion = 0;
     Stage m_stage = Stage::Idle;
--- a/tests/unit/tst_fleetparts.cpp
+++ b/tests/unit/tst_fleetparts.cpp
@@ -74,6 +74,27 @@
     REQUIRE(delay == options.firstStart);
 }
 
+// Agents that cannot read the list of backend servers must not all load at once.
+TEST_CASE_METHOD(RolloutFixture, "rolloutDelayWithoutMembers_manyAgents_areSpreadInTheirOrder")
+{
+    const RolloutOptions options;
+    const Duration third = (options.lastStart - options.firstStart) / 3;
+    std::map<Duration, Duration> byTurn;
+    std::array<int, 3> inThird {};
+    for (const InstanceId &member : members(48)) {
+        const Duration delay = rolloutDelayWithoutMembers(member, 2, options);
+        REQUIRE(delay >= options.firstStart);
+        REQUIRE(delay < options.lastStart);
+        byTurn.emplace(rolloutDelay(members(48), member, 2, options), delay);
+        ++inThird.at(static_cast<std::size_t>((delay - options.firstStart) / third));
+    }
+    for (const int count : inThird) {
+        REQUIRE(count >= 8);
+    }
+    const auto isEarlier = [](const auto &a, const auto &b) { return a.second < b.second; };
+    REQUIRE(std::is_sorted(byTurn.begin(), byTurn.end(), isEarlier));
+}
+
 class LoadStartFixture
 {
 protected:
