--- a/tests/failure/relay.cpp
+++ b/tests/failure/relay.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 namespace greengageseam {
--- a/tests/failure/tst_topicrelay.cpp
+++ b/tests/failure/tst_topicrelay.cpp
@@ -9,6 +9,7 @@
 #include "net/clock.h"
 #include "net/ticker.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <thread>
 
--- a/tests/standins/enginestandin.cpp
+++ b/tests/standins/enginestandin.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace greengageseam {
 
--- a/tests/standins/faults.cpp
+++ b/tests/standins/faults.cpp
@@ -1,5 +1,6 @@
 #include "faults.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 
 namespace greengageseam {
--- a/tests/standins/platformstandin.cpp
+++ b/tests/standins/platformstandin.cpp
@@ -3,6 +3,7 @@
 #include "net/clock.h"
 #include "protocol/jsontext.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <charconv>
 
