--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -94,8 +94,7 @@
             return;
         }
         self->m_isTimedOut = true;
-        boost::system::error_code ignored;
-        self->m_socket.close(ignored);
+        self->closeWithReset();
     });
 }
 
@@ -180,6 +179,8 @@
     HttpResponseHead head;
     head.status = static_cast<int>(message.result_int());
     head.isKeepAlive = message.keep_alive() && !message.need_eof();
+    head.isFramed = m_parser->is_done() || !message.need_eof();
+    m_isFramed = head.isFramed;
     const auto length = m_parser->content_length();
     if (length) {
         head.length = *length;
@@ -217,7 +218,10 @@
     if (m_parser->is_done()) {
         m_idleSince = monotonicNow();
     }
-    co_return HttpReadResult<std::string> {HttpIoStatus::Done, std::move(bytes)};
+    // A failed write consumes the error of a reset, so that reads see a normal end.
+    const bool mayBeReset = m_parser->is_done() && !m_isFramed && !m_isRequestSent;
+    co_return HttpReadResult<std::string> {
+            mayBeReset ? HttpIoStatus::ConnectionLost : HttpIoStatus::Done, std::move(bytes)};
 }
 
 Awaitable<HttpReadResult<std::string>>
@@ -248,12 +252,17 @@
 void HttpConnection::abort()
 {
     m_isAborted = true;
+    closeWithReset();
+    m_timer.cancel();
+}
+
+/** With SO_LINGER 0, close() sends a reset and discards unsent data, which must not arrive later.
+ */
+void HttpConnection::closeWithReset()
+{
     boost::system::error_code ignored;
-    // With SO_LINGER 0, close() sends a reset and discards unsent data, which must not arrive
-    // later.
     m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
     m_socket.close(ignored);
-    m_timer.cancel();
 }
 
 bool HttpConnection::isReusable() const
