Log each send that was cut off before its response began

The logs named the replica of a failed send, but neither its incarnation nor the parts of the prompt nor whether the response had begun, so that nobody could tell a deadly prompt from a grey replica or a lost link. No decision changes.

--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -12,6 +12,7 @@
 #include "core/fleet/loadbalancer.h"
 #include "core/fleet/nodesettings.h"
 #include "core/fleet/pieces.h"
+#include "core/fleet/promptpart.h"
 #include "core/fleet/replica.h"
 #include "core/fleet/replicalistdelta.h"
 #include "core/fleet/replicaregistry.h"
--- a/source/core/fleet/requestmetadata.h
+++ b/source/core/fleet/requestmetadata.h
@@ -5,11 +5,13 @@
 #pragma once
 
 #include "core/common/time.h"
+#include "core/fleet/promptpart.h"
 #include "core/fleet/replica.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace greengageseam {
 
@@ -27,6 +29,8 @@
     std::uint64_t maxOutputTokens = 0;
     /** The caller's estimate of the length of the response in tokens. */
     std::optional<std::uint64_t> expectedOutputTokens;
+    /** The parts of the prompt in order; empty if the request does not list them. */
+    std::vector<PromptPart> promptParts;
 
     auto operator<=>(const RequestMetadata &) const = default;
 };
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -166,6 +166,7 @@
         last = co_await sendAttempt(lease);
         m_ran = combine(m_ran, outcomeInfo(last.end).ran);
         releaseLease(lease, last);
+        recordLostAttempt(lease, last);
         if (m_writer.isDisconnected()) {
             recordOutcome("caller-gone", 0, outcomeInfo(last.end).name);
             co_return;
@@ -249,6 +250,7 @@
     }
     fields.lastEventId = m_events.lastId();
     m_events.beginAttempt();
+    m_attemptEvents = 0;
     std::string text = m_context.codec.encodeUpstreamRequest(m_request, fields);
     ++m_attempts;
     m_attemptStartedAt = monotonicNow();
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -72,6 +72,8 @@
     /** @returns how the attempt ended, given the error of a read from the backend server */
     UpstreamOutcome classifyReadEnd(HttpIoStatus end, bool hasHead) const;
     void recordResponseStart(Instant now);
+    /** Logs an attempt whose connection was lost before the response had begun. */
+    void recordLostAttempt(const ReplicaLease &lease, const AttemptResult &result);
     /** Reports the result to the dispatcher and hands a reusable connection back to the pool. */
     void releaseLease(const ReplicaLease &lease, const AttemptResult &result);
     Awaitable<void> giveUp(const AttemptResult &result);
@@ -107,6 +109,8 @@
     Instant m_attemptStartedAt;
     /** Time by which the response to the current attempt must start. */
     std::optional<Instant> m_startDeadline;
+    /** Complete events that the current attempt has brought. */
+    std::uint32_t m_attemptEvents = 0;
     /** Backend server of the current or last attempt. */
     ReplicaId m_replica;
     /** What its choice was based on. */
