Reject requests with a prompt part that crashes replicas

What callers saw: requests with one part of their prompt crashed each replica that began to answer them, and their retries the next one (BUDGET); sound requests beside them found too few replicas (LOST).

Cause: nothing connected the crashes. Each entry judged the server by a broken connection, never the request, and no entry saw more than two of the first five crashes, so counting at each entry alone would not have been enough.

Now entries share evidence: which shared parts were in flight, and had not begun, on each incarnation that was lost. Each entry judges it alike (CrashEvidence::judge): the part that explains crashes at three moments or more is condemned, those crashes are explained by it, and the rest is judged likewise. A part with which a request is answered is cleared. Requests with a condemned part get 503 at once, with the time for which the evidence still counts; one that may have run already is answered 504. A request that was itself lost isn't sent again while a part of it is suspected. Nothing is written to the store and nothing is sent without a crash.

Why this works: a deadly part never brings a second event, so it is never cleared, and each crash adds a moment; sound parts beside it are cleared, or explained by it.

--- a/source/core/common/errors.h
+++ b/source/core/common/errors.h
@@ -35,6 +35,7 @@
     LimitExceeded,
     Overloaded,
     NoBackendServer,
+    PromptQuarantined,
     Draining,
     NotReady,
     DuplicateAttempt,
--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -5,12 +5,14 @@
 #pragma once
 
 #include "core/fleet/compactedtopic.h"
+#include "core/fleet/crashevidence.h"
 #include "core/fleet/enginemodel.h"
 #include "core/fleet/entryregistry.h"
 #include "core/fleet/eventsplitter.h"
 #include "core/fleet/fleetconfig.h"
 #include "core/fleet/loadbalancer.h"
 #include "core/fleet/nodesettings.h"
+#include "core/fleet/partverdicts.h"
 #include "core/fleet/pieces.h"
 #include "core/fleet/promptpart.h"
 #include "core/fleet/replica.h"
@@ -20,6 +22,7 @@
 #include "core/fleet/rollout.h"
 #include "core/fleet/routetable.h"
 #include "core/fleet/sharedretrybudget.h"
+#include "core/fleet/soundparts.h"
 #include "core/fleet/storerecords.h"
 #include "core/fleet/topicsource.h"
 #include "core/fleet/upstreamoutcome.h"
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -92,6 +92,9 @@
 void Dispatcher::apply(const AcquireReplica &command)
 {
     const Instant now = monotonicNow();
+    if (rejectIfQuarantined(command, now)) {
+        return;
+    }
     if (command.isRetry
         && !retryBudget(command.requirements.service).tryAcquire(now, m_entryCount)) {
         m_metrics->count("retries_denied_total", "Retries denied by the retry budget");
@@ -122,6 +125,19 @@
     return true;
 }
 
+/** Rejects a request of which a prompt part crashes backend servers. @returns whether it did so */
+bool Dispatcher::rejectIfQuarantined(const AcquireReplica &command, Instant now)
+{
+    const auto rejection = m_verdicts.check(command.promptParts, command.wasLost, now);
+    if (!rejection) {
+        return false;
+    }
+    m_metrics->count("prompt_rejections_total", "Requests rejected for a part of their prompt",
+                     {{"cause", std::string(textOf(rejection->cause))}});
+    command.reply->post(ReplicaUnavailable {ErrorKind::PromptQuarantined, rejection->retryAfter});
+    return true;
+}
+
 bool Dispatcher::tryAcquire(const AcquireReplica &command, Instant now)
 {
     ReplicaRequirements requirements = command.requirements;
@@ -227,6 +243,12 @@
     m_loads.setEntryCount(m_entryCount);
 }
 
+void Dispatcher::apply(const CrashJudged &command)
+{
+    m_verdicts = PartVerdicts(command.judgement);
+    dispatchPending();
+}
+
 void Dispatcher::apply(const DispatchTick &)
 {
     const Instant now = monotonicNow();
@@ -244,7 +266,7 @@
     std::deque<AcquireReplica> pending;
     std::swap(pending, m_pending);
     for (auto it = pending.rbegin(); it != pending.rend(); ++it) {
-        if (!it->reply->isOpen() || tryAcquire(*it, now)) {
+        if (!it->reply->isOpen() || rejectIfQuarantined(*it, now) || tryAcquire(*it, now)) {
             continue;
         }
         if (!rejectIfTimedOut(*it, now)) {
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -103,6 +103,10 @@
     Instant deadline;
     /** Time at which the latency target is missed if the response has not started. */
     Instant lateAfter;
+    /** The shared parts of the request's prompt. */
+    std::vector<PromptPartId> promptParts;
+    /** Whether a backend server was lost while the request had not begun on it. */
+    bool wasLost = false;
     MailboxPtr<std::variant<ReplicaLease, ReplicaUnavailable>> reply;
 };
 
@@ -165,14 +169,21 @@
     std::uint32_t entries = 1;
 };
 
+/** Other prompt parts than before are condemned or suspected. */
+struct CrashJudged
+{
+    CrashJudgement judgement;
+};
+
 /** Periodic tick, which expires pending requests and pooled connections. */
 struct DispatchTick
 { };
 
 /** Messages to the dispatcher. */
-using DispatchCommand = std::variant<AdmissionQuery, AcquireReplica, ResponseStarted, LeaseReleased,
-                                     RoutesChanged, ReplicasChanged, TargetVersionChanged,
-                                     LoadReportReceived, EntryCountChanged, DispatchTick>;
+using DispatchCommand =
+        std::variant<AdmissionQuery, AcquireReplica, ResponseStarted, LeaseReleased, RoutesChanged,
+                     ReplicasChanged, TargetVersionChanged, LoadReportReceived, EntryCountChanged,
+                     CrashJudged, DispatchTick>;
 
 /** Limits of the dispatcher. */
 struct DispatcherOptions
@@ -214,7 +225,9 @@
     void apply(const TargetVersionChanged &command);
     void apply(const LoadReportReceived &command);
     void apply(const EntryCountChanged &command);
+    void apply(const CrashJudged &command);
     void apply(const DispatchTick &command);
+    bool rejectIfQuarantined(const AcquireReplica &command, Instant now);
     bool tryAcquire(const AcquireReplica &command, Instant now);
     bool rejectIfTimedOut(const AcquireReplica &command, Instant now);
     void reject(const AcquireReplica &command, Instant now, ErrorKind kind);
@@ -245,6 +258,7 @@
     std::map<RouteName, Duration> m_longestTimeouts;
     /** Target versions of each model's weights, with the time at which each was announced. */
     std::map<ModelName, std::map<std::uint64_t, Instant>> m_targetVersions;
+    PartVerdicts m_verdicts;
     std::deque<AcquireReplica> m_pending;
     std::map<Address, std::deque<PooledConnection>> m_connectionPool;
     /** The largest number of entries that were known to be running at the same time. */
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -55,7 +55,13 @@
     options.bounds = m_settings.bounds;
     m_dispatcher = std::make_shared<Dispatcher>(m_executor, options, m_metrics, m_log);
 
-    const RequestContext context {m_executor, m_dispatcher->mailbox(), m_adapter.codec, m_metrics,
+    makeQuarantine();
+
+    const RequestContext context {m_executor,
+                                  m_dispatcher->mailbox(),
+                                  m_quarantine->mailbox(),
+                                  m_adapter.codec,
+                                  m_metrics,
                                   m_log};
     m_callerServer = std::make_shared<CallerServer>(context, maxCallerConnections);
     BOOST_LEAF_CHECK(m_callerServer->listen(m_settings.frontAddress));
@@ -74,6 +80,7 @@
     makeReplicaWatcher();
     BOOST_LEAF_CHECK(startExchange());
     m_dispatcher->start();
+    m_quarantine->start();
     m_topicRelay->start();
     m_operatorWatcher->start();
     m_replicaWatcher->start();
@@ -84,6 +91,19 @@
     return {};
 }
 
+void Edge::makeQuarantine()
+{
+    QuarantineHooks hooks;
+    hooks.onJudged = [this](const CrashJudgement &judgement) {
+        m_dispatcher->mailbox()->post(CrashJudged {judgement});
+    };
+    hooks.send = [this](const std::string &ip, const Datagram &datagram) {
+        m_loadListener->mailbox()->post(SendToEntry {ip, datagram});
+    };
+    m_quarantine =
+            std::make_shared<PromptQuarantine>(m_executor, m_settings.ip, hooks, m_metrics, m_log);
+}
+
 Result<void> Edge::makeLoadListener()
 {
     const EntryLocation self {m_settings.instance, m_settings.zone, m_settings.ip};
@@ -99,6 +119,7 @@
         m_exchange->fetcher()->post(FetcherEntriesChanged {entries});
         m_replicaWatcher->relyOnPeers(!isListReader(entries, self));
         m_operatorReader->setEntries(entries);
+        m_quarantine->mailbox()->post(QuarantinePeersChanged {entries});
     };
     hooks.onTargetVersion = [this](const KnownTargetVersion &known) {
         m_operatorWatcher->applyPeerTargetVersion(known.targetVersion, VersionSource::Agent,
@@ -107,6 +128,12 @@
     hooks.onListDelta = [this](const ReplicaListDelta &delta) {
         m_replicaWatcher->applyPeerDelta(delta);
     };
+    hooks.onCrashReport = [this](const CrashReport &report) {
+        m_quarantine->mailbox()->post(CrashReportReceived {report});
+    };
+    hooks.onCrashDigest = [this](const CrashDigest &digest, const std::string &ip) {
+        m_quarantine->mailbox()->post(CrashDigestReceived {digest, ip});
+    };
     m_loadListener = std::make_shared<LoadListener>(
             m_executor, self, static_cast<std::uint16_t>(m_settings.firstPort + 1), hooks, m_log);
     return {};
--- a/source/edge/edge.h
+++ b/source/edge/edge.h
@@ -39,6 +39,7 @@
     void makeWatchers();
     void makeReplicaWatcher();
     Result<void> makeLoadListener();
+    void makeQuarantine();
     Result<void> startExchange();
     void onReplicasChanged(std::vector<ReplicaEntry> entries);
     bool isReady() const;
@@ -51,6 +52,7 @@
     Log m_log;
     std::shared_ptr<Metrics> m_metrics;
     std::shared_ptr<Dispatcher> m_dispatcher;
+    std::shared_ptr<PromptQuarantine> m_quarantine;
     std::shared_ptr<CallerServer> m_callerServer;
     std::shared_ptr<HttpServer> m_readinessServer;
     std::shared_ptr<HttpServer> m_controlServer;
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t mailboxCapacity = 16;
+constexpr std::size_t mailboxCapacity = 256;
 /**
  * Interval between two requests to an agent. It must be well below the time for which the agent
  * keeps sending reports after a request.
@@ -98,11 +98,21 @@
         if (site.zone != m_self.zone || site.ip == m_self.ip) {
             continue;
         }
-        boost::system::error_code ec;
-        const auto address = asio::ip::make_address(site.ip, ec);
-        if (!ec) {
-            m_socket.send(bytes, {address, m_port});
-        }
+        sendToEntry(site.ip, bytes);
+    }
+}
+
+void LoadListener::apply(const SendToEntry &command)
+{
+    sendToEntry(command.ip, encodeDatagram(command.datagram));
+}
+
+void LoadListener::sendToEntry(const std::string &ip, const std::string &bytes)
+{
+    boost::system::error_code ec;
+    const auto address = asio::ip::make_address(ip, ec);
+    if (!ec) {
+        m_socket.send(bytes, {address, m_port});
     }
 }
 
@@ -124,13 +134,17 @@
     }
 }
 
-void LoadListener::handleDatagram(const Datagram &datagram)
+void LoadListener::handleDatagram(const Datagram &datagram, const std::string &senderIp)
 {
     if (const auto *report = std::get_if<LoadReport>(&datagram)) {
         m_entries.confirm(report->entriesChecksum, monotonicNow());
         m_hooks.onReport(*report);
     } else if (const auto *list = std::get_if<ReplicaListDelta>(&datagram)) {
         m_hooks.onListDelta(*list);
+    } else if (const auto *crashes = std::get_if<CrashReport>(&datagram)) {
+        m_hooks.onCrashReport(*crashes);
+    } else if (const auto *digest = std::get_if<CrashDigest>(&datagram)) {
+        m_hooks.onCrashDigest(*digest, senderIp);
     } else if (const auto *known = std::get_if<KnownTargetVersions>(&datagram)) {
         for (const KnownTargetVersion &version : known->versions) {
             m_hooks.onTargetVersion(version);
@@ -157,7 +171,7 @@
             m_log.debug("load.unreadable", {{"reason", failure->detail}});
             continue;
         }
-        handleDatagram(std::get<Datagram>(read));
+        handleDatagram(std::get<Datagram>(read), received->sender.address().to_string());
     }
     m_log.error("load.socket-failed");
 }
--- a/source/edge/loadlistener.h
+++ b/source/edge/loadlistener.h
@@ -39,9 +39,16 @@
     ReplicaListDelta delta;
 };
 
+/** Sends a datagram to another entry. */
+struct SendToEntry
+{
+    std::string ip;
+    Datagram datagram;
+};
+
 /** Messages to the task. */
-using LoadListenerCommand =
-        std::variant<AgentsUpdated, OperatorOffsetUpdated, AnnounceTargetVersion, RelayListDelta>;
+using LoadListenerCommand = std::variant<AgentsUpdated, OperatorOffsetUpdated,
+                                         AnnounceTargetVersion, RelayListDelta, SendToEntry>;
 
 /** Hooks for what the listener receives. They must not block. */
 struct LoadListenerHooks
@@ -54,6 +61,10 @@
     std::function<void(const KnownTargetVersion &known)> onTargetVersion;
     /** Called when another entry has read the list of backend servers and relays the delta. */
     std::function<void(const ReplicaListDelta &delta)> onListDelta;
+    /** Called when another entry sends evidence of crashes. */
+    std::function<void(const CrashReport &report)> onCrashReport;
+    /** Called when the entry at an IP address compares its evidence with that of this one. */
+    std::function<void(const CrashDigest &digest, const std::string &ip)> onCrashDigest;
 };
 
 /** Requests load reports at a fixed interval and receives the datagrams sent in return. */
@@ -76,8 +87,10 @@
     void apply(const OperatorOffsetUpdated &command);
     void apply(const AnnounceTargetVersion &command);
     void apply(const RelayListDelta &command);
+    void apply(const SendToEntry &command);
+    void sendToEntry(const std::string &ip, const std::string &bytes);
     void requestReports();
-    void handleDatagram(const Datagram &datagram);
+    void handleDatagram(const Datagram &datagram, const std::string &senderIp);
 
     asio::any_io_executor m_executor;
     EntryLocation m_self;
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -70,7 +70,7 @@
                            ResponseWriter &writer, Instant arrivedAt)
     : m_context(context), m_request(request), m_writer(writer), m_arrivedAt(arrivedAt),
       m_deadline(arrivedAt), m_call(context.codec.decodeRequestMetadata(request)),
-      m_events(m_call.lastEventId)
+      m_events(m_call.lastEventId), m_promptParts(sharedParts(m_call.promptParts))
 { }
 
 Duration RequestProxy::remainingTime() const
@@ -147,7 +147,9 @@
     while (true) {
         const auto acquired = co_await acquireReplica();
         if (const auto *unavailable = std::get_if<ReplicaUnavailable>(&acquired)) {
-            if (m_attempts > 0 || m_isStreaming) {
+            const bool isQuarantined = unavailable->kind == ErrorKind::PromptQuarantined
+                    && m_ran == ExecutionStatus::NotExecuted;
+            if ((m_attempts > 0 && !isQuarantined) || m_isStreaming) {
                 co_await giveUp(last);
             } else {
                 co_await respondWithError(unavailable->kind, m_ran, unavailable->retryAfter);
@@ -214,6 +216,8 @@
     const Duration extendedWait = isLikelyRetry ? retryWait : wait;
     query.extendedWaitUntil = monotonicNow() + std::max(wait, extendedWait);
     query.deadline = m_deadline;
+    query.promptParts = m_promptParts;
+    query.wasLost = m_wasLost;
     query.lateAfter = m_admission.firstAttemptAt + route.latencyObjective;
     query.reply = reply;
     if (m_context.dispatcher->post(std::move(query))) {
@@ -346,53 +350,4 @@
     recordOutcome("refused", problem.status, answer.name);
 }
 
-/** Adds the backend server of the last attempt, and what its choice was based on. */
-void RequestProxy::addReplicaFields(boost::json::object &fields) const
-{
-    if (m_replica.isEmpty()) {
-        return;
-    }
-    fields["replica"] = m_replica.text();
-    if (m_weightsBasis.believed == 0 && m_weightsBasis.required == 0) {
-        return;
-    }
-    fields["weights"] = m_weightsBasis.believed;
-    fields["required"] = m_weightsBasis.required;
-    if (m_weightsBasis.reportAge) {
-        fields["report_ms"] = m_weightsBasis.reportAge->count() / 1000;
-    }
-}
-
-void RequestProxy::recordOutcome(std::string_view outcome, int status, std::string_view cause)
-{
-    const Instant now = monotonicNow();
-    const Route *route = m_admission.routed.route;
-    boost::json::object fields {{"request", m_call.attemptId},
-                                {"outcome", outcome},
-                                {"status", status},
-                                {"ms", (now - m_arrivedAt).count() / 1000},
-                                {"sends", m_attempts},
-                                {"ran", textOf(m_ran)}};
-    if (!cause.empty()) {
-        fields["cause"] = cause;
-    }
-    if (route != nullptr) {
-        fields["asked_ms"] = (now - m_admission.firstAttemptAt).count() / 1000;
-        fields["route"] = route->name.text();
-        fields["config"] = m_admission.table->config().version;
-    }
-    addReplicaFields(fields);
-    if (m_firstEventAt) {
-        fields["first_ms"] = (*m_firstEventAt - m_arrivedAt).count() / 1000;
-        fields["gap_ms"] = m_longestGap.count() / 1000;
-    }
-    m_context.log.info("request.done", fields);
-    m_context.metrics->count("requests_total", "Requests from callers, by outcome",
-                             {{"outcome", std::string(outcome)}});
-    m_context.metrics->observeSeconds("request_seconds",
-                                      "Time from arrival to the end of the response",
-                                      std::chrono::duration<double>(now - m_arrivedAt).count(),
-                                      {{"outcome", std::string(outcome)}});
-}
-
 } // namespace greengageseam
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -5,6 +5,7 @@
 
 #include "core/fleet/fleet.h"
 #include "edge/dispatcher.h"
+#include "edge/promptquarantine.h"
 #include "edge/responsewriter.h"
 #include "net/callcodec.h"
 #include "net/httpconnection.h"
@@ -20,6 +21,7 @@
 {
     asio::any_io_executor executor;
     MailboxPtr<DispatchCommand> dispatcher;
+    MailboxPtr<QuarantineCommand> quarantine;
     CallCodec codec;
     std::shared_ptr<Metrics> metrics;
     Log log;
@@ -72,7 +74,10 @@
     /** @returns how the attempt ended, given the error of a read from the backend server */
     UpstreamOutcome classifyReadEnd(HttpIoStatus end, bool hasHead) const;
     void recordResponseStart(Instant now);
-    /** Logs an attempt whose connection was lost before the response had begun. */
+    /** Counts the events of the current attempt; two of them show that its server lives on. */
+    void recordEvents(std::uint32_t count);
+    void reportPartsAnswered();
+    /** Logs and reports an attempt whose connection was lost before the response had begun. */
     void recordLostAttempt(const ReplicaLease &lease, const AttemptResult &result);
     /** Reports the result to the dispatcher and hands a reusable connection back to the pool. */
     void releaseLease(const ReplicaLease &lease, const AttemptResult &result);
@@ -99,6 +104,10 @@
     std::set<ReplicaId> m_triedReplicas;
     HttpConnectionPtr m_connection;
     EventSplitter m_events;
+    /** The shared parts of the prompt. */
+    std::vector<PromptPartId> m_promptParts;
+    /** Whether a backend server was lost while the request had not begun on it. */
+    bool m_wasLost = false;
     /** Whether any attempt so far has run the request. */
     ExecutionStatus m_ran = ExecutionStatus::NotExecuted;
     /** Number of attempts of which a backend server may have received something. */
--- a/source/edge/requestproxyresponse.cpp
+++ b/source/edge/requestproxyresponse.cpp
@@ -16,21 +16,10 @@
 /** The body of a response that is not relayed is read only to reuse the connection. */
 constexpr std::size_t maxDiscardedBody = 64ULL * 1024;
 constexpr auto discardTimeout = std::chrono::milliseconds(100);
-/** A backend server that crashes as it begins to respond may have sent one event. */
-constexpr std::uint32_t minEventsOfBegun = 2;
-/** Number of prompt parts in a log line. */
-constexpr std::size_t maxLoggedParts = 8;
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 constexpr int statusServerError = 500;
 
-/** @returns whether the backend server, or its connection, was lost during the attempt */
-bool isConnectionLoss(UpstreamOutcome end)
-{
-    return end == UpstreamOutcome::BrokenWhileSending || end == UpstreamOutcome::BrokenBeforeAnswer
-            || end == UpstreamOutcome::BrokenAnswer;
-}
-
 } // namespace
 
 UpstreamOutcome RequestProxy::classifyReadEnd(HttpIoStatus end, bool hasHead) const
@@ -95,6 +84,7 @@
     const int status = response.status;
     const std::vector<HttpHeader> headers = response.headers;
     co_await m_writer.respond(status, headers, std::move(response.body));
+    reportPartsAnswered();
     recordOutcome("answered", status, {});
     co_return AttemptResult {UpstreamOutcome::Answered, {}, fields.keepAliveTimeout};
 }
@@ -117,7 +107,7 @@
             m_longestGap =
                     m_lastEventAt ? std::max(m_longestGap, now - *m_lastEventAt) : m_longestGap;
             m_lastEventAt = now;
-            m_attemptEvents += events.count;
+            recordEvents(events.count);
         }
         if (events.count > 0 && !m_isStreaming) {
             m_isStreaming = true;
@@ -151,28 +141,6 @@
     }
 }
 
-void RequestProxy::recordLostAttempt(const ReplicaLease &lease, const AttemptResult &result)
-{
-    const bool isBegun = m_attemptEvents >= minEventsOfBegun;
-    if (!isConnectionLoss(result.end) || isBegun || m_writer.isDisconnected()) {
-        return;
-    }
-    boost::json::array parts;
-    for (const PromptPartId &part : sharedParts(m_call.promptParts)) {
-        if (parts.size() < maxLoggedParts) {
-            parts.emplace_back(part.text());
-        }
-    }
-    m_context.log.info("request.attempt-lost",
-                       {{"request", m_call.attemptId},
-                        {"replica", lease.replica.id.text()},
-                        {"born", lease.replica.startedAtMs},
-                        {"events", m_attemptEvents},
-                        {"parts", std::move(parts)}});
-    m_context.metrics->count("attempts_lost_total",
-                             "Upstream attempts whose connection was lost before the response");
-}
-
 void RequestProxy::recordResponseStart(Instant now)
 {
     if (m_responseStartedAt) {
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -130,9 +130,76 @@
     return Datagram(std::move(known));
 }
 
+wire::CrashesSeen crashesToWire(const CrashReport &report)
+{
+    wire::CrashesSeen seen;
+    for (const ReportedCrash &crash : report.crashes) {
+        wire::CrashSeen one;
+        one.replica = crash.incarnation.replica.text();
+        one.bornMs = static_cast<std::int64_t>(crash.incarnation.startedAtMs);
+        for (const ReportedSuspect &suspect : crash.suspects) {
+            wire::SuspectSeen part;
+            part.part = suspect.part.text();
+            const Duration age = std::min<Duration>(suspect.age, maxKnownVersionAge);
+            part.ageMs = static_cast<std::int32_t>(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+            part.depth = static_cast<std::int32_t>(suspect.depth);
+            part.wasSound = suspect.wasSound;
+            part.cleared = suspect.isCleared;
+            one.suspects.push_back(part);
+        }
+        seen.crashes.push_back(one);
+    }
+    return seen;
+}
+
+/** @returns whether a crash is within the limits and has no number below zero */
+bool isValid(const wire::CrashSeen &crash)
+{
+    return crash.bornMs >= 0 && !crash.replica.empty()
+            && crash.suspects.size() <= maxReportedSuspects
+            && std::all_of(crash.suspects.begin(), crash.suspects.end(),
+                           [](const wire::SuspectSeen &suspect) {
+                               return !suspect.part.empty()
+                                       && suspect.part.size() <= maxReportedPartId
+                                       && suspect.ageMs >= 0 && suspect.depth >= 0;
+                           });
+}
+
+Result<Datagram> crashesFromWire(const wire::CrashesSeen &seen)
+{
+    if (seen.crashes.size() > maxReportedCrashes
+        || !std::all_of(seen.crashes.begin(), seen.crashes.end(), isValid)) {
+        return fail(ErrorKind::ProtocolViolation,
+                    "a datagram with crashes contains negative numbers, or too much");
+    }
+    CrashReport report;
+    for (const wire::CrashSeen &one : seen.crashes) {
+        ReportedCrash crash {{ReplicaId(one.replica), static_cast<std::uint64_t>(one.bornMs)}, {}};
+        for (const wire::SuspectSeen &suspect : one.suspects) {
+            crash.suspects.push_back(
+                    {PromptPartId(suspect.part), std::chrono::milliseconds(suspect.ageMs),
+                     static_cast<std::uint32_t>(suspect.depth), suspect.wasSound, suspect.cleared});
+        }
+        report.crashes.push_back(std::move(crash));
+    }
+    return Datagram(std::move(report));
+}
+
 wire::Datagram toWire(const Datagram &datagram)
 {
     wire::Datagram frame;
+    if (const auto *report = std::get_if<CrashReport>(&datagram)) {
+        frame.__set_crashesSeen(crashesToWire(*report));
+        return frame;
+    }
+    if (const auto *digest = std::get_if<CrashDigest>(&datagram)) {
+        wire::CrashesKnown body;
+        body.checksum = static_cast<std::int64_t>(digest->checksum);
+        body.reply = digest->isReply;
+        frame.__set_crashesKnown(body);
+        return frame;
+    }
     if (const auto *subscription = std::get_if<LoadSubscription>(&datagram)) {
         wire::LoadWanted body;
         body.instance = subscription->instance.text();
@@ -242,6 +309,13 @@
     if (frame.__isset.versionsHeard) {
         return versionsFromWire(frame.versionsHeard);
     }
+    if (frame.__isset.crashesSeen) {
+        return crashesFromWire(frame.crashesSeen);
+    }
+    if (frame.__isset.crashesKnown) {
+        return Datagram(CrashDigest {static_cast<std::uint64_t>(frame.crashesKnown.checksum),
+                                     frame.crashesKnown.reply});
+    }
     const wire::LoadSeen &seen = frame.loadSeen;
     const bool isNegative = seen.bornMs < 0 || seen.weights < 0 || seen.waiting < 0
             || seen.running < 0 || seen.pace < 0;
--- a/source/protocol/datagramcodec.h
+++ b/source/protocol/datagramcodec.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/common/errors.h"
+#include "core/fleet/crashevidence.h"
 #include "core/fleet/entryregistry.h"
 #include "core/fleet/fleetconfig.h"
 #include "core/fleet/loadbalancer.h"
@@ -60,14 +61,59 @@
     auto operator<=>(const KnownTargetVersions &) const = default;
 };
 
+/** A prompt part that was in flight at a backend server that crashed. */
+struct ReportedSuspect
+{
+    PromptPartId part;
+    /** How long ago its request was lost, in whole milliseconds. */
+    Duration age {};
+    std::uint32_t depth = 0;
+    bool wasSound = false;
+    bool isCleared = false;
+
+    auto operator<=>(const ReportedSuspect &) const = default;
+};
+
+/** A crash event as one entry tells it another. */
+struct ReportedCrash
+{
+    ReplicaIncarnation incarnation;
+    std::vector<ReportedSuspect> suspects;
+
+    auto operator<=>(const ReportedCrash &) const = default;
+};
+
+/** Crash events that an entry knows. */
+struct CrashReport
+{
+    std::vector<ReportedCrash> crashes;
+
+    auto operator<=>(const CrashReport &) const = default;
+};
+
+/** Checksum over the crash events that an entry knows; one that knows others sends them. */
+struct CrashDigest
+{
+    std::uint64_t checksum = 0;
+    /** A reply is not replied to. */
+    bool isReply = false;
+
+    auto operator<=>(const CrashDigest &) const = default;
+};
+
 /** Content of a datagram. */
 using Datagram = std::variant<LoadSubscription, LoadReport, KnownEntries, ReplicaListDelta,
-                              KnownTargetVersions>;
+                              KnownTargetVersions, CrashReport, CrashDigest>;
 
 /** Maximum size of a datagram in bytes. */
 constexpr std::size_t maxDatagramBytes = 8000;
 /** Longer ages of target versions are encoded as this one. */
 constexpr auto maxKnownVersionAge = std::chrono::hours(1);
+/** Maximum number of crash events in a datagram, and of suspects of each. */
+constexpr std::size_t maxReportedCrashes = 128;
+constexpr std::size_t maxReportedSuspects = 64;
+/** Maximum length of the id of a prompt part in a datagram. */
+constexpr std::size_t maxReportedPartId = 64;
 
 /** Encodes a datagram. */
 std::string encodeDatagram(const Datagram &datagram);
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -383,6 +383,34 @@
   1: list<VersionHeard> versions;
 }
 
+/** A part of a prompt that was in flight at a backend server that crashed. */
+struct SuspectSeen {
+  1: string part;
+  /** How long ago its request was lost, in milliseconds. */
+  2: i32 ageMs;
+  3: i32 depth;
+  4: bool wasSound;
+  5: bool cleared;
+}
+
+/** An incarnation of a backend server that crashed. */
+struct CrashSeen {
+  1: string replica;
+  2: i64 bornMs;
+  3: list<SuspectSeen> suspects;
+}
+
+/** Datagram between entries: crashes that the sender knows of. */
+struct CrashesSeen {
+  1: list<CrashSeen> crashes;
+}
+
+/** Datagram between entries: whether both know of the same crashes. */
+struct CrashesKnown {
+  1: i64 checksum;
+  2: bool reply;
+}
+
 /** One datagram. */
 union Datagram {
   1: LoadWanted loadWanted;
@@ -390,4 +418,6 @@
   3: EntriesSeen entriesSeen;
   4: ListPassed listPassed;
   5: VersionsHeard versionsHeard;
+  6: CrashesSeen crashesSeen;
+  7: CrashesKnown crashesKnown;
 }
--- a/tests/differential/tst_platformdecoders.cpp
+++ b/tests/differential/tst_platformdecoders.cpp
@@ -19,6 +19,16 @@
 class PlatformDecodersFixture
 {
 protected:
+    static CrashReport crashReport()
+    {
+        ReportedCrash crash {{ReplicaId("i-1"), 1'700'000'000'000}, {}};
+        crash.suspects.push_back(
+                {PromptPartId("5c1e07a2"), std::chrono::milliseconds(70), 0, true, true});
+        crash.suspects.push_back(
+                {PromptPartId("91bd"), std::chrono::milliseconds(0), 1, false, false});
+        return CrashReport {{crash, {{ReplicaId("i-2"), 0}, {}}}};
+    }
+
     /** @returns the input with one to six random changes */
     std::string mutated(std::string bytes)
     {
@@ -146,6 +156,8 @@
     checkMutants(encodeDatagram(KnownTargetVersions {
                          {{{ModelName("m"), 2}, std::chrono::milliseconds(700)}}}),
                  decodeDatagram);
+    checkMutants(encodeDatagram(crashReport()), decodeDatagram);
+    checkMutants(encodeDatagram(CrashDigest {UINT64_MAX, true}), decodeDatagram);
 }
 
 TEST_CASE_METHOD(PlatformDecodersFixture, "datagram_eachKind_isUnchangedByARoundTrip")
@@ -161,10 +173,14 @@
     report.entriesChecksum = UINT64_MAX;
     report.operatorOffset = 12;
     const std::vector<Datagram> all {
-            report, LoadSubscription {InstanceId("a"), ZoneName("b"), UINT64_MAX, 9},
+            report,
+            LoadSubscription {InstanceId("a"), ZoneName("b"), UINT64_MAX, 9},
             KnownEntries {{{InstanceId("a"), ZoneName("b"), "127.0.0.1"}}},
             KnownTargetVersions {{{{ModelName("m"), 2}, std::chrono::milliseconds(700)},
-                                  {{ModelName("n"), 9}, maxKnownVersionAge}}}};
+                                  {{ModelName("n"), 9}, maxKnownVersionAge}}},
+            crashReport(),
+            CrashDigest {UINT64_MAX, true},
+            CrashDigest {}};
     for (const Datagram &datagram : all) {
         const auto read = toOutcome([&] { return decodeDatagram(encodeDatagram(datagram)); });
         REQUIRE(std::get<Datagram>(read) == datagram);
--- a/tests/standins/fleetstandin.cpp
+++ b/tests/standins/fleetstandin.cpp
@@ -1,5 +1,6 @@
 #include "fleetstandin.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <openssl/evp.h>
@@ -37,6 +38,12 @@
     return text;
 }
 
+bool hasPart(const HttpRequest &request, const std::string &part)
+{
+    const std::string parts = "," + request.header("Prompt-Prefix").value_or(std::string());
+    return parts.find("," + part + ":") != std::string::npos;
+}
+
 std::shared_ptr<HttpServer> serve(const asio::any_io_executor &executor, HttpHandler handler,
                                   const Log &log, Address &address)
 {
@@ -144,10 +151,21 @@
     return json::serialize(entry);
 }
 
+std::size_t ReplicaStandin::receivedWithPart(const std::string &part) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_receivedRequests.begin(), m_receivedRequests.end(),
+                          [&](const HttpRequest &request) { return hasPart(request, part); }));
+}
+
 Awaitable<void> ReplicaStandin::handle(HttpExchange &exchange)
 {
     const HttpRequest &request = exchange.request();
     m_receivedRequests.push_back(request);
+    if (!m_deadlyPart.empty() && hasPart(request, m_deadlyPart)) {
+        exchange.abort();
+        co_return;
+    }
     const std::string attempt = request.header("Attempt-Id").value_or(std::string());
     HttpResponse response;
     response.headers = {{"Attempt-Id", attempt}, {"Server-Seal", "seal-of-" + m_id}};
--- a/tests/standins/fleetstandin.h
+++ b/tests/standins/fleetstandin.h
@@ -75,6 +75,10 @@
 
     /** Sets how further requests are handled. */
     void setBehaviour(ReplicaBehaviour behaviour) { m_behaviour = behaviour; }
+    /** Resets the connection of each request whose prompt has this part, before any event. */
+    void crashOnPart(std::string part) { m_deadlyPart = std::move(part); }
+    /** @returns the number of requests received so far whose prompt has the part */
+    std::size_t receivedWithPart(const std::string &part) const;
     const Address &address() const { return m_address; }
     const std::string &id() const { return m_id; }
     /** @returns all requests received so far */
@@ -96,6 +100,8 @@
     std::shared_ptr<HttpServer> m_server;
     Address m_address;
     ReplicaBehaviour m_behaviour = ReplicaBehaviour::Answers;
+    /** Empty if no part crashes the server. */
+    std::string m_deadlyPart;
     std::vector<HttpRequest> m_receivedRequests;
     std::size_t m_runs = 0;
 };
--- a/tests/unit/tst_platform.cpp
+++ b/tests/unit/tst_platform.cpp
@@ -177,6 +177,34 @@
     REQUIRE(call.apiKey == "secret");
 }
 
+TEST_CASE_METHOD(PlatformFixture, "decodeRequestMetadata_promptParts_areDecodedInOrder")
+{
+    HttpRequest call = request();
+    call.headers.push_back({"Prompt-Prefix", "5c1e07a2:800, 91BD3f06:410,e4402b7d:250"});
+    REQUIRE(decodeRequestMetadata(call).promptParts
+            == std::vector<PromptPart> {{PromptPartId("5c1e07a2"), 800},
+                                        {PromptPartId("91bd3f06"), 410},
+                                        {PromptPartId("e4402b7d"), 250}});
+    REQUIRE_THAT(encodeUpstreamRequest(call, {}),
+                 Catch::Contains("Prompt-Prefix: 5c1e07a2:800, 91BD3f06:410,e4402b7d:250\r\n"));
+}
+
+TEST_CASE_METHOD(PlatformFixture, "decodeRequestMetadata_malformedPromptParts_areNone")
+{
+    std::string many = "a:1";
+    for (int n = 0; n < 32; ++n) {
+        many += ",a:1";
+    }
+    const std::string malformed = GENERATE_COPY(
+            std::string("5c1e"), std::string(":4"), std::string("5c1e:"), std::string("5c1e:x"),
+            std::string("xyz:4"), std::string("5c1e:4,,5c1f:4"), std::string("5c1e:-4"),
+            std::string(65, 'a') + ":4", many);
+    CAPTURE(malformed);
+    HttpRequest call = request();
+    call.headers.push_back({"Prompt-Prefix", malformed});
+    REQUIRE(decodeRequestMetadata(call).promptParts.empty());
+}
+
 TEST_CASE_METHOD(PlatformFixture, "encodeUpstreamRequest_callerRequest_omitsKeyAndForgedFields")
 {
     UpstreamRequestMetadata fields;
