--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -71,6 +71,8 @@
                                                    const ResponseMetadata &fields);
     /** Relays an event stream as it arrives, in complete events. */
     Awaitable<AttemptResult> relayStream(const HttpResponseHead &head);
+    /** @returns whether a response certainly belongs to the current attempt */
+    bool isForThisAttempt(const ResponseMetadata &fields) const;
     /** @returns how the attempt ended, given the error of a read from the backend server */
     UpstreamOutcome classifyReadEnd(HttpIoStatus end, bool hasHead) const;
     void recordResponseStart(Instant now);
@@ -103,6 +105,8 @@
     Admission m_admission;
     std::set<ReplicaId> m_triedReplicas;
     HttpConnectionPtr m_connection;
+    /** Whether the connection has carried an earlier request. */
+    bool m_isConnectionPooled = false;
     EventSplitter m_events;
     /** The shared parts of the prompt. */
     std::vector<PromptPartId> m_promptParts;
--- a/source/edge/requestproxyresponse.cpp
+++ b/source/edge/requestproxyresponse.cpp
@@ -6,6 +6,7 @@
 #include "net/clock.h"
 
 #include <algorithm>
+#include <array>
 
 namespace greengageseam {
 
@@ -19,9 +20,27 @@
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 constexpr int statusServerError = 500;
+/** Statuses that tell a caller that its request was not executed. */
+constexpr std::array refusalStatuses {408, 429, 503};
+
+bool promisesNotExecuted(int status)
+{
+    return std::find(refusalStatuses.begin(), refusalStatuses.end(), status)
+            != refusalStatuses.end();
+}
 
 } // namespace
 
+/**
+ * A response without an attempt id is accepted only on a new connection. On one that carried an
+ * earlier request, it may be that request's response once more.
+ */
+bool RequestProxy::isForThisAttempt(const ResponseMetadata &fields) const
+{
+    return fields.attemptId == m_call.attemptId
+            || (fields.attemptId.empty() && !m_isConnectionPooled);
+}
+
 UpstreamOutcome RequestProxy::classifyReadEnd(HttpIoStatus end, bool hasHead) const
 {
     if (end == HttpIoStatus::TimedOut) {
@@ -42,8 +61,7 @@
         co_return AttemptResult {classifyReadEnd(head.ioStatus, false), {}, {}};
     }
     const ResponseMetadata fields = m_context.codec.decodeResponseMetadata(head.value);
-    const bool isForOtherAttempt =
-            !fields.attemptId.empty() && fields.attemptId != m_call.attemptId;
+    const bool isForOtherAttempt = !isForThisAttempt(fields);
     const bool isSuccess = head.value.status >= statusOk && head.value.status < statusBadRequest;
     if (isForOtherAttempt || fields.isEncoded || (isSuccess && !fields.isSealed)) {
         co_return AttemptResult {UpstreamOutcome::Garbled, {}, {}};
@@ -74,6 +92,11 @@
     response.status = head.status;
     response.headers = m_context.codec.forwardedFields(head);
     response.body = std::move(body.value);
+    const bool isRefusal = !canRetry() && promisesNotExecuted(response.status);
+    if (isRefusal) {
+        // The status promises the caller what the backend server has not said.
+        co_return AttemptResult {UpstreamOutcome::FailedAnswer, {}, fields.keepAliveTimeout};
+    }
     if (response.status >= statusServerError) {
         co_return AttemptResult {UpstreamOutcome::FailedAnswer, std::move(response),
                                  fields.keepAliveTimeout};
@@ -98,9 +121,6 @@
         HttpReadResult<std::string> chunk =
                 co_await m_connection->readBodyPart(eventDeadline - monotonicNow());
         CompleteEvents events = m_events.feed(chunk.value);
-        if (m_events.hasGap() || m_events.isOverlong()) {
-            co_return AttemptResult {UpstreamOutcome::Garbled, {}, {}};
-        }
         const Instant now = monotonicNow();
         if (events.count > 0) {
             recordResponseStart(now);
@@ -120,13 +140,17 @@
         if (events.count > 0) {
             eventDeadline = monotonicNow() + readTimeout();
         }
+        if (m_events.isOutOfOrder() || m_events.isOverlong()) {
+            co_return AttemptResult {UpstreamOutcome::Garbled, {}, {}};
+        }
         if (chunk.ioStatus != HttpIoStatus::Done) {
             co_return AttemptResult {classifyReadEnd(chunk.ioStatus, true), {}, {}};
         }
         if (!chunk.value.empty()) {
             continue;
         }
-        if (m_events.hasPartial()) {
+        // A server that stops after its head also ends an unframed stream, before its first event.
+        if (m_events.hasPartial() || (!head.isFramed && !m_events.hasEvents())) {
             co_return AttemptResult {UpstreamOutcome::BrokenAnswer, {}, {}};
         }
         if (!m_isStreaming) {
