--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -103,6 +103,10 @@
     Instant deadline;
     /** Time at which the latency target is missed if the response has not started. */
     Instant lateAfter;
+    /** The shared parts of the request's prompt. */
+    std::vector<PromptPartId> promptParts;
+    /** Whether a backend server was lost while the request had not begun on it. */
+    bool wasLost = false;
     MailboxPtr<std::variant<ReplicaLease, ReplicaUnavailable>> reply;
 };
 
@@ -165,14 +169,21 @@
     std::uint32_t entries = 1;
 };
 
+/** Other prompt parts than before are condemned or suspected. */
+struct CrashJudged
+{
+    CrashJudgement judgement;
+};
+
 /** Periodic tick, which expires pending requests and pooled connections. */
 struct DispatchTick
 { };
 
 /** Messages to the dispatcher. */
-using DispatchCommand = std::variant<AdmissionQuery, AcquireReplica, ResponseStarted, LeaseReleased,
-                                     RoutesChanged, ReplicasChanged, TargetVersionChanged,
-                                     LoadReportReceived, EntryCountChanged, DispatchTick>;
+using DispatchCommand =
+        std::variant<AdmissionQuery, AcquireReplica, ResponseStarted, LeaseReleased, RoutesChanged,
+                     ReplicasChanged, TargetVersionChanged, LoadReportReceived, EntryCountChanged,
+                     CrashJudged, DispatchTick>;
 
 /** Limits of the dispatcher. */
 struct DispatcherOptions
@@ -204,6 +215,9 @@
         Instant expiresAt;
     };
 
+    /** Target versions of a model's weights, with the time at which each was announced. */
+    using AnnouncementTimes = std::map<std::uint64_t, Instant>;
+
     Awaitable<void> run();
     void apply(const AdmissionQuery &command);
     void apply(const AcquireReplica &command);
@@ -214,7 +228,9 @@
     void apply(const TargetVersionChanged &command);
     void apply(const LoadReportReceived &command);
     void apply(const EntryCountChanged &command);
+    void apply(const CrashJudged &command);
     void apply(const DispatchTick &command);
+    bool rejectIfQuarantined(const AcquireReplica &command, Instant now);
     bool tryAcquire(const AcquireReplica &command, Instant now);
     bool rejectIfTimedOut(const AcquireReplica &command, Instant now);
     void reject(const AcquireReplica &command, Instant now, ErrorKind kind);
@@ -224,6 +240,7 @@
     SharedRetryBudget &retryBudget(const ServiceName &service);
     Instant estimateFirstAttempt(const Route &route, std::optional<Duration> remaining,
                                  Instant now);
+    const AnnouncementTimes *targetVersions(const ServiceName &service) const;
     std::optional<std::uint64_t> expectedWeightsVersion(const ReplicaEntry &replica,
                                                         Instant now) const;
     std::optional<Instant> startDeadline(const ReplicaEntry &replica, Instant now) const;
@@ -243,8 +260,8 @@
      * one with its first attempt.
      */
     std::map<RouteName, Duration> m_longestTimeouts;
-    /** Target versions of each model's weights, with the time at which each was announced. */
-    std::map<ModelName, std::map<std::uint64_t, Instant>> m_targetVersions;
+    std::map<ModelName, AnnouncementTimes> m_targetVersions;
+    PartVerdicts m_verdicts;
     std::deque<AcquireReplica> m_pending;
     std::map<Address, std::deque<PooledConnection>> m_connectionPool;
     /** The largest number of entries that were known to be running at the same time. */
