--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -92,6 +92,9 @@
 void Dispatcher::apply(const AcquireReplica &command)
 {
     const Instant now = monotonicNow();
+    if (rejectIfQuarantined(command, now)) {
+        return;
+    }
     if (command.isRetry
         && !retryBudget(command.requirements.service).tryAcquire(now, m_entryCount)) {
         m_metrics->count("retries_denied_total", "Retries denied by the retry budget");
@@ -122,6 +125,19 @@
     return true;
 }
 
+/** Rejects a request of which a prompt part crashes backend servers. @returns whether it did so */
+bool Dispatcher::rejectIfQuarantined(const AcquireReplica &command, Instant now)
+{
+    const auto rejection = m_verdicts.check(command.promptParts, command.wasLost, now);
+    if (!rejection) {
+        return false;
+    }
+    m_metrics->count("prompt_rejections_total", "Requests rejected for a part of their prompt",
+                     {{"cause", std::string(textOf(rejection->cause))}});
+    command.reply->post(ReplicaUnavailable {ErrorKind::PromptQuarantined, rejection->retryAfter});
+    return true;
+}
+
 bool Dispatcher::tryAcquire(const AcquireReplica &command, Instant now)
 {
     ReplicaRequirements requirements = command.requirements;
@@ -227,6 +243,12 @@
     m_loads.setEntryCount(m_entryCount);
 }
 
+void Dispatcher::apply(const CrashJudged &command)
+{
+    m_verdicts = PartVerdicts(command.judgement);
+    dispatchPending();
+}
+
 void Dispatcher::apply(const DispatchTick &)
 {
     const Instant now = monotonicNow();
@@ -244,7 +266,7 @@
     std::deque<AcquireReplica> pending;
     std::swap(pending, m_pending);
     for (auto it = pending.rbegin(); it != pending.rend(); ++it) {
-        if (!it->reply->isOpen() || tryAcquire(*it, now)) {
+        if (!it->reply->isOpen() || rejectIfQuarantined(*it, now) || tryAcquire(*it, now)) {
             continue;
         }
         if (!rejectIfTimedOut(*it, now)) {
@@ -295,6 +317,21 @@
     return m_retryBudgets.emplace(service, SharedRetryBudget(options)).first->second;
 }
 
+/**
+ * @returns the target versions of the weights that a service runs, with the time at which each was
+ *          announced; null if there are none. The configuration tells which weights these are: the
+ *          list does not while a backend server loads them.
+ */
+const Dispatcher::AnnouncementTimes *Dispatcher::targetVersions(const ServiceName &service) const
+{
+    const Service *known = m_table == nullptr ? nullptr : m_table->service(service);
+    if (known == nullptr || !known->engine) {
+        return nullptr;
+    }
+    const auto it = m_targetVersions.find(known->engine->model);
+    return it == m_targetVersions.end() || it->second.empty() ? nullptr : &it->second;
+}
+
 /**
  * @returns the newest target version if the backend server is believed to run it. Otherwise the
  *          result is empty, because the backend server may switch to a newer version at any time.
@@ -302,11 +339,11 @@
 std::optional<std::uint64_t> Dispatcher::expectedWeightsVersion(const ReplicaEntry &replica,
                                                                 Instant now) const
 {
-    const auto it = m_targetVersions.find(replica.loaded.model);
-    if (it == m_targetVersions.end() || it->second.empty()) {
+    const AnnouncementTimes *targets = targetVersions(replica.service);
+    if (targets == nullptr) {
         return std::nullopt;
     }
-    const std::uint64_t newest = it->second.rbegin()->first;
+    const std::uint64_t newest = targets->rbegin()->first;
     return m_loads.weightsVersion(replica.id, now) == newest ? std::optional(newest) : std::nullopt;
 }
 
@@ -317,12 +354,12 @@
  */
 std::optional<Instant> Dispatcher::startDeadline(const ReplicaEntry &replica, Instant now) const
 {
-    const auto it = m_targetVersions.find(replica.loaded.model);
-    if (it == m_targetVersions.end()) {
+    const AnnouncementTimes *targets = targetVersions(replica.service);
+    if (targets == nullptr) {
         return std::nullopt;
     }
-    const auto newer = it->second.upper_bound(m_loads.weightsVersion(replica.id, now));
-    if (newer == it->second.end()) {
+    const auto newer = targets->upper_bound(m_loads.weightsVersion(replica.id, now));
+    if (newer == targets->end()) {
         return std::nullopt;
     }
     return newer->second + m_options.bounds.weightsApply - startDeadlineMargin;
@@ -340,16 +377,12 @@
  */
 std::uint64_t Dispatcher::requiredWeightsVersion(const ServiceName &service, Instant now) const
 {
-    const Service *known = m_table == nullptr ? nullptr : m_table->service(service);
-    if (known == nullptr || !known->engine) {
-        return 0;
-    }
-    const auto it = m_targetVersions.find(known->engine->model);
-    if (it == m_targetVersions.end()) {
+    const AnnouncementTimes *targets = targetVersions(service);
+    if (targets == nullptr) {
         return 0;
     }
     std::uint64_t required = 0;
-    for (const auto &[version, at] : it->second) {
+    for (const auto &[version, at] : *targets) {
         if (now >= requiredFrom(at)) {
             required = std::max(required, version);
         }
--- a/source/edge/requestproxyresponse.cpp
+++ b/source/edge/requestproxyresponse.cpp
@@ -107,6 +107,7 @@
     const int status = response.status;
     const std::vector<HttpHeader> headers = response.headers;
     co_await m_writer.respond(status, headers, std::move(response.body));
+    reportPartsAnswered();
     recordOutcome("answered", status, {});
     co_return AttemptResult {UpstreamOutcome::Answered, {}, fields.keepAliveTimeout};
 }
@@ -126,6 +127,7 @@
             m_longestGap =
                     m_lastEventAt ? std::max(m_longestGap, now - *m_lastEventAt) : m_longestGap;
             m_lastEventAt = now;
+            recordEvents(events.count);
         }
         if (events.count > 0 && !m_isStreaming) {
             m_isStreaming = true;
