Put into one type why a backend server gets no requests

The list's draining, ejection and the backoff after a rejection stood in three places of LoadBalancer. ReplicaAvailability now holds them, as an immutable value, and names the gravest cause. During a pause its slots count as taken; after it this entry has one request in flight there, and each answer doubles the limit. What an incarnation said is remembered when the list drops it for a moment. A shorter backoff no longer ends a longer one early.

--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -13,6 +13,7 @@
 #include "core/fleet/nodesettings.h"
 #include "core/fleet/pieces.h"
 #include "core/fleet/replica.h"
+#include "core/fleet/replicaavailability.h"
 #include "core/fleet/replicalistdelta.h"
 #include "core/fleet/replicaregistry.h"
 #include "core/fleet/requestmetadata.h"
--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -8,40 +8,18 @@
 
 namespace {
 
-/** Assumed duration in milliseconds of a request to a service without an engine cost model. */
-constexpr double plainServiceRequestMs = 25;
-/** Fraction of the objective that a request may queue at a backend server for a slot. */
-constexpr double maxQueueingShare = 0.15;
 /** Backoff after a backend server rejected a request. */
 constexpr auto rejectionBackoff = std::chrono::milliseconds(60);
 /** Backoff after a misdirected request, until the list or a report corrects the record. */
 constexpr auto misdirectionBackoff = std::chrono::milliseconds(700);
-/** Time constant in milliseconds with which the excess latency decays (to 1/e). */
-constexpr double excessLatencyDecayMs = 1500;
-/** Weight of a new sample in the moving average of the excess latency. */
-constexpr double excessLatencyWeight = 0.3;
-/** Typical milliseconds to the start of a response beyond the estimate of the cost model. */
-constexpr double typicalOverheadMs = 30;
-constexpr double maxExcessLatencyMs = 3000;
-/** Cost penalty in milliseconds for a backend server whose load reports have become stale. */
-constexpr double staleReportPenaltyMs = 300;
-/** Fraction of the slots up to which requests that miss their objective may fill an engine. */
-constexpr double overdueSlotShare = 0.7;
-/**
- * An engine in use gets a request only if the response is expected to start within this fraction of
- * the objective.
- */
-constexpr double responseStartShare = 0.8;
-/** Requests beyond its slots that may queue at a backend server without an engine. */
-constexpr std::uint32_t plainServiceQueue = 6;
-/** Assumed fraction of the other entries that send to the same backend server as this one. */
-constexpr double sameChoiceShare = 0.25;
 /**
  * Number of candidates with capacity that are compared for a request, in the entry's own zone and
  * in the other zones each. Comparing only a few random ones keeps the entries from all choosing the
  * same backend server.
  */
 constexpr std::size_t maxCandidates = 3;
+/** Number of backend servers that are remembered after they have left the list. */
+constexpr std::size_t maxPastStatements = 256;
 
 /** @returns a random step that is coprime to @p n, so that it visits each of n positions once */
 std::size_t coprimeStep(std::size_t n, std::uint64_t random)
@@ -56,29 +34,90 @@
 
 } // namespace
 
+ReplicaIncarnation incarnationOf(const ReplicaEntry &entry)
+{
+    return {entry.id, entry.address, entry.startedAtMs};
+}
+
 void LoadBalancer::setReplicas(const std::vector<ReplicaEntry> &entries)
 {
-    std::map<ReplicaId, ReplicaState> state;
+    std::map<ReplicaId, ReplicaState> previous = std::move(m_replicas);
+    m_replicas.clear();
     m_byAddress.clear();
     m_byService.clear();
     for (const ReplicaEntry &entry : entries) {
         ReplicaState next;
-        const auto it = m_replicas.find(entry.id);
-        const bool isSame = it != m_replicas.end()
-                && it->second.entry.startedAtMs == entry.startedAtMs
-                && it->second.entry.address == entry.address;
-        if (isSame) {
+        const auto it = previous.find(entry.id);
+        if (it != previous.end() && incarnationOf(it->second.entry) == incarnationOf(entry)) {
             next = std::move(it->second);
+            previous.erase(it);
+        } else {
+            next.availability = rememberedAvailability(incarnationOf(entry));
         }
         next.entry = entry;
-        state.emplace(entry.id, std::move(next));
+        next.availability = next.availability.listed(entry.isDraining);
+        m_replicas.emplace(entry.id, std::move(next));
         m_byService[entry.service].push_back(entry.id);
         const auto [other, isFirst] = m_byAddress.emplace(entry.address, entry.id);
-        if (!isFirst && state.at(other->second).entry.startedAtMs < entry.startedAtMs) {
+        if (!isFirst && m_replicas.at(other->second).entry.startedAtMs < entry.startedAtMs) {
             other->second = entry.id;
         }
     }
-    m_replicas = std::move(state);
+    for (const auto &[id, state] : previous) {
+        rememberStatement(state);
+    }
+}
+
+/** The list may drop a backend server for a moment, while it is alive. */
+void LoadBalancer::rememberStatement(const ReplicaState &state)
+{
+    if (!state.availability.hasStatement()) {
+        return;
+    }
+    m_pastStatements.push_back({incarnationOf(state.entry), state.availability});
+    if (m_pastStatements.size() > maxPastStatements) {
+        m_pastStatements.pop_front();
+    }
+}
+
+ReplicaAvailability
+LoadBalancer::rememberedAvailability(const ReplicaIncarnation &incarnation) const
+{
+    const auto it = std::find_if(
+            m_pastStatements.rbegin(), m_pastStatements.rend(),
+            [&](const PastStatement &past) { return past.incarnation == incarnation; });
+    return it == m_pastStatements.rend() ? ReplicaAvailability() : it->availability;
+}
+
+void LoadBalancer::applyStatement(const ReplicaIncarnation &incarnation,
+                                  const ReplicaStatement &statement, Instant now)
+{
+    const auto it = m_replicas.find(incarnation.id);
+    if (it == m_replicas.end() || incarnationOf(it->second.entry) != incarnation) {
+        return;
+    }
+    ReplicaAvailability next = it->second.availability;
+    if (statement.isLeaving) {
+        next = next.leaving();
+    }
+    it->second.availability = next.paused(now, statement.pause.value_or(Duration::zero()));
+}
+
+std::map<ReplicaId, UnavailableCause> LoadBalancer::unavailableReplicas(Instant now) const
+{
+    std::map<ReplicaId, UnavailableCause> causes;
+    for (const auto &[id, state] : m_replicas) {
+        if (const auto cause = state.availability.cause(now)) {
+            causes.emplace(id, *cause);
+        }
+    }
+    return causes;
+}
+
+bool LoadBalancer::isLeaving(const ReplicaId &id) const
+{
+    const auto it = m_replicas.find(id);
+    return it != m_replicas.end() && it->second.availability.isLeaving();
 }
 
 void LoadBalancer::setServices(const std::map<ServiceName, Service> &services)
@@ -113,12 +152,6 @@
     return state.report && now - state.reportedAt <= m_options.reportLifetime;
 }
 
-std::uint64_t LoadBalancer::effectiveWeightsVersion(const ReplicaState &state, Instant now) const
-{
-    const std::uint64_t listed = state.entry.loaded.runnableVersion();
-    return hasFreshReport(state, now) ? state.report->weightsVersion : listed;
-}
-
 bool LoadBalancer::isUsable(const ReplicaState &state, std::uint64_t minWeightsVersion,
                             Instant now) const
 {
@@ -127,7 +160,7 @@
     const bool isReplaced = state.report && state.entry.startedAtMs != 0
             && state.report->startedAtMs > state.entry.startedAtMs;
     const bool isSuperseded = m_byAddress.at(state.entry.address) != state.entry.id;
-    if (state.entry.isDraining || isReplaced || isSuperseded || state.health.at(now).isEjected()) {
+    if (isReplaced || isSuperseded || !state.availability.isInService(now)) {
         return false;
     }
     if (!m_engineCosts.contains(state.entry.service)) {
@@ -138,132 +171,6 @@
     return !isLoading && weights > 0 && weights >= minWeightsVersion;
 }
 
-std::uint32_t LoadBalancer::estimatedLoad(const ReplicaState &state, Instant now) const
-{
-    if (!hasFreshReport(state, now)) {
-        return state.localInFlight * std::max<std::uint32_t>(1, m_entryCount);
-    }
-    const std::uint32_t reported = state.report->running + state.report->waiting;
-    const std::uint32_t others =
-            reported > state.localInFlightAtReport ? reported - state.localInFlightAtReport : 0;
-    return state.localInFlight + others
-            + static_cast<std::uint32_t>(estimatedRemoteSinceReport(state));
-}
-
-/** Other entries receive the same reports, so some of them choose the same backend server. */
-double LoadBalancer::estimatedRemoteSinceReport(const ReplicaState &state) const
-{
-    const std::uint32_t sentSinceReport = state.localInFlight > state.localInFlightAtReport
-            ? state.localInFlight - state.localInFlightAtReport
-            : 0;
-    return sentSinceReport * (m_entryCount - 1) * sameChoiceShare;
-}
-
-const EngineCosts *LoadBalancer::engineCosts(const ServiceName &service) const
-{
-    const auto it = m_engineCosts.find(service);
-    return it == m_engineCosts.end() || it->second.slots == 0 ? nullptr : &it->second;
-}
-
-double LoadBalancer::slotReleaseMs(const ServiceName &service) const
-{
-    const EngineCosts *costs = engineCosts(service);
-    return costs == nullptr ? plainServiceRequestMs : engineSlotReleaseMs(*costs);
-}
-
-/** Requests that the report counts as waiting still need their prefill, whoever sent them. */
-EngineWorkload LoadBalancer::estimatedWorkload(const ReplicaState &state, const EngineCosts &costs,
-                                               Instant now) const
-{
-    EngineWorkload workload;
-    const double typicalPrefillMs = prefillMs(costs, 0);
-    if (!hasFreshReport(state, now)) {
-        workload.running = state.localInFlight * m_entryCount;
-        workload.pendingPrefillMs = state.pendingPrefillMs * m_entryCount;
-        return workload;
-    }
-    const LoadReport &report = *state.report;
-    const double others = report.waiting > state.awaitingResponseAtReport
-            ? report.waiting - state.awaitingResponseAtReport
-            : 0;
-    const double pace = std::max(1.0, report.slowdown);
-    workload.running = report.running;
-    workload.pendingPrefillMs = (state.pendingPrefillMs
-                                 + (others + estimatedRemoteSinceReport(state)) * typicalPrefillMs)
-            * pace;
-    return workload;
-}
-
-/** @returns the expected milliseconds to the start of a response */
-double LoadBalancer::expectedResponseMs(const ReplicaState &state, double promptTokens,
-                                        Instant now) const
-{
-    const std::uint32_t slots = std::max<std::uint32_t>(1, state.entry.slots);
-    const std::uint32_t inUse = estimatedLoad(state, now);
-    const double queueingMs =
-            inUse < slots ? 0 : (inUse - slots + 1) * slotReleaseMs(state.entry.service);
-    if (const EngineCosts *costs = engineCosts(state.entry.service)) {
-        return queueingMs
-                + timeToFirstTokenMs(*costs, estimatedWorkload(state, *costs, now), promptTokens);
-    }
-    // Without a cost model, latency is assumed to rise linearly with the use of the slots.
-    return queueingMs + plainServiceRequestMs * std::min(inUse, slots) / slots;
-}
-
-double LoadBalancer::penaltyMs(const ReplicaState &state, Instant now) const
-{
-    // If the reports have become stale, the backend server or its agent may be unreachable.
-    const double staleReport =
-            state.report && !hasFreshReport(state, now) ? staleReportPenaltyMs : 0;
-    const double crossZone = state.entry.zone == m_options.zone ? 0 : m_options.crossZonePenaltyMs;
-    return staleReport + crossZone;
-}
-
-bool LoadBalancer::hasCapacity(const ReplicaState &state, const ReplicaRequirements &requirements,
-                               Instant now) const
-{
-    const std::uint32_t slots = std::max<std::uint32_t>(1, state.entry.slots);
-    const std::uint32_t inUse = estimatedLoad(state, now);
-    if (state.localInFlight >= state.health.at(now).allowedInFlight() || now < state.backoffUntil) {
-        return false;
-    }
-    if (const EngineCosts *costs = engineCosts(requirements.service)) {
-        return hasEngineCapacity(state, *costs, requirements, now);
-    }
-    return inUse < slots + plainServiceQueue;
-}
-
-/**
- * An engine has capacity if the response is likely to start within the objective. Requests that
- * miss their objective use only spare capacity: few slots in use and little pending prefill.
- */
-bool LoadBalancer::hasEngineCapacity(const ReplicaState &state, const EngineCosts &costs,
-                                     const ReplicaRequirements &requirements, Instant now) const
-{
-    const std::uint32_t slots = std::max<std::uint32_t>(1, state.entry.slots);
-    const std::uint32_t inUse = estimatedLoad(state, now);
-    if (requirements.missesObjective) {
-        return inUse < slots * overdueSlotShare
-                && estimatedWorkload(state, costs, now).pendingPrefillMs < prefillMs(costs, 0);
-    }
-    const double objectiveMs =
-            std::chrono::duration<double, std::milli>(requirements.latencyObjective).count();
-    if (inUse >= slots) {
-        const double queueingMs = (inUse - slots + 1) * slotReleaseMs(requirements.service);
-        return hasFreshReport(state, now) && queueingMs <= objectiveMs * maxQueueingShare;
-    }
-    return inUse == 0
-            || expectedResponseMs(state, requirements.promptTokens, now)
-            <= objectiveMs * responseStartShare;
-}
-
-double LoadBalancer::costMs(const ReplicaState &state, const ReplicaRequirements &requirements,
-                            Instant now) const
-{
-    return expectedResponseMs(state, requirements.promptTokens, now) + penaltyMs(state, now)
-            + decayedExcessLatencyMs(state, now);
-}
-
 /** @returns the candidate with the lowest cost of a few random ones with capacity, or null */
 LoadBalancer::ReplicaState *LoadBalancer::cheapestCandidate(const std::vector<ReplicaId> &pool,
                                                             const ReplicaRequirements &requirements,
@@ -307,7 +214,7 @@
     if (best == nullptr) {
         return std::nullopt;
     }
-    best->health = best->health.at(now);
+    best->availability = best->availability.at(now);
     ++best->localInFlight;
     if (const EngineCosts *costs = engineCosts(requirements.service)) {
         ++best->awaitingResponse;
@@ -334,23 +241,6 @@
             state.awaitingResponse == 0 ? 0 : std::max(0.0, state.pendingPrefillMs - prefillMs);
 }
 
-double LoadBalancer::decayedExcessLatencyMs(const ReplicaState &state, Instant now) const
-{
-    const double ageMs =
-            std::chrono::duration<double, std::milli>(now - state.excessLatencyAt).count();
-    return state.excessLatencyMs * std::exp(-ageMs / excessLatencyDecayMs);
-}
-
-void LoadBalancer::recordLatency(ReplicaState &state, Duration responseLatency, Instant now)
-{
-    const double latencyMs = std::chrono::duration<double, std::milli>(responseLatency).count();
-    const double expectedMs = typicalOverheadMs + expectedResponseMs(state, 0, now);
-    const double excessMs = std::clamp(latencyMs - expectedMs, 0.0, maxExcessLatencyMs);
-    state.excessLatencyMs = decayedExcessLatencyMs(state, now) * (1 - excessLatencyWeight)
-            + excessMs * excessLatencyWeight;
-    state.excessLatencyAt = now;
-}
-
 void LoadBalancer::finished(const ReplicaId &id, ReplicaVerdict verdict,
                             std::optional<Duration> responseLatency, Instant now)
 {
@@ -366,16 +256,16 @@
     }
     switch (verdict) {
     case ReplicaVerdict::Answered:
-        state.health = state.health.succeeded(m_options.health);
+        state.availability = state.availability.succeeded(now, m_options.health);
         break;
     case ReplicaVerdict::Full:
-        state.backoffUntil = now + rejectionBackoff;
+        state.availability = state.availability.rejected(now, rejectionBackoff);
         break;
     case ReplicaVerdict::Misdirected:
-        state.backoffUntil = now + misdirectionBackoff;
+        state.availability = state.availability.rejected(now, misdirectionBackoff);
         break;
     case ReplicaVerdict::Failed:
-        state.health = state.health.failed(now, m_options.health);
+        state.availability = state.availability.failed(now, m_options.health);
         break;
     case ReplicaVerdict::Neutral:
         break;
@@ -403,13 +293,20 @@
     if (pool == m_byService.end()) {
         return sum;
     }
+    Instant firstReturn = Instant::max();
     for (const ReplicaId &id : pool->second) {
         const ReplicaState &state = m_replicas.at(id);
-        if (isUsable(state, minWeightsVersion, now)) {
-            ++sum.usableReplicas;
-            sum.slots += state.entry.slots;
-            sum.inUse += estimatedLoad(state, now);
+        if (!isUsable(state, minWeightsVersion, now)) {
+            continue;
         }
+        const std::uint32_t load = estimatedLoad(state, now);
+        ++sum.usableReplicas;
+        sum.slots += state.entry.slots;
+        sum.inUse += state.availability.isPaused(now) ? std::max(load, state.entry.slots) : load;
+        firstReturn = std::min(firstReturn, state.availability.pausedUntil());
+    }
+    if (sum.usableReplicas > 0 && firstReturn > now) {
+        sum.pauseLeft = firstReturn - now;
     }
     return sum;
 }
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -7,8 +7,9 @@
 #include "core/fleet/enginemodel.h"
 #include "core/fleet/fleetconfig.h"
 #include "core/fleet/replica.h"
-#include "core/routing/backendhealth.h"
+#include "core/fleet/replicaavailability.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -67,7 +68,10 @@
     /** Number of backend servers that accept requests. */
     std::uint32_t usableReplicas = 0;
     std::uint32_t slots = 0;
+    /** During a pause of a backend server, all of its slots count as in use. */
     std::uint32_t inUse = 0;
+    /** Time until the first one accepts requests, if all of them are paused; otherwise 0. */
+    Duration pauseLeft {};
 
     auto operator<=>(const Occupancy &) const = default;
 };
@@ -97,6 +101,31 @@
     Neutral,
 };
 
+/** One start of a backend server. */
+struct ReplicaIncarnation
+{
+    ReplicaId id;
+    Address address;
+    /** As in ReplicaEntry. */
+    std::uint64_t startedAtMs = 0;
+
+    auto operator<=>(const ReplicaIncarnation &) const = default;
+};
+
+/** @returns the incarnation that a record of the list describes */
+ReplicaIncarnation incarnationOf(const ReplicaEntry &entry);
+
+/** What a backend server says of itself in an answer. */
+struct ReplicaStatement
+{
+    /** It leaves, and wants no further requests. */
+    bool isLeaving = false;
+    /** It wants no requests for this long; empty if it did not say so. */
+    std::optional<Duration> pause;
+
+    auto operator<=>(const ReplicaStatement &) const = default;
+};
+
 /**
  * Chooses among a few random candidates the one with the lowest expected time to the start of the
  * response, with penalties for another zone, for stale reports and for recent slowness.
@@ -108,7 +137,10 @@
 public:
     explicit LoadBalancer(LoadBalancerOptions options) : m_options(std::move(options)) { }
 
-    /** Replaces the list of backend servers; keeps the state of those that are still listed. */
+    /**
+     * Replaces the list of backend servers. Keeps the state of those that are still listed, and
+     * what those said of themselves that come back to it in the same incarnation.
+     */
     void setReplicas(const std::vector<ReplicaEntry> &entries);
     /** Replaces the cost parameters of engines with those of the configuration. */
     void setServices(const std::map<ServiceName, Service> &services);
@@ -140,6 +172,14 @@
     void finished(const ReplicaId &id, ReplicaVerdict verdict,
                   std::optional<Duration> responseLatency, Instant now);
 
+    /** Applies what a backend server said of itself; ignored unless the incarnation is listed. */
+    void applyStatement(const ReplicaIncarnation &incarnation, const ReplicaStatement &statement,
+                        Instant now);
+
+    /** @returns why each listed backend server gets no requests; without those that get some */
+    std::map<ReplicaId, UnavailableCause> unavailableReplicas(Instant now) const;
+    /** @returns whether a backend server has said that it leaves */
+    bool isLeaving(const ReplicaId &id) const;
     /** @returns the last known version of the weights that a backend server runs; 0 if unknown */
     std::uint64_t weightsVersion(const ReplicaId &id, Instant now) const;
     /** @returns the age of its latest load report; empty if there is none that is still valid */
@@ -157,7 +197,7 @@
     {
         ReplicaEntry entry;
         std::uint32_t localInFlight = 0;
-        BackendHealth health;
+        ReplicaAvailability availability;
         std::optional<LoadReport> report;
         Instant reportedAt;
         /** This entry's requests in flight when the report arrived, which the report includes. */
@@ -167,8 +207,6 @@
         double pendingPrefillMs = 0;
         /** Those of them that the report includes. */
         std::uint32_t awaitingResponseAtReport = 0;
-        /** End of the backoff after a rejection; no request is sent before this time. */
-        Instant backoffUntil;
         /**
          * Moving average, in milliseconds, of how much later than expected recent responses
          * started.
@@ -206,7 +244,19 @@
 
     LoadBalancerOptions m_options;
     std::uint32_t m_entryCount = 1;
+    /** What a backend server said of itself that is no longer listed. */
+    struct PastStatement
+    {
+        ReplicaIncarnation incarnation;
+        ReplicaAvailability availability;
+    };
+
+    void rememberStatement(const ReplicaState &state);
+    ReplicaAvailability rememberedAvailability(const ReplicaIncarnation &incarnation) const;
+
     std::map<ReplicaId, ReplicaState> m_replicas;
+    /** Newest last; its size is limited. */
+    std::deque<PastStatement> m_pastStatements;
     /**
      * For each address, the entry of the list that started last. Entries of processes that have
      * died stay in the list for a while.
--- a/source/core/fleet/requestmetadata.h
+++ b/source/core/fleet/requestmetadata.h
@@ -64,6 +64,12 @@
     bool isEncoded = false;
     /** Time for which the backend server keeps an idle connection open; empty if not stated. */
     std::optional<Duration> keepAliveTimeout;
+    /** The backend server leaves and wants no further requests. */
+    bool isLeaving = false;
+    /** The time that the response asks to wait before a further request; empty if not stated. */
+    std::optional<Duration> retryAfter;
+    /** The response states such a time, but in a form that is none. */
+    bool isRetryAfterInvalid = false;
 
     auto operator<=>(const ResponseMetadata &) const = default;
 };
--- a/tests/unit/tst_loadbalancer.cpp
+++ b/tests/unit/tst_loadbalancer.cpp
@@ -120,6 +120,55 @@
     REQUIRE_FALSE(acquire());
 }
 
+TEST_CASE_METHOD(LoadBalancerFixture, "acquire_saidThatItLeaves_isNotUsedInThisIncarnation")
+{
+    m_balancer.setReplicas({replica("a")});
+    m_balancer.applyStatement(incarnationOf(replica("a")), {true, {}}, m_now);
+    REQUIRE_FALSE(acquire());
+    m_balancer.setReplicas({});
+    m_balancer.setReplicas({replica("a")});
+    m_balancer.applyReport(report(replica("a"), 0), m_now);
+    REQUIRE_FALSE(acquire());
+    ReplicaEntry restarted = replica("a");
+    restarted.startedAtMs += 100;
+    m_balancer.setReplicas({restarted});
+    REQUIRE(acquire() == "a");
+}
+
+// A late answer of an earlier incarnation must not hold its successor back.
+TEST_CASE_METHOD(LoadBalancerFixture, "acquire_earlierIncarnationSaidThatItLeaves_isUsed")
+{
+    ReplicaEntry restarted = replica("a");
+    restarted.startedAtMs += 100;
+    m_balancer.setReplicas({restarted});
+    m_balancer.applyStatement(incarnationOf(replica("a")), {true, milliseconds(900)}, m_now);
+    REQUIRE(acquire() == "a");
+}
+
+TEST_CASE_METHOD(LoadBalancerFixture, "occupancy_askedForAPause_countsItsSlotsAsTaken")
+{
+    m_balancer.setReplicas({replica("a"), replica("b")});
+    const ReplicaStatement pause {false, milliseconds(900)};
+    m_balancer.applyStatement(incarnationOf(replica("a")), pause, m_now);
+    Occupancy occupancy = m_balancer.occupancy(m_requirements.service, 0, m_now);
+    REQUIRE(occupancy.usableReplicas == 2);
+    REQUIRE(occupancy.inUse == replica("a").slots);
+    REQUIRE(occupancy.pauseLeft == Duration::zero());
+    m_balancer.applyStatement(incarnationOf(replica("b")), pause, m_now + milliseconds(100));
+    occupancy = m_balancer.occupancy(m_requirements.service, 0, m_now + milliseconds(100));
+    REQUIRE(occupancy.pauseLeft == milliseconds(800));
+    REQUIRE_FALSE(acquire());
+}
+
+TEST_CASE_METHOD(LoadBalancerFixture, "acquire_pauseHasEnded_allowsOneRequestFirst")
+{
+    m_balancer.setReplicas({replica("a")});
+    m_balancer.applyStatement(incarnationOf(replica("a")), {false, milliseconds(900)}, m_now);
+    m_now = m_now + milliseconds(900);
+    REQUIRE(acquire() == "a");
+    REQUIRE_FALSE(acquire());
+}
+
 TEST_CASE_METHOD(LoadBalancerFixture, "acquire_draining_isNotUsed")
 {
     ReplicaEntry leaving = replica("a");
