Obey what backend servers say of themselves in their answers

What callers and backend servers see: a server that leaves gets requests until the list says so, though each of its answers carries Server-Leaving: 1; one that answers 503 with Retry-After gets the next request 60 ms later.

Cause: neither field was read.

The proxy posts them to the dispatcher as soon as it has the head of an answer that is certainly its attempt's, for the incarnation that the request was leased for: before the repeat asks for a server, before a stream's body, before the lease is released. The pooled connections to a leaving server are closed. A late answer of an earlier incarnation touches nothing. A Retry-After that is no finite time >= 0 is ignored with a log line, one over a minute is granted a minute. If all servers of a service are paused, a request that can't outwait it is refused at once, with the rest of the pause as advice. Each change has a log line, each cause a gauge.

--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -178,6 +178,7 @@
 
     /** @returns why each listed backend server gets no requests; without those that get some */
     std::map<ReplicaId, UnavailableCause> unavailableReplicas(Instant now) const;
+    bool isListed(const ReplicaId &id) const { return m_replicas.contains(id); }
     /** @returns whether a backend server has said that it leaves */
     bool isLeaving(const ReplicaId &id) const;
     /** @returns the last known version of the weights that a backend server runs; 0 if unknown */
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -112,10 +112,13 @@
 bool Dispatcher::rejectIfTimedOut(const AcquireReplica &command, Instant now)
 {
     const std::uint64_t weightsVersion = requiredWeightsVersion(command.requirements.service, now);
-    const bool hasUsable = m_loads.hasUsable(command.requirements.service, weightsVersion, now);
+    const Occupancy occupancy =
+            m_loads.occupancy(command.requirements.service, weightsVersion, now);
+    const bool hasUsable = occupancy.usableReplicas > 0;
     // A request that has missed its latency target may keep waiting for slots that are left over.
     const bool usesExtendedWait = !hasUsable || now >= command.lateAfter;
-    if (now < (usesExtendedWait ? command.extendedWaitUntil : command.waitUntil)) {
+    const Instant waitEnd = usesExtendedWait ? command.extendedWaitUntil : command.waitUntil;
+    if (now < waitEnd && now + occupancy.pauseLeft < waitEnd) {
         return false;
     }
     reject(command, now, hasUsable ? ErrorKind::Overloaded : ErrorKind::NoBackendServer);
@@ -154,8 +157,9 @@
     // Callers wait up to a third of their remaining time, and retry once.
     const Duration longest = std::max<Duration>(minRetryAfter, (command.deadline - now) / 3);
     const bool hasNoBackend = kind == ErrorKind::NoBackendServer;
-    const Duration retryAfter =
-            hasNoBackend ? longest : std::clamp<Duration>(wait, minRetryAfter, longest);
+    const Duration retryAfter = hasNoBackend
+            ? longest
+            : std::clamp<Duration>(std::max(wait, occupancy.pauseLeft), minRetryAfter, longest);
     command.reply->post(ReplicaUnavailable {kind, retryAfter});
 }
 
@@ -171,7 +175,9 @@
         m_loads.responseStarted(command.replica, command.promptTokens);
     }
     m_loads.finished(command.replica, command.verdict, command.timeToResponseStart, now);
-    if (command.connection && command.connection->isReusable()) {
+    const bool isReusable = command.connection && command.connection->isReusable()
+            && !m_loads.isLeaving(command.replica);
+    if (isReusable) {
         const Duration poolTime = command.keepAliveTimeout
                 ? Duration(*command.keepAliveTimeout - keepAliveMargin)
                 : Duration(defaultKeepAliveTimeout);
@@ -232,6 +238,7 @@
     const Instant now = monotonicNow();
     dispatchPending();
     closeExpiredConnections(now);
+    recordAvailability(now);
 }
 
 /**
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -113,6 +113,13 @@
     double promptTokens = 0;
 };
 
+/** A backend server has said something of itself in a response. */
+struct ReplicaSpoke
+{
+    ReplicaIncarnation replica;
+    ReplicaStatement statement;
+};
+
 /** An upstream attempt has finished and releases its slot. */
 struct LeaseReleased
 {
@@ -170,9 +177,10 @@
 { };
 
 /** Messages to the dispatcher. */
-using DispatchCommand = std::variant<AdmissionQuery, AcquireReplica, ResponseStarted, LeaseReleased,
-                                     RoutesChanged, ReplicasChanged, TargetVersionChanged,
-                                     LoadReportReceived, EntryCountChanged, DispatchTick>;
+using DispatchCommand =
+        std::variant<AdmissionQuery, AcquireReplica, ResponseStarted, ReplicaSpoke, LeaseReleased,
+                     RoutesChanged, ReplicasChanged, TargetVersionChanged, LoadReportReceived,
+                     EntryCountChanged, DispatchTick>;
 
 /** Limits of the dispatcher. */
 struct DispatcherOptions
@@ -208,6 +216,7 @@
     void apply(const AdmissionQuery &command);
     void apply(const AcquireReplica &command);
     void apply(const ResponseStarted &command);
+    void apply(const ReplicaSpoke &command);
     void apply(const LeaseReleased &command);
     void apply(const RoutesChanged &command);
     void apply(const ReplicasChanged &command);
@@ -221,6 +230,8 @@
     void dispatchPending();
     HttpConnectionPtr acquirePooledConnection(const Address &address, Instant now);
     void closeExpiredConnections(Instant now);
+    void closePooledConnections(const Address &address);
+    void recordAvailability(Instant now);
     SharedRetryBudget &retryBudget(const ServiceName &service);
     Instant estimateFirstAttempt(const Route &route, std::optional<Duration> remaining,
                                  Instant now);
@@ -247,6 +258,8 @@
     std::map<ModelName, std::map<std::uint64_t, Instant>> m_targetVersions;
     std::deque<AcquireReplica> m_pending;
     std::map<Address, std::deque<PooledConnection>> m_connectionPool;
+    /** Why backend servers got no requests when this was last recorded. */
+    std::map<ReplicaId, UnavailableCause> m_unavailable;
     /** The largest number of entries that were known to be running at the same time. */
     std::uint32_t m_entryCount;
 };
--- /dev/null
+++ b/source/edge/dispatcheravailability.cpp
@@ -0,0 +1,70 @@
+/**
+ * The part of Dispatcher that handles what backend servers say of themselves, and records which of
+ * them get no requests.
+ */
+#include "edge/dispatcher.h"
+#include "net/clock.h"
+
+namespace greengageseam {
+
+void Dispatcher::apply(const ReplicaSpoke &command)
+{
+    const Instant now = monotonicNow();
+    const Duration asked = command.statement.pause.value_or(Duration::zero());
+    if (asked > maxReplicaPause) {
+        m_log.info("replica.pause-bounded",
+                   {{"replica", command.replica.id.text()},
+                    {"asked_ms", asked.count() / 1000},
+                    {"granted_ms", Duration(maxReplicaPause).count() / 1000}});
+    }
+    m_loads.applyStatement(command.replica, command.statement, now);
+    if (command.statement.isLeaving) {
+        closePooledConnections(command.replica.address);
+    }
+    recordAvailability(now);
+}
+
+void Dispatcher::closePooledConnections(const Address &address)
+{
+    const auto it = m_connectionPool.find(address);
+    if (it == m_connectionPool.end()) {
+        return;
+    }
+    for (const PooledConnection &pooled : it->second) {
+        pooled.connection->abort();
+    }
+    m_connectionPool.erase(it);
+}
+
+/** Logs for which backend servers the cause has changed, and counts the causes. */
+void Dispatcher::recordAvailability(Instant now)
+{
+    std::map<ReplicaId, UnavailableCause> causes = m_loads.unavailableReplicas(now);
+    // A rejection holds requests back for some milliseconds only, and is counted by itself.
+    std::erase_if(causes,
+                  [](const auto &it) { return it.second == UnavailableCause::RecentRejection; });
+    if (causes == m_unavailable) {
+        return;
+    }
+    std::map<UnavailableCause, double> counts;
+    for (const auto &[id, cause] : causes) {
+        ++counts[cause];
+        const auto before = m_unavailable.find(id);
+        if (before == m_unavailable.end() || before->second != cause) {
+            m_log.info("replica.unavailable", {{"replica", id.text()}, {"cause", nameOf(cause)}});
+        }
+    }
+    for (const auto &[id, cause] : m_unavailable) {
+        if (!causes.contains(id) && m_loads.isListed(id)) {
+            m_log.info("replica.available-again",
+                       {{"replica", id.text()}, {"cause", nameOf(cause)}});
+        }
+    }
+    for (const UnavailableCause cause : unavailableCauses()) {
+        m_metrics->set("replicas_unavailable", "Backend servers that get no requests, by cause",
+                       counts[cause], {{"cause", std::string(nameOf(cause))}});
+    }
+    m_unavailable = std::move(causes);
+}
+
+} // namespace greengageseam
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -156,7 +156,7 @@
         }
         const auto &lease = std::get<ReplicaLease>(acquired);
         m_responseStartedAt.reset();
-        m_replica = lease.replica.id;
+        m_replica = incarnationOf(lease.replica);
         m_weightsBasis = lease.weightsBasis;
         if (m_writer.isDisconnected()) {
             releaseLease(lease, AttemptResult {UpstreamOutcome::DeadlineReached, {}, {}});
@@ -350,10 +350,10 @@
 /** Adds the backend server of the last attempt, and what its choice was based on. */
 void RequestProxy::addReplicaFields(boost::json::object &fields) const
 {
-    if (m_replica.isEmpty()) {
+    if (m_replica.id.isEmpty()) {
         return;
     }
-    fields["replica"] = m_replica.text();
+    fields["replica"] = m_replica.id.text();
     if (m_weightsBasis.believed == 0 && m_weightsBasis.required == 0) {
         return;
     }
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -73,6 +73,8 @@
     bool isForThisAttempt(const ResponseMetadata &fields) const;
     /** @returns how the attempt ended, given the error of a read from the backend server */
     UpstreamOutcome classifyReadEnd(HttpIoStatus end, bool hasHead) const;
+    /** Tells the dispatcher what the backend server says of itself in a response. */
+    void reportStatement(const HttpResponseHead &head, const ResponseMetadata &fields);
     void recordResponseStart(Instant now);
     /** Reports the result to the dispatcher and hands a reusable connection back to the pool. */
     void releaseLease(const ReplicaLease &lease, const AttemptResult &result);
@@ -112,7 +114,7 @@
     /** Time by which the response to the current attempt must start. */
     std::optional<Instant> m_startDeadline;
     /** Backend server of the current or last attempt. */
-    ReplicaId m_replica;
+    ReplicaIncarnation m_replica;
     /** What its choice was based on. */
     WeightsBasis m_weightsBasis;
     /** When the response to the current attempt started; empty before. */
--- a/source/edge/requestproxyresponse.cpp
+++ b/source/edge/requestproxyresponse.cpp
@@ -20,6 +20,7 @@
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 constexpr int statusServerError = 500;
+constexpr int statusUnavailable = 503;
 /** Statuses that tell a caller that its request was not executed. */
 constexpr std::array refusalStatuses {408, 429, 503};
 
@@ -66,6 +67,7 @@
     if (isForOtherAttempt || fields.isEncoded || (isSuccess && !fields.isSealed)) {
         co_return AttemptResult {UpstreamOutcome::Garbled, {}, {}};
     }
+    reportStatement(head.value, fields);
     if (fields.isNotExecuted) {
         co_await m_connection->readBody(maxDiscardedBody,
                                         std::min<Duration>(discardTimeout, remainingTime()));
@@ -163,6 +165,21 @@
     }
 }
 
+void RequestProxy::reportStatement(const HttpResponseHead &head, const ResponseMetadata &fields)
+{
+    ReplicaStatement statement;
+    statement.isLeaving = fields.isLeaving;
+    if (head.status == statusUnavailable) {
+        statement.pause = fields.retryAfter;
+        if (fields.isRetryAfterInvalid) {
+            m_context.log.info("replica.pause-invalid", {{"replica", m_replica.id.text()}});
+        }
+    }
+    if (statement != ReplicaStatement()) {
+        m_context.dispatcher->post(ReplicaSpoke {m_replica, statement});
+    }
+}
+
 void RequestProxy::recordResponseStart(Instant now)
 {
     if (m_responseStartedAt) {
@@ -170,7 +187,7 @@
     }
     m_responseStartedAt = now;
     m_context.dispatcher->post(
-            ResponseStarted {m_replica, static_cast<double>(m_call.promptTokens)});
+            ResponseStarted {m_replica.id, static_cast<double>(m_call.promptTokens)});
 }
 
 } // namespace greengageseam
--- a/tests/failure/scriptedfleet.h
+++ b/tests/failure/scriptedfleet.h
@@ -93,11 +93,11 @@
 
     /** Writes a server's record to the list. */
     void list(const std::string &id, const Address &address, int startedAt = 1,
-              const std::string &state = "ready")
+              const std::string &state = "ready", int slots = 8)
     {
         m_store.put("keyed.servers", id,
-                    R"({"service":"p","address":")" + address.text()
-                            + R"(","zone":"a","slots":8,"state":")" + state + R"(","born":)"
+                    R"({"service":"p","address":")" + address.text() + R"(","zone":"a","slots":)"
+                            + std::to_string(slots) + R"(,"state":")" + state + R"(","born":)"
                             + std::to_string(startedAt) + "}");
     }
 
--- a/tests/standins/scriptedstandin.cpp
+++ b/tests/standins/scriptedstandin.cpp
@@ -101,9 +101,10 @@
 Awaitable<bool> ScriptedStandin::play(SocketPtr socket, ScriptedAnswer answer,
                                       std::string attemptId)
 {
+    asio::steady_timer timer(m_executor, answer.delay);
+    co_await timer.async_wait(asTuple);
     const std::string bytes = withAttempt(answer.bytes, attemptId);
     co_await asio::async_write(*socket, asio::buffer(bytes), asTuple);
-    asio::steady_timer timer(m_executor);
     boost::system::error_code ignored;
     if (answer.after == AfterAnswer::Resets) {
         timer.expires_after(settleTime);
--- a/tests/standins/scriptedstandin.h
+++ b/tests/standins/scriptedstandin.h
@@ -32,6 +32,8 @@
     AfterAnswer after = AfterAnswer::Keeps;
     /** Sent a moment later, while the connection is idle; nothing if empty. */
     std::string laterBytes;
+    /** Time from the request to the answer. */
+    Duration delay {};
 
     auto operator<=>(const ScriptedAnswer &) const = default;
 };
