--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -34,7 +34,7 @@
 
 } // namespace
 
-ReplicaIncarnation incarnationOf(const ReplicaEntry &entry)
+ReplicaProcess processOf(const ReplicaEntry &entry)
 {
     return {entry.id, entry.address, entry.startedAtMs};
 }
@@ -48,11 +48,11 @@
     for (const ReplicaEntry &entry : entries) {
         ReplicaState next;
         const auto it = previous.find(entry.id);
-        if (it != previous.end() && incarnationOf(it->second.entry) == incarnationOf(entry)) {
+        if (it != previous.end() && processOf(it->second.entry) == processOf(entry)) {
             next = std::move(it->second);
             previous.erase(it);
         } else {
-            next.availability = rememberedAvailability(incarnationOf(entry));
+            next.availability = rememberedAvailability(processOf(entry));
         }
         next.entry = entry;
         next.availability = next.availability.listed(entry.isDraining);
@@ -74,14 +74,13 @@
     if (!state.availability.hasStatement()) {
         return;
     }
-    m_pastStatements.push_back({incarnationOf(state.entry), state.availability});
+    m_pastStatements.push_back({processOf(state.entry), state.availability});
     if (m_pastStatements.size() > maxPastStatements) {
         m_pastStatements.pop_front();
     }
 }
 
-ReplicaAvailability
-LoadBalancer::rememberedAvailability(const ReplicaIncarnation &incarnation) const
+ReplicaAvailability LoadBalancer::rememberedAvailability(const ReplicaProcess &incarnation) const
 {
     const auto it = std::find_if(
             m_pastStatements.rbegin(), m_pastStatements.rend(),
@@ -89,11 +88,11 @@
     return it == m_pastStatements.rend() ? ReplicaAvailability() : it->availability;
 }
 
-void LoadBalancer::applyStatement(const ReplicaIncarnation &incarnation,
+void LoadBalancer::applyStatement(const ReplicaProcess &incarnation,
                                   const ReplicaStatement &statement, Instant now)
 {
     const auto it = m_replicas.find(incarnation.id);
-    if (it == m_replicas.end() || incarnationOf(it->second.entry) != incarnation) {
+    if (it == m_replicas.end() || processOf(it->second.entry) != incarnation) {
         return;
     }
     ReplicaAvailability next = it->second.availability;
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -101,19 +101,19 @@
     Neutral,
 };
 
-/** One start of a backend server. */
-struct ReplicaIncarnation
+/** One process of a backend server; another start of it is another one. */
+struct ReplicaProcess
 {
     ReplicaId id;
     Address address;
     /** As in ReplicaEntry. */
     std::uint64_t startedAtMs = 0;
 
-    auto operator<=>(const ReplicaIncarnation &) const = default;
+    auto operator<=>(const ReplicaProcess &) const = default;
 };
 
-/** @returns the incarnation that a record of the list describes */
-ReplicaIncarnation incarnationOf(const ReplicaEntry &entry);
+/** @returns the process that a record of the list describes */
+ReplicaProcess processOf(const ReplicaEntry &entry);
 
 /** What a backend server says of itself in an answer. */
 struct ReplicaStatement
@@ -173,7 +173,7 @@
                   std::optional<Duration> responseLatency, Instant now);
 
     /** Applies what a backend server said of itself; ignored unless the incarnation is listed. */
-    void applyStatement(const ReplicaIncarnation &incarnation, const ReplicaStatement &statement,
+    void applyStatement(const ReplicaProcess &incarnation, const ReplicaStatement &statement,
                         Instant now);
 
     /** @returns why each listed backend server gets no requests; without those that get some */
@@ -248,12 +248,12 @@
     /** What a backend server said of itself that is no longer listed. */
     struct PastStatement
     {
-        ReplicaIncarnation incarnation;
+        ReplicaProcess incarnation;
         ReplicaAvailability availability;
     };
 
     void rememberStatement(const ReplicaState &state);
-    ReplicaAvailability rememberedAvailability(const ReplicaIncarnation &incarnation) const;
+    ReplicaAvailability rememberedAvailability(const ReplicaProcess &incarnation) const;
 
     std::map<ReplicaId, ReplicaState> m_replicas;
     /** Newest last; its size is limited. */
--- a/tests/unit/tst_loadbalancer.cpp
+++ b/tests/unit/tst_loadbalancer.cpp
@@ -123,7 +123,7 @@
 TEST_CASE_METHOD(LoadBalancerFixture, "acquire_saidThatItLeaves_isNotUsedInThisIncarnation")
 {
     m_balancer.setReplicas({replica("a")});
-    m_balancer.applyStatement(incarnationOf(replica("a")), {true, {}}, m_now);
+    m_balancer.applyStatement(processOf(replica("a")), {true, {}}, m_now);
     REQUIRE_FALSE(acquire());
     m_balancer.setReplicas({});
     m_balancer.setReplicas({replica("a")});
@@ -141,7 +141,7 @@
     ReplicaEntry restarted = replica("a");
     restarted.startedAtMs += 100;
     m_balancer.setReplicas({restarted});
-    m_balancer.applyStatement(incarnationOf(replica("a")), {true, milliseconds(900)}, m_now);
+    m_balancer.applyStatement(processOf(replica("a")), {true, milliseconds(900)}, m_now);
     REQUIRE(acquire() == "a");
 }
 
@@ -149,12 +149,12 @@
 {
     m_balancer.setReplicas({replica("a"), replica("b")});
     const ReplicaStatement pause {false, milliseconds(900)};
-    m_balancer.applyStatement(incarnationOf(replica("a")), pause, m_now);
+    m_balancer.applyStatement(processOf(replica("a")), pause, m_now);
     Occupancy occupancy = m_balancer.occupancy(m_requirements.service, 0, m_now);
     REQUIRE(occupancy.usableReplicas == 2);
     REQUIRE(occupancy.inUse == replica("a").slots);
     REQUIRE(occupancy.pauseLeft == Duration::zero());
-    m_balancer.applyStatement(incarnationOf(replica("b")), pause, m_now + milliseconds(100));
+    m_balancer.applyStatement(processOf(replica("b")), pause, m_now + milliseconds(100));
     occupancy = m_balancer.occupancy(m_requirements.service, 0, m_now + milliseconds(100));
     REQUIRE(occupancy.pauseLeft == milliseconds(800));
     REQUIRE_FALSE(acquire());
@@ -163,7 +163,7 @@
 TEST_CASE_METHOD(LoadBalancerFixture, "acquire_pauseHasEnded_allowsOneRequestFirst")
 {
     m_balancer.setReplicas({replica("a")});
-    m_balancer.applyStatement(incarnationOf(replica("a")), {false, milliseconds(900)}, m_now);
+    m_balancer.applyStatement(processOf(replica("a")), {false, milliseconds(900)}, m_now);
     m_now = m_now + milliseconds(900);
     REQUIRE(acquire() == "a");
     REQUIRE_FALSE(acquire());
