--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -17,6 +17,7 @@
 #include "core/fleet/pieces.h"
 #include "core/fleet/promptpart.h"
 #include "core/fleet/replica.h"
+#include "core/fleet/replicaavailability.h"
 #include "core/fleet/replicalistdelta.h"
 #include "core/fleet/replicaregistry.h"
 #include "core/fleet/requestmetadata.h"
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -117,6 +117,13 @@
     double promptTokens = 0;
 };
 
+/** A backend server has said something of itself in a response. */
+struct ReplicaSpoke
+{
+    ReplicaProcess replica;
+    ReplicaStatement statement;
+};
+
 /** An upstream attempt has finished and releases its slot. */
 struct LeaseReleased
 {
@@ -181,9 +188,9 @@
 
 /** Messages to the dispatcher. */
 using DispatchCommand =
-        std::variant<AdmissionQuery, AcquireReplica, ResponseStarted, LeaseReleased, RoutesChanged,
-                     ReplicasChanged, TargetVersionChanged, LoadReportReceived, EntryCountChanged,
-                     CrashJudged, DispatchTick>;
+        std::variant<AdmissionQuery, AcquireReplica, ResponseStarted, ReplicaSpoke, LeaseReleased,
+                     RoutesChanged, ReplicasChanged, TargetVersionChanged, LoadReportReceived,
+                     EntryCountChanged, CrashJudged, DispatchTick>;
 
 /** Limits of the dispatcher. */
 struct DispatcherOptions
@@ -222,6 +229,7 @@
     void apply(const AdmissionQuery &command);
     void apply(const AcquireReplica &command);
     void apply(const ResponseStarted &command);
+    void apply(const ReplicaSpoke &command);
     void apply(const LeaseReleased &command);
     void apply(const RoutesChanged &command);
     void apply(const ReplicasChanged &command);
@@ -237,6 +245,8 @@
     void dispatchPending();
     HttpConnectionPtr acquirePooledConnection(const Address &address, Instant now);
     void closeExpiredConnections(Instant now);
+    void closePooledConnections(const Address &address);
+    void recordAvailability(Instant now);
     SharedRetryBudget &retryBudget(const ServiceName &service);
     Instant estimateFirstAttempt(const Route &route, std::optional<Duration> remaining,
                                  Instant now);
@@ -264,6 +274,8 @@
     PartVerdicts m_verdicts;
     std::deque<AcquireReplica> m_pending;
     std::map<Address, std::deque<PooledConnection>> m_connectionPool;
+    /** Why backend servers got no requests when this was last recorded. */
+    std::map<ReplicaId, UnavailableCause> m_unavailable;
     /** The largest number of entries that were known to be running at the same time. */
     std::uint32_t m_entryCount;
 };
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -158,7 +158,7 @@
         }
         const auto &lease = std::get<ReplicaLease>(acquired);
         m_responseStartedAt.reset();
-        m_replica = lease.replica.id;
+        m_replica = processOf(lease.replica);
         m_weightsBasis = lease.weightsBasis;
         if (m_writer.isDisconnected()) {
             releaseLease(lease, AttemptResult {UpstreamOutcome::DeadlineReached, {}, {}});
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -75,6 +75,8 @@
     bool isForThisAttempt(const ResponseMetadata &fields) const;
     /** @returns how the attempt ended, given the error of a read from the backend server */
     UpstreamOutcome classifyReadEnd(HttpIoStatus end, bool hasHead) const;
+    /** Tells the dispatcher what the backend server says of itself in a response. */
+    void reportStatement(const HttpResponseHead &head, const ResponseMetadata &fields);
     void recordResponseStart(Instant now);
     /** Counts the events of the current attempt; two of them show that its server lives on. */
     void recordEvents(std::uint32_t count);
@@ -125,7 +127,7 @@
     /** Complete events that the current attempt has brought. */
     std::uint32_t m_attemptEvents = 0;
     /** Backend server of the current or last attempt. */
-    ReplicaId m_replica;
+    ReplicaProcess m_replica;
     /** What its choice was based on. */
     WeightsBasis m_weightsBasis;
     /** When the response to the current attempt started; empty before. */
--- a/source/edge/requestproxyrecords.cpp
+++ b/source/edge/requestproxyrecords.cpp
@@ -69,10 +69,10 @@
 /** Adds the backend server of the last attempt, and what its choice was based on. */
 void RequestProxy::addReplicaFields(boost::json::object &fields) const
 {
-    if (m_replica.isEmpty()) {
+    if (m_replica.id.isEmpty()) {
         return;
     }
-    fields["replica"] = m_replica.text();
+    fields["replica"] = m_replica.id.text();
     if (m_weightsBasis.believed == 0 && m_weightsBasis.required == 0) {
         return;
     }
