--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -115,7 +115,7 @@
 /** @returns the process that a record of the list describes */
 ReplicaProcess processOf(const ReplicaEntry &entry);
 
-/** What a backend server says of itself in an answer. */
+/** What a backend server announces in a response: that it leaves, or wants a pause. */
 struct ReplicaStatement
 {
     /** It leaves, and wants no further requests. */
@@ -139,7 +139,7 @@
 
     /**
      * Replaces the list of backend servers. Keeps the state of those that are still listed, and
-     * what those said of themselves that come back to it in the same incarnation.
+     * what those announced that come back to it in the same incarnation.
      */
     void setReplicas(const std::vector<ReplicaEntry> &entries);
     /** Replaces the cost parameters of engines with those of the configuration. */
@@ -172,7 +172,7 @@
     void finished(const ReplicaId &id, ReplicaVerdict verdict,
                   std::optional<Duration> responseLatency, Instant now);
 
-    /** Applies what a backend server said of itself; ignored unless the incarnation is listed. */
+    /** Applies what a backend server announced; ignored unless the incarnation is listed. */
     void applyStatement(const ReplicaProcess &incarnation, const ReplicaStatement &statement,
                         Instant now);
 
@@ -245,7 +245,7 @@
 
     LoadBalancerOptions m_options;
     std::uint32_t m_entryCount = 1;
-    /** What a backend server said of itself that is no longer listed. */
+    /** What a backend server announced that is no longer listed. */
     struct PastStatement
     {
         ReplicaProcess incarnation;
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -117,7 +117,7 @@
     double promptTokens = 0;
 };
 
-/** A backend server has said something of itself in a response. */
+/** A backend server has announced in a response that it leaves, or wants a pause. */
 struct ReplicaSpoke
 {
     ReplicaProcess replica;
--- a/source/edge/dispatcheravailability.cpp
+++ b/source/edge/dispatcheravailability.cpp
@@ -1,6 +1,6 @@
 /**
- * The part of Dispatcher that handles what backend servers say of themselves, and records which of
- * them get no requests.
+ * The part of Dispatcher that applies what backend servers announce in responses, and records which
+ * of them get no requests.
  */
 #include "edge/dispatcher.h"
 #include "net/clock.h"
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -75,7 +75,7 @@
     bool isForThisAttempt(const ResponseMetadata &fields) const;
     /** @returns how the attempt ended, given the error of a read from the backend server */
     UpstreamOutcome classifyReadEnd(HttpIoStatus end, bool hasHead) const;
-    /** Tells the dispatcher what the backend server says of itself in a response. */
+    /** Tells the dispatcher what the backend server announces in a response. */
     void reportStatement(const HttpResponseHead &head, const ResponseMetadata &fields);
     void recordResponseStart(Instant now);
     /** Counts the events of the current attempt; two of them show that its server lives on. */
--- a/source/entry/responserelay.h
+++ b/source/entry/responserelay.h
@@ -25,7 +25,7 @@
     /**
      * @param exchange must outlive the relay
      * @param isStreamed whether the caller requested a streamed response
-     * @param requestStartedAt time from which the time to the first chunk is measured
+     * @param requestStartedAt start of the time to the first chunk
      */
     ResponseRelay(HttpExchange &exchange, RequestId request, bool isStreamed,
                   Instant requestStartedAt, std::shared_ptr<Metrics> metrics);
