--- a/source/core/fleet/compactedtopic.h
+++ b/source/core/fleet/compactedtopic.h
@@ -19,6 +19,8 @@
     bool isWhole = false;
     /** Offset after the last record of the topic. */
     std::uint64_t endOffset = 0;
+    /** Every change that was accepted before this time lies before endOffset. */
+    Instant completeAsOf;
 
     auto operator<=>(const TopicChanges &) const = default;
 };
--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -27,4 +27,5 @@
 #include "core/fleet/soundparts.h"
 #include "core/fleet/storerecords.h"
 #include "core/fleet/topicsource.h"
+#include "core/fleet/topicview.h"
 #include "core/fleet/upstreamoutcome.h"
--- a/source/core/fleet/listeninghistory.cpp
+++ b/source/core/fleet/listeninghistory.cpp
@@ -11,34 +11,35 @@
     if (now - last <= m_options.pauseThreshold) {
         return std::nullopt;
     }
-    const bool isCatchingUp = m_catchUpUntil && last <= *m_catchUpUntil;
-    m_pausedSince = isCatchingUp ? m_pausedSince : last;
-    m_catchUpUntil = now + m_options.catchUpTime;
+    // The read that was in progress during the pause is lost with it and shows nothing.
+    m_lostReads = -1;
     return now - last;
 }
 
-void ListeningHistory::recordRead(Instant now)
+void ListeningHistory::recordView(Instant completeAsOf)
 {
-    m_lastRead = now;
+    if (m_completeAsOf && completeAsOf <= *m_completeAsOf) {
+        return;
+    }
+    m_completeAsOf = completeAsOf;
     m_lostReads = 0;
 }
 
-void ListeningHistory::recordLostRead()
+void ListeningHistory::recordLostRead(Instant now)
 {
     ++m_lostReads;
+    m_lastLostAt = now;
 }
 
 Instant ListeningHistory::earliestChange(Instant now) const
 {
-    Instant earliest = now;
-    if (m_catchUpUntil && now <= *m_catchUpUntil) {
-        earliest = m_pausedSince;
-    }
-    if (m_lastRead && m_lostReads == 1) {
-        const Instant listenedAt = std::max(*m_lastRead, now - m_options.maxHangingRead);
-        earliest = std::min(earliest, listenedAt);
+    if (!m_completeAsOf) {
+        return now;
     }
-    return earliest;
+    const bool isUnavailable = m_lostReads >= m_options.unavailableAfter;
+    const Instant earliest =
+            isUnavailable ? std::max(*m_completeAsOf, m_lastLostAt) : *m_completeAsOf;
+    return std::min(now, earliest);
 }
 
 } // namespace greengageseam
--- a/source/core/fleet/listeninghistory.h
+++ b/source/core/fleet/listeninghistory.h
@@ -1,6 +1,5 @@
 /**
- * History of when a process was able to hear of changes. It dates a change that the process hears
- * of late, because the process was paused or its read of the change was hanging.
+ * Dates a change that a process hears of late, by as of when it had heard of every change.
  */
 #pragma once
 
@@ -15,21 +14,19 @@
 {
     /** A longer time between two signs that the process runs counts as a pause. */
     Duration pauseThreshold = std::chrono::milliseconds(300);
-    /** Time after a pause within which the process catches up with the changes of that time. */
-    Duration catchUpTime = std::chrono::milliseconds(1500);
-    /** Maximum time for which a lost read may have been hanging before it was given up. */
-    Duration maxHangingRead = std::chrono::seconds(2);
+    /** Number of reads that must be lost until the topic counts as unavailable to everyone. */
+    int unavailableAfter = 2;
 
     auto operator<=>(const ListeningOptions &) const = default;
 };
 
 /**
- * Tells the earliest time at which a change can have been made that the process hears of now.
- * Usually it hears of a change at once. After a pause, or after a read that was lost, the change
- * may be as old as the last time at which the process was listening.
+ * Tells the earliest time at which a change can have been made that the process hears of now: the
+ * time as of which its view was complete before. It does not matter why the view is old: the
+ * process was paused, a read was hanging, or the process that it reads from was behind.
  *
- * Reads that fail repeatedly show that the topic is unavailable, not that this process missed
- * something that others have heard of, so they do not date a change back.
+ * Reads that fail repeatedly while the process runs show that the topic is unavailable, not that
+ * this process missed something that others have heard of, so they do not date a change back.
  *
  * It is modified in place, because a process records several times per second that it runs.
  */
@@ -43,10 +40,10 @@
      * @returns the length of the pause that has just ended, if there was one
      */
     std::optional<Duration> recordRunning(Instant now);
-    /** Records a read that returned every change up to now. Call it after applying the changes. */
-    void recordRead(Instant now);
+    /** Records a view that is complete as of a time. Call it after applying its changes. */
+    void recordView(Instant completeAsOf);
     /** Records a read that failed, or that was given up before it returned anything. */
-    void recordLostRead();
+    void recordLostRead(Instant now);
     /** @returns the earliest time at which a change can have been made that is heard of now */
     Instant earliestChange(Instant now) const;
 
@@ -54,14 +51,12 @@
     ListeningOptions m_options;
     /** When the process last recorded that it runs; empty before the first time. */
     std::optional<Instant> m_lastRunning;
-    /** Start of the last pause, or of several that followed each other closely. */
-    Instant m_pausedSince;
-    /** Until this time, changes may date from the last pause; empty if there was no pause. */
-    std::optional<Instant> m_catchUpUntil;
-    /** When a read last returned everything; empty before the first time. */
-    std::optional<Instant> m_lastRead;
-    /** Number of reads that were lost since then. */
+    /** Every change before this time was heard of; empty before the first view. */
+    std::optional<Instant> m_completeAsOf;
+    /** Number of reads that were lost since then, or since the last pause. */
     int m_lostReads = 0;
+    /** When a read was last lost. */
+    Instant m_lastLostAt;
 };
 
 } // namespace greengageseam
--- a/source/core/fleet/storerecords.h
+++ b/source/core/fleet/storerecords.h
@@ -1,8 +1,11 @@
 /**
- * Records of a keyed topic of the platform's store.
+ * Records of a keyed topic of the platform's store. What was read says as of when it is complete,
+ * so that a decision that rests on it can tell how old it is.
  */
 #pragma once
 
+#include "core/common/time.h"
+
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -27,6 +30,8 @@
     std::vector<KeyedRecord> records;
     /** Offset of the first record after the snapshot. */
     std::uint64_t endOffset = 0;
+    /** Every change that was accepted before this time is contained; the epoch if unknown. */
+    Instant completeAsOf;
 
     auto operator<=>(const KeyedSnapshot &) const = default;
 };
@@ -39,6 +44,11 @@
     std::uint64_t nextOffset = 0;
     /** Whether only the newest record of each key is contained, so that offsets are unknown. */
     bool isCompacted = false;
+    /**
+     * Every change that was accepted before this time lies before nextOffset; the epoch if unknown,
+     * or if further records exist.
+     */
+    Instant completeAsOf;
 
     auto operator<=>(const KeyedBatch &) const = default;
 };
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -6,8 +6,13 @@
 
 namespace {
 
-/** Long-poll timeout for reads of the operator's topic. */
-constexpr auto operatorPollTimeout = std::chrono::seconds(4);
+/**
+ * Number of reads of the operator's topic within the bound on applying a configuration while
+ * nothing changes. Each confirms that the configuration in force is the newest one.
+ */
+constexpr int confirmationsPerBound = 4;
+/** Share of the bound on applying a configuration after which a view of it is not passed on. */
+constexpr int relayedViewsPerBound = 2;
 /**
  * Number of reads within the bound on applying a configuration while configurations arrive in a
  * burst. Each of these reads returns a complete configuration.
@@ -165,22 +170,21 @@
 
 void Edge::makeTopicRelay()
 {
-    m_topicRelay = std::make_shared<TopicRelay>(m_executor, std::string(operatorTopicName), [this] {
-        return m_operatorReader->isProgressing();
-    });
+    TopicRelayOptions relayOptions;
+    relayOptions.topic = operatorTopicName;
+    relayOptions.maxViewAge = m_settings.bounds.configApply / relayedViewsPerBound;
+    m_topicRelay = std::make_shared<TopicRelay>(
+            m_executor, relayOptions, [this] { return m_operatorReader->isProgressing(); });
     RelayedReaderOptions options;
     options.topic = operatorTopicName;
     options.identity = {std::string(topicLinkRole), InstanceId(m_settings.ip), m_settings.zone,
                         m_secret};
     options.peerPort = m_settings.firstPort;
-    RelayedReaderHooks hooks;
-    hooks.onRead = [relay = m_topicRelay->mailbox()](const CompactedTopicPtr &topic,
-                                                     bool isFromStore) {
-        relay->post(TopicUpdated {topic, isFromStore});
+    const auto onRead = [relay = m_topicRelay->mailbox()](const TopicView &view) {
+        relay->post(TopicUpdated {view});
     };
-    hooks.onStoreFailed = [relay = m_topicRelay->mailbox()] { relay->post(TopicReadFailed {}); };
     m_operatorReader = std::make_shared<RelayedReader>(m_executor, options, m_adapter.operatorTopic,
-                                                       hooks, m_log);
+                                                       onRead, m_log);
 }
 
 void Edge::makeWatchers()
@@ -207,7 +211,7 @@
     };
     FollowOptions followOptions;
     followOptions.name = operatorTopicName;
-    followOptions.pollTimeout = operatorPollTimeout;
+    followOptions.pollTimeout = m_settings.bounds.configApply / confirmationsPerBound;
     followOptions.burstInterval = m_settings.bounds.configApply / burstReadsPerBound;
     m_operatorWatcher = std::make_shared<OperatorWatcher>(m_executor, m_operatorReader->reader(),
                                                           followOptions, hooks, m_log);
@@ -228,7 +232,6 @@
         }
     };
     watcherHooks.onDelta = [this](const ReplicaListDelta &delta) {
-        m_topicRelay->mailbox()->post(StoreReached {});
         m_loadListener->mailbox()->post(RelayListDelta {delta});
     };
     m_replicaWatcher = std::make_shared<ReplicaWatcher>(m_executor, m_adapter.replicaTopic,
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -79,6 +79,11 @@
     requestReports();
 }
 
+void LoadListener::apply(const OperatorViewConfirmed &command)
+{
+    m_operatorCompleteAsOf = command.completeAsOf;
+}
+
 void LoadListener::apply(const AnnounceTargetVersion &command)
 {
     std::uint64_t &version = m_targetVersions[command.targetVersion.model];
@@ -123,8 +128,11 @@
     if (m_entries.expire(now)) {
         m_hooks.onEntriesChanged(m_entries.locations());
     }
-    LoadSubscription request {
-            m_self.instance, m_self.zone, m_entries.checksum(), m_operatorOffset, {}};
+    LoadSubscription request {m_self.instance,  m_self.zone, m_entries.checksum(),
+                              m_operatorOffset, {},          {}};
+    if (m_operatorCompleteAsOf) {
+        request.operatorViewAge = std::max(Duration::zero(), now - *m_operatorCompleteAsOf);
+    }
     for (const auto &[model, version] : m_targetVersions) {
         request.targetVersions.push_back({model, version});
     }
--- a/source/edge/loadlistener.h
+++ b/source/edge/loadlistener.h
@@ -27,6 +27,12 @@
     std::uint64_t offset = 0;
 };
 
+/** The entry's view of the operator's topic is complete as of a later time. */
+struct OperatorViewConfirmed
+{
+    Instant completeAsOf;
+};
+
 /** Announces a target version of weights to agents. */
 struct AnnounceTargetVersion
 {
@@ -47,8 +53,9 @@
 };
 
 /** Messages to the task. */
-using LoadListenerCommand = std::variant<AgentsUpdated, OperatorOffsetUpdated,
-                                         AnnounceTargetVersion, RelayListDelta, SendToEntry>;
+using LoadListenerCommand =
+        std::variant<AgentsUpdated, OperatorOffsetUpdated, OperatorViewConfirmed,
+                     AnnounceTargetVersion, RelayListDelta, SendToEntry>;
 
 /** Hooks for what the listener receives. They must not block. */
 struct LoadListenerHooks
@@ -85,6 +92,7 @@
     Awaitable<void> runCommands();
     void apply(const AgentsUpdated &command);
     void apply(const OperatorOffsetUpdated &command);
+    void apply(const OperatorViewConfirmed &command);
     void apply(const AnnounceTargetVersion &command);
     void apply(const RelayListDelta &command);
     void apply(const SendToEntry &command);
@@ -103,6 +111,8 @@
     EntryRegistry m_entries;
     /** Offset up to which the operator's topic was read. */
     std::uint64_t m_operatorOffset = 0;
+    /** As of when the view of the operator's topic is complete; empty before the first read. */
+    std::optional<Instant> m_operatorCompleteAsOf;
     /** The newest target version of the weights of each model. */
     std::map<ModelName, std::uint64_t> m_targetVersions;
 };
--- a/source/edge/relayedreader.cpp
+++ b/source/edge/relayedreader.cpp
@@ -23,9 +23,9 @@
 } // namespace
 
 RelayedReader::RelayedReader(const asio::any_io_executor &executor, RelayedReaderOptions options,
-                             TopicReader store, RelayedReaderHooks hooks, Log log)
+                             TopicReader store, TopicViewObserver onRead, Log log)
     : m_executor(executor), m_options(std::move(options)), m_store(std::move(store)),
-      m_hooks(std::move(hooks)), m_log(std::move(log)),
+      m_onRead(std::move(onRead)), m_log(std::move(log)),
       m_link(std::make_shared<TopicLink>(executor, m_options.topic, m_options.identity,
                                          m_options.peerPort, m_log)),
       m_startDeadline(monotonicNow() + m_options.startTimeout), m_startTimer(executor)
@@ -113,14 +113,14 @@
 Awaitable<Outcome<KeyedSnapshot>> RelayedReader::readSnapshot()
 {
     const auto self = shared_from_this();
-    const Duration wait = m_topic ? Duration::zero() : Duration(pollTimeout);
-    const Request request {startRead(), m_topic ? m_topic->endOffset() : 0, wait, true};
+    const Duration wait = m_view ? Duration::zero() : Duration(pollTimeout);
+    const Request request {startRead(), m_view ? m_view->endOffset() : 0, wait, true};
     co_await waitForEntries(request.readId);
     const std::optional<Failure> failure = co_await update(request);
     if (failure) {
         co_return *failure;
     }
-    co_return m_topic->snapshot();
+    co_return m_view->snapshot();
 }
 
 Awaitable<Outcome<KeyedBatch>> RelayedReader::readTail(std::uint64_t from, Duration wait)
@@ -131,8 +131,9 @@
     if (failure) {
         co_return *failure;
     }
-    const TopicChanges changes = m_topic->changesSince(from);
-    co_return KeyedBatch {changes.records, std::max(from, changes.endOffset), true};
+    const TopicChanges changes = m_view->changesSince(from);
+    co_return KeyedBatch {changes.records, std::max(from, changes.endOffset), true,
+                          changes.completeAsOf};
 }
 
 /** Reads from one source after the other until one succeeds or none is left to try at once. */
@@ -141,19 +142,19 @@
     const Failure givenUp = unavailable("the read was given up for a new one");
     while (request.readId == m_readId) {
         const TopicSource source = chooseSource();
-        const Outcome<CompactedTopic> read = co_await readFrom(source, request);
+        const ReadResult read = co_await readFrom(source, request);
         if (request.readId != m_readId) {
             break;
         }
-        const auto *topic = std::get_if<CompactedTopic>(&read);
-        if (topic != nullptr && !m_topic && source.entry && topic->endOffset() == 0) {
-            // The entry is still reading the topic itself.
+        if (const auto *view = std::get_if<std::optional<TopicView>>(&read)) {
+            if (*view) {
+                recordResult(**view);
+                co_return std::nullopt;
+            }
+            // The entry is still reading the topic itself and answers as soon as it has it.
+            request.wait = pollTimeout;
             continue;
         }
-        if (topic != nullptr) {
-            recordResult(source, *topic);
-            co_return std::nullopt;
-        }
         if (m_isRedirected) {
             m_isRedirected = false;
             continue;
@@ -170,13 +171,13 @@
         }
         if (!source.hasUntriedAlternative) {
             m_isReading = false;
-            co_return failure;
+            co_return isLost ? unavailable(failure.detail) : failure;
         }
     }
     co_return givenUp;
 }
 
-void RelayedReader::recordResult(const TopicSource &source, const CompactedTopic &topic)
+void RelayedReader::recordResult(const TopicView &view)
 {
     m_isReading = false;
     m_isStoreConfirmed = !source.entry;
@@ -186,19 +187,20 @@
     }
 }
 
-Awaitable<Outcome<CompactedTopic>> RelayedReader::readFrom(TopicSource source, Request request)
+Awaitable<RelayedReader::ReadResult> RelayedReader::readFrom(TopicSource source, Request request)
 {
     if (source.entry) {
         const InstanceId entry = *source.entry;
-        Outcome<CompactedTopic> read = co_await readFromEntry(entry, request);
+        ReadResult read = co_await readFromEntry(entry, request);
         co_return read;
     }
-    Outcome<CompactedTopic> read = co_await readFromStore(request);
+    ReadResult read = co_await readFromStore(request);
     co_return read;
 }
 
-Awaitable<Outcome<CompactedTopic>> RelayedReader::readFromStore(Request request)
+Awaitable<RelayedReader::ReadResult> RelayedReader::readFromStore(Request request)
 {
+        const Duration wait = std::min<Duration>(request.wait, pollTimeout);
     if (!request.isSnapshot || (m_options.continuesSnapshots && m_topic)) {
         // Only the reader of the zone learns from the list of backend servers whether it is still
         // in touch with the store; the others keep their waits short to learn it from this topic.
@@ -210,7 +212,7 @@
         const Outcome<KeyedBatch> tail = co_await m_store.tail(from, wait);
         const Failure *failure = failureOf(tail);
         if (failure == nullptr) {
-            const CompactedTopic known = m_topic ? *m_topic : CompactedTopic();
+            const TopicView known = m_view.value_or(TopicView());
             co_return known.withTail(from, std::get<KeyedBatch>(tail));
         }
         if (!request.isSnapshot || failure->kind == ErrorKind::PlatformUnavailable) {
@@ -222,21 +224,25 @@
         co_return *failure;
     }
     const auto &newest = std::get<KeyedSnapshot>(snapshot);
-    co_return m_topic ? m_topic->withSnapshot(newest) : CompactedTopic(newest);
+    co_return m_view ? m_view->withSnapshot(newest) : TopicView(newest);
 }
 
-Awaitable<Outcome<CompactedTopic>> RelayedReader::readFromEntry(InstanceId entry, Request request)
+Awaitable<RelayedReader::ReadResult> RelayedReader::readFromEntry(InstanceId entry, Request request)
 {
     const Duration wait = std::min<Duration>(request.wait, pollTimeout);
-    const Outcome<TopicChanges> answer = co_await m_link->request(entry, request.from, wait);
+    const TopicAnswer answer = co_await m_link->request(entry, request.from, wait);
     if (const Failure *failure = failureOf(answer)) {
         co_return *failure;
     }
-    const CompactedTopic known = m_topic ? *m_topic : CompactedTopic();
-    const auto &changes = std::get<TopicChanges>(answer);
-    co_return m_topic || !changes.isWhole
-            ? known.withChanges(request.from, changes)
-            : CompactedTopic(KeyedSnapshot {changes.records, changes.endOffset});
+    const auto &changes = std::get<std::optional<TopicChanges>>(answer);
+    if (!changes) {
+        co_return std::nullopt;
+    }
+    if (!m_view && changes->isWhole) {
+        co_return TopicView({changes->records, changes->endOffset, changes->completeAsOf});
+    }
+    const TopicView known = m_view.value_or(TopicView());
+    co_return known.withChanges(request.from, *changes);
 }
 
 /** Starts a read in place of the one in progress. @returns its id */
--- a/source/edge/relayedreader.h
+++ b/source/edge/relayedreader.h
@@ -4,9 +4,9 @@
  */
 #pragma once
 
-#include "core/fleet/compactedtopic.h"
 #include "core/fleet/entryregistry.h"
 #include "core/fleet/topicsource.h"
+#include "core/fleet/topicview.h"
 #include "edge/topicfollower.h"
 #include "edge/topiclink.h"
 
@@ -40,14 +40,8 @@
     Duration startTimeout = std::chrono::seconds(5);
 };
 
-/** Hooks of RelayedReader; they may be empty and must not block. */
-struct RelayedReaderHooks
-{
-    /** Called after each successful read, even if nothing has changed. */
-    std::function<void(const CompactedTopicPtr &topic, bool isFromStore)> onRead;
-    /** Called when the topic could not be read from the store. */
-    std::function<void()> onStoreFailed;
-};
+/** Hook that receives what is known of a topic after each read, even if nothing has changed. */
+using TopicViewObserver = std::function<void(const TopicView &view)>;
 
 /**
  * Reads of one topic, one at a time. It remembers what was read, so that only changes are requested
@@ -56,9 +50,12 @@
 class RelayedReader : public std::enable_shared_from_this<RelayedReader>
 {
 public:
-    /** @param store reads the topic from the store */
+    /**
+     * @param store reads the topic from the store
+     * @param onRead called after each successful read; may be empty, must not block
+     */
     RelayedReader(const asio::any_io_executor &executor, RelayedReaderOptions options,
-                  TopicReader store, RelayedReaderHooks hooks, Log log);
+                  TopicReader store, TopicViewObserver onRead, Log log);
 
     /** @returns the hooks through which a TopicFollower reads */
     TopicReader reader();
@@ -91,13 +88,16 @@
     Awaitable<Outcome<KeyedSnapshot>> readSnapshot();
     Awaitable<Outcome<KeyedBatch>> readTail(std::uint64_t from, Duration wait);
     Awaitable<std::optional<Failure>> update(Request request);
-    Awaitable<Outcome<CompactedTopic>> readFrom(TopicSource source, Request request);
-    Awaitable<Outcome<CompactedTopic>> readFromStore(Request request);
-    Awaitable<Outcome<CompactedTopic>> readFromEntry(InstanceId entry, Request request);
+    /** The result of a read; empty if the source will know the topic soon. */
+    using ReadResult = Outcome<std::optional<TopicView>>;
+
+    Awaitable<ReadResult> readFrom(TopicSource source, Request request);
+    Awaitable<ReadResult> readFromStore(Request request);
+    Awaitable<ReadResult> readFromEntry(InstanceId entry, Request request);
     Awaitable<void> waitForEntries(std::uint64_t readId);
     std::uint64_t startRead();
     void cancelRead();
-    void recordResult(const TopicSource &source, const CompactedTopic &topic);
+    void recordResult(const TopicView &view);
     TopicSource chooseSource();
     TopicSource choiceAfter(std::uint32_t failures) const;
     bool mayInterrupt() const;
@@ -108,13 +108,13 @@
     asio::any_io_executor m_executor;
     RelayedReaderOptions m_options;
     TopicReader m_store;
-    RelayedReaderHooks m_hooks;
+    TopicViewObserver m_onRead;
     Log m_log;
-    /** What was read so far; null until the first read. */
-    CompactedTopicPtr m_topic;
+    /** What was read so far; empty until the first read. */
+    std::optional<TopicView> m_view;
     /** The entries of the zone in the order of zoneReaderOrder(). */
     std::vector<InstanceId> m_entries;
-    /** Number of sources that have failed since the entries last changed. */
+    /** Number of sources that have failed or declined since a read last succeeded. */
     std::uint32_t m_failures = 0;
     Instant m_failedAt;
     /** Source of the latest read; empty before the first read. */
@@ -126,8 +126,6 @@
     bool m_isReading = false;
     /** Whether the read in progress was interrupted because another source is now preferred. */
     bool m_isRedirected = false;
-    /** Whether the latest successful read was from the store. */
-    bool m_isStoreConfirmed = false;
     std::shared_ptr<TopicLink> m_link;
     Instant m_startDeadline;
     Timer m_startTimer;
--- a/source/edge/storewatchers.cpp
+++ b/source/edge/storewatchers.cpp
@@ -35,14 +35,14 @@
     followHooks.onSnapshot = [this](const KeyedSnapshot &snapshot) {
         const bool isInitial = !m_hasSnapshot;
         m_hasSnapshot = true;
-        applyRecords(snapshot.records, isInitial);
+        applyRecords(snapshot.records, isInitial, snapshot.completeAsOf);
         advanceOffset(snapshot.endOffset);
     };
     followHooks.onTail = [this](std::uint64_t, const KeyedBatch &tail) {
-        applyRecords(tail.records, false);
+        applyRecords(tail.records, false, tail.completeAsOf);
         advanceOffset(tail.nextOffset);
     };
-    followHooks.onReadLost = [this] { m_listening.recordLostRead(); };
+    followHooks.onReadLost = [this] { m_listening.recordLostRead(monotonicNow()); };
     m_follower = std::make_shared<TopicFollower>(executor, std::move(reader), options, followHooks,
                                                  m_log);
 }
@@ -82,13 +82,25 @@
     }
 }
 
-void OperatorWatcher::applyRecords(const std::vector<KeyedRecord> &records, bool isInitial)
+void OperatorWatcher::applyRecords(const std::vector<KeyedRecord> &records, bool isInitial,
+                                   Instant completeAsOf)
 {
     recordRunning();
     for (const KeyedRecord &record : records) {
         applyRecord(record, isInitial);
     }
-    m_listening.recordRead(monotonicNow());
+    confirm(completeAsOf);
+}
+
+void OperatorWatcher::confirm(Instant completeAsOf)
+{
+    m_listening.recordView(completeAsOf);
+    if (completeAsOf > m_completeAsOf) {
+        m_completeAsOf = completeAsOf;
+        if (m_hooks.onConfirmed) {
+            m_hooks.onConfirmed(completeAsOf);
+        }
+    }
 }
 
 void OperatorWatcher::applyRecord(const KeyedRecord &record, bool isInitial)
@@ -144,6 +156,14 @@
         return;
     }
     known = targetVersion.version;
+void OperatorWatcher::confirmPeerView(Instant completeAsOf)
+{
+    if (m_hasSnapshot) {
+        recordRunning();
+        m_listening.recordView(completeAsOf);
+    }
+}
+
     const Instant now = monotonicNow();
     const Duration oldest = std::max(age, now - m_listening.earliestChange(now));
     m_log.info("weights.target-changed",
--- a/source/edge/storewatchers.h
+++ b/source/edge/storewatchers.h
@@ -33,12 +33,17 @@
      * Called when a newer target version was announced. isInitial tells whether it was announced
      * before this watcher read the topic for the first time. The age is the longest time since the
      * announcement that is possible: the time for which another process has known the version, or
-     * for which this one has not been listening.
+     * since which this one's view of the topic was complete.
      */
     std::function<void(const TargetVersion &targetVersion, bool isInitial, Duration age)>
             onTargetVersion;
     /** Called when the topic was read up to a higher offset. */
     std::function<void(std::uint64_t offset)> onOffsetAdvanced;
+    /**
+     * Called when what was applied is known to be complete as of a later time; may be empty.
+     * Whatever was read is applied first.
+     */
+    std::function<void(Instant completeAsOf)> onConfirmed;
 };
 
 /** Watches the topic of the operator. */
@@ -64,10 +69,17 @@
      */
     void applyPeerTargetVersion(const TargetVersion &targetVersion, VersionSource source,
                                 Duration age);
+    /**
+     * Records that another process has passed on all target versions that were announced before a
+     * time, so that a version that is heard of later was announced after it.
+     */
+    void confirmPeerView(Instant completeAsOf);
 
 private:
     void recordRunning();
-    void applyRecords(const std::vector<KeyedRecord> &records, bool isInitial);
+    void applyRecords(const std::vector<KeyedRecord> &records, bool isInitial,
+                      Instant completeAsOf);
+    void confirm(Instant completeAsOf);
     void applyRecord(const KeyedRecord &record, bool isInitial);
     void applyTargetVersion(const TargetVersion &targetVersion, VersionSource source,
                             bool isInitial, Duration age);
@@ -84,6 +96,8 @@
     std::uint64_t m_offset = 0;
     /** Whether the topic was read once. */
     bool m_hasSnapshot = false;
+    /** Every change that was accepted before this time was applied. Never decreases. */
+    Instant m_completeAsOf;
     /** The newest target version of the weights of each model. */
     std::map<ModelName, std::uint64_t> m_targetVersions;
 };
--- a/source/edge/topiclink.cpp
+++ b/source/edge/topiclink.cpp
@@ -1,5 +1,6 @@
 #include "edge/topiclink.h"
 
+#include "net/clock.h"
 #include "protocol/framecodec.h"
 
 namespace greengageseam {
@@ -29,8 +30,7 @@
       m_peerPort(peerPort), m_log(std::move(log))
 { }
 
-Awaitable<Outcome<TopicChanges>> TopicLink::request(InstanceId entry, std::uint64_t from,
-                                                    Duration wait)
+Awaitable<TopicAnswer> TopicLink::request(InstanceId entry, std::uint64_t from, Duration wait)
 {
     const Outcome<PeerLinkHandle> linked = co_await linkTo(entry);
     if (const Failure *failure = failureOf(linked)) {
@@ -42,22 +42,26 @@
     m_events = events;
     link.subscribe(stream, events);
     link.post(stream, TopicRequestMessage {m_topic, from, wait});
-    const Outcome<TopicChanges> answer = co_await receiveAnswer(events, wait);
+    const TopicAnswer answer = co_await receiveAnswer(events, wait);
     m_hasPartialAnswer = false;
     link.unsubscribe(stream);
     if (const Failure *failure = failureOf(answer)) {
-        if (events == m_events) {
+        const bool hasDeclined = failure->kind == ErrorKind::NotReady;
+        if (events == m_events && !hasDeclined) {
             close(failure->detail);
         }
-        co_return unavailable(entry.text() + ": " + failure->detail);
+        co_return Failure {failure->kind, entry.text() + ": " + failure->detail};
     }
     co_return answer;
 }
 
-/** @returns what the entry knows, or a failure if it has not got the topic or stops answering */
-Awaitable<Outcome<TopicChanges>> TopicLink::receiveAnswer(MailboxPtr<StreamEvent> events,
-                                                          Duration wait)
+/**
+ * The request has arrived at the entry after it was sent, so an answer that is complete as of a
+ * time after its arrival is complete as of the same time after its sending.
+ */
+Awaitable<TopicAnswer> TopicLink::receiveAnswer(MailboxPtr<StreamEvent> events, Duration wait)
 {
+    const Instant sentAt = monotonicNow();
     std::string bytes;
     Duration timeout = wait + answerTimeout;
     while (true) {
@@ -67,8 +71,11 @@
         if (part == nullptr) {
             co_return unavailable(event ? "the link was closed" : "no answer in time");
         }
-        if (!part->isAvailable) {
-            co_return unavailable("the topic is not available there");
+        if (part->availability == TopicAvailability::Unavailable) {
+            co_return Failure {ErrorKind::NotReady, "the topic is not available there"};
+        }
+        if (part->availability == TopicAvailability::Pending) {
+            co_return std::nullopt;
         }
         m_hasPartialAnswer = !part->isLast;
         timeout = partTimeout;
@@ -82,7 +89,7 @@
                 co_return unavailable(failure->detail);
             }
             co_return TopicChanges {std::get<std::vector<KeyedRecord>>(records), part->isWhole,
-                                    part->endOffset};
+                                    part->endOffset, sentAt + part->completeAsOf};
         }
     }
 }
--- a/source/edge/topiclink.h
+++ b/source/edge/topiclink.h
@@ -8,6 +8,7 @@
 #include "net/peerlink.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,9 @@
 /** Role that a process presents on the links over which it requests topics. */
 constexpr std::string_view topicLinkRole = "topic";
 
+/** The answer to a request for a topic; empty if the entry asked will know more soon. */
+using TopicAnswer = Outcome<std::optional<TopicChanges>>;
+
 /**
  * Makes one request at a time, and keeps the link to the entry that was asked last. Must be created
  * with std::make_shared.
@@ -35,9 +39,11 @@
      * Requests the changes from an offset on.
      * @param entry IP address of the entry
      * @param wait how long the entry may hold the request while it has nothing new
-     * @returns the changes, or PlatformUnavailable if the entry lacks the topic or stops answering
+     * @returns the changes, with a time of this process as of which they are complete; empty if the
+     *     entry is still reading the topic; NotReady if it declines, since it lacks the topic or
+     * its view is too old; PlatformUnavailable if it cannot be reached or stops answering
      */
-    Awaitable<Outcome<TopicChanges>> request(InstanceId entry, std::uint64_t from, Duration wait);
+    Awaitable<TopicAnswer> request(InstanceId entry, std::uint64_t from, Duration wait);
     /**
      * Closes the link, so that an answer in transit does not go on using the network. A request in
      * progress fails.
@@ -48,7 +54,7 @@
 
 private:
     Awaitable<Outcome<PeerLinkHandle>> linkTo(InstanceId entry);
-    Awaitable<Outcome<TopicChanges>> receiveAnswer(MailboxPtr<StreamEvent> events, Duration wait);
+    Awaitable<TopicAnswer> receiveAnswer(MailboxPtr<StreamEvent> events, Duration wait);
 
     asio::any_io_executor m_executor;
     std::string m_topic;
--- a/source/edge/topicrelay.cpp
+++ b/source/edge/topicrelay.cpp
@@ -18,19 +18,15 @@
 constexpr std::size_t maxAnswerBytes = maxFrameBytes;
 /** Size of a part of an answer. */
 constexpr std::size_t partBytes = 64 * 1024;
-/**
- * Time without a successful read after which this entry counts as cut off from the store. It must
- * be longer than the interval at which the list of backend servers is read.
- */
-constexpr auto confirmationLifetime = std::chrono::milliseconds(1500);
 constexpr auto tickPeriod = std::chrono::milliseconds(100);
 constexpr auto maxWait = std::chrono::seconds(5);
 
 } // namespace
 
-TopicRelay::TopicRelay(const asio::any_io_executor &executor, std::string topic,
+TopicRelay::TopicRelay(const asio::any_io_executor &executor, TopicRelayOptions options,
                        std::function<bool()> isProgressing)
-    : m_executor(executor), m_name(std::move(topic)), m_isProgressing(std::move(isProgressing)),
+    : m_executor(executor), m_options(std::move(options)),
+      m_isProgressing(std::move(isProgressing)),
       m_mailbox(makeMailbox<TopicRelayCommand>(executor, mailboxCapacity))
 { }
 
@@ -56,34 +52,27 @@
     std::erase_if(m_pending, [&](const PendingRequest &pending) {
         return pending.command.link.peer().instance == command.link.peer().instance;
     });
+    const Instant now = monotonicNow();
     const Duration wait = std::clamp<Duration>(command.request.wait, Duration::zero(), maxWait);
-    const bool isLostOrRefused = m_topic != nullptr && !isAvailable() && !m_isProgressing();
-    if (isLostOrRefused || command.request.topic != m_name || hasChangesFor(command)
+    const PendingRequest pending {command, now, now + wait};
+    // Until the topic was read once, requests wait for it rather than turn to the store as well.
+    const bool isDeclined = m_view && availability(now) == TopicAvailability::Unavailable;
+    if (isDeclined || command.request.topic != m_options.topic || hasChangesFor(command)
         || wait == Duration::zero() || m_pending.size() >= maxPendingRequests) {
-        answer(command);
+        answer(pending);
         return;
     }
-    m_pending.push_back({command, monotonicNow() + wait});
+    m_pending.push_back(pending);
 }
 
+/** Even a confirmation without changes is passed on at once, so that it does not age on the way. */
 void TopicRelay::apply(const TopicUpdated &command)
 {
-    m_topic = command.topic;
-    m_isFromStore = command.isFromStore;
-    m_confirmedAt = monotonicNow();
-    answerDueRequests();
-}
-
-void TopicRelay::apply(const StoreReached &)
-{
-    if (m_isFromStore) {
-        m_confirmedAt = monotonicNow();
+    m_view = command.view;
+    for (const PendingRequest &pending : m_pending) {
+        answer(pending);
     }
-}
-
-void TopicRelay::apply(const TopicReadFailed &)
-{
-    m_isFromStore = false;
+    m_pending.clear();
 }
 
 void TopicRelay::apply(const RelayTick &)
@@ -91,56 +80,60 @@
     answerDueRequests();
 }
 
-bool TopicRelay::isAvailable() const
+TopicAvailability TopicRelay::availability(Instant now) const
 {
-    return m_topic != nullptr && monotonicNow() - m_confirmedAt < confirmationLifetime;
+    if (m_view && now - m_view->completeAsOf() < m_options.maxViewAge) {
+        return TopicAvailability::Known;
+    }
+    return m_isProgressing() ? TopicAvailability::Pending : TopicAvailability::Unavailable;
 }
 
 bool TopicRelay::hasChangesFor(const TopicRequested &command) const
 {
-    return m_topic != nullptr && m_topic->endOffset() > command.request.from;
+    return m_view && m_view->endOffset() > command.request.from;
 }
 
-/** Until the topic was read once, requests wait for it rather than turn to the store as well. */
 void TopicRelay::answerDueRequests()
 {
     const Instant now = monotonicNow();
-    const bool isLost = m_topic != nullptr && !isAvailable() && !m_isProgressing();
+    const bool isDeclined = m_view && availability(now) == TopicAvailability::Unavailable;
     std::erase_if(m_pending, [&](const PendingRequest &pending) {
-        const bool isDue = isLost || now >= pending.deadline || hasChangesFor(pending.command);
+        const bool isDue = isDeclined || now >= pending.deadline;
         if (isDue) {
-            answer(pending.command);
+            answer(pending);
         }
         return isDue;
     });
 }
 
-void TopicRelay::answer(const TopicRequested &command) const
+/** Changes are passed on whatever their age, which the answer tells. */
+void TopicRelay::answer(const PendingRequest &pending) const
 {
-    const TopicPartMessage unavailable {false, false, 0, {}, true};
-    const bool isKnownTopic = command.request.topic == m_name;
-    if (isKnownTopic && !isAvailable() && m_isProgressing()) {
-        // The peer should ask again: a read of its own would take longer.
-        command.link.post(
-                command.stream,
-                TopicPartMessage {true, false, command.request.from, encodeRecords({}), true});
-        return;
+    const TopicRequested &command = pending.command;
+    TopicPartMessage part;
+    if (command.request.topic == m_options.topic) {
+        part.availability =
+                hasChangesFor(command) ? TopicAvailability::Known : availability(monotonicNow());
     }
-    if (!isKnownTopic || !isAvailable()) {
-        command.link.post(command.stream, unavailable);
+    part.isLast = true;
+    if (part.availability != TopicAvailability::Known) {
+        command.link.post(command.stream, std::move(part));
         return;
     }
-    const TopicChanges changes = m_topic->changesSince(command.request.from);
+    const TopicChanges changes = m_view->changesSince(command.request.from);
     const std::string bytes = encodeRecords(changes.records);
     if (bytes.size() > maxAnswerBytes) {
-        command.link.post(command.stream, unavailable);
+        part.availability = TopicAvailability::Unavailable;
+        command.link.post(command.stream, std::move(part));
         return;
     }
+    part.isWhole = changes.isWhole;
+    part.endOffset = changes.endOffset;
+    part.completeAsOf = changes.completeAsOf - pending.arrivedAt;
     for (std::size_t sent = 0; sent < bytes.size(); sent += partBytes) {
-        const bool isLast = sent + partBytes >= bytes.size();
-        command.link.post(command.stream,
-                          TopicPartMessage {true, changes.isWhole, changes.endOffset,
-                                            bytes.substr(sent, partBytes), isLast});
+        part.bytes = bytes.substr(sent, partBytes);
+        part.isLast = sent + partBytes >= bytes.size();
+        command.link.post(command.stream, part);
     }
 }
 
--- a/source/edge/topicrelay.h
+++ b/source/edge/topicrelay.h
@@ -4,12 +4,13 @@
  */
 #pragma once
 
-#include "core/fleet/compactedtopic.h"
+#include "core/fleet/topicview.h"
 #include "net/mailbox.h"
 #include "net/peerlink.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -28,40 +29,40 @@
 /** This entry has read the topic successfully, even if nothing has changed. */
 struct TopicUpdated
 {
-    CompactedTopicPtr topic;
-    /** Whether it was read from the store itself, not from another entry. */
-    bool isFromStore = false;
+    TopicView view;
 };
 
-/** This entry has read another topic of the store successfully. */
-struct StoreReached
-{ };
-
-/** This entry could not read the topic from the store, whatever it hears of other topics. */
-struct TopicReadFailed
-{ };
-
 /** Periodic check of the requests that wait. */
 struct RelayTick
 { };
 
 /** Messages to the task. */
-using TopicRelayCommand =
-        std::variant<TopicRequested, TopicUpdated, StoreReached, TopicReadFailed, RelayTick>;
+using TopicRelayCommand = std::variant<TopicRequested, TopicUpdated, RelayTick>;
+
+/** Options of TopicRelay. */
+struct TopicRelayOptions
+{
+    /** Name of the topic in the log. */
+    std::string topic;
+    /**
+     * Age from which the view of this entry is not passed on. It must be longer than the time
+     * between two reads of the topic.
+     */
+    Duration maxViewAge = std::chrono::milliseconds(1000);
+
+    auto operator<=>(const TopicRelayOptions &) const = default;
+};
 
 /**
- * Answers the requests of peers: with the changes as soon as there are any, that there are none
- * when the peer's time is over, or that the topic is not available here. It is not available if
- * this entry has lost touch with the store, so that it does not hold back peers that have not.
+ * Answers the requests of peers with the view of this entry: as soon as it changes or is confirmed.
+ * It declines if its view is too old, so that it does not hold back peers that can read a newer
+ * one.
  */
 class TopicRelay : public std::enable_shared_from_this<TopicRelay>
 {
 public:
-    /**
-     * @param topic name of the topic in the log
-     * @param isProgressing returns whether a read is in progress that will bring the topic
-     */
-    TopicRelay(const asio::any_io_executor &executor, std::string topic,
+    /** @param isProgressing returns whether a read is in progress that will bring the topic */
+    TopicRelay(const asio::any_io_executor &executor, TopicRelayOptions options,
                std::function<bool()> isProgressing);
 
     /** @returns the mailbox that takes commands */
@@ -74,31 +75,25 @@
     struct PendingRequest
     {
         TopicRequested command;
+        Instant arrivedAt;
         Instant deadline;
     };
 
     Awaitable<void> run();
     void apply(const TopicRequested &command);
     void apply(const TopicUpdated &command);
-    void apply(const StoreReached &command);
-    void apply(const TopicReadFailed &command);
     void apply(const RelayTick &command);
-    /** @returns whether this entry knows the topic and is in touch with the store */
-    bool isAvailable() const;
+    TopicAvailability availability(Instant now) const;
     bool hasChangesFor(const TopicRequested &command) const;
-    void answer(const TopicRequested &command) const;
+    void answer(const PendingRequest &pending) const;
     void answerDueRequests();
 
     asio::any_io_executor m_executor;
-    std::string m_name;
+    TopicRelayOptions m_options;
     std::function<bool()> m_isProgressing;
     MailboxPtr<TopicRelayCommand> m_mailbox;
-    /** Null until the topic was read. */
-    CompactedTopicPtr m_topic;
-    /** Whether the latest read of the topic was from the store, and successful. */
-    bool m_isFromStore = false;
-    /** When this entry was last in touch with the store, itself or through others. */
-    Instant m_confirmedAt;
+    /** Empty until the topic was read. */
+    std::optional<TopicView> m_view;
     std::vector<PendingRequest> m_pending;
 };
 
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -214,6 +214,9 @@
         }
         frame.__set_loadWanted(body);
         return frame;
+        if (subscription->operatorViewAge) {
+            body.__set_viewAge(subscription->operatorViewAge->count());
+        }
     }
     if (const auto *delta = std::get_if<ReplicaListDelta>(&datagram)) {
         frame.__set_listPassed(listToWire(*delta));
@@ -281,7 +284,14 @@
                                        ZoneName(frame.loadWanted.zone),
                                        static_cast<std::uint64_t>(frame.loadWanted.known),
                                        static_cast<std::uint64_t>(frame.loadWanted.news),
-                                       {}};
+                                       {},
+                                       std::nullopt};
+        if (frame.loadWanted.__isset.viewAge) {
+            if (frame.loadWanted.viewAge < 0) {
+                return fail(ErrorKind::ProtocolViolation, "a subscription contains a negative age");
+            }
+            subscription.operatorViewAge = Duration(frame.loadWanted.viewAge);
+        }
         for (const wire::NamedVersion &named : frame.loadWanted.named) {
             if (named.version < 0) {
                 return fail(ErrorKind::ProtocolViolation,
--- a/source/protocol/datagramcodec.h
+++ b/source/protocol/datagramcodec.h
@@ -31,6 +31,8 @@
     std::uint64_t operatorOffset = 0;
     /** The target version of each model, as far as the sender knows it. */
     std::vector<TargetVersion> targetVersions;
+    /** Age of the sender's view of the operator's topic; empty if it has none. */
+    std::optional<Duration> operatorViewAge;
 
     auto operator<=>(const LoadSubscription &) const = default;
 };
--- a/source/protocol/framecodec.cpp
+++ b/source/protocol/framecodec.cpp
@@ -217,11 +217,13 @@
     void operator()(const TopicPartMessage &message)
     {
         wire::TopicPart part;
-        part.available = message.isAvailable;
+        part.available = message.availability == TopicAvailability::Known;
+        part.pending = message.availability == TopicAvailability::Pending;
         part.whole = message.isWhole;
         part.endOffset = static_cast<std::int64_t>(message.endOffset);
         part.bytes = message.bytes;
         part.last = message.isLast;
+        part.completeAsOf = message.completeAsOf.count();
         m_body.__set_topicPart(part);
     }
 
@@ -309,8 +311,14 @@
 
 Message topicPartFromWire(const wire::TopicPart &part)
 {
-    return TopicPartMessage {part.available, part.whole, static_cast<std::uint64_t>(part.endOffset),
-                             part.bytes, part.last};
+    const TopicAvailability unknown =
+            part.pending ? TopicAvailability::Pending : TopicAvailability::Unavailable;
+    return TopicPartMessage {part.available ? TopicAvailability::Known : unknown,
+                             part.whole,
+                             static_cast<std::uint64_t>(part.endOffset),
+                             part.bytes,
+                             part.last,
+                             Duration(part.completeAsOf)};
 }
 
 Message ackFromWire(const wire::HeartbeatAck &ack)
--- a/source/protocol/messages.h
+++ b/source/protocol/messages.h
@@ -243,14 +243,21 @@
     auto operator<=>(const TopicRequestMessage &) const = default;
 };
 
+/** What a peer knows of a topic that it was asked for. */
+enum class TopicAvailability {
+    /** The peer does not know the topic, or its view is too old to be passed on. */
+    Unavailable,
+    /** The peer is reading the topic and will know it soon; its present view may be old. */
+    Pending,
+    /** The peer answers with its view. */
+    Known
+};
+
 /** Part of the answer to a TopicRequestMessage. */
 struct TopicPartMessage
 {
-    /**
-     * Whether the peer knows the topic and has lately been in touch with the store, itself or
-     * through others. If not, there are no further parts.
-     */
-    bool isAvailable = false;
+    /** If the topic is not known, there are no further parts. */
+    TopicAvailability availability = TopicAvailability::Unavailable;
     /** Whether the records are those of all keys. @see TopicChanges */
     bool isWhole = false;
     /** Offset after the last record of the topic. */
@@ -258,6 +265,11 @@
     /** Part of the encoded records. @see encodeRecords */
     std::string bytes;
     bool isLast = false;
+    /**
+     * The time as of which the answer is complete, counted from the arrival of the request at the
+     * peer, so that no clocks are compared. Negative if that was before the request arrived.
+     */
+    Duration completeAsOf {};
 
     auto operator<=>(const TopicPartMessage &) const = default;
 };
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -201,6 +201,10 @@
   3: i64 endOffset;
   4: binary bytes;
   5: bool last;
+  /** The sender is reading the topic; then this is the only part. */
+  6: bool pending;
+  /** As of when the answer is complete, in microseconds from the arrival of the request. */
+  7: i64 completeAsOf;
 }
 
 /** Sign of life between entries. */
@@ -328,6 +332,8 @@
   2: i64 nextOffset;
   3: list<ReplicaSeen> changed;
   4: list<string> removed;
+  /** Age of what the sender knows of the list, in microseconds. */
+  5: i64 viewAge;
 }
 
 /** Datagram of an entry to an agent: send reports of load here for a while. */
@@ -340,6 +346,8 @@
   4: i64 news;
   /** The newest weights that the sender knows to be named, one for each model. */
   5: list<NamedVersion> named;
+  /** Age in microseconds of what the sender knows of the operator's doings. */
+  6: optional i64 viewAge;
 }
 
 /** An entry, as an agent has heard of it. */
--- a/source/sidecar/loadreporter.cpp
+++ b/source/sidecar/loadreporter.cpp
@@ -77,6 +77,9 @@
         apply(TargetVersionKnown {named, now});
         m_hooks.onTargetVersion(named);
     }
+    if (subscription.operatorViewAge && m_hooks.onViewConfirmed) {
+        m_hooks.onViewConfirmed(now - *subscription.operatorViewAge);
+    }
     sendMissingVersions(subscription, sender, now);
     if (m_knownEntries.checksum() != subscription.entriesChecksum) {
         m_socket.send(encodeDatagram(KnownEntries {m_knownEntries.locations()}), sender);
--- a/source/sidecar/loadreporter.h
+++ b/source/sidecar/loadreporter.h
@@ -31,6 +31,9 @@
     std::function<void(const std::vector<EntryLocation> &entries)> onEntriesChanged;
     /** An entry reported a target version that the operator has announced. */
     std::function<void(const TargetVersion &named)> onTargetVersion;
+    /** An entry has reported all target versions that were announced before a time; may be empty.
+     */
+    std::function<void(Instant completeAsOf)> onViewConfirmed;
 };
 
 /**
--- a/source/sidecar/sidecar.cpp
+++ b/source/sidecar/sidecar.cpp
@@ -46,6 +46,9 @@
     hooks.onTargetVersion = [this](const TargetVersion &named) {
         m_operatorWatcher->applyPeerTargetVersion(named, VersionSource::Entry, Duration());
     };
+    hooks.onViewConfirmed = [this](Instant completeAsOf) {
+        m_operatorWatcher->confirmPeerView(completeAsOf);
+    };
     m_loadReporter = std::make_shared<LoadReporter>(m_executor, m_settings.zone, hooks, m_log);
     BOOST_LEAF_CHECK(m_loadReporter->start(m_settings.ip, m_settings.firstPort + 1));
 
@@ -125,7 +128,7 @@
     options.continuesSnapshots = true;
     options.startTimeout = operatorPollPeriod;
     m_operatorReader = std::make_shared<RelayedReader>(m_executor, options, m_adapter.operatorTopic,
-                                                       RelayedReaderHooks {}, m_log);
+                                                       TopicViewObserver(), m_log);
     m_operatorWatcher = std::make_shared<OperatorWatcher>(m_executor, m_operatorReader->reader(),
                                                           follow, hooks, m_log);
 }
--- a/tests/differential/tst_platformdecoders.cpp
+++ b/tests/differential/tst_platformdecoders.cpp
@@ -125,7 +125,10 @@
 {
     const std::string bytes =
             std::string(16, '\0') + std::string("\0\0\0\4\1ava", 8) + std::string("\0\0\0\2\1b", 6);
-    checkMutants(bytes, [](const std::string &input) { return decodeTail(input, 0); });
+    checkMutants(bytes, [](const std::string &input) {
+        std::uint64_t endOffset = 0;
+        return decodeTail(input, 0, endOffset);
+    });
 }
 
 TEST_CASE_METHOD(PlatformDecodersFixture, "decodeSettings_mutatedInput_isRejectedOrDecoded")
--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -35,6 +35,7 @@
                 snapshot.records.push_back({key, value});
             }
             snapshot.endOffset = m_records.size();
+            snapshot.completeAsOf = monotonicNow();
             co_return snapshot;
         };
         reader.tail = [this](std::uint64_t from, Duration) -> Awaitable<Outcome<KeyedBatch>> {
@@ -50,7 +51,7 @@
             if (m_readsFail) {
                 co_return Failure {ErrorKind::PlatformUnavailable, "away"};
             }
-            KeyedBatch tail {{}, m_records.size()};
+            KeyedBatch tail {{}, m_records.size(), false, monotonicNow()};
             tail.records.assign(m_records.begin() + static_cast<std::ptrdiff_t>(from),
                                 m_records.end());
             co_return tail;
--- a/tests/failure/tst_topicrelay.cpp
+++ b/tests/failure/tst_topicrelay.cpp
@@ -19,7 +19,10 @@
 using std::chrono::milliseconds;
 
 /** Maximum time until a new configuration is in force at all entries. */
-constexpr auto configBound = std::chrono::seconds(2);
+constexpr Duration configBound = std::chrono::seconds(2);
+
+/** Age from which an entry does not pass its view on. */
+constexpr auto maxViewAge = configBound / 2;
 
 /** The store's topic, shared by all processes of a test. */
 struct SharedTopic
@@ -40,7 +43,8 @@
     {
         const PeerIdentity identity {std::string(topicLinkRole), InstanceId(m_location.ip),
                                      m_location.zone, "secret"};
-        m_relay = std::make_shared<TopicRelay>(m_context.get_executor(), "operator",
+        m_relay = std::make_shared<TopicRelay>(m_context.get_executor(),
+                                               TopicRelayOptions {"operator", maxViewAge},
                                                [this] { return m_reader->isProgressing(); });
         LinkHooks hooks;
         hooks.onMessage = [relay = m_relay->mailbox()](const PeerLinkHandle &link,
@@ -61,16 +65,11 @@
         options.identity = identity;
         options.peerPort = port;
         options.continuesSnapshots = !isEntry;
-        RelayedReaderHooks readerHooks;
-        readerHooks.onRead = [relay = m_relay->mailbox()](const CompactedTopicPtr &known,
-                                                          bool isFromStore) {
-            relay->post(TopicUpdated {known, isFromStore});
-        };
-        readerHooks.onStoreFailed = [relay = m_relay->mailbox()] {
-            relay->post(TopicReadFailed {});
+        const auto onRead = [relay = m_relay->mailbox()](const TopicView &view) {
+            relay->post(TopicUpdated {view});
         };
         m_reader = std::make_shared<RelayedReader>(m_context.get_executor(), options, storeReader(),
-                                                   readerHooks, m_log);
+                                                   onRead, m_log);
         startFollower(isEntry);
     }
 
@@ -104,7 +103,7 @@
                 co_return Failure {ErrorKind::PlatformUnavailable, "cut off"};
             }
             ++m_topic.reads;
-            KeyedSnapshot snapshot {{}, m_topic.records.size()};
+            KeyedSnapshot snapshot {{}, m_topic.records.size(), monotonicNow()};
             if (!m_topic.records.empty()) {
                 snapshot.records.push_back(m_topic.records.back());
             }
@@ -128,7 +127,7 @@
                 co_await timer.async_wait(asTuple);
                 m_isReceiving = false;
             }
-            KeyedBatch tail {{}, m_topic.records.size()};
+            KeyedBatch tail {{}, m_topic.records.size(), false, monotonicNow()};
             tail.records.assign(m_topic.records.begin() + static_cast<std::ptrdiff_t>(from),
                                 m_topic.records.end());
             m_topic.reads += tail.records.empty() ? 0 : 1;
@@ -142,7 +141,7 @@
     {
         FollowOptions options;
         options.name = "operator";
-        options.pollTimeout = std::chrono::seconds(25);
+        options.pollTimeout = configBound / 4;
         options.readsSnapshotsOnly = !isEntry;
         options.pollInterval = milliseconds(isEntry ? 0 : 200);
         FollowHooks hooks;
@@ -152,13 +151,6 @@
                                                      options, hooks, m_log);
         m_relay->start();
         m_follower->start();
-        // Stands for the reads of the list of backend servers, which only one entry makes.
-        startTicker(m_context.get_executor(), milliseconds(300), [this] {
-            if (!m_isCutOff) {
-                m_relay->mailbox()->post(StoreReached {});
-            }
-            return true;
-        });
     }
 
     void apply(const std::vector<KeyedRecord> &records)
--- a/tests/unit/tst_framecodec.cpp
+++ b/tests/unit/tst_framecodec.cpp
@@ -113,9 +113,13 @@
 TEST_CASE_METHOD(FrameFixture, "frame_topicMessages_roundTrip")
 {
     const TopicRequestMessage request {"operator", 7, std::chrono::milliseconds(700)};
-    const TopicPartMessage part {true, true, 9, std::string("\0\x01\xff", 3), true};
+    const TopicPartMessage part {
+            TopicAvailability::Known,     true, 9,
+            std::string("\0\x01\xff", 3), true, std::chrono::milliseconds(-300)};
+    const TopicPartMessage pending {TopicAvailability::Pending, false, 0, {}, true, {}};
+    const TopicPartMessage unavailable {TopicAvailability::Unavailable, false, 0, {}, true, {}};
     for (const Message &message :
-         {Message(request), Message(part), Message(TopicPartMessage {false, false, 0, {}, true})}) {
+         {Message(request), Message(part), Message(pending), Message(unavailable)}) {
         const StreamMessage sent {7, message};
         REQUIRE(std::get<StreamMessage>(roundTrip(sent)) == sent);
     }
--- a/tests/unit/tst_listeninghistory.cpp
+++ b/tests/unit/tst_listeninghistory.cpp
@@ -27,67 +27,82 @@
     int m_now = 0;
 };
 
-TEST_CASE_METHOD(ListeningHistoryFixture, "history_processRunsAndReads_changeIsNew")
+TEST_CASE_METHOD(ListeningHistoryFixture, "history_noViewYet_changeIsNew")
 {
     runUntil(5000);
-    m_history.recordRead(at(1000));
     REQUIRE(m_history.earliestChange(at(5000)) == at(5000));
 }
 
+TEST_CASE_METHOD(ListeningHistoryFixture, "history_viewIsConfirmed_changeIsNotOlderThanTheView")
+{
+    runUntil(5000);
+    m_history.recordView(at(1000));
+    REQUIRE(m_history.earliestChange(at(5000)) == at(1000));
+    m_history.recordView(at(4700));
+    REQUIRE(m_history.earliestChange(at(5000)) == at(4700));
+}
+
+// A process that relays the topic may answer with an older view than this process has.
+TEST_CASE_METHOD(ListeningHistoryFixture, "history_olderViewAfterNewerOne_newerOneCounts")
+{
+    m_history.recordView(at(4700));
+    m_history.recordView(at(4000));
+    REQUIRE(m_history.earliestChange(at(5000)) == at(4700));
+}
+
 TEST_CASE_METHOD(ListeningHistoryFixture, "history_processWasPaused_changeMayDateFromThePause")
 {
     runUntil(1000);
+    m_history.recordView(at(900));
     REQUIRE(m_history.recordRunning(at(5500)) == milliseconds(4500));
-    REQUIRE(m_history.earliestChange(at(5700)) == at(1000));
+    REQUIRE(m_history.earliestChange(at(5700)) == at(900));
 }
 
-// The first call to the store after a pause may time out, which takes a second.
+// However long it takes until the first read after a pause succeeds.
 TEST_CASE_METHOD(ListeningHistoryFixture, "history_firstReadAfterPauseIsSlow_changeDatesFromPause")
 {
     runUntil(1000);
+    m_history.recordView(at(900));
     m_history.recordRunning(at(5500));
-    REQUIRE(m_history.earliestChange(at(6800)) == at(1000));
+    m_history.recordLostRead(at(5500));
+    m_history.recordLostRead(at(6600));
+    REQUIRE(m_history.earliestChange(at(7700)) == at(900));
 }
 
 TEST_CASE_METHOD(ListeningHistoryFixture, "history_pausedAgainBeforeCatchUp_firstPauseCounts")
 {
     runUntil(1000);
+    m_history.recordView(at(900));
     m_history.recordRunning(at(5000));
     m_history.recordRunning(at(7000));
-    REQUIRE(m_history.earliestChange(at(7100)) == at(1000));
+    REQUIRE(m_history.earliestChange(at(7100)) == at(900));
 }
 
-TEST_CASE_METHOD(ListeningHistoryFixture, "history_pauseLongOver_changeIsNew")
+TEST_CASE_METHOD(ListeningHistoryFixture, "history_readAfterPauseComplete_changeIsNew")
 {
     runUntil(1000);
+    m_history.recordView(at(900));
     m_history.recordRunning(at(5500));
-    m_history.recordRunning(at(5600));
-    REQUIRE(m_history.earliestChange(at(7100)) == at(7100));
+    m_history.recordView(at(5600));
+    REQUIRE(m_history.earliestChange(at(5700)) == at(5600));
 }
 
 TEST_CASE_METHOD(ListeningHistoryFixture, "history_readWasLost_changeMayDateFromTheReadBefore")
 {
-    m_history.recordRead(at(1000));
-    m_history.recordLostRead();
+    m_history.recordView(at(1000));
+    m_history.recordLostRead(at(2900));
     REQUIRE(m_history.earliestChange(at(3000)) == at(1000));
-    m_history.recordRead(at(3000));
-    REQUIRE(m_history.earliestChange(at(3500)) == at(3500));
-}
-
-TEST_CASE_METHOD(ListeningHistoryFixture, "history_lostReadHungForLong_changeDatesFromItsMaximum")
-{
-    m_history.recordRead(at(1000));
-    m_history.recordLostRead();
-    REQUIRE(m_history.earliestChange(at(9000)) == at(7000));
+    m_history.recordView(at(3000));
+    REQUIRE(m_history.earliestChange(at(3500)) == at(3000));
 }
 
 // A topic that nobody can read must not make changes look older than they are.
-TEST_CASE_METHOD(ListeningHistoryFixture, "history_readsFailRepeatedly_changeIsNew")
+TEST_CASE_METHOD(ListeningHistoryFixture, "history_readsFailRepeatedly_changeIsNewerThanTheLastOne")
 {
-    m_history.recordRead(at(1000));
-    m_history.recordLostRead();
-    m_history.recordLostRead();
-    REQUIRE(m_history.earliestChange(at(9000)) == at(9000));
+    m_history.recordView(at(1000));
+    m_history.recordLostRead(at(2500));
+    m_history.recordLostRead(at(8800));
+    REQUIRE(m_history.earliestChange(at(9000)) == at(8800));
 }
 
 } // namespace
--- a/tests/unit/tst_platform.cpp
+++ b/tests/unit/tst_platform.cpp
@@ -138,9 +138,11 @@
 
 TEST_CASE_METHOD(PlatformFixture, "decodeTail_recordAndRemoval_areDecoded")
 {
-    std::string bytes(16, '\0');
+    std::string bytes = std::string(7, '\0') + '\x2b' + std::string(8, '\0');
     bytes += std::string("\0\0\0\4\1ava", 8) + std::string("\0\0\0\2\1b", 6);
-    const auto read = toOutcome([&] { return decodeTail(bytes, 40); });
+    std::uint64_t endOffset = 0;
+    const auto read = toOutcome([&] { return decodeTail(bytes, 40, endOffset); });
+    REQUIRE(endOffset == 43);
     const auto &tail = std::get<KeyedBatch>(read);
     REQUIRE(tail.nextOffset == 42);
     REQUIRE(tail.records[0] == KeyedRecord {"a", "va"});
@@ -150,7 +152,8 @@
 TEST_CASE_METHOD(PlatformFixture, "decodeTail_truncatedRecord_isRejected")
 {
     const std::string bytes = std::string(16, '\0') + std::string("\0\0\0\x09\1a", 6);
-    REQUIRE_FALSE(detailOf(toOutcome([&] { return decodeTail(bytes, 0); })).empty());
+    std::uint64_t endOffset = 0;
+    REQUIRE_FALSE(detailOf(toOutcome([&] { return decodeTail(bytes, 0, endOffset); })).empty());
 }
 
 TEST_CASE_METHOD(PlatformFixture, "decodeSnapshotPage_validPage_isDecoded")
