Let entries turn to the store one after the other, and the first one ask the others

When the entry that reads the store for its zone lost touch, all others turned to the store at the same moment and stayed there for 5 s, each reading whole configurations over the link that had just come back; configurations came into force seconds late. An entry that the store turned away never asked another entry.

An entry that declines is asked again with the next read, one that does not answer is passed over for 5 s. The later an entry is in the order, the more often it asks the entries before it turns to the store; the first entry asks the next two if the store fails. The former test of the order after a failed parent named the first entry and the store; the order now has up to three entries, which is checked as strictly.

--- a/source/core/fleet/topicsource.cpp
+++ b/source/core/fleet/topicsource.cpp
@@ -12,34 +12,51 @@
 constexpr std::size_t fanOut = 4;
 /** Number of entries that a process that is not an entry tries before the store. */
 constexpr std::size_t maxEntriesTried = 3;
-/** Number of attempts to read from entries after the store has failed, before it is read again. */
-constexpr std::size_t entryAttemptsAfterStore = 5;
+/** Number of attempts to read from entries for each attempt to read the store, beyond the first. */
+constexpr std::size_t extraEntryAttempts = 5;
+/** Number of entries of a zone that read the store if those before them cannot. */
+constexpr std::size_t maxZoneReaders = 3;
 
-/** @returns the entries to read from, the preferred one first; empty if only the store is left */
-std::vector<InstanceId> entriesToTry(const TopicSourceQuery &query)
+/** @returns the entries that an entry other than the first reads from, the preferred one first */
+std::vector<InstanceId> entriesBefore(const std::vector<InstanceId> &order, std::size_t rank)
 {
-    const std::vector<InstanceId> &order = query.entries;
-    const auto self = std::find(order.begin(), order.end(), query.self);
-    if (self == order.begin()) {
-        return {};
-    }
-    std::vector<InstanceId> entries;
-    if (self != order.end()) {
-        const auto rank = static_cast<std::size_t>(self - order.begin());
-        const std::size_t parent = (rank - 1) / fanOut;
-        entries.push_back(order[parent]);
-        if (parent != 0) {
-            entries.push_back(order.front());
+    std::vector<InstanceId> entries {order[(rank - 1) / fanOut]};
+    for (std::size_t i = 0; i < std::min(rank, maxZoneReaders); ++i) {
+        if (order[i] != entries.front()) {
+            entries.push_back(order[i]);
         }
-        return entries;
     }
+    return entries;
+}
+
+/** @returns the entries that a process that is not an entry reads from, the preferred one first */
+std::vector<InstanceId> entriesByHash(const TopicSourceQuery &query)
+{
+    const std::vector<InstanceId> &order = query.entries;
     const std::size_t first = checksumOf("topic/" + query.self.text(), 0) % order.size();
+    std::vector<InstanceId> entries;
     for (std::size_t i = 0; i < std::min(maxEntriesTried, order.size()); ++i) {
         entries.push_back(order[(first + i) % order.size()]);
     }
     return entries;
 }
 
+/** Chooses for the first entry of the zone, which prefers the store. */
+TopicSource chooseForFirstEntry(const TopicSourceQuery &query)
+{
+    std::vector<InstanceId> others;
+    for (std::size_t i = 1; i < std::min(query.entries.size(), maxZoneReaders); ++i) {
+        others.push_back(query.entries[i]);
+    }
+    std::erase_if(others, [&](const InstanceId &it) { return query.silent.contains(it); });
+    const std::size_t position = query.failures % (others.size() + 1);
+    const bool hasUntriedAlternative = position < others.size();
+    if (position == 0) {
+        return {std::nullopt, hasUntriedAlternative};
+    }
+    return {others[position - 1], hasUntriedAlternative};
+}
+
 } // namespace
 
 TopicSource chooseTopicSource(const TopicSourceQuery &query)
@@ -47,17 +64,25 @@
     if (query.entries.empty()) {
         return {};
     }
-    const std::vector<InstanceId> entries = entriesToTry(query);
+    const auto self = std::find(query.entries.begin(), query.entries.end(), query.self);
+    if (self == query.entries.begin()) {
+        return chooseForFirstEntry(query);
+    }
+    const bool isEntry = self != query.entries.end();
+    const auto rank = static_cast<std::size_t>(self - query.entries.begin());
+    std::vector<InstanceId> entries =
+            isEntry ? entriesBefore(query.entries, rank) : entriesByHash(query);
+    std::erase_if(entries, [&](const InstanceId &it) { return query.silent.contains(it); });
     if (entries.empty()) {
         return {};
     }
     const std::size_t n = entries.size();
-    const std::size_t position = query.failures % (n + 1 + entryAttemptsAfterStore);
-    if (position == n) {
+    const std::size_t attemptsBeforeStore = isEntry ? (rank - 1) % (extraEntryAttempts + 1) : 0;
+    const std::size_t position = query.failures % (n + 1 + extraEntryAttempts);
+    if (position == n + attemptsBeforeStore) {
         return {};
     }
-    const std::size_t index = position < n ? position : (position - n - 1) % n;
-    return {entries[index], query.failures < n};
+    return {entries[position % n], position < n};
 }
 
 } // namespace greengageseam
--- a/source/core/fleet/topicsource.h
+++ b/source/core/fleet/topicsource.h
@@ -9,6 +9,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace greengageseam {
@@ -20,8 +21,10 @@
     InstanceId self;
     /** The running entries of its zone, in the order of zoneReaderOrder(). */
     std::vector<InstanceId> entries;
-    /** Number of sources that have failed since the entries last changed. */
+    /** Number of sources that have failed or declined since a read last succeeded. */
     std::uint32_t failures = 0;
+    /** Entries that have lately not answered at all, and are passed over. */
+    std::set<InstanceId> silent;
 
     auto operator<=>(const TopicSourceQuery &) const = default;
 };
@@ -40,11 +43,16 @@
 /**
  * Chooses the source of a topic.
  *
- * The first entry in the order reads the store. The others form a tree below it, and each reads
- * from its parent, then from the first entry, then from the store. A process that is not an entry
- * reads from a few entries that a hash of its name selects, then from the store. When all of them
- * have failed, it tries the entries several times for each time that it tries the store, so that a
- * store that returns from an outage is not read by every process at once.
+ * The first entry in the order reads the store; if that fails, it tries the two entries after it,
+ * which read the store in its place. The others form a tree below it, and each reads from its
+ * parent, then from the first three entries, then from the store. A process that is not an entry
+ * reads from a few entries that a hash of its name selects, then from the store.
+ *
+ * All entries of a zone lose the first one at the same moment. They turn to the store one after the
+ * other: the later an entry is in the order, the more often it tries the entries first, by which
+ * time one of those before it passes the topic on. When all sources have failed, the entries are
+ * tried several times for each time that the store is, so that a store that returns from an outage
+ * is not read by every process at once.
  */
 TopicSource chooseTopicSource(const TopicSourceQuery &query);
 
--- a/source/edge/relayedreader.cpp
+++ b/source/edge/relayedreader.cpp
@@ -10,8 +10,8 @@
 
 /** How long an entry may hold a request that it has nothing new for. */
 constexpr auto pollTimeout = std::chrono::milliseconds(600);
-/** Time after the last failure at which the preferred source is tried again. */
-constexpr auto failureMemory = std::chrono::seconds(5);
+/** Time for which an entry that has not answered at all is passed over. */
+constexpr auto silenceMemory = std::chrono::seconds(5);
 /** Maximum time for which the first read waits once other entries are being looked for. */
 constexpr auto discoveryTimeout = std::chrono::milliseconds(400);
 
@@ -59,6 +59,7 @@
         return;
     }
     m_failures = 0;
+    m_silentUntil.clear();
     m_reason = "entries changed";
     if (mayInterrupt()) {
         m_isRedirected = true;
@@ -160,14 +161,10 @@
             continue;
         }
         const Failure &failure = *failureOf(read);
-        if (failure.kind == ErrorKind::PlatformUnavailable) {
-            recordFailure(failure.detail);
-        }
-        if (!source.entry) {
-            m_isStoreConfirmed = false;
-            if (m_hooks.onStoreFailed) {
-                m_hooks.onStoreFailed();
-            }
+        const bool isLost = failure.kind == ErrorKind::PlatformUnavailable
+                || failure.kind == ErrorKind::NotReady;
+        if (isLost) {
+            recordFailure(source, failure);
         }
         if (!source.hasUntriedAlternative) {
             m_isReading = false;
@@ -180,10 +177,11 @@
 void RelayedReader::recordResult(const TopicView &view)
 {
     m_isReading = false;
-    m_isStoreConfirmed = !source.entry;
-    m_topic = std::make_shared<const CompactedTopic>(topic);
-    if (m_hooks.onRead) {
-        m_hooks.onRead(m_topic, m_isStoreConfirmed);
+    // The preferred source is asked again with the next read: to decline costs it next to nothing.
+    m_failures = 0;
+    m_view = view;
+    if (m_onRead) {
+        m_onRead(view);
     }
 }
 
@@ -200,14 +198,7 @@
 
 Awaitable<RelayedReader::ReadResult> RelayedReader::readFromStore(Request request)
 {
-        const Duration wait = std::min<Duration>(request.wait, pollTimeout);
-    if (!request.isSnapshot || (m_options.continuesSnapshots && m_topic)) {
-        // Only the reader of the zone learns from the list of backend servers whether it is still
-        // in touch with the store; the others keep their waits short to learn it from this topic.
-        const bool isZonesReader = !choiceAfter(0).entry;
-        const bool mayWait = isZonesReader && m_isStoreConfirmed && !request.isSnapshot;
-        const Duration wait =
-                mayWait ? request.wait : std::min<Duration>(request.wait, pollTimeout);
+    if (!request.isSnapshot || (m_options.continuesSnapshots && m_view)) {
         const std::uint64_t from = request.from;
         const Outcome<KeyedBatch> tail = co_await m_store.tail(from, wait);
         const Failure *failure = failureOf(tail);
@@ -271,15 +262,18 @@
 /** @returns the source to use after a number of failures */
 TopicSource RelayedReader::choiceAfter(std::uint32_t failures) const
 {
-    return chooseTopicSource({m_options.identity.instance, m_entries, failures});
+    TopicSourceQuery query {m_options.identity.instance, m_entries, failures, {}};
+    const Instant now = monotonicNow();
+    for (const auto &[entry, until] : m_silentUntil) {
+        if (now < until) {
+            query.silent.insert(entry);
+        }
+    }
+    return chooseTopicSource(query);
 }
 
 TopicSource RelayedReader::chooseSource()
 {
-    if (m_failures > 0 && monotonicNow() - m_failedAt > failureMemory) {
-        m_failures = 0;
-        m_reason = "the failure was long ago";
-    }
     TopicSource source = choiceAfter(m_failures);
     if (!m_source || m_source->entry != source.entry) {
         m_log.info("topic.source-changed",
@@ -289,13 +283,17 @@
     }
     m_source = source;
     return source;
+    m_reason = "preferred";
 }
 
-void RelayedReader::recordFailure(const std::string &reason)
+void RelayedReader::recordFailure(const TopicSource &source, const Failure &failure)
 {
     ++m_failures;
-    m_failedAt = monotonicNow();
-    m_reason = reason;
+    m_reason = failure.detail;
+    const bool isSilent = failure.kind == ErrorKind::PlatformUnavailable;
+    if (source.entry && isSilent) {
+        m_silentUntil[*source.entry] = monotonicNow() + silenceMemory;
+    }
 }
 
 bool RelayedReader::isReadingStore() const
--- a/source/edge/relayedreader.h
+++ b/source/edge/relayedreader.h
@@ -11,6 +11,7 @@
 #include "edge/topiclink.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -101,7 +102,7 @@
     TopicSource chooseSource();
     TopicSource choiceAfter(std::uint32_t failures) const;
     bool mayInterrupt() const;
-    void recordFailure(const std::string &reason);
+    void recordFailure(const TopicSource &source, const Failure &failure);
     bool isReceiving() const;
     bool isReadingFromEntry() const;
 
@@ -116,7 +117,8 @@
     std::vector<InstanceId> m_entries;
     /** Number of sources that have failed or declined since a read last succeeded. */
     std::uint32_t m_failures = 0;
-    Instant m_failedAt;
+    /** Entries that have not answered at all, with the time until which they are passed over. */
+    std::map<InstanceId, Instant> m_silentUntil;
     /** Source of the latest read; empty before the first read. */
     std::optional<TopicSource> m_source;
     /** Why the next read may use another source. */
--- a/tests/failure/tst_topicrelay.cpp
+++ b/tests/failure/tst_topicrelay.cpp
@@ -291,6 +291,32 @@
     REQUIRE(waitUntil([this] { return allHave("1", 1); }, configBound));
 }
 
+// CONFIG: all entries of the zone turned to the store at once and filled the link to it.
+TEST_CASE_METHOD(TopicRelayFixture, "topic_zonesReaderIsCutOff_fewEntriesTurnToTheStore")
+{
+    startEntries(13);
+    runFor(milliseconds(1000));
+    m_nodes.front()->cutOff(true);
+    m_topic.reads = 0;
+    for (const std::string value : {"1", "2", "3"}) {
+        m_topic.write(value);
+        REQUIRE(waitUntil([&] { return allHave(value, 1); }, configBound));
+        runFor(milliseconds(600));
+    }
+    REQUIRE(m_topic.reads <= 9);
+}
+
+// CONFIG: an entry that the store turns away stayed on its configuration while others read on.
+TEST_CASE_METHOD(TopicRelayFixture, "topic_zonesReaderIsTurnedAway_readsFromTheOthers")
+{
+    startEntries(13);
+    runFor(milliseconds(1000));
+    m_nodes.front()->cutOff(true);
+    runFor(configBound);
+    m_topic.write("1");
+    REQUIRE(waitUntil([this] { return allHave("1", 0); }, configBound));
+}
+
 TEST_CASE_METHOD(TopicRelayFixture, "topic_zonesReaderIsFrozen_othersReadInTime")
 {
     startEntries(13);
--- a/tests/unit/tst_topicsource.cpp
+++ b/tests/unit/tst_topicsource.cpp
@@ -27,14 +27,46 @@
 
     static TopicSource choose(const InstanceId &self, std::size_t n, std::uint32_t failures = 0)
     {
-        return chooseTopicSource({self, order(n), failures});
+        return chooseTopicSource({self, order(n), failures, {}});
     }
 };
 
 TEST_CASE_METHOD(TopicSourceFixture, "chooseTopicSource_firstEntry_readsTheStore")
 {
-    REQUIRE(choose(order(13).front(), 13) == TopicSource {});
-    REQUIRE(choose(order(13).front(), 13, 5) == TopicSource {});
+    REQUIRE(choose(order(13).front(), 13) == TopicSource {std::nullopt, true});
+    REQUIRE(choose(order(13).front(), 13, 6) == TopicSource {std::nullopt, true});
+    REQUIRE(choose(order(1).front(), 1, 5) == TopicSource {});
+}
+
+// An entry that the store turns away must not stay on an old configuration while others read it.
+TEST_CASE_METHOD(TopicSourceFixture, "chooseTopicSource_storeFailsForFirstEntry_asksTheNextOnes")
+{
+    const InstanceId self = order(13).front();
+    REQUIRE(choose(self, 13, 1) == TopicSource {order(13)[1], true});
+    REQUIRE(choose(self, 13, 2) == TopicSource {order(13)[2], false});
+}
+
+// When the first entry lost touch, all others turned to the store at once and filled its link.
+TEST_CASE_METHOD(TopicSourceFixture, "chooseTopicSource_allSourcesDecline_entriesReachStoreInTurn")
+{
+    std::map<std::uint32_t, int> storeReadsAfter;
+    for (std::size_t rank = 1; rank < 13; ++rank) {
+        std::uint32_t failures = 0;
+        while (choose(order(13)[rank], 13, failures).entry) {
+            ++failures;
+        }
+        ++storeReadsAfter[failures];
+    }
+    REQUIRE(std::all_of(storeReadsAfter.begin(), storeReadsAfter.end(),
+                        [](const auto &reads) { return reads.second <= 2; }));
+}
+
+TEST_CASE_METHOD(TopicSourceFixture, "chooseTopicSource_parentIsSilent_isPassedOver")
+{
+    const std::vector<InstanceId> entries = order(13);
+    REQUIRE(chooseTopicSource({entries[9], entries, 0, {entries[2]}})
+            == TopicSource {entries[0], true});
+    REQUIRE(chooseTopicSource({entries[1], entries, 0, {entries[0]}}) == TopicSource {});
 }
 
 TEST_CASE_METHOD(TopicSourceFixture, "chooseTopicSource_otherEntries_formATreeBelowTheFirst")
@@ -52,18 +84,19 @@
                         [](const auto &child) { return child.second <= 4; }));
 }
 
-TEST_CASE_METHOD(TopicSourceFixture, "chooseTopicSource_parentFails_firstEntryThenStoreIsNext")
+TEST_CASE_METHOD(TopicSourceFixture, "chooseTopicSource_parentFails_firstEntriesThenStoreAreNext")
 {
-    const InstanceId self = order(13)[9];
-    REQUIRE(choose(self, 13, 0) == TopicSource {order(13)[2], true});
+    const InstanceId self = order(13)[7];
+    REQUIRE(choose(self, 13, 0) == TopicSource {order(13)[1], true});
     REQUIRE(choose(self, 13, 1) == TopicSource {order(13)[0], true});
-    REQUIRE(choose(self, 13, 2) == TopicSource {});
+    REQUIRE(choose(self, 13, 2) == TopicSource {order(13)[2], true});
+    REQUIRE(choose(self, 13, 3) == TopicSource {});
 }
 
 TEST_CASE_METHOD(TopicSourceFixture, "chooseTopicSource_everySourceFails_storeIsTriedSeldom")
 {
     int storeReads = 0;
-    for (std::uint32_t failures = 0; failures < 80; ++failures) {
+    for (std::uint32_t failures = 0; failures < 90; ++failures) {
         storeReads += choose(order(13)[9], 13, failures).entry ? 0 : 1;
     }
     REQUIRE(storeReads == 10);
