Give the relayed list of backend servers an age

Requests reached backend servers after the bound on their leaving: a delta that was relayed late counted as current from its arrival on, and all entries of a zone turned to the store after the same silence. A delta now says how old the reader's view is, an entry reads the list itself once its view is older than a second, and the entries of a zone do so one after the other.

--- a/source/core/fleet/entryregistry.cpp
+++ b/source/core/fleet/entryregistry.cpp
@@ -74,9 +74,16 @@
 }
 
 bool isListReader(const std::vector<EntryLocation> &entries, const EntryLocation &self)
+{
+    return zoneReaderRank(entries, self) == 0;
+}
+
+std::size_t zoneReaderRank(const std::vector<EntryLocation> &entries, const EntryLocation &self)
 {
     const std::vector<EntryLocation> order = zoneReaderOrder(entries, self.zone);
-    return order.empty() || !ranksBefore(order.front(), self);
+    return static_cast<std::size_t>(
+            std::count_if(order.begin(), order.end(),
+                          [&](const EntryLocation &it) { return ranksBefore(it, self); }));
 }
 
 } // namespace greengageseam
--- a/source/core/fleet/entryregistry.h
+++ b/source/core/fleet/entryregistry.h
@@ -63,4 +63,7 @@
  */
 bool isListReader(const std::vector<EntryLocation> &entries, const EntryLocation &self);
 
+/** @returns the number of entries that precede @p self in zoneReaderOrder() */
+std::size_t zoneReaderRank(const std::vector<EntryLocation> &entries, const EntryLocation &self);
+
 } // namespace greengageseam
--- a/source/core/fleet/replicalistdelta.h
+++ b/source/core/fleet/replicalistdelta.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "core/common/time.h"
 #include "core/fleet/replica.h"
 
 #include <vector>
@@ -21,6 +22,8 @@
     std::uint64_t nextOffset = 0;
     std::vector<ReplicaEntry> changed;
     std::vector<ReplicaId> removed;
+    /** Age of the reader's view when it sent the delta: how long ago the list ended there. */
+    Duration viewAge {};
 
     /** @returns the delta with an entry that was written after all changes in it */
     ReplicaListDelta withChanged(const ReplicaEntry &entry) &&;
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -122,7 +122,7 @@
         m_dispatcher->mailbox()->post(
                 EntryCountChanged {static_cast<std::uint32_t>(entries.size())});
         m_exchange->fetcher()->post(FetcherEntriesChanged {entries});
-        m_replicaWatcher->relyOnPeers(!isListReader(entries, self));
+        m_replicaWatcher->relyOnPeers(zoneReaderRank(entries, self));
         m_operatorReader->setEntries(entries);
         m_quarantine->mailbox()->post(QuarantinePeersChanged {entries});
     };
--- a/source/edge/storewatchers.cpp
+++ b/source/edge/storewatchers.cpp
@@ -12,6 +12,14 @@
 /** Interval at which a watcher records that its process runs. */
 constexpr auto runningCheckInterval = std::chrono::milliseconds(100);
 
+/** Age of the list of backend servers from which the next entry of the zone reads it itself. */
+constexpr auto maxRelayedListAge = std::chrono::milliseconds(1000);
+/** Each further entry reads the list so much later, since it then receives what others have read.
+ */
+constexpr auto listReadStagger = std::chrono::milliseconds(150);
+/** All entries from this rank on read the list at the same time. */
+constexpr std::size_t maxStaggeredRank = 4;
+
 /** @returns the name of a source in the log */
 std::string nameOf(VersionSource source)
 {
@@ -229,7 +237,7 @@
 {
     const Instant now = monotonicNow();
     m_replicas.recordRead(now);
-    ReplicaListDelta update {from, tail.nextOffset, {}, {}};
+    ReplicaListDelta update {from, tail.nextOffset, {}, {}, now - tail.completeAsOf};
     for (const KeyedRecord &record : tail.records) {
         if (const std::optional<ReplicaEntry> changed = applyRecord(record, now)) {
             update = std::move(update).withChanged(*changed);
@@ -241,14 +249,20 @@
     m_hooks.onDelta(update);
 }
 
-void ReplicaWatcher::relyOnPeers(bool relies)
+void ReplicaWatcher::relyOnPeers(std::size_t rank)
 {
-    m_follower->mailbox()->post(RelyOnPeers {relies});
+    RelyOnPeers command;
+    if (rank > 0) {
+        const auto stagger = static_cast<std::int64_t>(std::min(rank, maxStaggeredRank) - 1);
+        command.maxViewAge = maxRelayedListAge + listReadStagger * stagger;
+    }
+    m_follower->mailbox()->post(command);
 }
 
 void ReplicaWatcher::applyPeerDelta(const ReplicaListDelta &update)
 {
     m_follower->mailbox()->post(PeerReadReceived {update.fromOffset, update.nextOffset,
+                                                  monotonicNow() - update.viewAge,
                                                   [this, update] { applyDelta(update); }});
 }
 
--- a/source/edge/storewatchers.h
+++ b/source/edge/storewatchers.h
@@ -125,8 +125,11 @@
 
     /** Starts the task. */
     void start();
-    /** @param relies whether another entry is expected to read the list and relay its deltas */
-    void relyOnPeers(bool relies);
+    /**
+     * @param rank number of entries that are expected to read the list and relay its deltas before
+     *     this one does so; 0 if this entry reads the list
+     */
+    void relyOnPeers(std::size_t rank);
     /** Applies a delta that another entry has read and relayed. */
     void applyPeerDelta(const ReplicaListDelta &update);
 
--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -15,16 +15,14 @@
 constexpr auto maxBackoff = std::chrono::milliseconds(800);
 /** Changes that are closer together than this count as a burst. */
 constexpr auto maxBurstGap = std::chrono::milliseconds(700);
-/** A follower that relies on its peers reads the topic itself after they were silent this long. */
-constexpr auto peerSilenceTimeout = std::chrono::milliseconds(1000);
 /**
  * Time within which the read in progress must return records that another process has read. It
  * doubles with each read that is restarted without a result, up to the maximum.
  */
 constexpr auto initialCatchUpTimeout = std::chrono::milliseconds(250);
 constexpr auto maxCatchUpTimeout = std::chrono::milliseconds(8000);
-/** Interval at which a follower that relies on its peers checks whether they are silent. */
-constexpr auto peerSilenceCheckInterval = std::chrono::milliseconds(200);
+/** Interval at which a follower that relies on its peers checks the age of its view. */
+constexpr auto peerViewCheckInterval = std::chrono::milliseconds(100);
 
 /** @returns 50 to 100 % of the time at random, so that processes do not retry simultaneously */
 Duration withJitter(Duration delay)
@@ -67,8 +65,10 @@
     if (command.readId != m_readId) {
         return;
     }
-    if (m_nextOffset && m_reliesOnPeers && monotonicNow() - m_lastPeerReadAt < peerSilenceTimeout) {
-        postAfter(peerSilenceCheckInterval, command);
+    const bool isCurrent =
+            m_maxPeerViewAge && monotonicNow() - m_peerCompleteAsOf < *m_maxPeerViewAge;
+    if (m_nextOffset && isCurrent) {
+        postAfter(peerViewCheckInterval, command);
         return;
     }
     asio::co_spawn(
@@ -232,15 +232,15 @@
     if (!m_nextOffset || command.from > *m_nextOffset || command.next < *m_nextOffset) {
         return;
     }
-    // An empty delta counts as well: it shows that the peer is alive and the topic is unchanged.
-    m_lastPeerReadAt = monotonicNow();
+    // An empty delta counts as well: it shows that the topic is unchanged.
+    m_peerCompleteAsOf = std::max(m_peerCompleteAsOf, command.completeAsOf);
     m_nextOffset = command.next;
     command.applyDelta();
 }
 
 void TopicFollower::apply(const RelyOnPeers &command)
 {
-    m_reliesOnPeers = command.relies;
+    m_maxPeerViewAge = command.maxViewAge;
 }
 
 void TopicFollower::reportAvailability(const Failure *failure)
--- a/source/edge/topicfollower.h
+++ b/source/edge/topicfollower.h
@@ -108,6 +108,8 @@
     std::uint64_t from = 0;
     /** Offset after the last record of the delta. */
     std::uint64_t next = 0;
+    /** As of when the topic is known to end at that offset. */
+    Instant completeAsOf;
     /** Applies the delta, which may be empty. Called only if no records before it were missed. */
     std::function<void()> applyDelta;
 };
@@ -115,7 +117,8 @@
 /** Sets whether another process is expected to read the topic and relay its deltas. */
 struct RelyOnPeers
 {
-    bool relies = false;
+    /** Age of the view from which the follower reads the topic itself; empty to always do so. */
+    std::optional<Duration> maxViewAge;
 };
 
 /** Messages to a follower. */
@@ -171,9 +174,10 @@
     std::optional<std::uint64_t> m_nextOffset;
     Duration m_backoff;
     bool m_isStoreLost = false;
-    bool m_reliesOnPeers = false;
-    /** When a peer last relayed a delta. */
-    Instant m_lastPeerReadAt;
+    /** Age of the view from which it reads itself; empty if it does not rely on peers. */
+    std::optional<Duration> m_maxPeerViewAge;
+    /** As of when the view is complete, by the deltas that peers have relayed. */
+    Instant m_peerCompleteAsOf;
     /** When a read last returned a change. */
     Instant m_lastChangeAt;
     /** Whether changes arrive in a burst. */
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -66,6 +66,7 @@
     wire::ListPassed passed;
     passed.fromOffset = static_cast<std::int64_t>(delta.fromOffset);
     passed.nextOffset = static_cast<std::int64_t>(delta.nextOffset);
+    passed.viewAge = delta.viewAge.count();
     for (const ReplicaEntry &entry : delta.changed) {
         passed.changed.push_back(replicaToWire(entry));
     }
@@ -77,7 +78,7 @@
 
 bool hasNegativeNumbers(const wire::ListPassed &passed)
 {
-    return passed.fromOffset < 0 || passed.nextOffset < passed.fromOffset
+    return passed.fromOffset < 0 || passed.nextOffset < passed.fromOffset || passed.viewAge < 0
             || std::any_of(
                     passed.changed.begin(), passed.changed.end(),
                     [](const wire::ReplicaSeen &seen) {
@@ -92,6 +93,7 @@
     ReplicaListDelta delta;
     delta.fromOffset = static_cast<std::uint64_t>(passed.fromOffset);
     delta.nextOffset = static_cast<std::uint64_t>(passed.nextOffset);
+    delta.viewAge = Duration(passed.viewAge);
     for (const wire::ReplicaSeen &seen : passed.changed) {
         delta.changed.push_back(replicaFromWire(seen));
     }
--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -164,7 +164,7 @@
 {
     write("i-1", "p");
     startReplicaWatcher();
-    m_watcher->relyOnPeers(true);
+    m_watcher->relyOnPeers(1);
     m_watcher->applyPeerDelta({1, 1, {}, {}});
     runFor(milliseconds(150));
     m_tailReads = 0;
@@ -179,7 +179,7 @@
 TEST_CASE_METHOD(StoreWatcherFixture, "replicas_peersGoSilent_areReadFromTheStore")
 {
     startReplicaWatcher();
-    m_watcher->relyOnPeers(true);
+    m_watcher->relyOnPeers(1);
     m_watcher->applyPeerDelta({0, 0, {}, {}});
     write("i-1", "p");
     runFor(milliseconds(1500));
@@ -189,7 +189,7 @@
 TEST_CASE_METHOD(StoreWatcherFixture, "replicas_deltaWasMissed_areReadFromTheStore")
 {
     startReplicaWatcher();
-    m_watcher->relyOnPeers(true);
+    m_watcher->relyOnPeers(1);
     write("i-1", "p");
     for (int n = 0; n < 15; ++n) {
         m_watcher->applyPeerDelta({5, 6, {}, {}});
@@ -204,7 +204,7 @@
 {
     write("i-1", "p");
     startReplicaWatcher();
-    m_watcher->relyOnPeers(true);
+    m_watcher->relyOnPeers(1);
     for (int n = 0; n < 32; ++n) {
         m_watcher->applyPeerDelta({1, 1, {}, {}});
         runFor(milliseconds(100));
