Deny a route or key only by a configuration that is known to be current

Proper requests got 404 and 401 from entries whose configuration was old. Such an entry cannot know that a route or key does not exist: it answers 503 with a time to come back, as long as its view of the configuration is older than three quarters of the bound on applying one. What its configuration allows it goes on serving.

--- a/source/core/common/errors.h
+++ b/source/core/common/errors.h
@@ -38,6 +38,7 @@
     PromptQuarantined,
     Draining,
     NotReady,
+    StaleConfiguration,
     DuplicateAttempt,
     ClaimInProgress,
     KeyTooOld,
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -26,6 +26,8 @@
 /** A request counts as a retry if its remaining time is below this share of the longest seen. */
 constexpr double retryTimeoutRatio = 0.75;
 constexpr auto minRetryAfter = std::chrono::milliseconds(150);
+/** Percentage of the bound on applying a configuration after which it no longer denies anything. */
+constexpr int maxDenialAgePercent = 75;
 
 } // namespace
 
@@ -62,18 +64,29 @@
         return;
     }
     const Outcome<RouteMatch> found = m_table->find(command.host, command.target, command.key);
+    const Instant now = monotonicNow();
     if (const Failure *failure = failureOf(found)) {
-        command.reply->post(*failure);
+        command.reply->post(mayDeny(now) ? *failure
+                                         : Failure {ErrorKind::StaleConfiguration,
+                                                    failure->detail + " that is known here"});
         return;
     }
     const auto &routed = std::get<RouteMatch>(found);
-    const Instant now = monotonicNow();
     Admission admission {m_table, routed, chooseService(*routed.route, randomNumber()),
                          estimateFirstAttempt(*routed.route, command.remaining, now)};
     retryBudget(admission.service).recordRequest(now);
     command.reply->post(std::move(admission));
 }
 
+/**
+ * @returns whether the configuration is recent enough to tell a caller that a route or key does not
+ *          exist; it may have been added since
+ */
+bool Dispatcher::mayDeny(Instant now) const
+{
+    return now - m_tableCompleteAsOf < m_options.bounds.configApply * maxDenialAgePercent / 100;
+}
+
 /**
  * Estimates when the caller made its first attempt. A caller that retries after a rejection has
  * clearly less time remaining than it had on its first attempt.
@@ -213,6 +226,11 @@
     dispatchPending();
 }
 
+void Dispatcher::apply(const RoutesConfirmed &command)
+{
+    m_tableCompleteAsOf = std::max(m_tableCompleteAsOf, command.completeAsOf);
+}
+
 void Dispatcher::apply(const ReplicasChanged &command)
 {
     m_loads.setReplicas(command.entries);
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -150,6 +150,12 @@
     RouteTablePtr table;
 };
 
+/** The configuration that applies is known to be the newest one as of a later time. */
+struct RoutesConfirmed
+{
+    Instant completeAsOf;
+};
+
 /** The list of backend servers has changed. */
 struct ReplicasChanged
 {
@@ -189,8 +195,8 @@
 /** Messages to the dispatcher. */
 using DispatchCommand =
         std::variant<AdmissionQuery, AcquireReplica, ResponseStarted, ReplicaSpoke, LeaseReleased,
-                     RoutesChanged, ReplicasChanged, TargetVersionChanged, LoadReportReceived,
-                     EntryCountChanged, CrashJudged, DispatchTick>;
+                     RoutesChanged, RoutesConfirmed, ReplicasChanged, TargetVersionChanged,
+                     LoadReportReceived, EntryCountChanged, CrashJudged, DispatchTick>;
 
 /** Limits of the dispatcher. */
 struct DispatcherOptions
@@ -232,6 +238,7 @@
     void apply(const ReplicaSpoke &command);
     void apply(const LeaseReleased &command);
     void apply(const RoutesChanged &command);
+    void apply(const RoutesConfirmed &command);
     void apply(const ReplicasChanged &command);
     void apply(const TargetVersionChanged &command);
     void apply(const LoadReportReceived &command);
@@ -247,6 +254,7 @@
     void closeExpiredConnections(Instant now);
     void closePooledConnections(const Address &address);
     void recordAvailability(Instant now);
+    bool mayDeny(Instant now) const;
     SharedRetryBudget &retryBudget(const ServiceName &service);
     Instant estimateFirstAttempt(const Route &route, std::optional<Duration> remaining,
                                  Instant now);
@@ -263,6 +271,8 @@
     Log m_log;
     MailboxPtr<DispatchCommand> m_mailbox;
     RouteTablePtr m_table;
+    /** m_table is the newest configuration of those accepted before this time. */
+    Instant m_tableCompleteAsOf;
     LoadBalancer m_loads;
     std::map<ServiceName, SharedRetryBudget> m_retryBudgets;
     /**
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -209,6 +209,10 @@
     hooks.onOffsetAdvanced = [this](std::uint64_t offset) {
         m_loadListener->mailbox()->post(OperatorOffsetUpdated {offset});
     };
+    hooks.onConfirmed = [this](Instant completeAsOf) {
+        m_dispatcher->mailbox()->post(RoutesConfirmed {completeAsOf});
+        m_loadListener->mailbox()->post(OperatorViewConfirmed {completeAsOf});
+    };
     FollowOptions followOptions;
     followOptions.name = operatorTopicName;
     followOptions.pollTimeout = m_settings.bounds.configApply / confirmationsPerBound;
--- a/source/edge/relayedreader.cpp
+++ b/source/edge/relayedreader.cpp
@@ -200,6 +200,7 @@
 {
     if (!request.isSnapshot || (m_options.continuesSnapshots && m_view)) {
         const std::uint64_t from = request.from;
+        const Duration wait = std::min<Duration>(request.wait, pollTimeout);
         const Outcome<KeyedBatch> tail = co_await m_store.tail(from, wait);
         const Failure *failure = failureOf(tail);
         if (failure == nullptr) {
@@ -282,8 +283,8 @@
                     {"reason", m_reason}});
     }
     m_source = source;
-    return source;
     m_reason = "preferred";
+    return source;
 }
 
 void RelayedReader::recordFailure(const TopicSource &source, const Failure &failure)
--- a/source/edge/relayedreader.h
+++ b/source/edge/relayedreader.h
@@ -88,10 +88,10 @@
 
     Awaitable<Outcome<KeyedSnapshot>> readSnapshot();
     Awaitable<Outcome<KeyedBatch>> readTail(std::uint64_t from, Duration wait);
-    Awaitable<std::optional<Failure>> update(Request request);
     /** The result of a read; empty if the source will know the topic soon. */
     using ReadResult = Outcome<std::optional<TopicView>>;
 
+    Awaitable<std::optional<Failure>> update(Request request);
     Awaitable<ReadResult> readFrom(TopicSource source, Request request);
     Awaitable<ReadResult> readFromStore(Request request);
     Awaitable<ReadResult> readFromEntry(InstanceId entry, Request request);
--- a/source/edge/storewatchers.cpp
+++ b/source/edge/storewatchers.cpp
@@ -156,14 +156,6 @@
     }
 }
 
-void OperatorWatcher::applyTargetVersion(const TargetVersion &targetVersion, VersionSource source,
-                                         bool isInitial, Duration age)
-{
-    std::uint64_t &known = m_targetVersions[targetVersion.model];
-    if (targetVersion.version <= known) {
-        return;
-    }
-    known = targetVersion.version;
 void OperatorWatcher::confirmPeerView(Instant completeAsOf)
 {
     if (m_hasSnapshot) {
@@ -172,6 +164,14 @@
     }
 }
 
+void OperatorWatcher::applyTargetVersion(const TargetVersion &targetVersion, VersionSource source,
+                                         bool isInitial, Duration age)
+{
+    std::uint64_t &known = m_targetVersions[targetVersion.model];
+    if (targetVersion.version <= known) {
+        return;
+    }
+    known = targetVersion.version;
     const Instant now = monotonicNow();
     const Duration oldest = std::max(age, now - m_listening.earliestChange(now));
     m_log.info("weights.target-changed",
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -214,11 +214,11 @@
             one.version = static_cast<std::int64_t>(named.version);
             body.named.push_back(one);
         }
-        frame.__set_loadWanted(body);
-        return frame;
         if (subscription->operatorViewAge) {
             body.__set_viewAge(subscription->operatorViewAge->count());
         }
+        frame.__set_loadWanted(body);
+        return frame;
     }
     if (const auto *delta = std::get_if<ReplicaListDelta>(&datagram)) {
         frame.__set_listPassed(listToWire(*delta));
--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -507,6 +507,21 @@
     REQUIRE(m_first.receivedRequests().back().header("Expected-Version") == "2");
 }
 
+// DENIED: proper requests got 404 and 401 from an entry that could not know their route or key yet.
+TEST_CASE_METHOD(EdgeFixture, "entry_configurationMayBeOutOfDate_unknownRouteAndKeyAreNotDenied")
+{
+    startEntryWith("idempotent", 1, {&m_first});
+    REQUIRE(sendRequest(request("/new/1")).status == 404);
+    REQUIRE(sendRequest(request("/x/1", "new-key")).status == 401);
+    m_store.failWith(503);
+    m_context.run_for(m_settings.bounds.configApply);
+    REQUIRE(sendRequest(request("/new/1")).status == 503);
+    REQUIRE(sendRequest(request("/x/1", "new-key")).status == 503);
+    REQUIRE(sendRequest(request("/x/1")).status == 200);
+    m_store.failWith(200);
+    REQUIRE(waitUntil([this] { return sendRequest(request("/new/1")).status == 404; }));
+}
+
 // A version that was announced before the start must not be dated by the entry's first read.
 TEST_CASE_METHOD(EdgeFixture, "entry_firstReadLongAfterStart_requiresAnnouncedWeightsAtOnce")
 {
