Test that versions heard of late are dated by the last complete read

A read after a pause may be slower than the time for catching up; a read may be slow without a pause; a second lost read cancels the dating of the first; a greater age that an agent states after the store's record is ignored; and an entry that is still reading answers "no changes", which its children take for a complete read.

--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 
 namespace greengageseam {
 namespace {
@@ -408,6 +409,79 @@
     REQUIRE(age < milliseconds(1500));
 }
 
+// An entry that wakes may hear of a version long after the time that it is given for catching up.
+TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_slowReadAfterPause_isDatedByThePause")
+{
+    Duration age {};
+    write("version/m", "1");
+    const auto watcher =
+            makeVersionWatcher([&](const TargetVersion &, Duration oldest) { age = oldest; });
+    watcher->start();
+    REQUIRE(waitUntil([&] { return m_offset == 1; }));
+    m_readTime = milliseconds(3000);
+    runFor(milliseconds(100));
+    write("version/m", "2");
+    const Instant named = monotonicNow();
+    std::this_thread::sleep_for(milliseconds(800));
+    REQUIRE(waitUntil([&] { return m_offset == 2; }));
+    REQUIRE(age >= monotonicNow() - named - milliseconds(50));
+}
+
+// A read that returns a version late must not date it by its end, even without a pause.
+TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_slowRead_isDatedByTheReadBefore")
+{
+    Duration age {};
+    write("version/m", "1");
+    const auto watcher =
+            makeVersionWatcher([&](const TargetVersion &, Duration oldest) { age = oldest; });
+    watcher->start();
+    REQUIRE(waitUntil([&] { return m_offset == 1; }));
+    m_readTime = milliseconds(1500);
+    runFor(milliseconds(100));
+    write("version/m", "2");
+    const Instant named = monotonicNow();
+    REQUIRE(waitUntil([&] { return m_offset == 2; }));
+    REQUIRE(age >= monotonicNow() - named - milliseconds(50));
+}
+
+// Two lost reads must not make a version look newer than one lost read does.
+TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_twoReadsLostAfterPause_isDatedByThePause")
+{
+    Duration age {};
+    write("version/m", "1");
+    const auto watcher =
+            makeVersionWatcher([&](const TargetVersion &, Duration oldest) { age = oldest; });
+    watcher->start();
+    REQUIRE(waitUntil([&] { return m_offset == 1; }));
+    runFor(milliseconds(100));
+    write("version/m", "2");
+    const Instant named = monotonicNow();
+    m_readsFail = true;
+    m_readTime = milliseconds(900);
+    std::this_thread::sleep_for(milliseconds(800));
+    runFor(milliseconds(2200));
+    m_readsFail = false;
+    REQUIRE(waitUntil([&] { return m_offset == 2; }));
+    REQUIRE(age >= monotonicNow() - named - milliseconds(50));
+}
+
+// A process that has known a version for longer must not be ignored for telling of it second.
+TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_peerHasKnownItForLonger_isDatedByThePeer")
+{
+    Duration oldest {};
+    write("version/m", "1");
+    const auto watcher = makeVersionWatcher(
+            [&](const TargetVersion &, Duration age) { oldest = std::max(oldest, age); });
+    watcher->start();
+    REQUIRE(waitUntil([&] { return m_offset == 1; }));
+    runFor(milliseconds(100));
+    oldest = Duration::zero();
+    write("version/m", "2");
+    REQUIRE(waitUntil([&] { return m_offset == 2; }));
+    watcher->applyPeerTargetVersion({ModelName("m"), 2}, VersionSource::Agent, milliseconds(4000));
+    REQUIRE(oldest >= milliseconds(4000));
+}
+
 // Another process may repeat a target version, or know an older one.
 TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_passedOnByPeers_onlyNewerOnesCountOnce")
 {
--- a/tests/failure/tst_topicrelay.cpp
+++ b/tests/failure/tst_topicrelay.cpp
@@ -5,6 +5,7 @@
  */
 #include "core/fleet/entryregistry.h"
 #include "edge/relayedreader.h"
+#include "edge/storewatchers.h"
 #include "edge/topicrelay.h"
 #include "net/clock.h"
 #include "net/ticker.h"
@@ -183,6 +184,60 @@
     std::shared_ptr<TopicFollower> m_follower;
 };
 
+/** A process that reads target versions of model m from entries, and dates them. */
+class DatingNode
+{
+public:
+    DatingNode(const std::string &ip, std::uint16_t port) : m_log(LogLevel::Error, {})
+    {
+        TopicReader store;
+        store.snapshot = []() -> Awaitable<Outcome<KeyedSnapshot>> {
+            co_return Failure {ErrorKind::PlatformUnavailable, "cut off"};
+        };
+        store.tail = [](std::uint64_t, Duration) -> Awaitable<Outcome<KeyedBatch>> {
+            co_return Failure {ErrorKind::PlatformUnavailable, "cut off"};
+        };
+        RelayedReaderOptions options;
+        options.topic = "operator";
+        options.identity = {std::string(topicLinkRole), InstanceId(ip), ZoneName("a"), "secret"};
+        options.peerPort = port;
+        m_reader = std::make_shared<RelayedReader>(m_context.get_executor(), options, store,
+                                                   RelayedReaderHooks(), m_log);
+        OperatorHooks hooks;
+        hooks.isConfig = [](std::string_view) { return false; };
+        hooks.isTargetVersion = [](std::string_view) { return true; };
+        hooks.decodeTargetVersion = [](std::string_view bytes) -> Result<TargetVersion> {
+            return TargetVersion {ModelName("m"), std::stoull(std::string(bytes)) + 1};
+        };
+        hooks.onTargetVersion = [this](const TargetVersion &target, bool, Duration age) {
+            m_version = target.version;
+            m_age = age;
+        };
+        hooks.onOffsetAdvanced = [](std::uint64_t) { };
+        FollowOptions follow;
+        follow.name = "operator";
+        follow.pollTimeout = std::chrono::seconds(25);
+        m_watcher = std::make_shared<OperatorWatcher>(m_context.get_executor(), m_reader->reader(),
+                                                      follow, hooks, m_log);
+        m_watcher->start();
+    }
+
+    void setEntries(const std::vector<EntryLocation> &entries) { m_reader->setEntries(entries); }
+    void run() { m_context.poll(); }
+    /** @returns the newest target version, which is one more than the value of the record */
+    std::uint64_t version() const { return m_version; }
+    /** @returns how old the newest target version can have been when this process heard of it */
+    Duration age() const { return m_age; }
+
+private:
+    Log m_log;
+    asio::io_context m_context;
+    std::uint64_t m_version = 0;
+    Duration m_age {};
+    std::shared_ptr<RelayedReader> m_reader;
+    std::shared_ptr<OperatorWatcher> m_watcher;
+};
+
 /** A zone of entries, each on a loopback address of its own. */
 class TopicRelayFixture
 {
@@ -409,5 +464,27 @@
     REQUIRE(m_topic.reads == 1);
 }
 
+// An entry that is still reading has not said that nothing has changed.
+TEST_CASE_METHOD(TopicRelayFixture, "targetVersion_parentIsStillReading_isDatedByItsReadBefore")
+{
+    startEntries(2);
+    DatingNode child("127.0.0.100", m_port);
+    child.setEntries(m_locations);
+    const auto runUntil = [&](std::uint64_t version) {
+        return waitUntil(
+                [&] {
+                    child.run();
+                    return child.version() == version;
+                },
+                std::chrono::seconds(8));
+    };
+    REQUIRE(runUntil(1));
+    m_nodes.front()->slowDown(milliseconds(3500));
+    m_topic.write("1");
+    const Instant named = monotonicNow();
+    REQUIRE(runUntil(2));
+    REQUIRE(child.age() >= monotonicNow() - named - milliseconds(100));
+}
+
 } // namespace
 } // namespace greengageseam
