Show that an entry denies requests by a configuration that may be old

Callers got 404 for a route and 401 for a key that had been added while their entry could not read the operator's topic: the store answered with errors, or did not answer at all.

Cause: the dispatcher takes any configuration for proof that a route or key does not exist. It does not know as of when the configuration is complete. Only an entry without any configuration responds with 503.

The stand-in for the store gets a switch that holds back all answers, also those to reads in progress.

--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -104,6 +104,31 @@
                             + R"("tenants":[{"name":"ann","apiKeys":["key"]}]})");
     }
 
+    /** Writes version 2 of the configuration, which adds the route /y/ and the key "other". */
+    void configureMore()
+    {
+        const std::string route = R"("host":"a.example","routeKind":"idempotent","timeoutMs":3000,)"
+                                  R"("targetLatencyMs":400,"service":"p","maxAttempts":2})";
+        m_store.put("keyed.op", "config",
+                    R"({"version":2,"routes":[{"name":"r","pathPrefix":"/x/",)" + route
+                            + R"(,{"name":"s","pathPrefix":"/y/",)" + route
+                            + R"(],"services":[{"name":"p"}],)"
+                            + R"("tenants":[{"name":"ann","apiKeys":["key","other"]}]})");
+    }
+
+    /** Runs the tasks for longer than any read that was in progress may last. */
+    void waitUntilViewIsOld()
+    {
+        m_context.run_for(m_settings.bounds.configApply + std::chrono::seconds(5));
+    }
+
+    bool isAskedToComeBack(const HttpRequest &request)
+    {
+        const Received received = sendRequest(request);
+        UNSCOPED_INFO(request.target << " is answered " << received.status);
+        return received.status == 503 && received.head.header("Retry-After");
+    }
+
     /** Writes a configuration with one route to an engine, and an engine on version 1 of "m". */
     void configureEngine()
     {
@@ -357,6 +382,35 @@
     REQUIRE(sendRequest(request("/x/1")).status == 200);
 }
 
+// A configuration that may be old must not be taken as proof that a route or key does not exist.
+TEST_CASE_METHOD(EdgeFixture, "entry_storeFailsForLong_unknownRouteAndKeyAreNotDenied")
+{
+    startEntryWith("idempotent", 2, {&m_first});
+    m_store.failWith(503);
+    waitUntilViewIsOld();
+    CHECK(sendRequest(request("/x/1")).status == 200);
+    CHECK(isAskedToComeBack(request("/y/1")));
+    CHECK(isAskedToComeBack(request("/x/1", "other")));
+    m_store.failWith(200);
+    CHECK(waitUntil([this] { return sendRequest(request("/y/1")).status == 404; }));
+    CHECK(sendRequest(request("/x/1", "other")).status == 401);
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_storeHangs_routeAndKeyAddedMeanwhileAreNotDenied")
+{
+    startEntryWith("idempotent", 2, {&m_first});
+    m_store.hang(true);
+    configureMore();
+    m_context.run_for(m_settings.bounds.configApply);
+    CHECK(sendRequest(request("/x/1")).status == 200);
+    CHECK(isAskedToComeBack(request("/y/1")));
+    CHECK(isAskedToComeBack(request("/x/1", "other")));
+    m_store.hang(false);
+    CHECK(waitUntil([this] { return sendRequest(request("/y/1")).status == 200; }));
+    CHECK(sendRequest(request("/x/1", "other")).status == 200);
+    CHECK(sendRequest(request("/z/1")).status == 404);
+}
+
 TEST_CASE_METHOD(EdgeFixture, "entry_newConfiguration_isAppliedWithinTheBound")
 {
     startEntryWith("idempotent", 2, {&m_first});
--- a/tests/standins/fleetstandin.cpp
+++ b/tests/standins/fleetstandin.cpp
@@ -80,6 +80,11 @@
     } else {
         response = co_await readTail(exchange.request());
     }
+    asio::steady_timer timer(m_executor);
+    while (m_hangs) {
+        timer.expires_after(pollInterval);
+        co_await timer.async_wait(asTuple);
+    }
     co_await exchange.respond(std::move(response));
 }
 
--- a/tests/standins/fleetstandin.h
+++ b/tests/standins/fleetstandin.h
@@ -22,6 +22,8 @@
     void put(const std::string &topic, const std::string &key, std::optional<std::string> value);
     /** Answers all further requests with this status; 200 restores normal operation. */
     void failWith(int status) { m_status = status; }
+    /** Holds back all answers, also those to requests in progress, until it is set to false. */
+    void hang(bool hangs) { m_hangs = hangs; }
     /** @returns the address that the store listens on */
     const Address &address() const { return m_address; }
 
@@ -41,6 +43,7 @@
     Address m_address;
     std::map<std::string, std::vector<Record>> m_topics;
     int m_status = 200;
+    bool m_hangs = false;
 };
 
 /** How a backend server handles further requests. */
