Show what an odd entry in the list of backend servers does

Another writer may leave an odd entry in the list. One with a start time of 2^63 or more, or with more than 2^31 slots, is accepted, but the delta that contains it is rejected by every entry that receives it, so that these read the list themselves. Slots and layers beyond 32 bits silently become other numbers. A key with line ends becomes further header fields of each request that is sent to that server. And when the entry of a known server becomes unreadable, the reader leaves the server out without telling the entries that rely on it.

--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -19,6 +19,9 @@
 
 using std::chrono::milliseconds;
 
+/** Value of a record that no entry of a backend server can be decoded from. */
+constexpr auto unreadable = "unreadable";
+
 /** Simulates a topic in which each value is the name of a service. Runs the tasks in real time. */
 class StoreWatcherFixture
 {
@@ -72,6 +75,9 @@
     {
         ReplicaWatcherHooks hooks;
         hooks.decode = [](const ReplicaId &id, std::string_view bytes) -> Result<ReplicaEntry> {
+            if (bytes == unreadable) {
+                return fail(ErrorKind::CorruptData, "unreadable");
+            }
             ReplicaEntry entry;
             entry.id = id;
             entry.service = ServiceName(std::string(bytes));
@@ -159,6 +165,19 @@
     REQUIRE(m_relayedDeltas.front().removed == std::vector<ReplicaId> {ReplicaId("i-1")});
 }
 
+// A server whose entry can no longer be read is left out by its reader and by those it tells.
+TEST_CASE_METHOD(StoreWatcherFixture, "replicas_entryBecomesUnreadable_isRelayedAsRemoved")
+{
+    write("i-1", "p");
+    startReplicaWatcher();
+    write("i-1", unreadable);
+    write("i-2", "p");
+    runFor(milliseconds(250));
+    REQUIRE(m_known.size() == 1);
+    REQUIRE(m_known.front().id == ReplicaId("i-2"));
+    REQUIRE(m_relayedDeltas.front().removed == std::vector<ReplicaId> {ReplicaId("i-1")});
+}
+
 TEST_CASE_METHOD(StoreWatcherFixture, "replicas_peersRelayDeltas_areNotReadFromTheStore")
 {
     write("i-1", "p");
--- a/tests/unit/tst_platform.cpp
+++ b/tests/unit/tst_platform.cpp
@@ -122,6 +122,54 @@
     }
 }
 
+// A number that is out of range must not become another number that looks sound.
+TEST_CASE_METHOD(PlatformFixture, "decodeReplica_numberOutOfRange_isRejected")
+{
+    const std::string field = GENERATE(
+            as<std::string>(), R"("slots":4294967296)", R"("slots":4294967312)",
+            R"("slots":2147483648)", R"("slots":1e999)", R"("slots":-1)", R"("slots":2.5)",
+            R"("slots":2,"born":9223372036854775808)", R"("slots":2,"born":18446744073709551616)",
+            R"("slots":2,"models":[{"name":"m","version":9223372036854775808}])",
+            R"("slots":2,"layers":{"from":0,"to":4294967312,"version":1})",
+            R"("slots":2,"layers":{"from":4294967296,"to":16,"version":1})",
+            R"("slots":2,"layers":{"from":0,"to":16,"version":18446744073709551615})");
+    CAPTURE(field);
+    const std::string entry =
+            R"({"service":"p","address":"127.0.0.1:1","zone":"a","state":"ready",)" + field + "}";
+    const auto read = toOutcome([&] { return decodeReplica(ReplicaId("i-1"), entry); });
+    REQUIRE_FALSE(detailOf(read).empty());
+}
+
+TEST_CASE_METHOD(PlatformFixture, "decodeReplica_portOutOfRangeOrDeeplyNested_isRejected")
+{
+    const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+    const std::string entry = GENERATE_COPY(
+            R"({"service":"p","address":"127.0.0.1:65536","zone":"a","slots":2,"state":"ready"})",
+            R"({"service":"p","address":"127.0.0.1:99999999999999999999","zone":"a","slots":2,)"
+            R"("state":"ready"})",
+            R"({"service":"p","address":"127.0.0.1:-1","zone":"a","slots":2,"state":"ready"})",
+            deep,
+            R"({"service":"p","address":"127.0.0.1:1","zone":"a","slots":2,"state":"ready","x":)"
+                    + deep + "}");
+    CAPTURE(entry.substr(0, 100));
+    const auto read = toOutcome([&] { return decodeReplica(ReplicaId("i-1"), entry); });
+    REQUIRE_FALSE(detailOf(read).empty());
+}
+
+// The key of an entry becomes a header field of requests, where a line end would begin another.
+TEST_CASE_METHOD(PlatformFixture, "decodeReplica_keyIsNoFieldValue_isRejected")
+{
+    const std::string id = GENERATE(as<std::string>(), "", "i-1\r\nTenant-Name: forged", "i\n1",
+                                    "\x01", "\x7f", "\xff\xfe", std::string("i\0", 2));
+    CAPTURE(id);
+    const auto read = toOutcome([&] {
+        return decodeReplica(
+                ReplicaId(id),
+                R"({"service":"p","address":"127.0.0.1:1","zone":"a","slots":2,"state":"ready"})");
+    });
+    REQUIRE_FALSE(detailOf(read).empty());
+}
+
 TEST_CASE_METHOD(PlatformFixture, "decodeReplica_engine_hasItsWeights")
 {
     const auto read = toOutcome([] {
--- a/tests/unit/tst_replicalistdelta.cpp
+++ b/tests/unit/tst_replicalistdelta.cpp
@@ -2,6 +2,7 @@
  * Tests of the deltas of the list of backend servers that entries of a zone forward to each other.
  */
 #include "core/fleet/fleet.h"
+#include "platform/replicaformat.h"
 #include "protocol/datagramcodec.h"
 
 #include <catch2/catch.hpp>
@@ -59,6 +60,30 @@
     REQUIRE(std::get<Datagram>(decoded) == delta);
 }
 
+// One entry with odd numbers must not make the other entries of the zone drop the delta.
+TEST_CASE_METHOD(ReplicaListDeltaFixture, "delta_listedEntryHasOddNumbers_reachesPeersIfReadable")
+{
+    const std::string numbers = GENERATE(
+            as<std::string>(), R"("slots":2,"born":9223372036854775808)", R"("slots":4294967295)",
+            R"("slots":2,"born":9223372036854775807)", R"("slots":2147483647)",
+            R"("slots":2,"layers":{"from":0,"to":4294967295,"version":1})",
+            R"("slots":2,"models":[{"name":"m","version":18446744073709551615}])");
+    CAPTURE(numbers);
+    const auto odd = toOutcome([&] {
+        return decodeReplica(ReplicaId("i-2"),
+                             R"({"service":"p","address":"127.0.0.1:1","zone":"a",)"
+                             R"("state":"ready",)"
+                                     + numbers + "}");
+    });
+    if (failureOf(odd) == nullptr) {
+        const Datagram delta =
+                ReplicaListDelta {7, 9, {replica("i-1"), std::get<ReplicaEntry>(odd)}, {}};
+        const auto decoded = toOutcome([&] { return decodeDatagram(encodeDatagram(delta)); });
+        REQUIRE(failureOf(decoded) == nullptr);
+        REQUIRE(std::get<Datagram>(decoded) == delta);
+    }
+}
+
 TEST_CASE_METHOD(ReplicaListDeltaFixture, "loadWanted_withTargetVersionsEncodedAndDecoded_isEqual")
 {
     const Datagram request =
