Show that a planned stop cuts requests without an answer

Callers whose request was still in progress at the end of the grace period of a planned stop, or whose upload ended after the entry had stopped accepting, got a closed connection and no answer, also for requests that may not be repeated.

Cause: Edge::shutDown() waits for the connections until its deadline, and then ends the process whatever is in progress. Requests do not know that deadline, and one that is complete only late in the grace period is passed on like any other.

Evidence: both new tests fail on this code; the status is 0, which is no answer, instead of 504 and 503.

--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <thread>
 #include <unistd.h>
@@ -253,6 +254,12 @@
         return true;
     }
 
+    void beginShutDown()
+    {
+        asio::co_spawn(m_context, m_edge->shutDown(),
+                       [this](const std::exception_ptr &) { m_isStopped = true; });
+    }
+
     static HttpRequest request(const std::string &target, const std::string &key = "key")
     {
         return {"POST",
@@ -304,12 +311,31 @@
         return received;
     }
 
+    /**
+     * Sends a request whose body follows after a delay, and runs the tasks until the entry has
+     * stopped, as its process does.
+     *
+     * @returns what the caller has received by then
+     */
+    Received sendUntilStopped(const std::string &body, Duration delay)
+    {
+        std::optional<Received> received;
+        const std::string head = "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\n"
+                                 "Key: key\r\nTransfer-Encoding: chunked\r\n\r\n";
+        asio::co_spawn(m_context, exchange(m_settings.frontAddress, head, received, body, delay),
+                       asio::detached);
+        REQUIRE(waitUntil([this] { return m_isStopped; }));
+        return received.value_or(Received());
+    }
+
     Received httpGet(const Address &address, const std::string &target)
     {
         return send(address, "GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
     }
 
-    Awaitable<void> exchange(Address address, std::string text, std::optional<Received> &received)
+    /** Sends a request, of which the rest follows after a delay, and receives the response. */
+    Awaitable<void> exchange(Address address, std::string text, std::optional<Received> &received,
+                             std::string rest = {}, Duration delay = {})
     {
         const auto connection = std::make_shared<HttpConnection>(m_context.get_executor());
         const auto endpoint = toOutcome([&] { return parseEndpoint(address); });
@@ -318,6 +344,11 @@
                 std::get<asio::ip::tcp::endpoint>(endpoint), std::chrono::seconds(1));
         if (connected == HttpIoStatus::Done) {
             co_await connection->send(std::move(text), std::chrono::seconds(1));
+            if (!rest.empty()) {
+                asio::steady_timer timer(m_context, delay);
+                co_await timer.async_wait(asTuple);
+                co_await connection->send(std::move(rest), std::chrono::seconds(1));
+            }
             HttpReadResult<HttpResponseHead> head =
                     co_await connection->readHead(false, std::chrono::seconds(5));
             if (head.ioStatus == HttpIoStatus::Done) {
@@ -340,6 +371,7 @@
     ReplicaStandin m_second;
     std::optional<EndlessStandin> m_endless;
     std::optional<Edge> m_edge;
+    bool m_isStopped = false;
     std::shared_ptr<LoadReporter> m_agent;
 };
 
@@ -654,6 +686,40 @@
     REQUIRE(waitUntil([&] { return isStopped; }));
 }
 
+// A request in progress at the end of the grace period must not be cut without an answer.
+TEST_CASE_METHOD(EdgeFixture, "entry_requestInProgressAtTheEndOfTheGrace_getsAFinalAnswer")
+{
+    const std::string kind = GENERATE(as<std::string>(), "idempotent", "non_idempotent");
+    CAPTURE(kind);
+    m_settings.bounds.grace = std::chrono::seconds(4);
+    startEntryWith(kind, 2, {&m_first, &m_second});
+    m_first.setBehaviour(ReplicaBehaviour::Hangs);
+    m_second.setBehaviour(ReplicaBehaviour::Hangs);
+    const Instant stoppedBy = monotonicNow() + m_settings.bounds.grace;
+    beginShutDown();
+    m_context.run_for(std::chrono::milliseconds(2000));
+    const Received received = sendUntilStopped("4\r\nbody\r\n0\r\n\r\n", Duration());
+    REQUIRE(monotonicNow() < stoppedBy);
+    REQUIRE(received.status == 504);
+    REQUIRE(received.isComplete);
+}
+
+// A request that is complete only after the entry stopped accepting must not be cut either.
+TEST_CASE_METHOD(EdgeFixture, "entry_uploadEndsLateInTheGrace_isNotPassedOn")
+{
+    m_settings.bounds.grace = std::chrono::seconds(4);
+    startEntryWith("non_idempotent", 2, {&m_first});
+    m_first.setBehaviour(ReplicaBehaviour::Hangs);
+    beginShutDown();
+    m_context.run_for(std::chrono::milliseconds(2000));
+    const Received received =
+            sendUntilStopped("4\r\nbody\r\n0\r\n\r\n", std::chrono::milliseconds(1000));
+    REQUIRE(received.status == 503);
+    REQUIRE(received.isComplete);
+    REQUIRE(received.head.header("Retry-After"));
+    REQUIRE(m_first.receivedRequests().empty());
+}
+
 TEST_CASE_METHOD(EdgeFixture, "entry_idempotentRequestMeetsEndlessBytes_isRetriedOnAnotherBackend")
 {
     const EndlessBytes bytes =
