Relay a backend server whose entry became unreadable as removed

An entry that reads the list for its zone left out a backend server whose entry it could no longer read, but the entries that rely on it went on sending requests to that server: the delta did not name it.

Cause: only a record without a value was relayed as a removal. Now a record either has a readable entry, or counts as a removal, for the reader and in the delta alike. Evidence: replicas_entryBecomesUnreadable_isRelayedAsRemoved failed before; the nine replicas_* tests of failure-feeds pass now.

--- a/source/edge/storewatchers.cpp
+++ b/source/edge/storewatchers.cpp
@@ -197,7 +197,7 @@
     std::vector<ReplicaId> present;
     for (const KeyedRecord &record : snapshot.records) {
         present.emplace_back(record.key);
-        applyRecord(record, now);
+        applyRecord(record, {}, now);
     }
     for (const ReplicaUpdate &update : m_replicas.retainOnly(present, now)) {
         logChange(update);
@@ -211,11 +211,7 @@
     m_replicas.recordRead(now);
     ReplicaListDelta update {from, tail.nextOffset, {}, {}};
     for (const KeyedRecord &record : tail.records) {
-        if (const std::optional<ReplicaEntry> changed = applyRecord(record, now)) {
-            update = std::move(update).withChanged(*changed);
-        } else if (!record.value) {
-            update = std::move(update).withRemoved(ReplicaId(record.key));
-        }
+        update = applyRecord(record, std::move(update), now);
     }
     expire(now);
     m_hooks.onDelta(update);
@@ -272,22 +268,32 @@
     return isNew;
 }
 
-/** Applies a record. @returns the entry if it differs from the known one */
-std::optional<ReplicaEntry> ReplicaWatcher::applyRecord(const KeyedRecord &record, Instant now)
+/** @returns the entry of a record; empty if it was removed or cannot be read */
+std::optional<ReplicaEntry> ReplicaWatcher::decode(const KeyedRecord &record) const
 {
-    const ReplicaId id(record.key);
     if (!record.value) {
-        remove(id, now);
         return std::nullopt;
     }
-    const Outcome<ReplicaEntry> read = toOutcome([&] { return m_hooks.decode(id, *record.value); });
+    const ReplicaId id(record.key);
+    Outcome<ReplicaEntry> read = toOutcome([&] { return m_hooks.decode(id, *record.value); });
     if (const Failure *failure = failureOf(read)) {
         m_log.warning("replica.unreadable", {{"replica", id.text()}, {"reason", failure->detail}});
-        remove(id, now);
         return std::nullopt;
     }
-    const auto &entry = std::get<ReplicaEntry>(read);
-    return put(entry) ? std::optional(entry) : std::nullopt;
+    return std::get<ReplicaEntry>(std::move(read));
+}
+
+/** Applies a record. @returns the delta, to which the change was added */
+ReplicaListDelta ReplicaWatcher::applyRecord(const KeyedRecord &record, ReplicaListDelta delta,
+                                             Instant now)
+{
+    const std::optional<ReplicaEntry> entry = decode(record);
+    if (!entry) {
+        const ReplicaId id(record.key);
+        remove(id, now);
+        return std::move(delta).withRemoved(id);
+    }
+    return put(*entry) ? std::move(delta).withChanged(*entry) : delta;
 }
 
 void ReplicaWatcher::logChange(const ReplicaUpdate &update)
--- a/source/edge/storewatchers.h
+++ b/source/edge/storewatchers.h
@@ -120,7 +120,8 @@
     TopicReader recordAttempts(TopicReader reader);
     void applySnapshot(const KeyedSnapshot &snapshot);
     void applyTail(std::uint64_t from, const KeyedBatch &tail);
-    std::optional<ReplicaEntry> applyRecord(const KeyedRecord &record, Instant now);
+    std::optional<ReplicaEntry> decode(const KeyedRecord &record) const;
+    ReplicaListDelta applyRecord(const KeyedRecord &record, ReplicaListDelta delta, Instant now);
     void applyDelta(const ReplicaListDelta &update);
     void expire(Instant now);
     void remove(const ReplicaId &id, Instant now);
