--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -13,12 +13,16 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 
 namespace greengageseam {
 namespace {
 
 using std::chrono::milliseconds;
 
+/** Value of a record that no entry of a backend server can be decoded from. */
+constexpr auto unreadable = "unreadable";
+
 /** Simulates a topic in which each value is the name of a service. Runs the tasks in real time. */
 class StoreWatcherFixture
 {
@@ -73,6 +77,9 @@
     {
         ReplicaWatcherHooks hooks;
         hooks.decode = [](const ReplicaId &id, std::string_view bytes) -> Result<ReplicaEntry> {
+            if (bytes == unreadable) {
+                return fail(ErrorKind::CorruptData, "unreadable");
+            }
             ReplicaEntry entry;
             entry.id = id;
             entry.service = ServiceName(std::string(bytes));
@@ -160,6 +167,19 @@
     REQUIRE(m_relayedDeltas.front().removed == std::vector<ReplicaId> {ReplicaId("i-1")});
 }
 
+// A server whose entry can no longer be read is left out by its reader and by those it tells.
+TEST_CASE_METHOD(StoreWatcherFixture, "replicas_entryBecomesUnreadable_isRelayedAsRemoved")
+{
+    write("i-1", "p");
+    startReplicaWatcher();
+    write("i-1", unreadable);
+    write("i-2", "p");
+    runFor(milliseconds(250));
+    REQUIRE(m_known.size() == 1);
+    REQUIRE(m_known.front().id == ReplicaId("i-2"));
+    REQUIRE(m_relayedDeltas.front().removed == std::vector<ReplicaId> {ReplicaId("i-1")});
+}
+
 TEST_CASE_METHOD(StoreWatcherFixture, "replicas_peersRelayDeltas_areNotReadFromTheStore")
 {
     write("i-1", "p");
@@ -409,6 +429,79 @@
     REQUIRE(age < milliseconds(1500));
 }
 
+// An entry that wakes may hear of a version long after the time that it is given for catching up.
+TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_slowReadAfterPause_isDatedByThePause")
+{
+    Duration age {};
+    write("version/m", "1");
+    const auto watcher =
+            makeVersionWatcher([&](const TargetVersion &, Duration oldest) { age = oldest; });
+    watcher->start();
+    REQUIRE(waitUntil([&] { return m_offset == 1; }));
+    m_readTime = milliseconds(3000);
+    runFor(milliseconds(100));
+    write("version/m", "2");
+    const Instant named = monotonicNow();
+    std::this_thread::sleep_for(milliseconds(800));
+    REQUIRE(waitUntil([&] { return m_offset == 2; }));
+    REQUIRE(age >= monotonicNow() - named - milliseconds(50));
+}
+
+// A read that returns a version late must not date it by its end, even without a pause.
+TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_slowRead_isDatedByTheReadBefore")
+{
+    Duration age {};
+    write("version/m", "1");
+    const auto watcher =
+            makeVersionWatcher([&](const TargetVersion &, Duration oldest) { age = oldest; });
+    watcher->start();
+    REQUIRE(waitUntil([&] { return m_offset == 1; }));
+    m_readTime = milliseconds(1500);
+    runFor(milliseconds(100));
+    write("version/m", "2");
+    const Instant named = monotonicNow();
+    REQUIRE(waitUntil([&] { return m_offset == 2; }));
+    REQUIRE(age >= monotonicNow() - named - milliseconds(50));
+}
+
+// Two lost reads must not make a version look newer than one lost read does.
+TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_twoReadsLostAfterPause_isDatedByThePause")
+{
+    Duration age {};
+    write("version/m", "1");
+    const auto watcher =
+            makeVersionWatcher([&](const TargetVersion &, Duration oldest) { age = oldest; });
+    watcher->start();
+    REQUIRE(waitUntil([&] { return m_offset == 1; }));
+    runFor(milliseconds(100));
+    write("version/m", "2");
+    const Instant named = monotonicNow();
+    m_readsFail = true;
+    m_readTime = milliseconds(900);
+    std::this_thread::sleep_for(milliseconds(800));
+    runFor(milliseconds(2200));
+    m_readsFail = false;
+    REQUIRE(waitUntil([&] { return m_offset == 2; }));
+    REQUIRE(age >= monotonicNow() - named - milliseconds(50));
+}
+
+// A process that has known a version for longer must not be ignored for telling of it second.
+TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_peerHasKnownItForLonger_isDatedByThePeer")
+{
+    Duration oldest {};
+    write("version/m", "1");
+    const auto watcher = makeVersionWatcher(
+            [&](const TargetVersion &, Duration age) { oldest = std::max(oldest, age); });
+    watcher->start();
+    REQUIRE(waitUntil([&] { return m_offset == 1; }));
+    runFor(milliseconds(100));
+    oldest = Duration::zero();
+    write("version/m", "2");
+    REQUIRE(waitUntil([&] { return m_offset == 2; }));
+    watcher->applyPeerTargetVersion({ModelName("m"), 2}, VersionSource::Agent, milliseconds(4000));
+    REQUIRE(oldest >= milliseconds(4000));
+}
+
 // Another process may repeat a target version, or know an older one.
 TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_passedOnByPeers_onlyNewerOnesCountOnce")
 {
