Date weights by whoever has known them for the longest

An entry that had heard of a version kept its first date, though an agent knew better; and a restarted agent said that it had known the versions of its first read for an hour. The earlier of two dates now counts, and an agent tells the time since its start for a version that is older.

--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -242,7 +242,9 @@
     const TargetVersion &target = command.targetVersion;
     const auto [it, isNew] =
             m_targetVersions[target.model].emplace(target.version, command.announcedAt);
-    if (isNew) {
+    const bool isEarlier = command.announcedAt < it->second;
+    if (isNew || isEarlier) {
+        it->second = command.announcedAt;
         const Duration remaining = requiredFrom(it->second) - monotonicNow();
         m_log.info("weights.deadline-set",
                    {{"model", target.model.text()},
--- a/source/edge/storewatchers.cpp
+++ b/source/edge/storewatchers.cpp
@@ -12,6 +12,8 @@
 /** Interval at which a watcher records that its process runs. */
 constexpr auto runningCheckInterval = std::chrono::milliseconds(100);
 
+/** A difference between two dates of a target version that makes none to requests. */
+constexpr auto datingTolerance = std::chrono::milliseconds(100);
 /** Age of the list of backend servers from which the next entry of the zone reads it itself. */
 constexpr auto maxRelayedListAge = std::chrono::milliseconds(1000);
 /** Each further entry reads the list so much later, since it then receives what others have read.
@@ -167,13 +169,17 @@
 void OperatorWatcher::applyTargetVersion(const TargetVersion &targetVersion, VersionSource source,
                                          bool isInitial, Duration age)
 {
-    std::uint64_t &known = m_targetVersions[targetVersion.model];
-    if (targetVersion.version <= known) {
+    DatedVersion &known = m_targetVersions[targetVersion.model];
+    const Instant now = monotonicNow();
+    const bool isNewer = targetVersion.version > known.version;
+    const Duration oldest =
+            isNewer ? std::max(age, now - m_listening.earliestChange(now)) : Duration(age);
+    const bool isOlderThanThought = targetVersion.version == known.version
+            && now - oldest < known.earliest - datingTolerance;
+    if (!isNewer && !isOlderThanThought) {
         return;
     }
-    known = targetVersion.version;
-    const Instant now = monotonicNow();
-    const Duration oldest = std::max(age, now - m_listening.earliestChange(now));
+    known = {targetVersion.version, now - oldest};
     m_log.info("weights.target-changed",
                {{"model", targetVersion.model.text()},
                 {"version", targetVersion.version},
--- a/source/edge/storewatchers.h
+++ b/source/edge/storewatchers.h
@@ -30,7 +30,8 @@
     /** Called when a newer configuration applies. */
     std::function<void(RouteTablePtr table)> onConfig;
     /**
-     * Called when a newer target version was announced. isInitial tells whether it was announced
+     * Called when a newer target version was announced, and again when it turns out to be older than
+     * it was said to be. isInitial tells whether it was announced
      * before this watcher read the topic for the first time. The age is the longest time since the
      * announcement that is possible: the time for which another process has known the version, or
      * since which this one's view of the topic was complete.
@@ -98,8 +99,14 @@
     bool m_hasSnapshot = false;
     /** Every change that was accepted before this time was applied. Never decreases. */
     Instant m_completeAsOf;
-    /** The newest target version of the weights of each model. */
-    std::map<ModelName, std::uint64_t> m_targetVersions;
+    /** The newest target version of a model, and the earliest time at which it can be announced. */
+    struct DatedVersion
+    {
+        std::uint64_t version = 0;
+        Instant earliest;
+    };
+
+    std::map<ModelName, DatedVersion> m_targetVersions;
 };
 
 /** Hooks of ReplicaWatcher. They must not block. */
--- a/source/sidecar/sidecar.cpp
+++ b/source/sidecar/sidecar.cpp
@@ -38,6 +38,7 @@
 
 Result<void> Sidecar::start()
 {
+    m_startedAt = monotonicNow();
     LoadReporterHooks hooks;
     hooks.onEntriesChanged = [this](const std::vector<EntryLocation> &entries) {
         m_exchange->fetcher()->post(FetcherEntriesChanged {entries});
@@ -113,7 +114,8 @@
         const Instant at = isOld ? Instant() : monotonicNow() - age;
         m_installer->mailbox()->post(InstallerTargetVersionChanged {named.version, at});
         m_exchange->fetcher()->post(FetcherTargetVersionChanged {named});
-        m_loadReporter->mailbox()->post(TargetVersionKnown {named, at});
+        // A version that was announced before the start is known at least since then.
+        m_loadReporter->mailbox()->post(TargetVersionKnown {named, isOld ? m_startedAt : at});
     };
     hooks.onOffsetAdvanced = [](std::uint64_t) { };
     FollowOptions follow;
