--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -64,17 +64,17 @@
         }
     }
     for (const auto &[id, state] : previous) {
-        rememberStatement(state);
+        rememberStatement({processOf(state.entry), state.availability});
     }
 }
 
 /** The list may drop a backend server for a moment, while it is alive. */
-void LoadBalancer::rememberStatement(const ReplicaState &state)
+void LoadBalancer::rememberStatement(const PastStatement &statement)
 {
-    if (!state.availability.hasStatement()) {
+    if (!statement.availability.hasStatement()) {
         return;
     }
-    m_pastStatements.push_back({processOf(state.entry), state.availability});
+    m_pastStatements.push_back(statement);
     if (m_pastStatements.size() > maxPastStatements) {
         m_pastStatements.pop_front();
     }
@@ -92,14 +92,18 @@
                                   const ReplicaStatement &statement, Instant now)
 {
     const auto it = m_replicas.find(incarnation.id);
-    if (it == m_replicas.end() || processOf(it->second.entry) != incarnation) {
-        return;
-    }
-    ReplicaAvailability next = it->second.availability;
+    const bool isListed = it != m_replicas.end() && processOf(it->second.entry) == incarnation;
+    ReplicaAvailability next =
+            isListed ? it->second.availability : rememberedAvailability(incarnation);
     if (statement.isLeaving) {
         next = next.leaving();
     }
-    it->second.availability = next.paused(now, statement.pause.value_or(Duration::zero()));
+    next = next.paused(now, statement.pause.value_or(Duration::zero()));
+    if (isListed) {
+        it->second.availability = next;
+    } else {
+        rememberStatement({incarnation, next});
+    }
 }
 
 std::map<ReplicaId, UnavailableCause> LoadBalancer::unavailableReplicas(Instant now) const
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -252,7 +252,7 @@
         ReplicaAvailability availability;
     };
 
-    void rememberStatement(const ReplicaState &state);
+    void rememberStatement(const PastStatement &statement);
     ReplicaAvailability rememberedAvailability(const ReplicaProcess &incarnation) const;
 
     std::map<ReplicaId, ReplicaState> m_replicas;
--- a/source/core/fleet/topicsource.cpp
+++ b/source/core/fleet/topicsource.cpp
@@ -12,8 +12,10 @@
 constexpr std::size_t fanOut = 4;
 /** Number of entries that a process that is not an entry tries before the store. */
 constexpr std::size_t maxEntriesTried = 3;
-/** Number of attempts to read from entries for each attempt to read the store, beyond the first. */
-constexpr std::size_t extraEntryAttempts = 5;
+/** Number of further entries that are tried at once before a process waits for its next attempt. */
+constexpr std::size_t entriesPerAttempt = 3;
+/** Number of such attempts for each attempt to read the store. */
+constexpr std::size_t extraAttempts = 5;
 /** Number of entries of a zone that read the store if those before them cannot. */
 constexpr std::size_t maxZoneReaders = 3;
 
@@ -44,17 +46,15 @@
 /** Chooses for the first entry of the zone, which prefers the store. */
 TopicSource chooseForFirstEntry(const TopicSourceQuery &query)
 {
-    std::vector<InstanceId> others;
-    for (std::size_t i = 1; i < std::min(query.entries.size(), maxZoneReaders); ++i) {
-        others.push_back(query.entries[i]);
-    }
+    std::vector<InstanceId> others(query.entries.begin() + 1, query.entries.end());
     std::erase_if(others, [&](const InstanceId &it) { return query.silent.contains(it); });
-    const std::size_t position = query.failures % (others.size() + 1);
-    const bool hasUntriedAlternative = position < others.size();
+    const std::size_t attempts = std::min(others.size(), entriesPerAttempt);
+    const std::size_t position = query.failures % (attempts + 1);
     if (position == 0) {
-        return {std::nullopt, hasUntriedAlternative};
+        return {std::nullopt, attempts > 0};
     }
-    return {others[position - 1], hasUntriedAlternative};
+    const std::size_t round = query.failures / (attempts + 1);
+    return {others[(round * attempts + position - 1) % others.size()], position < attempts};
 }
 
 } // namespace
@@ -77,12 +77,18 @@
         return {};
     }
     const std::size_t n = entries.size();
-    const std::size_t attemptsBeforeStore = isEntry ? (rank - 1) % (extraEntryAttempts + 1) : 0;
-    const std::size_t position = query.failures % (n + 1 + extraEntryAttempts);
-    if (position == n + attemptsBeforeStore) {
+    const std::size_t attemptsBeforeStore = isEntry ? std::min(rank - 1, extraAttempts - 1) : 0;
+    const std::size_t position = query.failures % (n + 1 + extraAttempts * entriesPerAttempt);
+    if (position < n) {
+        return {entries[position], true};
+    }
+    if (position == n + attemptsBeforeStore * entriesPerAttempt) {
         return {};
     }
-    return {entries[position % n], position < n};
+    // Any entry may have read the topic before it was cut off, so all of them are asked in turn.
+    const std::size_t further = (rank + query.failures + 1) % query.entries.size();
+    const bool isLastOfAttempt = (position - n) % entriesPerAttempt == entriesPerAttempt - 1;
+    return {query.entries[further], !isLastOfAttempt};
 }
 
 } // namespace greengageseam
--- a/source/core/fleet/topicsource.h
+++ b/source/core/fleet/topicsource.h
@@ -43,10 +43,10 @@
 /**
  * Chooses the source of a topic.
  *
- * The first entry in the order reads the store; if that fails, it tries the two entries after it,
- * which read the store in its place. The others form a tree below it, and each reads from its
- * parent, then from the first three entries, then from the store. A process that is not an entry
- * reads from a few entries that a hash of its name selects, then from the store.
+ * The first entry in the order reads the store; if that fails, it tries the other entries, of which
+ * the next two read the store in its place. The others form a tree below it, and each reads from
+ * its parent, then from the first three entries, then from the store. A process that is not an
+ * entry reads from a few entries that a hash of its name selects, then from the store.
  *
  * All entries of a zone lose the first one at the same moment. They turn to the store one after the
  * other: the later an entry is in the order, the more often it tries the entries first, by which
--- a/source/edge/relayedreader.cpp
+++ b/source/edge/relayedreader.cpp
@@ -12,6 +12,8 @@
 constexpr auto pollTimeout = std::chrono::milliseconds(600);
 /** Time for which an entry that has not answered at all is passed over. */
 constexpr auto silenceMemory = std::chrono::seconds(5);
+/** Time within which a read of the store is expected to return something, if the last one did. */
+constexpr auto expectedReadTime = std::chrono::milliseconds(1000);
 /** Maximum time for which the first read waits once other entries are being looked for. */
 constexpr auto discoveryTimeout = std::chrono::milliseconds(400);
 
@@ -192,7 +194,9 @@
         ReadResult read = co_await readFromEntry(entry, request);
         co_return read;
     }
+    m_storeReadAt = monotonicNow();
     ReadResult read = co_await readFromStore(request);
+    m_isStoreUsable = failureOf(read) == nullptr;
     co_return read;
 }
 
@@ -200,7 +204,10 @@
 {
     if (!request.isSnapshot || (m_options.continuesSnapshots && m_view)) {
         const std::uint64_t from = request.from;
-        const Duration wait = std::min<Duration>(request.wait, pollTimeout);
+        // A view that became old on its way is confirmed at once, not at the end of a long poll.
+        const bool isOld = m_view && monotonicNow() - m_view->completeAsOf() > pollTimeout;
+        const Duration wait =
+                isOld ? Duration::zero() : std::min<Duration>(request.wait, pollTimeout);
         const Outcome<KeyedBatch> tail = co_await m_store.tail(from, wait);
         const Failure *failure = failureOf(tail);
         if (failure == nullptr) {
@@ -323,7 +330,10 @@
 {
     const bool isStarting = !m_source;
     const bool isStoreReceiving = m_store.isReceiving && m_store.isReceiving();
-    return m_isReading && (isStarting || m_link->hasPartialAnswer() || isStoreReceiving);
+    const bool isStoreExpected = isReadingStore() && m_isStoreUsable
+            && monotonicNow() - m_storeReadAt < expectedReadTime;
+    return m_isReading
+            && (isStarting || m_link->hasPartialAnswer() || isStoreReceiving || isStoreExpected);
 }
 
 } // namespace greengageseam
--- a/source/edge/relayedreader.h
+++ b/source/edge/relayedreader.h
@@ -126,6 +126,10 @@
     /** Id of the latest read; earlier ones were given up. */
     std::uint64_t m_readId = 0;
     bool m_isReading = false;
+    /** When the latest read of the store began. */
+    Instant m_storeReadAt;
+    /** Whether the store has not failed this process since it last answered it. */
+    bool m_isStoreUsable = true;
     /** Whether the read in progress was interrupted because another source is now preferred. */
     bool m_isRedirected = false;
     std::shared_ptr<TopicLink> m_link;
--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -96,8 +96,12 @@
     if (!m_nextOffset || *m_nextOffset >= command.upTo) {
         return;
     }
-    m_catchUpTimeout = std::min<Duration>(m_catchUpTimeout * 2, maxCatchUpTimeout);
-    restartRead();
+    if (restartRead()) {
+        m_catchUpTimeout = std::min<Duration>(m_catchUpTimeout * 2, maxCatchUpTimeout);
+        return;
+    }
+    m_isCatchUpCheckPending = true;
+    postAfter(initialCatchUpTimeout, command);
 }
 
 void TopicFollower::apply(const RestartRead &)
@@ -108,11 +112,13 @@
 /**
  * Abandons the read in progress, which may wait on a connection that never returns anything, unless
  * it is receiving its result.
+ *
+ * @returns whether the read was abandoned
  */
-void TopicFollower::restartRead()
+bool TopicFollower::restartRead()
 {
     if (m_reader.isReceiving && m_reader.isReceiving()) {
-        return;
+        return false;
     }
     ++m_readId;
     m_log.info("store.read-restarted",
@@ -122,6 +128,7 @@
     }
     notifyReadLost();
     m_mailbox->post(ReadDue {m_readId});
+    return true;
 }
 
 void TopicFollower::notifyReadLost() const
--- a/source/edge/topicfollower.h
+++ b/source/edge/topicfollower.h
@@ -147,7 +147,7 @@
     void apply(const TailRead &command);
     void apply(const PeerReadReceived &command);
     void apply(const RelyOnPeers &command);
-    void restartRead();
+    bool restartRead();
     void notifyReadLost() const;
     void applySnapshot(const KeyedSnapshot &snapshot);
     void applyTail(const TailRead &command);
--- a/source/edge/topicrelay.cpp
+++ b/source/edge/topicrelay.cpp
@@ -69,6 +69,7 @@
 void TopicRelay::apply(const TopicUpdated &command)
 {
     m_view = command.view;
+    m_progressingSince.reset();
     for (const PendingRequest &pending : m_pending) {
         answer(pending);
     }
@@ -77,6 +78,7 @@
 
 void TopicRelay::apply(const RelayTick &)
 {
+    recordProgress(monotonicNow());
     answerDueRequests();
 }
 
@@ -85,7 +87,19 @@
     if (m_view && now - m_view->completeAsOf() < m_options.maxViewAge) {
         return TopicAvailability::Known;
     }
-    return m_isProgressing() ? TopicAvailability::Pending : TopicAvailability::Unavailable;
+    const bool isTooSlow =
+            m_progressingSince && now - *m_progressingSince > m_options.maxProgressTime;
+    return m_isProgressing() && !isTooSlow ? TopicAvailability::Pending
+                                           : TopicAvailability::Unavailable;
+}
+
+void TopicRelay::recordProgress(Instant now)
+{
+    if (!m_isProgressing()) {
+        m_progressingSince.reset();
+    } else if (!m_progressingSince) {
+        m_progressingSince = now;
+    }
 }
 
 bool TopicRelay::hasChangesFor(const TopicRequested &command) const
--- a/source/edge/topicrelay.h
+++ b/source/edge/topicrelay.h
@@ -49,6 +49,8 @@
      * between two reads of the topic.
      */
     Duration maxViewAge = std::chrono::milliseconds(1000);
+    /** Time after which peers are no longer asked to wait for the read in progress. */
+    Duration maxProgressTime = std::chrono::milliseconds(2700);
 
     auto operator<=>(const TopicRelayOptions &) const = default;
 };
@@ -84,6 +86,7 @@
     void apply(const TopicUpdated &command);
     void apply(const RelayTick &command);
     TopicAvailability availability(Instant now) const;
+    void recordProgress(Instant now);
     bool hasChangesFor(const TopicRequested &command) const;
     void answer(const PendingRequest &pending) const;
     void answerDueRequests();
@@ -94,6 +97,8 @@
     MailboxPtr<TopicRelayCommand> m_mailbox;
     /** Empty until the topic was read. */
     std::optional<TopicView> m_view;
+    /** Since when the read in progress makes progress; empty if it does not. */
+    std::optional<Instant> m_progressingSince;
     std::vector<PendingRequest> m_pending;
 };
 
