Let one step at a time write the staged pieces, bound to its backend server

What callers saw: complete answers of a backend server whose weights were mixed from two versions, after a restart of that server or a newer version had abandoned the step of an older one.

Cause: reset() only counted the step up. The coroutine of the abandoned step went on: its check took the pieces of the newer version for corrupt ones and put back those of the older, and its last write could arrive after the check of the newer version.

Why it works: writing and checking move to StagedWeights, which asks before each call and after each read whether the step is still the one in progress and the backend server still the same incarnation.

--- a/source/sidecar/weightinstaller.cpp
+++ b/source/sidecar/weightinstaller.cpp
@@ -1,6 +1,5 @@
 #include "sidecar/weightinstaller.h"
 
-#include "core/common/hashing.h"
 #include "net/clock.h"
 #include "net/ticker.h"
 
@@ -36,9 +35,9 @@
                                  ReadReplicas readReplicas, DrainStateObserver drainObserver,
                                  Log log)
     : m_executor(executor), m_options(std::move(options)), m_replica(std::move(replica)),
-      m_weights(std::move(weights)), m_readReplicas(std::move(readReplicas)),
-      m_drainObserver(std::move(drainObserver)), m_log(std::move(log)),
-      m_mailbox(makeMailbox<InstallerCommand>(executor, mailboxCapacity))
+      m_staged(executor, m_replica, std::move(weights), log),
+      m_readReplicas(std::move(readReplicas)), m_drainObserver(std::move(drainObserver)),
+      m_log(std::move(log)), m_mailbox(makeMailbox<InstallerCommand>(executor, mailboxCapacity))
 { }
 
 void WeightInstaller::start()
@@ -136,7 +135,9 @@
 
 void WeightInstaller::apply(const InstallerStepFinished &command)
 {
+    m_isStepRunning = false;
     if (command.step != m_step) {
+        advance();
         return;
     }
     if (const Failure *failure = failureOf(command.result)) {
@@ -208,6 +209,9 @@
         reset("a newer version is complete");
         m_stageVersion = m_newestComplete->version;
     }
+    if (m_isStepRunning) {
+        return;
+    }
     switch (m_stage) {
     case Stage::Idle:
         startStep(Stage::Staging);
@@ -271,11 +275,13 @@
 void WeightInstaller::startStep(Stage stage)
 {
     enterStage(stage);
+    m_isStepRunning = true;
+    const StepBinding binding {++m_step, m_report->startedAtMs};
     asio::co_spawn(
             m_executor,
-            [self = shared_from_this(), step = ++m_step, version = *m_newestComplete, stage] {
-                return stage == Stage::Staging ? self->stage(step, version)
-                                               : self->order(step, version);
+            [self = shared_from_this(), binding, version = *m_newestComplete, stage] {
+                return stage == Stage::Staging ? self->stage(binding, version)
+                                               : self->order(binding, version);
             },
             asio::detached);
 }
@@ -286,97 +292,57 @@
     co_await m_mailbox->send(std::move(done));
 }
 
-Awaitable<void> WeightInstaller::stage(std::uint64_t step, CompleteVersion version)
+bool WeightInstaller::isCurrent(StepBinding binding) const
 {
-    VoidOutcome result = std::monostate();
-    std::uint32_t number = 0;
-    for (const Chunk &chunk : version.manifest.chunks()) {
-        if (step != m_step) {
-            co_return;
-        }
-        result = co_await stageChunk(version.model, number, chunk);
-        if (failureOf(result) != nullptr) {
-            break;
-        }
-        ++number;
-    }
-    co_await finishStep(step, std::move(result));
+    return m_report && binding == StepBinding {m_step, m_report->startedAtMs};
 }
 
-Awaitable<VoidOutcome> WeightInstaller::stageChunk(ModelName model, std::uint32_t number,
-                                                   Chunk chunk)
+Awaitable<void> WeightInstaller::stage(StepBinding binding, CompleteVersion version)
 {
-    const auto reply = makeMailbox<Outcome<ChunkBytes>>(m_executor, 1);
-    WeightCommand read = ChunkQuery {chunk.digest, reply};
-    co_await m_weights->send(std::move(read));
-    const std::optional<Outcome<ChunkBytes>> bytes = co_await reply->receive();
-    if (!bytes || failureOf(*bytes) != nullptr) {
-        co_return Failure {ErrorKind::NotFound, "a chunk to stage is no longer stored"};
-    }
-    co_return co_await m_replica.stagePiece(model, number, std::get<ChunkBytes>(*bytes));
+    const IsStepCurrent isStepCurrent = [this, binding] { return isCurrent(binding); };
+    VoidOutcome result = co_await m_staged.stage(version, isStepCurrent);
+    co_await finishStep(binding.step, std::move(result));
 }
 
-/** Reads back all staged pieces and verifies them. A corrupt piece is staged again and reread. */
-Awaitable<VoidOutcome> WeightInstaller::verifyStaged(CompleteVersion version)
+Awaitable<void> WeightInstaller::order(StepBinding binding, CompleteVersion version)
 {
-    constexpr int maxAttempts = 3;
-    std::uint32_t number = 0;
-    for (const Chunk &chunk : version.manifest.chunks()) {
-        bool isIntact = false;
-        for (int i = 0; i < maxAttempts && !isIntact; ++i) {
-            const Outcome<std::string> staged =
-                    co_await m_replica.readStaged(version.model, number);
-            isIntact = failureOf(staged) == nullptr
-                    && digestOf(std::get<std::string>(staged)) == chunk.digest;
-            if (isIntact) {
-                break;
-            }
-            m_log.warning("weights.piece-corrupt",
-                          {{"version", version.version}, {"piece", number}});
-            const VoidOutcome restaged = co_await stageChunk(version.model, number, chunk);
-            if (const Failure *failure = failureOf(restaged)) {
-                co_return *failure;
-            }
-        }
-        if (!isIntact) {
-            co_return Failure {ErrorKind::CorruptData,
-                               "a staged piece is still corrupt after it was staged again"};
-        }
-        ++number;
-    }
-    co_return std::monostate();
+    VoidOutcome result = co_await checkAndOrder(binding, version);
+    co_await finishStep(binding.step, std::move(result));
 }
 
-Awaitable<void> WeightInstaller::order(std::uint64_t step, CompleteVersion version)
+/** Orders the backend server to load the staged pieces, right after a check of them. */
+Awaitable<VoidOutcome> WeightInstaller::checkAndOrder(StepBinding binding, CompleteVersion version)
 {
-    VoidOutcome result = co_await verifyStaged(version);
-    if (step != m_step) {
-        co_return;
+    const IsStepCurrent isStepCurrent = [this, binding] { return isCurrent(binding); };
+    const VoidOutcome checked = co_await m_staged.check(version, isStepCurrent);
+    if (failureOf(checked) != nullptr) {
+        co_return checked;
     }
-    if (failureOf(result) == nullptr) {
-        const LoadOrder order {version.model, version.version, m_mayCancelRequests};
-        const Outcome<OrderResult> answer = co_await m_replica.sendOrder(order);
-        const Failure *failure = failureOf(answer);
-        const bool isUnfit =
-                failure == nullptr && std::get<OrderResult>(answer) == OrderResult::InvalidState;
-        m_log.info("weights.ordered",
-                   {{"version", version.version},
-                    {"cuts", order.truncatesRunning},
-                    {"running", m_report->running},
-                    {"outcome",
-                     failure != nullptr ? failure->detail
-                             : isUnfit  ? "unfit"
-                                        : "accepted"}});
-        // Without a response the order may have been accepted; a later report will show whether it
-        // was.
-        if (failure != nullptr && failure->kind != ErrorKind::OutcomeUnknown) {
-            result = *failure;
-        } else if (isUnfit) {
-            result = Failure {ErrorKind::ChangeConflict,
-                              "the backend server rejected the order to load in its present state"};
-        }
+    if (!isCurrent(binding)) {
+        co_return Failure {ErrorKind::ChangeConflict, "the step was abandoned"};
     }
-    co_await finishStep(step, std::move(result));
+    const LoadOrder order {version.model, version.version, m_mayCancelRequests};
+    const Outcome<OrderResult> answer = co_await m_replica.sendOrder(order);
+    const Failure *failure = failureOf(answer);
+    const bool isUnfit =
+            failure == nullptr && std::get<OrderResult>(answer) == OrderResult::InvalidState;
+    m_log.info("weights.ordered",
+               {{"version", version.version},
+                {"cuts", order.truncatesRunning},
+                {"running", m_report->running},
+                {"outcome",
+                 failure != nullptr ? failure->detail
+                         : isUnfit  ? "unfit"
+                                    : "accepted"}});
+    // Without a response the order may have been accepted; a later report will show whether it was.
+    if (failure != nullptr && failure->kind != ErrorKind::OutcomeUnknown) {
+        co_return *failure;
+    }
+    if (isUnfit) {
+        co_return Failure {ErrorKind::ChangeConflict,
+                           "the backend server rejected the order to load in its present state"};
+    }
+    co_return std::monostate();
 }
 
 } // namespace greengageseam
--- a/source/sidecar/weightinstaller.h
+++ b/source/sidecar/weightinstaller.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "exchange/versionfetcher.h"
+#include "sidecar/stagedweights.h"
 
 namespace greengageseam {
 
@@ -21,7 +21,7 @@
     ReplicaReport report;
 };
 
-/** An asynchronous step, such as staging, has finished. */
+/** An asynchronous step, such as staging, has ended, also if it was abandoned before. */
 struct InstallerStepFinished
 {
     std::uint64_t step = 0;
@@ -53,6 +53,19 @@
                      InstallerStepFinished, InstallerMembersChanged, InstallerCancelPolicyChanged,
                      InstallerTick>;
 
+/**
+ * What a step is bound to. A step whose binding no longer holds makes no further call to the
+ * backend server.
+ */
+struct StepBinding
+{
+    std::uint64_t step = 0;
+    /** The incarnation of the backend server at the start of the step. */
+    std::uint64_t startedAtMs = 0;
+
+    auto operator<=>(const StepBinding &) const = default;
+};
+
 /** Configuration of WeightInstaller. */
 struct InstallerOptions
 {
@@ -110,16 +123,16 @@
     void notifyDraining();
     void reset(std::string_view reason);
     bool isRolloutSlotReached(Instant now) const;
-    Awaitable<void> stage(std::uint64_t step, CompleteVersion version);
-    Awaitable<void> order(std::uint64_t step, CompleteVersion version);
-    Awaitable<VoidOutcome> stageChunk(ModelName model, std::uint32_t number, Chunk chunk);
-    Awaitable<VoidOutcome> verifyStaged(CompleteVersion version);
+    bool isCurrent(StepBinding binding) const;
+    Awaitable<void> stage(StepBinding binding, CompleteVersion version);
+    Awaitable<void> order(StepBinding binding, CompleteVersion version);
+    Awaitable<VoidOutcome> checkAndOrder(StepBinding binding, CompleteVersion version);
     Awaitable<void> finishStep(std::uint64_t step, VoidOutcome result);
 
     asio::any_io_executor m_executor;
     InstallerOptions m_options;
     ReplicaHooks m_replica;
-    MailboxPtr<WeightCommand> m_weights;
+    StagedWeights m_staged;
     ReadReplicas m_readReplicas;
     DrainStateObserver m_drainObserver;
     Log m_log;
@@ -143,6 +156,8 @@
     bool m_isDraining = false;
     /** Number of the step in progress; the results of earlier steps are ignored. */
     std::uint64_t m_step = 0;
+    /** A coroutine of a step runs, possibly of an abandoned one; no other is started meanwhile. */
+    bool m_isStepRunning = false;
 };
 
 } // namespace greengageseam
