Keep the staged pieces until an order without an answer is settled

What callers saw: complete answers of a backend server whose weights were mixed from two versions, after it had been frozen while an order was on its way.

Cause: an order without an answer was given up after 1.5 s. The installer then staged the next version, and the backend server accepted the earlier order while the pieces were half replaced.

Why it works: an order is pending from the moment at which it is sent. Until it is settled, no other version is staged and no other order is sent. What settles it is a report with more accepted orders, a new incarnation, the version being loaded, or an answer to a repeat of the same order. The repeat follows a fresh check of the pieces, which are still those of its version; if that check fails, it is made again, without staging another version. While an order is pending, the backend server counts as draining, since it may begin to load at any moment. An accepted order counts from its answer on, so that a report from before it cannot settle the next order.

--- a/source/sidecar/weightinstaller.cpp
+++ b/source/sidecar/weightinstaller.cpp
@@ -126,6 +126,7 @@
 {
     const bool isRestart = m_report && command.report.startedAtMs != m_report->startedAtMs;
     m_report = command.report;
+    settleOrderBy(*m_report, isRestart);
     if (isRestart) {
         m_log.info("replica.restarted", {{"born", m_report->startedAtMs}});
         reset("the backend server has restarted");
@@ -133,6 +134,16 @@
     advance();
 }
 
+void WeightInstaller::settleOrderBy(const ReplicaReport &report, bool isRestart)
+{
+    m_acceptedOrders =
+            isRestart ? report.acceptedOrders : std::max(m_acceptedOrders, report.acceptedOrders);
+    if (m_pendingOrder && m_pendingOrder->isSettledBy(report)) {
+        m_pendingOrder.reset();
+        notifyDraining();
+    }
+}
+
 void WeightInstaller::apply(const InstallerStepFinished &command)
 {
     m_isStepRunning = false;
@@ -170,8 +181,8 @@
 
 void WeightInstaller::notifyDraining()
 {
-    const bool isDraining =
-            m_stage == Stage::Draining || m_stage == Stage::Ordering || m_stage == Stage::Ordered;
+    const bool isDraining = m_stage == Stage::Draining || m_stage == Stage::Ordering
+            || m_stage == Stage::Ordered || m_pendingOrder.has_value();
     if (isDraining != m_isDraining) {
         m_isDraining = isDraining;
         m_drainObserver(isDraining);
@@ -203,9 +214,10 @@
     if (loaded >= m_newestComplete->version) {
         return;
     }
-    const bool isReplaceable =
-            m_stage == Stage::Staging || m_stage == Stage::Staged || m_stage == Stage::Draining;
-    if (m_stageVersion != m_newestComplete->version && (isReplaceable || m_stage == Stage::Idle)) {
+    const bool isReplaceable = !m_pendingOrder
+            && (m_stage == Stage::Idle || m_stage == Stage::Staging || m_stage == Stage::Staged
+                || m_stage == Stage::Draining);
+    if (m_stageVersion != m_newestComplete->version && isReplaceable) {
         reset("a newer version is complete");
         m_stageVersion = m_newestComplete->version;
     }
@@ -214,7 +226,11 @@
     }
     switch (m_stage) {
     case Stage::Idle:
-        startStep(Stage::Staging);
+        if (!m_pendingOrder) {
+            startStep(Stage::Staging);
+        } else if (!m_report->hasOrderInProgress) {
+            startStep(Stage::Ordering);
+        }
         break;
     case Stage::Staged:
         if (!m_report->hasOrderInProgress && isRolloutSlotReached(now)) {
@@ -225,7 +241,12 @@
         drainOrLoad(now);
         break;
     case Stage::Ordered:
-        if (!m_report->hasOrderInProgress && now - m_stageSince > orderTimeout) {
+        if (m_report->hasOrderInProgress || now - m_stageSince <= orderTimeout) {
+            break;
+        }
+        if (m_pendingOrder) {
+            startStep(Stage::Ordering);
+        } else {
             reset("the order to load had no visible effect in time");
         }
         break;
@@ -277,9 +298,10 @@
     enterStage(stage);
     m_isStepRunning = true;
     const StepBinding binding {++m_step, m_report->startedAtMs};
+    const CompleteVersion &weights = m_pendingOrder ? *m_orderedWeights : *m_newestComplete;
     asio::co_spawn(
             m_executor,
-            [self = shared_from_this(), binding, version = *m_newestComplete, stage] {
+            [self = shared_from_this(), binding, version = weights, stage] {
                 return stage == Stage::Staging ? self->stage(binding, version)
                                                : self->order(binding, version);
             },
@@ -313,6 +335,7 @@
 /** Orders the backend server to load the staged pieces, right after a check of them. */
 Awaitable<VoidOutcome> WeightInstaller::checkAndOrder(StepBinding binding, CompleteVersion version)
 {
+    const bool isRepeat = m_pendingOrder.has_value();
     const IsStepCurrent isStepCurrent = [this, binding] { return isCurrent(binding); };
     const VoidOutcome checked = co_await m_staged.check(version, isStepCurrent);
     if (failureOf(checked) != nullptr) {
@@ -321,6 +344,22 @@
     if (!isCurrent(binding)) {
         co_return Failure {ErrorKind::ChangeConflict, "the step was abandoned"};
     }
+    const bool isSettled = isRepeat && !m_pendingOrder;
+    if (isSettled) {
+        co_return std::monostate();
+    }
+    const VoidOutcome ordered = co_await sendOrder(binding, version);
+    co_return ordered;
+}
+
+/** Sends the order, which is pending until an answer or a report settles it. */
+Awaitable<VoidOutcome> WeightInstaller::sendOrder(StepBinding binding, CompleteVersion version)
+{
+    const bool isRepeat = m_pendingOrder.has_value();
+    if (!isRepeat) {
+        m_pendingOrder = PendingOrder {version.version, binding.startedAtMs, m_acceptedOrders};
+        m_orderedWeights = version;
+    }
     const LoadOrder order {version.model, version.version, m_mayCancelRequests};
     const Outcome<OrderResult> answer = co_await m_replica.sendOrder(order);
     const Failure *failure = failureOf(answer);
@@ -334,8 +373,21 @@
                  failure != nullptr ? failure->detail
                          : isUnfit  ? "unfit"
                                     : "accepted"}});
-    // Without a response the order may have been accepted; a later report will show whether it was.
-    if (failure != nullptr && failure->kind != ErrorKind::OutcomeUnknown) {
+    const bool isUnanswered = failure != nullptr && failure->kind == ErrorKind::OutcomeUnknown;
+    if (isUnanswered) {
+        co_return std::monostate();
+    }
+    // A repeat that could not be sent says nothing about the order before it.
+    const bool isUnsent = failure != nullptr && failure->kind == ErrorKind::NoBackendServer;
+    if (isCurrent(binding) && !(isRepeat && isUnsent)) {
+        const bool hasStarted =
+                failure == nullptr && std::get<OrderResult>(answer) == OrderResult::Started;
+        if (hasStarted && m_pendingOrder) {
+            m_acceptedOrders = std::max(m_acceptedOrders, m_pendingOrder->acceptedOrders + 1);
+        }
+        m_pendingOrder.reset();
+    }
+    if (failure != nullptr) {
         co_return *failure;
     }
     if (isUnfit) {
--- a/source/sidecar/weightinstaller.h
+++ b/source/sidecar/weightinstaller.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "core/fleet/pendingorder.h"
 #include "sidecar/stagedweights.h"
 
 namespace greengageseam {
@@ -123,10 +124,12 @@
     void notifyDraining();
     void reset(std::string_view reason);
     bool isRolloutSlotReached(Instant now) const;
+    void settleOrderBy(const ReplicaReport &report, bool isRestart);
     bool isCurrent(StepBinding binding) const;
     Awaitable<void> stage(StepBinding binding, CompleteVersion version);
     Awaitable<void> order(StepBinding binding, CompleteVersion version);
     Awaitable<VoidOutcome> checkAndOrder(StepBinding binding, CompleteVersion version);
+    Awaitable<VoidOutcome> sendOrder(StepBinding binding, CompleteVersion version);
     Awaitable<void> finishStep(std::uint64_t step, VoidOutcome result);
 
     asio::any_io_executor m_executor;
@@ -158,6 +161,15 @@
     std::uint64_t m_step = 0;
     /** A coroutine of a step runs, possibly of an abandoned one; no other is started meanwhile. */
     bool m_isStepRunning = false;
+    /**
+     * The order whose outcome is unknown. While it is set, m_stageVersion is its version, no other
+     * version is staged, and no other order is sent than a repeat of it.
+     */
+    std::optional<PendingOrder> m_pendingOrder;
+    /** The weights of the last order. */
+    std::optional<CompleteVersion> m_orderedWeights;
+    /** Orders that this incarnation of the backend server has accepted, as reported or answered. */
+    std::uint64_t m_acceptedOrders = 0;
 };
 
 } // namespace greengageseam
