Order only what was checked less than 1.5 s ago

What callers saw: complete answers of a backend server that had loaded a staged piece which had turned bad over 3 s before.

Cause: a check had no age. The backend server was ordered to load whatever the check had found, even if a slow read, or a pause of the agent, had made its first reads seconds old.

Why it works: a check returns the time at which its first read began. Right before the order is sent, the monotonic clock, which counts pauses, must be less than 1.5 s past that time; else the check is made again. After three checks the step fails and is retried. weights.ordered names the age of the check.

--- a/source/sidecar/stagedweights.cpp
+++ b/source/sidecar/stagedweights.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/stagedweights.h"
 
 #include "core/common/hashing.h"
+#include "net/clock.h"
 
 namespace greengageseam {
 
@@ -34,17 +35,19 @@
     co_return std::monostate();
 }
 
-Awaitable<VoidOutcome> StagedWeights::check(CompleteVersion version, IsStepCurrent isCurrent) const
+Awaitable<Outcome<Instant>> StagedWeights::check(CompleteVersion version,
+                                                 IsStepCurrent isCurrent) const
 {
+    const Instant begin = monotonicNow();
     std::uint32_t number = 0;
     for (const Chunk &chunk : version.manifest.chunks()) {
         const VoidOutcome checked = co_await checkChunk(version, number, chunk, isCurrent);
-        if (failureOf(checked) != nullptr) {
-            co_return checked;
+        if (const Failure *failure = failureOf(checked)) {
+            co_return *failure;
         }
         ++number;
     }
-    co_return std::monostate();
+    co_return begin;
 }
 
 Awaitable<VoidOutcome> StagedWeights::stageChunk(ModelName model, std::uint32_t number, Chunk chunk,
--- a/source/sidecar/stagedweights.h
+++ b/source/sidecar/stagedweights.h
@@ -29,8 +29,9 @@
     Awaitable<VoidOutcome> stage(CompleteVersion version, IsStepCurrent isCurrent) const;
     /**
      * Reads back all staged pieces and verifies them. A corrupt piece is staged again and reread.
+     * @returns the time at which the first read began, from which the age of the check counts
      */
-    Awaitable<VoidOutcome> check(CompleteVersion version, IsStepCurrent isCurrent) const;
+    Awaitable<Outcome<Instant>> check(CompleteVersion version, IsStepCurrent isCurrent) const;
 
 private:
     Awaitable<VoidOutcome> stageChunk(ModelName model, std::uint32_t number, Chunk chunk,
--- a/source/sidecar/weightinstaller.cpp
+++ b/source/sidecar/weightinstaller.cpp
@@ -20,6 +20,13 @@
 constexpr auto maxMembersRetry = std::chrono::milliseconds(1000);
 /** Time after which an order without visible effect is sent again. */
 constexpr auto orderTimeout = std::chrono::milliseconds(1500);
+/**
+ * Age of a check, from the start of its first read, at which it no longer permits the order: a
+ * piece may have turned bad meanwhile.
+ */
+constexpr auto maxCheckAge = std::chrono::milliseconds(1500);
+/** Number of checks, each made since the one before took too long, after which the step fails. */
+constexpr int maxChecks = 3;
 constexpr std::array<std::string_view, 6> stageNames {"idle",    "staging",  "staged",
                                                       "leaving", "ordering", "ordered"};
 
@@ -337,23 +344,31 @@
 {
     const bool isRepeat = m_pendingOrder.has_value();
     const IsStepCurrent isStepCurrent = [this, binding] { return isCurrent(binding); };
-    const VoidOutcome checked = co_await m_staged.check(version, isStepCurrent);
-    if (failureOf(checked) != nullptr) {
-        co_return checked;
-    }
-    if (!isCurrent(binding)) {
-        co_return Failure {ErrorKind::ChangeConflict, "the step was abandoned"};
-    }
-    const bool isSettled = isRepeat && !m_pendingOrder;
-    if (isSettled) {
-        co_return std::monostate();
+    for (int i = 0; i < maxChecks; ++i) {
+        const Outcome<Instant> checked = co_await m_staged.check(version, isStepCurrent);
+        if (const Failure *failure = failureOf(checked)) {
+            co_return *failure;
+        }
+        if (!isCurrent(binding)) {
+            co_return Failure {ErrorKind::ChangeConflict, "the step was abandoned"};
+        }
+        const bool isSettled = isRepeat && !m_pendingOrder;
+        if (isSettled) {
+            co_return std::monostate();
+        }
+        const auto checkedAt = std::get<Instant>(checked);
+        if (monotonicNow() - checkedAt < maxCheckAge) {
+            const VoidOutcome ordered = co_await sendOrder(binding, version, checkedAt);
+            co_return ordered;
+        }
     }
-    const VoidOutcome ordered = co_await sendOrder(binding, version);
-    co_return ordered;
+    co_return Failure {ErrorKind::DeadlineExceeded,
+                       "checking the staged pieces took too long to order them"};
 }
 
 /** Sends the order, which is pending until an answer or a report settles it. */
-Awaitable<VoidOutcome> WeightInstaller::sendOrder(StepBinding binding, CompleteVersion version)
+Awaitable<VoidOutcome> WeightInstaller::sendOrder(StepBinding binding, CompleteVersion version,
+                                                  Instant checkedAt)
 {
     const bool isRepeat = m_pendingOrder.has_value();
     if (!isRepeat) {
@@ -361,6 +376,8 @@
         m_orderedWeights = version;
     }
     const LoadOrder order {version.model, version.version, m_mayCancelRequests};
+    const auto checkAge =
+            std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - checkedAt);
     const Outcome<OrderResult> answer = co_await m_replica.sendOrder(order);
     const Failure *failure = failureOf(answer);
     const bool isUnfit =
@@ -369,6 +386,7 @@
                {{"version", version.version},
                 {"cuts", order.truncatesRunning},
                 {"running", m_report->running},
+                {"checkAgeMs", checkAge.count()},
                 {"outcome",
                  failure != nullptr ? failure->detail
                          : isUnfit  ? "unfit"
--- a/source/sidecar/weightinstaller.h
+++ b/source/sidecar/weightinstaller.h
@@ -129,7 +129,8 @@
     Awaitable<void> stage(StepBinding binding, CompleteVersion version);
     Awaitable<void> order(StepBinding binding, CompleteVersion version);
     Awaitable<VoidOutcome> checkAndOrder(StepBinding binding, CompleteVersion version);
-    Awaitable<VoidOutcome> sendOrder(StepBinding binding, CompleteVersion version);
+    Awaitable<VoidOutcome> sendOrder(StepBinding binding, CompleteVersion version,
+                                     Instant checkedAt);
     Awaitable<void> finishStep(std::uint64_t step, VoidOutcome result);
 
     asio::any_io_executor m_executor;
