Show that a lost order is repeated before the next version is staged

If it never reached the backend server, only the answer to a repeat settles it, so the installer must come to that repeat, also when a piece has turned bad in between. The new case of failure-installer loses the first order, spoils a piece and completes a newer version: both versions are loaded, in order and whole.

--- a/tests/failure/tst_installer.cpp
+++ b/tests/failure/tst_installer.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
+#include <utility>
 
 namespace greengageseam {
 namespace {
@@ -152,6 +153,8 @@
     std::function<void(const std::string &bytes)> m_onStored = [](const std::string &) { };
     /** The backend server freezes for this time when the first order arrives. */
     Duration m_freezeAtOrder {};
+    /** The first order never reaches the backend server, which the caller cannot know. */
+    bool m_isFirstOrderLost = false;
 
 private:
     Instant m_frozenUntil;
@@ -216,6 +219,9 @@
             co_await pause(callTimeout);
             co_return Failure {ErrorKind::OutcomeUnknown, "no answer"};
         }
+        if (std::exchange(m_isFirstOrderLost, false)) {
+            co_return Failure {ErrorKind::OutcomeUnknown, "no answer"};
+        }
         if (m_report.loaded.version == order.version) {
             co_return OrderResult::AlreadyInEffect;
         }
@@ -263,6 +269,26 @@
     requireWholeLoads();
 }
 
+// An order that was lost is repeated, also if a piece has turned bad, and then gives way to the
+// next.
+TEST_CASE_METHOD(InstallerFixture, "load_unansweredOrderIsLost_isRepeatedBeforeTheNextVersion")
+{
+    m_isFirstOrderLost = true;
+    m_onRead = [this](int read) {
+        if (read == pieces - 1) {
+            complete(newVersion);
+        }
+        if (read == pieces) {
+            m_staged[0] = "spoilt";
+        }
+    };
+    complete(oldVersion);
+    runUntilLoaded(newVersion);
+    REQUIRE(m_loads.size() == 2);
+    REQUIRE(m_loads.front().version == oldVersion);
+    requireWholeLoads();
+}
+
 // A piece of an abandoned staging must not arrive after the check of the newer version.
 TEST_CASE_METHOD(InstallerFixture, "load_pieceOfAnAbandonedStagingIsLate_takesPiecesOfOneVersion")
 {
