--- a/source/sidecar/weightinstaller.cpp
+++ b/source/sidecar/weightinstaller.cpp
@@ -1,6 +1,5 @@
 #include "sidecar/weightinstaller.h"
 
-#include "core/common/hashing.h"
 #include "net/clock.h"
 #include "net/ticker.h"
 
@@ -21,6 +20,13 @@
 constexpr auto maxMembersRetry = std::chrono::milliseconds(1000);
 /** Time after which an order without visible effect is sent again. */
 constexpr auto orderTimeout = std::chrono::milliseconds(1500);
+/**
+ * Age of a check, from the start of its first read, at which it no longer permits the order: a
+ * piece may have turned bad meanwhile.
+ */
+constexpr auto maxCheckAge = std::chrono::milliseconds(1500);
+/** Number of checks, each made since the one before took too long, after which the step fails. */
+constexpr int maxChecks = 3;
 constexpr std::array<std::string_view, 6> stageNames {"idle",    "staging",  "staged",
                                                       "leaving", "ordering", "ordered"};
 
@@ -36,9 +42,9 @@
                                  ReadReplicas readReplicas, DrainStateObserver drainObserver,
                                  Log log)
     : m_executor(executor), m_options(std::move(options)), m_replica(std::move(replica)),
-      m_weights(std::move(weights)), m_readReplicas(std::move(readReplicas)),
-      m_drainObserver(std::move(drainObserver)), m_log(std::move(log)),
-      m_mailbox(makeMailbox<InstallerCommand>(executor, mailboxCapacity))
+      m_staged(executor, m_replica, std::move(weights), log),
+      m_readReplicas(std::move(readReplicas)), m_drainObserver(std::move(drainObserver)),
+      m_log(std::move(log)), m_mailbox(makeMailbox<InstallerCommand>(executor, mailboxCapacity))
 { }
 
 void WeightInstaller::start()
@@ -127,6 +133,7 @@
 {
     const bool isRestart = m_report && command.report.startedAtMs != m_report->startedAtMs;
     m_report = command.report;
+    settleOrderBy(*m_report, isRestart);
     if (isRestart) {
         m_log.info("replica.restarted", {{"born", m_report->startedAtMs}});
         reset("the backend server has restarted");
@@ -134,9 +141,21 @@
     advance();
 }
 
+void WeightInstaller::settleOrderBy(const ReplicaReport &report, bool isRestart)
+{
+    m_acceptedOrders =
+            isRestart ? report.acceptedOrders : std::max(m_acceptedOrders, report.acceptedOrders);
+    if (m_pendingOrder && m_pendingOrder->isSettledBy(report)) {
+        m_pendingOrder.reset();
+        notifyDraining();
+    }
+}
+
 void WeightInstaller::apply(const InstallerStepFinished &command)
 {
+    m_isStepRunning = false;
     if (command.step != m_step) {
+        advance();
         return;
     }
     if (const Failure *failure = failureOf(command.result)) {
@@ -169,8 +188,8 @@
 
 void WeightInstaller::notifyDraining()
 {
-    const bool isDraining =
-            m_stage == Stage::Draining || m_stage == Stage::Ordering || m_stage == Stage::Ordered;
+    const bool isDraining = m_stage == Stage::Draining || m_stage == Stage::Ordering
+            || m_stage == Stage::Ordered || m_pendingOrder.has_value();
     if (isDraining != m_isDraining) {
         m_isDraining = isDraining;
         m_drainObserver(isDraining);
@@ -202,15 +221,23 @@
     if (loaded >= m_newestComplete->version) {
         return;
     }
-    const bool isReplaceable =
-            m_stage == Stage::Staging || m_stage == Stage::Staged || m_stage == Stage::Draining;
-    if (m_stageVersion != m_newestComplete->version && (isReplaceable || m_stage == Stage::Idle)) {
+    const bool isReplaceable = !m_pendingOrder
+            && (m_stage == Stage::Idle || m_stage == Stage::Staging || m_stage == Stage::Staged
+                || m_stage == Stage::Draining);
+    if (m_stageVersion != m_newestComplete->version && isReplaceable) {
         reset("a newer version is complete");
         m_stageVersion = m_newestComplete->version;
     }
+    if (m_isStepRunning) {
+        return;
+    }
     switch (m_stage) {
     case Stage::Idle:
-        startStep(Stage::Staging);
+        if (!m_pendingOrder) {
+            startStep(Stage::Staging);
+        } else if (!m_report->hasOrderInProgress) {
+            startStep(Stage::Ordering);
+        }
         break;
     case Stage::Staged:
         if (!m_report->hasOrderInProgress && isRolloutSlotReached(now)) {
@@ -221,7 +248,12 @@
         drainOrLoad(now);
         break;
     case Stage::Ordered:
-        if (!m_report->hasOrderInProgress && now - m_stageSince > orderTimeout) {
+        if (m_report->hasOrderInProgress || now - m_stageSince <= orderTimeout) {
+            break;
+        }
+        if (m_pendingOrder) {
+            startStep(Stage::Ordering);
+        } else {
             reset("the order to load had no visible effect in time");
         }
         break;
@@ -271,11 +303,14 @@
 void WeightInstaller::startStep(Stage stage)
 {
     enterStage(stage);
+    m_isStepRunning = true;
+    const StepBinding binding {++m_step, m_report->startedAtMs};
+    const CompleteVersion &weights = m_pendingOrder ? *m_orderedWeights : *m_newestComplete;
     asio::co_spawn(
             m_executor,
-            [self = shared_from_this(), step = ++m_step, version = *m_newestComplete, stage] {
-                return stage == Stage::Staging ? self->stage(step, version)
-                                               : self->order(step, version);
+            [self = shared_from_this(), binding, version = weights, stage] {
+                return stage == Stage::Staging ? self->stage(binding, version)
+                                               : self->order(binding, version);
             },
             asio::detached);
 }
@@ -286,97 +321,98 @@
     co_await m_mailbox->send(std::move(done));
 }
 
-Awaitable<void> WeightInstaller::stage(std::uint64_t step, CompleteVersion version)
+bool WeightInstaller::isCurrent(StepBinding binding) const
 {
-    VoidOutcome result = std::monostate();
-    std::uint32_t number = 0;
-    for (const Chunk &chunk : version.manifest.chunks()) {
-        if (step != m_step) {
-            co_return;
-        }
-        result = co_await stageChunk(version.model, number, chunk);
-        if (failureOf(result) != nullptr) {
-            break;
-        }
-        ++number;
-    }
-    co_await finishStep(step, std::move(result));
+    return m_report && binding == StepBinding {m_step, m_report->startedAtMs};
 }
 
-Awaitable<VoidOutcome> WeightInstaller::stageChunk(ModelName model, std::uint32_t number,
-                                                   Chunk chunk)
+Awaitable<void> WeightInstaller::stage(StepBinding binding, CompleteVersion version)
 {
-    const auto reply = makeMailbox<Outcome<ChunkBytes>>(m_executor, 1);
-    WeightCommand read = ChunkQuery {chunk.digest, reply};
-    co_await m_weights->send(std::move(read));
-    const std::optional<Outcome<ChunkBytes>> bytes = co_await reply->receive();
-    if (!bytes || failureOf(*bytes) != nullptr) {
-        co_return Failure {ErrorKind::NotFound, "a chunk to stage is no longer stored"};
-    }
-    co_return co_await m_replica.stagePiece(model, number, std::get<ChunkBytes>(*bytes));
+    const IsStepCurrent isStepCurrent = [this, binding] { return isCurrent(binding); };
+    VoidOutcome result = co_await m_staged.stage(version, isStepCurrent);
+    co_await finishStep(binding.step, std::move(result));
 }
 
-/** Reads back all staged pieces and verifies them. A corrupt piece is staged again and reread. */
-Awaitable<VoidOutcome> WeightInstaller::verifyStaged(CompleteVersion version)
+Awaitable<void> WeightInstaller::order(StepBinding binding, CompleteVersion version)
 {
-    constexpr int maxAttempts = 3;
-    std::uint32_t number = 0;
-    for (const Chunk &chunk : version.manifest.chunks()) {
-        bool isIntact = false;
-        for (int i = 0; i < maxAttempts && !isIntact; ++i) {
-            const Outcome<std::string> staged =
-                    co_await m_replica.readStaged(version.model, number);
-            isIntact = failureOf(staged) == nullptr
-                    && digestOf(std::get<std::string>(staged)) == chunk.digest;
-            if (isIntact) {
-                break;
-            }
-            m_log.warning("weights.piece-corrupt",
-                          {{"version", version.version}, {"piece", number}});
-            const VoidOutcome restaged = co_await stageChunk(version.model, number, chunk);
-            if (const Failure *failure = failureOf(restaged)) {
-                co_return *failure;
-            }
+    VoidOutcome result = co_await checkAndOrder(binding, version);
+    co_await finishStep(binding.step, std::move(result));
+}
+
+/** Orders the backend server to load the staged pieces, right after a check of them. */
+Awaitable<VoidOutcome> WeightInstaller::checkAndOrder(StepBinding binding, CompleteVersion version)
+{
+    const bool isRepeat = m_pendingOrder.has_value();
+    const IsStepCurrent isStepCurrent = [this, binding] { return isCurrent(binding); };
+    for (int i = 0; i < maxChecks; ++i) {
+        const Outcome<Instant> checked = co_await m_staged.check(version, isStepCurrent);
+        if (const Failure *failure = failureOf(checked)) {
+            co_return *failure;
+        }
+        if (!isCurrent(binding)) {
+            co_return Failure {ErrorKind::ChangeConflict, "the step was abandoned"};
         }
-        if (!isIntact) {
-            co_return Failure {ErrorKind::CorruptData,
-                               "a staged piece is still corrupt after it was staged again"};
+        const bool isSettled = isRepeat && !m_pendingOrder;
+        if (isSettled) {
+            co_return std::monostate();
+        }
+        const auto checkedAt = std::get<Instant>(checked);
+        if (monotonicNow() - checkedAt < maxCheckAge) {
+            const VoidOutcome ordered = co_await sendOrder(binding, version, checkedAt);
+            co_return ordered;
         }
-        ++number;
     }
-    co_return std::monostate();
+    co_return Failure {ErrorKind::DeadlineExceeded,
+                       "checking the staged pieces took too long to order them"};
 }
 
-Awaitable<void> WeightInstaller::order(std::uint64_t step, CompleteVersion version)
+/** Sends the order, which is pending until an answer or a report settles it. */
+Awaitable<VoidOutcome> WeightInstaller::sendOrder(StepBinding binding, CompleteVersion version,
+                                                  Instant checkedAt)
 {
-    VoidOutcome result = co_await verifyStaged(version);
-    if (step != m_step) {
-        co_return;
+    const bool isRepeat = m_pendingOrder.has_value();
+    if (!isRepeat) {
+        m_pendingOrder = PendingOrder {version.version, binding.startedAtMs, m_acceptedOrders};
+        m_orderedWeights = version;
+    }
+    const LoadOrder order {version.model, version.version, m_mayCancelRequests};
+    const auto checkAge =
+            std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - checkedAt);
+    const Outcome<OrderResult> answer = co_await m_replica.sendOrder(order);
+    const Failure *failure = failureOf(answer);
+    const bool isUnfit =
+            failure == nullptr && std::get<OrderResult>(answer) == OrderResult::InvalidState;
+    m_log.info("weights.ordered",
+               {{"version", version.version},
+                {"cuts", order.truncatesRunning},
+                {"running", m_report->running},
+                {"checkAgeMs", checkAge.count()},
+                {"outcome",
+                 failure != nullptr ? failure->detail
+                         : isUnfit  ? "unfit"
+                                    : "accepted"}});
+    const bool isUnanswered = failure != nullptr && failure->kind == ErrorKind::OutcomeUnknown;
+    if (isUnanswered) {
+        co_return std::monostate();
     }
-    if (failureOf(result) == nullptr) {
-        const LoadOrder order {version.model, version.version, m_mayCancelRequests};
-        const Outcome<OrderResult> answer = co_await m_replica.sendOrder(order);
-        const Failure *failure = failureOf(answer);
-        const bool isUnfit =
-                failure == nullptr && std::get<OrderResult>(answer) == OrderResult::InvalidState;
-        m_log.info("weights.ordered",
-                   {{"version", version.version},
-                    {"cuts", order.truncatesRunning},
-                    {"running", m_report->running},
-                    {"outcome",
-                     failure != nullptr ? failure->detail
-                             : isUnfit  ? "unfit"
-                                        : "accepted"}});
-        // Without a response the order may have been accepted; a later report will show whether it
-        // was.
-        if (failure != nullptr && failure->kind != ErrorKind::OutcomeUnknown) {
-            result = *failure;
-        } else if (isUnfit) {
-            result = Failure {ErrorKind::ChangeConflict,
-                              "the backend server rejected the order to load in its present state"};
+    // A repeat that could not be sent says nothing about the order before it.
+    const bool isUnsent = failure != nullptr && failure->kind == ErrorKind::NoBackendServer;
+    if (isCurrent(binding) && !(isRepeat && isUnsent)) {
+        const bool hasStarted =
+                failure == nullptr && std::get<OrderResult>(answer) == OrderResult::Started;
+        if (hasStarted && m_pendingOrder) {
+            m_acceptedOrders = std::max(m_acceptedOrders, m_pendingOrder->acceptedOrders + 1);
         }
+        m_pendingOrder.reset();
     }
-    co_await finishStep(step, std::move(result));
+    if (failure != nullptr) {
+        co_return *failure;
+    }
+    if (isUnfit) {
+        co_return Failure {ErrorKind::ChangeConflict,
+                           "the backend server rejected the order to load in its present state"};
+    }
+    co_return std::monostate();
 }
 
 } // namespace greengageseam
--- a/source/sidecar/weightinstaller.h
+++ b/source/sidecar/weightinstaller.h
@@ -4,7 +4,8 @@
  */
 #pragma once
 
-#include "exchange/versionfetcher.h"
+#include "core/fleet/pendingorder.h"
+#include "sidecar/stagedweights.h"
 
 namespace greengageseam {
 
@@ -21,7 +22,7 @@
     ReplicaReport report;
 };
 
-/** An asynchronous step, such as staging, has finished. */
+/** An asynchronous step, such as staging, has ended, also if it was abandoned before. */
 struct InstallerStepFinished
 {
     std::uint64_t step = 0;
@@ -53,6 +54,19 @@
                      InstallerStepFinished, InstallerMembersChanged, InstallerCancelPolicyChanged,
                      InstallerTick>;
 
+/**
+ * What a step is bound to. A step whose binding no longer holds makes no further call to the
+ * backend server.
+ */
+struct StepBinding
+{
+    std::uint64_t step = 0;
+    /** The incarnation of the backend server at the start of the step. */
+    std::uint64_t startedAtMs = 0;
+
+    auto operator<=>(const StepBinding &) const = default;
+};
+
 /** Configuration of WeightInstaller. */
 struct InstallerOptions
 {
@@ -110,16 +124,19 @@
     void notifyDraining();
     void reset(std::string_view reason);
     bool isRolloutSlotReached(Instant now) const;
-    Awaitable<void> stage(std::uint64_t step, CompleteVersion version);
-    Awaitable<void> order(std::uint64_t step, CompleteVersion version);
-    Awaitable<VoidOutcome> stageChunk(ModelName model, std::uint32_t number, Chunk chunk);
-    Awaitable<VoidOutcome> verifyStaged(CompleteVersion version);
+    void settleOrderBy(const ReplicaReport &report, bool isRestart);
+    bool isCurrent(StepBinding binding) const;
+    Awaitable<void> stage(StepBinding binding, CompleteVersion version);
+    Awaitable<void> order(StepBinding binding, CompleteVersion version);
+    Awaitable<VoidOutcome> checkAndOrder(StepBinding binding, CompleteVersion version);
+    Awaitable<VoidOutcome> sendOrder(StepBinding binding, CompleteVersion version,
+                                     Instant checkedAt);
     Awaitable<void> finishStep(std::uint64_t step, VoidOutcome result);
 
     asio::any_io_executor m_executor;
     InstallerOptions m_options;
     ReplicaHooks m_replica;
-    MailboxPtr<WeightCommand> m_weights;
+    StagedWeights m_staged;
     ReadReplicas m_readReplicas;
     DrainStateObserver m_drainObserver;
     Log m_log;
@@ -143,6 +160,17 @@
     bool m_isDraining = false;
     /** Number of the step in progress; the results of earlier steps are ignored. */
     std::uint64_t m_step = 0;
+    /** A coroutine of a step runs, possibly of an abandoned one; no other is started meanwhile. */
+    bool m_isStepRunning = false;
+    /**
+     * The order whose outcome is unknown. While it is set, m_stageVersion is its version, no other
+     * version is staged, and no other order is sent than a repeat of it.
+     */
+    std::optional<PendingOrder> m_pendingOrder;
+    /** The weights of the last order. */
+    std::optional<CompleteVersion> m_orderedWeights;
+    /** Orders that this incarnation of the backend server has accepted, as reported or answered. */
+    std::uint64_t m_acceptedOrders = 0;
 };
 
 } // namespace greengageseam
