--- a/source/edge/relayedreader.cpp
+++ b/source/edge/relayedreader.cpp
@@ -326,14 +326,16 @@
     return m_source && m_source->entry;
 }
 
-bool RelayedReader::isProgressing() const
+ReadProgress RelayedReader::progress() const
 {
     const bool isStarting = !m_source;
     const bool isStoreReceiving = m_store.isReceiving && m_store.isReceiving();
-    const bool isStoreExpected = isReadingStore() && m_isStoreUsable
+    if (m_isReading && (isStarting || m_link->hasPartialAnswer() || isStoreReceiving)) {
+        return ReadProgress::Receiving;
+    }
+    const bool isExpected = isReadingStore() && m_isStoreUsable
             && monotonicNow() - m_storeReadAt < expectedReadTime;
-    return m_isReading
-            && (isStarting || m_link->hasPartialAnswer() || isStoreReceiving || isStoreExpected);
+    return isExpected ? ReadProgress::Expected : ReadProgress::None;
 }
 
 } // namespace greengageseam
--- a/source/edge/relayedreader.h
+++ b/source/edge/relayedreader.h
@@ -67,11 +67,8 @@
      * entries are being looked for.
      */
     void limitWaitForEntries();
-    /**
-     * @returns whether a read is in progress that will bring the topic, so that processes that read
-     *     from this one should wait for it
-     */
-    bool isProgressing() const;
+    /** @returns whether processes that read from this one should wait for the read in progress */
+    ReadProgress progress() const;
     /** @returns whether the read in progress is from the store itself */
     bool isReadingStore() const;
 
--- a/source/edge/topicfollower.h
+++ b/source/edge/topicfollower.h
@@ -14,6 +14,16 @@
 
 namespace greengageseam {
 
+/** What a read in progress is likely to bring. */
+enum class ReadProgress {
+    /** There is no read, or nothing shows that it will bring something. */
+    None,
+    /** It has just begun, and the reads before it brought something. */
+    Expected,
+    /** It is receiving its result. */
+    Receiving
+};
+
 /** Functions that read a topic. */
 struct TopicReader
 {
--- a/source/edge/topicrelay.cpp
+++ b/source/edge/topicrelay.cpp
@@ -24,9 +24,8 @@
 } // namespace
 
 TopicRelay::TopicRelay(const asio::any_io_executor &executor, TopicRelayOptions options,
-                       std::function<bool()> isProgressing)
-    : m_executor(executor), m_options(std::move(options)),
-      m_isProgressing(std::move(isProgressing)),
+                       std::function<ReadProgress()> progress)
+    : m_executor(executor), m_options(std::move(options)), m_progress(std::move(progress)),
       m_mailbox(makeMailbox<TopicRelayCommand>(executor, mailboxCapacity))
 { }
 
@@ -69,7 +68,7 @@
 void TopicRelay::apply(const TopicUpdated &command)
 {
     m_view = command.view;
-    m_progressingSince.reset();
+    m_receivingSince.reset();
     for (const PendingRequest &pending : m_pending) {
         answer(pending);
     }
@@ -87,18 +86,17 @@
     if (m_view && now - m_view->completeAsOf() < m_options.maxViewAge) {
         return TopicAvailability::Known;
     }
-    const bool isTooSlow =
-            m_progressingSince && now - *m_progressingSince > m_options.maxProgressTime;
-    return m_isProgressing() && !isTooSlow ? TopicAvailability::Pending
-                                           : TopicAvailability::Unavailable;
+    const bool isTooSlow = m_receivingSince && now - *m_receivingSince > m_options.maxProgressTime;
+    return m_progress() != ReadProgress::None && !isTooSlow ? TopicAvailability::Pending
+                                                            : TopicAvailability::Unavailable;
 }
 
 void TopicRelay::recordProgress(Instant now)
 {
-    if (!m_isProgressing()) {
-        m_progressingSince.reset();
-    } else if (!m_progressingSince) {
-        m_progressingSince = now;
+    if (m_progress() != ReadProgress::Receiving) {
+        m_receivingSince.reset();
+    } else if (!m_receivingSince) {
+        m_receivingSince = now;
     }
 }
 
--- a/source/edge/topicrelay.h
+++ b/source/edge/topicrelay.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/fleet/topicview.h"
+#include "edge/topicfollower.h"
 #include "net/mailbox.h"
 #include "net/peerlink.h"
 
@@ -49,7 +50,7 @@
      * between two reads of the topic.
      */
     Duration maxViewAge = std::chrono::milliseconds(1000);
-    /** Time after which peers are no longer asked to wait for the read in progress. */
+    /** Time after which peers are no longer asked to wait for a read that is being received. */
     Duration maxProgressTime = std::chrono::milliseconds(2700);
 
     auto operator<=>(const TopicRelayOptions &) const = default;
@@ -63,9 +64,9 @@
 class TopicRelay : public std::enable_shared_from_this<TopicRelay>
 {
 public:
-    /** @param isProgressing returns whether a read is in progress that will bring the topic */
+    /** @param progress returns what the read in progress is likely to bring */
     TopicRelay(const asio::any_io_executor &executor, TopicRelayOptions options,
-               std::function<bool()> isProgressing);
+               std::function<ReadProgress()> progress);
 
     /** @returns the mailbox that takes commands */
     const MailboxPtr<TopicRelayCommand> &mailbox() const { return m_mailbox; }
@@ -93,12 +94,12 @@
 
     asio::any_io_executor m_executor;
     TopicRelayOptions m_options;
-    std::function<bool()> m_isProgressing;
+    std::function<ReadProgress()> m_progress;
     MailboxPtr<TopicRelayCommand> m_mailbox;
     /** Empty until the topic was read. */
     std::optional<TopicView> m_view;
-    /** Since when the read in progress makes progress; empty if it does not. */
-    std::optional<Instant> m_progressingSince;
+    /** Since when the read in progress is being received; empty if it is not. */
+    std::optional<Instant> m_receivingSince;
     std::vector<PendingRequest> m_pending;
 };
 
--- a/tests/failure/topicrelayfixture.h
+++ b/tests/failure/topicrelayfixture.h
@@ -47,7 +47,7 @@
                                      m_location.zone, "secret"};
         m_relay = std::make_shared<TopicRelay>(m_context.get_executor(),
                                                TopicRelayOptions {"operator", maxViewAge},
-                                               [this] { return m_reader->isProgressing(); });
+                                               [this] { return m_reader->progress(); });
         LinkHooks hooks;
         hooks.onMessage = [relay = m_relay->mailbox()](const PeerLinkHandle &link,
                                                        const StreamMessage &message) {
