Let a test's caller wait for its own delay before it sends the body

The caller in entry_uploadEndsLateInTheGrace_isNotPassedOn reset its connection itself: the timeout of its first write (1 s) goes on until the next operation, which began after a delay of 1 s. The test could not pass, whatever the entry did.

Now the timeout of the first write includes the delay.

--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -343,7 +343,9 @@
         const HttpIoStatus connected = co_await connection->connect(
                 std::get<asio::ip::tcp::endpoint>(endpoint), std::chrono::seconds(1));
         if (connected == HttpIoStatus::Done) {
-            co_await connection->send(std::move(text), std::chrono::seconds(1));
+            // The timeout of a write ends only with the next operation.
+            const Duration timeout = std::chrono::seconds(1) + delay;
+            co_await connection->send(std::move(text), timeout);
             if (!rest.empty()) {
                 asio::steady_timer timer(m_context, delay);
                 co_await timer.async_wait(asTuple);
