Refuse requests that become complete after the entry stopped accepting

A caller whose upload ended late in the grace period, or who sent a first request on an open connection then, had the request passed on to a backend server, and was cut without an answer when the process ended.

Cause: stopping closed the listening socket and idle connections only; a request that became complete later was handled like any other. Now the connection answers it 503 (draining) with Retry-After and doesn't pass it on. The status is true because no attempt was made, and the caller retries at another entry.

Evidence: entry_uploadEndsLateInTheGrace_isNotPassedOn failed before (status 0 instead of 503) and passes now, 5 of 5 runs together with entry_stoppedDuringARequest_completesItFirst.

--- a/source/edge/callerconnection.cpp
+++ b/source/edge/callerconnection.cpp
@@ -96,7 +96,7 @@
         const CallerLimits &limits = self->m_server->limits;
         const Duration elapsed = monotonicNow() - self->m_phaseSince;
         const bool isIdleTooLong = self->m_phase == Phase::Idle
-                && (elapsed > limits.idleTimeout || self->m_server->closesIdle);
+                && (elapsed > limits.idleTimeout || self->m_server->isStopped);
         const bool isSlow = (self->m_phase == Phase::Header && elapsed > limits.headerTimeout)
                 || (self->m_phase == Phase::Body
                     && elapsed > limits.headerTimeout * bodyTimeoutFactor);
@@ -216,7 +216,11 @@
                           !call.isKeepAlive || m_server->isDraining);
     m_writer = &writer;
     RequestProxy proxy(m_context, call.request, writer, call.arrivedAt);
-    co_await proxy.run();
+    if (m_server->isStopped) {
+        co_await proxy.refuse(ErrorKind::Draining);
+    } else {
+        co_await proxy.run();
+    }
     m_writer = nullptr;
     --m_server->inProgress;
     if (writer.closesConnection() || writer.isDisconnected() || m_server->isDraining) {
--- a/source/edge/callerconnection.h
+++ b/source/edge/callerconnection.h
@@ -46,8 +46,8 @@
     CallerLimits limits;
     /** Connections close after their next response. */
     bool isDraining = false;
-    /** Idle connections close at the next timeout check. */
-    bool closesIdle = false;
+    /** Idle connections close at the next timeout check, and further requests are refused. */
+    bool isStopped = false;
     /** Number of open connections. */
     std::size_t connections = 0;
     /** Number of requests in progress. */
--- a/source/edge/callerserver.cpp
+++ b/source/edge/callerserver.cpp
@@ -32,7 +32,7 @@
 void CallerServer::stop()
 {
     m_state->isDraining = true;
-    m_state->closesIdle = true;
+    m_state->isStopped = true;
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
 }
--- a/source/edge/callerserver.h
+++ b/source/edge/callerserver.h
@@ -25,7 +25,7 @@
     void setLimits(const CallerLimits &limits) { m_state->limits = limits; }
     /** Makes every connection close after its next response. */
     void drain() { m_state->isDraining = true; }
-    /** Stops accepting connections and closes idle ones. */
+    /** Stops accepting connections, closes idle ones and refuses further requests. */
     void stop();
     /** @returns the number of requests in progress */
     std::size_t inProgress() const { return m_state->inProgress; }
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -22,6 +22,8 @@
 constexpr double queueWaitRatio = 0.3;
 /** Share of its remaining time for which a retried request waits for a usable backend server. */
 constexpr double retryQueueWaitRatio = 0.5;
+/** Retry-After of a request that another entry can serve at once. */
+constexpr auto refusalRetryAfter = std::chrono::milliseconds(200);
 /** Limit of the extended wait: callers abandon a stream that has not started after about 2 s. */
 constexpr auto maxExtendedWait = std::chrono::milliseconds(1200);
 /** Request-Priority of a request that will miss its latency target; others have the default 5. */
@@ -117,6 +119,11 @@
     m_writer.onDisconnect({});
 }
 
+Awaitable<void> RequestProxy::refuse(ErrorKind kind)
+{
+    co_await respondWithError(kind, ExecutionStatus::NotExecuted, refusalRetryAfter);
+}
+
 Awaitable<bool> RequestProxy::admit()
 {
     const auto reply = makeMailbox<Outcome<Admission>>(m_context.executor, 1);
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -40,6 +40,8 @@
 
     /** Sends a complete response, or aborts a stream so that the caller sees it is incomplete. */
     Awaitable<void> run();
+    /** Sends an error response instead of run(). @param kind an error that promises no execution */
+    Awaitable<void> refuse(ErrorKind kind);
 
 private:
     /** No attempt is made with less time remaining, because it could not be answered in time. */
