Give requests in progress a final answer at the end of the grace period

A caller whose request was still at a backend server, or queued, at the end of the grace period of a stopped entry was cut without an answer.

Cause: the shutdown waited for the connections until its deadline, and then the process ended, whatever was in progress. Now requests expire 300 ms before that deadline. Each connection notices it at its own timeout check, which runs every 100 ms once the entry has stopped, and tells its proxy, which closes the mailbox on which it waits for a backend server and resets the upstream connection. No further attempt follows. The caller receives 503 if no attempt can have run and 504 otherwise, by the table of upstream outcomes; a stream that has begun is broken off without its end marker.

No test covers a queued request or a stream at that moment yet.

--- a/source/edge/callerconnection.cpp
+++ b/source/edge/callerconnection.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t readAheadBytes = 8 * 1024;
 /** Interval at which a connection checks its timeouts. */
 constexpr auto timeoutCheckInterval = std::chrono::milliseconds(500);
+/** The same interval once the server has stopped, so that requests expire in time. */
+constexpr auto stoppedCheckInterval = std::chrono::milliseconds(100);
 /** The timeout for a request body, as a multiple of the header timeout. */
 constexpr int bodyTimeoutFactor = 5;
 constexpr int statusHeaderTooLarge = 431;
@@ -84,10 +86,13 @@
     m_events->close();
 }
 
-/** Closes a connection that is idle for too long, and rejects a request that arrives too slowly. */
+/**
+ * Closes a connection that is idle for too long, rejects a request that arrives too slowly, and
+ * expires the request in progress at the end of the grace period.
+ */
 void CallerConnection::checkTimeouts()
 {
-    m_timer.expires_after(timeoutCheckInterval);
+    m_timer.expires_after(m_server->isStopped ? stoppedCheckInterval : timeoutCheckInterval);
     m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
         const auto self = weak.lock();
         if (ec || !self || self->m_isClosed) {
@@ -100,6 +105,9 @@
         const bool isSlow = (self->m_phase == Phase::Header && elapsed > limits.headerTimeout)
                 || (self->m_phase == Phase::Body
                     && elapsed > limits.headerTimeout * bodyTimeoutFactor);
+        if (self->m_server->isExpired && self->m_proxy != nullptr) {
+            self->m_proxy->expire();
+        }
         if (isIdleTooLong) {
             self->close();
             return;
@@ -216,11 +224,13 @@
                           !call.isKeepAlive || m_server->isDraining);
     m_writer = &writer;
     RequestProxy proxy(m_context, call.request, writer, call.arrivedAt);
+    m_proxy = &proxy;
     if (m_server->isStopped) {
         co_await proxy.refuse(ErrorKind::Draining);
     } else {
         co_await proxy.run();
     }
+    m_proxy = nullptr;
     m_writer = nullptr;
     --m_server->inProgress;
     if (writer.closesConnection() || writer.isDisconnected() || m_server->isDraining) {
--- a/source/edge/callerconnection.h
+++ b/source/edge/callerconnection.h
@@ -48,6 +48,8 @@
     bool isDraining = false;
     /** Idle connections close at the next timeout check, and further requests are refused. */
     bool isStopped = false;
+    /** Requests in progress expire at the next timeout check. */
+    bool isExpired = false;
     /** Number of open connections. */
     std::size_t connections = 0;
     /** Number of requests in progress. */
@@ -87,6 +89,8 @@
     Instant m_phaseSince;
     /** Writer of the response in progress; null between requests. */
     ResponseWriter *m_writer = nullptr;
+    /** Proxy of the request in progress; null between requests. */
+    RequestProxy *m_proxy = nullptr;
     bool m_isClosed = false;
 };
 
--- a/source/edge/callerserver.h
+++ b/source/edge/callerserver.h
@@ -27,6 +27,8 @@
     void drain() { m_state->isDraining = true; }
     /** Stops accepting connections, closes idle ones and refuses further requests. */
     void stop();
+    /** Makes every request in progress end soon, with a final answer where that is possible. */
+    void expire() { m_state->isExpired = true; }
     /** @returns the number of requests in progress */
     std::size_t inProgress() const { return m_state->inProgress; }
     /** @returns the number of open connections */
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -24,6 +24,8 @@
 constexpr auto drainCheckInterval = std::chrono::milliseconds(50);
 /** The process exits this long before the platform would kill it. */
 constexpr auto graceMargin = std::chrono::milliseconds(400);
+/** Time before that at which requests in progress expire, in which their answers are sent. */
+constexpr auto expiryMargin = std::chrono::milliseconds(300);
 /**
  * Time after the start of the process at which the bound expires for target versions that were
  * announced before. It does not depend on when the store could be read: the announcement is older.
@@ -298,6 +300,9 @@
     co_await timer.async_wait(asTuple);
     m_callerServer->stop();
     while (m_callerServer->connections() > 0 && monotonicNow() < deadline) {
+        if (monotonicNow() >= deadline - expiryMargin) {
+            m_callerServer->expire();
+        }
         timer.expires_after(drainCheckInterval);
         co_await timer.async_wait(asTuple);
     }
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -124,6 +124,21 @@
     co_await respondWithError(kind, ExecutionStatus::NotExecuted, refusalRetryAfter);
 }
 
+void RequestProxy::expire()
+{
+    if (m_isExpired) {
+        return;
+    }
+    m_isExpired = true;
+    if (m_acquisition) {
+        m_acquisition->post(ReplicaUnavailable {ErrorKind::Draining, refusalRetryAfter});
+        m_acquisition->close();
+    }
+    if (m_connection) {
+        m_connection->abort();
+    }
+}
+
 Awaitable<bool> RequestProxy::admit()
 {
     const auto reply = makeMailbox<Outcome<Admission>>(m_context.executor, 1);
@@ -193,7 +208,8 @@
                             {"left_ms", remainingTime().count() / 1000}});
         const bool isResumable = !m_isStreaming || m_events.lastId();
         const bool isAllowed = mayRetry(last.end, route.kind, route.canResume) && isResumable
-                && m_attempts < route.maxAttempts && remainingTime() > minAttemptTime;
+                && m_attempts < route.maxAttempts && remainingTime() > minAttemptTime
+                && !m_isExpired;
         if (!isAllowed) {
             co_await giveUp(last);
             co_return;
@@ -204,6 +220,9 @@
 
 Awaitable<std::variant<ReplicaLease, ReplicaUnavailable>> RequestProxy::acquireReplica()
 {
+    if (m_isExpired) {
+        co_return ReplicaUnavailable {ErrorKind::Draining, refusalRetryAfter};
+    }
     const Route &route = *m_admission.routed.route;
     const auto reply =
             makeMailbox<std::variant<ReplicaLease, ReplicaUnavailable>>(m_context.executor, 1);
@@ -230,7 +249,9 @@
     query.lateAfter = m_admission.firstAttemptAt + route.latencyObjective;
     query.reply = reply;
     if (m_context.dispatcher->post(std::move(query))) {
+        m_acquisition = reply;
         auto answer = co_await reply->receive();
+        m_acquisition.reset();
         if (answer) {
             co_return std::move(*answer);
         }
@@ -240,6 +261,13 @@
 
 Awaitable<RequestProxy::AttemptResult> RequestProxy::sendAttempt(const ReplicaLease &lease)
 {
+    if (m_isExpired) {
+        co_return AttemptResult {m_ran == ExecutionStatus::NotExecuted
+                                         ? UpstreamOutcome::NotConnected
+                                         : UpstreamOutcome::DeadlineReached,
+                                 {},
+                                 {}};
+    }
     const HttpIoStatus connected = co_await connect(lease);
     if (connected != HttpIoStatus::Done) {
         co_return AttemptResult {UpstreamOutcome::NotConnected, {}, {}};
@@ -276,7 +304,7 @@
     }
     const HttpIoStatus end = co_await m_connection->send(std::move(text), remainingTime());
     if (end != HttpIoStatus::Done && end != HttpIoStatus::ConnectionLost) {
-        co_return AttemptResult {end == HttpIoStatus::TimedOut
+        co_return AttemptResult {end == HttpIoStatus::TimedOut || m_isExpired
                                          ? UpstreamOutcome::DeadlineReached
                                          : UpstreamOutcome::BrokenWhileSending,
                                  {},
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -42,6 +42,11 @@
     Awaitable<void> run();
     /** Sends an error response instead of run(). @param kind an error that promises no execution */
     Awaitable<void> refuse(ErrorKind kind);
+    /**
+     * Makes run() end soon: it gives up its wait or its attempt and makes no further one. Only the
+     * task of the caller's connection may call it, while run() is in progress.
+     */
+    void expire();
 
 private:
     /** No attempt is made with less time remaining, because it could not be answered in time. */
@@ -109,6 +114,10 @@
     Admission m_admission;
     std::set<ReplicaId> m_triedReplicas;
     HttpConnectionPtr m_connection;
+    /** Where the dispatcher's answer is awaited; null at other times. */
+    MailboxPtr<std::variant<ReplicaLease, ReplicaUnavailable>> m_acquisition;
+    /** Whether the request must end early because the process ends. */
+    bool m_isExpired = false;
     /** Whether the connection has carried an earlier request. */
     bool m_isConnectionPooled = false;
     EventSplitter m_events;
--- a/source/edge/requestproxyresponse.cpp
+++ b/source/edge/requestproxyresponse.cpp
@@ -44,6 +44,9 @@
 
 UpstreamOutcome RequestProxy::classifyReadEnd(HttpIoStatus end, bool hasHead) const
 {
+    if (m_isExpired && end == HttpIoStatus::Aborted) {
+        return UpstreamOutcome::DeadlineReached;
+    }
     if (end == HttpIoStatus::TimedOut) {
         return remainingTime() <= minAttemptTime ? UpstreamOutcome::DeadlineReached
                                                  : UpstreamOutcome::Silent;
