--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -6,12 +6,14 @@
 #include "edge/storewatchers.h"
 #include "net/clock.h"
 #include "net/endpoint.h"
+#include "net/httpserver.h"
 #include "platform/keyedstore.h"
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
 namespace greengageseam {
@@ -406,6 +408,42 @@
     REQUIRE(m_openConnections == 1);
 }
 
+// A key with characters that a query cannot carry must not end the reading of a list.
+TEST_CASE_METHOD(StoreWatcherFixture, "snapshot_lastKeyOfAPageIsOdd_nextPageIsRead")
+{
+    const std::string odd = "a b&c=%41+\r\nd";
+    const HttpHandler handler = [odd](HttpExchange &exchange) -> Awaitable<void> {
+        const std::optional<std::string> after = exchange.request().parameter("after");
+        boost::json::object page {{"hasMore", !after}, {"end", 2}, {"items", boost::json::array()}};
+        if (!after || *after == odd) {
+            const std::string key = after ? "e" : odd;
+            page["items"].as_array().push_back(
+                    boost::json::object {{"key", key}, {"value", "dg=="}, {"offset", 0}});
+        }
+        HttpResponse response;
+        response.body = boost::json::serialize(page);
+        co_await exchange.respond(std::move(response));
+    };
+    const auto server = std::make_shared<HttpServer>(m_context.get_executor(), HttpServerOptions(),
+                                                     handler, m_log);
+    const auto bound = toOutcome([&] { return server->listen(Address("127.0.0.1:0")); });
+    server->start();
+    const KeyedStore store(m_context.get_executor(), std::get<Address>(bound),
+                           std::chrono::seconds(2));
+    const TopicReader pages = store.topicReader("keyed.servers");
+    std::optional<Outcome<KeyedSnapshot>> read;
+    asio::co_spawn(m_context, pages.snapshot(),
+                   [&read](const std::exception_ptr &, Outcome<KeyedSnapshot> snapshot) {
+                       read = std::move(snapshot);
+                   });
+    REQUIRE(waitUntil([&] { return read.has_value(); }));
+    REQUIRE(failureOf(*read) == nullptr);
+    const auto &records = std::get<KeyedSnapshot>(*read).records;
+    REQUIRE(records.size() == 2);
+    REQUIRE(records.front().key == odd);
+    REQUIRE(records.back().key == "e");
+}
+
 // A version that was announced while a read was hanging must not be dated by the read after it.
 TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_readWasHanging_isDatedByTheReadBefore")
 {
