--- a/source/edge/callerserver.h
+++ b/source/edge/callerserver.h
@@ -25,8 +25,10 @@
     void setLimits(const CallerLimits &limits) { m_state->limits = limits; }
     /** Makes every connection close after its next response. */
     void drain() { m_state->isDraining = true; }
-    /** Stops accepting connections and closes idle ones. */
+    /** Stops accepting connections, closes idle ones and refuses further requests. */
     void stop();
+    /** Makes every request in progress end soon, with a final answer where that is possible. */
+    void expire() { m_state->isExpired = true; }
     /** @returns the number of requests in progress */
     std::size_t inProgress() const { return m_state->inProgress; }
     /** @returns the number of open connections */
