--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -175,8 +175,8 @@
     TopicRelayOptions relayOptions;
     relayOptions.topic = operatorTopicName;
     relayOptions.maxViewAge = m_settings.bounds.configApply / relayedViewsPerBound;
-    m_topicRelay = std::make_shared<TopicRelay>(
-            m_executor, relayOptions, [this] { return m_operatorReader->progress(); });
+    m_topicRelay = std::make_shared<TopicRelay>(m_executor, relayOptions,
+                                                [this] { return m_operatorReader->progress(); });
     RelayedReaderOptions options;
     options.topic = operatorTopicName;
     options.identity = {std::string(topicLinkRole), InstanceId(m_settings.ip), m_settings.zone,
--- a/source/edge/storewatchers.h
+++ b/source/edge/storewatchers.h
@@ -30,11 +30,11 @@
     /** Called when a newer configuration applies. */
     std::function<void(RouteTablePtr table)> onConfig;
     /**
-     * Called when a newer target version was announced, and again when it turns out to be older than
-     * it was said to be. isInitial tells whether it was announced
-     * before this watcher read the topic for the first time. The age is the longest time since the
-     * announcement that is possible: the time for which another process has known the version, or
-     * since which this one's view of the topic was complete.
+     * Called when a newer target version was announced, and again when it turns out to be older
+     * than it was said to be. isInitial tells whether it was announced before this watcher read the
+     * topic for the first time. The age is the longest time since the announcement that is
+     * possible: the time for which another process has known the version, or since which this one's
+     * view of the topic was complete.
      */
     std::function<void(const TargetVersion &targetVersion, bool isInitial, Duration age)>
             onTargetVersion;
