Return failures other than unavailability from a relayed read at once

A read that is given up because others have read further no longer counts as lost, since it shows that the topic is available.

--- a/source/core/fleet/listeninghistory.h
+++ b/source/core/fleet/listeninghistory.h
@@ -42,7 +42,7 @@
     std::optional<Duration> recordRunning(Instant now);
     /** Records a view that is complete as of a time. Call it after applying its changes. */
     void recordView(Instant completeAsOf);
-    /** Records a read that failed, or that was given up before it returned anything. */
+    /** Records a read that failed. */
     void recordLostRead(Instant now);
     /** @returns the earliest time at which a change can have been made that is heard of now */
     Instant earliestChange(Instant now) const;
--- a/source/edge/relayedreader.cpp
+++ b/source/edge/relayedreader.cpp
@@ -165,12 +165,15 @@
         const Failure &failure = *failureOf(read);
         const bool isLost = failure.kind == ErrorKind::PlatformUnavailable
                 || failure.kind == ErrorKind::NotReady;
-        if (isLost) {
-            recordFailure(source, failure);
+        if (!isLost) {
+            // The follower has to know, for instance that it must read a snapshot.
+            m_isReading = false;
+            co_return failure;
         }
+        recordFailure(source, failure);
         if (!source.hasUntriedAlternative) {
             m_isReading = false;
-            co_return isLost ? unavailable(failure.detail) : failure;
+            co_return unavailable(failure.detail);
         }
     }
     co_return givenUp;
--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -126,7 +126,6 @@
     if (m_reader.cancel) {
         m_reader.cancel();
     }
-    notifyReadLost();
     m_mailbox->post(ReadDue {m_readId});
     return true;
 }
--- a/source/edge/topicfollower.h
+++ b/source/edge/topicfollower.h
@@ -69,7 +69,7 @@
     std::function<void(std::uint64_t from, const KeyedBatch &tail)> onTail;
     /** Called when the store is available again after a failure; may be empty. */
     std::function<void()> onStoreRecovered;
-    /** Called when a read has failed or was given up before it returned anything; may be empty. */
+    /** Called when a read has failed, but not when it was given up for a new one; may be empty. */
     std::function<void()> onReadLost;
 };
 
--- a/tests/failure/topicrelayfixture.h
+++ b/tests/failure/topicrelayfixture.h
@@ -30,6 +30,8 @@
 struct SharedTopic
 {
     std::vector<KeyedRecord> records;
+    /** Offset of the first record that was not deleted. */
+    std::size_t firstKept = 0;
     /** Number of reads that returned records. */
     int reads = 0;
 
@@ -125,6 +127,9 @@
                 co_await timer.async_wait(asTuple);
                 co_return Failure {ErrorKind::PlatformUnavailable, "cut off"};
             }
+            if (from < m_topic.firstKept) {
+                co_return Failure {ErrorKind::NotFound, "the records were deleted"};
+            }
             if (m_readTime > Duration::zero()) {
                 m_isReceiving = true;
                 timer.expires_after(m_readTime);
--- a/tests/failure/tst_topicrelay.cpp
+++ b/tests/failure/tst_topicrelay.cpp
@@ -205,6 +205,15 @@
     REQUIRE(m_topic.reads <= maxReadersAfterFailure);
 }
 
+// The first entry repeated a read of deleted records without end and without a pause.
+TEST_CASE_METHOD(TopicRelayFixture, "topic_recordsWereDeleted_firstEntryReadsASnapshot")
+{
+    startEntries(3);
+    m_topic.write("1");
+    m_topic.firstKept = m_topic.records.size();
+    REQUIRE(waitUntil([this] { return allHave("1", 0); }, configBound));
+}
+
 TEST_CASE_METHOD(TopicRelayFixture, "topic_agentPolls_readsFromEntriesOnly")
 {
     startEntries(4);
