Never let an entry ask itself for the topic

When all sources had declined, an entry came to ask itself in its turn, on small zones every other time: it waited for its own answer instead of another's. Red before: chooseTopicSource_anyNumberOfFailures_neverAsksItself.

--- a/source/core/fleet/topicsource.cpp
+++ b/source/core/fleet/topicsource.cpp
@@ -43,11 +43,20 @@
     return entries;
 }
 
+/** @returns the entries of the zone that can be asked, in their order */
+std::vector<InstanceId> otherEntries(const TopicSourceQuery &query)
+{
+    std::vector<InstanceId> others = query.entries;
+    std::erase_if(others, [&](const InstanceId &it) {
+        return it == query.self || query.silent.contains(it);
+    });
+    return others;
+}
+
 /** Chooses for the first entry of the zone, which prefers the store. */
 TopicSource chooseForFirstEntry(const TopicSourceQuery &query)
 {
-    std::vector<InstanceId> others(query.entries.begin() + 1, query.entries.end());
-    std::erase_if(others, [&](const InstanceId &it) { return query.silent.contains(it); });
+    const std::vector<InstanceId> others = otherEntries(query);
     const std::size_t attempts = std::min(others.size(), entriesPerAttempt);
     const std::size_t position = query.failures % (attempts + 1);
     if (position == 0) {
@@ -86,9 +95,10 @@
         return {};
     }
     // Any entry may have read the topic before it was cut off, so all of them are asked in turn.
-    const std::size_t further = (rank + query.failures + 1) % query.entries.size();
+    const std::vector<InstanceId> others = otherEntries(query);
+    const std::size_t next = (rank + query.failures + 1) % others.size();
     const bool isLastOfAttempt = (position - n) % entriesPerAttempt == entriesPerAttempt - 1;
-    return {query.entries[further], !isLastOfAttempt};
+    return {others[next], !isLastOfAttempt};
 }
 
 } // namespace greengageseam
