--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -29,3 +29,4 @@
 #include "core/fleet/topicsource.h"
 #include "core/fleet/topicview.h"
 #include "core/fleet/upstreamoutcome.h"
+#include "core/fleet/weightsdeadlines.h"
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -15,10 +15,6 @@
 constexpr auto tickPeriod = std::chrono::milliseconds(25);
 /** Number of entries that is assumed until the first count arrives. */
 constexpr std::uint32_t defaultEntryCount = 6;
-/** Only the target version is used from this long before the bound on applying it expires. */
-constexpr auto weightsDeadlineMargin = std::chrono::milliseconds(1000);
-/** An attempt whose response has not started is aborted this long before the bound expires. */
-constexpr auto startDeadlineMargin = std::chrono::milliseconds(400);
 /** Time for which an idle connection is kept if the backend server specifies none. */
 constexpr auto defaultKeepAliveTimeout = std::chrono::seconds(4);
 /** A pooled connection is discarded this long before the backend server closes it. */
@@ -35,7 +31,9 @@
                        std::shared_ptr<Metrics> metrics, Log log)
     : m_executor(executor), m_options(std::move(options)), m_metrics(std::move(metrics)),
       m_log(std::move(log)), m_mailbox(makeMailbox<DispatchCommand>(executor, mailboxCapacity)),
-      m_loads(m_options.loads), m_entryCount(defaultEntryCount)
+      m_loads(m_options.loads),
+      m_weights(WeightsDeadlineOptions().withBound(m_options.bounds.weightsApply)),
+      m_entryCount(defaultEntryCount)
 {
     m_loads.setEntryCount(m_entryCount);
 }
@@ -240,17 +238,16 @@
 void Dispatcher::apply(const TargetVersionChanged &command)
 {
     const TargetVersion &target = command.targetVersion;
-    const auto [it, isNew] =
-            m_targetVersions[target.model].emplace(target.version, command.announcedAt);
-    const bool isEarlier = command.announcedAt < it->second;
-    if (isNew || isEarlier) {
-        it->second = command.announcedAt;
-        const Duration remaining = requiredFrom(it->second) - monotonicNow();
-        m_log.info("weights.deadline-set",
-                   {{"model", target.model.text()},
-                    {"version", target.version},
-                    {"required_in_ms", remaining.count() / 1000}});
+    const std::optional<Instant> known = m_weights.announcedAt(target.model, target.version);
+    if (known && *known <= command.announcedAt) {
+        return;
     }
+    m_weights = m_weights.withAnnouncement(target.model, target.version, command.announcedAt);
+    const Duration remaining = m_weights.requiredFrom(command.announcedAt) - monotonicNow();
+    m_log.info("weights.deadline-set",
+               {{"model", target.model.text()},
+                {"version", target.version},
+                {"required_in_ms", remaining.count() / 1000}});
 }
 
 void Dispatcher::apply(const LoadReportReceived &command)
@@ -345,18 +342,14 @@
 }
 
 /**
- * @returns the target versions of the weights that a service runs, with the time at which each was
- *          announced; null if there are none. The configuration tells which weights these are: the
- *          list does not while a backend server loads them.
+ * @returns the model that the engines of a service run; empty for a service without engines. The
+ *          configuration tells which one it is: the list does not while a backend server loads it.
  */
-const Dispatcher::AnnouncementTimes *Dispatcher::targetVersions(const ServiceName &service) const
+std::optional<ModelName> Dispatcher::modelOf(const ServiceName &service) const
 {
     const Service *known = m_table == nullptr ? nullptr : m_table->service(service);
-    if (known == nullptr || !known->engine) {
-        return nullptr;
-    }
-    const auto it = m_targetVersions.find(known->engine->model);
-    return it == m_targetVersions.end() || it->second.empty() ? nullptr : &it->second;
+    const bool hasEngine = known != nullptr && known->engine;
+    return hasEngine ? std::optional(known->engine->model) : std::nullopt;
 }
 
 /**
@@ -366,12 +359,10 @@
 std::optional<std::uint64_t> Dispatcher::expectedWeightsVersion(const ReplicaEntry &replica,
                                                                 Instant now) const
 {
-    const AnnouncementTimes *targets = targetVersions(replica.service);
-    if (targets == nullptr) {
-        return std::nullopt;
-    }
-    const std::uint64_t newest = targets->rbegin()->first;
-    return m_loads.weightsVersion(replica.id, now) == newest ? std::optional(newest) : std::nullopt;
+    const std::optional<ModelName> model = modelOf(replica.service);
+    const std::uint64_t newest = model ? m_weights.newest(*model) : 0;
+    const bool runsNewest = newest != 0 && m_loads.weightsVersion(replica.id, now) == newest;
+    return runsNewest ? std::optional(newest) : std::nullopt;
 }
 
 /**
@@ -381,40 +372,16 @@
  */
 std::optional<Instant> Dispatcher::startDeadline(const ReplicaEntry &replica, Instant now) const
 {
-    const AnnouncementTimes *targets = targetVersions(replica.service);
-    if (targets == nullptr) {
-        return std::nullopt;
-    }
-    const auto newer = targets->upper_bound(m_loads.weightsVersion(replica.id, now));
-    if (newer == targets->end()) {
-        return std::nullopt;
-    }
-    return newer->second + m_options.bounds.weightsApply - startDeadlineMargin;
-}
-
-/** @returns the time from which a version is required that was announced at @p announcedAt */
-Instant Dispatcher::requiredFrom(Instant announcedAt) const
-{
-    return announcedAt + m_options.bounds.weightsApply - weightsDeadlineMargin;
+    const std::optional<ModelName> model = modelOf(replica.service);
+    return model ? m_weights.startDeadline(*model, m_loads.weightsVersion(replica.id, now))
+                 : std::nullopt;
 }
 
-/**
- * @returns the oldest version of the weights that requests may use, or 0 if any version will do. A
- *          target version becomes required weightsDeadlineMargin before its bound expires.
- */
+/** @returns the oldest version of the weights that requests may use, or 0 if any version will do */
 std::uint64_t Dispatcher::requiredWeightsVersion(const ServiceName &service, Instant now) const
 {
-    const AnnouncementTimes *targets = targetVersions(service);
-    if (targets == nullptr) {
-        return 0;
-    }
-    std::uint64_t required = 0;
-    for (const auto &[version, at] : *targets) {
-        if (now >= requiredFrom(at)) {
-            required = std::max(required, version);
-        }
-    }
-    return required;
+    const std::optional<ModelName> model = modelOf(service);
+    return model ? m_weights.required(*model, now) : 0;
 }
 
 } // namespace greengageseam
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -228,9 +228,6 @@
         Instant expiresAt;
     };
 
-    /** Target versions of a model's weights, with the time at which each was announced. */
-    using AnnouncementTimes = std::map<std::uint64_t, Instant>;
-
     Awaitable<void> run();
     void apply(const AdmissionQuery &command);
     void apply(const AcquireReplica &command);
@@ -258,11 +255,10 @@
     SharedRetryBudget &retryBudget(const ServiceName &service);
     Instant estimateFirstAttempt(const Route &route, std::optional<Duration> remaining,
                                  Instant now);
-    const AnnouncementTimes *targetVersions(const ServiceName &service) const;
+    std::optional<ModelName> modelOf(const ServiceName &service) const;
     std::optional<std::uint64_t> expectedWeightsVersion(const ReplicaEntry &replica,
                                                         Instant now) const;
     std::optional<Instant> startDeadline(const ReplicaEntry &replica, Instant now) const;
-    Instant requiredFrom(Instant announcedAt) const;
     std::uint64_t requiredWeightsVersion(const ServiceName &service, Instant now) const;
 
     asio::any_io_executor m_executor;
@@ -280,7 +276,7 @@
      * one with its first attempt.
      */
     std::map<RouteName, Duration> m_longestTimeouts;
-    std::map<ModelName, AnnouncementTimes> m_targetVersions;
+    WeightsDeadlines m_weights;
     PartVerdicts m_verdicts;
     std::deque<AcquireReplica> m_pending;
     std::map<Address, std::deque<PooledConnection>> m_connectionPool;
