--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -155,7 +155,7 @@
     return state.report && now - state.reportedAt <= m_options.reportLifetime;
 }
 
-bool LoadBalancer::isUsable(const ReplicaState &state, std::uint64_t minWeightsVersion,
+bool LoadBalancer::isUsable(const ReplicaState &state, const WeightsRequirement &weights,
                             Instant now) const
 {
     // A backend server that restarts under the same address usually registers with another id, so
@@ -170,8 +170,8 @@
         return true;
     }
     const bool isLoading = hasFreshReport(state, now) && state.report->hasOrderInProgress;
-    const std::uint64_t weights = effectiveWeightsVersion(state, now);
-    return !isLoading && weights > 0 && weights >= minWeightsVersion;
+    const std::uint64_t version = effectiveWeightsVersion(state, now);
+    return !isLoading && version > 0 && version >= weights.minVersion;
 }
 
 /** @returns the candidate with the lowest cost of a few random ones with capacity, or null */
@@ -188,7 +188,7 @@
         ReplicaState &state = m_replicas.at(pool[(random + i * step) % n]);
         const bool isCandidate = (state.entry.zone == m_options.zone) == isSameZone
                 && !requirements.tried.contains(state.entry.id);
-        if (!isCandidate || !isUsable(state, requirements.minWeightsVersion, now)
+        if (!isCandidate || !isUsable(state, requirements.weights, now)
             || !hasCapacity(state, requirements, now)) {
             continue;
         }
@@ -288,7 +288,7 @@
     return isKnown ? std::optional<Duration>(now - it->second.reportedAt) : std::nullopt;
 }
 
-Occupancy LoadBalancer::occupancy(const ServiceName &service, std::uint64_t minWeightsVersion,
+Occupancy LoadBalancer::occupancy(const ServiceName &service, const WeightsRequirement &weights,
                                   Instant now) const
 {
     Occupancy sum;
@@ -299,7 +299,7 @@
     Instant firstReturn = Instant::max();
     for (const ReplicaId &id : pool->second) {
         const ReplicaState &state = m_replicas.at(id);
-        if (!isUsable(state, minWeightsVersion, now)) {
+        if (!isUsable(state, weights, now)) {
             continue;
         }
         const std::uint32_t load = estimatedLoad(state, now);
@@ -323,10 +323,10 @@
                                  / static_cast<double>(std::max<std::size_t>(1, n))));
 }
 
-bool LoadBalancer::hasUsable(const ServiceName &service, std::uint64_t minWeightsVersion,
+bool LoadBalancer::hasUsable(const ServiceName &service, const WeightsRequirement &weights,
                              Instant now) const
 {
-    return occupancy(service, minWeightsVersion, now).usableReplicas > 0;
+    return occupancy(service, weights, now).usableReplicas > 0;
 }
 
 } // namespace greengageseam
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -41,14 +41,27 @@
     auto operator<=>(const LoadReport &) const = default;
 };
 
+/** Which versions of a service's weights requests may be sent to; 0 stands for none. */
+struct WeightsRequirement
+{
+    /** Lowest acceptable version. */
+    std::uint64_t minVersion = 0;
+    /**
+     * Newest target version. A request that is sent to an older one must begin before the newer one
+     * becomes required.
+     */
+    std::uint64_t targetVersion = 0;
+
+    auto operator<=>(const WeightsRequirement &) const = default;
+};
+
 /** Requirements of a request on its backend server. */
 struct ReplicaRequirements
 {
     ServiceName service;
     /** Backend servers of earlier upstream attempts; they are excluded. */
     std::set<ReplicaId> tried;
-    /** Lowest acceptable version of the weights. */
-    std::uint64_t minWeightsVersion = 0;
+    WeightsRequirement weights;
     /** Objective for the time to the start of the response. */
     Duration latencyObjective {};
     /**
@@ -186,12 +199,13 @@
     /** @returns the age of its latest load report; empty if there is none that is still valid */
     std::optional<Duration> reportAge(const ReplicaId &id, Instant now) const;
     /** @returns the occupancy of a service as estimated by this entry */
-    Occupancy occupancy(const ServiceName &service, std::uint64_t minWeightsVersion,
+    Occupancy occupancy(const ServiceName &service, const WeightsRequirement &weights,
                         Instant now) const;
     /** @returns the estimated mean time between two releases of a slot of the service */
     Duration meanSlotReleaseTime(const ServiceName &service) const;
     /** @returns whether any backend server of the service is usable, even if it is full */
-    bool hasUsable(const ServiceName &service, std::uint64_t minWeightsVersion, Instant now) const;
+    bool hasUsable(const ServiceName &service, const WeightsRequirement &weights,
+                   Instant now) const;
 
 private:
     struct ReplicaState
@@ -216,7 +230,7 @@
         Instant excessLatencyAt;
     };
 
-    bool isUsable(const ReplicaState &state, std::uint64_t minWeightsVersion, Instant now) const;
+    bool isUsable(const ReplicaState &state, const WeightsRequirement &weights, Instant now) const;
     std::uint64_t effectiveWeightsVersion(const ReplicaState &state, Instant now) const;
     bool hasFreshReport(const ReplicaState &state, Instant now) const;
     /** @returns the estimated number of requests at a backend server, from all entries */
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -125,9 +125,8 @@
 /** Rejects a request whose queue timeout has expired. @returns whether it did so */
 bool Dispatcher::rejectIfTimedOut(const AcquireReplica &command, Instant now)
 {
-    const std::uint64_t weightsVersion = requiredWeightsVersion(command.requirements.service, now);
-    const Occupancy occupancy =
-            m_loads.occupancy(command.requirements.service, weightsVersion, now);
+    const ServiceName &service = command.requirements.service;
+    const Occupancy occupancy = m_loads.occupancy(service, weightsRequirement(service, now), now);
     const bool hasUsable = occupancy.usableReplicas > 0;
     // A request that has missed its latency target may keep waiting for slots that are left over.
     const bool usesExtendedWait = !hasUsable || now >= command.lateAfter;
@@ -155,7 +154,7 @@
 bool Dispatcher::tryAcquire(const AcquireReplica &command, Instant now)
 {
     ReplicaRequirements requirements = command.requirements;
-    requirements.minWeightsVersion = requiredWeightsVersion(requirements.service, now);
+    requirements.weights = weightsRequirement(requirements.service, now);
     requirements.missesObjective = now >= command.lateAfter;
     const std::optional<ReplicaEntry> replica = m_loads.acquire(requirements, now, randomNumber());
     if (!replica) {
@@ -164,7 +163,7 @@
     ReplicaLease lease;
     lease.replica = *replica;
     lease.weightsVersion = expectedWeightsVersion(*replica, now);
-    lease.weightsBasis = {m_loads.weightsVersion(replica->id, now), requirements.minWeightsVersion,
+    lease.weightsBasis = {m_loads.weightsVersion(replica->id, now), requirements.weights.minVersion,
                           m_loads.reportAge(replica->id, now)};
     lease.startDeadline = startDeadline(*replica, now);
     lease.isLate = requirements.missesObjective;
@@ -177,7 +176,7 @@
 
 void Dispatcher::reject(const AcquireReplica &command, Instant now, ErrorKind kind)
 {
-    const Occupancy occupancy = m_loads.occupancy(command.requirements.service, 0, now);
+    const Occupancy occupancy = m_loads.occupancy(command.requirements.service, {}, now);
     const Duration turnover = m_loads.meanSlotReleaseTime(command.requirements.service);
     const auto excess = occupancy.inUse > occupancy.slots ? occupancy.inUse - occupancy.slots : 0;
     const Duration wait = turnover * static_cast<std::int64_t>(excess + m_pending.size() + 1) * 2;
@@ -377,11 +376,11 @@
                  : std::nullopt;
 }
 
-/** @returns the oldest version of the weights that requests may use, or 0 if any version will do */
-std::uint64_t Dispatcher::requiredWeightsVersion(const ServiceName &service, Instant now) const
+WeightsRequirement Dispatcher::weightsRequirement(const ServiceName &service, Instant now) const
 {
     const std::optional<ModelName> model = modelOf(service);
-    return model ? m_weights.required(*model, now) : 0;
+    return model ? WeightsRequirement {m_weights.required(*model, now), m_weights.newest(*model)}
+                 : WeightsRequirement {};
 }
 
 } // namespace greengageseam
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -259,7 +259,7 @@
     std::optional<std::uint64_t> expectedWeightsVersion(const ReplicaEntry &replica,
                                                         Instant now) const;
     std::optional<Instant> startDeadline(const ReplicaEntry &replica, Instant now) const;
-    std::uint64_t requiredWeightsVersion(const ServiceName &service, Instant now) const;
+    WeightsRequirement weightsRequirement(const ServiceName &service, Instant now) const;
 
     asio::any_io_executor m_executor;
     DispatcherOptions m_options;
--- a/tests/unit/tst_loadbalancer.cpp
+++ b/tests/unit/tst_loadbalancer.cpp
@@ -98,7 +98,7 @@
 TEST_CASE_METHOD(LoadBalancerFixture, "acquire_olderWeightsThanRequired_isNotUsed")
 {
     m_balancer.setReplicas({replica("a", 1), replica("b", 2)});
-    m_requirements.minWeightsVersion = 2;
+    m_requirements.weights.minVersion = 2;
     REQUIRE(acquire() == "b");
 }
 
@@ -150,12 +150,12 @@
     m_balancer.setReplicas({replica("a"), replica("b")});
     const ReplicaStatement pause {false, milliseconds(900)};
     m_balancer.applyStatement(processOf(replica("a")), pause, m_now);
-    Occupancy occupancy = m_balancer.occupancy(m_requirements.service, 0, m_now);
+    Occupancy occupancy = m_balancer.occupancy(m_requirements.service, {}, m_now);
     REQUIRE(occupancy.usableReplicas == 2);
     REQUIRE(occupancy.inUse == replica("a").slots);
     REQUIRE(occupancy.pauseLeft == Duration::zero());
     m_balancer.applyStatement(processOf(replica("b")), pause, m_now + milliseconds(100));
-    occupancy = m_balancer.occupancy(m_requirements.service, 0, m_now + milliseconds(100));
+    occupancy = m_balancer.occupancy(m_requirements.service, {}, m_now + milliseconds(100));
     REQUIRE(occupancy.pauseLeft == milliseconds(800));
     REQUIRE_FALSE(acquire());
 }
@@ -223,7 +223,7 @@
         m_balancer.finished(ReplicaId("a"), ReplicaVerdict::Failed, std::nullopt, m_now);
     }
     REQUIRE_FALSE(acquire());
-    REQUIRE_FALSE(m_balancer.hasUsable(m_requirements.service, 0, m_now));
+    REQUIRE_FALSE(m_balancer.hasUsable(m_requirements.service, {}, m_now));
 }
 
 TEST_CASE_METHOD(LoadBalancerFixture, "acquire_olderEntryHasTheSameAddress_usesOnlyTheNewer")
@@ -234,7 +234,7 @@
     newer.startedAtMs = older.startedAtMs + 1;
     m_balancer.setReplicas({newer, older});
     REQUIRE_FALSE(acquire().has_value());
-    REQUIRE_FALSE(m_balancer.hasUsable(m_requirements.service, 0, m_now));
+    REQUIRE_FALSE(m_balancer.hasUsable(m_requirements.service, {}, m_now));
     m_balancer.applyReport(report(newer, 0), m_now);
     newer.loaded.version = 1;
     m_balancer.setReplicas({newer, older});
