--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -296,6 +296,10 @@
     ++m_attempts;
     m_attemptStartedAt = monotonicNow();
     m_startDeadline = lease.startDeadline;
+    m_startTimeLeft.reset();
+    if (m_startDeadline) {
+        m_startTimeLeft = *m_startDeadline - m_attemptStartedAt;
+    }
     if (m_request.body.size() > maxSequentialBody) {
         asio::co_spawn(m_context.executor,
                        sendConcurrently(m_connection, std::move(text), remainingTime()),
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -135,6 +135,8 @@
     Instant m_attemptStartedAt;
     /** Time by which the response to the current attempt must start. */
     std::optional<Instant> m_startDeadline;
+    /** Time that was left until then when the last attempt was sent; empty without a deadline. */
+    std::optional<Duration> m_startTimeLeft;
     /** Complete events that the current attempt has brought. */
     std::uint32_t m_attemptEvents = 0;
     /** Backend server of the current or last attempt. */
--- a/source/edge/requestproxyrecords.cpp
+++ b/source/edge/requestproxyrecords.cpp
@@ -81,6 +81,9 @@
     if (m_weightsBasis.reportAge) {
         fields["report_ms"] = m_weightsBasis.reportAge->count() / 1000;
     }
+    if (m_startTimeLeft) {
+        fields["start_left_ms"] = m_startTimeLeft->count() / 1000;
+    }
 }
 
 void RequestProxy::recordOutcome(std::string_view outcome, int status, std::string_view cause)
