--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -502,6 +502,25 @@
     REQUIRE(age >= monotonicNow() - named - milliseconds(50));
 }
 
+// What a peer sent before a pause must not be taken for its view after the pause.
+TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_peerViewWaitedDuringPause_isDatedByThePause")
+{
+    Duration age {};
+    write("version/m", "1");
+    const auto watcher =
+            makeVersionWatcher([&](const TargetVersion &, Duration oldest) { age = oldest; });
+    watcher->start();
+    REQUIRE(waitUntil([&] { return m_offset == 1; }));
+    m_readTime = milliseconds(1000);
+    runFor(milliseconds(100));
+    write("version/m", "2");
+    const Instant named = monotonicNow();
+    std::this_thread::sleep_for(milliseconds(800));
+    watcher->confirmPeerView(monotonicNow());
+    REQUIRE(waitUntil([&] { return m_offset == 2; }));
+    REQUIRE(age >= monotonicNow() - named - milliseconds(50));
+}
+
 // Two lost reads must not make a version look newer than one lost read does.
 TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_twoReadsLostAfterPause_isDatedByThePause")
 {
