Send nothing to silent servers on older weights

Cause: a load report that has become stale only made a server more expensive by 300 ms, whatever its weights. What reaches a machine that stands still cannot be taken back; it begins when the machine runs again.

Ruled out: closing the connection 0.4 s before the bound does not help, as the machine learns of it when it wakes.

While a newer version is announced, a server on older weights is used only while it reports. One that has never reported is used as before, by the list.

--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -171,7 +171,10 @@
     }
     const bool isLoading = hasFreshReport(state, now) && state.report->hasOrderInProgress;
     const std::uint64_t version = effectiveWeightsVersion(state, now);
-    return !isLoading && version > 0 && version >= weights.minVersion;
+    // A silent one may stand still, and would begin a request only when it runs again.
+    const bool isSilent = state.report && !hasFreshReport(state, now);
+    const bool mayBeginLate = isSilent && version < weights.targetVersion;
+    return !isLoading && !mayBeginLate && version > 0 && version >= weights.minVersion;
 }
 
 /** @returns the candidate with the lowest cost of a few random ones with capacity, or null */
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -48,7 +48,7 @@
     std::uint64_t minVersion = 0;
     /**
      * Newest target version. A request that is sent to an older one must begin before the newer one
-     * becomes required.
+     * becomes required, so backend servers on older ones are used only while they report.
      */
     std::uint64_t targetVersion = 0;
 
--- a/tests/unit/tst_loadbalancer.cpp
+++ b/tests/unit/tst_loadbalancer.cpp
@@ -78,6 +78,37 @@
     Instant m_now {milliseconds(1000)};
 };
 
+// What is sent to a server that stands still begins when it wakes, which may be after the bound.
+TEST_CASE_METHOD(LoadBalancerFixture, "acquire_serverOnOlderWeightsIsSilent_isNotChosen")
+{
+    m_balancer.setReplicas({replica("a", 1)});
+    m_balancer.applyReport(report(replica("a", 1), 0), m_now);
+    m_now += milliseconds(1001);
+    REQUIRE(acquire() == "a");
+    m_requirements.weights.targetVersion = 2;
+    REQUIRE_FALSE(acquire());
+    REQUIRE_FALSE(m_balancer.hasUsable(m_requirements.service, m_requirements.weights, m_now));
+    m_balancer.applyReport(report(replica("a", 1), 0), m_now);
+    REQUIRE(acquire() == "a");
+}
+
+TEST_CASE_METHOD(LoadBalancerFixture, "acquire_serverOnTargetWeightsIsSilent_isChosen")
+{
+    m_balancer.setReplicas({replica("a", 2)});
+    m_balancer.applyReport(report(replica("a", 2), 0), m_now);
+    m_now += milliseconds(1001);
+    m_requirements.weights.targetVersion = 2;
+    REQUIRE(acquire() == "a");
+}
+
+// Without an agent, the list alone tells the weights; they are used until newer ones are required.
+TEST_CASE_METHOD(LoadBalancerFixture, "acquire_serverOnOlderWeightsNeverReported_isChosen")
+{
+    m_balancer.setReplicas({replica("a", 1)});
+    m_requirements.weights.targetVersion = 2;
+    REQUIRE(acquire() == "a");
+}
+
 TEST_CASE_METHOD(LoadBalancerFixture, "acquire_oneReportsBusy_choosesTheOther")
 {
     m_balancer.setReplicas({replica("a"), replica("b")});
