Check the start deadline of an attempt again before it is sent

An entry that is held up between the choice of a server and the send, or whose connection takes long to open, sent the request although it could no longer begin in time on the server's weights: the read timed out at once, but the request had been written.

Such an attempt ends as choice-expired: nothing was sent, the request may be sent elsewhere, and the server is not blamed.

--- a/source/core/fleet/upstreamoutcome.cpp
+++ b/source/core/fleet/upstreamoutcome.cpp
@@ -10,6 +10,8 @@
 constexpr std::array outcomeTable {
         UpstreamOutcomeInfo {UpstreamOutcome::NotConnected, "not-connected",
                              ExecutionStatus::NotExecuted, ErrorKind::NoBackendServer},
+        UpstreamOutcomeInfo {UpstreamOutcome::ChoiceExpired, "choice-expired",
+                             ExecutionStatus::NotExecuted, ErrorKind::NoBackendServer},
         UpstreamOutcomeInfo {UpstreamOutcome::BrokenWhileSending, "broken-while-sending",
                              ExecutionStatus::Unknown, ErrorKind::OutcomeUnknown},
         UpstreamOutcomeInfo {UpstreamOutcome::Rejected, "rejected", ExecutionStatus::NotExecuted,
--- a/source/core/fleet/upstreamoutcome.h
+++ b/source/core/fleet/upstreamoutcome.h
@@ -16,6 +16,9 @@
 enum class UpstreamOutcome {
     /** The connection could not be established, so nothing was sent. */
     NotConnected,
+    /** When the connection was ready, the request could no longer begin in time; nothing was sent.
+     */
+    ChoiceExpired,
     /** The connection broke before the complete request was written. */
     BrokenWhileSending,
     /** The backend server responded that it did not execute the request. */
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -54,6 +54,7 @@
     case UpstreamOutcome::Misdirected:
         return ReplicaVerdict::Misdirected;
     case UpstreamOutcome::DeadlineReached:
+    case UpstreamOutcome::ChoiceExpired:
         return ReplicaVerdict::Neutral;
     default:
         return ReplicaVerdict::Failed;
@@ -272,6 +273,9 @@
     if (connected != HttpIoStatus::Done) {
         co_return AttemptResult {UpstreamOutcome::NotConnected, {}, {}};
     }
+    if (lease.startDeadline && monotonicNow() >= *lease.startDeadline) {
+        co_return AttemptResult {UpstreamOutcome::ChoiceExpired, {}, {}};
+    }
     if (remainingTime() < minAttemptTime) {
         m_connection->abort();
         co_return AttemptResult {m_attempts == 0 ? UpstreamOutcome::NotConnected
--- a/tests/unit/tst_upstreamoutcome.cpp
+++ b/tests/unit/tst_upstreamoutcome.cpp
@@ -30,6 +30,11 @@
     requireRow(UpstreamOutcome::NotConnected, ExecutionStatus::NotExecuted, true, true);
 }
 
+TEST_CASE_METHOD(UpstreamOutcomeFixture, "outcome_choiceExpired_wasNotExecuted")
+{
+    requireRow(UpstreamOutcome::ChoiceExpired, ExecutionStatus::NotExecuted, true, true);
+}
+
 TEST_CASE_METHOD(UpstreamOutcomeFixture, "outcome_brokenWhileSending_executionIsUnknown")
 {
     requireRow(UpstreamOutcome::BrokenWhileSending, ExecutionStatus::Unknown, false, true);
