Let agents correct an entry that takes announced weights for newer than they are

What callers see: requests that run on replaced weights, sent by an entry whose reads of the operator's topic failed while others read it. It dates the version by its last failed read. An agent told its age only to entries whose subscription lacked the version, so an entry that had read it by itself, late, kept its date.

Subscriptions carry the entry's estimate of the age now, and an agent answers if it has known the version for longer. What it tells is the time since which it has known the version, a proof that it was announced by then, and no longer its own estimate of the announcement: an agent that was paused would pass on an estimate that is too early, and a restarted one its start.

New: agent_entryTakesTargetVersionForNewer_tellsItsAge. The fixture of failure-loadreports subscribes with an age now, as entries do.

--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -206,7 +206,7 @@
         const Instant at = isInitial ? initialAt : std::min(now, std::max(initialAt, now - age));
         m_dispatcher->mailbox()->post(TargetVersionChanged {targetVersion, at});
         m_exchange->fetcher()->post(FetcherTargetVersionChanged {targetVersion});
-        m_loadListener->mailbox()->post(AnnounceTargetVersion {targetVersion});
+        m_loadListener->mailbox()->post(AnnounceTargetVersion {targetVersion, now - age});
     };
     hooks.onOffsetAdvanced = [this](std::uint64_t offset) {
         m_loadListener->mailbox()->post(OperatorOffsetUpdated {offset});
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -86,8 +86,13 @@
 
 void LoadListener::apply(const AnnounceTargetVersion &command)
 {
-    std::uint64_t &version = m_targetVersions[command.targetVersion.model];
-    version = std::max(version, command.targetVersion.version);
+    AnnounceTargetVersion &known =
+            m_targetVersions.try_emplace(command.targetVersion.model, command).first->second;
+    if (command.targetVersion.version > known.targetVersion.version) {
+        known = command;
+    } else if (command.targetVersion == known.targetVersion) {
+        known.announcedAt = std::min(known.announcedAt, command.announcedAt);
+    }
     requestReports();
 }
 
@@ -133,8 +138,8 @@
     if (m_operatorCompleteAsOf) {
         request.operatorViewAge = std::max(Duration::zero(), now - *m_operatorCompleteAsOf);
     }
-    for (const auto &[model, version] : m_targetVersions) {
-        request.targetVersions.push_back({model, version});
+    for (const auto &[model, known] : m_targetVersions) {
+        request.targetVersions.push_back({known.targetVersion, now - known.announcedAt});
     }
     const std::string bytes = encodeDatagram(request);
     for (const auto &agent : m_agents) {
--- a/source/edge/loadlistener.h
+++ b/source/edge/loadlistener.h
@@ -37,6 +37,8 @@
 struct AnnounceTargetVersion
 {
     TargetVersion targetVersion;
+    /** When it was announced, by this entry's estimate. */
+    Instant announcedAt;
 };
 
 /** Relays a delta of the list of backend servers to the other entries of the zone. */
@@ -114,7 +116,7 @@
     /** As of when the view of the operator's topic is complete; empty before the first read. */
     std::optional<Instant> m_operatorCompleteAsOf;
     /** The newest target version of the weights of each model. */
-    std::map<ModelName, std::uint64_t> m_targetVersions;
+    std::map<ModelName, AnnounceTargetVersion> m_targetVersions;
 };
 
 } // namespace greengageseam
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -103,6 +103,14 @@
     return delta;
 }
 
+/** @returns an age in whole milliseconds, at most maxKnownVersionAge */
+std::int32_t ageToWire(Duration age)
+{
+    const Duration bounded = std::min<Duration>(age, maxKnownVersionAge);
+    return static_cast<std::int32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(bounded).count());
+}
+
 wire::VersionsHeard versionsToWire(const KnownTargetVersions &known)
 {
     wire::VersionsHeard heard;
@@ -110,9 +118,7 @@
         wire::VersionHeard version;
         version.model = one.targetVersion.model.text();
         version.version = static_cast<std::int64_t>(one.targetVersion.version);
-        const Duration age = std::min<Duration>(one.age, maxKnownVersionAge);
-        version.ageMs = static_cast<std::int32_t>(
-                std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+        version.ageMs = ageToWire(one.age);
         heard.versions.push_back(version);
     }
     return heard;
@@ -142,9 +148,7 @@
         for (const ReportedSuspect &suspect : crash.suspects) {
             wire::SuspectSeen part;
             part.part = suspect.part.text();
-            const Duration age = std::min<Duration>(suspect.age, maxKnownVersionAge);
-            part.ageMs = static_cast<std::int32_t>(
-                    std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+            part.ageMs = ageToWire(suspect.age);
             part.depth = static_cast<std::int32_t>(suspect.depth);
             part.wasSound = suspect.wasSound;
             part.cleared = suspect.isCleared;
@@ -208,10 +212,11 @@
         body.zone = subscription->zone.text();
         body.known = static_cast<std::int64_t>(subscription->entriesChecksum);
         body.news = static_cast<std::int64_t>(subscription->operatorOffset);
-        for (const TargetVersion &named : subscription->targetVersions) {
+        for (const KnownTargetVersion &known : subscription->targetVersions) {
             wire::NamedVersion one;
-            one.model = named.model.text();
-            one.version = static_cast<std::int64_t>(named.version);
+            one.model = known.targetVersion.model.text();
+            one.version = static_cast<std::int64_t>(known.targetVersion.version);
+            one.__set_ageMs(ageToWire(known.age));
             body.named.push_back(one);
         }
         if (subscription->operatorViewAge) {
@@ -295,12 +300,14 @@
             subscription.operatorViewAge = Duration(frame.loadWanted.viewAge);
         }
         for (const wire::NamedVersion &named : frame.loadWanted.named) {
-            if (named.version < 0) {
+            if (named.version < 0 || named.ageMs < 0) {
                 return fail(ErrorKind::ProtocolViolation,
-                            "a subscription contains a negative target version");
+                            "a subscription contains a negative target version or age");
             }
+            const Duration age = named.__isset.ageMs ? Duration(std::chrono::milliseconds(named.ageMs))
+                                                     : Duration(maxKnownVersionAge);
             subscription.targetVersions.push_back(
-                    {ModelName(named.model), static_cast<std::uint64_t>(named.version)});
+                    {{ModelName(named.model), static_cast<std::uint64_t>(named.version)}, age});
         }
         return Datagram(std::move(subscription));
     }
--- a/source/protocol/datagramcodec.h
+++ b/source/protocol/datagramcodec.h
@@ -17,6 +17,16 @@
 
 namespace greengageseam {
 
+/** A target version of weights, and for how long the sender has known it. */
+struct KnownTargetVersion
+{
+    TargetVersion targetVersion;
+    /** In whole milliseconds; an older version has maxKnownVersionAge. */
+    Duration age {};
+
+    auto operator<=>(const KnownTargetVersion &) const = default;
+};
+
 /**
  * Subscribes an entry to the load reports of an agent. The subscription expires unless the entry
  * repeats it.
@@ -29,8 +39,11 @@
     std::uint64_t entriesChecksum = 0;
     /** Offset that the sender has read in the operator's topic; increases with each record. */
     std::uint64_t operatorOffset = 0;
-    /** The target version of each model, as far as the sender knows it. */
-    std::vector<TargetVersion> targetVersions;
+    /**
+     * The target version of each model, as far as the sender knows it, and how long ago it was
+     * announced by the sender's estimate.
+     */
+    std::vector<KnownTargetVersion> targetVersions;
     /** Age of the sender's view of the operator's topic; empty if it has none. */
     std::optional<Duration> operatorViewAge;
 
@@ -45,17 +58,7 @@
     auto operator<=>(const KnownEntries &) const = default;
 };
 
-/** A target version of weights, and for how long the sender has known it. */
-struct KnownTargetVersion
-{
-    TargetVersion targetVersion;
-    /** In whole milliseconds; an older version has maxKnownVersionAge. */
-    Duration age {};
-
-    auto operator<=>(const KnownTargetVersion &) const = default;
-};
-
-/** Target versions that an agent knows, and that the entry's subscription lacked. */
+/** Target versions that an agent knows, or has known for longer than the entry thinks they exist. */
 struct KnownTargetVersions
 {
     std::vector<KnownTargetVersion> versions;
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -308,6 +308,8 @@
 struct NamedVersion {
   1: string model;
   2: i64 version;
+  /** How long ago it was named, by the sender's estimate; absent if the sender does not say. */
+  3: optional i32 ageMs;
 }
 
 /** A backend server of the list. */
--- a/source/sidecar/loadreporter.cpp
+++ b/source/sidecar/loadreporter.cpp
@@ -15,9 +15,23 @@
 constexpr auto subscriptionTimeout = std::chrono::milliseconds(800);
 /** Minimum time between two reports to an entry of another zone without urgent changes. */
 constexpr auto otherZonePeriod = std::chrono::milliseconds(350);
+/** An entry is told of an age that exceeds its own estimate by more than this. */
+constexpr auto ageTolerance = std::chrono::milliseconds(200);
 /** Maximum number of subscribed entries. */
 constexpr std::size_t maxSubscribers = 1024;
 
+/** @returns whether a process that knows @p there learns nothing from @p here */
+bool isCoveredBy(const KnownTargetVersion &here, const KnownTargetVersion &there)
+{
+    if (there.targetVersion.model != here.targetVersion.model) {
+        return false;
+    }
+    const bool isSame = there.targetVersion.version == here.targetVersion.version;
+    const Duration estimate = std::min<Duration>(here.age, maxKnownVersionAge);
+    return there.targetVersion.version > here.targetVersion.version
+            || (isSame && there.age + ageTolerance >= estimate);
+}
+
 } // namespace
 
 LoadReporter::LoadReporter(const asio::any_io_executor &executor, ZoneName zone,
@@ -73,9 +87,9 @@
         m_hooks.onEntriesChanged(m_knownEntries.locations());
     }
     m_operatorOffset = std::max(m_operatorOffset, subscription.operatorOffset);
-    for (const TargetVersion &named : subscription.targetVersions) {
-        apply(TargetVersionKnown {named, now});
-        m_hooks.onTargetVersion(named);
+    for (const KnownTargetVersion &known : subscription.targetVersions) {
+        apply(TargetVersionKnown {known.targetVersion, now});
+        m_hooks.onTargetVersion(known.targetVersion);
     }
     if (subscription.operatorViewAge && m_hooks.onViewConfirmed) {
         m_hooks.onViewConfirmed(now - *subscription.operatorViewAge);
@@ -92,20 +106,21 @@
     }
 }
 
-/** Tells an entry the target versions that are newer than those of its subscription. */
+/**
+ * Tells an entry the target versions that are newer than those of its subscription, and those that
+ * must have been announced earlier than the entry estimates, because they were known here by then.
+ */
 void LoadReporter::sendMissingVersions(const LoadSubscription &subscription,
                                        const asio::ip::udp::endpoint &sender, Instant now)
 {
     KnownTargetVersions missing;
     for (const auto &[model, known] : m_targetVersions) {
-        const bool isKnown =
-                std::any_of(subscription.targetVersions.begin(), subscription.targetVersions.end(),
-                            [&known](const TargetVersion &it) {
-                                return it.model == known.targetVersion.model
-                                        && it.version >= known.targetVersion.version;
-                            });
+        const KnownTargetVersion here {known.targetVersion, now - known.since};
+        const bool isKnown = std::any_of(
+                subscription.targetVersions.begin(), subscription.targetVersions.end(),
+                [&here](const KnownTargetVersion &there) { return isCoveredBy(here, there); });
         if (!isKnown) {
-            missing.versions.push_back({known.targetVersion, now - known.since});
+            missing.versions.push_back(here);
         }
     }
     if (!missing.versions.empty()) {
--- a/source/sidecar/sidecar.cpp
+++ b/source/sidecar/sidecar.cpp
@@ -38,7 +38,6 @@
 
 Result<void> Sidecar::start()
 {
-    m_startedAt = monotonicNow();
     LoadReporterHooks hooks;
     hooks.onEntriesChanged = [this](const std::vector<EntryLocation> &entries) {
         m_exchange->fetcher()->post(FetcherEntriesChanged {entries});
@@ -114,8 +113,9 @@
         const Instant at = isOld ? Instant() : monotonicNow() - age;
         m_installer->mailbox()->post(InstallerTargetVersionChanged {named.version, at});
         m_exchange->fetcher()->post(FetcherTargetVersionChanged {named});
-        // A version that was announced before the start is known at least since then.
-        m_loadReporter->mailbox()->post(TargetVersionKnown {named, isOld ? m_startedAt : at});
+        // Entries take the time since which it is known here for proof that it was announced by
+        // then, so an estimate of the announcement will not do.
+        m_loadReporter->mailbox()->post(TargetVersionKnown {named, monotonicNow()});
     };
     hooks.onOffsetAdvanced = [](std::uint64_t) { };
     FollowOptions follow;
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -54,7 +54,6 @@
     bool m_isDraining = false;
     std::optional<LoadReport> m_lastSentLoad;
     Instant m_lastSentAt;
-    Instant m_startedAt;
 };
 
 } // namespace greengageseam
--- a/tests/failure/tst_loadreports.cpp
+++ b/tests/failure/tst_loadreports.cpp
@@ -75,12 +75,14 @@
     /**
      * Subscribes an entry that knows a version of the model, or none if it is 0, and waits for the
      * agent's answer.
+     *
+     * @param age how long ago the version was announced, by the entry's estimate
      */
-    void subscribe(EntryStandin &entry, std::uint64_t version)
+    void subscribe(EntryStandin &entry, std::uint64_t version, Duration age = maxKnownVersionAge)
     {
         LoadSubscription subscription {InstanceId("e"), ZoneName("b"), 0, 0, {}};
         if (version != 0) {
-            subscription.targetVersions.push_back({model, version});
+            subscription.targetVersions.push_back({{model, version}, age});
         }
         const std::size_t lists = entry.lists;
         entry.socket.send(encodeDatagram(subscription),
@@ -170,6 +172,17 @@
     REQUIRE(m_second.heard.front().age == maxKnownVersionAge);
 }
 
+// An entry that heard of a version late must not keep its estimate if the agent knows better.
+TEST_CASE_METHOD(LoadReportsFixture, "agent_entryTakesTargetVersionForNewer_tellsItsAge")
+{
+    readVersion(2, monotonicNow() - milliseconds(4000));
+    subscribe(m_first, 2, milliseconds(1000));
+    REQUIRE(m_first.heard.size() == 1);
+    REQUIRE(m_first.heard.front().age >= milliseconds(4000));
+    subscribe(m_first, 2, milliseconds(4100));
+    REQUIRE(m_first.heard.size() == 1);
+}
+
 TEST_CASE_METHOD(LoadReportsFixture, "entry_agentKnowsNewerTargetVersion_hearsOfIt")
 {
     std::vector<KnownTargetVersion> heard;
