Ignore the views of peers that waited during a pause

An agent that wakes finds subscriptions of entries that were sent before or while it stood still. Their view ages count from the sending, but were taken as of the arrival, so the agent dated a version by when it woke, and took its turn in the rollout that much later.

Views that are received within 300 ms after a pause do not count. Entries repeat theirs every 300 ms.

--- a/source/edge/storewatchers.cpp
+++ b/source/edge/storewatchers.cpp
@@ -12,6 +12,11 @@
 /** Interval at which a watcher records that its process runs. */
 constexpr auto runningCheckInterval = std::chrono::milliseconds(100);
 
+/**
+ * Time after a pause during which views of peers do not count. Their messages may have waited
+ * during the pause, and their ages are as of when they were sent.
+ */
+constexpr auto peerViewSettleTime = std::chrono::milliseconds(300);
 /** A difference between two dates of a target version that makes none to requests. */
 constexpr auto datingTolerance = std::chrono::milliseconds(100);
 /** Age of the list of backend servers from which the next entry of the zone reads it itself. */
@@ -72,7 +77,9 @@
 /** Detects pauses. It must precede whatever the process does first after a pause. */
 void OperatorWatcher::recordRunning()
 {
-    if (const std::optional<Duration> pause = m_listening.recordRunning(monotonicNow())) {
+    const Instant now = monotonicNow();
+    if (const std::optional<Duration> pause = m_listening.recordRunning(now)) {
+        m_ignorePeerViewsUntil = now + peerViewSettleTime;
         m_log.info("process.paused", {{"paused_ms", pause->count() / 1000}});
     }
 }
@@ -160,8 +167,8 @@
 
 void OperatorWatcher::confirmPeerView(Instant completeAsOf)
 {
-    if (m_hasSnapshot) {
-        recordRunning();
+    recordRunning();
+    if (m_hasSnapshot && monotonicNow() >= m_ignorePeerViewsUntil) {
         m_listening.recordView(completeAsOf);
     }
 }
