Take the earliest deadline of all newer weights for the start of a request

Of two versions, the older one may be dated later than the newer one, if it was heard of later. A request on still older weights was given the deadline of the next version alone. Test: startDeadline_newerVersionAnnouncedEarlier_earliestCounts.

--- a/source/core/fleet/weightsdeadlines.cpp
+++ b/source/core/fleet/weightsdeadlines.cpp
@@ -55,11 +55,12 @@
     if (versions == m_announced.end()) {
         return std::nullopt;
     }
-    const auto newer = versions->second.upper_bound(version);
-    if (newer == versions->second.end()) {
-        return std::nullopt;
+    std::optional<Instant> earliest;
+    for (auto it = versions->second.upper_bound(version); it != versions->second.end(); ++it) {
+        const Instant deadline = it->second + m_options.bound - m_options.abortedBefore;
+        earliest = std::min(earliest.value_or(deadline), deadline);
     }
-    return newer->second + m_options.bound - m_options.abortedBefore;
+    return earliest;
 }
 
 } // namespace greengageseam
--- a/tests/unit/tst_weightsdeadlines.cpp
+++ b/tests/unit/tst_weightsdeadlines.cpp
@@ -56,5 +56,14 @@
     REQUIRE_FALSE(m_deadlines.startDeadline(m_model, 3));
 }
 
+// Of two versions, the older one may have been heard of later.
+TEST_CASE_METHOD(WeightsDeadlinesFixture,
+                 "startDeadline_newerVersionAnnouncedEarlier_earliestCounts")
+{
+    announce(2, 3000);
+    announce(3, 1000);
+    REQUIRE(m_deadlines.startDeadline(m_model, 1) == at(8600));
+}
+
 } // namespace
 } // namespace greengageseam
