Relay list deltas that are larger than a datagram in parts

When many backend servers changed at once, as when half of a large fleet leaves, the entry that had read the list dropped its delta, and the other entries of its zone went on sending requests to servers that leave until they read the list themselves, after one to 1.45 s.

--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -6,6 +6,7 @@
 
 #include "core/fleet/compactedtopic.h"
 #include "core/fleet/crashevidence.h"
+#include "core/fleet/deltaparts.h"
 #include "core/fleet/enginemodel.h"
 #include "core/fleet/entryregistry.h"
 #include "core/fleet/eventsplitter.h"
--- a/source/core/fleet/replicalistdelta.h
+++ b/source/core/fleet/replicalistdelta.h
@@ -24,6 +24,10 @@
     std::vector<ReplicaId> removed;
     /** Age of the reader's view when it sent the delta: how long ago the list ended there. */
     Duration viewAge {};
+    /** Number of this part, from 0, of a delta that is sent in parts. Invariant: below partCount.
+     */
+    std::uint32_t part = 0;
+    std::uint32_t partCount = 1;
 
     /** @returns the delta with an entry that was written after all changes in it */
     ReplicaListDelta withChanged(const ReplicaEntry &entry) &&;
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -4,6 +4,7 @@
 #include "net/endpoint.h"
 #include "net/ticker.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -91,20 +92,40 @@
     requestReports();
 }
 
-/** Drops a delta that does not fit into a datagram; the other entries read the list instead. */
 void LoadListener::apply(const RelayListDelta &command)
 {
-    const std::string bytes = encodeDatagram(command.delta);
-    if (bytes.size() > maxDatagramBytes) {
-        m_log.info("list.delta-too-large", {{"bytes", bytes.size()}});
-        return;
-    }
+    const std::vector<std::string> parts = encodeInParts(command.delta);
     for (const EntryLocation &site : m_entries.locations()) {
         if (site.zone != m_self.zone || site.ip == m_self.ip) {
             continue;
         }
-        sendToEntry(site.ip, bytes);
+        for (const std::string &bytes : parts) {
+            sendToEntry(site.ip, bytes);
+        }
+    }
+}
+
+/**
+ * @returns the datagrams of a delta, in as many parts as needed for each to fit; none if it has too
+ *          many changes, so that the other entries read the list instead
+ */
+std::vector<std::string> LoadListener::encodeInParts(const ReplicaListDelta &delta) const
+{
+    for (std::uint32_t count = 1; count <= maxDeltaParts; count *= 2) {
+        std::vector<std::string> datagrams;
+        for (const ReplicaListDelta &part : splitDelta(delta, count)) {
+            datagrams.push_back(encodeDatagram(part));
+        }
+        const bool fits =
+                std::all_of(datagrams.begin(), datagrams.end(), [](const std::string &bytes) {
+                    return bytes.size() <= maxDatagramBytes;
+                });
+        if (fits) {
+            return datagrams;
+        }
     }
+    m_log.info("list.delta-too-large", {{"changes", delta.changed.size()}});
+    return {};
 }
 
 void LoadListener::apply(const SendToEntry &command)
@@ -148,7 +169,9 @@
         m_entries.confirm(report->entriesChecksum, monotonicNow());
         m_hooks.onReport(*report);
     } else if (const auto *list = std::get_if<ReplicaListDelta>(&datagram)) {
-        m_hooks.onListDelta(*list);
+        if (const auto whole = m_listDeltas.add(senderIp, *list, monotonicNow())) {
+            m_hooks.onListDelta(*whole);
+        }
     } else if (const auto *crashes = std::get_if<CrashReport>(&datagram)) {
         m_hooks.onCrashReport(*crashes);
     } else if (const auto *digest = std::get_if<CrashDigest>(&datagram)) {
--- a/source/edge/loadlistener.h
+++ b/source/edge/loadlistener.h
@@ -97,6 +97,7 @@
     void apply(const RelayListDelta &command);
     void apply(const SendToEntry &command);
     void sendToEntry(const std::string &ip, const std::string &bytes);
+    std::vector<std::string> encodeInParts(const ReplicaListDelta &delta) const;
     void requestReports();
     void handleDatagram(const Datagram &datagram, const std::string &senderIp);
 
@@ -109,6 +110,8 @@
     DatagramSocket m_socket;
     std::vector<asio::ip::udp::endpoint> m_agents;
     EntryRegistry m_entries;
+    /** Parts of deltas of the list that other entries relay. */
+    DeltaAssembler m_listDeltas;
     /** Offset up to which the operator's topic was read. */
     std::uint64_t m_operatorOffset = 0;
     /** As of when the view of the operator's topic is complete; empty before the first read. */
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -67,6 +67,10 @@
     passed.fromOffset = static_cast<std::int64_t>(delta.fromOffset);
     passed.nextOffset = static_cast<std::int64_t>(delta.nextOffset);
     passed.viewAge = delta.viewAge.count();
+    if (delta.partCount > 1) {
+        passed.__set_part(static_cast<std::int32_t>(delta.part));
+        passed.__set_partCount(static_cast<std::int32_t>(delta.partCount));
+    }
     for (const ReplicaEntry &entry : delta.changed) {
         passed.changed.push_back(replicaToWire(entry));
     }
@@ -76,6 +80,15 @@
     return passed;
 }
 
+/** @returns whether a delta is the only part, or one of a number of parts that is allowed */
+bool hasValidPart(const wire::ListPassed &passed)
+{
+    const bool isOnly = !passed.__isset.part && !passed.__isset.partCount;
+    return isOnly
+            || (passed.part >= 0 && passed.part < passed.partCount
+                && passed.partCount <= static_cast<std::int32_t>(maxDeltaParts));
+}
+
 bool hasNegativeNumbers(const wire::ListPassed &passed)
 {
     return passed.fromOffset < 0 || passed.nextOffset < passed.fromOffset || passed.viewAge < 0
@@ -94,6 +107,10 @@
     delta.fromOffset = static_cast<std::uint64_t>(passed.fromOffset);
     delta.nextOffset = static_cast<std::uint64_t>(passed.nextOffset);
     delta.viewAge = Duration(passed.viewAge);
+    if (passed.__isset.partCount) {
+        delta.part = static_cast<std::uint32_t>(passed.part);
+        delta.partCount = static_cast<std::uint32_t>(passed.partCount);
+    }
     for (const wire::ReplicaSeen &seen : passed.changed) {
         delta.changed.push_back(replicaFromWire(seen));
     }
@@ -305,9 +322,9 @@
         return Datagram(std::move(subscription));
     }
     if (frame.__isset.listPassed) {
-        if (hasNegativeNumbers(frame.listPassed)) {
+        if (hasNegativeNumbers(frame.listPassed) || !hasValidPart(frame.listPassed)) {
             return fail(ErrorKind::ProtocolViolation,
-                        "a datagram with list changes contains negative numbers");
+                        "a datagram with list changes contains negative numbers or an odd part");
         }
         return Datagram(listFromWire(frame.listPassed));
     }
--- a/source/protocol/datagramcodec.h
+++ b/source/protocol/datagramcodec.h
@@ -5,6 +5,7 @@
 
 #include "core/common/errors.h"
 #include "core/fleet/crashevidence.h"
+#include "core/fleet/deltaparts.h"
 #include "core/fleet/entryregistry.h"
 #include "core/fleet/fleetconfig.h"
 #include "core/fleet/loadbalancer.h"
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -334,6 +334,9 @@
   4: list<string> removed;
   /** Age of what the sender knows of the list, in microseconds. */
   5: i64 viewAge;
+  /** Number of this part, from 0, and how many there are; absent if it is the only one. */
+  6: optional i32 part;
+  7: optional i32 partCount;
 }
 
 /** Datagram of an entry to an agent: send reports of load here for a while. */
--- a/tests/unit/tst_replicalistdelta.cpp
+++ b/tests/unit/tst_replicalistdelta.cpp
@@ -109,5 +109,50 @@
     REQUIRE(isListReader({}, location("a", "10.1.0.1")));
 }
 
+TEST_CASE_METHOD(ReplicaListDeltaFixture, "deltaParts_allArriveInAnyOrder_areTheWholeDelta")
+{
+    const ReplicaListDelta delta {
+            7, 12, {replica("i-1"), replica("i-2"), replica("i-3")}, {ReplicaId("i-4")}};
+    const std::vector<ReplicaListDelta> parts = splitDelta(delta, 2);
+    REQUIRE(parts.size() == 2);
+    DeltaAssembler assembler;
+    REQUIRE_FALSE(assembler.add("a", parts[1], Instant()));
+    REQUIRE(assembler.add("a", parts[0], Instant()) == delta);
+}
+
+// The list would otherwise be taken for complete up to the end of the delta.
+TEST_CASE_METHOD(ReplicaListDeltaFixture, "deltaParts_oneIsLost_nothingIsPassedOn")
+{
+    const std::vector<ReplicaListDelta> first =
+            splitDelta({7, 9, {replica("i-1"), replica("i-2")}, {}}, 2);
+    const std::vector<ReplicaListDelta> second =
+            splitDelta({9, 11, {replica("i-3"), replica("i-4")}, {}}, 2);
+    DeltaAssembler assembler;
+    REQUIRE_FALSE(assembler.add("a", first[0], Instant()));
+    REQUIRE_FALSE(assembler.add("a", second[0], Instant()));
+    REQUIRE_FALSE(assembler.add("b", second[1], Instant()));
+    REQUIRE_FALSE(assembler.add("a", first[1], Instant()));
+}
+
+// The view is as old as it was when the first part was sent.
+TEST_CASE_METHOD(ReplicaListDeltaFixture, "deltaParts_lastOneArrivesLate_viewHasAgedMeanwhile")
+{
+    ReplicaListDelta delta {7, 9, {replica("i-1"), replica("i-2")}, {}};
+    delta.viewAge = std::chrono::milliseconds(100);
+    const std::vector<ReplicaListDelta> parts = splitDelta(delta, 2);
+    DeltaAssembler assembler;
+    REQUIRE_FALSE(assembler.add("a", parts[0], Instant(std::chrono::milliseconds(1000))));
+    const auto whole = assembler.add("a", parts[1], Instant(std::chrono::milliseconds(1500)));
+    REQUIRE(whole);
+    REQUIRE(whole->viewAge == std::chrono::milliseconds(600));
+}
+
+TEST_CASE_METHOD(ReplicaListDeltaFixture, "deltaParts_encodedAndDecoded_areEqual")
+{
+    const Datagram part = splitDelta({7, 9, {replica("i-1"), replica("i-2")}, {}}, 2).back();
+    const auto decoded = toOutcome([&] { return decodeDatagram(encodeDatagram(part)); });
+    REQUIRE(std::get<Datagram>(decoded) == part);
+}
+
 } // namespace
 } // namespace greengageseam
