--- a/tests/failure/scriptedfleet.h
+++ b/tests/failure/scriptedfleet.h
@@ -5,30 +5,18 @@
 
 #include "edge/edge.h"
 #include "fleetstandin.h"
-#include "freeport.h"
 #include "net/clock.h"
 #include "platform/platform.h"
 #include "scriptedstandin.h"
+#include "testcaller.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
-#include <unistd.h>
 
 namespace greengageseam {
 
-/** The response that a caller received. */
-struct CallerResponse
-{
-    /** 0 if there was no response. */
-    int status = 0;
-    /** Whether the response was received up to its end. */
-    bool isComplete = false;
-    std::string body;
-    HttpResponseHead head;
-};
-
 /** Fixture that runs an entry against two servers i-1 and i-2, which play one script. */
 class ScriptedFleet
 {
@@ -41,41 +29,14 @@
         m_settings.instance = InstanceId("entry-1");
         m_settings.zone = ZoneName("a");
         m_settings.ip = "127.0.0.1";
-        m_settings.frontAddress = freeAddress();
-        m_settings.readyAddress = freeAddress();
-        m_settings.controlAddress = freeAddress();
-        m_settings.firstPort = portOf(freeAddress());
-        m_settings.lastPort = portOf(freeAddress());
+        m_settings.frontAddress = freeAddress(m_context);
+        m_settings.readyAddress = freeAddress(m_context);
+        m_settings.controlAddress = freeAddress(m_context);
+        m_settings.firstPort = portOf(freeAddress(m_context));
+        m_settings.lastPort = portOf(freeAddress(m_context));
         m_settings.storeAddress = m_store.address();
     }
 
-    /** @returns a loopback address that is currently free; a different one each time */
-    Address freeAddress()
-    {
-        // Below the ports that the kernel gives to connections; an entry also uses the next port.
-        constexpr int firstPort = 20000;
-        constexpr int ports = 12000;
-        constexpr int step = 2;
-        static int offset = ::getpid() * 61 % ports;
-        for (int n = 0; n < ports; n += step) {
-            offset = (offset + step) % ports;
-            const Address address("127.0.0.1:" + std::to_string(firstPort + offset));
-            asio::ip::tcp::acceptor acceptor(m_context);
-            const Result<void> opened = openAcceptor(acceptor, address);
-            if (opened) {
-                return address;
-            }
-        }
-        FAIL("no free port");
-        return Address("127.0.0.1:0");
-    }
-
-    static std::uint16_t portOf(const Address &address)
-    {
-        return static_cast<std::uint16_t>(
-                std::stoi(address.text().substr(address.text().rfind(':') + 1)));
-    }
-
     /** Writes a configuration with one route to the store. */
     void configure(const std::string &kind, int attempts, bool canResume = true)
     {
@@ -160,7 +121,8 @@
     CallerResponse send(const Address &address, const std::string &text)
     {
         std::optional<CallerResponse> received;
-        asio::co_spawn(m_context, exchange(address, text, received), asio::detached);
+        asio::co_spawn(m_context, exchange(m_context.get_executor(), address, text, received),
+                       asio::detached);
         REQUIRE(waitUntil([&] { return received.has_value(); }));
         return *received;
     }
@@ -170,30 +132,6 @@
         return send(m_settings.frontAddress, requestText(attemptId));
     }
 
-    Awaitable<void> exchange(Address address, std::string text,
-                             std::optional<CallerResponse> &received)
-    {
-        const auto connection = std::make_shared<HttpConnection>(m_context.get_executor());
-        const auto endpoint = toOutcome([&] { return parseEndpoint(address); });
-        CallerResponse result;
-        const HttpIoStatus connected = co_await connection->connect(
-                std::get<asio::ip::tcp::endpoint>(endpoint), std::chrono::seconds(1));
-        if (connected == HttpIoStatus::Done) {
-            co_await connection->send(std::move(text), std::chrono::seconds(1));
-            HttpReadResult<HttpResponseHead> head =
-                    co_await connection->readHead(false, std::chrono::seconds(5));
-            if (head.ioStatus == HttpIoStatus::Done) {
-                result.status = head.value.status;
-                result.head = head.value;
-                HttpReadResult<std::string> body =
-                        co_await connection->readBody(100'000, std::chrono::seconds(5));
-                result.isComplete = body.ioStatus == HttpIoStatus::Done;
-                result.body = body.value;
-            }
-        }
-        received = result;
-    }
-
     asio::io_context m_context;
     Log m_log;
     NodeSettings m_settings;
--- a/tests/failure/tst_availability.cpp
+++ b/tests/failure/tst_availability.cpp
@@ -63,8 +63,10 @@
             + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     startFleet("streaming", {{stream}, {whole}}, false, false);
     std::optional<CallerResponse> first;
-    asio::co_spawn(m_context, exchange(m_settings.frontAddress, requestText("one"), first),
-                   asio::detached);
+    asio::co_spawn(
+            m_context,
+            exchange(m_context.get_executor(), m_settings.frontAddress, requestText("one"), first),
+            asio::detached);
     REQUIRE(waitUntil([this] { return requests() == 1; }));
     runFor(std::chrono::milliseconds(100));
     REQUIRE(sendRequest("two").status == 503);
@@ -113,8 +115,8 @@
     std::array<std::optional<CallerResponse>, 3> responses;
     for (std::size_t n = 0; n < responses.size(); ++n) {
         asio::co_spawn(m_context,
-                       exchange(m_settings.frontAddress, requestText("r" + std::to_string(n)),
-                                responses.at(n)),
+                       exchange(m_context.get_executor(), m_settings.frontAddress,
+                                requestText("r" + std::to_string(n)), responses.at(n)),
                        asio::detached);
     }
     REQUIRE(waitUntil([&] {
--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -9,14 +9,13 @@
 #include "net/clock.h"
 #include "platform/platform.h"
 #include "sidecar/loadreporter.h"
+#include "testcaller.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <thread>
-#include <unistd.h>
 
 namespace greengageseam {
 namespace {
@@ -38,35 +37,6 @@
         + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
           "17\r\nid: 1\ndata: i-1\n\nid: 2\n\r\n";
 
-/** Below the ports that the kernel gives to connections, which could take a port meanwhile. */
-constexpr int firstTestPort = 20000;
-constexpr int testPorts = 12000;
-/** Also skips the port after a free one, which an entry uses as well. */
-constexpr int portStep = 2;
-
-/** @returns a loopback address that is currently free; a different one each time */
-Address freeAddress(asio::io_context &context)
-{
-    static int offset = ::getpid() * 61 % testPorts;
-    for (int n = 0; n < testPorts; n += portStep) {
-        offset = (offset + portStep) % testPorts;
-        const Address address("127.0.0.1:" + std::to_string(firstTestPort + offset));
-        asio::ip::tcp::acceptor acceptor(context);
-        const Result<void> opened = openAcceptor(acceptor, address);
-        if (opened) {
-            return address;
-        }
-    }
-    FAIL("no free port");
-    return Address("127.0.0.1:0");
-}
-
-std::uint16_t portOf(const Address &address)
-{
-    return static_cast<std::uint16_t>(
-            std::stoi(address.text().substr(address.text().rfind(':') + 1)));
-}
-
 /** Runs an entry against a stand-in store and two stand-in backend servers. */
 class EdgeFixture
 {
@@ -125,7 +95,7 @@
 
     bool isAskedToComeBack(const HttpRequest &request)
     {
-        const Received received = sendRequest(request);
+        const CallerResponse received = sendRequest(request);
         UNSCOPED_INFO(request.target << " is answered " << received.status);
         return received.status == 503 && received.head.header("Retry-After");
     }
@@ -271,26 +241,16 @@
                 "body"};
     }
 
-    /** The response that a caller received. */
-    struct Received
-    {
-        /** 0 if there was no response. */
-        int status = 0;
-        /** Whether the response was received up to its end. */
-        bool isComplete = false;
-        std::string body;
-        HttpResponseHead head;
-    };
-
-    Received send(const Address &address, const std::string &text)
+    CallerResponse send(const Address &address, const std::string &text)
     {
-        std::optional<Received> received;
-        asio::co_spawn(m_context, exchange(address, text, received), asio::detached);
+        std::optional<CallerResponse> received;
+        asio::co_spawn(m_context, exchange(m_context.get_executor(), address, text, received),
+                       asio::detached);
         REQUIRE(waitUntil([&] { return received.has_value(); }));
         return *received;
     }
 
-    Received sendRequest(const HttpRequest &request)
+    CallerResponse sendRequest(const HttpRequest &request)
     {
         std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
         for (const HttpHeader &field : request.headers) {
@@ -302,9 +262,9 @@
     }
 
     /** Sends requests until one of them has reached the server that sends endless bytes. */
-    Received sendToEndless()
+    CallerResponse sendToEndless()
     {
-        Received received = sendRequest(request("/x/1"));
+        CallerResponse received = sendRequest(request("/x/1"));
         while (m_endless->requests() == 0) {
             received = sendRequest(request("/x/1"));
         }
@@ -317,54 +277,24 @@
      *
      * @returns what the caller has received by then
      */
-    Received sendUntilStopped(const std::string &body, Duration delay)
+    CallerResponse sendUntilStopped(const std::string &body, Duration delay)
     {
-        std::optional<Received> received;
+        std::optional<CallerResponse> received;
         const std::string head = "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\n"
                                  "Key: key\r\nTransfer-Encoding: chunked\r\n\r\n";
-        asio::co_spawn(m_context, exchange(m_settings.frontAddress, head, received, body, delay),
+        asio::co_spawn(m_context,
+                       exchange(m_context.get_executor(), m_settings.frontAddress, head, received,
+                                {body, delay}),
                        asio::detached);
         REQUIRE(waitUntil([this] { return m_isStopped; }));
-        return received.value_or(Received());
+        return received.value_or(CallerResponse());
     }
 
-    Received httpGet(const Address &address, const std::string &target)
+    CallerResponse httpGet(const Address &address, const std::string &target)
     {
         return send(address, "GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
     }
 
-    /** Sends a request, of which the rest follows after a delay, and receives the response. */
-    Awaitable<void> exchange(Address address, std::string text, std::optional<Received> &received,
-                             std::string rest = {}, Duration delay = {})
-    {
-        const auto connection = std::make_shared<HttpConnection>(m_context.get_executor());
-        const auto endpoint = toOutcome([&] { return parseEndpoint(address); });
-        Received result;
-        const HttpIoStatus connected = co_await connection->connect(
-                std::get<asio::ip::tcp::endpoint>(endpoint), std::chrono::seconds(1));
-        if (connected == HttpIoStatus::Done) {
-            // The timeout of a write ends only with the next operation.
-            const Duration timeout = std::chrono::seconds(1) + delay;
-            co_await connection->send(std::move(text), timeout);
-            if (!rest.empty()) {
-                asio::steady_timer timer(m_context, delay);
-                co_await timer.async_wait(asTuple);
-                co_await connection->send(std::move(rest), std::chrono::seconds(1));
-            }
-            HttpReadResult<HttpResponseHead> head =
-                    co_await connection->readHead(false, std::chrono::seconds(5));
-            if (head.ioStatus == HttpIoStatus::Done) {
-                result.status = head.value.status;
-                result.head = head.value;
-                HttpReadResult<std::string> body =
-                        co_await connection->readBody(100'000, std::chrono::seconds(5));
-                result.isComplete = body.ioStatus == HttpIoStatus::Done;
-                result.body = body.value;
-            }
-        }
-        received = result;
-    }
-
     asio::io_context m_context;
     Log m_log;
     NodeSettings m_settings;
@@ -380,7 +310,7 @@
 TEST_CASE_METHOD(EdgeFixture, "entry_healthyBackend_relaysSealAndForwardsAccount")
 {
     startEntryWith("idempotent", 2, {&m_first});
-    const Received received = sendRequest(request("/x/1"));
+    const CallerResponse received = sendRequest(request("/x/1"));
     REQUIRE(received.status == 200);
     REQUIRE(received.body == "answer of i-1");
     REQUIRE(received.head.header("Server-Seal") == "seal-of-i-1");
@@ -403,7 +333,7 @@
     startEntry();
     REQUIRE(waitUntil(
             [this] { return httpGet(m_settings.readyAddress, "/-/readiness").status == 503; }));
-    const Received received = sendRequest(request("/x/1"));
+    const CallerResponse received = sendRequest(request("/x/1"));
     REQUIRE(received.status == 503);
     REQUIRE(received.head.header("Retry-After"));
 }
@@ -472,7 +402,7 @@
           ReplicaBehaviour::Rejects, ReplicaBehaviour::IsOtherServer}) {
         m_first.setBehaviour(manner);
         CAPTURE(static_cast<int>(manner));
-        const Received received = sendRequest(request("/x/1"));
+        const CallerResponse received = sendRequest(request("/x/1"));
         REQUIRE(received.status == 200);
         REQUIRE(received.body == "answer of i-2");
     }
@@ -484,7 +414,7 @@
     startEntryWith("non_idempotent", 2, {&m_first, &m_second});
     m_first.setBehaviour(ReplicaBehaviour::BreaksBeforeAnswer);
     m_second.setBehaviour(ReplicaBehaviour::BreaksBeforeAnswer);
-    const Received received = sendRequest(request("/x/1"));
+    const CallerResponse received = sendRequest(request("/x/1"));
     REQUIRE((received.status == 502 || received.status == 504));
     REQUIRE(m_first.runs() + m_second.runs() == 1);
 }
@@ -493,7 +423,7 @@
 {
     startEntryWith("non_idempotent", 1, {&m_first});
     m_first.setBehaviour(ReplicaBehaviour::Rejects);
-    const Received received = sendRequest(request("/x/1"));
+    const CallerResponse received = sendRequest(request("/x/1"));
     REQUIRE(received.status == 503);
     REQUIRE(received.head.header("Retry-After"));
     REQUIRE(m_first.runs() == 0);
@@ -505,7 +435,7 @@
     startEntryWith("non_idempotent", 2, {&m_first, &m_second});
     m_first.setBehaviour(ReplicaBehaviour::Hangs);
     m_second.setBehaviour(ReplicaBehaviour::Hangs);
-    const Received received = sendRequest(request("/x/1"));
+    const CallerResponse received = sendRequest(request("/x/1"));
     REQUIRE(received.status == 504);
     REQUIRE(m_first.runs() + m_second.runs() == 1);
 }
@@ -515,7 +445,7 @@
     startEntryWith("streaming", 2, {&m_first, &m_second});
     m_first.setBehaviour(ReplicaBehaviour::BreaksWithinStream);
     m_second.setBehaviour(ReplicaBehaviour::Streams);
-    Received received = sendRequest(request("/x/1"));
+    CallerResponse received = sendRequest(request("/x/1"));
     while (received.head.header("Server-Seal") != "seal-of-i-1") {
         received = sendRequest(request("/x/1"));
     }
@@ -528,7 +458,7 @@
 {
     startEntryWith("streaming", 2, {&m_first});
     m_first.setBehaviour(ReplicaBehaviour::BreaksWithinStream);
-    const Received received = sendRequest(request("/x/1"));
+    const CallerResponse received = sendRequest(request("/x/1"));
     REQUIRE(received.status == 200);
     REQUIRE_FALSE(received.isComplete);
     REQUIRE(received.body == "id: 1\ndata: i-1\n\nid: 2\ndata: i-1\n\n");
@@ -563,7 +493,7 @@
     m_store.put("keyed.op", "version/m", R"({"model":"m","version":2})");
     const Instant named = monotonicNow();
     m_context.run_for(std::chrono::milliseconds(1000));
-    const Received received = sendRequest(request("/x/1"));
+    const CallerResponse received = sendRequest(request("/x/1"));
     REQUIRE(m_first.runs() == 1);
     REQUIRE(received.status == 504);
     REQUIRE(monotonicNow() - named < m_settings.bounds.weightsApply);
@@ -579,7 +509,7 @@
     const Instant named = monotonicNow();
     m_context.run_for(std::chrono::milliseconds(1000));
     reportLoaded(1);
-    const Received received = sendRequest(request("/x/1"));
+    const CallerResponse received = sendRequest(request("/x/1"));
     REQUIRE(m_first.runs() == 1);
     REQUIRE(received.status == 504);
     REQUIRE(monotonicNow() - named < m_settings.bounds.weightsApply);
@@ -621,7 +551,7 @@
     m_store.failWith(200);
     REQUIRE(waitUntil(
             [this] { return httpGet(m_settings.readyAddress, "/-/readiness").status == 200; }));
-    const Received received = sendRequest(request("/x/1"));
+    const CallerResponse received = sendRequest(request("/x/1"));
     REQUIRE(received.status == 503);
     REQUIRE(m_first.runs() == 0);
 }
@@ -697,7 +627,7 @@
                    [&isStopped](const std::exception_ptr &) { isStopped = true; });
     m_context.run_for(std::chrono::milliseconds(50));
     REQUIRE(httpGet(m_settings.readyAddress, "/-/readiness").status == 503);
-    const Received received = sendRequest(request("/x/1"));
+    const CallerResponse received = sendRequest(request("/x/1"));
     REQUIRE(received.isComplete);
     REQUIRE(received.head.header("Connection") == "close");
     REQUIRE(waitUntil([&] { return isStopped; }));
@@ -715,7 +645,7 @@
     const Instant stoppedBy = monotonicNow() + m_settings.bounds.grace;
     beginShutDown();
     m_context.run_for(std::chrono::milliseconds(2000));
-    const Received received = sendUntilStopped("4\r\nbody\r\n0\r\n\r\n", Duration());
+    const CallerResponse received = sendUntilStopped("4\r\nbody\r\n0\r\n\r\n", Duration());
     REQUIRE(monotonicNow() < stoppedBy);
     REQUIRE(received.status == 504);
     REQUIRE(received.isComplete);
@@ -729,7 +659,7 @@
     m_first.setBehaviour(ReplicaBehaviour::Hangs);
     beginShutDown();
     m_context.run_for(std::chrono::milliseconds(2000));
-    const Received received =
+    const CallerResponse received =
             sendUntilStopped("4\r\nbody\r\n0\r\n\r\n", std::chrono::milliseconds(1000));
     REQUIRE(received.status == 503);
     REQUIRE(received.isComplete);
@@ -751,7 +681,7 @@
     CAPTURE(bytes.opening, bytes.repeated, bytes.pause.count());
     startEntryWithEndless("idempotent", 2, bytes, {&m_second});
     const Instant begin = monotonicNow();
-    const Received received = sendToEndless();
+    const CallerResponse received = sendToEndless();
     REQUIRE(monotonicNow() - begin < callerPatience);
     REQUIRE(received.status == 200);
     REQUIRE(received.isComplete);
@@ -769,7 +699,7 @@
             EndlessBytes {chunkedHead, "x"}, EndlessBytes {chunkedHead + "5;a=", "b"});
     CAPTURE(bytes.opening, bytes.repeated);
     startEntryWithEndless("non_idempotent", 2, bytes, {});
-    const Received received = sendRequest(request("/x/1"));
+    const CallerResponse received = sendRequest(request("/x/1"));
     REQUIRE(received.status == 502);
     REQUIRE(received.isComplete);
     REQUIRE(m_endless->requests() == 1);
@@ -786,7 +716,7 @@
     CAPTURE(bytes.opening, bytes.repeated);
     startEntryWithEndless("non_idempotent", 2, bytes, {});
     const Instant begin = monotonicNow();
-    const Received received = sendRequest(request("/x/1"));
+    const CallerResponse received = sendRequest(request("/x/1"));
     REQUIRE(received.status == 504);
     REQUIRE(monotonicNow() - begin < callerPatience + std::chrono::milliseconds(500));
     REQUIRE(m_endless->requests() == 1);
@@ -801,7 +731,7 @@
     CAPTURE(bytes.opening, bytes.pause.count());
     startEntryWithEndless("non_idempotent", 1, bytes, {});
     const Instant begin = monotonicNow();
-    const Received received = sendRequest(request("/x/1"));
+    const CallerResponse received = sendRequest(request("/x/1"));
     REQUIRE(monotonicNow() - begin < std::chrono::seconds(1));
     REQUIRE(received.status == 503);
     REQUIRE(received.head.header("Retry-After"));
@@ -813,7 +743,7 @@
 {
     const std::string head = sealedHead + "Content-Length: 4\r\n\r\nbody";
     startEntryWithEndless("non_idempotent", 1, {head, "x"}, {});
-    const Received received = sendRequest(request("/x/1"));
+    const CallerResponse received = sendRequest(request("/x/1"));
     REQUIRE(received.status == 200);
     REQUIRE(received.isComplete);
     REQUIRE(received.body == "body");
@@ -843,7 +773,7 @@
     startEntryWithEndless("streaming", 2, bytes, {&m_second});
     m_second.setBehaviour(ReplicaBehaviour::Streams);
     const Instant begin = monotonicNow();
-    const Received received = sendToEndless();
+    const CallerResponse received = sendToEndless();
     REQUIRE(monotonicNow() - begin < callerPatience);
     REQUIRE(received.isComplete);
     REQUIRE(received.body
@@ -859,7 +789,7 @@
     CAPTURE(bytes.repeated);
     startEntryWithEndless("streaming", 2, bytes, {});
     const Instant begin = monotonicNow();
-    const Received received = sendRequest(request("/x/1"));
+    const CallerResponse received = sendRequest(request("/x/1"));
     REQUIRE(monotonicNow() - begin < callerPatience + std::chrono::milliseconds(500));
     REQUIRE(received.status == 200);
     REQUIRE_FALSE(received.isComplete);
--- a/tests/failure/tst_poison.cpp
+++ b/tests/failure/tst_poison.cpp
@@ -7,13 +7,13 @@
 #include "net/clock.h"
 #include "platform/platform.h"
 #include "sidecar/loadreporter.h"
+#include "testcaller.h"
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
-#include <unistd.h>
 
 namespace greengageseam {
 namespace {
@@ -24,46 +24,15 @@
 /** Time within which evidence must have reached all entries. */
 constexpr auto sharingBound = std::chrono::seconds(3);
 constexpr std::size_t servers = 6;
-/** Below the ports that the kernel gives to connections, which could take a port meanwhile. */
-constexpr int firstTestPort = 12000;
-constexpr int testPorts = 8000;
-constexpr int portStep = 2;
-
 const std::string deadlyPart = "dead0a";
 
-/** @returns a port that is currently free on all loopback addresses in use; another one each time
- */
-std::uint16_t freePort(asio::io_context &context)
-{
-    static int offset = ::getpid() * 61 % testPorts;
-    for (int n = 0; n < testPorts; n += portStep) {
-        offset = (offset + portStep) % testPorts;
-        asio::ip::tcp::acceptor acceptor(context);
-        const Result<void> opened = openAcceptor(
-                acceptor, Address("127.0.0.1:" + std::to_string(firstTestPort + offset)));
-        if (opened) {
-            return static_cast<std::uint16_t>(firstTestPort + offset);
-        }
-    }
-    FAIL("no free port");
-    return 0;
-}
-
 /** Runs entries that know each other through an agent, a stand-in store and stand-in engines. */
 class PoisonFixture
 {
 protected:
-    struct Received
-    {
-        /** 0 if there was no response. */
-        int status = 0;
-        std::string body;
-        std::optional<std::string> retryAfter;
-    };
-
     PoisonFixture()
         : m_log(LogLevel::Error, {}), m_store(m_context.get_executor(), m_log),
-          m_firstPort(freePort(m_context)), m_lastPort(freePort(m_context))
+          m_firstPort(portOf(freeAddress(m_context))), m_lastPort(portOf(freeAddress(m_context)))
     {
         for (std::size_t n = 0; n < servers; ++n) {
             m_servers[n] = std::make_unique<ReplicaStandin>(m_context.get_executor(),
@@ -104,12 +73,9 @@
         settings.instance = InstanceId("entry-" + ip);
         settings.zone = ZoneName("a");
         settings.ip = ip;
-        const auto address = [&] {
-            return Address("127.0.0.1:" + std::to_string(freePort(m_context)));
-        };
-        settings.frontAddress = address();
-        settings.readyAddress = address();
-        settings.controlAddress = address();
+        settings.frontAddress = freeAddress(m_context);
+        settings.readyAddress = freeAddress(m_context);
+        settings.controlAddress = freeAddress(m_context);
         settings.firstPort = m_firstPort;
         settings.lastPort = m_lastPort;
         settings.storeAddress = m_store.address();
@@ -138,7 +104,7 @@
     }
 
     /** Sends a request whose prompt has a shared beginning, the given part, and one of its own. */
-    Received ask(const Address &entry, const std::string &part)
+    CallerResponse ask(const Address &entry, const std::string &part)
     {
         ++m_requests;
         return send(entry,
@@ -148,38 +114,15 @@
                             + std::to_string(m_requests) + ":9\r\nContent-Length: 0\r\n\r\n");
     }
 
-    Received send(const Address &address, const std::string &text)
+    CallerResponse send(const Address &address, const std::string &text)
     {
-        std::optional<Received> received;
-        asio::co_spawn(m_context, exchange(address, text, received), asio::detached);
+        std::optional<CallerResponse> received;
+        asio::co_spawn(m_context, exchange(m_context.get_executor(), address, text, received),
+                       asio::detached);
         REQUIRE(waitUntil([&] { return received.has_value(); }));
         return *received;
     }
 
-    Awaitable<void> exchange(Address address, std::string text, std::optional<Received> &received)
-    {
-        const auto connection = std::make_shared<HttpConnection>(m_context.get_executor());
-        const auto endpoint = toOutcome([&] { return parseEndpoint(address); });
-        Received result;
-        const HttpIoStatus connected = co_await connection->connect(
-                std::get<asio::ip::tcp::endpoint>(endpoint), std::chrono::seconds(1));
-        if (connected == HttpIoStatus::Done) {
-            co_await connection->send(std::move(text), std::chrono::seconds(1));
-            HttpReadResult<HttpResponseHead> head =
-                    co_await connection->readHead(false, std::chrono::seconds(5));
-            if (head.ioStatus == HttpIoStatus::Done) {
-                result.status = head.value.status;
-                if (const auto field = head.value.header("Retry-After")) {
-                    result.retryAfter = std::string(*field);
-                }
-                HttpReadResult<std::string> body =
-                        co_await connection->readBody(100'000, std::chrono::seconds(5));
-                result.body = body.value;
-            }
-        }
-        received = result;
-    }
-
     /** Lists one server alone, and has it crash at a request through the entry. */
     void crashAlone(std::size_t server, const Address &entry)
     {
@@ -231,9 +174,9 @@
     const std::size_t before = deadlyReceived();
     REQUIRE(before >= 3);
     for (int n = 0; n < 8; ++n) {
-        const Received received = ask(entry, deadlyPart);
+        const CallerResponse received = ask(entry, deadlyPart);
         CHECK(received.status == 503);
-        CHECK(received.retryAfter);
+        CHECK(received.head.header("Retry-After"));
     }
     REQUIRE(deadlyReceived() == before);
     REQUIRE(ask(entry, "bb").status == 200);
