--- a/tests/failure/tst_latestarts.cpp
+++ b/tests/failure/tst_latestarts.cpp
@@ -131,8 +131,10 @@
     announce(2);
     runFor(milliseconds(3000));
     std::optional<CallerResponse> received;
-    asio::co_spawn(m_context, exchange(m_settings.frontAddress, requestText("1"), received),
-                   asio::detached);
+    asio::co_spawn(
+            m_context,
+            exchange(m_context.get_executor(), m_settings.frontAddress, requestText("1"), received),
+            asio::detached);
     asio::ip::tcp::socket socket(m_context);
     boost::system::error_code ec = asio::error::would_block;
     while (ec == asio::error::would_block) {
