Send the parts of a list delta as a datagram of their own kind

A process that does not know parts took the first one for the whole delta, and the list for complete up to its end; it rejects them now and reads the list itself. At most 16 parts, since more do not fit into the buffer of a socket; a late part of an older delta no longer discards the newer one; the age of a view is limited.

--- a/source/core/fleet/deltaparts.cpp
+++ b/source/core/fleet/deltaparts.cpp
@@ -44,6 +44,11 @@
         return part;
     }
     Collection &collection = m_collections[sender];
+    const bool isLate = !collection.parts.empty()
+            && part.nextOffset < collection.parts.begin()->second.nextOffset;
+    if (isLate) {
+        return std::nullopt;
+    }
     if (!collection.parts.empty() && !isSameDelta(collection.parts.begin()->second, part)) {
         collection = {};
     }
--- a/source/core/fleet/deltaparts.h
+++ b/source/core/fleet/deltaparts.h
@@ -14,8 +14,8 @@
 
 namespace greengageseam {
 
-/** Maximum number of parts of a delta. */
-constexpr std::uint32_t maxDeltaParts = 64;
+/** Maximum number of parts of a delta; more would not fit into the buffer of a socket at once. */
+constexpr std::uint32_t maxDeltaParts = 16;
 
 /**
  * Splits a delta into parts of the same offsets.
@@ -25,7 +25,7 @@
 
 /**
  * Collects the parts of deltas. A delta of which a part is lost is dropped when the next one of the
- * same sender begins; its receiver then reads the list itself.
+ * same sender begins, after which late parts of it are ignored; its receiver reads the list itself.
  *
  * It is modified in place, since it is fed message by message.
  */
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -129,7 +129,7 @@
             return datagrams;
         }
     }
-    m_log.info("list.delta-too-large", {{"changes", delta.changed.size()}});
+    m_log.info("list.delta-too-large", {{"changes", delta.changed.size() + delta.removed.size()}});
     return {};
 }
 
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -67,10 +67,6 @@
     passed.fromOffset = static_cast<std::int64_t>(delta.fromOffset);
     passed.nextOffset = static_cast<std::int64_t>(delta.nextOffset);
     passed.viewAge = delta.viewAge.count();
-    if (delta.partCount > 1) {
-        passed.__set_part(static_cast<std::int32_t>(delta.part));
-        passed.__set_partCount(static_cast<std::int32_t>(delta.partCount));
-    }
     for (const ReplicaEntry &entry : delta.changed) {
         passed.changed.push_back(replicaToWire(entry));
     }
@@ -80,15 +76,6 @@
     return passed;
 }
 
-/** @returns whether a delta is the only part, or one of a number of parts that is allowed */
-bool hasValidPart(const wire::ListPassed &passed)
-{
-    const bool isOnly = !passed.__isset.part && !passed.__isset.partCount;
-    return isOnly
-            || (passed.part >= 0 && passed.part < passed.partCount
-                && passed.partCount <= static_cast<std::int32_t>(maxDeltaParts));
-}
-
 bool hasNegativeNumbers(const wire::ListPassed &passed)
 {
     return passed.fromOffset < 0 || passed.nextOffset < passed.fromOffset || passed.viewAge < 0
@@ -106,11 +93,7 @@
     ReplicaListDelta delta;
     delta.fromOffset = static_cast<std::uint64_t>(passed.fromOffset);
     delta.nextOffset = static_cast<std::uint64_t>(passed.nextOffset);
-    delta.viewAge = Duration(passed.viewAge);
-    if (passed.__isset.partCount) {
-        delta.part = static_cast<std::uint32_t>(passed.part);
-        delta.partCount = static_cast<std::uint32_t>(passed.partCount);
-    }
+    delta.viewAge = std::min<Duration>(Duration(passed.viewAge), maxKnownVersionAge);
     for (const wire::ReplicaSeen &seen : passed.changed) {
         delta.changed.push_back(replicaFromWire(seen));
     }
@@ -128,6 +111,29 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(bounded).count());
 }
 
+wire::ListPart listPartToWire(const ReplicaListDelta &part)
+{
+    wire::ListPart result;
+    result.passed = listToWire(part);
+    result.part = static_cast<std::int32_t>(part.part);
+    result.partCount = static_cast<std::int32_t>(part.partCount);
+    return result;
+}
+
+Result<Datagram> listPartFromWire(const wire::ListPart &part)
+{
+    const bool isNumbered = part.part >= 0 && part.part < part.partCount
+            && part.partCount <= static_cast<std::int32_t>(maxDeltaParts);
+    if (!isNumbered || hasNegativeNumbers(part.passed)) {
+        return fail(ErrorKind::ProtocolViolation,
+                    "a part of the list has negative numbers or an invalid part number");
+    }
+    ReplicaListDelta delta = listFromWire(part.passed);
+    delta.part = static_cast<std::uint32_t>(part.part);
+    delta.partCount = static_cast<std::uint32_t>(part.partCount);
+    return Datagram(std::move(delta));
+}
+
 wire::VersionsHeard versionsToWire(const KnownTargetVersions &known)
 {
     wire::VersionsHeard heard;
@@ -243,7 +249,11 @@
         return frame;
     }
     if (const auto *delta = std::get_if<ReplicaListDelta>(&datagram)) {
-        frame.__set_listPassed(listToWire(*delta));
+        if (delta->partCount > 1) {
+            frame.__set_listPart(listPartToWire(*delta));
+        } else {
+            frame.__set_listPassed(listToWire(*delta));
+        }
         return frame;
     }
     if (const auto *known = std::get_if<KnownTargetVersions>(&datagram)) {
@@ -321,20 +331,24 @@
                 return fail(ErrorKind::ProtocolViolation,
                             "a subscription contains a negative target version or age");
             }
-            const Duration age = named.__isset.ageMs ? Duration(std::chrono::milliseconds(named.ageMs))
-                                                     : Duration(maxKnownVersionAge);
+            const Duration age = named.__isset.ageMs
+                    ? Duration(std::chrono::milliseconds(named.ageMs))
+                    : Duration(maxKnownVersionAge);
             subscription.targetVersions.push_back(
                     {{ModelName(named.model), static_cast<std::uint64_t>(named.version)}, age});
         }
         return Datagram(std::move(subscription));
     }
     if (frame.__isset.listPassed) {
-        if (hasNegativeNumbers(frame.listPassed) || !hasValidPart(frame.listPassed)) {
+        if (hasNegativeNumbers(frame.listPassed)) {
             return fail(ErrorKind::ProtocolViolation,
-                        "a datagram with list changes contains negative numbers or an odd part");
+                        "a datagram with list changes contains negative numbers");
         }
         return Datagram(listFromWire(frame.listPassed));
     }
+    if (frame.__isset.listPart) {
+        return listPartFromWire(frame.listPart);
+    }
     if (frame.__isset.entriesSeen) {
         KnownEntries seen;
         for (const wire::EntrySite &site : frame.entriesSeen.entries) {
--- a/source/protocol/datagramcodec.h
+++ b/source/protocol/datagramcodec.h
@@ -18,11 +18,14 @@
 
 namespace greengageseam {
 
-/** A target version of weights, and for how long the sender has known it. */
+/** A target version of weights as a process knows it. */
 struct KnownTargetVersion
 {
     TargetVersion targetVersion;
-    /** In whole milliseconds; an older version has maxKnownVersionAge. */
+    /**
+     * From an agent: for how long it has known the version. From an entry: how long ago the version
+     * was announced, by its estimate. In whole milliseconds, at most maxKnownVersionAge.
+     */
     Duration age {};
 
     auto operator<=>(const KnownTargetVersion &) const = default;
@@ -40,10 +43,7 @@
     std::uint64_t entriesChecksum = 0;
     /** Offset that the sender has read in the operator's topic; increases with each record. */
     std::uint64_t operatorOffset = 0;
-    /**
-     * The target version of each model, as far as the sender knows it, and how long ago it was
-     * announced by the sender's estimate.
-     */
+    /** The target version of each model, as far as the sender knows it. */
     std::vector<KnownTargetVersion> targetVersions;
     /** Age of the sender's view of the operator's topic; empty if it has none. */
     std::optional<Duration> operatorViewAge;
@@ -59,7 +59,7 @@
     auto operator<=>(const KnownEntries &) const = default;
 };
 
-/** Target versions that an agent knows, or has known for longer than the entry thinks they exist. */
+/** Target versions that are news to an entry, or older than it thinks. */
 struct KnownTargetVersions
 {
     std::vector<KnownTargetVersion> versions;
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -336,9 +336,14 @@
   4: list<string> removed;
   /** Age of what the sender knows of the list, in microseconds. */
   5: i64 viewAge;
-  /** Number of this part, from 0, and how many there are; absent if it is the only one. */
-  6: optional i32 part;
-  7: optional i32 partCount;
+}
+
+/** A part of what was passed on of the list; a receiver that does not know parts reads the list itself. */
+struct ListPart {
+  1: ListPassed passed;
+  /** Number of this part, from 0, and how many there are. */
+  2: i32 part;
+  3: i32 partCount;
 }
 
 /** Datagram of an entry to an agent: send reports of load here for a while. */
@@ -433,4 +438,5 @@
   5: VersionsHeard versionsHeard;
   6: CrashesSeen crashesSeen;
   7: CrashesKnown crashesKnown;
+  8: ListPart listPart;
 }
--- a/tests/unit/tst_replicalistdelta.cpp
+++ b/tests/unit/tst_replicalistdelta.cpp
@@ -134,6 +134,18 @@
     REQUIRE_FALSE(assembler.add("a", first[1], Instant()));
 }
 
+TEST_CASE_METHOD(ReplicaListDeltaFixture, "deltaParts_lateOneOfAnOlderDelta_isIgnored")
+{
+    const std::vector<ReplicaListDelta> older =
+            splitDelta({7, 9, {replica("i-1"), replica("i-2")}, {}}, 2);
+    const ReplicaListDelta delta {9, 11, {replica("i-3"), replica("i-4")}, {}};
+    const std::vector<ReplicaListDelta> newer = splitDelta(delta, 2);
+    DeltaAssembler assembler;
+    REQUIRE_FALSE(assembler.add("a", newer[0], Instant()));
+    REQUIRE_FALSE(assembler.add("a", older[1], Instant()));
+    REQUIRE(assembler.add("a", newer[1], Instant()) == delta);
+}
+
 // The view is as old as it was when the first part was sent.
 TEST_CASE_METHOD(ReplicaListDeltaFixture, "deltaParts_lastOneArrivesLate_viewHasAgedMeanwhile")
 {
