--- a/source/core/fleet/listeninghistory.h
+++ b/source/core/fleet/listeninghistory.h
@@ -25,8 +25,9 @@
  * time as of which its view was complete before. It does not matter why the view is old: the
  * process was paused, a read was hanging, or the process that it reads from was behind.
  *
- * Reads that fail repeatedly while the process runs show that the topic is unavailable, not that
- * this process missed something that others have heard of, so they do not date a change back.
+ * Reads that fail repeatedly while the process runs are taken to show that the topic is unavailable
+ * to everyone, so they do not date a change back. Where others could read it all the same, they
+ * know the change for longer, and correct the date.
  *
  * It is modified in place, because a process records several times per second that it runs.
  */
--- a/source/sidecar/loadreporter.cpp
+++ b/source/sidecar/loadreporter.cpp
@@ -20,16 +20,20 @@
 /** Maximum number of subscribed entries. */
 constexpr std::size_t maxSubscribers = 1024;
 
-/** @returns whether a process that knows @p there learns nothing from @p here */
-bool isCoveredBy(const KnownTargetVersion &here, const KnownTargetVersion &there)
+/**
+ * @param entry a target version as an entry knows it, with its estimate of when it was announced
+ * @param agent a target version as the agent knows it, and for how long
+ * @returns whether the entry learns nothing from the agent
+ */
+bool isUpToDate(const KnownTargetVersion &entry, const KnownTargetVersion &agent)
 {
-    if (there.targetVersion.model != here.targetVersion.model) {
+    if (entry.targetVersion.model != agent.targetVersion.model) {
         return false;
     }
-    const bool isSame = there.targetVersion.version == here.targetVersion.version;
-    const Duration estimate = std::min<Duration>(here.age, maxKnownVersionAge);
-    return there.targetVersion.version > here.targetVersion.version
-            || (isSame && there.age + ageTolerance >= estimate);
+    const bool isSame = entry.targetVersion.version == agent.targetVersion.version;
+    const Duration knownFor = std::min<Duration>(agent.age, maxKnownVersionAge);
+    return entry.targetVersion.version > agent.targetVersion.version
+            || (isSame && entry.age + ageTolerance >= knownFor);
 }
 
 } // namespace
@@ -94,7 +98,7 @@
     if (subscription.operatorViewAge && m_hooks.onViewConfirmed) {
         m_hooks.onViewConfirmed(now - *subscription.operatorViewAge);
     }
-    sendMissingVersions(subscription, sender, now);
+    sendVersionNews(subscription, sender, now);
     if (m_knownEntries.checksum() != subscription.entriesChecksum) {
         m_socket.send(encodeDatagram(KnownEntries {m_knownEntries.locations()}), sender);
     }
@@ -110,21 +114,21 @@
  * Tells an entry the target versions that are newer than those of its subscription, and those that
  * must have been announced earlier than the entry estimates, because they were known here by then.
  */
-void LoadReporter::sendMissingVersions(const LoadSubscription &subscription,
-                                       const asio::ip::udp::endpoint &sender, Instant now)
+void LoadReporter::sendVersionNews(const LoadSubscription &subscription,
+                                   const asio::ip::udp::endpoint &sender, Instant now)
 {
-    KnownTargetVersions missing;
+    KnownTargetVersions news;
     for (const auto &[model, known] : m_targetVersions) {
         const KnownTargetVersion here {known.targetVersion, now - known.since};
         const bool isKnown = std::any_of(
                 subscription.targetVersions.begin(), subscription.targetVersions.end(),
-                [&here](const KnownTargetVersion &there) { return isCoveredBy(here, there); });
+                [&here](const KnownTargetVersion &entry) { return isUpToDate(entry, here); });
         if (!isKnown) {
-            missing.versions.push_back(here);
+            news.versions.push_back(here);
         }
     }
-    if (!missing.versions.empty()) {
-        m_socket.send(encodeDatagram(missing), sender);
+    if (!news.versions.empty()) {
+        m_socket.send(encodeDatagram(news), sender);
     }
 }
 
--- a/source/sidecar/loadreporter.h
+++ b/source/sidecar/loadreporter.h
@@ -17,7 +17,7 @@
 struct TargetVersionKnown
 {
     TargetVersion targetVersion;
-    /** When the version became known; a time long ago if it was named before this process began. */
+    /** When this process heard of it, so that it was announced by then. */
     Instant since;
 };
 
@@ -39,7 +39,7 @@
 /**
  * Sends load reports to each entry that has subscribed, and handles its subscriptions. Tells an
  * entry the target versions that its subscription lacks, since the entry may be unable to read them
- * from the store.
+ * from the store, and those that were known here before the entry thinks that they were announced.
  */
 class LoadReporter : public std::enable_shared_from_this<LoadReporter>
 {
@@ -69,8 +69,8 @@
     void apply(LoadReport report);
     void apply(const TargetVersionKnown &command);
     void sendEntries();
-    void sendMissingVersions(const LoadSubscription &subscription,
-                             const asio::ip::udp::endpoint &sender, Instant now);
+    void sendVersionNews(const LoadSubscription &subscription,
+                         const asio::ip::udp::endpoint &sender, Instant now);
     bool isDue(const Subscriber &subscriber, const LoadReport &report, Instant now) const;
     void handleSubscription(const LoadSubscription &subscription,
                             const asio::ip::udp::endpoint &sender);
