--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -173,7 +173,8 @@
     const std::uint64_t version = effectiveWeightsVersion(state, now);
     // A silent one may stand still, and would begin a request only when it runs again.
     const bool isSilent = state.report && !hasFreshReport(state, now);
-    const bool mayBeginLate = isSilent && version < weights.targetVersion;
+    const bool mayBeginLate = isSilent && version < weights.targetVersion
+            && state.report->weightsVersion < weights.targetVersion;
     return !isLoading && !mayBeginLate && version > 0 && version >= weights.minVersion;
 }
 
