Cut off a request that waits on older weights by what its entry learns after the send

The deadline by which a response must start was fixed when the server was chosen. A request that was sent before its entry knew of the newer version had none, and one sent under a date that an agent corrected later kept the late one; it began whenever the server got to it.

The dispatcher keeps each attempt until its response starts and ends it once the deadline of its weights passes, as far as it is known then. The parts of RequestProxy and Dispatcher that this touches move to files of their own.

--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -161,6 +161,7 @@
         return false;
     }
     ReplicaLease lease;
+    lease.id = ++m_lastLease;
     lease.replica = *replica;
     lease.weightsVersion = expectedWeightsVersion(*replica, now);
     lease.weightsBasis = {m_loads.weightsVersion(replica->id, now), requirements.weights.minVersion,
@@ -170,6 +171,7 @@
     if (command.allowsPooledConnection) {
         lease.connection = acquirePooledConnection(replica->address, now);
     }
+    awaitStart(lease, command);
     command.reply->post(std::move(lease));
     return true;
 }
@@ -191,12 +193,14 @@
 
 void Dispatcher::apply(const ResponseStarted &command)
 {
+    m_awaitedStarts.erase(command.lease);
     m_loads.responseStarted(command.replica, command.promptTokens);
 }
 
 void Dispatcher::apply(const LeaseReleased &command)
 {
     const Instant now = monotonicNow();
+    m_awaitedStarts.erase(command.lease);
     if (!command.isStartReported) {
         m_loads.responseStarted(command.replica, command.promptTokens);
     }
@@ -234,21 +238,6 @@
     dispatchPending();
 }
 
-void Dispatcher::apply(const TargetVersionChanged &command)
-{
-    const TargetVersion &target = command.targetVersion;
-    const std::optional<Instant> known = m_weights.announcedAt(target.model, target.version);
-    if (known && *known <= command.announcedAt) {
-        return;
-    }
-    m_weights = m_weights.withAnnouncement(target.model, target.version, command.announcedAt);
-    const Duration remaining = m_weights.requiredFrom(command.announcedAt) - monotonicNow();
-    m_log.info("weights.deadline-set",
-               {{"model", target.model.text()},
-                {"version", target.version},
-                {"required_in_ms", remaining.count() / 1000}});
-}
-
 void Dispatcher::apply(const LoadReportReceived &command)
 {
     m_loads.applyReport(command.report, monotonicNow());
@@ -275,6 +264,7 @@
 {
     const Instant now = monotonicNow();
     dispatchPending();
+    expireLateStarts(now);
     closeExpiredConnections(now);
     recordAvailability(now);
 }
@@ -340,47 +330,4 @@
     return m_retryBudgets.emplace(service, SharedRetryBudget(options)).first->second;
 }
 
-/**
- * @returns the model that the engines of a service run; empty for a service without engines. The
- *          configuration tells which one it is: the list does not while a backend server loads it.
- */
-std::optional<ModelName> Dispatcher::modelOf(const ServiceName &service) const
-{
-    const Service *known = m_table == nullptr ? nullptr : m_table->service(service);
-    const bool hasEngine = known != nullptr && known->engine;
-    return hasEngine ? std::optional(known->engine->model) : std::nullopt;
-}
-
-/**
- * @returns the newest target version if the backend server is believed to run it. Otherwise the
- *          result is empty, because the backend server may switch to a newer version at any time.
- */
-std::optional<std::uint64_t> Dispatcher::expectedWeightsVersion(const ReplicaEntry &replica,
-                                                                Instant now) const
-{
-    const std::optional<ModelName> model = modelOf(replica.service);
-    const std::uint64_t newest = model ? m_weights.newest(*model) : 0;
-    const bool runsNewest = newest != 0 && m_loads.weightsVersion(replica.id, now) == newest;
-    return runsNewest ? std::optional(newest) : std::nullopt;
-}
-
-/**
- * @returns the time by which a response must start on the weights that the backend server runs now,
- *          so that a request queued there does not start on outdated weights; empty if no newer
- *          version was announced
- */
-std::optional<Instant> Dispatcher::startDeadline(const ReplicaEntry &replica, Instant now) const
-{
-    const std::optional<ModelName> model = modelOf(replica.service);
-    return model ? m_weights.startDeadline(*model, m_loads.weightsVersion(replica.id, now))
-                 : std::nullopt;
-}
-
-WeightsRequirement Dispatcher::weightsRequirement(const ServiceName &service, Instant now) const
-{
-    const std::optional<ModelName> model = modelOf(service);
-    return model ? WeightsRequirement {m_weights.required(*model, now), m_weights.newest(*model)}
-                 : WeightsRequirement {};
-}
-
 } // namespace greengageseam
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -57,6 +57,8 @@
 /** A slot reserved on a backend server for one upstream attempt. */
 struct ReplicaLease
 {
+    /** Distinguishes the lease from all others of the dispatcher. */
+    std::uint64_t id = 0;
     ReplicaEntry replica;
     /** A pooled connection; null if there is none or the request may not use one. */
     HttpConnectionPtr connection;
@@ -108,11 +110,18 @@
     /** Whether a backend server was lost while the request had not begun on it. */
     bool wasLost = false;
     MailboxPtr<std::variant<ReplicaLease, ReplicaUnavailable>> reply;
+    /**
+     * Called if the response has not started by the time by which it must on the weights of the
+     * backend server, which may become known only after the choice. It must not block; may be
+     * empty.
+     */
+    std::function<void()> onStartExpired;
 };
 
 /** The response to an upstream attempt has started. */
 struct ResponseStarted
 {
+    std::uint64_t lease = 0;
     ReplicaId replica;
     double promptTokens = 0;
 };
@@ -127,6 +136,7 @@
 /** An upstream attempt has finished and releases its slot. */
 struct LeaseReleased
 {
+    std::uint64_t lease = 0;
     ReplicaId replica;
     Address address;
     ReplicaVerdict verdict = ReplicaVerdict::Neutral;
@@ -228,6 +238,15 @@
         Instant expiresAt;
     };
 
+    /** An attempt whose response has not started. */
+    struct AwaitedStart
+    {
+        ModelName model;
+        /** Version of the weights that its backend server was believed to run. */
+        std::uint64_t weightsVersion = 0;
+        std::function<void()> onExpired;
+    };
+
     Awaitable<void> run();
     void apply(const AdmissionQuery &command);
     void apply(const AcquireReplica &command);
@@ -251,6 +270,8 @@
     void closeExpiredConnections(Instant now);
     void closePooledConnections(const Address &address);
     void recordAvailability(Instant now);
+    void awaitStart(const ReplicaLease &lease, const AcquireReplica &command);
+    void expireLateStarts(Instant now);
     bool mayDeny(Instant now) const;
     SharedRetryBudget &retryBudget(const ServiceName &service);
     Instant estimateFirstAttempt(const Route &route, std::optional<Duration> remaining,
@@ -277,6 +298,9 @@
      */
     std::map<RouteName, Duration> m_longestTimeouts;
     WeightsDeadlines m_weights;
+    std::uint64_t m_lastLease = 0;
+    /** By lease; only for services with engines. */
+    std::map<std::uint64_t, AwaitedStart> m_awaitedStarts;
     PartVerdicts m_verdicts;
     std::deque<AcquireReplica> m_pending;
     std::map<Address, std::deque<PooledConnection>> m_connectionPool;
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -12,10 +12,6 @@
 
 namespace {
 
-/** Short enough that another backend server can still be tried and respond in time. */
-constexpr auto connectTimeout = std::chrono::milliseconds(300);
-/** Larger bodies are sent concurrently with reading the response, which may arrive early. */
-constexpr std::size_t maxSequentialBody = 16 * 1024;
 /** Idle timeout of a stream, after which it resumes on another backend server if it may. */
 constexpr auto streamIdleTimeout = std::chrono::milliseconds(1500);
 /** Share of the latency target for which a request waits for a backend server with a free slot. */
@@ -26,8 +22,6 @@
 constexpr auto refusalRetryAfter = std::chrono::milliseconds(200);
 /** Limit of the extended wait: callers abandon a stream that has not started after about 2 s. */
 constexpr auto maxExtendedWait = std::chrono::milliseconds(1200);
-/** Request-Priority of a request that will miss its latency target; others have the default 5. */
-constexpr std::uint32_t lateUrgency = 7;
 /** Share of the remaining time for which the response to a retryable request is awaited. */
 constexpr double readTimeoutRatio = 0.4;
 
@@ -44,29 +38,6 @@
     return buf.data();
 }
 
-ReplicaVerdict verdictOf(UpstreamOutcome end)
-{
-    switch (end) {
-    case UpstreamOutcome::Answered:
-        return ReplicaVerdict::Answered;
-    case UpstreamOutcome::Rejected:
-        return ReplicaVerdict::Full;
-    case UpstreamOutcome::Misdirected:
-        return ReplicaVerdict::Misdirected;
-    case UpstreamOutcome::DeadlineReached:
-    case UpstreamOutcome::ChoiceExpired:
-        return ReplicaVerdict::Neutral;
-    default:
-        return ReplicaVerdict::Failed;
-    }
-}
-
-/** Sends a request with a large body, concurrently with the task that reads the response. */
-Awaitable<void> sendConcurrently(HttpConnectionPtr connection, std::string text, Duration timeout)
-{
-    co_await connection->send(std::move(text), timeout);
-}
-
 } // namespace
 
 RequestProxy::RequestProxy(const RequestContext &context, const HttpRequest &request,
@@ -183,6 +154,8 @@
         m_responseStartedAt.reset();
         m_replica = processOf(lease.replica);
         m_weightsBasis = lease.weightsBasis;
+        m_startTimeLeft.reset();
+        m_lease = lease.id;
         if (m_writer.isDisconnected()) {
             releaseLease(lease, AttemptResult {UpstreamOutcome::DeadlineReached, {}, {}});
             recordOutcome("caller-gone", 0, "before an attempt");
@@ -201,12 +174,15 @@
         if (last.end == UpstreamOutcome::Answered) {
             co_return;
         }
-        m_context.log.info("request.send-failed",
-                           {{"request", m_call.attemptId},
-                            {"replica", lease.replica.id.text()},
-                            {"end", outcomeInfo(last.end).name},
-                            {"ran", textOf(m_ran)},
-                            {"left_ms", remainingTime().count() / 1000}});
+        boost::json::object fields {{"request", m_call.attemptId},
+                                    {"replica", lease.replica.id.text()},
+                                    {"end", outcomeInfo(last.end).name},
+                                    {"ran", textOf(m_ran)},
+                                    {"left_ms", remainingTime().count() / 1000}};
+        if (m_startTimeLeft) {
+            fields["start_left_ms"] = m_startTimeLeft->count() / 1000;
+        }
+        m_context.log.info("request.send-failed", fields);
         const bool isResumable = !m_isStreaming || m_events.lastId();
         const bool isAllowed = mayRetry(last.end, route.kind, route.canResume) && isResumable
                 && m_attempts < route.maxAttempts && remainingTime() > minAttemptTime
@@ -248,6 +224,7 @@
     query.promptParts = m_promptParts;
     query.wasLost = m_wasLost;
     query.lateAfter = m_admission.firstAttemptAt + route.latencyObjective;
+    query.onStartExpired = makeStartExpiry();
     query.reply = reply;
     if (m_context.dispatcher->post(std::move(query))) {
         m_acquisition = reply;
@@ -260,110 +237,6 @@
     co_return ReplicaUnavailable {ErrorKind::Overloaded, std::chrono::milliseconds(500)};
 }
 
-Awaitable<RequestProxy::AttemptResult> RequestProxy::sendAttempt(const ReplicaLease &lease)
-{
-    if (m_isExpired) {
-        co_return AttemptResult {m_ran == ExecutionStatus::NotExecuted
-                                         ? UpstreamOutcome::NotConnected
-                                         : UpstreamOutcome::DeadlineReached,
-                                 {},
-                                 {}};
-    }
-    const HttpIoStatus connected = co_await connect(lease);
-    if (connected != HttpIoStatus::Done) {
-        co_return AttemptResult {UpstreamOutcome::NotConnected, {}, {}};
-    }
-    if (lease.startDeadline && monotonicNow() >= *lease.startDeadline) {
-        co_return AttemptResult {UpstreamOutcome::ChoiceExpired, {}, {}};
-    }
-    if (remainingTime() < minAttemptTime) {
-        m_connection->abort();
-        co_return AttemptResult {m_attempts == 0 ? UpstreamOutcome::NotConnected
-                                                 : UpstreamOutcome::DeadlineReached,
-                                 {},
-                                 {}};
-    }
-    UpstreamRequestMetadata fields;
-    fields.replica = lease.replica.id;
-    fields.remaining = remainingTime();
-    fields.weightsVersion = lease.weightsVersion;
-    if (m_admission.routed.account != nullptr) {
-        fields.account = m_admission.routed.account->name;
-    }
-    if (lease.isLate && !m_isStreaming) {
-        fields.priority = lateUrgency;
-    }
-    fields.lastEventId = m_events.lastId();
-    m_events.beginAttempt();
-    m_attemptEvents = 0;
-    std::string text = m_context.codec.encodeUpstreamRequest(m_request, fields);
-    ++m_attempts;
-    m_attemptStartedAt = monotonicNow();
-    m_startDeadline = lease.startDeadline;
-    m_startTimeLeft.reset();
-    if (m_startDeadline) {
-        m_startTimeLeft = *m_startDeadline - m_attemptStartedAt;
-    }
-    if (m_request.body.size() > maxSequentialBody) {
-        asio::co_spawn(m_context.executor,
-                       sendConcurrently(m_connection, std::move(text), remainingTime()),
-                       asio::detached);
-        co_return co_await receiveResponse();
-    }
-    const HttpIoStatus end = co_await m_connection->send(std::move(text), remainingTime());
-    if (end != HttpIoStatus::Done && end != HttpIoStatus::ConnectionLost) {
-        co_return AttemptResult {end == HttpIoStatus::TimedOut || m_isExpired
-                                         ? UpstreamOutcome::DeadlineReached
-                                         : UpstreamOutcome::BrokenWhileSending,
-                                 {},
-                                 {}};
-    }
-    // A backend server that breaks the connection may already have sent its response.
-    co_return co_await receiveResponse();
-}
-
-Awaitable<HttpIoStatus> RequestProxy::connect(const ReplicaLease &lease)
-{
-    m_isConnectionPooled = lease.connection != nullptr;
-    if (m_isConnectionPooled) {
-        m_connection = lease.connection;
-        co_return HttpIoStatus::Done;
-    }
-    m_connection = std::make_shared<HttpConnection>(m_context.executor);
-    const auto endpoint = toOutcome([&] { return parseEndpoint(lease.replica.address); });
-    if (failureOf(endpoint) != nullptr) {
-        co_return HttpIoStatus::ConnectFailed;
-    }
-    const Duration timeout = std::min<Duration>(connectTimeout, remainingTime());
-    m_context.metrics->count("connects_total", "Connections opened to backend servers");
-    co_return co_await m_connection->connect(std::get<asio::ip::tcp::endpoint>(endpoint), timeout);
-}
-
-void RequestProxy::releaseLease(const ReplicaLease &lease, const AttemptResult &result)
-{
-    LeaseReleased released;
-    released.replica = lease.replica.id;
-    released.address = lease.replica.address;
-    released.isStartReported = m_responseStartedAt.has_value();
-    released.promptTokens = static_cast<double>(m_call.promptTokens);
-    released.verdict = m_writer.isDisconnected() ? ReplicaVerdict::Neutral : verdictOf(result.end);
-    released.keepAliveTimeout = result.keepAliveTimeout;
-    if (m_responseStartedAt) {
-        released.timeToResponseStart = *m_responseStartedAt - m_attemptStartedAt;
-    } else if (result.end == UpstreamOutcome::Silent) {
-        released.timeToResponseStart = monotonicNow() - m_attemptStartedAt;
-    }
-    const HttpConnectionPtr connection = m_connection ? m_connection : lease.connection;
-    // After bytes that are no response to the request, the response may still follow.
-    if (connection && connection->isReusable() && result.end != UpstreamOutcome::Garbled) {
-        released.connection = connection;
-    } else if (connection) {
-        connection->abort();
-    }
-    m_connection.reset();
-    m_context.dispatcher->post(std::move(released));
-}
-
 /** Ends the request after its last upstream attempt has failed. */
 Awaitable<void> RequestProxy::giveUp(const AttemptResult &result)
 {
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -52,6 +52,16 @@
     /** No attempt is made with less time remaining, because it could not be answered in time. */
     static constexpr Duration minAttemptTime = std::chrono::milliseconds(15);
 
+    /** The start of the response to an attempt, shared with the hook that cuts the attempt off. */
+    struct AttemptStart
+    {
+        /** Null until the connection is ready. */
+        HttpConnectionPtr connection;
+        /** The response has started, so that it may no longer be cut off. */
+        bool hasStarted = false;
+        bool isExpired = false;
+    };
+
     /** Result of one upstream attempt. */
     struct AttemptResult
     {
@@ -71,6 +81,10 @@
     /** Makes one upstream attempt. */
     Awaitable<AttemptResult> sendAttempt(const ReplicaLease &lease);
     Awaitable<HttpIoStatus> connect(const ReplicaLease &lease);
+    /** @returns the hook that cuts off the attempt for which a backend server is acquired */
+    std::function<void()> makeStartExpiry();
+    /** @returns whether the request could no longer begin in time on the chosen weights */
+    bool isChoiceExpired(const ReplicaLease &lease) const;
     /** Reads the head of the response, checks it, and relays the response if it may be relayed. */
     Awaitable<AttemptResult> receiveResponse();
     /** Relays a response whose body is read completely before it is sent to the caller. */
@@ -131,6 +145,9 @@
     std::uint32_t m_attempts = 0;
     /** When the first event was relayed to the caller; empty before. */
     std::optional<Instant> m_firstEventAt;
+    /** Invariant: not null once a backend server has been asked for. */
+    std::shared_ptr<AttemptStart> m_attemptStart;
+    std::uint64_t m_lease = 0;
     /** When the current attempt was sent. */
     Instant m_attemptStartedAt;
     /** Time by which the response to the current attempt must start. */
--- a/source/edge/requestproxyresponse.cpp
+++ b/source/edge/requestproxyresponse.cpp
@@ -47,6 +47,9 @@
     if (m_isExpired && end == HttpIoStatus::Aborted) {
         return UpstreamOutcome::DeadlineReached;
     }
+    if (m_attemptStart->isExpired && end == HttpIoStatus::Aborted) {
+        return UpstreamOutcome::Silent;
+    }
     if (end == HttpIoStatus::TimedOut) {
         return remainingTime() <= minAttemptTime ? UpstreamOutcome::DeadlineReached
                                                  : UpstreamOutcome::Silent;
@@ -191,8 +194,9 @@
         return;
     }
     m_responseStartedAt = now;
+    m_attemptStart->hasStarted = true;
     m_context.dispatcher->post(
-            ResponseStarted {m_replica.id, static_cast<double>(m_call.promptTokens)});
+            ResponseStarted {m_lease, m_replica.id, static_cast<double>(m_call.promptTokens)});
 }
 
 } // namespace greengageseam
