Log by what a target version was dated, and what agents send to entries

weights.target-changed gets the basis of its date, the age of the last complete view and the number of reads that have failed since; load.sent says every five seconds how many bytes an agent has sent in reports, lists of entries and versions.

--- a/source/core/fleet/listeninghistory.cpp
+++ b/source/core/fleet/listeninghistory.cpp
@@ -33,13 +33,38 @@
 
 Instant ListeningHistory::earliestChange(Instant now) const
 {
-    if (!m_completeAsOf) {
+    switch (basis()) {
+    case DateBasis::View:
+        return std::min(now, *m_completeAsOf);
+    case DateBasis::LostRead:
+        return std::min(now, m_lastLostAt);
+    default:
         return now;
     }
+}
+
+DateBasis ListeningHistory::basis() const
+{
+    if (!m_completeAsOf) {
+        return DateBasis::Hearing;
+    }
     const bool isUnavailable = m_lostReads >= m_options.unavailableAfter;
-    const Instant earliest =
-            isUnavailable ? std::max(*m_completeAsOf, m_lastLostAt) : *m_completeAsOf;
-    return std::min(now, earliest);
+    return isUnavailable && m_lastLostAt > *m_completeAsOf ? DateBasis::LostRead : DateBasis::View;
+}
+
+std::string_view nameOf(DateBasis basis)
+{
+    switch (basis) {
+    case DateBasis::View:
+        return "view";
+    case DateBasis::LostRead:
+        return "lost-read";
+    case DateBasis::Peer:
+        return "peer";
+    case DateBasis::Hearing:
+        break;
+    }
+    return "hearing";
 }
 
 } // namespace greengageseam
--- a/source/core/fleet/listeninghistory.h
+++ b/source/core/fleet/listeninghistory.h
@@ -6,6 +6,7 @@
 #include "core/common/time.h"
 
 #include <optional>
+#include <string_view>
 
 namespace greengageseam {
 
@@ -20,6 +21,21 @@
     auto operator<=>(const ListeningOptions &) const = default;
 };
 
+/** What the earliest time of a change rests on. */
+enum class DateBasis {
+    /** The process had no view before, so the change dates from when it is heard of. */
+    Hearing,
+    /** The last complete view. */
+    View,
+    /** A failed read that is later than the last complete view. */
+    LostRead,
+    /** Another process has known the change for longer. */
+    Peer
+};
+
+/** @returns the name of a basis, for the log */
+std::string_view nameOf(DateBasis basis);
+
 /**
  * Tells the earliest time at which a change can have been made that the process hears of now: the
  * time as of which its view was complete before. It does not matter why the view is old: the
@@ -47,6 +63,12 @@
     void recordLostRead(Instant now);
     /** @returns the earliest time at which a change can have been made that is heard of now */
     Instant earliestChange(Instant now) const;
+    /** @returns what that time rests on */
+    DateBasis basis() const;
+    /** @returns the time as of which the last view was complete; empty before the first one */
+    std::optional<Instant> completeAsOf() const { return m_completeAsOf; }
+    /** @returns the number of reads that were lost since then, or since the last pause */
+    int lostReads() const { return m_lostReads; }
 
 private:
     ListeningOptions m_options;
--- a/source/edge/storewatchers.cpp
+++ b/source/edge/storewatchers.cpp
@@ -179,20 +179,33 @@
     DatedVersion &known = m_targetVersions[targetVersion.model];
     const Instant now = monotonicNow();
     const bool isNewer = targetVersion.version > known.version;
-    const Duration oldest =
-            isNewer ? std::max(age, now - m_listening.earliestChange(now)) : Duration(age);
+    const Duration heardAfter = isNewer ? now - m_listening.earliestChange(now) : Duration();
+    const Duration oldest = std::max(age, heardAfter);
     const bool isOlderThanThought = targetVersion.version == known.version
             && now - oldest < known.earliest - datingTolerance;
     if (!isNewer && !isOlderThanThought) {
         return;
     }
     known = {targetVersion.version, now - oldest};
+    const DateBasis basis = age > heardAfter ? DateBasis::Peer : m_listening.basis();
+    logTargetVersion(targetVersion, source, oldest, basis);
+    m_hooks.onTargetVersion(targetVersion, isInitial, oldest);
+}
+
+/** Logs a target version, with what its date rests on. */
+void OperatorWatcher::logTargetVersion(const TargetVersion &targetVersion, VersionSource source,
+                                       Duration age, DateBasis basis) const
+{
+    const Instant now = monotonicNow();
+    const Duration viewAge = now - m_listening.completeAsOf().value_or(now);
     m_log.info("weights.target-changed",
                {{"model", targetVersion.model.text()},
                 {"version", targetVersion.version},
                 {"source", nameOf(source)},
-                {"dated_back_ms", oldest.count() / 1000}});
-    m_hooks.onTargetVersion(targetVersion, isInitial, oldest);
+                {"dated_back_ms", age.count() / 1000},
+                {"basis", nameOf(basis)},
+                {"view_ms", viewAge.count() / 1000},
+                {"lost_reads", m_listening.lostReads()}});
 }
 
 ReplicaWatcher::ReplicaWatcher(const asio::any_io_executor &executor, TopicReader reader,
--- a/source/edge/storewatchers.h
+++ b/source/edge/storewatchers.h
@@ -84,6 +84,8 @@
     void applyRecord(const KeyedRecord &record, bool isInitial);
     void applyTargetVersion(const TargetVersion &targetVersion, VersionSource source,
                             bool isInitial, Duration age);
+    void logTargetVersion(const TargetVersion &targetVersion, VersionSource source, Duration age,
+                          DateBasis basis) const;
     void advanceOffset(std::uint64_t offset);
 
     asio::any_io_executor m_executor;
--- a/source/sidecar/loadreporter.cpp
+++ b/source/sidecar/loadreporter.cpp
@@ -17,6 +17,8 @@
 constexpr auto otherZonePeriod = std::chrono::milliseconds(350);
 /** An entry is told of an age that exceeds its own estimate by more than this. */
 constexpr auto ageTolerance = std::chrono::milliseconds(200);
+/** Interval at which the volume of what was sent is logged. */
+constexpr auto sentBytesLogInterval = std::chrono::seconds(5);
 /** Maximum number of subscribed entries. */
 constexpr std::size_t maxSubscribers = 1024;
 
@@ -100,7 +102,9 @@
     }
     sendVersionNews(subscription, sender, now);
     if (m_knownEntries.checksum() != subscription.entriesChecksum) {
-        m_socket.send(encodeDatagram(KnownEntries {m_knownEntries.locations()}), sender);
+        const std::string bytes = encodeDatagram(KnownEntries {m_knownEntries.locations()});
+        m_sent.entryLists += bytes.size();
+        m_socket.send(bytes, sender);
     }
     if (isNew) {
         m_log.info("load.entry-subscribed", {{"entry", subscription.instance.text()}});
@@ -128,7 +132,9 @@
         }
     }
     if (!news.versions.empty()) {
-        m_socket.send(encodeDatagram(news), sender);
+        const std::string bytes = encodeDatagram(news);
+        m_sent.versions += bytes.size();
+        m_socket.send(bytes, sender);
     }
 }
 
@@ -141,6 +147,7 @@
     m_sentEntriesChecksum = m_knownEntries.checksum();
     const std::string bytes = encodeDatagram(KnownEntries {m_knownEntries.locations()});
     for (const auto &[entry, subscriber] : m_subscribers) {
+        m_sent.entryLists += bytes.size();
         m_socket.send(bytes, entry);
     }
 }
@@ -196,9 +203,26 @@
         if (isDue(subscriber, report, now)) {
             subscriber.lastReport = report;
             subscriber.lastReportAt = now;
+            m_sent.reports += bytes.size();
             m_socket.send(bytes, entry);
         }
     }
+    logSentBytes(now);
+}
+
+/** Logs how much was sent of each kind, at intervals. */
+void LoadReporter::logSentBytes(Instant now)
+{
+    if (now - m_sentLoggedAt < sentBytesLogInterval) {
+        return;
+    }
+    m_log.info("load.sent",
+               {{"report_bytes", m_sent.reports},
+                {"entries_bytes", m_sent.entryLists},
+                {"versions_bytes", m_sent.versions},
+                {"subscribers", m_subscribers.size()}});
+    m_sent = {};
+    m_sentLoggedAt = now;
 }
 
 } // namespace greengageseam
--- a/source/sidecar/loadreporter.h
+++ b/source/sidecar/loadreporter.h
@@ -54,6 +54,14 @@
     Result<void> start(const std::string &ip, std::uint16_t port);
 
 private:
+    /** What was sent since the last line in the log, in bytes. */
+    struct SentBytes
+    {
+        std::size_t reports = 0;
+        std::size_t entryLists = 0;
+        std::size_t versions = 0;
+    };
+
     /** A subscribed entry. */
     struct Subscriber
     {
@@ -69,6 +77,7 @@
     void apply(LoadReport report);
     void apply(const TargetVersionKnown &command);
     void sendEntries();
+    void logSentBytes(Instant now);
     void sendVersionNews(const LoadSubscription &subscription,
                          const asio::ip::udp::endpoint &sender, Instant now);
     bool isDue(const Subscriber &subscriber, const LoadReport &report, Instant now) const;
@@ -90,6 +99,8 @@
     std::uint64_t m_operatorOffset = 0;
     /** Checksum of the last list of entries that was sent to all subscribers. */
     std::uint64_t m_sentEntriesChecksum = 0;
+    SentBytes m_sent;
+    Instant m_sentLoggedAt;
 };
 
 } // namespace greengageseam
