Let a subscription say whether the agent is to send the entries that it knows

An agent sends the whole list of entries to each subscriber whose list differs, and to all of them when its own changes. A subscription can now do without it; entries still ask every agent, as before, and a subscription of an earlier landing counts as asking.

--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -245,6 +245,7 @@
         if (subscription->operatorViewAge) {
             body.__set_viewAge(subscription->operatorViewAge->count());
         }
+        body.__set_entriesWanted(subscription->wantsEntries);
         frame.__set_loadWanted(body);
         return frame;
     }
@@ -320,6 +321,8 @@
                                        static_cast<std::uint64_t>(frame.loadWanted.news),
                                        {},
                                        std::nullopt};
+        subscription.wantsEntries =
+                !frame.loadWanted.__isset.entriesWanted || frame.loadWanted.entriesWanted;
         if (frame.loadWanted.__isset.viewAge) {
             if (frame.loadWanted.viewAge < 0) {
                 return fail(ErrorKind::ProtocolViolation, "a subscription contains a negative age");
--- a/source/protocol/datagramcodec.h
+++ b/source/protocol/datagramcodec.h
@@ -47,6 +47,8 @@
     std::vector<KnownTargetVersion> targetVersions;
     /** Age of the sender's view of the operator's topic; empty if it has none. */
     std::optional<Duration> operatorViewAge;
+    /** Whether the agent is to send the entries that it knows, if they are others. */
+    bool wantsEntries = true;
 
     auto operator<=>(const LoadSubscription &) const = default;
 };
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -358,6 +358,8 @@
   5: list<NamedVersion> named;
   /** Age in microseconds of what the sender knows of the operator's doings. */
   6: optional i64 viewAge;
+  /** Whether the receiver is to answer with the entries that it has heard of, if they are others; absent means yes. */
+  7: optional bool entriesWanted;
 }
 
 /** An entry, as an agent has heard of it. */
--- a/source/sidecar/loadreporter.cpp
+++ b/source/sidecar/loadreporter.cpp
@@ -87,6 +87,7 @@
     Subscriber &subscriber = m_subscribers[sender];
     subscriber.requestedAt = now;
     subscriber.isSameZone = subscription.zone == m_zone;
+    subscriber.wantsEntries = subscription.wantsEntries;
     m_knownEntries.refresh({subscription.instance, subscription.zone, sender.address().to_string()},
                            now);
     if (m_knownEntries.expire(now)) {
@@ -101,7 +102,7 @@
         m_hooks.onViewConfirmed(now - *subscription.operatorViewAge);
     }
     sendVersionNews(subscription, sender, now);
-    if (m_knownEntries.checksum() != subscription.entriesChecksum) {
+    if (subscription.wantsEntries && m_knownEntries.checksum() != subscription.entriesChecksum) {
         const std::string bytes = encodeDatagram(KnownEntries {m_knownEntries.locations()});
         m_sent.entryLists += bytes.size();
         m_socket.send(bytes, sender);
@@ -138,7 +139,10 @@
     }
 }
 
-/** Sends the list of entries when it changes, so that new entries discover each other quickly. */
+/**
+ * Sends the list of entries when it changes to the subscribers that have asked for it last, so that
+ * new entries discover each other quickly.
+ */
 void LoadReporter::sendEntries()
 {
     if (m_knownEntries.checksum() == m_sentEntriesChecksum) {
@@ -147,8 +151,10 @@
     m_sentEntriesChecksum = m_knownEntries.checksum();
     const std::string bytes = encodeDatagram(KnownEntries {m_knownEntries.locations()});
     for (const auto &[entry, subscriber] : m_subscribers) {
-        m_sent.entryLists += bytes.size();
-        m_socket.send(bytes, entry);
+        if (subscriber.wantsEntries) {
+            m_sent.entryLists += bytes.size();
+            m_socket.send(bytes, entry);
+        }
     }
 }
 
--- a/source/sidecar/loadreporter.h
+++ b/source/sidecar/loadreporter.h
@@ -67,6 +67,8 @@
     {
         Instant requestedAt;
         bool isSameZone = false;
+        /** Whether its last subscription asked for the entries that the agent knows. */
+        bool wantsEntries = false;
         /** The last report sent to the entry, and when it was sent. */
         std::optional<LoadReport> lastReport;
         Instant lastReportAt;
--- a/tests/failure/tst_loadreports.cpp
+++ b/tests/failure/tst_loadreports.cpp
@@ -183,6 +183,19 @@
     REQUIRE(m_first.heard.size() == 1);
 }
 
+TEST_CASE_METHOD(LoadReportsFixture, "agent_entryDoesNotAskForOtherEntries_isNotSentThem")
+{
+    subscribe(m_first, 0);
+    LoadSubscription subscription {InstanceId("f"), ZoneName("b"), 0, 0, {}};
+    subscription.wantsEntries = false;
+    m_second.socket.send(encodeDatagram(subscription),
+                         {asio::ip::make_address("127.0.0.1"), m_port});
+    runFor(milliseconds(300));
+    m_agent->mailbox()->post(LoadReport());
+    runFor(milliseconds(300));
+    REQUIRE(m_second.lists == 0);
+}
+
 TEST_CASE_METHOD(LoadReportsFixture, "entry_agentKnowsNewerTargetVersion_hearsOfIt")
 {
     std::vector<KnownTargetVersion> heard;
--- a/tests/unit/tst_replicalistdelta.cpp
+++ b/tests/unit/tst_replicalistdelta.cpp
@@ -92,6 +92,15 @@
     REQUIRE(std::get<Datagram>(decoded) == request);
 }
 
+TEST_CASE_METHOD(ReplicaListDeltaFixture, "loadWanted_withoutOtherEntries_isEqualAfterDecoding")
+{
+    LoadSubscription request {InstanceId("e"), ZoneName("a"), 3, 4};
+    request.wantsEntries = false;
+    const auto decoded =
+            toOutcome([&] { return decodeDatagram(encodeDatagram(Datagram(request))); });
+    REQUIRE(std::get<Datagram>(decoded) == Datagram(request));
+}
+
 TEST_CASE_METHOD(ReplicaListDeltaFixture, "isListReader_entriesOfTwoZones_oneInEachZone")
 {
     const std::vector<EntryLocation> entries {location("a", "10.1.0.1"), location("a", "10.1.0.2"),
