--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -542,6 +542,40 @@
     REQUIRE(age >= monotonicNow() - named - milliseconds(50));
 }
 
+// Reads that fail here say nothing of others: a version may have been announced all the same.
+TEST_CASE_METHOD(StoreWatcherFixture,
+                 "targetVersion_announcedWhileReadsFail_isDatedByTheReadBefore")
+{
+    Duration age {};
+    write("version/m", "1");
+    const auto watcher =
+            makeVersionWatcher([&](const TargetVersion &, Duration oldest) { age = oldest; });
+    watcher->start();
+    REQUIRE(waitUntil([&] { return m_offset == 1; }));
+    runFor(milliseconds(100));
+    m_readsFail = true;
+    runFor(milliseconds(200));
+    const Instant announcedAt = monotonicNow();
+    runFor(milliseconds(1800));
+    watcher->applyPeerTargetVersion({ModelName("m"), 2}, VersionSource::Agent, Duration());
+    REQUIRE(age >= monotonicNow() - announcedAt);
+}
+
+// A process of which only the own reads failed must not keep a server that has left the list.
+TEST_CASE_METHOD(StoreWatcherFixture, "replicas_onlyOwnReadsFailForLong_removedEntryIsGoneAtOnce")
+{
+    for (const std::string id : {"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}) {
+        write(id, "p");
+    }
+    startReplicaWatcher();
+    m_readsFail = true;
+    write("i-1", std::nullopt);
+    runFor(milliseconds(5200));
+    m_readsFail = false;
+    REQUIRE(waitUntil([this] { return m_recoveries == 1; }));
+    REQUIRE(m_known.size() == 5);
+}
+
 // A process that has known a version for longer must not be ignored for telling of it second.
 TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_peerHasKnownItForLonger_isDatedByThePeer")
 {
--- a/tests/failure/tst_latestarts.cpp
+++ b/tests/failure/tst_latestarts.cpp
@@ -123,6 +123,23 @@
     REQUIRE(m_script->requests.size() == 1);
 }
 
+// An entry that cannot read for some time must not think that nobody could announce a version.
+TEST_CASE_METHOD(LateStartsFixture, "entry_readsFailAsVersionIsAnnounced_requiresItByTheViewBefore")
+{
+    startEntryWithEngineAt(m_first.address());
+    // An entry that has just started takes no version for much older than itself.
+    runFor(milliseconds(3000));
+    m_store.failWith(503);
+    runFor(milliseconds(500));
+    const Instant announcedAt = monotonicNow();
+    runFor(milliseconds(2000));
+    m_agent->mailbox()->post(TargetVersionKnown {{ModelName("m"), 2}, monotonicNow()});
+    startAgent();
+    runFor(weightsBound - milliseconds(700) - (monotonicNow() - announcedAt));
+    REQUIRE(sendRequest("1").status == 503);
+    REQUIRE(m_script->requests.empty());
+}
+
 // A request that waits at a server must be cut off by what its entry learns meanwhile.
 TEST_CASE_METHOD(LateStartsFixture, "entry_learnsOfOldVersionWhileRequestWaits_cutsTheRequestOff")
 {
--- a/tests/failure/tst_loadreports.cpp
+++ b/tests/failure/tst_loadreports.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
+#include <list>
 
 namespace greengageseam {
 namespace {
@@ -33,6 +34,17 @@
         std::size_t lists = 0;
     };
 
+    /** An agent as far as an entry sees it; it counts the subscriptions. */
+    struct AgentStandin
+    {
+        explicit AgentStandin(asio::io_context &context) : socket(context.get_executor()) { }
+
+        DatagramSocket socket;
+        int subscriptions = 0;
+        /** Subscriptions that ask for the entries that the agent knows. */
+        int questions = 0;
+    };
+
     LoadReportsFixture() : m_log(LogLevel::Error, {}), m_first(m_context), m_second(m_context)
     {
         asio::ip::udp::socket probe(
@@ -55,6 +67,42 @@
         asio::co_spawn(m_context, receive(entry), asio::detached);
     }
 
+    /** Starts stand-ins of agents, each on an address of its own. @returns their addresses */
+    std::vector<Address> startAgents(int n)
+    {
+        std::vector<Address> backends;
+        for (int i = 0; i < n; ++i) {
+            const std::string ip = "127.0.1." + std::to_string(1 + i);
+            AgentStandin &agent = m_agents.emplace_back(m_context);
+            REQUIRE(agent.socket.bind(ip, m_port));
+            asio::co_spawn(m_context, count(agent), asio::detached);
+            backends.emplace_back(ip + ":80");
+        }
+        return backends;
+    }
+
+    static Awaitable<void> count(AgentStandin &agent)
+    {
+        while (std::optional<ReceivedDatagram> received =
+                       co_await agent.socket.receive(maxDatagramBytes)) {
+            const auto read = toOutcome([&] { return decodeDatagram(received->bytes); });
+            const auto *datagram = std::get_if<Datagram>(&read);
+            const auto *wanted = datagram ? std::get_if<LoadSubscription>(datagram) : nullptr;
+            agent.subscriptions += wanted != nullptr ? 1 : 0;
+            agent.questions += wanted != nullptr && wanted->wantsEntries ? 1 : 0;
+        }
+    }
+
+    /** Starts the listener of an entry in zone a. */
+    std::shared_ptr<LoadListener> startListener(LoadListenerHooks hooks)
+    {
+        const EntryLocation self {InstanceId("entry-1"), ZoneName("a"), "127.0.0.4"};
+        auto listener = std::make_shared<LoadListener>(m_context.get_executor(), self, m_port,
+                                                       std::move(hooks), m_log);
+        REQUIRE(listener->start());
+        return listener;
+    }
+
     static Awaitable<void> receive(EntryStandin &entry)
     {
         while (std::optional<ReceivedDatagram> received =
@@ -121,6 +169,7 @@
     EntryStandin m_second;
     std::vector<TargetVersion> m_told;
     std::shared_ptr<LoadReporter> m_agent;
+    std::list<AgentStandin> m_agents;
 };
 
 TEST_CASE_METHOD(LoadReportsFixture, "agent_toldOfTargetVersionByOneEntry_tellsAnother")
@@ -203,11 +252,7 @@
     hooks.onReport = [](const LoadReport &) { };
     hooks.onEntriesChanged = [](const std::vector<EntryLocation> &) { };
     hooks.onTargetVersion = [&](const KnownTargetVersion &known) { heard.push_back(known); };
-    const auto listener = std::make_shared<LoadListener>(
-            m_context.get_executor(),
-            EntryLocation {InstanceId("entry-1"), ZoneName("a"), "127.0.0.4"}, m_port, hooks,
-            m_log);
-    REQUIRE(listener->start());
+    const auto listener = startListener(hooks);
     subscribe(m_first, 2);
     listener->mailbox()->post(AgentsUpdated {{Address("127.0.0.1:80")}});
     REQUIRE(waitUntil([&] { return !heard.empty(); }));
@@ -219,5 +264,26 @@
     REQUIRE(heard.size() == count);
 }
 
+// While entries came and went, the lists that all agents sent to all entries filled the links.
+TEST_CASE_METHOD(LoadReportsFixture, "entry_manyAgents_asksFewOfThemForOtherEntries")
+{
+    constexpr int agents = 24;
+    constexpr int maxAskedAtOnce = 4;
+    LoadListenerHooks hooks;
+    hooks.onEntriesChanged = [](const std::vector<EntryLocation> &) { };
+    const auto listener = startListener(hooks);
+    listener->mailbox()->post(AgentsUpdated {startAgents(agents)});
+    runFor(milliseconds(3000));
+    int rounds = 0;
+    int questions = 0;
+    for (const AgentStandin &agent : m_agents) {
+        rounds = std::max(rounds, agent.subscriptions);
+        questions += agent.questions;
+    }
+    REQUIRE(rounds >= 5);
+    REQUIRE(questions >= rounds);
+    REQUIRE(questions <= rounds * maxAskedAtOnce);
+}
+
 } // namespace
 } // namespace greengageseam
--- a/tests/failure/tst_topicrelay.cpp
+++ b/tests/failure/tst_topicrelay.cpp
@@ -49,6 +49,12 @@
 
     void setEntries(const std::vector<EntryLocation> &entries) { m_reader->setEntries(entries); }
     void run() { m_context.poll(); }
+    /** Tells the process of a target version that another one has just heard of. */
+    void tell(std::uint64_t version)
+    {
+        m_watcher->applyPeerTargetVersion({ModelName("m"), version}, VersionSource::Agent,
+                                          Duration());
+    }
     /** @returns the newest target version, which is one more than the value of the record */
     std::uint64_t version() const { return m_version; }
     /** @returns how old the newest target version can have been when this process heard of it */
@@ -192,6 +198,34 @@
     REQUIRE(m_topic.reads <= 5);
 }
 
+// Entries that decline because they are behind must not be taken for a store that is away for all.
+TEST_CASE_METHOD(TopicRelayFixture,
+                 "targetVersion_entriesDeclineAsItIsAnnounced_isDatedByTheViewBefore")
+{
+    startEntries(3);
+    DatingNode node("127.0.0.50", m_port);
+    node.setEntries(m_locations);
+    const auto runBoth = [&](const std::function<bool()> &condition) {
+        return waitUntil(
+                [&] {
+                    node.run();
+                    return condition();
+                },
+                std::chrono::seconds(5));
+    };
+    REQUIRE(runBoth([&] { return node.version() == 1; }));
+    for (const auto &entry : m_nodes) {
+        entry->cutOff(true);
+    }
+    const Instant cutOffAt = monotonicNow();
+    runBoth([&] { return monotonicNow() - cutOffAt > milliseconds(800); });
+    const Instant announcedAt = monotonicNow();
+    runBoth([&] { return monotonicNow() - announcedAt > milliseconds(3000); });
+    node.tell(2);
+    REQUIRE(node.version() == 2);
+    REQUIRE(node.age() >= monotonicNow() - announcedAt);
+}
+
 // When the reader of the zone lost touch, all others read the whole configuration over one link.
 TEST_CASE_METHOD(TopicRelayFixture, "topic_zonesReaderIsCutOff_fewEntriesTurnToTheStore")
 {
