Ask three agents for the list of entries, not all of them

Cause: each agent sent the whole list of entries to each entry whose list differed, with each subscription, and to all of them when its own list changed. The links between the regions were full, subscriptions were lost, entries that ran were taken for gone, so the lists went on differing: it lasted for 20 s, and the store, versions and even the servers' registrations did not get through.

An entry now asks two agents of its own zone and one of another with each subscription, the next ones in the next round. What it is sent no longer grows with the number of agents.

Ruled out: configurations as what fills the links; it begins a second before the large one, and the senders are the agents' machines.

--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -8,6 +8,7 @@
 #include "core/fleet/crashevidence.h"
 #include "core/fleet/deltaparts.h"
 #include "core/fleet/enginemodel.h"
+#include "core/fleet/entrylistsources.h"
 #include "core/fleet/entryregistry.h"
 #include "core/fleet/eventsplitter.h"
 #include "core/fleet/fleetconfig.h"
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -256,7 +256,7 @@
         // Agents tell the entries of each other. An entry needs to know the others before its first
         // configuration, and any backend server may have an agent then.
         if (hasEngine || !m_routes) {
-            agents.backends.push_back(entry.address);
+            agents.agents.push_back({entry.address, entry.zone});
         }
         if (hasEngine) {
             loaded.versions.insert(entry.loaded.runnableVersion());
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -61,14 +61,17 @@
 void LoadListener::apply(const AgentsUpdated &command)
 {
     std::vector<asio::ip::udp::endpoint> agents;
-    for (const Address &backend : command.backends) {
-        const auto endpoint = toOutcome([&] { return parseEndpoint(backend); });
+    std::vector<ZoneName> zones;
+    for (const AgentSite &site : command.agents) {
+        const auto endpoint = toOutcome([&] { return parseEndpoint(site.backend); });
         if (const auto *tcp = std::get_if<asio::ip::tcp::endpoint>(&endpoint)) {
             agents.emplace_back(tcp->address(), m_port);
+            zones.push_back(site.zone);
         }
     }
     const bool isNew = agents.size() > m_agents.size();
     m_agents = std::move(agents);
+    m_agentZones = std::move(zones);
     if (isNew) {
         requestReports();
     }
@@ -162,9 +165,13 @@
     for (const auto &[model, known] : m_targetVersions) {
         request.targetVersions.push_back({known.targetVersion, now - known.announcedAt});
     }
+    const std::string question = encodeDatagram(request);
+    request.wantsEntries = false;
     const std::string bytes = encodeDatagram(request);
-    for (const auto &agent : m_agents) {
-        m_socket.send(bytes, agent);
+    const std::set<std::size_t> asked =
+            chooseEntryListSources(m_agentZones, m_self.zone, m_round++);
+    for (std::size_t i = 0; i < m_agents.size(); ++i) {
+        m_socket.send(asked.contains(i) ? question : bytes, m_agents[i]);
     }
 }
 
--- a/source/edge/loadlistener.h
+++ b/source/edge/loadlistener.h
@@ -15,10 +15,19 @@
 
 namespace greengageseam {
 
+/** Location of an agent, beside its backend server. */
+struct AgentSite
+{
+    Address backend;
+    ZoneName zone;
+
+    auto operator<=>(const AgentSite &) const = default;
+};
+
 /** The list of backend servers whose agents are asked for reports has changed. */
 struct AgentsUpdated
 {
-    std::vector<Address> backends;
+    std::vector<AgentSite> agents;
 };
 
 /** The operator's topic was read up to an offset, which is announced to agents. */
@@ -111,6 +120,10 @@
     MailboxPtr<LoadListenerCommand> m_mailbox;
     DatagramSocket m_socket;
     std::vector<asio::ip::udp::endpoint> m_agents;
+    /** The zone of each of them. Invariant: as many as there are agents. */
+    std::vector<ZoneName> m_agentZones;
+    /** Number of times that reports were requested. */
+    std::uint64_t m_round = 0;
     EntryRegistry m_entries;
     /** Parts of deltas of the list that other entries relay. */
     DeltaAssembler m_listDeltas;
--- a/tests/failure/tst_leaving.cpp
+++ b/tests/failure/tst_leaving.cpp
@@ -204,7 +204,7 @@
                 m_context.get_executor(), EntryLocation {InstanceId(instance), ZoneName("a"), ip},
                 m_port, hooks, m_log);
         REQUIRE(entry->start());
-        entry->mailbox()->post(AgentsUpdated {{Address("127.0.0.1:80")}});
+        entry->mailbox()->post(AgentsUpdated {{{Address("127.0.0.1:80"), ZoneName("a")}}});
         return entry;
     }
 
--- a/tests/failure/tst_loadreports.cpp
+++ b/tests/failure/tst_loadreports.cpp
@@ -67,18 +67,18 @@
         asio::co_spawn(m_context, receive(entry), asio::detached);
     }
 
-    /** Starts stand-ins of agents, each on an address of its own. @returns their addresses */
-    std::vector<Address> startAgents(int n)
+    /** Starts stand-ins of agents, each on an address of its own. @returns where they are */
+    std::vector<AgentSite> startAgents(int n)
     {
-        std::vector<Address> backends;
+        std::vector<AgentSite> sites;
         for (int i = 0; i < n; ++i) {
             const std::string ip = "127.0.1." + std::to_string(1 + i);
             AgentStandin &agent = m_agents.emplace_back(m_context);
             REQUIRE(agent.socket.bind(ip, m_port));
             asio::co_spawn(m_context, count(agent), asio::detached);
-            backends.emplace_back(ip + ":80");
+            sites.push_back({Address(ip + ":80"), ZoneName("a")});
         }
-        return backends;
+        return sites;
     }
 
     static Awaitable<void> count(AgentStandin &agent)
@@ -254,7 +254,7 @@
     hooks.onTargetVersion = [&](const KnownTargetVersion &known) { heard.push_back(known); };
     const auto listener = startListener(hooks);
     subscribe(m_first, 2);
-    listener->mailbox()->post(AgentsUpdated {{Address("127.0.0.1:80")}});
+    listener->mailbox()->post(AgentsUpdated {{{Address("127.0.0.1:80"), ZoneName("a")}}});
     REQUIRE(waitUntil([&] { return !heard.empty(); }));
     REQUIRE(heard.front().targetVersion == TargetVersion {model, 2});
     listener->mailbox()->post(AnnounceTargetVersion {{model, 2}});
