Subscribe only to the agents that are new when the list of backend servers grows

Each backend server that was added made every entry subscribe to all agents again: 31 of them within half a second were 31 rounds. Shown by entry_agentsAreAddedOneByOne_asksOnlyTheNewOnes.

--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -69,12 +69,10 @@
             zones.push_back(site.zone);
         }
     }
-    const bool isNew = agents.size() > m_agents.size();
+    const std::set<asio::ip::udp::endpoint> known(m_agents.begin(), m_agents.end());
     m_agents = std::move(agents);
     m_agentZones = std::move(zones);
-    if (isNew) {
-        requestReports();
-    }
+    requestReports(known);
 }
 
 void LoadListener::apply(const OperatorOffsetUpdated &command)
@@ -150,7 +148,8 @@
     }
 }
 
-void LoadListener::requestReports()
+/** Subscribes to the agents, except for some. */
+void LoadListener::requestReports(const std::set<asio::ip::udp::endpoint> &except)
 {
     const Instant now = monotonicNow();
     m_entries.refresh(m_self, now);
@@ -171,7 +170,9 @@
     const std::set<std::size_t> asked =
             chooseEntryListSources(m_agentZones, m_self.zone, m_round++);
     for (std::size_t i = 0; i < m_agents.size(); ++i) {
-        m_socket.send(asked.contains(i) ? question : bytes, m_agents[i]);
+        if (!except.contains(m_agents[i])) {
+            m_socket.send(asked.contains(i) ? question : bytes, m_agents[i]);
+        }
     }
 }
 
--- a/source/edge/loadlistener.h
+++ b/source/edge/loadlistener.h
@@ -10,6 +10,7 @@
 #include "protocol/datagramcodec.h"
 
 #include <functional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -109,7 +110,7 @@
     void apply(const SendToEntry &command);
     void sendToEntry(const std::string &ip, const std::string &bytes);
     std::vector<std::string> encodeInParts(const ReplicaListDelta &delta) const;
-    void requestReports();
+    void requestReports(const std::set<asio::ip::udp::endpoint> &except = {});
     void handleDatagram(const Datagram &datagram, const std::string &senderIp);
 
     asio::any_io_executor m_executor;
--- a/tests/failure/tst_loadreports.cpp
+++ b/tests/failure/tst_loadreports.cpp
@@ -285,5 +285,22 @@
     REQUIRE(questions <= rounds * maxAskedAtOnce);
 }
 
+// While backend servers were added one after the other, each of them had all agents asked again.
+TEST_CASE_METHOD(LoadReportsFixture, "entry_agentsAreAddedOneByOne_asksOnlyTheNewOnes")
+{
+    LoadListenerHooks hooks;
+    hooks.onEntriesChanged = [](const std::vector<EntryLocation> &) { };
+    const auto listener = startListener(hooks);
+    const std::vector<AgentSite> sites = startAgents(20);
+    for (std::size_t n = 1; n <= sites.size(); ++n) {
+        listener->mailbox()->post(
+                AgentsUpdated {{sites.begin(), sites.begin() + static_cast<std::ptrdiff_t>(n)}});
+        runFor(milliseconds(5));
+    }
+    REQUIRE(waitUntil([this] { return m_agents.back().subscriptions > 0; }));
+    // Without regular subscriptions, the first agent is asked once.
+    REQUIRE(m_agents.front().subscriptions < 10);
+}
+
 } // namespace
 } // namespace greengageseam
