Do not take entries for gone while nothing is heard of the agents

An entry that no datagram reached for half a second took all others for gone, ranked itself as the reader of its zone, and read the store over a link that was full already; an agent dropped all entries with the first subscription after a silence. A process that hears nobody now keeps what it knows. An entry stays with the agents that it asks for entries while they are heard, starts with others than its neighbours do, and asks only with its regular subscriptions.

--- a/source/core/fleet/entryregistry.cpp
+++ b/source/core/fleet/entryregistry.cpp
@@ -28,9 +28,13 @@
 
 void EntryRegistry::confirm(std::uint64_t checksum, Instant now)
 {
-    if (checksum != this->checksum()) {
-        return;
+    if (checksum == this->checksum()) {
+        renewAll(now);
     }
+}
+
+void EntryRegistry::renewAll(Instant now)
+{
     for (auto &[location, lastSeen] : m_lastSeen) {
         lastSeen = now;
     }
--- a/source/core/fleet/entryregistry.h
+++ b/source/core/fleet/entryregistry.h
@@ -35,6 +35,11 @@
     void refresh(const EntryLocation &location, Instant now);
     /** Renews all entries if another process reports the same checksum, that is, the same list. */
     void confirm(std::uint64_t checksum, Instant now);
+    /**
+     * Renews all entries. Call it when nothing was heard for some time, so that nothing can have
+     * shown that an entry is gone.
+     */
+    void renewAll(Instant now);
     /** Removes expired entries. @returns whether the registry changed since the last call */
     bool expire(Instant now);
     /** @returns the locations, ordered by instance id */
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -1,5 +1,6 @@
 #include "edge/loadlistener.h"
 
+#include "core/common/hashing.h"
 #include "net/clock.h"
 #include "net/endpoint.h"
 #include "net/ticker.h"
@@ -19,10 +20,16 @@
  */
 constexpr auto requestInterval = std::chrono::milliseconds(300);
 /**
- * Time after which an entry that no agent confirms counts as gone. Agents confirm the entries that
- * they know several times within this time.
+ * Time after which an entry that no agent confirms counts as gone. The agents that are asked for
+ * entries tell of it three times within this time.
  */
-constexpr auto entryLifetime = std::chrono::milliseconds(500);
+constexpr auto entryLifetime = std::chrono::milliseconds(1000);
+/** Time without a word from any agent after which an entry draws no conclusions from silence. */
+constexpr auto deafAfter = std::chrono::milliseconds(600);
+/** Number of times that the same agents are asked for entries. */
+constexpr int questionsPerRound = 16;
+/** Number of times that agents are asked until one that has said nothing counts as silent. */
+constexpr int questionsPerCheck = 2;
 
 } // namespace
 
@@ -30,7 +37,8 @@
                            std::uint16_t port, LoadListenerHooks hooks, Log log)
     : m_executor(executor), m_self(std::move(self)), m_port(port), m_hooks(std::move(hooks)),
       m_log(std::move(log)), m_mailbox(makeMailbox<LoadListenerCommand>(executor, mailboxCapacity)),
-      m_socket(executor), m_entries(entryLifetime)
+      m_socket(executor), m_entries(entryLifetime),
+      m_round(checksumOf("entries/" + m_self.instance.text(), 0))
 { }
 
 Result<void> LoadListener::start()
@@ -72,13 +80,21 @@
     const std::set<asio::ip::udp::endpoint> known(m_agents.begin(), m_agents.end());
     m_agents = std::move(agents);
     m_agentZones = std::move(zones);
-    requestReports(known);
+    if (known.empty()) {
+        requestReports();
+        return;
+    }
+    const bool hasNew = std::any_of(m_agents.begin(), m_agents.end(),
+                                    [&known](const auto &it) { return !known.contains(it); });
+    if (hasNew) {
+        subscribe(known, {});
+    }
 }
 
 void LoadListener::apply(const OperatorOffsetUpdated &command)
 {
     m_operatorOffset = command.offset;
-    requestReports();
+    subscribe({}, {});
 }
 
 void LoadListener::apply(const OperatorViewConfirmed &command)
@@ -95,7 +111,7 @@
     } else if (command.targetVersion == known.targetVersion) {
         known.announcedAt = std::min(known.announcedAt, command.announcedAt);
     }
-    requestReports();
+    subscribe({}, {});
 }
 
 void LoadListener::apply(const RelayListDelta &command)
@@ -148,14 +164,56 @@
     }
 }
 
-/** Subscribes to the agents, except for some. */
-void LoadListener::requestReports(const std::set<asio::ip::udp::endpoint> &except)
+/** Subscribes to all agents, and asks a few of them for the entries that they know. */
+void LoadListener::requestReports()
+{
+    expireEntries(monotonicNow());
+    subscribe({}, nextQuestions());
+}
+
+/** Removes entries that the agents no longer tell of, unless nothing is heard of the agents. */
+void LoadListener::expireEntries(Instant now)
 {
-    const Instant now = monotonicNow();
     m_entries.refresh(m_self, now);
+    if (now - m_heardAt > deafAfter) {
+        m_entries.renewAll(now);
+    }
     if (m_entries.expire(now)) {
         m_hooks.onEntriesChanged(m_entries.locations());
     }
+}
+
+/**
+ * Turns to other agents if one that was asked is silent, and after some time in any case.
+ * @returns the positions of the agents to ask for entries
+ */
+std::set<std::size_t> LoadListener::nextQuestions()
+{
+    const bool isCheckDue = m_questions % questionsPerCheck == 0;
+    if ((isCheckDue && !m_unheard.empty()) || m_questions >= questionsPerRound) {
+        ++m_round;
+        m_questions = 0;
+    }
+    const std::set<std::size_t> asked = chooseEntryListSources(m_agentZones, m_self.zone, m_round);
+    if (isCheckDue) {
+        m_unheard.clear();
+        for (const std::size_t i : asked) {
+            m_unheard.insert(m_agents[i].address().to_string());
+        }
+    }
+    ++m_questions;
+    return asked;
+}
+
+/**
+ * Sends a subscription to the agents.
+ * @param except agents that are left out
+ * @param asked positions of the agents that are asked for the entries that they know
+ */
+void LoadListener::subscribe(const std::set<asio::ip::udp::endpoint> &except,
+                             const std::set<std::size_t> &asked)
+{
+    const Instant now = monotonicNow();
     LoadSubscription request {m_self.instance,  m_self.zone, m_entries.checksum(),
                               m_operatorOffset, {},          {}};
     if (m_operatorCompleteAsOf) {
@@ -164,21 +222,21 @@
     for (const auto &[model, known] : m_targetVersions) {
         request.targetVersions.push_back({known.targetVersion, now - known.announcedAt});
     }
-    const std::string question = encodeDatagram(request);
+    const std::string asking = encodeDatagram(request);
     request.wantsEntries = false;
-    const std::string bytes = encodeDatagram(request);
-    const std::set<std::size_t> asked =
-            chooseEntryListSources(m_agentZones, m_self.zone, m_round++);
+    const std::string notAsking = encodeDatagram(request);
     for (std::size_t i = 0; i < m_agents.size(); ++i) {
         if (!except.contains(m_agents[i])) {
-            m_socket.send(asked.contains(i) ? question : bytes, m_agents[i]);
+            m_socket.send(asked.contains(i) ? asking : notAsking, m_agents[i]);
         }
     }
 }
 
 void LoadListener::handleDatagram(const Datagram &datagram, const std::string &senderIp)
 {
+    m_unheard.erase(senderIp);
     if (const auto *report = std::get_if<LoadReport>(&datagram)) {
+        m_heardAt = monotonicNow();
         m_entries.confirm(report->entriesChecksum, monotonicNow());
         m_hooks.onReport(*report);
     } else if (const auto *list = std::get_if<ReplicaListDelta>(&datagram)) {
@@ -195,6 +253,7 @@
         }
     } else if (const auto *seen = std::get_if<KnownEntries>(&datagram)) {
         const Instant now = monotonicNow();
+        m_heardAt = now;
         for (const EntryLocation &site : seen->entries) {
             m_entries.refresh(site, now);
         }
--- a/source/edge/loadlistener.h
+++ b/source/edge/loadlistener.h
@@ -110,7 +110,11 @@
     void apply(const SendToEntry &command);
     void sendToEntry(const std::string &ip, const std::string &bytes);
     std::vector<std::string> encodeInParts(const ReplicaListDelta &delta) const;
-    void requestReports(const std::set<asio::ip::udp::endpoint> &except = {});
+    void requestReports();
+    void subscribe(const std::set<asio::ip::udp::endpoint> &except,
+                   const std::set<std::size_t> &asked);
+    void expireEntries(Instant now);
+    std::set<std::size_t> nextQuestions();
     void handleDatagram(const Datagram &datagram, const std::string &senderIp);
 
     asio::any_io_executor m_executor;
@@ -123,8 +127,14 @@
     std::vector<asio::ip::udp::endpoint> m_agents;
     /** The zone of each of them. Invariant: as many as there are agents. */
     std::vector<ZoneName> m_agentZones;
-    /** Number of times that reports were requested. */
-    std::uint64_t m_round = 0;
+    /** Selects the agents that are asked for entries; differs from entry to entry. */
+    std::uint64_t m_round;
+    /** Number of times that the agents of this round were asked. */
+    int m_questions = 0;
+    /** Agents that were asked, by IP address, and have not been heard of since the last check. */
+    std::set<std::string> m_unheard;
+    /** When an agent was last heard of. */
+    Instant m_heardAt;
     EntryRegistry m_entries;
     /** Parts of deltas of the list that other entries relay. */
     DeltaAssembler m_listDeltas;
--- a/source/sidecar/loadreporter.cpp
+++ b/source/sidecar/loadreporter.cpp
@@ -19,6 +19,8 @@
 constexpr auto ageTolerance = std::chrono::milliseconds(200);
 /** Interval at which the volume of what was sent is logged. */
 constexpr auto sentBytesLogInterval = std::chrono::seconds(5);
+/** Time without a subscription after which an agent draws no conclusions from silence. */
+constexpr auto deafAfter = std::chrono::milliseconds(600);
 /** Maximum number of subscribed entries. */
 constexpr std::size_t maxSubscribers = 1024;
 
@@ -88,6 +90,10 @@
     subscriber.requestedAt = now;
     subscriber.isSameZone = subscription.zone == m_zone;
     subscriber.wantsEntries = subscription.wantsEntries;
+    if (now - m_heardAt > deafAfter) {
+        m_knownEntries.renewAll(now);
+    }
+    m_heardAt = now;
     m_knownEntries.refresh({subscription.instance, subscription.zone, sender.address().to_string()},
                            now);
     if (m_knownEntries.expire(now)) {
--- a/source/sidecar/loadreporter.h
+++ b/source/sidecar/loadreporter.h
@@ -94,6 +94,8 @@
     DatagramSocket m_socket;
     std::map<asio::ip::udp::endpoint, Subscriber> m_subscribers;
     EntryRegistry m_knownEntries;
+    /** When an entry was last heard of. */
+    Instant m_heardAt;
     std::optional<LoadReport> m_lastReport;
     /** The newest target version of the weights of each model. */
     std::map<ModelName, TargetVersionKnown> m_targetVersions;
