Date a target version by the last complete view, not by a failed read

Callers were served on replaced weights: after two lost reads the topic counted as unavailable to everyone, and a version was dated by the last of them. But a neighbour that declines because it is behind, a time-out on a full link, or a store that turns this machine away are no word about others, and ten neighbours that wait for the same reader are one fact, not ten.

A version is now dated by the last complete view; where another process was listening, it knows the version for longer and its knowledge is a proof.

Red before: targetVersion_announcedWhileReadsFail_isDatedByTheReadBefore (300 ms >= 1800 ms), targetVersion_entriesDeclineAsItIsAnnounced_isDatedByTheViewBefore (61 ms >= 3000 ms), entry_readsFailAsVersionIsAnnounced_requiresItByTheViewBefore (200 == 503).

--- a/source/edge/storewatchers.cpp
+++ b/source/edge/storewatchers.cpp
@@ -57,7 +57,6 @@
         applyRecords(tail.records, false, tail.completeAsOf);
         advanceOffset(tail.nextOffset);
     };
-    followHooks.onReadLost = [this] { m_listening.recordLostRead(monotonicNow()); };
     m_follower = std::make_shared<TopicFollower>(executor, std::move(reader), options, followHooks,
                                                  m_log);
 }
@@ -204,8 +203,7 @@
                 {"source", nameOf(source)},
                 {"dated_back_ms", age.count() / 1000},
                 {"basis", nameOf(basis)},
-                {"view_ms", viewAge.count() / 1000},
-                {"lost_reads", m_listening.lostReads()}});
+                {"view_ms", viewAge.count() / 1000}});
 }
 
 ReplicaWatcher::ReplicaWatcher(const asio::any_io_executor &executor, TopicReader reader,
--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -130,13 +130,6 @@
     return true;
 }
 
-void TopicFollower::notifyReadLost() const
-{
-    if (m_hooks.onReadLost) {
-        m_hooks.onReadLost();
-    }
-}
-
 Awaitable<void> TopicFollower::readSnapshot(std::uint64_t readId)
 {
     Outcome<KeyedSnapshot> snapshot = co_await m_reader.snapshot();
@@ -183,9 +176,6 @@
         return;
     }
     reportAvailability(failure);
-    if (failure != nullptr) {
-        notifyReadLost();
-    }
     scheduleNextRead(failure != nullptr);
 }
 
--- a/source/edge/topicfollower.h
+++ b/source/edge/topicfollower.h
@@ -69,8 +69,6 @@
     std::function<void(std::uint64_t from, const KeyedBatch &tail)> onTail;
     /** Called when the store is available again after a failure; may be empty. */
     std::function<void()> onStoreRecovered;
-    /** Called when a read has failed, but not when it was given up for a new one; may be empty. */
-    std::function<void()> onReadLost;
 };
 
 /** The next read is due. */
@@ -158,7 +156,6 @@
     void apply(const PeerReadReceived &command);
     void apply(const RelyOnPeers &command);
     bool restartRead();
-    void notifyReadLost() const;
     void applySnapshot(const KeyedSnapshot &snapshot);
     void applyTail(const TailRead &command);
     void finishRead(std::uint64_t readId, const Failure *failure);
