Date versions by the end of an outage that all zones confirm

One process cannot know that nobody could read; all zones together can: agents pass on how old the newest view is that any entry has told of, and only while each zone is heard of and no view is younger than 2.5 s, nobody could hear of a version. A datagram that is late makes a view look newer, so it never shows an outage.

Tried before: the growth of the list of backend servers as evidence.

--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -31,4 +31,5 @@
 #include "core/fleet/topicsource.h"
 #include "core/fleet/topicview.h"
 #include "core/fleet/upstreamoutcome.h"
+#include "core/fleet/viewwitnesses.h"
 #include "core/fleet/weightsdeadlines.h"
--- a/source/core/fleet/listeninghistory.cpp
+++ b/source/core/fleet/listeninghistory.cpp
@@ -22,14 +22,23 @@
     m_completeAsOf = completeAsOf;
 }
 
+void ListeningHistory::recordOutage(Instant now)
+{
+    m_unreadableUntil = now;
+}
+
 Instant ListeningHistory::earliestChange(Instant now) const
 {
-    return std::min(now, m_completeAsOf.value_or(now));
+    const Instant earliest = m_completeAsOf.value_or(now);
+    return std::min(now, std::max(earliest, m_unreadableUntil));
 }
 
 DateBasis ListeningHistory::basis() const
 {
-    return m_completeAsOf ? DateBasis::View : DateBasis::Hearing;
+    if (!m_completeAsOf) {
+        return DateBasis::Hearing;
+    }
+    return m_unreadableUntil > *m_completeAsOf ? DateBasis::Outage : DateBasis::View;
 }
 
 std::string_view nameOf(DateBasis basis)
@@ -37,6 +46,8 @@
     switch (basis) {
     case DateBasis::View:
         return "view";
+    case DateBasis::Outage:
+        return "outage";
     case DateBasis::Peer:
         return "peer";
     case DateBasis::Hearing:
--- a/source/core/fleet/listeninghistory.h
+++ b/source/core/fleet/listeninghistory.h
@@ -25,6 +25,8 @@
     Hearing,
     /** The last complete view. */
     View,
+    /** The end of an outage in which nobody could read the topic. */
+    Outage,
     /** Another process has known the change for longer. */
     Peer
 };
@@ -39,7 +41,8 @@
  *
  * A read that fails shows nothing about what others could read or announce meanwhile: the link of
  * this process may be full, or the process that it reads from be behind. Where another process was
- * listening, it knows the change for longer, and its knowledge is a proof.
+ * listening, it knows the change for longer, and its knowledge is a proof. Only an outage that
+ * others confirm moves the date.
  *
  * It is modified in place, because a process records several times per second that it runs.
  */
@@ -55,6 +58,8 @@
     std::optional<Duration> recordRunning(Instant now);
     /** Records a view that is complete as of a time. Call it after applying its changes. */
     void recordView(Instant completeAsOf);
+    /** Records that nobody could read the topic until now. */
+    void recordOutage(Instant now);
     /** @returns the earliest time at which a change can have been made that is heard of now */
     Instant earliestChange(Instant now) const;
     /** @returns what that time rests on */
@@ -68,6 +73,8 @@
     std::optional<Instant> m_lastRunning;
     /** Every change before this time was heard of; empty before the first view. */
     std::optional<Instant> m_completeAsOf;
+    /** Until then, as far as is known, nobody could read the topic. */
+    Instant m_unreadableUntil;
 };
 
 } // namespace greengageseam
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -37,6 +37,8 @@
     std::uint64_t entriesChecksum = 0;
     /** Highest offset of the operator's topic that the agent knows; increases with each record. */
     std::uint64_t operatorOffset = 0;
+    /** Age of the newest view of that topic that an entry has told of; empty if none has. */
+    std::optional<Duration> operatorViewAge;
 
     auto operator<=>(const LoadReport &) const = default;
 };
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -132,6 +132,7 @@
         m_operatorWatcher->applyPeerTargetVersion(known.targetVersion, VersionSource::Agent,
                                                   known.age);
     };
+    hooks.onTopicUnreadable = [this] { m_operatorWatcher->recordOutage(); };
     hooks.onListDelta = [this](const ReplicaListDelta &delta) {
         m_replicaWatcher->applyPeerDelta(delta);
     };
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -80,6 +80,11 @@
     const std::set<asio::ip::udp::endpoint> known(m_agents.begin(), m_agents.end());
     m_agents = std::move(agents);
     m_agentZones = std::move(zones);
+    m_zonesByIp.clear();
+    for (std::size_t i = 0; i < m_agents.size(); ++i) {
+        m_zonesByIp[m_agents[i].address().to_string()] = m_agentZones[i];
+    }
+    m_views.expectZones({m_agentZones.begin(), m_agentZones.end()});
     if (known.empty()) {
         requestReports();
         return;
@@ -167,7 +172,11 @@
 /** Subscribes to all agents, and asks a few of them for the entries that they know. */
 void LoadListener::requestReports()
 {
-    expireEntries(monotonicNow());
+    const Instant now = monotonicNow();
+    expireEntries(now);
+    if (m_views.isUnreadableForAll(now) && m_hooks.onTopicUnreadable) {
+        m_hooks.onTopicUnreadable();
+    }
     subscribe({}, nextQuestions());
 }
 
@@ -237,7 +246,11 @@
     m_unheard.erase(senderIp);
     if (const auto *report = std::get_if<LoadReport>(&datagram)) {
         m_heardAt = monotonicNow();
-        m_entries.confirm(report->entriesChecksum, monotonicNow());
+        m_entries.confirm(report->entriesChecksum, m_heardAt);
+        const auto zone = m_zonesByIp.find(senderIp);
+        if (zone != m_zonesByIp.end()) {
+            m_views.recordStatement(zone->second, report->operatorViewAge, m_heardAt);
+        }
         m_hooks.onReport(*report);
     } else if (const auto *list = std::get_if<ReplicaListDelta>(&datagram)) {
         if (const auto whole = m_listDeltas.add(senderIp, *list, monotonicNow())) {
--- a/source/edge/loadlistener.h
+++ b/source/edge/loadlistener.h
@@ -78,6 +78,8 @@
     std::function<void(const std::vector<EntryLocation> &entries)> onEntriesChanged;
     /** Called for each target version that an agent passes on; it may be known already. */
     std::function<void(const KnownTargetVersion &known)> onTargetVersion;
+    /** Called repeatedly while no entry of any zone can read the operator's topic; may be empty. */
+    std::function<void()> onTopicUnreadable;
     /** Called when another entry has read the list of backend servers and relays the delta. */
     std::function<void(const ReplicaListDelta &delta)> onListDelta;
     /** Called when another entry sends evidence of crashes. */
@@ -127,6 +129,8 @@
     std::vector<asio::ip::udp::endpoint> m_agents;
     /** The zone of each of them. Invariant: as many as there are agents. */
     std::vector<ZoneName> m_agentZones;
+    /** The zones of the agents by IP address. */
+    std::map<std::string, ZoneName> m_zonesByIp;
     /** Selects the agents that are asked for entries; differs from entry to entry. */
     std::uint64_t m_round;
     /** Number of times that the agents of this round were asked. */
@@ -136,6 +140,8 @@
     /** When an agent was last heard of. */
     Instant m_heardAt;
     EntryRegistry m_entries;
+    /** What agents say that entries state of their views of the operator's topic. */
+    ViewWitnesses m_views;
     /** Parts of deltas of the list that other entries relay. */
     DeltaAssembler m_listDeltas;
     /** Offset up to which the operator's topic was read. */
--- a/source/edge/storewatchers.cpp
+++ b/source/edge/storewatchers.cpp
@@ -172,6 +172,14 @@
     }
 }
 
+void OperatorWatcher::recordOutage()
+{
+    recordRunning();
+    if (monotonicNow() >= m_ignorePeerViewsUntil) {
+        m_listening.recordOutage(monotonicNow());
+    }
+}
+
 void OperatorWatcher::applyTargetVersion(const TargetVersion &targetVersion, VersionSource source,
                                          bool isInitial, Duration age)
 {
--- a/source/edge/storewatchers.h
+++ b/source/edge/storewatchers.h
@@ -76,6 +76,9 @@
      */
     void confirmPeerView(Instant completeAsOf);
 
+    /** Records that nobody can read the topic now, so that changes are newer than that. */
+    void recordOutage();
+
 private:
     void recordRunning();
     void applyRecords(const std::vector<KeyedRecord> &records, bool isInitial,
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -285,6 +285,9 @@
             static_cast<std::int32_t>(std::lround(std::min(report.slowdown, maxPace) * paceUnits));
     body.known = static_cast<std::int64_t>(report.entriesChecksum);
     body.news = static_cast<std::int64_t>(report.operatorOffset);
+    if (report.operatorViewAge) {
+        body.__set_viewAge(report.operatorViewAge->count());
+    }
     frame.__set_loadSeen(body);
     return frame;
 }
@@ -371,7 +374,7 @@
     }
     const wire::LoadSeen &seen = frame.loadSeen;
     const bool isNegative = seen.bornMs < 0 || seen.weights < 0 || seen.waiting < 0
-            || seen.running < 0 || seen.pace < 0;
+            || seen.running < 0 || seen.pace < 0 || (seen.__isset.viewAge && seen.viewAge < 0);
     if (!frame.__isset.loadSeen || isNegative) {
         return fail(ErrorKind::ProtocolViolation,
                     "a datagram has unknown content or negative numbers");
@@ -386,6 +389,9 @@
     report.slowdown = seen.pace / paceUnits;
     report.entriesChecksum = static_cast<std::uint64_t>(seen.known);
     report.operatorOffset = static_cast<std::uint64_t>(seen.news);
+    if (seen.__isset.viewAge) {
+        report.operatorViewAge = std::min<Duration>(Duration(seen.viewAge), maxKnownVersionAge);
+    }
     return Datagram(std::move(report));
 }
 
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -388,6 +388,8 @@
   8: i64 known;
   /** What the sender has heard of the operator's doings; grows with each of them. */
   9: i64 news;
+  /** Age in microseconds of the newest view of the operator's doings that the sender was told of. */
+  10: optional i64 viewAge;
 }
 
 /** A named version of weights, as an agent has heard of it. */
--- a/source/sidecar/loadreporter.cpp
+++ b/source/sidecar/loadreporter.cpp
@@ -100,6 +100,7 @@
         m_hooks.onEntriesChanged(m_knownEntries.locations());
     }
     m_operatorOffset = std::max(m_operatorOffset, subscription.operatorOffset);
+    m_views.recordStatement(subscription.zone, subscription.operatorViewAge, now);
     for (const KnownTargetVersion &known : subscription.targetVersions) {
         apply(TargetVersionKnown {known.targetVersion, now});
         m_hooks.onTargetVersion(known.targetVersion);
@@ -204,8 +205,12 @@
 {
     report.entriesChecksum = m_knownEntries.checksum();
     report.operatorOffset = m_operatorOffset;
-    m_lastReport = report;
     const Instant now = monotonicNow();
+    report.operatorViewAge = m_views.newestViewAge(now);
+    m_lastReport = report;
+    if (m_views.isUnreadableForAll(now) && m_hooks.onTopicUnreadable) {
+        m_hooks.onTopicUnreadable();
+    }
     std::erase_if(m_subscribers, [&](const auto &entry) {
         return now - entry.second.requestedAt > subscriptionTimeout;
     });
--- a/source/sidecar/loadreporter.h
+++ b/source/sidecar/loadreporter.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "core/fleet/viewwitnesses.h"
 #include "net/datagramsocket.h"
 #include "net/log.h"
 #include "protocol/datagramcodec.h"
@@ -34,6 +35,8 @@
     /** An entry has reported all target versions that were announced before a time; may be empty.
      */
     std::function<void(Instant completeAsOf)> onViewConfirmed;
+    /** Called repeatedly while no entry of any zone can read the operator's topic; may be empty. */
+    std::function<void()> onTopicUnreadable;
 };
 
 /**
@@ -94,6 +97,8 @@
     DatagramSocket m_socket;
     std::map<asio::ip::udp::endpoint, Subscriber> m_subscribers;
     EntryRegistry m_knownEntries;
+    /** What entries state of their views of the operator's topic. */
+    ViewWitnesses m_views;
     /** When an entry was last heard of. */
     Instant m_heardAt;
     std::optional<LoadReport> m_lastReport;
--- a/source/sidecar/sidecar.cpp
+++ b/source/sidecar/sidecar.cpp
@@ -49,6 +49,7 @@
     hooks.onViewConfirmed = [this](Instant completeAsOf) {
         m_operatorWatcher->confirmPeerView(completeAsOf);
     };
+    hooks.onTopicUnreadable = [this] { m_operatorWatcher->recordOutage(); };
     m_loadReporter = std::make_shared<LoadReporter>(m_executor, m_settings.zone, hooks, m_log);
     BOOST_LEAF_CHECK(m_loadReporter->start(m_settings.ip, m_settings.firstPort + 1));
 
--- a/tests/unit/tst_listeninghistory.cpp
+++ b/tests/unit/tst_listeninghistory.cpp
@@ -97,5 +97,17 @@
     REQUIRE(m_history.earliestChange(at(9500)) == at(9100));
 }
 
+// A topic that nobody could read must not make changes look older than they are.
+TEST_CASE_METHOD(ListeningHistoryFixture, "history_topicWasUnreadableForAll_changeIsNewer")
+{
+    m_history.recordView(at(1000));
+    m_history.recordOutage(at(4000));
+    m_history.recordOutage(at(8800));
+    REQUIRE(m_history.earliestChange(at(9000)) == at(8800));
+    REQUIRE(m_history.basis() == DateBasis::Outage);
+    m_history.recordView(at(9500));
+    REQUIRE(m_history.earliestChange(at(9900)) == at(9500));
+}
+
 } // namespace
 } // namespace greengageseam
