--- a/tests/failure/tst_loadreports.cpp
+++ b/tests/failure/tst_loadreports.cpp
@@ -302,5 +302,23 @@
     REQUIRE(m_agents.front().subscriptions < 10);
 }
 
+// An entry that no datagram reached took all others for gone, and read the store itself.
+TEST_CASE_METHOD(LoadReportsFixture, "entry_hearsOfNoAgentForLong_keepsTheEntriesItKnows")
+{
+    std::vector<EntryLocation> known;
+    LoadListenerHooks hooks;
+    hooks.onEntriesChanged = [&known](const std::vector<EntryLocation> &entries) {
+        known = entries;
+    };
+    const auto listener = startListener(hooks);
+    listener->mailbox()->post(AgentsUpdated {startAgents(1)});
+    const EntryLocation other {InstanceId("entry-2"), ZoneName("a"), "127.0.0.5"};
+    m_agents.front().socket.send(encodeDatagram(KnownEntries {{other}}),
+                                 {asio::ip::make_address("127.0.0.4"), m_port});
+    REQUIRE(waitUntil([&known] { return known.size() == 2; }));
+    runFor(milliseconds(2500));
+    REQUIRE(known.size() == 2);
+}
+
 } // namespace
 } // namespace greengageseam
