Show by tests what bounds the bytes of origin, store, orders and streams

Cause: a report from a similar system said that bytes without end from a faulty server filled the memory of the machine that had called it. These paths are bounded here, but no test showed it: the list of pieces and a piece from the origin, a tail of the store, the answers to an order and to a staged piece, a staged piece that is read back, the body of callHttp(), a stream of events without end, and a stream whose caller does not read.

Change: tests only. They flood each call, and require a failure, a closed connection and few bytes taken. A stream ends with the time of its request; while its caller does not read, the entry does not read either.

--- a/tests/failure/tst_endlessbytes.cpp
+++ b/tests/failure/tst_endlessbytes.cpp
@@ -5,15 +5,19 @@
  */
 #include "endlessstandin.h"
 #include "net/clock.h"
+#include "net/httpclient.h"
 #include "net/httpconnection.h"
 #include "net/log.h"
 #include "platform/enginecalls.h"
 #include "platform/keyedstore.h"
+#include "scriptedfleet.h"
 #include "sidecar/replicaprobe.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
 
@@ -29,13 +33,25 @@
 constexpr std::size_t maxBytesSent = 12ULL * 1024 * 1024;
 /** Bytes that a connection may take in before it has found that they are no head or chunk. */
 constexpr std::size_t maxFramingBytesSent = 2ULL * 1024 * 1024;
+constexpr auto callTimeout = std::chrono::milliseconds(300);
+constexpr std::size_t maxCallBytes = 1024ULL * 1024;
+/** Time within which a stream must have ended whose request has 2.5 s. */
+constexpr auto maxStreamTime = std::chrono::milliseconds(4500);
+/** Bytes that the sockets of a caller and of a backend server hold together. */
+constexpr std::size_t maxSocketBytes = 32ULL * 1024 * 1024;
+constexpr auto unreadTime = std::chrono::milliseconds(1000);
 
 const std::string okLine = "HTTP/1.1 200 OK\r\n";
 const std::string chunkedHead = okLine + "Transfer-Encoding: chunked\r\n\r\n";
 const std::string chunk = "400\r\n" + std::string(0x400, 'x') + "\r\n";
 const std::string longHead = okLine + "Content-Length: 1000000000000\r\n\r\n";
 const std::string slowHead = okLine + "Content-Length: 100000\r\n\r\n";
+const std::string eventsHead = okLine
+        + "Attempt-Id: ATTEMPT\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n";
+const std::string eventChunk = "9\r\ndata: x\n\n\r\n";
 
+/** Runs the calls of this process against a server that sends bytes without end. */
 class EndlessBytesFixture
 {
 protected:
@@ -118,6 +134,27 @@
         return resultOf<Outcome<KeyedSnapshot>>(store.topicReader("keyed.op").snapshot);
     }
 
+    std::optional<Outcome<HttpResponse>> callOf(EndlessBytes bytes)
+    {
+        m_server.setBytes(std::move(bytes));
+        return resultOf<Outcome<HttpResponse>>([this] {
+            return callHttp(m_context.get_executor(), m_server.address(), {"GET", "/", {}, {}},
+                            callTimeout, maxCallBytes);
+        });
+    }
+
+    /** Makes a call that must fail because the body of its response is too long. */
+    template <typename T>
+    void requireSizeLimit(std::function<Awaitable<Outcome<T>>()> call)
+    {
+        m_server.setBytes({chunkedHead, chunk});
+        const auto result = resultOf<Outcome<T>>(std::move(call));
+        REQUIRE(result);
+        REQUIRE(failureOf(*result) != nullptr);
+        REQUIRE(isEveryConnectionClosed());
+        REQUIRE(m_server.mostBytesSent() < maxBytesSent);
+    }
+
     bool isEveryConnectionClosed()
     {
         return waitUntil([this] { return m_server.closedConnections() == m_server.requests(); });
@@ -278,5 +315,109 @@
     REQUIRE(waitUntil([&] { return polls.back(); }));
 }
 
+TEST_CASE_METHOD(EndlessBytesFixture, "call_endlessBody_failsAtTheSizeLimit")
+{
+    const EndlessBytes bytes =
+            GENERATE(EndlessBytes {longHead, "x"}, EndlessBytes {chunkedHead, chunk},
+                     EndlessBytes {okLine + "\r\n", "x"});
+    CAPTURE(bytes.opening, bytes.repeated);
+    const auto response = callOf(bytes);
+    REQUIRE(response);
+    REQUIRE(failureOf(*response) != nullptr);
+    REQUIRE(failureOf(*response)->kind == ErrorKind::TooLarge);
+    REQUIRE(isEveryConnectionClosed());
+    REQUIRE(m_server.mostBytesSent() < maxBytesSent);
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "tail_endlessBody_failsAtTheSizeLimit")
+{
+    const KeyedStore store(m_context.get_executor(), m_server.address(), storeTimeout);
+    const TopicReader reader = store.topicReader("keyed.op");
+    requireSizeLimit<KeyedBatch>([reader] { return reader.tail(0, Duration::zero()); });
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "origin_endlessListOrPiece_failsAtTheSizeLimit")
+{
+    const WeightOriginHooks hooks = makeOriginHooks(m_context.get_executor(), m_server.address());
+    requireSizeLimit<PieceList>([hooks] { return hooks.readPieceList(ModelName("m"), 1); });
+    requireSizeLimit<std::string>([hooks] { return hooks.readPiece(ModelName("m"), 1, 0); });
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "replica_endlessAnswerToAnOrderOrPiece_failsAtTheSizeLimit")
+{
+    const ReplicaHooks hooks = makeReplicaHooks(m_context.get_executor(), m_server.address());
+    requireSizeLimit<OrderResult>(
+            [hooks] { return hooks.sendOrder(LoadOrder {ModelName("m"), 1, false}); });
+    requireSizeLimit<std::string>([hooks] { return hooks.readStaged(ModelName("m"), 0); });
+    requireSizeLimit<std::monostate>([hooks] {
+        return hooks.stagePiece(ModelName("m"), 0, std::make_shared<const std::string>("piece"));
+    });
+}
+
+/** Runs an entry before a server that sends events without end, and a caller with a request. */
+class EndlessEventsFixture : public ScriptedFleet
+{
+protected:
+    EndlessEventsFixture()
+        : m_server(m_context.get_executor(), {eventsHead, eventChunk}), m_caller(m_context)
+    {
+        configure("streaming", 1);
+        list("i-1", m_server.address());
+        startEntry();
+    }
+
+    /** Connects and sends a request. */
+    Awaitable<void> sendCallersRequest()
+    {
+        const auto endpoint = toOutcome([this] { return parseEndpoint(m_settings.frontAddress); });
+        co_await m_caller.async_connect(std::get<asio::ip::tcp::endpoint>(endpoint), asTuple);
+        const std::string text = requestText("a-1");
+        co_await asio::async_write(m_caller, asio::buffer(text), asTuple);
+    }
+
+    /** Sends a request, then reads and drops the response until the connection ends. */
+    Awaitable<void> sendAndRead()
+    {
+        co_await sendCallersRequest();
+        std::array<char, 64 * 1024> buf {};
+        boost::system::error_code ec;
+        while (!ec) {
+            auto [error, n] = co_await m_caller.async_read_some(asio::buffer(buf), asTuple);
+            ec = error;
+        }
+        m_isEnded = true;
+    }
+
+    bool isEveryConnectionClosed()
+    {
+        return waitUntil([this] {
+            return m_server.requests() > 0 && m_server.closedConnections() == m_server.requests();
+        });
+    }
+
+    EndlessStandin m_server;
+    asio::ip::tcp::socket m_caller;
+    bool m_isEnded = false;
+};
+
+TEST_CASE_METHOD(EndlessEventsFixture, "stream_endlessEvents_endsAtTheDeadline")
+{
+    const Instant begin = monotonicNow();
+    asio::co_spawn(m_context, sendAndRead(), asio::detached);
+    REQUIRE(isEveryConnectionClosed());
+    REQUIRE(monotonicNow() - begin < maxStreamTime);
+    REQUIRE(waitUntil([this] { return m_isEnded; }));
+}
+
+TEST_CASE_METHOD(EndlessEventsFixture, "stream_callerDoesNotRead_holdsTheServerBack")
+{
+    asio::co_spawn(m_context, sendCallersRequest(), asio::detached);
+    REQUIRE(waitUntil([this] { return m_server.mostBytesSent() > 0; }));
+    runFor(unreadTime);
+    REQUIRE(m_server.mostBytesSent() < maxSocketBytes);
+    m_caller.close();
+    REQUIRE(isEveryConnectionClosed());
+}
+
 } // namespace
 } // namespace greengageseam
