Limit the buffer of an HTTP call

What a caller sees: a server that sends a chunk header, a chunk extension or a trailer without end makes the process that called it keep all of it, as fast as the link carries it, until the read times out. The timeout is up to 60 s for a chunk of weights, and the time of the request for an agent's call of a backend server.

Cause: the buffer of HttpCall had no limit. The parser limits heads, and callHttp() limits bodies, but framing that is not complete stays in the buffer. HttpConnection has had such a limit.

Why the fix works: with a limit of 64 KB, a read that needs more fails with buffer_overflow. Body bytes leave the buffer with each part, so the limit does not hold for them.

--- a/source/net/httpclient.cpp
+++ b/source/net/httpclient.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr std::size_t maxBodyPartBytes = 64 * 1024;
+/** Maximum number of received bytes that are buffered unparsed, such as a chunk header. */
+constexpr std::size_t maxUnparsedBytes = 64 * 1024;
 
 std::string serializeRequest(const Address &address, const HttpRequest &request)
 {
@@ -39,7 +41,8 @@
 
 } // namespace
 
-HttpCall::HttpCall(const asio::any_io_executor &executor) : m_stream(executor)
+HttpCall::HttpCall(const asio::any_io_executor &executor)
+    : m_stream(executor), m_buf(maxUnparsedBytes)
 {
     m_parser.body_limit(boost::none);
 }
--- a/source/net/httpclient.h
+++ b/source/net/httpclient.h
@@ -69,6 +69,7 @@
     bool isBrokenStream() const;
 
     boost::beast::tcp_stream m_stream;
+    /** Received bytes that are not parsed yet. Its size is limited. */
     boost::beast::flat_buffer m_buf;
     boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
     /** Whether the response is an event stream that ends with the connection. */
--- a/tests/failure/tst_endlessbytes.cpp
+++ b/tests/failure/tst_endlessbytes.cpp
@@ -315,6 +315,22 @@
     REQUIRE(waitUntil([&] { return polls.back(); }));
 }
 
+// The buffer of a call grew with a chunk header or trailer that did not end.
+TEST_CASE_METHOD(EndlessBytesFixture, "call_endlessHeadOrFraming_failsWithLittleMemory")
+{
+    const EndlessBytes bytes =
+            GENERATE(EndlessBytes {"", "x"}, EndlessBytes {okLine, "A: b\r\n"},
+                     EndlessBytes {chunkedHead, "x"}, EndlessBytes {chunkedHead + "5;a=", "b"},
+                     EndlessBytes {chunkedHead + "0\r\n", "A: b\r\n"},
+                     EndlessBytes {chunkedHead + "0\r\nA: ", "b"});
+    CAPTURE(bytes.opening, bytes.repeated);
+    const auto response = callOf(bytes);
+    REQUIRE(response);
+    REQUIRE(failureOf(*response) != nullptr);
+    REQUIRE(isEveryConnectionClosed());
+    REQUIRE(m_server.mostBytesSent() < maxFramingBytesSent);
+}
+
 TEST_CASE_METHOD(EndlessBytesFixture, "call_endlessBody_failsAtTheSizeLimit")
 {
     const EndlessBytes bytes =
