End the read of a call's body whose deadline has passed

What a caller sees: a server that sends without pause is read on after the deadline of the body, until the other end closes. The slot and the connection stay in use; the memory does not grow.

Cause: the deadline is enforced by a timer. A read whose bytes are ready completes before the timer's handler runs, even if its time is over when it starts, and then cancels the timer.

Evidence: call_endlessBodyReadUntilItsDeadline_fails failed: with a deadline of 300 ms, the reads had not ended after 8 s.

Why the fix works: a read whose time is over fails without reading.

--- a/source/net/httpclient.cpp
+++ b/source/net/httpclient.cpp
@@ -89,6 +89,10 @@
     if (m_parser.is_done()) {
         co_return HttpBodyPart {std::string(), true};
     }
+    if (timeout <= Duration::zero()) {
+        // The read would succeed all the same if bytes were ready.
+        co_return Failure {ErrorKind::AnswerBroken, "the response body did not end in time"};
+    }
     std::string bytes(maxBodyPartBytes, '\0');
     auto &body = m_parser.get().body();
     body.data = bytes.data();
--- a/tests/failure/tst_endlessbytes.cpp
+++ b/tests/failure/tst_endlessbytes.cpp
@@ -13,6 +13,7 @@
 #include "scriptedfleet.h"
 #include "sidecar/replicaprobe.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -35,6 +36,8 @@
 constexpr std::size_t maxFramingBytesSent = 2ULL * 1024 * 1024;
 constexpr auto callTimeout = std::chrono::milliseconds(300);
 constexpr std::size_t maxCallBytes = 1024ULL * 1024;
+/** Time within which a body whose reads have a deadline of callTimeout must have ended. */
+constexpr auto maxBodyTime = std::chrono::seconds(3);
 /** Time within which a stream must have ended whose request has 2.5 s. */
 constexpr auto maxStreamTime = std::chrono::milliseconds(4500);
 /** Bytes that the sockets of a caller and of a backend server hold together. */
@@ -143,6 +146,25 @@
         });
     }
 
+    /** Reads a body with a deadline for all of it. @returns whether it ended as a failure */
+    Awaitable<bool> readCallUntilDeadline()
+    {
+        HttpCall call(m_context.get_executor());
+        const HttpRequest request {"GET", "/", {}, {}};
+        co_await call.start(m_server.address(), request, callTimeout);
+        const Instant end = monotonicNow() + callTimeout;
+        while (true) {
+            const Duration left = std::max<Duration>(end - monotonicNow(), Duration::zero());
+            const Outcome<HttpBodyPart> part = co_await call.readBodyPart(left);
+            if (failureOf(part) != nullptr) {
+                co_return true;
+            }
+            if (std::get<HttpBodyPart>(part).isLast) {
+                co_return false;
+            }
+        }
+    }
+
     /** Makes a call that must fail because the body of its response is too long. */
     template <typename T>
     void requireSizeLimit(std::function<Awaitable<Outcome<T>>()> call)
@@ -345,6 +367,17 @@
     REQUIRE(m_server.mostBytesSent() < maxBytesSent);
 }
 
+// A read whose bytes were ready succeeded however long its deadline had passed.
+TEST_CASE_METHOD(EndlessBytesFixture, "call_endlessBodyReadUntilItsDeadline_fails")
+{
+    m_server.setBytes({chunkedHead, chunk});
+    const Instant begin = monotonicNow();
+    const auto isFailed = resultOf<bool>([this] { return readCallUntilDeadline(); });
+    REQUIRE(isFailed == true);
+    REQUIRE(monotonicNow() - begin < maxBodyTime);
+    REQUIRE(isEveryConnectionClosed());
+}
+
 TEST_CASE_METHOD(EndlessBytesFixture, "tail_endlessBody_failsAtTheSizeLimit")
 {
     const KeyedStore store(m_context.get_executor(), m_server.address(), storeTimeout);
