Report the end of a body's time as such though bytes are ready

What a caller sees: when a server sends without pause past the deadline of a body, the read ends as a lost connection instead of a timeout. In an entry, a stream past the time of its request counts as broken by the server instead of as out of time.

Cause: a read whose bytes are ready completes even if its time is over when it starts. If the timer closes the socket meanwhile, the next read clears the mark of the timeout and finds a closed socket. If the timer fires between two reads, it is ignored, so that only chance ends the body.

Evidence: connection_endlessBodyReadUntilItsDeadline_timesOut failed in each of five runs; in the one that printed the status, it was ConnectionLost. The whole path, stream_endlessEvents_endsAtTheDeadline, passed before the fix as well.

Why the fix works: a read whose time is over resets the connection and returns TimedOut without reading.

--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -201,12 +201,19 @@
     const Instant end = monotonicNow() + timeout;
     std::string bytes;
     while (bytes.empty() && !m_parser->is_done()) {
+        const Duration left = end - monotonicNow();
+        if (left <= Duration()) {
+            // The read would succeed all the same if bytes were ready.
+            closeWithReset();
+            co_return HttpReadResult<std::string> {
+                    m_isAborted ? HttpIoStatus::Aborted : HttpIoStatus::TimedOut, {}};
+        }
         bytes.resize(maxBodyPartBytes);
         auto &body = m_parser->get().body();
         body.data = bytes.data();
         body.size = bytes.size();
         body.more = true;
-        startDeadline(end - monotonicNow());
+        startDeadline(left);
         auto [ec, n] = co_await http::async_read_some(m_socket, m_buf, *m_parser, asTuple);
         m_isDeadlineActive = false;
         m_receivedAt = monotonicNow();
--- a/tests/failure/tst_endlessbytes.cpp
+++ b/tests/failure/tst_endlessbytes.cpp
@@ -18,6 +18,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
@@ -165,6 +166,23 @@
         }
     }
 
+    /** Reads a body with a deadline for all of it, and lets other tasks run after each part. */
+    Awaitable<HttpIoStatus> readConnectionUntilDeadline()
+    {
+        std::string method = "GET";
+        const HttpConnectionPtr connection = co_await sendRequest(std::move(method));
+        co_await connection->readHead(false, headTimeout);
+        const Instant end = monotonicNow() + callTimeout;
+        while (true) {
+            const HttpReadResult<std::string> part =
+                    co_await connection->readBodyPart(end - monotonicNow());
+            if (part.ioStatus != HttpIoStatus::Done || part.value.empty()) {
+                co_return part.ioStatus;
+            }
+            co_await asio::post(m_context, asTuple);
+        }
+    }
+
     /** Makes a call that must fail because the body of its response is too long. */
     template <typename T>
     void requireSizeLimit(std::function<Awaitable<Outcome<T>>()> call)
@@ -378,6 +396,18 @@
     REQUIRE(isEveryConnectionClosed());
 }
 
+// A read that timed out while its bytes were ready was reported as a lost connection.
+TEST_CASE_METHOD(EndlessBytesFixture, "connection_endlessBodyReadUntilItsDeadline_timesOut")
+{
+    m_server.setBytes({chunkedHead, chunk});
+    const Instant begin = monotonicNow();
+    const auto status = resultOf<HttpIoStatus>([this] { return readConnectionUntilDeadline(); });
+    REQUIRE(status);
+    REQUIRE(*status == HttpIoStatus::TimedOut);
+    REQUIRE(monotonicNow() - begin < maxBodyTime);
+    REQUIRE(isEveryConnectionClosed());
+}
+
 TEST_CASE_METHOD(EndlessBytesFixture, "tail_endlessBody_failsAtTheSizeLimit")
 {
     const KeyedStore store(m_context.get_executor(), m_server.address(), storeTimeout);
