Limit the time for the whole body of an HTTP call

What a caller sees: a server that sends a byte now and then holds a call for as long as it likes. Polls of an engine's state, and reads of the log, of the list of instances and of chunks of weights make such calls one after the other, so that nothing newer is learned.

Cause: callHttp() gave each read of the body the whole timeout, and had no limit for all of them.

Why the fix works: the body as a whole may take ten times the timeout, the ratio that reads of the platform's store have. Once that is over, the next part fails even if it is ready.

--- a/source/net/httpclient.cpp
+++ b/source/net/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "net/httpclient.h"
 
 #include "core/fleet/eventsplitter.h"
+#include "net/clock.h"
 
 #include <algorithm>
 #include <array>
@@ -18,6 +19,8 @@
 constexpr std::size_t maxBodyPartBytes = 64 * 1024;
 /** Maximum number of received bytes that are buffered unparsed, such as a chunk header. */
 constexpr std::size_t maxUnparsedBytes = 64 * 1024;
+/** A body may take this many times the timeout of a call, as long as it makes progress. */
+constexpr int bodyTimeoutRatio = 10;
 
 std::string serializeRequest(const Address &address, const HttpRequest &request)
 {
@@ -135,8 +138,10 @@
     if (head.retryAfterSeconds > 0) {
         response.headers.push_back({"Retry-After", std::to_string(head.retryAfterSeconds)});
     }
+    const Instant end = monotonicNow() + bodyTimeoutRatio * timeout;
     while (true) {
-        const Outcome<HttpBodyPart> part = co_await call.readBodyPart(timeout);
+        const Duration left = end - monotonicNow();
+        const Outcome<HttpBodyPart> part = co_await call.readBodyPart(std::min(left, timeout));
         if (const Failure *failure = failureOf(part)) {
             co_return *failure;
         }
--- a/source/net/httpclient.h
+++ b/source/net/httpclient.h
@@ -80,7 +80,8 @@
 
 /**
  * Sends a request and reads the complete response.
- * @param timeout time limit for connecting, for sending, and for each read
+ * @param timeout time limit for connecting, for sending, and for each read; the whole body may take
+ *     ten times as long
  * @param maxBytes maximum size of the response body
  * @returns the response, whatever its status; TooLarge if the body exceeds @p maxBytes; or a
  *     failure as in HttpCall::start() and HttpCall::readBodyPart()
--- a/tests/failure/tst_endlessbytes.cpp
+++ b/tests/failure/tst_endlessbytes.cpp
@@ -385,6 +385,19 @@
     REQUIRE(m_server.mostBytesSent() < maxBytesSent);
 }
 
+// Each part that arrived gave the rest of a body its whole timeout again.
+TEST_CASE_METHOD(EndlessBytesFixture, "call_bodyDripsIn_failsInTime")
+{
+    const EndlessBytes bytes = GENERATE(EndlessBytes {slowHead, "x", dripPause},
+                                        EndlessBytes {chunkedHead, "1\r\nx\r\n", dripPause},
+                                        EndlessBytes {okLine + "\r\n", "x", dripPause});
+    CAPTURE(bytes.opening, bytes.repeated);
+    const auto response = callOf(bytes);
+    REQUIRE(response);
+    REQUIRE(failureOf(*response) != nullptr);
+    REQUIRE(isEveryConnectionClosed());
+}
+
 // A read whose bytes were ready succeeded however long its deadline had passed.
 TEST_CASE_METHOD(EndlessBytesFixture, "call_endlessBodyReadUntilItsDeadline_fails")
 {
