--- a/tests/failure/tst_endlessbytes.cpp
+++ b/tests/failure/tst_endlessbytes.cpp
@@ -44,6 +44,9 @@
 /** Bytes that the sockets of a caller and of a backend server hold together. */
 constexpr std::size_t maxSocketBytes = 32ULL * 1024 * 1024;
 constexpr auto unreadTime = std::chrono::milliseconds(1000);
+/** More pages than a topic has. */
+constexpr std::size_t maxPagesRead = 2000;
+constexpr std::size_t maxSnapshotBytesRead = 64ULL * 1024 * 1024;
 
 const std::string okLine = "HTTP/1.1 200 OK\r\n";
 const std::string chunkedHead = okLine + "Transfer-Encoding: chunked\r\n\r\n";
@@ -55,6 +58,15 @@
           "Transfer-Encoding: chunked\r\n\r\n";
 const std::string eventChunk = "9\r\ndata: x\n\n\r\n";
 
+/** @returns a page of a topic after which the store has another one, with its head */
+std::string storePage(std::size_t valueBytes)
+{
+    const std::string page = R"({"items":[{"key":"k","value":")" + std::string(valueBytes, 'A')
+            + R"("}],"end":1,"hasMore":true})";
+    return okLine + "Connection: close\r\nContent-Length: " + std::to_string(page.size())
+            + "\r\n\r\n" + page;
+}
+
 /** Runs the calls of this process against a server that sends bytes without end. */
 class EndlessBytesFixture
 {
@@ -74,9 +86,11 @@
         return true;
     }
 
-    /** Awaits a result. It is empty if there is none in time. */
+    /** Awaits a result. It is empty if there is none in time, or before the task is given up. */
     template <typename T>
-    std::optional<T> resultOf(std::function<Awaitable<T>()> task)
+    std::optional<T> resultOf(
+            std::function<Awaitable<T>()> task,
+            const std::function<bool()> &isGivenUp = [] { return false; })
     {
         const auto result = std::make_shared<std::optional<T>>();
         asio::co_spawn(
@@ -86,7 +100,7 @@
                     result->emplace(std::move(value));
                 },
                 asio::detached);
-        waitUntil([result] { return result->has_value(); });
+        waitUntil([&] { return result->has_value() || isGivenUp(); });
         return *result;
     }
 
@@ -421,6 +435,25 @@
     REQUIRE(isEveryConnectionClosed());
 }
 
+// The pages of a snapshot were collected for as long as the store announced another one.
+TEST_CASE_METHOD(EndlessBytesFixture, "snapshot_pagesWithoutEnd_failsWithLittleMemory")
+{
+    const std::size_t valueBytes = GENERATE(1024 * 1024, 4);
+    CAPTURE(valueBytes);
+    const std::string page = storePage(valueBytes);
+    m_server.setBytes({page, ""});
+    const KeyedStore store(m_context.get_executor(), m_server.address(), storeTimeout);
+    const auto snapshot =
+            resultOf<Outcome<KeyedSnapshot>>(store.topicReader("keyed.op").snapshot, [this, &page] {
+                return m_server.requests() > maxPagesRead
+                        || m_server.requests() * page.size() > maxSnapshotBytesRead;
+            });
+    REQUIRE(snapshot);
+    REQUIRE(failureOf(*snapshot) != nullptr);
+    REQUIRE(failureOf(*snapshot)->kind == ErrorKind::PlatformUnavailable);
+    REQUIRE(isEveryConnectionClosed());
+}
+
 TEST_CASE_METHOD(EndlessBytesFixture, "tail_endlessBody_failsAtTheSizeLimit")
 {
     const KeyedStore store(m_context.get_executor(), m_server.address(), storeTimeout);
