--- a/source/net/httpclient.h
+++ b/source/net/httpclient.h
@@ -69,6 +69,7 @@
     bool isBrokenStream() const;
 
     boost::beast::tcp_stream m_stream;
+    /** Received bytes that are not parsed yet. Its size is limited. */
     boost::beast::flat_buffer m_buf;
     boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
     /** Whether the response is an event stream that ends with the connection. */
@@ -79,7 +80,8 @@
 
 /**
  * Sends a request and reads the complete response.
- * @param timeout time limit for connecting, for sending, and for each read
+ * @param timeout time limit for connecting, for sending, and for each read; the whole body may take
+ *     ten times as long
  * @param maxBytes maximum size of the response body
  * @returns the response, whatever its status; TooLarge if the body exceeds @p maxBytes; or a
  *     failure as in HttpCall::start() and HttpCall::readBodyPart()
