--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -8,6 +8,7 @@
 #include "core/fleet/crashevidence.h"
 #include "core/fleet/deltaparts.h"
 #include "core/fleet/enginemodel.h"
+#include "core/fleet/entrylistsources.h"
 #include "core/fleet/entryregistry.h"
 #include "core/fleet/eventsplitter.h"
 #include "core/fleet/fleetconfig.h"
@@ -30,4 +31,5 @@
 #include "core/fleet/topicsource.h"
 #include "core/fleet/topicview.h"
 #include "core/fleet/upstreamoutcome.h"
+#include "core/fleet/viewwitnesses.h"
 #include "core/fleet/weightsdeadlines.h"
--- a/source/core/fleet/listeninghistory.cpp
+++ b/source/core/fleet/listeninghistory.cpp
@@ -11,8 +11,6 @@
     if (now - last <= m_options.pauseThreshold) {
         return std::nullopt;
     }
-    // The read that was in progress during the pause is lost with it and shows nothing.
-    m_lostReads = -1;
     return now - last;
 }
 
@@ -22,24 +20,40 @@
         return;
     }
     m_completeAsOf = completeAsOf;
-    m_lostReads = 0;
 }
 
-void ListeningHistory::recordLostRead(Instant now)
+void ListeningHistory::recordOutage(Instant now)
 {
-    ++m_lostReads;
-    m_lastLostAt = now;
+    m_unreadableUntil = now;
 }
 
 Instant ListeningHistory::earliestChange(Instant now) const
+{
+    const Instant earliest = m_completeAsOf.value_or(now);
+    return std::min(now, std::max(earliest, m_unreadableUntil));
+}
+
+DateBasis ListeningHistory::basis() const
 {
     if (!m_completeAsOf) {
-        return now;
+        return DateBasis::Hearing;
+    }
+    return m_unreadableUntil > *m_completeAsOf ? DateBasis::Outage : DateBasis::View;
+}
+
+std::string_view nameOf(DateBasis basis)
+{
+    switch (basis) {
+    case DateBasis::View:
+        return "view";
+    case DateBasis::Outage:
+        return "outage";
+    case DateBasis::Peer:
+        return "peer";
+    case DateBasis::Hearing:
+        break;
     }
-    const bool isUnavailable = m_lostReads >= m_options.unavailableAfter;
-    const Instant earliest =
-            isUnavailable ? std::max(*m_completeAsOf, m_lastLostAt) : *m_completeAsOf;
-    return std::min(now, earliest);
+    return "hearing";
 }
 
 } // namespace greengageseam
--- a/source/core/fleet/listeninghistory.h
+++ b/source/core/fleet/listeninghistory.h
@@ -6,6 +6,7 @@
 #include "core/common/time.h"
 
 #include <optional>
+#include <string_view>
 
 namespace greengageseam {
 
@@ -14,20 +15,34 @@
 {
     /** A longer time between two signs that the process runs counts as a pause. */
     Duration pauseThreshold = std::chrono::milliseconds(300);
-    /** Number of reads that must be lost until the topic counts as unavailable to everyone. */
-    int unavailableAfter = 2;
 
     auto operator<=>(const ListeningOptions &) const = default;
 };
 
+/** What the earliest time of a change rests on. */
+enum class DateBasis {
+    /** The process had no view before, so the change dates from when it is heard of. */
+    Hearing,
+    /** The last complete view. */
+    View,
+    /** The end of an outage in which nobody could read the topic. */
+    Outage,
+    /** Another process has known the change for longer. */
+    Peer
+};
+
+/** @returns the name of a basis, for the log */
+std::string_view nameOf(DateBasis basis);
+
 /**
  * Tells the earliest time at which a change can have been made that the process hears of now: the
  * time as of which its view was complete before. It does not matter why the view is old: the
  * process was paused, a read was hanging, or the process that it reads from was behind.
  *
- * Reads that fail repeatedly while the process runs are taken to show that the topic is unavailable
- * to everyone, so they do not date a change back. Where others could read it all the same, they
- * know the change for longer, and correct the date.
+ * A read that fails shows nothing about what others could read or announce meanwhile: the link of
+ * this process may be full, or the process that it reads from be behind. Where another process was
+ * listening, it knows the change for longer, and its knowledge is a proof. Only an outage that
+ * others confirm moves the date.
  *
  * It is modified in place, because a process records several times per second that it runs.
  */
@@ -43,10 +58,14 @@
     std::optional<Duration> recordRunning(Instant now);
     /** Records a view that is complete as of a time. Call it after applying its changes. */
     void recordView(Instant completeAsOf);
-    /** Records a read that failed. */
-    void recordLostRead(Instant now);
+    /** Records that nobody could read the topic until now. */
+    void recordOutage(Instant now);
     /** @returns the earliest time at which a change can have been made that is heard of now */
     Instant earliestChange(Instant now) const;
+    /** @returns what that time rests on */
+    DateBasis basis() const;
+    /** @returns the time as of which the last view was complete; empty before the first one */
+    std::optional<Instant> completeAsOf() const { return m_completeAsOf; }
 
 private:
     ListeningOptions m_options;
@@ -54,10 +73,8 @@
     std::optional<Instant> m_lastRunning;
     /** Every change before this time was heard of; empty before the first view. */
     std::optional<Instant> m_completeAsOf;
-    /** Number of reads that were lost since then, or since the last pause. */
-    int m_lostReads = 0;
-    /** When a read was last lost. */
-    Instant m_lastLostAt;
+    /** Until then, as far as is known, nobody could read the topic. */
+    Instant m_unreadableUntil;
 };
 
 } // namespace greengageseam
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -1,5 +1,6 @@
 #include "edge/loadlistener.h"
 
+#include "core/common/hashing.h"
 #include "net/clock.h"
 #include "net/endpoint.h"
 #include "net/ticker.h"
@@ -19,10 +20,16 @@
  */
 constexpr auto requestInterval = std::chrono::milliseconds(300);
 /**
- * Time after which an entry that no agent confirms counts as gone. Agents confirm the entries that
- * they know several times within this time.
+ * Time after which an entry that no agent confirms counts as gone. The agents that are asked for
+ * entries tell of it three times within this time.
  */
-constexpr auto entryLifetime = std::chrono::milliseconds(500);
+constexpr auto entryLifetime = std::chrono::milliseconds(1000);
+/** Time without a word from any agent after which an entry draws no conclusions from silence. */
+constexpr auto deafAfter = std::chrono::milliseconds(600);
+/** Number of times that the same agents are asked for entries. */
+constexpr int questionsPerRound = 16;
+/** Number of times that agents are asked until one that has said nothing counts as silent. */
+constexpr int questionsPerCheck = 2;
 
 } // namespace
 
@@ -30,7 +37,8 @@
                            std::uint16_t port, LoadListenerHooks hooks, Log log)
     : m_executor(executor), m_self(std::move(self)), m_port(port), m_hooks(std::move(hooks)),
       m_log(std::move(log)), m_mailbox(makeMailbox<LoadListenerCommand>(executor, mailboxCapacity)),
-      m_socket(executor), m_entries(entryLifetime)
+      m_socket(executor), m_entries(entryLifetime),
+      m_round(checksumOf("entries/" + m_self.instance.text(), 0))
 { }
 
 Result<void> LoadListener::start()
@@ -61,23 +69,37 @@
 void LoadListener::apply(const AgentsUpdated &command)
 {
     std::vector<asio::ip::udp::endpoint> agents;
-    for (const Address &backend : command.backends) {
-        const auto endpoint = toOutcome([&] { return parseEndpoint(backend); });
+    std::vector<ZoneName> zones;
+    for (const AgentSite &site : command.agents) {
+        const auto endpoint = toOutcome([&] { return parseEndpoint(site.backend); });
         if (const auto *tcp = std::get_if<asio::ip::tcp::endpoint>(&endpoint)) {
             agents.emplace_back(tcp->address(), m_port);
+            zones.push_back(site.zone);
         }
     }
-    const bool isNew = agents.size() > m_agents.size();
+    const std::set<asio::ip::udp::endpoint> known(m_agents.begin(), m_agents.end());
     m_agents = std::move(agents);
-    if (isNew) {
+    m_agentZones = std::move(zones);
+    m_zonesByIp.clear();
+    for (std::size_t i = 0; i < m_agents.size(); ++i) {
+        m_zonesByIp[m_agents[i].address().to_string()] = m_agentZones[i];
+    }
+    m_views.expectZones({m_agentZones.begin(), m_agentZones.end()});
+    if (known.empty()) {
         requestReports();
+        return;
+    }
+    const bool hasNew = std::any_of(m_agents.begin(), m_agents.end(),
+                                    [&known](const auto &it) { return !known.contains(it); });
+    if (hasNew) {
+        subscribe(known, {});
     }
 }
 
 void LoadListener::apply(const OperatorOffsetUpdated &command)
 {
     m_operatorOffset = command.offset;
-    requestReports();
+    subscribe({}, {});
 }
 
 void LoadListener::apply(const OperatorViewConfirmed &command)
@@ -94,7 +116,7 @@
     } else if (command.targetVersion == known.targetVersion) {
         known.announcedAt = std::min(known.announcedAt, command.announcedAt);
     }
-    requestReports();
+    subscribe({}, {});
 }
 
 void LoadListener::apply(const RelayListDelta &command)
@@ -147,13 +169,60 @@
     }
 }
 
+/** Subscribes to all agents, and asks a few of them for the entries that they know. */
 void LoadListener::requestReports()
 {
     const Instant now = monotonicNow();
+    expireEntries(now);
+    if (m_views.isUnreadableForAll(now) && m_hooks.onTopicUnreadable) {
+        m_hooks.onTopicUnreadable();
+    }
+    subscribe({}, nextQuestions());
+}
+
+/** Removes entries that the agents no longer tell of, unless nothing is heard of the agents. */
+void LoadListener::expireEntries(Instant now)
+{
     m_entries.refresh(m_self, now);
+    if (now - m_heardAt > deafAfter) {
+        m_entries.renewAll(now);
+    }
     if (m_entries.expire(now)) {
         m_hooks.onEntriesChanged(m_entries.locations());
     }
+}
+
+/**
+ * Turns to other agents if one that was asked is silent, and after some time in any case.
+ * @returns the positions of the agents to ask for entries
+ */
+std::set<std::size_t> LoadListener::nextQuestions()
+{
+    const bool isCheckDue = m_questions % questionsPerCheck == 0;
+    if ((isCheckDue && !m_unheard.empty()) || m_questions >= questionsPerRound) {
+        ++m_round;
+        m_questions = 0;
+    }
+    const std::set<std::size_t> asked = chooseEntryListSources(m_agentZones, m_self.zone, m_round);
+    if (isCheckDue) {
+        m_unheard.clear();
+        for (const std::size_t i : asked) {
+            m_unheard.insert(m_agents[i].address().to_string());
+        }
+    }
+    ++m_questions;
+    return asked;
+}
+
+/**
+ * Sends a subscription to the agents.
+ * @param except agents that are left out
+ * @param asked positions of the agents that are asked for the entries that they know
+ */
+void LoadListener::subscribe(const std::set<asio::ip::udp::endpoint> &except,
+                             const std::set<std::size_t> &asked)
+{
+    const Instant now = monotonicNow();
     LoadSubscription request {m_self.instance,  m_self.zone, m_entries.checksum(),
                               m_operatorOffset, {},          {}};
     if (m_operatorCompleteAsOf) {
@@ -162,16 +231,26 @@
     for (const auto &[model, known] : m_targetVersions) {
         request.targetVersions.push_back({known.targetVersion, now - known.announcedAt});
     }
-    const std::string bytes = encodeDatagram(request);
-    for (const auto &agent : m_agents) {
-        m_socket.send(bytes, agent);
+    const std::string asking = encodeDatagram(request);
+    request.wantsEntries = false;
+    const std::string notAsking = encodeDatagram(request);
+    for (std::size_t i = 0; i < m_agents.size(); ++i) {
+        if (!except.contains(m_agents[i])) {
+            m_socket.send(asked.contains(i) ? asking : notAsking, m_agents[i]);
+        }
     }
 }
 
 void LoadListener::handleDatagram(const Datagram &datagram, const std::string &senderIp)
 {
+    m_unheard.erase(senderIp);
     if (const auto *report = std::get_if<LoadReport>(&datagram)) {
-        m_entries.confirm(report->entriesChecksum, monotonicNow());
+        m_heardAt = monotonicNow();
+        m_entries.confirm(report->entriesChecksum, m_heardAt);
+        const auto zone = m_zonesByIp.find(senderIp);
+        if (zone != m_zonesByIp.end()) {
+            m_views.recordStatement(zone->second, report->operatorViewAge, m_heardAt);
+        }
         m_hooks.onReport(*report);
     } else if (const auto *list = std::get_if<ReplicaListDelta>(&datagram)) {
         if (const auto whole = m_listDeltas.add(senderIp, *list, monotonicNow())) {
@@ -187,6 +266,7 @@
         }
     } else if (const auto *seen = std::get_if<KnownEntries>(&datagram)) {
         const Instant now = monotonicNow();
+        m_heardAt = now;
         for (const EntryLocation &site : seen->entries) {
             m_entries.refresh(site, now);
         }
--- a/source/edge/loadlistener.h
+++ b/source/edge/loadlistener.h
@@ -10,15 +10,25 @@
 #include "protocol/datagramcodec.h"
 
 #include <functional>
+#include <set>
 #include <variant>
 #include <vector>
 
 namespace greengageseam {
 
+/** Location of an agent, beside its backend server. */
+struct AgentSite
+{
+    Address backend;
+    ZoneName zone;
+
+    auto operator<=>(const AgentSite &) const = default;
+};
+
 /** The list of backend servers whose agents are asked for reports has changed. */
 struct AgentsUpdated
 {
-    std::vector<Address> backends;
+    std::vector<AgentSite> agents;
 };
 
 /** The operator's topic was read up to an offset, which is announced to agents. */
@@ -68,6 +78,8 @@
     std::function<void(const std::vector<EntryLocation> &entries)> onEntriesChanged;
     /** Called for each target version that an agent passes on; it may be known already. */
     std::function<void(const KnownTargetVersion &known)> onTargetVersion;
+    /** Called repeatedly while no entry of any zone can read the operator's topic; may be empty. */
+    std::function<void()> onTopicUnreadable;
     /** Called when another entry has read the list of backend servers and relays the delta. */
     std::function<void(const ReplicaListDelta &delta)> onListDelta;
     /** Called when another entry sends evidence of crashes. */
@@ -101,6 +113,10 @@
     void sendToEntry(const std::string &ip, const std::string &bytes);
     std::vector<std::string> encodeInParts(const ReplicaListDelta &delta) const;
     void requestReports();
+    void subscribe(const std::set<asio::ip::udp::endpoint> &except,
+                   const std::set<std::size_t> &asked);
+    void expireEntries(Instant now);
+    std::set<std::size_t> nextQuestions();
     void handleDatagram(const Datagram &datagram, const std::string &senderIp);
 
     asio::any_io_executor m_executor;
@@ -111,7 +127,21 @@
     MailboxPtr<LoadListenerCommand> m_mailbox;
     DatagramSocket m_socket;
     std::vector<asio::ip::udp::endpoint> m_agents;
+    /** The zone of each of them. Invariant: as many as there are agents. */
+    std::vector<ZoneName> m_agentZones;
+    /** The zones of the agents by IP address. */
+    std::map<std::string, ZoneName> m_zonesByIp;
+    /** Selects the agents that are asked for entries; differs from entry to entry. */
+    std::uint64_t m_round;
+    /** Number of times that the agents of this round were asked. */
+    int m_questions = 0;
+    /** Agents that were asked, by IP address, and have not been heard of since the last check. */
+    std::set<std::string> m_unheard;
+    /** When an agent was last heard of. */
+    Instant m_heardAt;
     EntryRegistry m_entries;
+    /** What agents say that entries state of their views of the operator's topic. */
+    ViewWitnesses m_views;
     /** Parts of deltas of the list that other entries relay. */
     DeltaAssembler m_listDeltas;
     /** Offset up to which the operator's topic was read. */
--- a/source/edge/storewatchers.h
+++ b/source/edge/storewatchers.h
@@ -76,6 +76,9 @@
      */
     void confirmPeerView(Instant completeAsOf);
 
+    /** Records that nobody can read the topic now, so that changes are newer than that. */
+    void recordOutage();
+
 private:
     void recordRunning();
     void applyRecords(const std::vector<KeyedRecord> &records, bool isInitial,
@@ -84,6 +87,8 @@
     void applyRecord(const KeyedRecord &record, bool isInitial);
     void applyTargetVersion(const TargetVersion &targetVersion, VersionSource source,
                             bool isInitial, Duration age);
+    void logTargetVersion(const TargetVersion &targetVersion, VersionSource source, Duration age,
+                          DateBasis basis) const;
     void advanceOffset(std::uint64_t offset);
 
     asio::any_io_executor m_executor;
--- a/source/sidecar/loadreporter.cpp
+++ b/source/sidecar/loadreporter.cpp
@@ -17,6 +17,10 @@
 constexpr auto otherZonePeriod = std::chrono::milliseconds(350);
 /** An entry is told of an age that exceeds its own estimate by more than this. */
 constexpr auto ageTolerance = std::chrono::milliseconds(200);
+/** Interval at which the volume of what was sent is logged. */
+constexpr auto sentBytesLogInterval = std::chrono::seconds(5);
+/** Time without a subscription after which an agent draws no conclusions from silence. */
+constexpr auto deafAfter = std::chrono::milliseconds(600);
 /** Maximum number of subscribed entries. */
 constexpr std::size_t maxSubscribers = 1024;
 
@@ -85,12 +89,18 @@
     Subscriber &subscriber = m_subscribers[sender];
     subscriber.requestedAt = now;
     subscriber.isSameZone = subscription.zone == m_zone;
+    subscriber.wantsEntries = subscription.wantsEntries;
+    if (now - m_heardAt > deafAfter) {
+        m_knownEntries.renewAll(now);
+    }
+    m_heardAt = now;
     m_knownEntries.refresh({subscription.instance, subscription.zone, sender.address().to_string()},
                            now);
     if (m_knownEntries.expire(now)) {
         m_hooks.onEntriesChanged(m_knownEntries.locations());
     }
     m_operatorOffset = std::max(m_operatorOffset, subscription.operatorOffset);
+    m_views.recordStatement(subscription.zone, subscription.operatorViewAge, now);
     for (const KnownTargetVersion &known : subscription.targetVersions) {
         apply(TargetVersionKnown {known.targetVersion, now});
         m_hooks.onTargetVersion(known.targetVersion);
@@ -99,8 +109,10 @@
         m_hooks.onViewConfirmed(now - *subscription.operatorViewAge);
     }
     sendVersionNews(subscription, sender, now);
-    if (m_knownEntries.checksum() != subscription.entriesChecksum) {
-        m_socket.send(encodeDatagram(KnownEntries {m_knownEntries.locations()}), sender);
+    if (subscription.wantsEntries && m_knownEntries.checksum() != subscription.entriesChecksum) {
+        const std::string bytes = encodeDatagram(KnownEntries {m_knownEntries.locations()});
+        m_sent.entryLists += bytes.size();
+        m_socket.send(bytes, sender);
     }
     if (isNew) {
         m_log.info("load.entry-subscribed", {{"entry", subscription.instance.text()}});
@@ -128,11 +140,16 @@
         }
     }
     if (!news.versions.empty()) {
-        m_socket.send(encodeDatagram(news), sender);
+        const std::string bytes = encodeDatagram(news);
+        m_sent.versions += bytes.size();
+        m_socket.send(bytes, sender);
     }
 }
 
-/** Sends the list of entries when it changes, so that new entries discover each other quickly. */
+/**
+ * Sends the list of entries when it changes to the subscribers that have asked for it last, so that
+ * new entries discover each other quickly.
+ */
 void LoadReporter::sendEntries()
 {
     if (m_knownEntries.checksum() == m_sentEntriesChecksum) {
@@ -141,7 +158,10 @@
     m_sentEntriesChecksum = m_knownEntries.checksum();
     const std::string bytes = encodeDatagram(KnownEntries {m_knownEntries.locations()});
     for (const auto &[entry, subscriber] : m_subscribers) {
-        m_socket.send(bytes, entry);
+        if (subscriber.wantsEntries) {
+            m_sent.entryLists += bytes.size();
+            m_socket.send(bytes, entry);
+        }
     }
 }
 
@@ -185,8 +205,12 @@
 {
     report.entriesChecksum = m_knownEntries.checksum();
     report.operatorOffset = m_operatorOffset;
-    m_lastReport = report;
     const Instant now = monotonicNow();
+    report.operatorViewAge = m_views.newestViewAge(now);
+    m_lastReport = report;
+    if (m_views.isUnreadableForAll(now) && m_hooks.onTopicUnreadable) {
+        m_hooks.onTopicUnreadable();
+    }
     std::erase_if(m_subscribers, [&](const auto &entry) {
         return now - entry.second.requestedAt > subscriptionTimeout;
     });
@@ -196,9 +220,26 @@
         if (isDue(subscriber, report, now)) {
             subscriber.lastReport = report;
             subscriber.lastReportAt = now;
+            m_sent.reports += bytes.size();
             m_socket.send(bytes, entry);
         }
     }
+    logSentBytes(now);
+}
+
+/** Logs how much was sent of each kind, at intervals. */
+void LoadReporter::logSentBytes(Instant now)
+{
+    if (now - m_sentLoggedAt < sentBytesLogInterval) {
+        return;
+    }
+    m_log.info("load.sent",
+               {{"report_bytes", m_sent.reports},
+                {"entries_bytes", m_sent.entryLists},
+                {"versions_bytes", m_sent.versions},
+                {"subscribers", m_subscribers.size()}});
+    m_sent = {};
+    m_sentLoggedAt = now;
 }
 
 } // namespace greengageseam
--- a/source/sidecar/loadreporter.h
+++ b/source/sidecar/loadreporter.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "core/fleet/viewwitnesses.h"
 #include "net/datagramsocket.h"
 #include "net/log.h"
 #include "protocol/datagramcodec.h"
@@ -34,6 +35,8 @@
     /** An entry has reported all target versions that were announced before a time; may be empty.
      */
     std::function<void(Instant completeAsOf)> onViewConfirmed;
+    /** Called repeatedly while no entry of any zone can read the operator's topic; may be empty. */
+    std::function<void()> onTopicUnreadable;
 };
 
 /**
@@ -54,11 +57,21 @@
     Result<void> start(const std::string &ip, std::uint16_t port);
 
 private:
+    /** What was sent since the last line in the log, in bytes. */
+    struct SentBytes
+    {
+        std::size_t reports = 0;
+        std::size_t entryLists = 0;
+        std::size_t versions = 0;
+    };
+
     /** A subscribed entry. */
     struct Subscriber
     {
         Instant requestedAt;
         bool isSameZone = false;
+        /** Whether its last subscription asked for the entries that the agent knows. */
+        bool wantsEntries = false;
         /** The last report sent to the entry, and when it was sent. */
         std::optional<LoadReport> lastReport;
         Instant lastReportAt;
@@ -69,6 +82,7 @@
     void apply(LoadReport report);
     void apply(const TargetVersionKnown &command);
     void sendEntries();
+    void logSentBytes(Instant now);
     void sendVersionNews(const LoadSubscription &subscription,
                          const asio::ip::udp::endpoint &sender, Instant now);
     bool isDue(const Subscriber &subscriber, const LoadReport &report, Instant now) const;
@@ -83,6 +97,10 @@
     DatagramSocket m_socket;
     std::map<asio::ip::udp::endpoint, Subscriber> m_subscribers;
     EntryRegistry m_knownEntries;
+    /** What entries state of their views of the operator's topic. */
+    ViewWitnesses m_views;
+    /** When an entry was last heard of. */
+    Instant m_heardAt;
     std::optional<LoadReport> m_lastReport;
     /** The newest target version of the weights of each model. */
     std::map<ModelName, TargetVersionKnown> m_targetVersions;
@@ -90,6 +108,8 @@
     std::uint64_t m_operatorOffset = 0;
     /** Checksum of the last list of entries that was sent to all subscribers. */
     std::uint64_t m_sentEntriesChecksum = 0;
+    SentBytes m_sent;
+    Instant m_sentLoggedAt;
 };
 
 } // namespace greengageseam
