Hand out credits for the free slots of contended backend servers

Cause: above the capacity all entries see the same free slot in the same report, and each sends a request that waits.

Ruled out: lost reports, refused connections.

Change: agents hand out credits in proportion to demand, which entries state in their subscriptions; entries need one for a contended server, and for any server while they turn callers away. Requests wait by what they wait for, are refused at once while a service has no server and their caller can return, and under saturation callers come back spread over half of their time.

--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -133,6 +133,15 @@
     }
 }
 
+void LoadBalancer::setSaturated(const ServiceName &service, bool isSaturated)
+{
+    if (isSaturated) {
+        m_saturatedServices.insert(service);
+    } else {
+        m_saturatedServices.erase(service);
+    }
+}
+
 void LoadBalancer::applyReport(const LoadReport &report, Instant now)
 {
     const auto id = m_byAddress.find(report.backend);
@@ -146,6 +155,7 @@
     }
     state.report = report;
     state.reportedAt = now;
+    state.creditsLeft = report.credits.value_or(0);
     state.localInFlightAtReport = state.localInFlight;
     state.awaitingResponseAtReport = state.awaitingResponse;
 }
@@ -222,6 +232,7 @@
         return std::nullopt;
     }
     best->availability = best->availability.at(now);
+    best->creditsLeft -= best->creditsLeft > 0 ? 1 : 0;
     ++best->localInFlight;
     if (const EngineCosts *costs = engineCosts(requirements.service)) {
         ++best->awaitingResponse;
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -39,6 +39,11 @@
     std::uint64_t operatorOffset = 0;
     /** Age of the newest view of that topic that an entry has told of; empty if none has. */
     std::optional<Duration> operatorViewAge;
+    /**
+     * Requests that the receiver may send until the next report while the backend server is
+     * contended; empty if its agent hands out no credits. @see CreditAllocator
+     */
+    std::optional<std::uint32_t> credits;
 
     auto operator<=>(const LoadReport &) const = default;
 };
@@ -64,7 +69,7 @@
     /** Backend servers of earlier upstream attempts; they are excluded. */
     std::set<ReplicaId> tried;
     WeightsRequirement weights;
-    /** Objective for the time to the start of the response. */
+    /** Time left until the response has to start to meet its objective. */
     Duration latencyObjective {};
     /**
      * The request misses its objective in any case. It may use only slots that are not needed by
@@ -164,6 +169,11 @@
      * report counts yet.
      */
     void setEntryCount(std::uint32_t entries) { m_entryCount = entries; }
+    /**
+     * Sets whether callers ask for more than the backend servers of a service can do. While they
+     * do, each request that is sent to one with a report needs a credit.
+     */
+    void setSaturated(const ServiceName &service, bool isSaturated);
     /** Applies a load report that an agent forwarded; ignores reports of an earlier incarnation. */
     void applyReport(const LoadReport &report, Instant now);
 
@@ -217,6 +227,8 @@
         ReplicaAvailability availability;
         std::optional<LoadReport> report;
         Instant reportedAt;
+        /** Credits of the report that are not spent. */
+        std::uint32_t creditsLeft = 0;
         /** This entry's requests in flight when the report arrived, which the report includes. */
         std::uint32_t localInFlightAtReport = 0;
         /** This entry's requests whose responses have not started, and their total prefill time. */
@@ -235,10 +247,13 @@
     bool isUsable(const ReplicaState &state, const WeightsRequirement &weights, Instant now) const;
     std::uint64_t effectiveWeightsVersion(const ReplicaState &state, Instant now) const;
     bool hasFreshReport(const ReplicaState &state, Instant now) const;
+    /** @returns whether a request may be sent there only for a credit of the last report */
+    bool needsCredit(const ReplicaState &state, Instant now) const;
+    bool hasCredit(const ReplicaState &state, Instant now) const;
     /** @returns the estimated number of requests at a backend server, from all entries */
     std::uint32_t estimatedLoad(const ReplicaState &state, Instant now) const;
     /** @returns the estimated number of requests that other entries sent since the report */
-    double estimatedRemoteSinceReport(const ReplicaState &state) const;
+    double estimatedRemoteSinceReport(const ReplicaState &state, Instant now) const;
     /** @returns the cost parameters of the service's engines; null for a service without engines */
     const EngineCosts *engineCosts(const ServiceName &service) const;
     EngineWorkload estimatedWorkload(const ReplicaState &state, const EngineCosts &costs,
@@ -281,6 +296,7 @@
     std::map<Address, ReplicaId> m_byAddress;
     std::map<ServiceName, std::vector<ReplicaId>> m_byService;
     std::map<ServiceName, EngineCosts> m_engineCosts;
+    std::set<ServiceName> m_saturatedServices;
 };
 
 } // namespace greengageseam
--- a/source/core/fleet/loadestimates.cpp
+++ b/source/core/fleet/loadestimates.cpp
@@ -1,6 +1,7 @@
 /**
  * The part of LoadBalancer that estimates load, latency and capacity of a backend server.
  */
+#include "core/fleet/creditallocator.h"
 #include "core/fleet/loadbalancer.h"
 
 #include <algorithm>
@@ -34,6 +35,9 @@
 constexpr std::uint32_t plainServiceQueue = 6;
 /** Assumed fraction of the other entries that send to the same backend server as this one. */
 constexpr double sameChoiceShare = 0.25;
+/** Time after a report for which its credits hold; later the backend server may have been filled.
+ */
+constexpr auto creditLifetime = std::chrono::milliseconds(60);
 
 } // namespace
 
@@ -52,12 +56,33 @@
     const std::uint32_t others =
             reported > state.localInFlightAtReport ? reported - state.localInFlightAtReport : 0;
     return state.localInFlight + others
-            + static_cast<std::uint32_t>(estimatedRemoteSinceReport(state));
+            + static_cast<std::uint32_t>(estimatedRemoteSinceReport(state, now));
+}
+
+bool LoadBalancer::needsCredit(const ReplicaState &state, Instant now) const
+{
+    if (!hasFreshReport(state, now) || !state.report->credits) {
+        return false;
+    }
+    // Under saturation, all entries would send to the first backend server with many free slots.
+    return m_saturatedServices.contains(state.entry.service)
+            || isContended({state.entry.slots, state.report->running + state.report->waiting});
+}
+
+bool LoadBalancer::hasCredit(const ReplicaState &state, Instant now) const
+{
+    return state.creditsLeft > 0 && now - state.reportedAt <= creditLifetime;
 }
 
-/** Other entries receive the same reports, so some of them choose the same backend server. */
-double LoadBalancer::estimatedRemoteSinceReport(const ReplicaState &state) const
+/**
+ * Other entries receive the same reports, so some of them choose the same backend server, unless
+ * credits keep them from it.
+ */
+double LoadBalancer::estimatedRemoteSinceReport(const ReplicaState &state, Instant now) const
 {
+    if (needsCredit(state, now)) {
+        return 0;
+    }
     const std::uint32_t sentSinceReport = state.localInFlight > state.localInFlightAtReport
             ? state.localInFlight - state.localInFlightAtReport
             : 0;
@@ -93,8 +118,9 @@
             : 0;
     const double pace = std::max(1.0, report.slowdown);
     workload.running = report.running;
-    workload.pendingPrefillMs = (state.pendingPrefillMs
-                                 + (others + estimatedRemoteSinceReport(state)) * typicalPrefillMs)
+    workload.pendingPrefillMs =
+            (state.pendingPrefillMs
+             + (others + estimatedRemoteSinceReport(state, now)) * typicalPrefillMs)
             * pace;
     return workload;
 }
@@ -147,13 +173,17 @@
 {
     const std::uint32_t slots = std::max<std::uint32_t>(1, state.entry.slots);
     const std::uint32_t inUse = estimatedLoad(state, now);
+    const bool isRationed = needsCredit(state, now);
+    if (isRationed && !hasCredit(state, now)) {
+        return false;
+    }
     if (requirements.missesObjective) {
         return inUse < slots * overdueSlotShare
                 && estimatedWorkload(state, costs, now).pendingPrefillMs < prefillMs(costs, 0);
     }
     const double objectiveMs =
             std::chrono::duration<double, std::milli>(requirements.latencyObjective).count();
-    if (inUse >= slots) {
+    if (inUse >= slots && !isRationed) {
         const double queueingMs = (inUse - slots + 1) * slotReleaseMs(requirements.service);
         return hasFreshReport(state, now) && queueingMs <= objectiveMs * maxQueueingShare;
     }
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -21,17 +21,17 @@
 constexpr auto keepAliveMargin = std::chrono::milliseconds(800);
 /** A request counts as a retry if its remaining time is below this share of the longest seen. */
 constexpr double retryTimeoutRatio = 0.75;
-constexpr auto minRetryAfter = std::chrono::milliseconds(150);
+constexpr auto demandInterval = std::chrono::milliseconds(250);
 /** Percentage of the bound on applying a configuration after which it no longer denies anything. */
 constexpr int maxDenialAgePercent = 75;
 
 } // namespace
 
 Dispatcher::Dispatcher(const asio::any_io_executor &executor, DispatcherOptions options,
-                       std::shared_ptr<Metrics> metrics, Log log)
-    : m_executor(executor), m_options(std::move(options)), m_metrics(std::move(metrics)),
-      m_log(std::move(log)), m_mailbox(makeMailbox<DispatchCommand>(executor, mailboxCapacity)),
-      m_loads(m_options.loads),
+                       DispatcherHooks hooks, std::shared_ptr<Metrics> metrics, Log log)
+    : m_executor(executor), m_options(std::move(options)), m_hooks(std::move(hooks)),
+      m_metrics(std::move(metrics)), m_log(std::move(log)),
+      m_mailbox(makeMailbox<DispatchCommand>(executor, mailboxCapacity)), m_loads(m_options.loads),
       m_weights(WeightsDeadlineOptions().withBound(m_options.bounds.weightsApply)),
       m_entryCount(defaultEntryCount)
 {
@@ -106,6 +106,9 @@
     if (rejectIfQuarantined(command, now)) {
         return;
     }
+    if (!command.isRetry) {
+        m_demands[command.requirements.service].recordArrival(now);
+    }
     if (command.isRetry
         && !retryBudget(command.requirements.service).tryAcquire(now, m_entryCount)) {
         m_metrics->count("retries_denied_total", "Retries denied by the retry budget");
@@ -128,9 +131,13 @@
     const ServiceName &service = command.requirements.service;
     const Occupancy occupancy = m_loads.occupancy(service, weightsRequirement(service, now), now);
     const bool hasUsable = occupancy.usableReplicas > 0;
-    // A request that has missed its latency target may keep waiting for slots that are left over.
-    const bool usesExtendedWait = !hasUsable || now >= command.lateAfter;
-    const Instant waitEnd = usesExtendedWait ? command.extendedWaitUntil : command.waitUntil;
+    // A request that has missed its latency target may keep waiting for slots that are left over,
+    // unless the requests that can still meet theirs leave none.
+    const bool hasLeftovers = now >= command.lateAfter && !m_saturated.contains(service);
+    const Duration wait = !hasUsable ? command.wait.service
+            : hasLeftovers           ? command.wait.leftoverSlot
+                                     : command.wait.slot;
+    const Instant waitEnd = command.waitsSince + wait;
     if (now < waitEnd && now + occupancy.pauseLeft < waitEnd) {
         return false;
     }
@@ -156,6 +163,8 @@
     ReplicaRequirements requirements = command.requirements;
     requirements.weights = weightsRequirement(requirements.service, now);
     requirements.missesObjective = now >= command.lateAfter;
+    requirements.latencyObjective =
+            std::min<Duration>(requirements.latencyObjective, command.lateAfter - now);
     const std::optional<ReplicaEntry> replica = m_loads.acquire(requirements, now, randomNumber());
     if (!replica) {
         return false;
@@ -178,17 +187,60 @@
 
 void Dispatcher::reject(const AcquireReplica &command, Instant now, ErrorKind kind)
 {
-    const Occupancy occupancy = m_loads.occupancy(command.requirements.service, {}, now);
-    const Duration turnover = m_loads.meanSlotReleaseTime(command.requirements.service);
+    const ServiceName &service = command.requirements.service;
+    m_demands[service].recordTurnedAway(now);
+    const Occupancy occupancy = m_loads.occupancy(service, {}, now);
     const auto excess = occupancy.inUse > occupancy.slots ? occupancy.inUse - occupancy.slots : 0;
-    const Duration wait = turnover * static_cast<std::int64_t>(excess + m_pending.size() + 1) * 2;
-    // Callers wait up to a third of their remaining time, and retry once.
-    const Duration longest = std::max<Duration>(minRetryAfter, (command.deadline - now) / 3);
-    const bool hasNoBackend = kind == ErrorKind::NoBackendServer;
-    const Duration retryAfter = hasNoBackend
-            ? longest
-            : std::clamp<Duration>(std::max(wait, occupancy.pauseLeft), minRetryAfter, longest);
-    command.reply->post(ReplicaUnavailable {kind, retryAfter});
+    RetryConditions conditions;
+    conditions.slotRelease = m_loads.meanSlotReleaseTime(service);
+    conditions.backlog = excess + m_pending.size() + 1;
+    conditions.pauseLeft = occupancy.pauseLeft;
+    conditions.remaining = command.deadline - now;
+    conditions.hasServers = kind != ErrorKind::NoBackendServer;
+    conditions.isSaturated = m_saturated.contains(service);
+    conditions.spread = static_cast<double>(randomNumber()) / static_cast<double>(UINT64_MAX);
+    command.reply->post(ReplicaUnavailable {kind, retryAfter(conditions)});
+}
+
+/** Applies which services are saturated, and logs where that has changed. */
+void Dispatcher::recordSaturation(Instant now)
+{
+    for (const auto &[service, meter] : m_demands) {
+        const ServiceDemand demand = meter.demand(service, now);
+        const bool isNow = greengageseam::isSaturated(demand);
+        if (isNow == m_saturated.contains(service)) {
+            continue;
+        }
+        m_loads.setSaturated(service, isNow);
+        if (isNow) {
+            m_saturated.insert(service);
+        } else {
+            m_saturated.erase(service);
+        }
+        m_log.info(isNow ? "service.saturated" : "service.unsaturated",
+                   {{"service", service.text()},
+                    {"arrivals", demand.arrivals},
+                    {"turned_away", demand.turnedAway},
+                    {"pending", m_pending.size()}});
+    }
+}
+
+/** Reports the demand for services with engines, whose agents hand out credits for it. */
+void Dispatcher::publishDemand(Instant now)
+{
+    if (!m_hooks.onDemand || m_table == nullptr || now - m_demandPublishedAt < demandInterval) {
+        return;
+    }
+    m_demandPublishedAt = now;
+    std::vector<ServiceDemand> demands;
+    for (const auto &[name, meter] : m_demands) {
+        const Service *service = m_table->service(name);
+        const ServiceDemand demand = meter.demand(name, now);
+        if (service != nullptr && service->engine && demand.arrivals > 0) {
+            demands.push_back(demand);
+        }
+    }
+    m_hooks.onDemand(demands);
 }
 
 void Dispatcher::apply(const ResponseStarted &command)
@@ -267,6 +319,8 @@
     expireLateStarts(now);
     closeExpiredConnections(now);
     recordAvailability(now);
+    publishDemand(now);
+    recordSaturation(now);
 }
 
 /**
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -94,13 +94,10 @@
     bool isRetry = false;
     /** Whether the request may be sent on a pooled connection. */
     bool allowsPooledConnection = false;
-    /** Time until which the request may wait for a backend server with a free slot. */
-    Instant waitUntil;
-    /**
-     * Time until which it may wait while no backend server of the service is usable, or once it
-     * has missed its latency target.
-     */
-    Instant extendedWaitUntil;
+    /** When the request began to wait for a backend server. */
+    Instant waitsSince;
+    /** How long it may wait. */
+    QueueWait wait;
     /** Time at which the caller's own timeout expires. */
     Instant deadline;
     /** Time at which the latency target is missed if the response has not started. */
@@ -208,6 +205,13 @@
                      RoutesChanged, RoutesConfirmed, ReplicasChanged, TargetVersionChanged,
                      LoadReportReceived, EntryCountChanged, CrashJudged, DispatchTick>;
 
+/** Hooks of the dispatcher. They must not block. */
+struct DispatcherHooks
+{
+    /** Called repeatedly with the demand of callers for each service with engines; may be empty. */
+    std::function<void(const std::vector<ServiceDemand> &demands)> onDemand;
+};
+
 /** Limits of the dispatcher. */
 struct DispatcherOptions
 {
@@ -224,7 +228,7 @@
 {
 public:
     Dispatcher(const asio::any_io_executor &executor, DispatcherOptions options,
-               std::shared_ptr<Metrics> metrics, Log log);
+               DispatcherHooks hooks, std::shared_ptr<Metrics> metrics, Log log);
 
     /** @returns the mailbox that takes commands */
     const MailboxPtr<DispatchCommand> &mailbox() const { return m_mailbox; }
@@ -265,6 +269,8 @@
     bool tryAcquire(const AcquireReplica &command, Instant now);
     bool rejectIfTimedOut(const AcquireReplica &command, Instant now);
     void reject(const AcquireReplica &command, Instant now, ErrorKind kind);
+    void recordSaturation(Instant now);
+    void publishDemand(Instant now);
     void dispatchPending();
     HttpConnectionPtr acquirePooledConnection(const Address &address, Instant now);
     void closeExpiredConnections(Instant now);
@@ -284,6 +290,7 @@
 
     asio::any_io_executor m_executor;
     DispatcherOptions m_options;
+    DispatcherHooks m_hooks;
     std::shared_ptr<Metrics> m_metrics;
     Log m_log;
     MailboxPtr<DispatchCommand> m_mailbox;
@@ -292,6 +299,10 @@
     Instant m_tableCompleteAsOf;
     LoadBalancer m_loads;
     std::map<ServiceName, SharedRetryBudget> m_retryBudgets;
+    std::map<ServiceName, DemandMeter> m_demands;
+    /** Services of which callers ask for more than the backend servers can do. */
+    std::set<ServiceName> m_saturated;
+    Instant m_demandPublishedAt;
     /**
      * The longest remaining time that callers of each route have sent. A caller sends its longest
      * one with its first attempt.
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -60,7 +60,12 @@
     DispatcherOptions options;
     options.loads.zone = m_settings.zone;
     options.bounds = m_settings.bounds;
-    m_dispatcher = std::make_shared<Dispatcher>(m_executor, options, m_metrics, m_log);
+    DispatcherHooks dispatcherHooks;
+    dispatcherHooks.onDemand = [this](const std::vector<ServiceDemand> &demands) {
+        m_loadListener->mailbox()->post(DemandMeasured {demands});
+    };
+    m_dispatcher =
+            std::make_shared<Dispatcher>(m_executor, options, dispatcherHooks, m_metrics, m_log);
 
     makeQuarantine();
 
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -31,6 +31,21 @@
 /** Number of times that agents are asked until one that has said nothing counts as silent. */
 constexpr int questionsPerCheck = 2;
 
+/** The bytes of a subscription that asks for the known entries, and of one that does not. */
+struct EncodedSubscriptions
+{
+    explicit EncodedSubscriptions(LoadSubscription subscription)
+    {
+        subscription.wantsEntries = true;
+        asking = encodeDatagram(subscription);
+        subscription.wantsEntries = false;
+        notAsking = encodeDatagram(subscription);
+    }
+
+    std::string asking;
+    std::string notAsking;
+};
+
 } // namespace
 
 LoadListener::LoadListener(const asio::any_io_executor &executor, EntryLocation self,
@@ -215,12 +230,33 @@
 }
 
 /**
- * Sends a subscription to the agents.
+ * Sends a subscription to the agents. Those of other zones are told of demand only if callers are
+ * turned away, since they would give no credits for it otherwise.
  * @param except agents that are left out
  * @param asked positions of the agents that are asked for the entries that they know
  */
 void LoadListener::subscribe(const std::set<asio::ip::udp::endpoint> &except,
                              const std::set<std::size_t> &asked)
+{
+    LoadSubscription own = makeSubscription();
+    own.demands = m_demands;
+    LoadSubscription other = makeSubscription();
+    other.demands = m_demands;
+    std::erase_if(other.demands,
+                  [](const ServiceDemand &demand) { return demand.turnedAway == 0; });
+    const EncodedSubscriptions toOwnZone(std::move(own));
+    const EncodedSubscriptions toOtherZones(std::move(other));
+    for (std::size_t i = 0; i < m_agents.size(); ++i) {
+        const EncodedSubscriptions &bytes =
+                m_agentZones[i] == m_self.zone ? toOwnZone : toOtherZones;
+        if (!except.contains(m_agents[i])) {
+            m_socket.send(asked.contains(i) ? bytes.asking : bytes.notAsking, m_agents[i]);
+        }
+    }
+}
+
+/** @returns a subscription with what this entry knows, apart from its demand */
+LoadSubscription LoadListener::makeSubscription() const
 {
     const Instant now = monotonicNow();
     LoadSubscription request {m_self.instance,  m_self.zone, m_entries.checksum(),
@@ -231,14 +267,7 @@
     for (const auto &[model, known] : m_targetVersions) {
         request.targetVersions.push_back({known.targetVersion, now - known.announcedAt});
     }
-    const std::string asking = encodeDatagram(request);
-    request.wantsEntries = false;
-    const std::string notAsking = encodeDatagram(request);
-    for (std::size_t i = 0; i < m_agents.size(); ++i) {
-        if (!except.contains(m_agents[i])) {
-            m_socket.send(asked.contains(i) ? asking : notAsking, m_agents[i]);
-        }
-    }
+    return request;
 }
 
 void LoadListener::handleDatagram(const Datagram &datagram, const std::string &senderIp)
--- a/source/edge/loadlistener.h
+++ b/source/edge/loadlistener.h
@@ -57,6 +57,12 @@
     ReplicaListDelta delta;
 };
 
+/** The demand that callers have for services with engines, which agents are told of. */
+struct DemandMeasured
+{
+    std::vector<ServiceDemand> demands;
+};
+
 /** Sends a datagram to another entry. */
 struct SendToEntry
 {
@@ -67,7 +73,7 @@
 /** Messages to the task. */
 using LoadListenerCommand =
         std::variant<AgentsUpdated, OperatorOffsetUpdated, OperatorViewConfirmed,
-                     AnnounceTargetVersion, RelayListDelta, SendToEntry>;
+                     AnnounceTargetVersion, RelayListDelta, DemandMeasured, SendToEntry>;
 
 /** Hooks for what the listener receives. They must not block. */
 struct LoadListenerHooks
@@ -109,12 +115,14 @@
     void apply(const OperatorViewConfirmed &command);
     void apply(const AnnounceTargetVersion &command);
     void apply(const RelayListDelta &command);
+    void apply(const DemandMeasured &command) { m_demands = command.demands; }
     void apply(const SendToEntry &command);
     void sendToEntry(const std::string &ip, const std::string &bytes);
     std::vector<std::string> encodeInParts(const ReplicaListDelta &delta) const;
     void requestReports();
     void subscribe(const std::set<asio::ip::udp::endpoint> &except,
                    const std::set<std::size_t> &asked);
+    LoadSubscription makeSubscription() const;
     void expireEntries(Instant now);
     std::set<std::size_t> nextQuestions();
     void handleDatagram(const Datagram &datagram, const std::string &senderIp);
@@ -144,6 +152,7 @@
     ViewWitnesses m_views;
     /** Parts of deltas of the list that other entries relay. */
     DeltaAssembler m_listDeltas;
+    std::vector<ServiceDemand> m_demands;
     /** Offset up to which the operator's topic was read. */
     std::uint64_t m_operatorOffset = 0;
     /** As of when the view of the operator's topic is complete; empty before the first read. */
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -14,14 +14,8 @@
 
 /** Idle timeout of a stream, after which it resumes on another backend server if it may. */
 constexpr auto streamIdleTimeout = std::chrono::milliseconds(1500);
-/** Share of the latency target for which a request waits for a backend server with a free slot. */
-constexpr double queueWaitRatio = 0.3;
-/** Share of its remaining time for which a retried request waits for a usable backend server. */
-constexpr double retryQueueWaitRatio = 0.5;
 /** Retry-After of a request that another entry can serve at once. */
 constexpr auto refusalRetryAfter = std::chrono::milliseconds(200);
-/** Limit of the extended wait: callers abandon a stream that has not started after about 2 s. */
-constexpr auto maxExtendedWait = std::chrono::milliseconds(1200);
 /** Share of the remaining time for which the response to a retryable request is awaited. */
 constexpr double readTimeoutRatio = 0.4;
 
@@ -212,14 +206,13 @@
     query.isRetry = m_attempts > 0;
     // Without an attempt id, a late response to an earlier request could not be told apart.
     query.allowsPooledConnection = canRetry() && !m_call.attemptId.empty();
-    const Duration wait = std::min(scaled(route.latencyObjective, queueWaitRatio),
-                                   scaled(remainingTime(), queueWaitRatio));
-    query.waitUntil = monotonicNow() + wait;
     const bool isLikelyRetry = m_arrivedAt - m_admission.firstAttemptAt > route.latencyObjective;
-    const Duration retryWait =
-            std::min<Duration>(maxExtendedWait, scaled(remainingTime(), retryQueueWaitRatio));
-    const Duration extendedWait = isLikelyRetry ? retryWait : wait;
-    query.extendedWaitUntil = monotonicNow() + std::max(wait, extendedWait);
+    WaitingRequest waiting;
+    waiting.latencyObjective = route.latencyObjective;
+    waiting.remaining = remainingTime();
+    waiting.mayReturn = !isLikelyRetry && m_ran == ExecutionStatus::NotExecuted;
+    query.wait = queueWait(waiting);
+    query.waitsSince = monotonicNow();
     query.deadline = m_deadline;
     query.promptParts = m_promptParts;
     query.wasLost = m_wasLost;
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -215,6 +215,33 @@
     return Datagram(std::move(report));
 }
 
+std::vector<wire::ServiceDemand> demandsToWire(const std::vector<ServiceDemand> &demands)
+{
+    std::vector<wire::ServiceDemand> result;
+    for (const ServiceDemand &demand : demands) {
+        wire::ServiceDemand one;
+        one.serviceName = demand.service.text();
+        one.arrivals = static_cast<std::int32_t>(demand.arrivals);
+        one.turnedAway = static_cast<std::int32_t>(demand.turnedAway);
+        result.push_back(one);
+    }
+    return result;
+}
+
+Result<std::vector<ServiceDemand>> demandsFromWire(const std::vector<wire::ServiceDemand> &demands)
+{
+    std::vector<ServiceDemand> result;
+    for (const wire::ServiceDemand &one : demands) {
+        if (one.arrivals < 0 || one.turnedAway < 0) {
+            return fail(ErrorKind::ProtocolViolation,
+                        "a subscription contains a negative number of requests");
+        }
+        result.push_back({ServiceName(one.serviceName), static_cast<std::uint32_t>(one.arrivals),
+                          static_cast<std::uint32_t>(one.turnedAway)});
+    }
+    return result;
+}
+
 wire::Datagram toWire(const Datagram &datagram)
 {
     wire::Datagram frame;
@@ -246,6 +273,9 @@
             body.__set_viewAge(subscription->operatorViewAge->count());
         }
         body.__set_entriesWanted(subscription->wantsEntries);
+        if (!subscription->demands.empty()) {
+            body.__set_demands(demandsToWire(subscription->demands));
+        }
         frame.__set_loadWanted(body);
         return frame;
     }
@@ -288,6 +318,9 @@
     if (report.operatorViewAge) {
         body.__set_viewAge(report.operatorViewAge->count());
     }
+    if (report.credits) {
+        body.__set_credits(static_cast<std::int32_t>(*report.credits));
+    }
     frame.__set_loadSeen(body);
     return frame;
 }
@@ -343,6 +376,7 @@
             subscription.targetVersions.push_back(
                     {{ModelName(named.model), static_cast<std::uint64_t>(named.version)}, age});
         }
+        BOOST_LEAF_ASSIGN(subscription.demands, demandsFromWire(frame.loadWanted.demands));
         return Datagram(std::move(subscription));
     }
     if (frame.__isset.listPassed) {
@@ -374,7 +408,8 @@
     }
     const wire::LoadSeen &seen = frame.loadSeen;
     const bool isNegative = seen.bornMs < 0 || seen.weights < 0 || seen.waiting < 0
-            || seen.running < 0 || seen.pace < 0 || (seen.__isset.viewAge && seen.viewAge < 0);
+            || seen.running < 0 || seen.pace < 0 || (seen.__isset.viewAge && seen.viewAge < 0)
+            || (seen.__isset.credits && seen.credits < 0);
     if (!frame.__isset.loadSeen || isNegative) {
         return fail(ErrorKind::ProtocolViolation,
                     "a datagram has unknown content or negative numbers");
@@ -392,6 +427,9 @@
     if (seen.__isset.viewAge) {
         report.operatorViewAge = std::min<Duration>(Duration(seen.viewAge), maxKnownVersionAge);
     }
+    if (seen.__isset.credits) {
+        report.credits = static_cast<std::uint32_t>(seen.credits);
+    }
     return Datagram(std::move(report));
 }
 
--- a/source/protocol/datagramcodec.h
+++ b/source/protocol/datagramcodec.h
@@ -10,6 +10,7 @@
 #include "core/fleet/fleetconfig.h"
 #include "core/fleet/loadbalancer.h"
 #include "core/fleet/replicalistdelta.h"
+#include "core/fleet/servicedemand.h"
 
 #include <string>
 #include <string_view>
@@ -49,6 +50,8 @@
     std::optional<Duration> operatorViewAge;
     /** Whether the agent is to send the entries that it knows, if they are others. */
     bool wantsEntries = true;
+    /** The demand that the sender sees for services with engines. */
+    std::vector<ServiceDemand> demands;
 
     auto operator<=>(const LoadSubscription &) const = default;
 };
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -346,6 +346,14 @@
   3: i32 partCount;
 }
 
+/** Requests that callers made at an entry for one service in the last second. */
+struct ServiceDemand {
+  1: string serviceName;
+  2: i32 arrivals;
+  /** Those of them that were turned away. */
+  3: i32 turnedAway;
+}
+
 /** Datagram of an entry to an agent: send reports of load here for a while. */
 struct LoadWanted {
   1: string instance;
@@ -360,6 +368,7 @@
   6: optional i64 viewAge;
   /** Whether the receiver is to answer with the entries that it has heard of, if they are others; absent means yes. */
   7: optional bool entriesWanted;
+  8: optional list<ServiceDemand> demands;
 }
 
 /** An entry, as an agent has heard of it. */
@@ -390,6 +399,8 @@
   9: i64 news;
   /** Age in microseconds of the newest view of the operator's doings that the sender was told of. */
   10: optional i64 viewAge;
+  /** Requests that the receiver may send until the next report while the backend server is contended. */
+  11: optional i32 credits;
 }
 
 /** A named version of weights, as an agent has heard of it. */
--- a/source/sidecar/loadreporter.cpp
+++ b/source/sidecar/loadreporter.cpp
@@ -13,8 +13,11 @@
 constexpr std::size_t mailboxCapacity = 64;
 /** Time after its last request at which an entry's subscription expires. */
 constexpr auto subscriptionTimeout = std::chrono::milliseconds(800);
-/** Minimum time between two reports to an entry of another zone without urgent changes. */
-constexpr auto otherZonePeriod = std::chrono::milliseconds(350);
+/** Minimum time between two reports to an entry without credits or urgent changes. */
+constexpr Duration ownZonePeriod = std::chrono::milliseconds(90);
+constexpr Duration otherZonePeriod = std::chrono::milliseconds(350);
+/** Time after which an unchanged report is sent again. */
+constexpr Duration reportRefreshPeriod = std::chrono::milliseconds(400);
 /** An entry is told of an age that exceeds its own estimate by more than this. */
 constexpr auto ageTolerance = std::chrono::milliseconds(200);
 /** Interval at which the volume of what was sent is logged. */
@@ -40,13 +43,23 @@
             || (isSame && entry.age + ageTolerance >= knownFor);
 }
 
+/** @returns the demand that a subscription states for a service; none if it states none */
+ServiceDemand demandFor(const LoadSubscription &subscription, const ServiceName &service)
+{
+    const auto it = std::find_if(
+            subscription.demands.begin(), subscription.demands.end(),
+            [&service](const ServiceDemand &demand) { return demand.service == service; });
+    return it == subscription.demands.end() ? ServiceDemand {service, 0, 0} : *it;
+}
+
 } // namespace
 
 LoadReporter::LoadReporter(const asio::any_io_executor &executor, ZoneName zone,
-                           LoadReporterHooks hooks, Log log)
-    : m_executor(executor), m_zone(std::move(zone)), m_hooks(std::move(hooks)),
-      m_log(std::move(log)), m_mailbox(makeMailbox<LoadReporterCommand>(executor, mailboxCapacity)),
-      m_socket(executor), m_knownEntries(subscriptionTimeout)
+                           ServiceName service, LoadReporterHooks hooks, Log log)
+    : m_executor(executor), m_zone(std::move(zone)), m_service(std::move(service)),
+      m_hooks(std::move(hooks)), m_log(std::move(log)),
+      m_mailbox(makeMailbox<LoadReporterCommand>(executor, mailboxCapacity)), m_socket(executor),
+      m_knownEntries(subscriptionTimeout), m_credits(randomNumber())
 { }
 
 Result<void> LoadReporter::start(const std::string &ip, std::uint16_t port)
@@ -87,9 +100,11 @@
     const Instant now = monotonicNow();
     const bool isNew = !m_subscribers.contains(sender);
     Subscriber &subscriber = m_subscribers[sender];
+    subscriber.entry = subscription.instance;
     subscriber.requestedAt = now;
     subscriber.isSameZone = subscription.zone == m_zone;
     subscriber.wantsEntries = subscription.wantsEntries;
+    subscriber.demand = demandFor(subscription, m_service);
     if (now - m_heardAt > deafAfter) {
         m_knownEntries.renewAll(now);
     }
@@ -170,16 +185,19 @@
  *          reports, since they route fewer requests to this backend server and the links between
  *          zones have little bandwidth. Changes that affect routing decisions are sent at once.
  */
-bool LoadReporter::isDue(const Subscriber &subscriber, const LoadReport &report, Instant now) const
+bool LoadReporter::isDue(const Subscriber &subscriber, const LoadReport &load, Instant now) const
 {
-    if (subscriber.isSameZone || !subscriber.lastReport
-        || now - subscriber.lastReportAt >= otherZonePeriod) {
+    if (!subscriber.lastLoad) {
         return true;
     }
-    const LoadReport &last = *subscriber.lastReport;
-    return last.hasOrderInProgress != report.hasOrderInProgress
-            || last.weightsVersion != report.weightsVersion
-            || last.startedAtMs != report.startedAtMs;
+    const LoadReport &last = *subscriber.lastLoad;
+    if (last.hasOrderInProgress != load.hasOrderInProgress
+        || last.weightsVersion != load.weightsVersion || last.startedAtMs != load.startedAtMs) {
+        return true;
+    }
+    const Duration elapsed = now - subscriber.lastReportAt;
+    const Duration period = subscriber.isSameZone ? ownZonePeriod : otherZonePeriod;
+    return elapsed >= reportRefreshPeriod || (last != load && elapsed >= period);
 }
 
 Awaitable<void> LoadReporter::runCommands()
@@ -201,30 +219,68 @@
     }
 }
 
-void LoadReporter::apply(LoadReport report)
+void LoadReporter::apply(const LoadReport &load)
 {
-    report.entriesChecksum = m_knownEntries.checksum();
-    report.operatorOffset = m_operatorOffset;
     const Instant now = monotonicNow();
-    report.operatorViewAge = m_views.newestViewAge(now);
-    m_lastReport = report;
     if (m_views.isUnreadableForAll(now) && m_hooks.onTopicUnreadable) {
         m_hooks.onTopicUnreadable();
     }
     std::erase_if(m_subscribers, [&](const auto &entry) {
         return now - entry.second.requestedAt > subscriptionTimeout;
     });
-    const std::string bytes = encodeDatagram(report);
     sendEntries();
-    for (auto &[entry, subscriber] : m_subscribers) {
-        if (isDue(subscriber, report, now)) {
-            subscriber.lastReport = report;
-            subscriber.lastReportAt = now;
-            m_sent.reports += bytes.size();
-            m_socket.send(bytes, entry);
+    sendReports(load, now);
+    logSentBytes(now);
+}
+
+/** Sends a load to the subscribers that are due, and to those that receive credits. */
+void LoadReporter::sendReports(const LoadReport &load, Instant now)
+{
+    LoadReport report = load;
+    report.entriesChecksum = m_knownEntries.checksum();
+    report.operatorOffset = m_operatorOffset;
+    report.operatorViewAge = m_views.newestViewAge(now);
+    m_lastReport = report;
+    const std::map<InstanceId, std::uint32_t> credits = allocateCredits(load);
+    std::map<std::uint32_t, std::string> encoded;
+    for (auto &[endpoint, subscriber] : m_subscribers) {
+        const auto own = credits.find(subscriber.entry);
+        const std::uint32_t ownCredits = own == credits.end() ? 0 : own->second;
+        if (ownCredits == 0 && !isDue(subscriber, load, now)) {
+            continue;
+        }
+        if (m_slots > 0) {
+            report.credits = ownCredits;
+        }
+        std::string &bytes = encoded[ownCredits];
+        if (bytes.empty()) {
+            bytes = encodeDatagram(report);
         }
+        subscriber.lastLoad = load;
+        subscriber.lastReportAt = now;
+        m_sent.reports += bytes.size();
+        m_socket.send(bytes, endpoint);
     }
-    logSentBytes(now);
+}
+
+/** @returns the credits of the subscribers; none while entries need no credits */
+std::map<InstanceId, std::uint32_t> LoadReporter::allocateCredits(const LoadReport &load)
+{
+    const BackendOccupancy occupancy {m_slots, load.running + load.waiting};
+    const bool areNeeded = isContended(occupancy)
+            || std::any_of(m_subscribers.begin(), m_subscribers.end(),
+                           [](const auto &it) { return it.second.demand.turnedAway > 0; });
+    const std::uint32_t credits =
+            areNeeded && !load.hasOrderInProgress ? availableCredits(occupancy) : 0;
+    if (credits == 0) {
+        return {};
+    }
+    std::vector<CreditClaim> claims;
+    for (const auto &[endpoint, subscriber] : m_subscribers) {
+        claims.push_back({subscriber.entry, subscriber.isSameZone, subscriber.demand.arrivals,
+                          subscriber.demand.turnedAwayShare()});
+    }
+    return m_credits.allocate(credits, claims);
 }
 
 /** Logs how much was sent of each kind, at intervals. */
--- a/source/sidecar/loadreporter.h
+++ b/source/sidecar/loadreporter.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "core/fleet/creditallocator.h"
 #include "core/fleet/viewwitnesses.h"
 #include "net/datagramsocket.h"
 #include "net/log.h"
@@ -22,8 +23,14 @@
     Instant since;
 };
 
-/** Messages to the task: a new report of the local backend server, or a target version. */
-using LoadReporterCommand = std::variant<LoadReport, TargetVersionKnown>;
+/** The configuration states how many requests the backend server processes concurrently. */
+struct SlotsChanged
+{
+    std::uint32_t slots = 0;
+};
+
+/** Messages to the task. */
+using LoadReporterCommand = std::variant<LoadReport, TargetVersionKnown, SlotsChanged>;
 
 /** Hooks for what entries send along with their subscriptions. They must not block. */
 struct LoadReporterHooks
@@ -47,9 +54,12 @@
 class LoadReporter : public std::enable_shared_from_this<LoadReporter>
 {
 public:
-    /** @param zone the agent's zone; entries of other zones receive fewer reports */
-    LoadReporter(const asio::any_io_executor &executor, ZoneName zone, LoadReporterHooks hooks,
-                 Log log);
+    /**
+     * @param zone the agent's zone; entries of other zones receive fewer reports
+     * @param service the service of the local backend server
+     */
+    LoadReporter(const asio::any_io_executor &executor, ZoneName zone, ServiceName service,
+                 LoadReporterHooks hooks, Log log);
 
     /** @returns the mailbox that takes commands */
     const MailboxPtr<LoadReporterCommand> &mailbox() const { return m_mailbox; }
@@ -68,29 +78,36 @@
     /** A subscribed entry. */
     struct Subscriber
     {
+        InstanceId entry;
         Instant requestedAt;
         bool isSameZone = false;
         /** Whether its last subscription asked for the entries that the agent knows. */
         bool wantsEntries = false;
-        /** The last report sent to the entry, and when it was sent. */
-        std::optional<LoadReport> lastReport;
+        /** Its demand for the service of the backend server. */
+        ServiceDemand demand;
+        /** The load in the last report sent to the entry, and when it was sent. */
+        std::optional<LoadReport> lastLoad;
         Instant lastReportAt;
     };
 
     Awaitable<void> listen();
     Awaitable<void> runCommands();
-    void apply(LoadReport report);
+    void apply(const LoadReport &load);
     void apply(const TargetVersionKnown &command);
+    void apply(const SlotsChanged &command) { m_slots = command.slots; }
+    std::map<InstanceId, std::uint32_t> allocateCredits(const LoadReport &load);
+    void sendReports(const LoadReport &load, Instant now);
     void sendEntries();
     void logSentBytes(Instant now);
     void sendVersionNews(const LoadSubscription &subscription,
                          const asio::ip::udp::endpoint &sender, Instant now);
-    bool isDue(const Subscriber &subscriber, const LoadReport &report, Instant now) const;
+    bool isDue(const Subscriber &subscriber, const LoadReport &load, Instant now) const;
     void handleSubscription(const LoadSubscription &subscription,
                             const asio::ip::udp::endpoint &sender);
 
     asio::any_io_executor m_executor;
     ZoneName m_zone;
+    ServiceName m_service;
     LoadReporterHooks m_hooks;
     Log m_log;
     MailboxPtr<LoadReporterCommand> m_mailbox;
@@ -102,6 +119,9 @@
     /** When an entry was last heard of. */
     Instant m_heardAt;
     std::optional<LoadReport> m_lastReport;
+    /** Number of requests that the backend server processes concurrently; 0 if unknown. */
+    std::uint32_t m_slots = 0;
+    CreditAllocator m_credits;
     /** The newest target version of the weights of each model. */
     std::map<ModelName, TargetVersionKnown> m_targetVersions;
     /** The highest offset of the operator's log that an entry has reported. */
--- a/source/sidecar/sidecar.cpp
+++ b/source/sidecar/sidecar.cpp
@@ -11,9 +11,7 @@
  * versions as soon as they read them.
  */
 constexpr auto operatorPollPeriod = std::chrono::seconds(10);
-constexpr auto probePeriod = std::chrono::milliseconds(100);
-/** Time after which an unchanged report is sent again. */
-constexpr auto reportRefreshPeriod = std::chrono::milliseconds(400);
+constexpr auto probePeriod = std::chrono::milliseconds(50);
 constexpr auto shutdownTimeout = std::chrono::seconds(1);
 /**
  * Share of the machine's link that incoming weights may use; the responses of the backend server
@@ -50,7 +48,8 @@
         m_operatorWatcher->confirmPeerView(completeAsOf);
     };
     hooks.onTopicUnreadable = [this] { m_operatorWatcher->recordOutage(); };
-    m_loadReporter = std::make_shared<LoadReporter>(m_executor, m_settings.zone, hooks, m_log);
+    m_loadReporter = std::make_shared<LoadReporter>(m_executor, m_settings.zone,
+                                                    m_settings.backendService, hooks, m_log);
     BOOST_LEAF_CHECK(m_loadReporter->start(m_settings.ip, m_settings.firstPort + 1));
 
     makeWeightTasks();
@@ -107,6 +106,9 @@
         m_exchange->fetcher()->post(FetcherConfigChanged {table});
         const bool mayCancel = canFailOver(table->config(), m_settings.backendService);
         m_installer->mailbox()->post(InstallerCancelPolicyChanged {mayCancel});
+        const Service *service = table->service(m_settings.backendService);
+        const bool hasEngine = service != nullptr && service->engine;
+        m_loadReporter->mailbox()->post(SlotsChanged {hasEngine ? service->engine->slots : 0});
     };
     hooks.onTargetVersion = [this](const TargetVersion &named, bool isOld, Duration age) {
         // A version announced before this process started is installed without waiting for a
@@ -160,12 +162,6 @@
     load.waiting = m_report->waiting;
     load.running = m_report->running;
     load.slowdown = m_report->slowdown;
-    const Instant now = monotonicNow();
-    if (m_lastSentLoad && *m_lastSentLoad == load && now - m_lastSentAt < reportRefreshPeriod) {
-        return;
-    }
-    m_lastSentLoad = load;
-    m_lastSentAt = now;
     m_loadReporter->mailbox()->post(load);
 }
 
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -52,8 +52,6 @@
     std::optional<ReplicaReport> m_report;
     /** Whether the backend server is about to load weights and should receive no new requests. */
     bool m_isDraining = false;
-    std::optional<LoadReport> m_lastSentLoad;
-    Instant m_lastSentAt;
 };
 
 } // namespace greengageseam
--- a/tests/differential/tst_platformdecoders.cpp
+++ b/tests/differential/tst_platformdecoders.cpp
@@ -145,7 +145,11 @@
     report.backend = Address("127.0.0.1:1");
     report.weightsVersion = 3;
     report.running = 7;
+    report.credits = 2;
     checkMutants(encodeDatagram(report), decodeDatagram);
+    LoadSubscription demanding {InstanceId("a"), ZoneName("b"), 7, 9};
+    demanding.demands = {{ServiceName("pool"), 12, 3}};
+    checkMutants(encodeDatagram(demanding), decodeDatagram);
     checkMutants(encodeDatagram(LoadSubscription {InstanceId("a"), ZoneName("b"), 7, 9}),
                  decodeDatagram);
     ReplicaEntry entry;
@@ -175,6 +179,7 @@
     report.slowdown = 1.5;
     report.entriesChecksum = UINT64_MAX;
     report.operatorOffset = 12;
+    report.credits = 3;
     const std::vector<Datagram> all {
             report,
             LoadSubscription {InstanceId("a"), ZoneName("b"), UINT64_MAX, 9},
--- a/tests/failure/tst_latestarts.cpp
+++ b/tests/failure/tst_latestarts.cpp
@@ -31,8 +31,8 @@
         LoadReporterHooks hooks;
         hooks.onEntriesChanged = [](const std::vector<EntryLocation> &) { };
         hooks.onTargetVersion = [](const TargetVersion &) { };
-        m_agent = std::make_shared<LoadReporter>(m_context.get_executor(), m_settings.zone, hooks,
-                                                 m_log);
+        m_agent = std::make_shared<LoadReporter>(m_context.get_executor(), m_settings.zone,
+                                                 ServiceName("pool"), hooks, m_log);
     }
 
     void startAgent()
--- a/tests/failure/tst_leaving.cpp
+++ b/tests/failure/tst_leaving.cpp
@@ -177,8 +177,8 @@
         LoadReporterHooks hooks;
         hooks.onEntriesChanged = [](const std::vector<EntryLocation> &) { };
         hooks.onTargetVersion = [](const TargetVersion &) { };
-        m_agent = std::make_shared<LoadReporter>(m_context.get_executor(), ZoneName("a"), hooks,
-                                                 m_log);
+        m_agent = std::make_shared<LoadReporter>(m_context.get_executor(), ZoneName("a"),
+                                                 ServiceName("pool"), hooks, m_log);
         REQUIRE(m_agent->start("127.0.0.1", m_port));
         m_reader = startEntry("entry-1", "127.0.0.4", [](const ReplicaListDelta &) { });
         m_receiver = startEntry("entry-2", "127.0.0.5", [this](const ReplicaListDelta &delta) {
--- a/tests/failure/tst_loadreports.cpp
+++ b/tests/failure/tst_loadreports.cpp
@@ -30,6 +30,7 @@
 
         DatagramSocket socket;
         std::vector<KnownTargetVersion> heard;
+        std::vector<LoadReport> reports;
         /** Lists of entries received; the agent sends one last in its answer to a subscription. */
         std::size_t lists = 0;
     };
@@ -54,8 +55,8 @@
         LoadReporterHooks hooks;
         hooks.onEntriesChanged = [](const std::vector<EntryLocation> &) { };
         hooks.onTargetVersion = [this](const TargetVersion &named) { m_told.push_back(named); };
-        m_agent = std::make_shared<LoadReporter>(m_context.get_executor(), ZoneName("a"), hooks,
-                                                 m_log);
+        m_agent = std::make_shared<LoadReporter>(m_context.get_executor(), ZoneName("a"),
+                                                 ServiceName("pool"), hooks, m_log);
         REQUIRE(m_agent->start("127.0.0.1", m_port));
         listen(m_first, "127.0.0.2");
         listen(m_second, "127.0.0.3");
@@ -113,6 +114,9 @@
             if (datagram != nullptr && std::holds_alternative<KnownEntries>(*datagram)) {
                 ++entry.lists;
             }
+            if (const auto *report = datagram ? std::get_if<LoadReport>(datagram) : nullptr) {
+                entry.reports.push_back(*report);
+            }
             if (known != nullptr) {
                 entry.heard.insert(entry.heard.end(), known->versions.begin(),
                                    known->versions.end());
@@ -138,6 +142,31 @@
         REQUIRE(waitUntil([&] { return entry.lists > lists; }));
     }
 
+    /**
+     * Subscribes both entries, each under a name of its own in the agent's zone, and lets the agent
+     * report a load to them.
+     */
+    void reportToBoth(std::uint32_t running)
+    {
+        int n = 0;
+        for (EntryStandin *entry : {&m_first, &m_second}) {
+            const InstanceId id("entry-" + std::to_string(n++));
+            LoadSubscription subscription {id, ZoneName("a"), 0, 0};
+            subscription.demands = {{ServiceName("pool"), 10, 0}};
+            const std::size_t lists = entry->lists;
+            entry->socket.send(encodeDatagram(subscription),
+                               {asio::ip::make_address("127.0.0.1"), m_port});
+            REQUIRE(waitUntil([&] { return entry->lists > lists; }));
+        }
+        LoadReport report;
+        report.backend = Address("127.0.0.1:80");
+        report.running = running;
+        const std::size_t reports = m_first.reports.size() + m_second.reports.size();
+        m_agent->mailbox()->post(report);
+        REQUIRE(waitUntil(
+                [&] { return m_first.reports.size() + m_second.reports.size() >= reports + 2; }));
+    }
+
     /** The agent itself reads a version of the model. */
     void readVersion(std::uint64_t version, Instant since)
     {
@@ -172,6 +201,24 @@
     std::list<AgentStandin> m_agents;
 };
 
+TEST_CASE_METHOD(LoadReportsFixture, "agent_serverHasThreeFreeSlots_dividesThemAmongEntries")
+{
+    m_agent->mailbox()->post(SlotsChanged {8});
+    reportToBoth(5);
+    const std::uint32_t first = *m_first.reports.back().credits;
+    const std::uint32_t second = *m_second.reports.back().credits;
+    REQUIRE(first + second == 3);
+    REQUIRE(first >= 1);
+    REQUIRE(second >= 1);
+}
+
+TEST_CASE_METHOD(LoadReportsFixture, "agent_slotsUnknown_handsOutNoCredits")
+{
+    reportToBoth(6);
+    REQUIRE_FALSE(m_first.reports.back().credits);
+    REQUIRE_FALSE(m_second.reports.back().credits);
+}
+
 TEST_CASE_METHOD(LoadReportsFixture, "agent_toldOfTargetVersionByOneEntry_tellsAnother")
 {
     subscribe(m_first, 2);
--- a/tests/failure/tst_poison.cpp
+++ b/tests/failure/tst_poison.cpp
@@ -49,8 +49,8 @@
         LoadReporterHooks hooks;
         hooks.onEntriesChanged = [](const std::vector<EntryLocation> &) { };
         hooks.onTargetVersion = [](const TargetVersion &) { };
-        m_agent = std::make_shared<LoadReporter>(m_context.get_executor(), ZoneName("a"), hooks,
-                                                 m_log);
+        m_agent = std::make_shared<LoadReporter>(m_context.get_executor(), ZoneName("a"),
+                                                 ServiceName("pool"), hooks, m_log);
         REQUIRE(m_agent->start("127.0.0.1", static_cast<std::uint16_t>(m_firstPort + 1)));
     }
 
--- a/tests/unit/tst_loadbalancer.cpp
+++ b/tests/unit/tst_loadbalancer.cpp
@@ -316,6 +316,70 @@
     REQUIRE_FALSE(acquire().has_value());
 }
 
+// All entries see the same free slot in a report, and would fill the server's queue together.
+TEST_CASE_METHOD(LoadBalancerFixture, "acquire_contendedWithoutCredit_isNotUsed")
+{
+    m_balancer.setReplicas({replica("a")});
+    LoadReport contended = report(replica("a"), 2);
+    contended.credits = 0;
+    m_balancer.applyReport(contended, m_now);
+    REQUIRE_FALSE(acquire());
+}
+
+TEST_CASE_METHOD(LoadBalancerFixture, "acquire_contendedWithCredit_spendsIt")
+{
+    m_balancer.setReplicas({replica("a")});
+    LoadReport contended = report(replica("a"), 2);
+    contended.credits = 1;
+    m_requirements.latencyObjective = milliseconds(2000);
+    m_balancer.applyReport(contended, m_now);
+    REQUIRE(acquire() == "a");
+    REQUIRE_FALSE(acquire());
+    m_balancer.applyReport(contended, m_now);
+    REQUIRE(acquire() == "a");
+}
+
+TEST_CASE_METHOD(LoadBalancerFixture, "acquire_creditIsOld_isNotUsed")
+{
+    m_balancer.setReplicas({replica("a")});
+    LoadReport contended = report(replica("a"), 2);
+    contended.credits = 1;
+    m_requirements.latencyObjective = milliseconds(2000);
+    m_balancer.applyReport(contended, m_now);
+    m_now += milliseconds(100);
+    REQUIRE_FALSE(acquire());
+}
+
+TEST_CASE_METHOD(LoadBalancerFixture, "acquire_slotsFree_needsNoCredit")
+{
+    m_balancer.setReplicas({replica("a")});
+    LoadReport idle = report(replica("a"), 1);
+    idle.credits = 0;
+    m_balancer.applyReport(idle, m_now);
+    REQUIRE(acquire() == "a");
+}
+
+// The first server with many free slots would be overrun by the requests that wait everywhere.
+TEST_CASE_METHOD(LoadBalancerFixture, "acquire_slotsFreeWhileCallersAreTurnedAway_needsACredit")
+{
+    m_balancer.setReplicas({replica("a")});
+    m_balancer.setSaturated(m_requirements.service, true);
+    LoadReport idle = report(replica("a"), 1);
+    idle.credits = 0;
+    m_balancer.applyReport(idle, m_now);
+    REQUIRE_FALSE(acquire());
+    m_balancer.setSaturated(m_requirements.service, false);
+    REQUIRE(acquire() == "a");
+}
+
+TEST_CASE_METHOD(LoadBalancerFixture, "acquire_agentHandsOutNoCredits_isUsedWhileSlotsAreFree")
+{
+    m_balancer.setReplicas({replica("a")});
+    m_balancer.setSaturated(m_requirements.service, true);
+    m_balancer.applyReport(report(replica("a"), 1), m_now);
+    REQUIRE(acquire() == "a");
+}
+
 TEST_CASE_METHOD(LoadBalancerFixture, "acquire_reportsOfOneAreStale_choosesTheOther")
 {
     const ReplicaEntry silent = replica("b");
--- a/tests/unit/tst_replicalistdelta.cpp
+++ b/tests/unit/tst_replicalistdelta.cpp
@@ -92,6 +92,24 @@
     REQUIRE(std::get<Datagram>(decoded) == request);
 }
 
+TEST_CASE_METHOD(ReplicaListDeltaFixture, "loadWanted_withDemands_isEqualAfterDecoding")
+{
+    LoadSubscription request {InstanceId("e"), ZoneName("a"), 3, 4};
+    request.demands = {{ServiceName("pool"), 14, 5}, {ServiceName("other"), 1, 0}};
+    const auto decoded =
+            toOutcome([&] { return decodeDatagram(encodeDatagram(Datagram(request))); });
+    REQUIRE(std::get<Datagram>(decoded) == Datagram(request));
+}
+
+TEST_CASE_METHOD(ReplicaListDeltaFixture, "loadWanted_withNegativeDemand_isRejected")
+{
+    LoadSubscription request {InstanceId("e"), ZoneName("a"), 3, 4};
+    request.demands = {{ServiceName("pool"), UINT32_MAX, 0}};
+    const auto decoded =
+            toOutcome([&] { return decodeDatagram(encodeDatagram(Datagram(request))); });
+    REQUIRE(failureOf(decoded)->kind == ErrorKind::ProtocolViolation);
+}
+
 TEST_CASE_METHOD(ReplicaListDeltaFixture, "loadWanted_withoutOtherEntries_isEqualAfterDecoding")
 {
     LoadSubscription request {InstanceId("e"), ZoneName("a"), 3, 4};
