Answer the connections that wait to be accepted when the server stops

Cause: closing the listener resets the connections that the kernel has established for a busy process, so callers of a planned stop under load got no answer.

Change: they are accepted first, and their requests refused as not run.

--- a/source/edge/callerserver.cpp
+++ b/source/edge/callerserver.cpp
@@ -33,10 +33,30 @@
 {
     m_state->isDraining = true;
     m_state->isStopped = true;
+    acceptWaitingConnections();
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
 }
 
+/** Accepts the connections that have been established already, which closing would reset. */
+void CallerServer::acceptWaitingConnections()
+{
+    boost::system::error_code ec;
+    m_acceptor.non_blocking(true, ec);
+    while (!ec && m_state->connections < m_maxConnections) {
+        asio::ip::tcp::socket socket(m_context.executor);
+        m_acceptor.accept(socket, ec);
+        if (!ec) {
+            serveConnection(std::move(socket));
+        }
+    }
+}
+
+void CallerServer::serveConnection(asio::ip::tcp::socket socket)
+{
+    std::make_shared<CallerConnection>(std::move(socket), m_context, m_state)->start();
+}
+
 Awaitable<void> CallerServer::acceptLoop()
 {
     while (m_acceptor.is_open()) {
@@ -46,7 +66,7 @@
             co_await timer.async_wait(asTuple);
             continue;
         }
-        std::make_shared<CallerConnection>(std::move(socket), m_context, m_state)->start();
+        serveConnection(std::move(socket));
     }
 }
 
--- a/source/edge/callerserver.h
+++ b/source/edge/callerserver.h
@@ -36,6 +36,8 @@
 
 private:
     Awaitable<void> acceptLoop();
+    void serveConnection(asio::ip::tcp::socket socket);
+    void acceptWaitingConnections();
 
     RequestContext m_context;
     std::size_t m_maxConnections;
