--- a/tests/differential/tst_overload.cpp
+++ b/tests/differential/tst_overload.cpp
@@ -155,8 +155,10 @@
 
     void arrive()
     {
-        const double perSecond = m_scenario.load * m_scenario.servers * slots * 1000 / serviceMs;
-        const double shares = m_scenario.entries - 1 + m_scenario.hotEntryFactor;
+        const double capacity = static_cast<double>(m_scenario.servers * slots) * 1000 / serviceMs;
+        const double perSecond = m_scenario.load * capacity;
+        const double shares =
+                static_cast<double>(m_scenario.entries - 1) + m_scenario.hotEntryFactor;
         for (std::size_t i = 0; i < m_entries.size(); ++i) {
             const double share = (i == 0 ? m_scenario.hotEntryFactor : 1) / shares;
             const double mean = perSecond * share * std::chrono::duration<double>(step).count();
