--- a/review/standins/platform.cpp
+++ b/review/standins/platform.cpp
@@ -92,7 +92,26 @@
     m_changed.notify_all();
 }
 
+void Store::cutOff(bool isCut)
+{
+    m_cuts += isCut ? 1 : 0;
+    m_isCut = isCut;
+}
+
+/** Of a connection that was cut, nothing more is heard; the thread that serves it stays. */
 std::string Store::handle(const HttpMessage &request)
+{
+    constexpr double longerThanAnyCase = 1000;
+    const int cutsBefore = m_cuts;
+    const bool isLost = m_isCut;
+    const std::string text = isLost ? std::string() : answer(request);
+    if (isLost || m_cuts != cutsBefore) {
+        wait(longerThanAnyCase);
+    }
+    return text;
+}
+
+std::string Store::answer(const HttpMessage &request)
 {
     const std::string topic = request.parameter("topic");
     if (request.target().starts_with("/-/log-newest")) {
@@ -115,6 +134,9 @@
     }
     std::string items;
     for (const auto &[key, record] : records) {
+        if (record.first.empty()) {
+            continue;
+        }
         items += items.empty() ? "" : ",";
         items += R"({"key":")" + key + R"(","value":")" + base64(record.first) + R"(","offset":)"
                 + std::to_string(record.second) + "}";
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -37,15 +37,21 @@
     Store();
 
     const std::string &address() const { return m_server.address(); }
+    /** @param value the new value; empty to delete the record */
     void put(const std::string &topic, const std::string &key, const std::string &value);
+    /** While the machines are cut off, whatever they send is lost, and so are the answers. */
+    void cutOff(bool isCut);
 
 private:
     std::string handle(const HttpMessage &request);
+    std::string answer(const HttpMessage &request);
     std::string newest(const std::string &topic);
     std::string tail(const std::string &topic, std::size_t from, int waitMs);
 
     std::mutex m_mutex;
     std::condition_variable m_changed;
+    std::atomic<bool> m_isCut = false;
+    std::atomic<int> m_cuts = 0;
     std::map<std::string, std::vector<std::pair<std::string, std::string>>> m_topics;
     Server m_server;
 };
