--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,39 +1,32 @@
 /**
- * Case 4: after a burst, connections that clients keep idle fill an entry. It says that it is ready
- * and takes no new connection.
+ * Case 4: replicas leave shortly after a cut between a zone and the store has healed. The entries
+ * of the zone go on sending to them for longer than drainMs.
  *
  * Usage: case4 FOLDER RECORD
  */
 #include "../standins/platform.h"
 
 #include <algorithm>
-#include <sys/resource.h>
 #include <thread>
 
 namespace review {
 namespace {
 
-/** Clients of this entry without the disruption; each keeps a connection. */
-constexpr int usualClients = 1250;
-/** The site's burst: x = 1.7. */
-constexpr double burstFactor = 1.7;
-constexpr int openers = 25;
-constexpr int newClients = 10;
-/** bounds.stableWindowMs of the settings. */
-constexpr double windowSeconds = 3;
-constexpr double triedSeconds = 6;
-constexpr double secondsBetweenTries = 0.1;
+constexpr int cuts = 8;
+/** The site cuts zones off for 5.5 s. */
+constexpr double cutSeconds = 4;
+/** When a replica leaves, after the cut has healed. */
+constexpr double leavesAfter = 0.5;
+/** bounds.drainMs and bounds.stableWindowMs of the settings. */
+constexpr double drainSeconds = 2;
+constexpr double stableSeconds = 3;
+constexpr double secondsAfterCut = 6;
+constexpr double secondsBetweenRequests = 0.02;
 constexpr double workSeconds = 0.015;
-constexpr int slots = 6;
 constexpr int patienceMs = 1000;
+const std::vector<std::string> entryIps {"127.0.2.1", "127.0.2.2"};
 
-std::string lookup(const std::string &id)
-{
-    return "GET /floor/status HTTP/1.1\r\nHost: floor.example\r\nAttempt-Id: " + id
-            + "\r\nRemaining-Time-Ms: 600\r\nKey: key-of-school\r\n\r\n";
-}
-
-/** A replica of the service "floor-desk". */
+/** A replica of the service "floor-desk", which serves on after it has left the store's list. */
 class Desk
 {
 public:
@@ -44,34 +37,63 @@
           })
     { }
 
+    const std::string &id() const { return m_id; }
+
     std::string entry() const
     {
         return R"({"service":"floor-desk","address":")" + m_server.address()
-                + R"(","zone":"herning-a","version":"v1","slots":)" + std::to_string(slots)
-                + R"(,"state":"ready","coldLeftMs":0,"sequence":1,"born":1790000000000})";
+                + R"(","zone":"herning-a","version":"v1","slots":6,"state":"ready",)"
+                + R"("coldLeftMs":0,"sequence":1,"born":1790000000000})";
+    }
+
+    /** @returns the requests that arrived from a time on, with their times */
+    std::vector<std::pair<double, std::string>> arrivedSince(double time)
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<std::pair<double, std::string>> late;
+        std::copy_if(m_arrivals.begin(), m_arrivals.end(), std::back_inserter(late),
+                     [time](const auto &arrival) { return arrival.first >= time; });
+        return late;
     }
 
 private:
     std::string handle(const HttpMessage &request)
     {
-        const std::string echo = "Attempt-Id: " + request.field("Attempt-Id") + "\r\n";
+        const std::string id = request.field("Attempt-Id");
+        const std::string echo = "Attempt-Id: " + id + "\r\n";
         if (request.field("Expected-Instance") != m_id) {
             return response("421 Misdirected Request", echo + "Replica-Id: " + m_id + "\r\n", "");
         }
-        if (++m_running > slots) {
-            --m_running;
-            return response("503 Service Unavailable", echo + "Not-Executed: 1\r\n", "");
+        {
+            const std::lock_guard lock(m_mutex);
+            m_arrivals.emplace_back(now(), id);
         }
         wait(workSeconds);
-        --m_running;
         return response("200 OK", echo + "Server-Seal: " + m_id + "\r\n", "done");
     }
 
     std::string m_id;
-    std::atomic<int> m_running = 0;
+    std::mutex m_mutex;
+    std::vector<std::pair<double, std::string>> m_arrivals;
     Server m_server;
 };
 
+/** Looks up orders one after the other on one connection until the time is over. */
+void runClient(const std::string &entry, int number, double until)
+{
+    auto connection = Connection::open(entry);
+    for (int n = 0; connection && now() < until; ++n) {
+        connection->setReadTimeout(patienceMs);
+        connection->send("GET /floor/status HTTP/1.1\r\nHost: floor.example\r\nAttempt-Id: "
+                         + std::to_string(number) + "-" + std::to_string(n)
+                         + "\r\nRemaining-Time-Ms: 600\r\nKey: key-of-school\r\n\r\n");
+        if (!connection->receive()) {
+            connection = Connection::open(entry);
+        }
+        wait(secondsBetweenRequests);
+    }
+}
+
 std::string deskConfig()
 {
     return R"({"version":7,"routes":[{"name":"r-status","host":"floor.example",)"
@@ -84,107 +106,67 @@
            R"("apiKeys":["key-of-school"]}]})";
 }
 
-/** Clients that open a connection each, get an answer, and keep the connection. */
-std::vector<std::unique_ptr<Connection>> openKept(const std::string &entry, int count,
-                                                  int answered[])
-{
-    std::vector<std::unique_ptr<Connection>> kept(static_cast<std::size_t>(count));
-    std::vector<std::thread> threads;
-    for (int opener = 0; opener < openers; ++opener) {
-        threads.emplace_back([&, opener] {
-            for (int n = opener; n < count; n += openers) {
-                auto &connection = kept[static_cast<std::size_t>(n)];
-                connection = Connection::open(entry);
-                if (!connection) {
-                    continue;
-                }
-                connection->setReadTimeout(patienceMs);
-                connection->send(lookup("kept-" + std::to_string(n)));
-                const auto answer = connection->receive();
-                answered[opener] += answer ? 1 : 0;
-            }
-        });
-    }
-    for (std::thread &thread : threads) {
-        thread.join();
-    }
-    return kept;
-}
-
 /** Ends the process while the stand-ins, whose threads go on, still exist. */
 [[noreturn]] void run(const std::string &folder, Record &record)
 {
     Store store;
     store.put("keyed.op", "config", deskConfig());
     std::vector<std::unique_ptr<Desk>> desks;
-    for (const char *id : {"i-1", "i-2", "i-3"}) {
-        desks.push_back(std::make_unique<Desk>(id));
-        store.put("keyed.servers", id, desks.back()->entry());
+    const auto addDesk = [&] {
+        desks.push_back(std::make_unique<Desk>("i-" + std::to_string(desks.size() + 1)));
+        store.put("keyed.servers", desks.back()->id(), desks.back()->entry());
+        record.line("store: " + desks.back()->id() + " is there");
+    };
+    for (int n = 0; n < 3; ++n) {
+        addDesk();
+    }
+    const int port = freePorts(entryIps, portsNeeded);
+    std::vector<std::unique_ptr<Node>> nodes;
+    for (const std::string &ip : entryIps) {
+        const NodeSpec spec {"entry", "front-" + ip, ip, store.address(), port, "", ""};
+        nodes.push_back(std::make_unique<Node>(spec, folder));
+        nodes.back()->start();
     }
-    const std::string ip = "127.0.2.1";
-    Node entry({"entry", "front-1", ip, store.address(), freePorts({ip}, portsNeeded), "", ""},
-               folder);
-    entry.start();
-    if (!entry.waitUntilReady(10)) {
+    if (!nodes[0]->waitUntilReady(10) || !nodes[1]->waitUntilReady(10)) {
         finish(notRun);
     }
-    wait(1);
-
-    const int clients = hasTrouble() ? static_cast<int>(usualClients * burstFactor) : usualClients;
-    const double burstAt = now();
-    int answered[openers] = {};
-    const auto kept = openKept(entry.frontAddress(), clients, answered);
-    int served = 0;
-    for (const int count : answered) {
-        served += count;
+    const double end = now() + cuts * (cutSeconds + secondsAfterCut) + 1;
+    std::vector<std::thread> clients;
+    for (int n = 0; n < 6; ++n) {
+        const std::string entry = nodes[static_cast<std::size_t>(n) % 2]->frontAddress();
+        clients.emplace_back([entry, n, end] { runClient(entry, n, end); });
     }
-    record.line("clients: " + std::to_string(clients) + " have come within "
-                + std::to_string(now() - burstAt) + " s, " + std::to_string(served)
-                + " got an answer and keep their connections");
 
-    const double from = now();
-    std::mutex mutex;
-    double firstServedAt = from + triedSeconds;
-    int tries = 0;
-    int taken = 0;
-    std::vector<std::thread> threads;
-    for (int client = 0; client < newClients; ++client) {
-        threads.emplace_back([&, client] {
-            for (int n = 0; now() < from + triedSeconds; ++n) {
-                const std::string id = "new-" + std::to_string(client) + "-" + std::to_string(n);
-                const auto connection = Connection::open(entry.frontAddress());
-                std::optional<HttpMessage> answer;
-                if (connection) {
-                    connection->setReadTimeout(patienceMs);
-                    connection->send(lookup(id));
-                    answer = connection->receive();
-                }
-                record.line("client: " + id
-                            + (answer ? " is answered " + std::to_string(answer->status())
-                                      : std::string(" loses its connection without an answer")));
-                {
-                    const std::lock_guard lock(mutex);
-                    ++tries;
-                    taken += answer ? 1 : 0;
-                    firstServedAt = answer ? std::min(firstServedAt, now()) : firstServedAt;
-                }
-                wait(secondsBetweenTries);
-            }
-        });
-    }
-    wait(triedSeconds / 2);
-    const bool isReady = entry.waitUntilReady(1);
-    for (std::thread &thread : threads) {
-        thread.join();
-    }
-    record.line("new connections tried by " + std::to_string(newClients)
-                + " clients: " + std::to_string(tries) + ", taken: " + std::to_string(taken)
-                + ", the first after " + std::to_string(firstServedAt - from) + " s; the entry is "
-                + (isReady ? "ready" : "not ready"));
-    if (served < usualClients / 2) {
-        finish(notRun);
+    std::size_t lateRequests = 0;
+    for (std::size_t n = 0; n < cuts; ++n) {
+        if (hasTrouble()) {
+            record.line("network: the zone is cut off from the store");
+            store.cutOff(true);
+        }
+        wait(cutSeconds);
+        store.cutOff(false);
+        const double healedAt = now();
+        record.line("network: no cut");
+        wait(leavesAfter);
+        addDesk();
+        Desk &leaving = *desks[n];
+        store.put("keyed.servers", leaving.id(), "");
+        const double leftAt = now();
+        record.line("store: acknowledges that " + leaving.id() + " is gone");
+        wait(secondsAfterCut - leavesAfter);
+        const double judgedFrom = std::max(leftAt + drainSeconds, healedAt + stableSeconds);
+        const auto late = leaving.arrivedSince(judgedFrom);
+        lateRequests += late.size();
+        record.line(leaving.id() + ": " + std::to_string(leaving.arrivedSince(leftAt).size())
+                    + " requests since then, too late: " + std::to_string(late.size())
+                    + (late.empty() ? std::string()
+                                    : ", the last " + std::to_string(late.back().first - leftAt)
+                                       + " s after the acknowledgement, "
+                                       + std::to_string(late.back().first - healedAt)
+                                       + " s after the cut: " + late.back().second));
     }
-    finish(isReady && firstServedAt - from > windowSeconds ? ruleBroken : ruleHeld);
+    record.line("requests that reached replicas too late: " + std::to_string(lateRequests));
+    finish(lateRequests > 0 ? ruleBroken : ruleHeld);
 }
 
 } // namespace
@@ -195,14 +177,6 @@
     if (argc != 3) {
         return review::notRun;
     }
-    // As many descriptors as the deployment gives a process.
-    constexpr rlim_t descriptors = 4100;
-    rlimit limit {};
-    getrlimit(RLIMIT_NOFILE, &limit);
-    limit.rlim_cur = std::min(limit.rlim_max, descriptors);
-    if (limit.rlim_cur < descriptors || setrlimit(RLIMIT_NOFILE, &limit) != 0) {
-        return review::notRun;
-    }
     review::Record record(argv[2]);
     review::run(argv[1], record);
 }
