--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -2,9 +2,9 @@
  * Case 4: replicas leave shortly after a cut between a zone and the store has healed. The entries
  * of the zone go on sending to them for longer than drainMs.
  *
- * Usage: case4 FOLDER RECORD
+ * Usage: case FOLDER RECORD
  */
-#include "../standins/platform.h"
+#include "../platform.h"
 
 #include <algorithm>
 #include <thread>
--- a/review/standins/net.cpp
+++ b/review/net.cpp
@@ -281,7 +281,7 @@
 {
     constexpr int lowest = 21000;
     constexpr int highest = 31000;
-    const int start = lowest + getpid() % (highest - lowest);
+    const int start = lowest + getpid() * count % (highest - lowest);
     for (int base = start; base < highest + lowest; base += count) {
         bool isFree = true;
         for (const std::string &host : hosts) {
