Read a piece list again when its pieces do not match

Cause: a list of pieces was believed for as long as its version was the newest. Only the pieces show whether it is intact, and a piece that did not match its digest was taken for a spoilt piece every time. Entries pass their list on, so one spoilt answer was enough for a zone. Lists were not compared with the configuration either.

Change: lists are checked against the configuration; the list of an incomplete version is read again from the origin when one of its pieces does not match, from a peer that announces another manifest, and after 3 s in any case; lists that differ are kept until the pieces of one are complete.

--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -133,8 +133,8 @@
     const WeightTasks tasks {m_chunkLinks->mailbox(), m_chunkServer->mailbox()};
     m_weightManager = std::make_shared<WeightManager>(
             m_executor, commands, TransferPlanner(options, m_policy, monotonicNow()), sources,
-            tasks, [this](const WeightStatus &status) { onWeightStatus(status); }, m_metrics,
-            m_log);
+            tasks, WeightHooks {[this](const WeightStatus &status) { onWeightStatus(status); }, {}},
+            m_metrics, m_log);
     m_reachableZones.insert(m_settings.zone);
     for (const WeightPeer &peer : settings.otherZonePeers) {
         m_reachableZones.insert(peer.zone);
--- a/source/agent/weightmanager.cpp
+++ b/source/agent/weightmanager.cpp
@@ -38,10 +38,10 @@
 
 WeightManager::WeightManager(const asio::any_io_executor &executor,
                              MailboxPtr<WeightCommand> mailbox, TransferPlanner planner,
-                             WeightSources sources, WeightTasks tasks, WeightObserver observer,
+                             WeightSources sources, WeightTasks tasks, WeightHooks hooks,
                              std::shared_ptr<Metrics> metrics, Log log)
     : m_executor(executor), m_mailbox(std::move(mailbox)), m_planner(std::move(planner)),
-      m_sources(std::move(sources)), m_tasks(std::move(tasks)), m_observer(std::move(observer)),
+      m_sources(std::move(sources)), m_tasks(std::move(tasks)), m_hooks(std::move(hooks)),
       m_metrics(std::move(metrics)), m_log(std::move(log))
 { }
 
@@ -119,6 +119,9 @@
     if (const Failure *failure = failureOf(command.bytes)) {
         finished.result = fetchResultFor(*failure);
         recordFetchFailure(*failure, command.source);
+        if (command.source.isOrigin() && failure->kind == ErrorKind::CorruptData) {
+            reportDoubt({});
+        }
         plan(finished);
         return;
     }
@@ -154,6 +157,7 @@
 {
     const Digest &manifest = command.chunks.manifest;
     if (m_planner.manifest(manifest) == nullptr) {
+        reportDoubt({command.chunks.peer, manifest});
         return;
     }
     plan(command.chunks);
@@ -280,6 +284,14 @@
     }
 }
 
+/** A version that is complete is beyond doubt, since its chunks match the manifest. */
+void WeightManager::reportDoubt(const ManifestDoubt &doubt) const
+{
+    if (m_hooks.onManifestDoubt && !m_planner.isDone()) {
+        m_hooks.onManifestDoubt(doubt);
+    }
+}
+
 void WeightManager::updatePeersToLink()
 {
     std::vector<WeightPeer> peersToLink = m_planner.peersToLink();
@@ -313,7 +325,7 @@
     m_status = std::move(status);
     m_metrics->set("weights_refused", "1 if a wanted version does not fit into memory",
                    m_planner.problem().empty() ? 0 : 1);
-    m_observer(m_status);
+    m_hooks.onStatus(m_status);
 }
 
 } // namespace greengageseam
--- a/source/agent/weightmanager.h
+++ b/source/agent/weightmanager.h
@@ -78,8 +78,25 @@
     auto operator<=>(const WeightStatus &) const = default;
 };
 
-/** Hook that is called with each new status. It must not block. */
-using WeightObserver = std::function<void(const WeightStatus &status)>;
+/** A sign that the manifest of a wanted version may be corrupt, although its digest matches. */
+struct ManifestDoubt
+{
+    /** The peer that announced another manifest; empty if a chunk of the origin did not match. */
+    InstanceId peer;
+    /** The manifest that the peer announced; empty if there is none. */
+    Digest announced;
+
+    auto operator<=>(const ManifestDoubt &) const = default;
+};
+
+/** Hooks of WeightManager. They must not block. */
+struct WeightHooks
+{
+    /** Called with each new status. */
+    std::function<void(const WeightStatus &status)> onStatus;
+    /** Called with each sign of a corrupt manifest; empty if manifests are known to be intact. */
+    std::function<void(const ManifestDoubt &doubt)> onManifestDoubt;
+};
 
 /** Mailboxes of the tasks that the manager sends commands to. */
 struct WeightTasks
@@ -99,13 +116,13 @@
      * @param planner decides which chunks to read, from where and when
      * @param sources reads weights
      * @param tasks mailboxes of the tasks for links and uploads
-     * @param observer called with each new status
+     * @param hooks inform others of the status, and of signs of a corrupt manifest
      * @param metrics receives byte counts and failures
      * @param log logger of the agent
      */
     WeightManager(const asio::any_io_executor &executor, MailboxPtr<WeightCommand> mailbox,
                   TransferPlanner planner, WeightSources sources, WeightTasks tasks,
-                  WeightObserver observer, std::shared_ptr<Metrics> metrics, Log log);
+                  WeightHooks hooks, std::shared_ptr<Metrics> metrics, Log log);
 
     /** @returns a mailbox for a WeightManager */
     static MailboxPtr<WeightCommand> makeCommandMailbox(const asio::any_io_executor &executor);
@@ -137,6 +154,7 @@
     Awaitable<void> fetchManifest(FetchManifest action);
     Awaitable<void> fetchChunk(FetchChunk action, MailboxPtr<StreamEvent> events);
     void recordFetchFailure(const Failure &failure, const ChunkSource &source);
+    void reportDoubt(const ManifestDoubt &doubt) const;
     void updatePeersToLink();
     void announceChanges();
     void publishStatus();
@@ -146,7 +164,7 @@
     TransferPlanner m_planner;
     WeightSources m_sources;
     WeightTasks m_tasks;
-    WeightObserver m_observer;
+    WeightHooks m_hooks;
     std::shared_ptr<Metrics> m_metrics;
     Log m_log;
     /** Stored chunks by digest. Invariant: the bytes match the digest. */
--- a/source/core/weights/weights.h
+++ b/source/core/weights/weights.h
@@ -7,6 +7,7 @@
 #include "core/weights/chunkbits.h"
 #include "core/weights/chunkownership.h"
 #include "core/weights/linkratelimiter.h"
+#include "core/weights/listcandidates.h"
 #include "core/weights/listsource.h"
 #include "core/weights/manifest.h"
 #include "core/weights/sources.h"
--- a/source/exchange/versionfetcher.cpp
+++ b/source/exchange/versionfetcher.cpp
@@ -14,22 +14,15 @@
 constexpr std::size_t mailboxCapacity = 256;
 constexpr auto tickPeriod = std::chrono::milliseconds(100);
 constexpr auto listRequestPeriod = std::chrono::milliseconds(150);
+/** Minimum time after a request for a list before one because the list is doubted. */
+constexpr auto doubtedListPeriod = std::chrono::milliseconds(300);
+/** Time after a request for a list after which it is read again if no list is complete by then. */
+constexpr auto listReviewPeriod = std::chrono::seconds(3);
 /** Maximum number of pending piece-list requests from other processes. */
 constexpr std::size_t maxPendingListQueries = 1024;
 /** Maximum number of versions whose piece lists are remembered. */
 constexpr std::size_t maxKnownVersions = 2;
 
-/** @returns the manifest for a piece list: each piece becomes a chunk */
-Manifest manifestOf(const PieceList &list)
-{
-    std::vector<Chunk> chunks;
-    chunks.reserve(list.digests.size());
-    for (const Digest &digest : list.digests) {
-        chunks.push_back({digest, list.pieceBytes});
-    }
-    return Manifest(std::move(chunks));
-}
-
 } // namespace
 
 InstanceId agentOfBackend(const Address &backend)
@@ -67,8 +60,8 @@
     sources.readManifest =
             [self = shared_from_this()](Digest digest) -> Awaitable<Outcome<Manifest>> {
         for (const auto &[version, known] : self->m_knownVersions) {
-            if (known.digest == digest) {
-                co_return known.manifest;
+            if (const ListCandidate *candidate = known.lists.find(digest)) {
+                co_return candidate->manifest();
             }
         }
         co_return Failure {ErrorKind::NotFound, "the version is no longer wanted"};
@@ -82,24 +75,31 @@
 Awaitable<OriginResponse> VersionFetcher::readPiece(Chunk chunk)
 {
     OriginResponse answer;
-    answer.bytes = Failure {ErrorKind::NotFound, "no known version contains the piece"};
+    const std::optional<NumberedPiece> piece = findPiece(chunk.digest);
+    if (!piece || !m_origin.readPiece) {
+        answer.bytes = Failure {ErrorKind::NotFound, "no known version contains the piece"};
+    } else if (isStagedLocally()) {
+        answer.bytes = co_await m_hooks.readStaged(piece->model, piece->number);
+    } else {
+        answer.bytes = co_await m_origin.readPiece(piece->model, piece->version, piece->number);
+    }
+    co_return answer;
+}
+
+/** @returns the piece with a digest in any of the known lists */
+std::optional<VersionFetcher::NumberedPiece> VersionFetcher::findPiece(const Digest &digest) const
+{
     for (const auto &[version, known] : m_knownVersions) {
-        const auto &digests = known.list.digests;
-        const auto it = std::find(digests.begin(), digests.end(), chunk.digest);
-        if (it == digests.end() || !m_origin.readPiece) {
-            continue;
-        }
-        const auto number = static_cast<std::uint32_t>(it - digests.begin());
-        const ModelName model = known.list.model;
-        const std::uint64_t pieceVersion = version;
-        if (isStagedLocally()) {
-            answer.bytes = co_await m_hooks.readStaged(model, number);
-        } else {
-            answer.bytes = co_await m_origin.readPiece(model, pieceVersion, number);
+        for (const ListCandidate &candidate : known.lists.all()) {
+            const auto &digests = candidate.list().digests;
+            const auto it = std::find(digests.begin(), digests.end(), digest);
+            if (it != digests.end()) {
+                return NumberedPiece {candidate.list().model, version,
+                                      static_cast<std::uint32_t>(it - digests.begin())};
+            }
         }
-        co_return answer;
     }
-    co_return answer;
+    return std::nullopt;
 }
 
 void VersionFetcher::apply(const FetcherConfigChanged &command)
@@ -144,6 +144,8 @@
         return;
     }
     m_targetVersion = command.named.version;
+    m_doubt.reset();
+    m_reviewedManifests.clear();
     advance();
 }
 
@@ -177,9 +179,9 @@
 {
     m_complete = command.complete;
     notifyCompleteVersions();
-    const std::size_t before = m_knownVersions.size();
+    const std::size_t before = listCount();
     evictOldVersions();
-    if (m_knownVersions.size() != before) {
+    if (listCount() != before) {
         sendWantedVersions();
     }
 }
@@ -195,18 +197,36 @@
     if (command.version != m_targetVersion) {
         return;
     }
-    KnownVersion known;
-    known.list = std::get<PieceList>(command.list);
-    known.manifest = manifestOf(known.list);
-    known.digest = known.manifest.digest();
-    m_knownVersions.insert_or_assign(command.version, std::move(known));
+    if (!m_announcedManifest.isEmpty()) {
+        m_reviewedManifests.insert(m_announcedManifest);
+    }
+    KnownVersion &known = m_knownVersions[command.version];
+    if (isComplete(known)) {
+        return;
+    }
+    const std::size_t before = known.lists.all().size();
+    known.lists = known.lists.with(std::get<PieceList>(command.list));
     evictOldVersions();
-    m_log.info("weights.fetching", {{"version", command.version}, {"tries", m_listAttempts}});
+    m_log.info(before == 0 ? "weights.fetching" : "weights.list-reviewed",
+               {{"version", command.version},
+                {"tries", m_listAttempts},
+                {"lists", known.lists.all().size()}});
     sendWantedVersions();
     notifyCompleteVersions();
     answerListQueries();
 }
 
+void VersionFetcher::apply(const FetcherListDoubted &command)
+{
+    const bool isDoubtful = m_knownVersions.contains(m_targetVersion) && !isTargetComplete();
+    const bool isReviewed = m_reviewedManifests.contains(command.manifest);
+    // Pieces that are staged locally do not come from the origin.
+    const bool isOwnCopy = command.source.isOrigin() && isStagedLocally();
+    if (isDoubtful && !isReviewed && !isOwnCopy) {
+        m_doubt = command;
+    }
+}
+
 void VersionFetcher::apply(const FetcherListQuery &command)
 {
     if (m_pendingListQueries.size() < maxPendingListQueries) {
@@ -223,10 +243,10 @@
 {
     std::erase_if(m_pendingListQueries, [this](const FetcherListQuery &query) {
         const auto known = m_knownVersions.find(query.version);
-        const bool isKnown =
-                known != m_knownVersions.end() && known->second.list.model == query.model;
+        const bool isKnown = known != m_knownVersions.end()
+                && known->second.lists.all().front().list().model == query.model;
         if (isKnown) {
-            query.reply(known->second.list);
+            query.reply(known->second.lists.all().front().list());
         }
         return isKnown || query.version < m_targetVersion;
     });
@@ -244,20 +264,44 @@
  */
 void VersionFetcher::evictOldVersions()
 {
-    const auto wanted = m_knownVersions.find(m_targetVersion);
-    const bool isTargetComplete =
-            wanted != m_knownVersions.end() && m_complete.contains(wanted->second.digest);
+    const bool isTargetStored = isTargetComplete();
     const std::uint64_t loaded = m_loadedVersions.empty() ? 0 : *m_loadedVersions.begin();
     std::erase_if(m_knownVersions, [&](const auto &entry) {
-        const bool mayLoadSooner = !isTargetComplete && entry.first > loaded;
-        return entry.first != m_targetVersion && !m_complete.contains(entry.second.digest)
-                && !mayLoadSooner;
+        const bool mayLoadSooner = !isTargetStored && entry.first > loaded;
+        return entry.first != m_targetVersion && !isComplete(entry.second) && !mayLoadSooner;
     });
+    for (auto &[version, known] : m_knownVersions) {
+        if (known.lists.all().size() > 1) {
+            known.lists = known.lists.reducedTo(m_complete);
+        }
+    }
     while (m_knownVersions.size() > maxKnownVersions) {
         m_knownVersions.erase(m_knownVersions.begin());
     }
 }
 
+/** @returns the number of lists that are known, of all versions */
+std::size_t VersionFetcher::listCount() const
+{
+    std::size_t n = 0;
+    for (const auto &[version, known] : m_knownVersions) {
+        n += known.lists.all().size();
+    }
+    return n;
+}
+
+/** @returns whether all pieces of one of the lists of a version are stored */
+bool VersionFetcher::isComplete(const KnownVersion &known) const
+{
+    return known.lists.completeIn(m_complete) != nullptr;
+}
+
+bool VersionFetcher::isTargetComplete() const
+{
+    const auto it = m_knownVersions.find(m_targetVersion);
+    return it != m_knownVersions.end() && isComplete(it->second);
+}
+
 bool VersionFetcher::isNeeded() const
 {
     return isStagedLocally()
@@ -277,13 +321,13 @@
         return;
     }
     const Instant now = monotonicNow();
-    const auto it = m_knownVersions.find(m_targetVersion);
-    const bool isComplete = it != m_knownVersions.end() && m_complete.contains(it->second.digest);
-    if (isComplete) {
+    if (isTargetComplete()) {
         notifyCompleteVersions();
         return;
     }
-    if (it == m_knownVersions.end()) {
+    if (m_knownVersions.contains(m_targetVersion)) {
+        reviewListIfDue(now);
+    } else {
         requestListIfDue(now);
     }
 }
@@ -295,36 +339,83 @@
         m_listMissingSince = now;
         m_listAttempts = 0;
     }
-    if (m_isRequestingList || now - m_lastListRequestAt < listRequestPeriod
-        || !m_origin.readPieceList) {
+    if (now - m_lastListRequestAt < listRequestPeriod) {
         return;
     }
-    const std::optional<ChunkSource> source =
-            chooseListSource({m_options.self, entriesOfZone(), m_targetVersion,
-                              now - m_listMissingSince, m_listAttempts});
-    if (!source) {
+    if (const std::optional<ChunkSource> source = nextListSource(now - m_listMissingSince)) {
+        startListRequest(*source, {});
+    }
+}
+
+/**
+ * Reads the list of the target version again if there are signs that it is corrupt, or if its
+ * pieces do not become complete.
+ */
+void VersionFetcher::reviewListIfDue(Instant now)
+{
+    const Duration age = now - m_lastListRequestAt;
+    if (m_doubt && age >= doubtedListPeriod) {
+        startListRequest(m_doubt->source, m_doubt->manifest);
+    } else if (age >= listReviewPeriod) {
+        // Without a reason to doubt the list, the origin is left to one entry of the zone.
+        startListRequest(nextListSource(Duration()).value_or(ChunkSource {}), {});
+    }
+}
+
+/** @param missingFor time for which the list has been missing */
+std::optional<ChunkSource> VersionFetcher::nextListSource(Duration missingFor) const
+{
+    return chooseListSource(
+            {m_options.self, entriesOfZone(), m_targetVersion, missingFor, m_listAttempts});
+}
+
+/** @param announced the manifest because of which the list is read again; empty for none */
+void VersionFetcher::startListRequest(ChunkSource source, Digest announced)
+{
+    if (m_isRequestingList || !m_origin.readPieceList) {
         return;
     }
     ++m_listAttempts;
     m_isRequestingList = true;
-    m_lastListRequestAt = now;
+    m_lastListRequestAt = monotonicNow();
+    m_announcedManifest = std::move(announced);
+    m_doubt.reset();
     asio::co_spawn(
             m_executor,
-            [self = shared_from_this(), version = m_targetVersion, peer = source->peer] {
+            [self = shared_from_this(), version = m_targetVersion, peer = source.peer] {
                 return self->requestList(version, peer);
             },
             asio::detached);
 }
 
+/** @returns what the list of a version must look like by the configuration */
+PieceListFormat VersionFetcher::listFormat(std::uint64_t version) const
+{
+    PieceListFormat format {m_model, version};
+    for (const auto &[name, service] : m_table->config().services) {
+        if (service.engine && service.engine->model == m_model) {
+            format.pieceCount = service.engine->pieceCount;
+            format.pieceBytes = service.engine->pieceBytes;
+        }
+    }
+    return format;
+}
+
 /** @param peer the peer to request the list from; empty for the origin */
 Awaitable<void> VersionFetcher::requestList(std::uint64_t version, InstanceId peer)
 {
-    const ModelName model = m_model;
-    FetcherListReceived received {version, Failure()};
+    const PieceListFormat format = listFormat(version);
+    Outcome<PieceList> list = Failure();
     if (peer.isEmpty()) {
-        received.list = co_await m_origin.readPieceList(model, version);
+        list = co_await m_origin.readPieceList(format.model, version);
     } else {
-        received.list = co_await m_hooks.readPeerList(peer, model, version);
+        list = co_await m_hooks.readPeerList(peer, format.model, version);
+    }
+    FetcherListReceived received {version, Failure()};
+    if (const Failure *failure = failureOf(list)) {
+        received.list = *failure;
+    } else {
+        received.list = checkedPieceList(std::get<PieceList>(std::move(list)), format);
     }
     FetcherCommand command = std::move(received);
     co_await m_mailbox->send(std::move(command));
@@ -405,9 +496,12 @@
     }
     WantedVersionsChanged wanted;
     for (const auto &[version, known] : m_knownVersions) {
-        VersionPlacement versionPlacement = placement();
-        versionPlacement.fetchOrder = version;
-        wanted.versions.emplace(known.digest, std::move(versionPlacement));
+        std::uint64_t order = version * maxListCandidates;
+        for (const ListCandidate &candidate : known.lists.all()) {
+            VersionPlacement versionPlacement = placement();
+            versionPlacement.fetchOrder = order++;
+            wanted.versions.emplace(candidate.digest(), std::move(versionPlacement));
+        }
     }
     m_hooks.weights->post(std::move(wanted));
 }
@@ -415,10 +509,11 @@
 void VersionFetcher::notifyCompleteVersions()
 {
     for (auto &[version, known] : m_knownVersions) {
-        if (!known.isNotified && m_complete.contains(known.digest)) {
+        const ListCandidate *complete = known.lists.completeIn(m_complete);
+        if (!known.isNotified && complete != nullptr) {
             known.isNotified = true;
             m_log.info("weights.complete", {{"version", version}});
-            m_hooks.onVersionCompleted({m_model, version, known.manifest});
+            m_hooks.onVersionCompleted({m_model, version, complete->manifest()});
         }
     }
 }
--- a/source/exchange/versionfetcher.h
+++ b/source/exchange/versionfetcher.h
@@ -54,6 +54,15 @@
     Outcome<PieceList> list;
 };
 
+/** The list of the target version may be corrupt and is to be read again. */
+struct FetcherListDoubted
+{
+    /** The source that may have another list. */
+    ChunkSource source;
+    /** The manifest that the source has announced; empty if a piece does not match its digest. */
+    Digest manifest;
+};
+
 /** A request from another process for the list of a version's pieces. */
 struct FetcherListQuery
 {
@@ -74,10 +83,11 @@
 };
 
 /** Messages to the VersionFetcher. */
-using FetcherCommand = std::variant<FetcherConfigChanged, FetcherTargetVersionChanged,
-                                    FetcherLoadedVersionsChanged, FetcherEntriesChanged,
-                                    FetcherAgentsChanged, FetcherCompleteVersionsChanged,
-                                    FetcherListReceived, FetcherListQuery, FetcherTick>;
+using FetcherCommand =
+        std::variant<FetcherConfigChanged, FetcherTargetVersionChanged,
+                     FetcherLoadedVersionsChanged, FetcherEntriesChanged, FetcherAgentsChanged,
+                     FetcherCompleteVersionsChanged, FetcherListReceived, FetcherListDoubted,
+                     FetcherListQuery, FetcherTick>;
 
 /** A version whose weights are stored completely and verified. */
 struct CompleteVersion
@@ -140,13 +150,21 @@
     WeightSources sources(ReadPeer readPeer);
 
 private:
-    /** A version whose piece list is known. */
+    /** A version of which at least one piece list is known. */
     struct KnownVersion
     {
-        PieceList list;
-        Manifest manifest;
-        Digest digest;
+        ListCandidates lists;
         bool isNotified = false;
+
+        auto operator<=>(const KnownVersion &) const = default;
+    };
+
+    /** Where a piece is read from the origin. */
+    struct NumberedPiece
+    {
+        ModelName model;
+        std::uint64_t version = 0;
+        std::uint32_t number = 0;
     };
 
     Awaitable<void> run();
@@ -157,6 +175,7 @@
     void apply(const FetcherAgentsChanged &command);
     void apply(const FetcherCompleteVersionsChanged &command);
     void apply(const FetcherListReceived &command);
+    void apply(const FetcherListDoubted &command);
     void apply(const FetcherListQuery &command);
     void apply(const FetcherTick &command);
     void advance();
@@ -168,7 +187,14 @@
     std::vector<InstanceId> entriesOfZone() const;
     void notifyCompleteVersions();
     void evictOldVersions();
+    bool isComplete(const KnownVersion &known) const;
+    bool isTargetComplete() const;
+    PieceListFormat listFormat(std::uint64_t version) const;
     void requestListIfDue(Instant now);
+    void reviewListIfDue(Instant now);
+    std::optional<ChunkSource> nextListSource(Duration missingFor) const;
+    void startListRequest(ChunkSource source, Digest announced);
+    std::size_t listCount() const;
     std::vector<WeightPeer> peers() const;
     VersionPlacement placement() const;
     const Service *originService() const;
@@ -176,6 +202,7 @@
     ZoneName originZone() const;
     Awaitable<void> requestList(std::uint64_t version, InstanceId peer);
     Awaitable<OriginResponse> readPiece(Chunk chunk);
+    std::optional<NumberedPiece> findPiece(const Digest &digest) const;
 
     asio::any_io_executor m_executor;
     FetcherOptions m_options;
@@ -200,6 +227,12 @@
     std::uint64_t m_missingListVersion = 0;
     Instant m_listMissingSince;
     std::uint32_t m_listAttempts = 0;
+    /** Why the list of the target version is to be read again; empty if there is no reason. */
+    std::optional<FetcherListDoubted> m_doubt;
+    /** The manifest because of which the list is being read again; empty if there is none. */
+    Digest m_announcedManifest;
+    /** Manifests of peers because of which the list of the target version was read again. */
+    std::set<Digest> m_reviewedManifests;
     Instant m_lastListRequestAt;
     bool m_isRequestingList = false;
 };
--- a/source/exchange/weightexchange.cpp
+++ b/source/exchange/weightexchange.cpp
@@ -77,13 +77,17 @@
     transfer.singleFetchWhenSlow = m_options.singleFetchWhenSlow;
     transfer = transfer.withLinkBytesPerSecond(m_options.linkBytesPerSecond);
     const WeightTasks tasks {m_links->mailbox(), m_server->mailbox()};
+    WeightHooks weightHooks;
+    weightHooks.onStatus = [mailbox = m_fetcher->mailbox()](const WeightStatus &status) {
+        mailbox->post(FetcherCompleteVersionsChanged {status.completeVersions});
+    };
+    weightHooks.onManifestDoubt = [mailbox = m_fetcher->mailbox()](const ManifestDoubt &doubt) {
+        mailbox->post(FetcherListDoubted {ChunkSource {doubt.peer}, doubt.announced});
+    };
     m_weights = std::make_shared<WeightManager>(
             m_executor, m_commands, TransferPlanner(transfer, swarmPolicy(), monotonicNow()),
             m_fetcher->sources(makePeerReader(m_executor, m_links->mailbox())), tasks,
-            [mailbox = m_fetcher->mailbox()](const WeightStatus &status) {
-                mailbox->post(FetcherCompleteVersionsChanged {status.completeVersions});
-            },
-            m_metrics, m_log);
+            std::move(weightHooks), m_metrics, m_log);
 }
 
 void WeightExchange::receive(const PeerLinkHandle &link, const StreamMessage &message)
