Stop using servers that have left once an entry is connected again

Cause: after a gap in its reads an entry keeps removed servers for 2.2 s, since it can't tell a store that was away for all from a cut of its own. That counted from the first successful read, up to 1.8 s after the connection was back when reads hang; the servers were removed with the next read, up to 0.6 s later or never; and a read that had hung was followed by a pause as well.

Change: the grace ends at the latest when the limits hold for the process again, counted from the start of the last read that failed, before which the connection can't have been back. Lapsed servers are removed by a timer. The pause after a failed read of the list counts from its start, so that servers that lost their registration in an outage are still kept for 1.8 s or more.

--- a/source/core/fleet/nodesettings.h
+++ b/source/core/fleet/nodesettings.h
@@ -16,6 +16,8 @@
 {
     /** Maximum time after the list marks a backend server as draining until its last request. */
     Duration drain = std::chrono::seconds(2);
+    /** Time after a process was disconnected from which the limits hold for it again. */
+    Duration reconnect = std::chrono::seconds(3);
     /** Time from SIGTERM to SIGKILL. */
     Duration grace = std::chrono::seconds(8);
     /** Maximum time until a new configuration is in force at all entries. */
--- a/source/core/fleet/replicaregistry.cpp
+++ b/source/core/fleet/replicaregistry.cpp
@@ -13,8 +13,9 @@
 void ReplicaRegistry::recordRead(Instant now)
 {
     if (m_lastRead && now - *m_lastRead > m_options.outageAfter) {
-        const Instant lastLost = m_failedAttempt.value_or(*m_lastRead);
-        m_graceUntil = std::min(now, lastLost + m_options.maxRetryTime) + m_options.removalGrace;
+        const Instant lastFailure = m_failedAttempt.value_or(*m_lastRead);
+        m_graceUntil = std::min(now + m_options.removalGrace,
+                                lastFailure + m_options.maxGraceAfterFailure);
     }
     m_lastRead = now;
     m_lastAttempt.reset();
@@ -94,6 +95,17 @@
     return updates;
 }
 
+std::optional<Instant> ReplicaRegistry::nextExpiry() const
+{
+    std::optional<Instant> next;
+    for (const auto &[id, record] : m_records) {
+        if (record.expiresAt) {
+            next = std::min(next.value_or(*record.expiresAt), *record.expiresAt);
+        }
+    }
+    return next;
+}
+
 const ReplicaEntry *ReplicaRegistry::find(const ReplicaId &id) const
 {
     const auto it = m_records.find(id);
--- a/source/core/fleet/replicaregistry.h
+++ b/source/core/fleet/replicaregistry.h
@@ -16,16 +16,17 @@
 {
     /** A longer interval between two successful reads counts as an outage of the list. */
     Duration outageAfter = std::chrono::milliseconds(2500);
-    /**
-     * Maximum time from the start of a read that fails to the end of the next one, while this
-     * process runs: the timeouts of a call and the retry delay.
-     */
-    Duration maxRetryTime = std::chrono::milliseconds(2500);
     /**
      * Time after an outage for which removed entries are kept, because backend servers could not
      * renew their registrations during the outage.
      */
     Duration removalGrace = std::chrono::milliseconds(2200);
+    /**
+     * Maximum time after the start of the last failed read for which removed entries are kept. The
+     * list may have become readable right after that start, and whoever can read it must stop using
+     * servers that have left.
+     */
+    Duration maxGraceAfterFailure = std::chrono::milliseconds(2900);
 
     auto operator<=>(const ReplicaRegistryOptions &) const = default;
 };
@@ -45,8 +46,10 @@
 /**
  * Applies entries and removals. After an outage of the list, it keeps removed entries for a grace
  * period, so that backend servers whose registrations expired only because of the outage stay in
- * use. The grace period counts from the end of the outage as far as the attempts to read show it:
- * a read that is late because this process was paused does not extend it.
+ * use. From here, an outage looks like a cut of this process from a list that others could read, in
+ * which servers may have left. The grace period is therefore limited by the earliest time at which
+ * the outage can have ended, as far as the attempts to read show it: a read that hung, or that is
+ * late because this process was paused, does not extend it.
  *
  * It is modified in place, because entries are renewed continually.
  */
@@ -70,6 +73,8 @@
     std::vector<ReplicaUpdate> retainOnly(const std::vector<ReplicaId> &present, Instant now);
     /** Removes the entries whose grace period has ended. @returns the removals */
     std::vector<ReplicaUpdate> expire(Instant now);
+    /** @returns when the next grace period ends; empty if no removed entry is kept */
+    std::optional<Instant> nextExpiry() const;
 
     /** @returns the last state of an entry, or null */
     const ReplicaEntry *find(const ReplicaId &id) const;
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -20,6 +20,8 @@
 constexpr int burstReadsPerBound = 4;
 /** Interval between two reads of the list of backend servers. */
 constexpr auto replicaPollInterval = std::chrono::milliseconds(600);
+/** Time that a request may take from the choice of its backend server to its arrival there. */
+constexpr auto removalMargin = std::chrono::milliseconds(100);
 /**
  * Time until the load balancer in front stops sending requests: it does so after two failed
  * checks, which are 1 s apart.
@@ -246,8 +248,11 @@
     watcherHooks.onDelta = [this](const ReplicaListDelta &delta) {
         m_loadListener->mailbox()->post(RelayListDelta {delta});
     };
-    m_replicaWatcher = std::make_shared<ReplicaWatcher>(m_executor, m_adapter.replicaTopic,
-                                                        watcherHooks, replicaPollInterval, m_log);
+    ReplicaRegistryOptions registryOptions;
+    registryOptions.maxGraceAfterFailure = m_settings.bounds.reconnect - removalMargin;
+    m_replicaWatcher =
+            std::make_shared<ReplicaWatcher>(m_executor, m_adapter.replicaTopic, watcherHooks,
+                                             replicaPollInterval, m_log, registryOptions);
 }
 
 void Edge::onReplicasChanged(std::vector<ReplicaEntry> entries)
--- a/source/edge/storewatchers.cpp
+++ b/source/edge/storewatchers.cpp
@@ -215,8 +215,10 @@
 }
 
 ReplicaWatcher::ReplicaWatcher(const asio::any_io_executor &executor, TopicReader reader,
-                               ReplicaWatcherHooks hooks, Duration pollInterval, Log log)
-    : m_hooks(std::move(hooks)), m_log(std::move(log))
+                               ReplicaWatcherHooks hooks, Duration pollInterval, Log log,
+                               ReplicaRegistryOptions registryOptions)
+    : m_hooks(std::move(hooks)), m_log(std::move(log)), m_replicas(registryOptions),
+      m_expiryTimer(executor)
 {
     FollowHooks followHooks;
     followHooks.onSnapshot = [this](const KeyedSnapshot &snapshot) { applySnapshot(snapshot); };
@@ -227,6 +229,7 @@
     FollowOptions options;
     options.name = "replicas";
     options.pollInterval = pollInterval;
+    options.countsBackoffFromStart = true;
     m_follower = std::make_shared<TopicFollower>(executor, recordAttempts(std::move(reader)),
                                                  options, followHooks, m_log);
 }
@@ -263,6 +266,7 @@
         logChange(update);
     }
     publish();
+    scheduleExpiry();
 }
 
 void ReplicaWatcher::applyTail(std::uint64_t from, const KeyedBatch &tail)
@@ -313,6 +317,29 @@
         logChange(update);
     }
     publish();
+    scheduleExpiry();
+}
+
+/** Entries expire on time, however long the next read of the list takes. */
+void ReplicaWatcher::scheduleExpiry()
+{
+    const std::optional<Instant> next = m_replicas.nextExpiry();
+    if (next == m_expiresAt) {
+        return;
+    }
+    m_expiresAt = next;
+    m_expiryTimer.cancel();
+    if (!next) {
+        return;
+    }
+    m_expiryTimer.expires_at(*next);
+    m_expiryTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
+        const auto self = weak.lock();
+        if (!ec && self) {
+            self->m_expiresAt.reset();
+            self->expire(monotonicNow());
+        }
+    });
 }
 
 void ReplicaWatcher::remove(const ReplicaId &id, Instant now)
--- a/source/edge/storewatchers.h
+++ b/source/edge/storewatchers.h
@@ -8,6 +8,7 @@
 #include "edge/topicfollower.h"
 #include "net/log.h"
 #include "net/metrics.h"
+#include "net/timer.h"
 
 #include <functional>
 
@@ -129,13 +130,14 @@
     std::function<void()> onStoreRecovered;
 };
 
-/** Watches the list of backend servers. */
+/** Watches the list of backend servers. Must be created with std::make_shared. */
 class ReplicaWatcher : public std::enable_shared_from_this<ReplicaWatcher>
 {
 public:
     /** @param pollInterval time between two reads of the list */
     ReplicaWatcher(const asio::any_io_executor &executor, TopicReader reader,
-                   ReplicaWatcherHooks hooks, Duration pollInterval, Log log);
+                   ReplicaWatcherHooks hooks, Duration pollInterval, Log log,
+                   ReplicaRegistryOptions registryOptions = {});
 
     /** Starts the task. */
     void start();
@@ -155,6 +157,7 @@
     ReplicaListDelta applyRecord(const KeyedRecord &record, ReplicaListDelta delta, Instant now);
     void applyDelta(const ReplicaListDelta &update);
     void expire(Instant now);
+    void scheduleExpiry();
     void remove(const ReplicaId &id, Instant now);
     bool put(const ReplicaEntry &entry);
     void logChange(const ReplicaUpdate &update);
@@ -164,6 +167,10 @@
     Log m_log;
     std::shared_ptr<TopicFollower> m_follower;
     ReplicaRegistry m_replicas;
+    /** Runs until m_expiresAt. */
+    Timer m_expiryTimer;
+    /** End of the next grace period of a removed entry; empty if none is kept. */
+    std::optional<Instant> m_expiresAt;
     std::vector<ReplicaEntry> m_published;
     bool m_isPublished = false;
 };
--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -71,6 +71,7 @@
         postAfter(peerViewCheckInterval, command);
         return;
     }
+    m_readStartedAt = monotonicNow();
     asio::co_spawn(
             m_executor,
             [self = shared_from_this(), readId = m_readId] {
@@ -256,9 +257,8 @@
 void TopicFollower::scheduleNextRead(bool hasFailed)
 {
     const Duration interval = m_isBurst ? m_options.burstInterval : m_options.pollInterval;
-    const Duration delay = hasFailed ? withJitter(m_backoff) : interval;
-    m_backoff =
-            hasFailed ? std::min<Duration>(m_backoff * 2, maxBackoff) : Duration(initialBackoff);
+    const Duration delay = hasFailed ? nextRetryDelay() : interval;
+    m_backoff = hasFailed ? m_backoff : Duration(initialBackoff);
     if (delay <= Duration::zero()) {
         m_mailbox->post(ReadDue {m_readId});
         return;
@@ -266,6 +266,15 @@
     postAfter(delay, ReadDue {m_readId});
 }
 
+/** @returns the time until the next read after a failed one; it grows with each call */
+Duration TopicFollower::nextRetryDelay()
+{
+    const Duration delay = withJitter(m_backoff);
+    m_backoff = std::min<Duration>(m_backoff * 2, maxBackoff);
+    const Duration elapsed = monotonicNow() - m_readStartedAt;
+    return m_options.countsBackoffFromStart ? delay - elapsed : delay;
+}
+
 void TopicFollower::postAfter(Duration delay, FollowCommand command)
 {
     asio::co_spawn(
--- a/source/edge/topicfollower.h
+++ b/source/edge/topicfollower.h
@@ -58,6 +58,11 @@
      * every record even then.
      */
     Duration burstInterval {};
+    /**
+     * Whether the delay after a failed read counts from the start of that read, so that the next
+     * read follows at once if the failed one hung.
+     */
+    bool countsBackoffFromStart = false;
 };
 
 /** Hooks of TopicFollower. They must not block. */
@@ -162,6 +167,7 @@
     /** Logs when the store becomes unavailable or available again. @param failure may be null */
     void reportAvailability(const Failure *failure);
     void scheduleNextRead(bool hasFailed);
+    Duration nextRetryDelay();
     void postAfter(Duration delay, FollowCommand command);
     /** Detects the start and end of a burst from whether a read returned changes. */
     void detectBurst(bool hasChanged);
@@ -180,6 +186,8 @@
     /** Offset of the next record to read; empty until a snapshot was read. */
     std::optional<std::uint64_t> m_nextOffset;
     Duration m_backoff;
+    /** When the latest read started. */
+    Instant m_readStartedAt;
     bool m_isStoreLost = false;
     /** Age of the view from which it reads itself; empty if it does not rely on peers. */
     std::optional<Duration> m_maxPeerViewAge;
--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -576,6 +576,37 @@
     REQUIRE(m_known.size() == 5);
 }
 
+// A server that has left must not stay in use until the next read of the list ends (review case 4).
+TEST_CASE_METHOD(StoreWatcherFixture, "replicas_nextReadAfterAnOutageHangs_lapsedEntryIsGoneInTime")
+{
+    write("i-1", "p");
+    write("i-2", "p");
+    startReplicaWatcher();
+    m_readsFail = true;
+    write("i-1", std::nullopt);
+    runFor(milliseconds(3200));
+    m_readsFail = false;
+    const Instant connectedAt = monotonicNow();
+    REQUIRE(waitUntil([this] { return m_recoveries == 1; }));
+    m_readsHang = true;
+    REQUIRE(m_known.size() == 2);
+    REQUIRE(waitUntil([this] { return m_known.size() == 1; }));
+    REQUIRE(monotonicNow() - connectedAt < FleetBounds().reconnect);
+}
+
+// A read that hung has waited already: the next one must not wait again, so that little time passes
+// between the return of the list and the end of the outage as the process sees it.
+TEST_CASE_METHOD(StoreWatcherFixture, "replicas_readHangsAndFails_isFollowedByTheNextAtOnce")
+{
+    write("i-1", "p");
+    startReplicaWatcher();
+    m_readsFail = true;
+    m_readTime = milliseconds(1000);
+    m_tailReads = 0;
+    runFor(milliseconds(10'800));
+    REQUIRE(m_tailReads >= 10);
+}
+
 // A process that has known a version for longer must not be ignored for telling of it second.
 TEST_CASE_METHOD(StoreWatcherFixture, "targetVersion_peerHasKnownItForLonger_isDatedByThePeer")
 {
