Take no response for one whose status HTTP does not know

Callers saw: for a backend server's response with the status 000 the entry skipped its head as an interim one. If it was empty, the caller waited for 1.5 s. 600 and above were relayed. On the product's own interface all of them were relayed, and an interim head was taken for the response.

Cause: HttpConnection took every status below 200 for an interim one, HttpCall did not look at the status, and the HTTP library accepts any three digits.

Change: classOfStatus decides for all paths. An invalid status is malformed: 502, or another server's answer if the request may be repeated, and the connection is reset. HttpCall skips interim heads. An entry relays no invalid status that an agent passes on, and repeats no stored answer with one.

--- a/source/core/common/common.h
+++ b/source/core/common/common.h
@@ -6,5 +6,6 @@
 
 #include "core/common/errors.h"
 #include "core/common/hashing.h"
+#include "core/common/httpstatus.h"
 #include "core/common/ids.h"
 #include "core/common/time.h"
--- a/source/entry/forwarder.cpp
+++ b/source/entry/forwarder.cpp
@@ -238,6 +238,11 @@
             co_return AttemptResult {failure->failure, failure->ran, false};
         }
         if (const auto *head = std::get_if<HeadMessage>(&message)) {
+            if (classOfStatus(head->status) != StatusClass::Final) {
+                co_return failedAttempt(ErrorKind::AnswerBroken,
+                                        "the status is not that of a response",
+                                        ExecutionStatus::Unknown);
+            }
             m_response.setHead(*head);
         } else if (auto *data = std::get_if<DataMessage>(&message)) {
             const auto n = static_cast<std::int64_t>(data->bytes.size());
--- a/source/net/http.h
+++ b/source/net/http.h
@@ -12,6 +12,9 @@
 
 namespace greengageseam {
 
+/** Maximum number of interim heads (1xx) before a response. */
+constexpr int maxInterimHeads = 8;
+
 /** One header field. */
 struct HttpHeader
 {
--- a/source/net/httpclient.cpp
+++ b/source/net/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "net/httpclient.h"
 
+#include "core/common/httpstatus.h"
 #include "core/fleet/eventsplitter.h"
 #include "net/clock.h"
 
@@ -46,9 +47,7 @@
 
 HttpCall::HttpCall(const asio::any_io_executor &executor)
     : m_stream(executor), m_buf(maxUnparsedBytes)
-{
-    m_parser.body_limit(boost::none);
-}
+{ }
 
 Awaitable<Outcome<HttpCallHead>> HttpCall::start(const Address &address, const HttpRequest &request,
                                                  Duration timeout)
@@ -74,22 +73,42 @@
         co_return Failure {ErrorKind::OutcomeUnknown, address.text() + ": " + writeError.message()};
     }
     m_stream.expires_after(timeout);
-    auto [readError, n] = co_await http::async_read_header(m_stream, m_buf, m_parser, asTuple);
-    if (readError) {
-        co_return Failure {ErrorKind::OutcomeUnknown, address.text() + ": " + readError.message()};
+    StatusClass statusClass = StatusClass::Interim;
+    for (int heads = 0; heads <= maxInterimHeads && statusClass == StatusClass::Interim; ++heads) {
+        const Outcome<int> status = co_await parseHead(address);
+        if (const Failure *failure = failureOf(status)) {
+            co_return *failure;
+        }
+        statusClass = classOfStatus(std::get<int>(status));
+    }
+    const auto &head = m_parser->get();
+    if (statusClass != StatusClass::Final) {
+        co_return Failure {ErrorKind::OutcomeUnknown,
+                           address.text() + ": the status " + std::to_string(head.result_int())
+                                   + " is not that of a response"};
     }
-    const auto &head = m_parser.get();
     const std::string contentType(head[http::field::content_type]);
     m_isUnframedStream =
-            contentType.starts_with("text/event-stream") && !m_parser.is_done() && head.need_eof();
+            contentType.starts_with("text/event-stream") && !m_parser->is_done() && head.need_eof();
     const auto retryAfter = head[http::field::retry_after];
     co_return HttpCallHead {static_cast<int>(head.result_int()), contentType,
                             parseSeconds({retryAfter.data(), retryAfter.size()})};
 }
 
+Awaitable<Outcome<int>> HttpCall::parseHead(const Address &address)
+{
+    m_parser.emplace();
+    m_parser->body_limit(boost::none);
+    auto [ec, n] = co_await http::async_read_header(m_stream, m_buf, *m_parser, asTuple);
+    if (ec) {
+        co_return Failure {ErrorKind::OutcomeUnknown, address.text() + ": " + ec.message()};
+    }
+    co_return static_cast<int>(m_parser->get().result_int());
+}
+
 Awaitable<Outcome<HttpBodyPart>> HttpCall::readBodyPart(Duration timeout)
 {
-    if (m_parser.is_done()) {
+    if (m_parser->is_done()) {
         co_return HttpBodyPart {std::string(), true};
     }
     if (timeout <= Duration::zero()) {
@@ -97,21 +116,21 @@
         co_return Failure {ErrorKind::AnswerBroken, "the response body did not end in time"};
     }
     std::string bytes(maxBodyPartBytes, '\0');
-    auto &body = m_parser.get().body();
+    auto &body = m_parser->get().body();
     body.data = bytes.data();
     body.size = bytes.size();
     m_stream.expires_after(timeout);
-    auto [ec, n] = co_await http::async_read_some(m_stream, m_buf, m_parser, asTuple);
+    auto [ec, n] = co_await http::async_read_some(m_stream, m_buf, *m_parser, asTuple);
     if (ec && ec != http::error::need_buffer) {
         co_return Failure {ErrorKind::AnswerBroken, ec.message()};
     }
     bytes.resize(bytes.size() - body.size);
     m_bodyEnd += bytes.substr(bytes.size() - std::min(bytes.size(), eventEndBytes));
     m_bodyEnd.erase(0, m_bodyEnd.size() - std::min(m_bodyEnd.size(), eventEndBytes));
-    if (m_parser.is_done() && isBrokenStream()) {
+    if (m_parser->is_done() && isBrokenStream()) {
         co_return Failure {ErrorKind::AnswerBroken, "the event stream ended inside an event"};
     }
-    co_return HttpBodyPart {std::move(bytes), m_parser.is_done()};
+    co_return HttpBodyPart {std::move(bytes), m_parser->is_done()};
 }
 
 bool HttpCall::isBrokenStream() const
--- a/source/net/httpclient.h
+++ b/source/net/httpclient.h
@@ -13,6 +13,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <memory>
+#include <optional>
 
 namespace greengageseam {
 
@@ -47,7 +48,8 @@
      * Connects, sends the request and reads the head of the response.
      * @param timeout time limit for each of these three steps
      * @returns the head; NoBackendServer if the connection failed, so that nothing was sent;
-     *     OutcomeUnknown if sending failed or no response head arrived
+     *     OutcomeUnknown if sending failed, no response head arrived, or its status is one that
+     *     HTTP does not know
      */
     Awaitable<Outcome<HttpCallHead>> start(const Address &address, const HttpRequest &request,
                                            Duration timeout);
@@ -65,13 +67,18 @@
     void abort();
 
 private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    /** Reads the next head, interim or final, into a new parser. @returns its status */
+    Awaitable<Outcome<int>> parseHead(const Address &address);
     /** @returns whether the body, which has ended, is an event stream that was broken off */
     bool isBrokenStream() const;
 
     boost::beast::tcp_stream m_stream;
     /** Received bytes that are not parsed yet. Its size is limited. */
     boost::beast::flat_buffer m_buf;
-    boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
+    /** Empty until the first head is read. */
+    std::optional<Parser> m_parser;
     /** Whether the response is an event stream that ends with the connection. */
     bool m_isUnframedStream = false;
     /** The last eventEndBytes of the body. */
--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -1,5 +1,6 @@
 #include "net/httpconnection.h"
 
+#include "core/common/httpstatus.h"
 #include "net/clock.h"
 
 #include <algorithm>
@@ -20,10 +21,6 @@
 constexpr std::size_t maxBodyPartBytes = 16 * 1024;
 /** Maximum size of a head, and of the chunk headers and trailers that are buffered unparsed. */
 constexpr std::size_t maxHeadBytes = 64 * 1024;
-/** Status codes below this one belong to interim heads, which precede the response. */
-constexpr unsigned firstFinalStatus = 200;
-/** Maximum number of interim heads before a response. */
-constexpr int maxInterimHeads = 8;
 /** TCP_USER_TIMEOUT: the connection is closed if sent data is not acknowledged for this long. */
 constexpr unsigned userTimeoutMs = 3000;
 /** Seconds without traffic before the first keep-alive probe, and between two probes. */
@@ -153,9 +150,14 @@
         if (status != HttpIoStatus::Done) {
             co_return HttpReadResult<HttpResponseHead> {status, {}};
         }
-        if (m_parser->get().result_int() >= firstFinalStatus) {
+        const StatusClass statusClass =
+                classOfStatus(static_cast<int>(m_parser->get().result_int()));
+        if (statusClass == StatusClass::Final) {
             co_return HttpReadResult<HttpResponseHead> {HttpIoStatus::Done, takeHead()};
         }
+        if (statusClass == StatusClass::Invalid) {
+            break;
+        }
     }
     co_return HttpReadResult<HttpResponseHead> {HttpIoStatus::Malformed, {}};
 }
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -84,7 +84,8 @@
     /**
      * Reads the head of the next response, and skips interim heads (1xx) before it.
      * @param isHeadRequest whether the request method was HEAD, so that no body follows
-     * @returns Malformed also if the head is too large or follows too many interim heads
+     * @returns Malformed also if the head is too large, follows too many interim heads, or has a
+     *     status that HTTP does not know
      */
     Awaitable<HttpReadResult<HttpResponseHead>> readHead(bool isHeadRequest, Duration timeout);
 
--- a/source/protocol/claimcodec.cpp
+++ b/source/protocol/claimcodec.cpp
@@ -59,7 +59,11 @@
         BOOST_LEAF_AUTO(status, numberMember(member, "status"));
         BOOST_LEAF_AUTO(type, stringMember(member, "type"));
         BOOST_LEAF_AUTO(body, stringMember(member, "body"));
-        ended.response = StoredResponse {static_cast<std::int32_t>(status), type, body};
+        const auto code = static_cast<std::int32_t>(status);
+        // Without a valid status there is no answer to repeat, but the request has ended.
+        if (classOfStatus(code) == StatusClass::Final) {
+            ended.response = StoredResponse {code, type, body};
+        }
     }
     return ended;
 }
