--- a/tests/failure/tst_piecelists.cpp
+++ b/tests/failure/tst_piecelists.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint64_t pieceBytes = 1024;
 constexpr std::uint32_t pieceCount = 8;
 constexpr std::uint64_t targetVersion = 2;
+const std::string entryIp = "127.0.3.1";
+const std::string agentIp = "127.0.3.2";
 /** Well within the time in which new weights must be loaded. */
 constexpr auto patience = std::chrono::seconds(6);
 
@@ -171,9 +173,6 @@
 
     static constexpr std::uint16_t firstPort = 21'700;
     static constexpr std::uint16_t triedPorts = 50;
-    const std::string entryIp = "127.0.3.1";
-    const std::string agentIp = "127.0.3.2";
-
     asio::io_context m_context;
     SimulatedOrigin m_origin;
     std::unique_ptr<ExchangeNode> m_entry;
