Log how far a stream came, why nobody went on with it, and unannounced closes

From the logs it could not be told whether an answer that broke off was given up for the silence of its server or broke for another reason, why no other server took it over, and whether a connection was closed without a response that announced it.

request.send-failed has events and silent_ms, request.done has events and unavailable; caller.closed is new, and a counter of closed connections by cause. No decision changes.

--- a/source/edge/callerconnection.cpp
+++ b/source/edge/callerconnection.cpp
@@ -44,6 +44,40 @@
             || ec.category() != httpCategory;
 }
 
+std::string_view nameOf(CloseCause cause)
+{
+    switch (cause) {
+    case CloseCause::CallerLeft:
+        return "caller-left";
+    case CloseCause::Announced:
+        return "announced";
+    case CloseCause::ResponseIncomplete:
+        return "response-incomplete";
+    case CloseCause::Draining:
+        return "draining";
+    case CloseCause::Stopped:
+        return "stopped";
+    case CloseCause::Idle:
+        break;
+    }
+    return "idle";
+}
+
+/** @returns why the connection closes after a response; empty if it stays open */
+std::optional<CloseCause> closeCauseAfter(const ResponseWriter &writer, bool isDraining)
+{
+    if (writer.isDisconnected()) {
+        return CloseCause::CallerLeft;
+    }
+    if (writer.hasAnnouncedClose()) {
+        return CloseCause::Announced;
+    }
+    if (writer.closesConnection()) {
+        return CloseCause::ResponseIncomplete;
+    }
+    return isDraining ? std::optional(CloseCause::Draining) : std::nullopt;
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket, const RequestContext &context,
@@ -72,12 +106,13 @@
     m_phaseSince = monotonicNow();
 }
 
-void CallerConnection::close()
+void CallerConnection::close(CloseCause cause)
 {
     if (m_isClosed) {
         return;
     }
     m_isClosed = true;
+    recordClose(cause);
     --m_server->connections;
     boost::system::error_code ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -86,6 +121,20 @@
     m_events->close();
 }
 
+/** Counts the close, and logs it if the caller may believe that it can send another request. */
+void CallerConnection::recordClose(CloseCause cause) const
+{
+    m_context.metrics->count("caller_closes_total", "Connections of callers that were closed",
+                             {{"cause", std::string(nameOf(cause))}});
+    if (cause != CloseCause::Draining && cause != CloseCause::Stopped) {
+        return;
+    }
+    m_context.log.info("caller.closed",
+                       {{"cause", nameOf(cause)},
+                        {"requests", m_requests},
+                        {"phase_ms", (monotonicNow() - m_phaseSince).count() / 1000}});
+}
+
 /**
  * Closes a connection that is idle for too long, rejects a request that arrives too slowly, and
  * expires the request in progress at the end of the grace period.
@@ -109,7 +158,7 @@
             self->m_proxy->expire();
         }
         if (isIdleTooLong) {
-            self->close();
+            self->close(self->m_server->isStopped ? CloseCause::Stopped : CloseCause::Idle);
             return;
         }
         if (isSlow) {
@@ -200,26 +249,28 @@
 
 Awaitable<void> CallerConnection::serve()
 {
-    bool isKeepAlive = true;
-    while (isKeepAlive) {
+    std::optional<CloseCause> closeCause;
+    while (!closeCause) {
         std::optional<ConnectionEvent> event = co_await m_events->receive();
         if (!event) {
             break;
         }
         if (const auto *call = std::get_if<RequestReceived>(&*event)) {
-            isKeepAlive = co_await handleRequest(*call);
+            closeCause = co_await handleRequest(*call);
         } else if (const auto *rejected = std::get_if<RequestRejected>(&*event)) {
-            isKeepAlive = co_await rejectRequest(*rejected);
+            co_await rejectRequest(*rejected);
+            closeCause = CloseCause::Announced;
         } else {
-            isKeepAlive = false;
+            closeCause = CloseCause::CallerLeft;
         }
     }
-    close();
+    close(closeCause.value_or(CloseCause::CallerLeft));
 }
 
-Awaitable<bool> CallerConnection::handleRequest(const RequestReceived &call)
+Awaitable<std::optional<CloseCause>> CallerConnection::handleRequest(const RequestReceived &call)
 {
     ++m_server->inProgress;
+    ++m_requests;
     ResponseWriter writer(m_socket, call.request.method == "HEAD", call.isHttp10,
                           !call.isKeepAlive || m_server->isDraining);
     m_writer = &writer;
@@ -233,14 +284,11 @@
     m_proxy = nullptr;
     m_writer = nullptr;
     --m_server->inProgress;
-    if (writer.closesConnection() || writer.isDisconnected() || m_server->isDraining) {
-        co_return false;
-    }
     enterPhase(m_buf.size() == 0 ? Phase::Idle : Phase::Header);
-    co_return true;
+    co_return closeCauseAfter(writer, m_server->isDraining);
 }
 
-Awaitable<bool> CallerConnection::rejectRequest(const RequestRejected &call)
+Awaitable<void> CallerConnection::rejectRequest(const RequestRejected &call)
 {
     ResponseWriter writer(m_socket, false, false, true);
     const ErrorDescriptor &answer = descriptorFor(call.kind);
@@ -249,7 +297,6 @@
     std::string body;
     co_await writer.respond(status, fields, std::move(body));
     m_context.log.info("caller.rejected", {{"status", status}, {"cause", answer.name}});
-    co_return false;
 }
 
 } // namespace greengageseam
--- a/source/edge/callerconnection.h
+++ b/source/edge/callerconnection.h
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <variant>
 
 namespace greengageseam {
@@ -40,6 +41,22 @@
 /** Messages from the reading side of a connection to the responding side. */
 using ConnectionEvent = std::variant<RequestReceived, RequestRejected, CallerDisconnected>;
 
+/** Why the server closes a caller's connection. */
+enum class CloseCause {
+    /** The caller closed it, or it broke. */
+    CallerLeft,
+    /** The last response announced it. */
+    Announced,
+    /** The last response could not be completed. */
+    ResponseIncomplete,
+    /** The server drains, which the last response did not announce. */
+    Draining,
+    /** The server has stopped while the connection was idle. */
+    Stopped,
+    /** It was idle for longer than the limit. */
+    Idle,
+};
+
 /** State shared by all connections of a server. */
 struct CallerServerState
 {
@@ -71,13 +88,15 @@
     enum class Phase { Idle, Header, Body, Busy };
 
     Awaitable<void> serve();
-    Awaitable<bool> handleRequest(const RequestReceived &call);
-    Awaitable<bool> rejectRequest(const RequestRejected &call);
+    /** @returns why the connection closes after the response; empty if it stays open */
+    Awaitable<std::optional<CloseCause>> handleRequest(const RequestReceived &call);
+    Awaitable<void> rejectRequest(const RequestRejected &call);
     Awaitable<void> readLoop();
     Awaitable<bool> readRequest();
     void checkTimeouts();
     void enterPhase(Phase phase);
-    void close();
+    void close(CloseCause cause);
+    void recordClose(CloseCause cause) const;
 
     asio::ip::tcp::socket m_socket;
     const RequestContext &m_context;
@@ -91,6 +110,8 @@
     ResponseWriter *m_writer = nullptr;
     /** Proxy of the request in progress; null between requests. */
     RequestProxy *m_proxy = nullptr;
+    /** Number of requests that were received. */
+    std::uint64_t m_requests = 0;
     bool m_isClosed = false;
 };
 
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -137,6 +137,7 @@
         if (const auto *unavailable = std::get_if<ReplicaUnavailable>(&acquired)) {
             const bool isQuarantined = unavailable->kind == ErrorKind::PromptQuarantined
                     && m_ran == ExecutionStatus::NotExecuted;
+            m_unavailableFor = unavailable->kind;
             if ((m_attempts > 0 && !isQuarantined) || m_isStreaming) {
                 co_await giveUp(last);
             } else {
@@ -145,6 +146,7 @@
             co_return;
         }
         const auto &lease = std::get<ReplicaLease>(acquired);
+        m_unavailableFor.reset();
         m_responseStartedAt.reset();
         m_replica = processOf(lease.replica);
         m_weightsBasis = lease.weightsBasis;
@@ -168,15 +170,7 @@
         if (last.end == UpstreamOutcome::Answered) {
             co_return;
         }
-        boost::json::object fields {{"request", m_call.attemptId},
-                                    {"replica", lease.replica.id.text()},
-                                    {"end", outcomeInfo(last.end).name},
-                                    {"ran", textOf(m_ran)},
-                                    {"left_ms", remainingTime().count() / 1000}};
-        if (m_startTimeLeft) {
-            fields["start_left_ms"] = m_startTimeLeft->count() / 1000;
-        }
-        m_context.log.info("request.send-failed", fields);
+        recordFailedAttempt(lease, last.end);
         const bool isResumable = !m_isStreaming || m_events.lastId();
         const bool isAllowed = mayRetry(last.end, route.kind, route.canResume) && isResumable
                 && m_attempts < route.maxAttempts && remainingTime() > minAttemptTime
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -108,7 +108,11 @@
     void releaseLease(const ReplicaLease &lease, const AttemptResult &result);
     Awaitable<void> giveUp(const AttemptResult &result);
     Awaitable<void> respondWithError(ErrorKind kind, ExecutionStatus ran, Duration retryAfter);
+    void recordFailedAttempt(const ReplicaLease &lease, UpstreamOutcome end) const;
     void addReplicaFields(boost::json::object &fields) const;
+    void addStreamFields(boost::json::object &fields) const;
+    /** @returns the time since the current attempt was sent or has brought an event */
+    Duration silentTime() const;
     /** Writes the log record and the metrics of the finished request. */
     void recordOutcome(std::string_view outcome, int status, std::string_view cause);
 
@@ -156,6 +160,10 @@
     std::optional<Duration> m_startTimeLeft;
     /** Complete events that the current attempt has brought. */
     std::uint32_t m_attemptEvents = 0;
+    /** Complete events of all attempts. */
+    std::uint32_t m_relayedEvents = 0;
+    /** Why no backend server was available for a further attempt; empty if one was. */
+    std::optional<ErrorKind> m_unavailableFor;
     /** Backend server of the current or last attempt. */
     ReplicaProcess m_replica;
     /** What its choice was based on. */
--- a/source/edge/requestproxyrecords.cpp
+++ b/source/edge/requestproxyrecords.cpp
@@ -5,6 +5,8 @@
 #include "edge/requestproxy.h"
 #include "net/clock.h"
 
+#include <algorithm>
+
 namespace greengageseam {
 
 namespace {
@@ -27,6 +29,7 @@
 {
     const bool wasBegun = m_attemptEvents >= minEventsOfBegun;
     m_attemptEvents += count;
+    m_relayedEvents += count;
     if (!wasBegun && m_attemptEvents >= minEventsOfBegun) {
         reportPartsAnswered();
     }
@@ -66,6 +69,41 @@
     }
 }
 
+Duration RequestProxy::silentTime() const
+{
+    const Instant heardAt =
+            m_lastEventAt ? std::max(*m_lastEventAt, m_attemptStartedAt) : m_attemptStartedAt;
+    return monotonicNow() - heardAt;
+}
+
+void RequestProxy::recordFailedAttempt(const ReplicaLease &lease, UpstreamOutcome end) const
+{
+    boost::json::object fields {{"request", m_call.attemptId},
+                                {"replica", lease.replica.id.text()},
+                                {"end", outcomeInfo(end).name},
+                                {"ran", textOf(m_ran)},
+                                {"left_ms", remainingTime().count() / 1000},
+                                {"events", m_attemptEvents},
+                                {"silent_ms", silentTime().count() / 1000}};
+    if (m_startTimeLeft) {
+        fields["start_left_ms"] = m_startTimeLeft->count() / 1000;
+    }
+    m_context.log.info("request.send-failed", fields);
+}
+
+/** Adds how far the stream came, and why no other backend server went on with it. */
+void RequestProxy::addStreamFields(boost::json::object &fields) const
+{
+    if (m_firstEventAt) {
+        fields["first_ms"] = (*m_firstEventAt - m_arrivedAt).count() / 1000;
+        fields["gap_ms"] = m_longestGap.count() / 1000;
+        fields["events"] = m_relayedEvents;
+    }
+    if (m_unavailableFor && m_attempts > 0) {
+        fields["unavailable"] = descriptorFor(*m_unavailableFor).name;
+    }
+}
+
 /** Adds the backend server of the last attempt, and what its choice was based on. */
 void RequestProxy::addReplicaFields(boost::json::object &fields) const
 {
@@ -105,10 +143,7 @@
         fields["config"] = m_admission.table->config().version;
     }
     addReplicaFields(fields);
-    if (m_firstEventAt) {
-        fields["first_ms"] = (*m_firstEventAt - m_arrivedAt).count() / 1000;
-        fields["gap_ms"] = m_longestGap.count() / 1000;
-    }
+    addStreamFields(fields);
     m_context.log.info("request.done", fields);
     m_context.metrics->count("requests_total", "Requests from callers, by outcome",
                              {{"outcome", std::string(outcome)}});
--- a/source/edge/responsewriter.cpp
+++ b/source/edge/responsewriter.cpp
@@ -25,7 +25,7 @@
       m_closesConnection(closesAfter || isHttp10)
 { }
 
-std::string ResponseWriter::formatHead(int status, const std::vector<HttpHeader> &fields) const
+std::string ResponseWriter::formatHead(int status, const std::vector<HttpHeader> &fields)
 {
     const auto reason = boost::beast::http::obsolete_reason(
             boost::beast::http::int_to_status(static_cast<unsigned>(status)));
@@ -36,6 +36,7 @@
     }
     if (m_closesConnection) {
         text += "Connection: close\r\n";
+        m_hasAnnouncedClose = true;
     }
     return text;
 }
--- a/source/edge/responsewriter.h
+++ b/source/edge/responsewriter.h
@@ -53,16 +53,19 @@
 
     /** @returns whether the connection must be closed after this response */
     bool closesConnection() const { return m_closesConnection; }
+    /** @returns whether the head of the response has told the caller that the connection closes */
+    bool hasAnnouncedClose() const { return m_hasAnnouncedClose; }
 
 private:
     Awaitable<bool> write(std::string bytes);
-    std::string formatHead(int status, const std::vector<HttpHeader> &fields) const;
+    std::string formatHead(int status, const std::vector<HttpHeader> &fields);
 
     asio::ip::tcp::socket &m_socket;
     std::function<void()> m_onDisconnect;
     bool m_isHead;
     bool m_isHttp10;
     bool m_closesConnection;
+    bool m_hasAnnouncedClose = false;
     bool m_isDisconnected = false;
 };
 
