Wake the senders that wait when a mailbox closes

Cause: closing a channel of Boost 1.81 ends the wait of a receiver but not that of senders, so a task that waited for room in a mailbox that nobody reads any more was never resumed, and kept what it owns.

Change: close() cancels the waits first. Its comment said that queued messages can still be received, which the channel does not do.

--- a/source/net/mailbox.h
+++ b/source/net/mailbox.h
@@ -86,8 +86,16 @@
     /** @returns whether the mailbox accepts messages */
     bool isOpen() const { return m_channel.is_open(); }
 
-    /** Rejects further messages; queued ones can still be received. */
-    void close() { m_channel.close(); }
+    /**
+     * Rejects further messages, discards those that are queued, and ends the waits of the receiver
+     * and of senders.
+     */
+    void close()
+    {
+        // Closing a channel does not wake the senders that wait.
+        m_channel.cancel();
+        m_channel.close();
+    }
 
 private:
     asio::experimental::channel<void(boost::system::error_code, std::optional<T>)> m_channel;
