Let a silent attempt go on until another one has brought something

What callers saw: streams ended early, without a whole answer, although the backend server would have gone on.

Cause: a timer decided that an attempt was over. After 1.5 s without an event (0.4 of the remaining time for other requests that may be repeated) the connection to the server was reset first, and another server was looked for afterwards. When that one was full, rejected the request, was silent too, or the retry budget was used up, the answer ended. The same timer ran out while the entry itself stood still: bytes of the servers waited in its sockets, and each stream in progress was given up.

Change: an attempt is a task (UpstreamAttempt) that tells the proxy of its request what arrives. Silence only starts a search for another server; the silent attempt goes on. The first of the two that brings events, or a complete response, is relayed, and the other one is given up then. A lease that is found too late releases itself (OfferedLease), and the dispatcher no longer reserves slots for a search that was given up.

--- a/source/core/fleet/upstreamoutcome.cpp
+++ b/source/core/fleet/upstreamoutcome.cpp
@@ -28,6 +28,8 @@
                              ErrorKind::OutcomeUnknown},
         UpstreamOutcomeInfo {UpstreamOutcome::DeadlineReached, "deadline-reached",
                              ExecutionStatus::Unknown, ErrorKind::DeadlineExceeded},
+        UpstreamOutcomeInfo {UpstreamOutcome::Withdrawn, "withdrawn", ExecutionStatus::Unknown,
+                             ErrorKind::OutcomeUnknown},
         UpstreamOutcomeInfo {UpstreamOutcome::FailedAnswer, "failed-answer",
                              ExecutionStatus::Executed, ErrorKind::BackendFailed},
         UpstreamOutcomeInfo {UpstreamOutcome::Answered, "answered", ExecutionStatus::Executed,
@@ -56,7 +58,8 @@
 
 bool mayRetry(UpstreamOutcome outcome, RouteKind kind, bool canResume)
 {
-    if (outcome == UpstreamOutcome::Answered || outcome == UpstreamOutcome::DeadlineReached) {
+    if (outcome == UpstreamOutcome::Answered || outcome == UpstreamOutcome::DeadlineReached
+        || outcome == UpstreamOutcome::Withdrawn) {
         return false;
     }
     return outcomeInfo(outcome).ran == ExecutionStatus::NotExecuted
--- a/source/core/fleet/upstreamoutcome.h
+++ b/source/core/fleet/upstreamoutcome.h
@@ -35,6 +35,8 @@
     Silent,
     /** The deadline of the request passed. */
     DeadlineReached,
+    /** The entry gave the attempt up, because its response was not needed any more. */
+    Withdrawn,
     /** A complete response that reports a failure of the backend server itself. */
     FailedAnswer,
     /** A complete response. */
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -103,6 +103,9 @@
 void Dispatcher::apply(const AcquireReplica &command)
 {
     const Instant now = monotonicNow();
+    if (!command.reply->isOpen()) {
+        return;
+    }
     if (rejectIfQuarantined(command, now)) {
         return;
     }
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -12,17 +12,12 @@
 
 namespace {
 
-/** Idle timeout of a stream, after which it resumes on another backend server if it may. */
-constexpr auto streamIdleTimeout = std::chrono::milliseconds(1500);
 /** Retry-After of a request that another entry can serve at once. */
 constexpr auto refusalRetryAfter = std::chrono::milliseconds(200);
-/** Share of the remaining time for which the response to a retryable request is awaited. */
-constexpr double readTimeoutRatio = 0.4;
-
-Duration scaled(Duration time, double ratio)
-{
-    return std::chrono::duration_cast<Duration>(time * ratio);
-}
+/** Retry-After of a request that this entry is too busy to look at. */
+constexpr auto busyRetryAfter = std::chrono::milliseconds(500);
+/** An attempt that has more messages than this waits for the caller to read. */
+constexpr std::size_t inboxCapacity = 4;
 
 /** @returns the time in seconds with three decimal places, as Retry-After has it on the platform */
 std::string formatSeconds(Duration time)
@@ -32,13 +27,25 @@
     return buf.data();
 }
 
+/** Passes the end of a search on to the proxy that has started it. */
+Awaitable<void> forwardSearch(std::uint64_t search, SearchReply reply,
+                              MailboxPtr<DispatchCommand> dispatcher,
+                              MailboxPtr<ProxyMessage> inbox)
+{
+    SearchEnded ended = co_await awaitSearch(search, reply, dispatcher);
+    ProxyMessage message = std::move(ended);
+    co_await inbox->send(std::move(message));
+}
+
 } // namespace
 
 RequestProxy::RequestProxy(const RequestContext &context, const HttpRequest &request,
                            ResponseWriter &writer, Instant arrivedAt)
     : m_context(context), m_request(request), m_writer(writer), m_arrivedAt(arrivedAt),
       m_deadline(arrivedAt), m_call(context.codec.decodeRequestMetadata(request)),
-      m_events(m_call.lastEventId), m_promptParts(sharedParts(m_call.promptParts))
+      m_promptParts(sharedParts(m_call.promptParts)),
+      m_inbox(makeMailbox<ProxyMessage>(context.executor, inboxCapacity)),
+      m_silenceTimer(context.executor), m_lastEventId(m_call.lastEventId)
 { }
 
 Duration RequestProxy::remainingTime() const
@@ -52,37 +59,40 @@
     return isIdempotent(route.kind, route.canResume);
 }
 
-/** @returns how long to wait for the response, or for its next event, before the attempt fails */
-Duration RequestProxy::readTimeout() const
+AttemptProgress RequestProxy::progress() const
 {
-    const bool hasStartDeadline = m_startDeadline && !m_responseStartedAt;
-    const Duration defaultTimeout = defaultReadTimeout();
-    return hasStartDeadline ? std::min<Duration>(defaultTimeout, *m_startDeadline - monotonicNow())
-                            : defaultTimeout;
+    AttemptProgress progress;
+    progress.sent = m_sends;
+    progress.inProgress = static_cast<std::uint32_t>(m_attempts.size());
+    progress.hasStarted = m_isStreaming;
+    progress.hasEventId = m_lastEventId.has_value();
+    progress.remaining = remainingTime();
+    return progress;
 }
 
-Duration RequestProxy::defaultReadTimeout() const
+std::vector<RequestProxy::AttemptPtr>::iterator RequestProxy::find(std::uint64_t lease)
 {
-    if (!canRetry() || m_attempts >= m_admission.routed.route->maxAttempts) {
-        return remainingTime();
-    }
-    if (m_admission.routed.route->kind == RouteKind::Streaming) {
-        return std::min<Duration>(remainingTime(), streamIdleTimeout);
-    }
-    return scaled(remainingTime(), readTimeoutRatio);
+    return std::find_if(m_attempts.begin(), m_attempts.end(),
+                        [lease](const AttemptPtr &it) { return it->lease() == lease; });
 }
 
 Awaitable<void> RequestProxy::run()
 {
-    m_writer.onDisconnect([this] {
-        if (m_connection) {
-            m_connection->abort();
+    m_writer.onDisconnect([this] { abortAll(AttemptAbort::CallerGone); });
+    const bool isAdmitted = co_await admit();
+    if (isAdmitted) {
+        startSearch();
+    }
+    while (isAdmitted && (!m_isDone || m_unreported > 0)) {
+        const std::optional<ProxyMessage> message = co_await m_inbox->receive();
+        if (!message) {
+            break;
         }
-    });
-    if (co_await admit()) {
-        co_await attemptUntilDone();
+        co_await handle(*message);
     }
     m_writer.onDisconnect({});
+    m_silenceTimer.cancel();
+    m_inbox->close();
 }
 
 Awaitable<void> RequestProxy::refuse(ErrorKind kind)
@@ -96,12 +106,14 @@
         return;
     }
     m_isExpired = true;
-    if (m_acquisition) {
-        m_acquisition->post(ReplicaUnavailable {ErrorKind::Draining, refusalRetryAfter});
-        m_acquisition->close();
-    }
-    if (m_connection) {
-        m_connection->abort();
+    abortAll(AttemptAbort::ProcessEnds);
+}
+
+void RequestProxy::abortAll(AttemptAbort reason)
+{
+    endSearch();
+    for (const AttemptPtr &it : m_attempts) {
+        it->abort(reason);
     }
 }
 
@@ -112,14 +124,14 @@
                           m_call.apiKey, m_call.remaining, reply};
     if (!m_context.dispatcher->post(std::move(query))) {
         co_await respondWithError(ErrorKind::Overloaded, ExecutionStatus::NotExecuted,
-                                  std::chrono::milliseconds(500));
+                                  busyRetryAfter);
         co_return false;
     }
     std::optional<Outcome<Admission>> answer = co_await reply->receive();
     const Failure *failure = answer ? failureOf(*answer) : nullptr;
     if (!answer || failure != nullptr) {
         co_await respondWithError(failure == nullptr ? ErrorKind::Internal : failure->kind,
-                                  ExecutionStatus::NotExecuted, std::chrono::milliseconds(500));
+                                  ExecutionStatus::NotExecuted, busyRetryAfter);
         co_return false;
     }
     m_admission = std::get<Admission>(std::move(*answer));
@@ -128,76 +140,45 @@
     co_return true;
 }
 
-Awaitable<void> RequestProxy::attemptUntilDone()
+Awaitable<void> RequestProxy::handle(const ProxyMessage &message)
 {
-    const Route &route = *m_admission.routed.route;
-    AttemptResult last;
-    while (true) {
-        const auto acquired = co_await acquireReplica();
-        if (const auto *unavailable = std::get_if<ReplicaUnavailable>(&acquired)) {
-            const bool isQuarantined = unavailable->kind == ErrorKind::PromptQuarantined
-                    && m_ran == ExecutionStatus::NotExecuted;
-            m_unavailableFor = unavailable->kind;
-            if ((m_attempts > 0 && !isQuarantined) || m_isStreaming) {
-                co_await giveUp(last);
-            } else {
-                co_await respondWithError(unavailable->kind, m_ran, unavailable->retryAfter);
-            }
-            co_return;
-        }
-        const auto &lease = std::get<ReplicaLease>(acquired);
-        m_unavailableFor.reset();
-        m_responseStartedAt.reset();
-        m_replica = processOf(lease.replica);
-        m_weightsBasis = lease.weightsBasis;
-        m_startTimeLeft.reset();
-        m_lease = lease.id;
-        if (m_writer.isDisconnected()) {
-            releaseLease(lease, AttemptResult {UpstreamOutcome::DeadlineReached, {}, {}});
-            recordOutcome("caller-gone", 0, "before an attempt");
-            co_return;
-        }
-        last = co_await sendAttempt(lease);
-        m_ran = combine(m_ran, outcomeInfo(last.end).ran);
-        releaseLease(lease, last);
-        recordLostAttempt(lease, last);
-        if (m_writer.isDisconnected()) {
-            recordOutcome("caller-gone", 0, outcomeInfo(last.end).name);
-            co_return;
-        }
-        m_context.metrics->count("sends_total", "Upstream attempts, by how they ended",
-                                 {{"end", std::string(outcomeInfo(last.end).name)}});
-        if (last.end == UpstreamOutcome::Answered) {
-            co_return;
-        }
-        recordFailedAttempt(lease, last.end);
-        const bool isResumable = !m_isStreaming || m_events.lastId();
-        const bool isAllowed = mayRetry(last.end, route.kind, route.canResume) && isResumable
-                && m_attempts < route.maxAttempts && remainingTime() > minAttemptTime
-                && !m_isExpired;
-        if (!isAllowed) {
-            co_await giveUp(last);
-            co_return;
-        }
-        m_triedReplicas.insert(lease.replica.id);
+    if (const auto *events = std::get_if<EventsReceived>(&message)) {
+        co_await apply(*events);
+    } else if (const auto *ended = std::get_if<AttemptEnded>(&message)) {
+        co_await apply(*ended);
+    } else if (const auto *search = std::get_if<SearchEnded>(&message)) {
+        co_await apply(*search);
+    } else if (const auto *sent = std::get_if<AttemptSent>(&message)) {
+        apply(*sent);
+    } else {
+        apply(std::get<SilenceElapsed>(message));
     }
 }
 
-Awaitable<std::variant<ReplicaLease, ReplicaUnavailable>> RequestProxy::acquireReplica()
+void RequestProxy::startSearch()
 {
-    if (m_isExpired) {
-        co_return ReplicaUnavailable {ErrorKind::Draining, refusalRetryAfter};
+    ++m_search;
+    m_searchReply =
+            makeMailbox<std::variant<ReplicaLease, ReplicaUnavailable>>(m_context.executor, 1);
+    m_nextStart = std::make_shared<AttemptStart>();
+    if (m_isExpired || !m_context.dispatcher->post(searchQuery())) {
+        m_searchReply->close();
     }
+    asio::co_spawn(m_context.executor,
+                   forwardSearch(m_search, m_searchReply, m_context.dispatcher, m_inbox),
+                   asio::detached);
+}
+
+AcquireReplica RequestProxy::searchQuery() const
+{
     const Route &route = *m_admission.routed.route;
-    const auto reply =
-            makeMailbox<std::variant<ReplicaLease, ReplicaUnavailable>>(m_context.executor, 1);
     AcquireReplica query;
     query.attemptId = m_call.attemptId;
     query.requirements.service = m_admission.service;
     query.requirements.tried = m_triedReplicas;
     query.requirements.latencyObjective = route.latencyObjective;
     query.requirements.promptTokens = static_cast<double>(m_call.promptTokens);
-    query.isRetry = m_attempts > 0;
+    query.isRetry = m_sends > 0;
     // Without an attempt id, a late response to an earlier request could not be told apart.
     query.allowsPooledConnection = canRetry() && !m_call.attemptId.empty();
     const bool isLikelyRetry = m_arrivedAt - m_admission.firstAttemptAt > route.latencyObjective;
@@ -211,36 +192,241 @@
     query.promptParts = m_promptParts;
     query.wasLost = m_wasLost;
     query.lateAfter = m_admission.firstAttemptAt + route.latencyObjective;
-    query.onStartExpired = makeStartExpiry();
-    query.reply = reply;
-    if (m_context.dispatcher->post(std::move(query))) {
-        m_acquisition = reply;
-        auto answer = co_await reply->receive();
-        m_acquisition.reset();
-        if (answer) {
-            co_return std::move(*answer);
+    query.onStartExpired = makeStartExpiry(m_nextStart);
+    query.reply = m_searchReply;
+    return query;
+}
+
+void RequestProxy::endSearch()
+{
+    if (m_searchReply) {
+        m_searchReply->close();
+    }
+}
+
+Awaitable<void> RequestProxy::apply(const SearchEnded &message)
+{
+    if (message.search != m_search || !m_searchReply) {
+        co_return;
+    }
+    m_searchReply.reset();
+    if (m_writer.isDisconnected()) {
+        endIfAbandoned("before an attempt");
+        co_return;
+    }
+    if (message.lease && !m_isExpired) {
+        startAttempt(message.lease->take());
+        co_return;
+    }
+    const ErrorKind kind = m_isExpired ? ErrorKind::Draining : ErrorKind::Overloaded;
+    const Duration retryAfter = m_isExpired ? refusalRetryAfter : busyRetryAfter;
+    const ReplicaUnavailable given =
+            message.unavailable.value_or(ReplicaUnavailable {kind, retryAfter});
+    co_await endWithoutReplica(given);
+}
+
+Awaitable<void> RequestProxy::endWithoutReplica(const ReplicaUnavailable &unavailable)
+{
+    m_unavailableFor = unavailable.kind;
+    if (!m_attempts.empty()) {
+        awaitNews();
+        co_return;
+    }
+    const bool isQuarantined = unavailable.kind == ErrorKind::PromptQuarantined
+            && m_ran == ExecutionStatus::NotExecuted;
+    if ((m_sends > 0 && !isQuarantined) || m_isStreaming) {
+        co_await giveUp();
+    } else {
+        co_await respondWithError(unavailable.kind, m_ran, unavailable.retryAfter);
+    }
+}
+
+void RequestProxy::startAttempt(ReplicaLease lease)
+{
+    m_unavailableFor.reset();
+    m_replica = processOf(lease.replica);
+    m_weightsBasis = lease.weightsBasis;
+    m_startTimeLeft.reset();
+    m_triedReplicas.insert(lease.replica.id);
+    AttemptOptions options;
+    options.lease = std::move(lease);
+    options.attemptId = m_call.attemptId;
+    options.promptTokens = static_cast<double>(m_call.promptTokens);
+    options.promptParts = m_promptParts;
+    if (m_admission.routed.account != nullptr) {
+        options.account = m_admission.routed.account->name;
+    }
+    options.deadline = m_deadline;
+    options.lastEventId = m_lastEventId;
+    options.isFirst = m_sends == 0;
+    options.isIdempotent = canRetry();
+    options.isResumption = m_isStreaming;
+    options.start = m_nextStart;
+    m_attempts.push_back(
+            std::make_shared<UpstreamAttempt>(m_context, m_request, std::move(options), m_inbox));
+    ++m_unreported;
+    m_attempts.back()->start();
+}
+
+void RequestProxy::apply(const AttemptSent &message)
+{
+    ++m_sends;
+    m_startTimeLeft = message.startTimeLeft;
+    awaitNews();
+}
+
+/** Starts to wait for news, if another backend server may be asked when they do not come. */
+void RequestProxy::awaitNews()
+{
+    m_silenceTimer.cancel();
+    ++m_silenceWait;
+    const Route &route = *m_admission.routed.route;
+    if (m_isDone || m_isExpired || m_searchReply || !allowsAttemptBeside(route, progress())) {
+        return;
+    }
+    m_silenceTimer.expires_after(silenceTimeout(route.kind, remainingTime()));
+    m_silenceTimer.async_wait(
+            [inbox = m_inbox, wait = m_silenceWait](const boost::system::error_code &ec) {
+                if (!ec) {
+                    inbox->post(SilenceElapsed {wait});
+                }
+            });
+}
+
+void RequestProxy::apply(const SilenceElapsed &message)
+{
+    const Route &route = *m_admission.routed.route;
+    const bool isCurrent = message.wait == m_silenceWait && !m_isDone && !m_isExpired;
+    if (isCurrent && !m_searchReply && !m_writer.isDisconnected()
+        && allowsAttemptBeside(route, progress())) {
+        startSearch();
+    }
+}
+
+void RequestProxy::keepOnly(std::uint64_t lease)
+{
+    endSearch();
+    m_searchReply.reset();
+    for (const AttemptPtr &it : m_attempts) {
+        if (it->lease() != lease) {
+            it->abort(it->lease() < lease ? AttemptAbort::Superseded : AttemptAbort::Withdrawn);
         }
     }
-    co_return ReplicaUnavailable {ErrorKind::Overloaded, std::chrono::milliseconds(500)};
+    std::erase_if(m_attempts, [lease](const AttemptPtr &it) { return it->lease() != lease; });
+}
+
+Awaitable<void> RequestProxy::apply(const EventsReceived &message)
+{
+    if (find(message.lease) == m_attempts.end() || m_writer.isDisconnected()) {
+        co_return;
+    }
+    keepOnly(message.lease);
+    m_silenceTimer.cancel();
+    recordEvents(message);
+    std::string bytes = message.events.bytes;
+    if (m_isStreaming) {
+        co_await m_writer.writeChunk(std::move(bytes));
+    } else {
+        m_isStreaming = true;
+        const std::vector<HttpHeader> fields = m_context.codec.forwardedFields(*message.head);
+        co_await m_writer.startStream(message.head->status, fields, std::move(bytes));
+    }
+    awaitNews();
+}
+
+Awaitable<void> RequestProxy::apply(const AttemptEnded &message)
+{
+    --m_unreported;
+    const auto it = find(message.lease);
+    const bool wasInProgress = it != m_attempts.end();
+    if (wasInProgress) {
+        m_attempts.erase(it);
+    }
+    const bool isBodyAfterStream = m_isStreaming && message.response.has_value()
+            && message.outcome == UpstreamOutcome::Answered;
+    const UpstreamOutcome outcome = isBodyAfterStream ? UpstreamOutcome::Garbled : message.outcome;
+    m_ran = combine(m_ran, outcomeInfo(outcome).ran);
+    if (m_writer.isDisconnected()) {
+        endIfAbandoned(outcomeInfo(outcome).name);
+        co_return;
+    }
+    m_context.metrics->count("sends_total", "Upstream attempts, by how they ended",
+                             {{"end", std::string(outcomeInfo(outcome).name)}});
+    if (outcome == UpstreamOutcome::Answered && wasInProgress) {
+        co_await complete(message);
+        co_return;
+    }
+    recordFailedAttempt(message);
+    if (!wasInProgress || m_isDone) {
+        co_return;
+    }
+    m_wasLost = m_wasLost || message.wasLost;
+    m_lastFailure = {outcome, message.response};
+    co_await goOnAfter(outcome);
+}
+
+Awaitable<void> RequestProxy::goOnAfter(UpstreamOutcome outcome)
+{
+    if (!m_attempts.empty()) {
+        awaitNews();
+        co_return;
+    }
+    const Route &route = *m_admission.routed.route;
+    const bool isAllowed = mayRetry(outcome, route.kind, route.canResume)
+            && allowsFurtherAttempt(route, progress()) && !m_isExpired;
+    if (!isAllowed) {
+        endSearch();
+        m_searchReply.reset();
+        co_await giveUp();
+    } else if (!m_searchReply) {
+        startSearch();
+    }
+}
+
+Awaitable<void> RequestProxy::complete(const AttemptEnded &ended)
+{
+    keepOnly(ended.lease);
+    m_silenceTimer.cancel();
+    if (ended.response) {
+        std::string body = ended.response->body;
+        co_await m_writer.respond(ended.response->status, ended.response->headers, std::move(body));
+        recordOutcome("answered", ended.response->status, {});
+        co_return;
+    }
+    if (!m_isStreaming) {
+        m_isStreaming = true;
+        const std::vector<HttpHeader> fields = m_context.codec.forwardedFields(*ended.streamHead);
+        std::string empty;
+        co_await m_writer.startStream(ended.streamHead->status, fields, std::move(empty));
+    }
+    co_await m_writer.endStream();
+    recordOutcome("answered", ended.streamHead->status, {});
 }
 
 /** Ends the request after its last upstream attempt has failed. */
-Awaitable<void> RequestProxy::giveUp(const AttemptResult &result)
+Awaitable<void> RequestProxy::giveUp()
 {
+    const std::string_view cause = outcomeInfo(m_lastFailure.outcome).name;
     if (m_isStreaming) {
         m_writer.abortStream();
-        recordOutcome("broken-off", 0, outcomeInfo(result.end).name);
+        recordOutcome("broken-off", 0, cause);
         co_return;
     }
-    if (result.response) {
-        const int status = result.response->status;
-        const std::vector<HttpHeader> headers = result.response->headers;
-        std::string body = result.response->body;
-        co_await m_writer.respond(status, headers, std::move(body));
-        recordOutcome("failed-by-replica", status, outcomeInfo(result.end).name);
+    if (m_lastFailure.response) {
+        const HttpResponse &response = *m_lastFailure.response;
+        std::string body = response.body;
+        co_await m_writer.respond(response.status, response.headers, std::move(body));
+        recordOutcome("failed-by-replica", response.status, cause);
         co_return;
     }
-    co_await respondWithError(errorAfter(result.end, m_ran), m_ran, std::chrono::milliseconds(200));
+    co_await respondWithError(errorAfter(m_lastFailure.outcome, m_ran), m_ran, refusalRetryAfter);
+}
+
+void RequestProxy::endIfAbandoned(std::string_view cause)
+{
+    if (m_attempts.empty() && !m_searchReply && !m_isDone) {
+        recordOutcome("caller-gone", 0, cause);
+    }
 }
 
 Awaitable<void> RequestProxy::respondWithError(ErrorKind kind, ExecutionStatus ran,
--- a/source/edge/requestproxyrecords.cpp
+++ b/source/edge/requestproxyrecords.cpp
@@ -1,6 +1,5 @@
 /**
- * The part of RequestProxy that logs and counts, and reports how attempts went to the task that
- * looks for prompts that crash backend servers.
+ * The part of RequestProxy that logs and counts.
  */
 #include "edge/requestproxy.h"
 #include "net/clock.h"
@@ -9,82 +8,25 @@
 
 namespace greengageseam {
 
-namespace {
-
-/** A backend server that crashes as it begins to respond may have sent one event. */
-constexpr std::uint32_t minEventsOfBegun = 2;
-/** Number of prompt parts in a log line. */
-constexpr std::size_t maxLoggedParts = 8;
-
-/** @returns whether the backend server, or its connection, was lost during the attempt */
-bool isConnectionLoss(UpstreamOutcome end)
-{
-    return end == UpstreamOutcome::BrokenWhileSending || end == UpstreamOutcome::BrokenBeforeAnswer
-            || end == UpstreamOutcome::BrokenAnswer;
-}
-
-} // namespace
-
-void RequestProxy::recordEvents(std::uint32_t count)
-{
-    const bool wasBegun = m_attemptEvents >= minEventsOfBegun;
-    m_attemptEvents += count;
-    m_relayedEvents += count;
-    if (!wasBegun && m_attemptEvents >= minEventsOfBegun) {
-        reportPartsAnswered();
-    }
-}
-
-void RequestProxy::reportPartsAnswered()
-{
-    if (!m_promptParts.empty()) {
-        m_context.quarantine->post(PartsAnswered {m_promptParts});
-    }
-}
-
-void RequestProxy::recordLostAttempt(const ReplicaLease &lease, const AttemptResult &result)
+void RequestProxy::recordEvents(const EventsReceived &message)
 {
-    const bool isBegun = m_attemptEvents >= minEventsOfBegun;
-    if (!isConnectionLoss(result.end) || isBegun || m_writer.isDisconnected()) {
-        return;
-    }
-    m_wasLost = true;
-    boost::json::array parts;
-    for (const PromptPartId &part : m_promptParts) {
-        if (parts.size() < maxLoggedParts) {
-            parts.emplace_back(part.text());
-        }
-    }
-    m_context.log.info("request.attempt-lost",
-                       {{"request", m_call.attemptId},
-                        {"replica", lease.replica.id.text()},
-                        {"born", lease.replica.startedAtMs},
-                        {"events", m_attemptEvents},
-                        {"parts", std::move(parts)}});
-    m_context.metrics->count("attempts_lost_total",
-                             "Upstream attempts whose connection was lost before the response");
-    if (!m_promptParts.empty()) {
-        m_context.quarantine->post(
-                AttemptLost {{lease.replica.id, lease.replica.startedAtMs}, m_promptParts});
-    }
-}
-
-Duration RequestProxy::silentTime() const
-{
-    const Instant heardAt =
-            m_lastEventAt ? std::max(*m_lastEventAt, m_attemptStartedAt) : m_attemptStartedAt;
-    return monotonicNow() - heardAt;
+    const Instant now = monotonicNow();
+    m_longestGap = m_lastEventAt ? std::max(m_longestGap, now - *m_lastEventAt) : m_longestGap;
+    m_lastEventAt = now;
+    m_firstEventAt = m_firstEventAt.value_or(now);
+    m_lastEventId = message.lastEventId;
+    m_relayedEvents += message.events.count;
 }
 
-void RequestProxy::recordFailedAttempt(const ReplicaLease &lease, UpstreamOutcome end) const
+void RequestProxy::recordFailedAttempt(const AttemptEnded &ended) const
 {
     boost::json::object fields {{"request", m_call.attemptId},
-                                {"replica", lease.replica.id.text()},
-                                {"end", outcomeInfo(end).name},
+                                {"replica", ended.replica.text()},
+                                {"end", outcomeInfo(ended.outcome).name},
                                 {"ran", textOf(m_ran)},
                                 {"left_ms", remainingTime().count() / 1000},
-                                {"events", m_attemptEvents},
-                                {"silent_ms", silentTime().count() / 1000}};
+                                {"events", ended.events},
+                                {"silent_ms", ended.silence.count() / 1000}};
     if (m_startTimeLeft) {
         fields["start_left_ms"] = m_startTimeLeft->count() / 1000;
     }
@@ -99,7 +41,7 @@
         fields["gap_ms"] = m_longestGap.count() / 1000;
         fields["events"] = m_relayedEvents;
     }
-    if (m_unavailableFor && m_attempts > 0) {
+    if (m_unavailableFor && m_sends > 0) {
         fields["unavailable"] = descriptorFor(*m_unavailableFor).name;
     }
 }
@@ -126,13 +68,14 @@
 
 void RequestProxy::recordOutcome(std::string_view outcome, int status, std::string_view cause)
 {
+    m_isDone = true;
     const Instant now = monotonicNow();
     const Route *route = m_admission.routed.route;
     boost::json::object fields {{"request", m_call.attemptId},
                                 {"outcome", outcome},
                                 {"status", status},
                                 {"ms", (now - m_arrivedAt).count() / 1000},
-                                {"sends", m_attempts},
+                                {"sends", m_sends},
                                 {"ran", textOf(m_ran)}};
     if (!cause.empty()) {
         fields["cause"] = cause;
--- a/tests/unit/tst_upstreamoutcome.cpp
+++ b/tests/unit/tst_upstreamoutcome.cpp
@@ -75,6 +75,11 @@
     requireRow(UpstreamOutcome::DeadlineReached, ExecutionStatus::Unknown, false, false);
 }
 
+TEST_CASE_METHOD(UpstreamOutcomeFixture, "outcome_withdrawn_executionIsUnknown")
+{
+    requireRow(UpstreamOutcome::Withdrawn, ExecutionStatus::Unknown, false, false);
+}
+
 TEST_CASE_METHOD(UpstreamOutcomeFixture, "outcome_failedAnswer_wasExecuted")
 {
     requireRow(UpstreamOutcome::FailedAnswer, ExecutionStatus::Executed, false, true);
