Do not take a connection for idle whose next request has begun to arrive

A caller may send its next request while the response to the one before is in progress. The end of that response set the connection to idle whenever the read buffer was empty, although the request was complete and about to be answered, or a part of its body had been read out of the buffer. As idle, it was closed at the next check after a stop, or after the idle timeout, in the middle of the request.

What the caller sends and what it is owed are counted apart now, in the value class CallerActivity, which also decides on the timeouts of a connection; the task feeds it events and the time. Only a connection with neither is idle.

On the parent the two new cases of failure-stop fail: one response of two (1 == 2), and none to the request whose body had begun. With this change failure-stop passes (4 cases), and so does unit (276 cases).

--- a/source/edge/callerconnection.cpp
+++ b/source/edge/callerconnection.cpp
@@ -20,8 +20,6 @@
 constexpr auto timeoutCheckInterval = std::chrono::milliseconds(500);
 /** The same interval once the server has stopped, so that requests expire in time. */
 constexpr auto stoppedCheckInterval = std::chrono::milliseconds(100);
-/** The timeout for a request body, as a multiple of the header timeout. */
-constexpr int bodyTimeoutFactor = 5;
 constexpr int statusHeaderTooLarge = 431;
 constexpr int http10Version = 10;
 
@@ -84,7 +82,7 @@
                                    std::shared_ptr<CallerServerState> server)
     : m_socket(std::move(socket)), m_context(context), m_server(std::move(server)),
       m_events(makeMailbox<ConnectionEvent>(m_socket.get_executor(), 1)),
-      m_timer(m_socket.get_executor())
+      m_timer(m_socket.get_executor()), m_activity(monotonicNow())
 {
     ++m_server->connections;
 }
@@ -92,7 +90,6 @@
 void CallerConnection::start()
 {
     setTcpOptions(m_socket);
-    enterPhase(Phase::Idle);
     const auto executor = m_socket.get_executor();
     asio::co_spawn(
             executor, [self = shared_from_this()] { return self->readLoop(); }, asio::detached);
@@ -100,12 +97,6 @@
     checkTimeouts();
 }
 
-void CallerConnection::enterPhase(Phase phase)
-{
-    m_phase = phase;
-    m_phaseSince = monotonicNow();
-}
-
 void CallerConnection::close(CloseCause cause)
 {
     if (m_isClosed) {
@@ -132,7 +123,7 @@
     m_context.log.info("caller.closed",
                        {{"cause", nameOf(cause)},
                         {"requests", m_requests},
-                        {"phase_ms", (monotonicNow() - m_phaseSince).count() / 1000}});
+                        {"phase_ms", (monotonicNow() - m_activity.answeredAt()).count() / 1000}});
 }
 
 /**
@@ -147,22 +138,18 @@
         if (ec || !self || self->m_isClosed) {
             return;
         }
-        const CallerLimits &limits = self->m_server->limits;
-        const Duration elapsed = monotonicNow() - self->m_phaseSince;
-        const bool isIdleTooLong = self->m_phase == Phase::Idle
-                && (elapsed > limits.idleTimeout || self->m_server->isStopped);
-        const bool isSlow = (self->m_phase == Phase::Header && elapsed > limits.headerTimeout)
-                || (self->m_phase == Phase::Body
-                    && elapsed > limits.headerTimeout * bodyTimeoutFactor);
         if (self->m_server->isExpired && self->m_proxy != nullptr) {
             self->m_proxy->expire();
         }
-        if (isIdleTooLong) {
-            self->close(self->m_server->isStopped ? CloseCause::Stopped : CloseCause::Idle);
+        const bool isStopped = self->m_server->isStopped;
+        const TimeoutAction action =
+                self->m_activity.timeoutAction(self->m_server->limits, isStopped, monotonicNow());
+        if (action == TimeoutAction::CloseIdle) {
+            self->close(isStopped ? CloseCause::Stopped : CloseCause::Idle);
             return;
         }
-        if (isSlow) {
-            self->enterPhase(Phase::Busy);
+        if (action == TimeoutAction::RejectSlow) {
+            self->m_activity.endRequest();
             self->m_events->post(RequestRejected {ErrorKind::SlowCaller, 0});
         }
         self->checkTimeouts();
@@ -197,9 +184,7 @@
         }
         m_buf.commit(n);
     }
-    if (m_phase == Phase::Idle) {
-        enterPhase(Phase::Header);
-    }
+    m_activity.beginRequest(monotonicNow());
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes));
     parser.body_limit(m_server->limits.maxBodyBytes);
@@ -207,9 +192,7 @@
             co_await http::async_read_header(m_socket, m_buf, parser, asTuple);
     boost::system::error_code ec = headerError;
     if (!ec && !parser.is_done()) {
-        if (m_phase == Phase::Header) {
-            enterPhase(Phase::Body);
-        }
+        m_activity.beginBody(monotonicNow());
         if (parser.get()[http::field::expect] == "100-continue") {
             const std::string text = "HTTP/1.1 100 Continue\r\n\r\n";
             co_await asio::async_write(m_socket, asio::buffer(text), asTuple);
@@ -221,6 +204,7 @@
         if (m_writer != nullptr) {
             m_writer->markDisconnected();
         }
+        m_activity.endRequest();
         ConnectionEvent event = isDisconnect(ec) ? ConnectionEvent(CallerDisconnected {})
                                                  : ConnectionEvent(rejectionFor(ec));
         co_await m_events->send(std::move(event));
@@ -243,7 +227,7 @@
     ConnectionEvent event = isAmbiguous
             ? ConnectionEvent(RequestRejected {ErrorKind::InvalidRequest, 0})
             : ConnectionEvent(std::move(call));
-    enterPhase(Phase::Busy);
+    m_activity.endRequest();
     co_return co_await m_events->send(std::move(event));
 }
 
@@ -284,7 +268,7 @@
     m_proxy = nullptr;
     m_writer = nullptr;
     --m_server->inProgress;
-    enterPhase(m_buf.size() == 0 ? Phase::Idle : Phase::Header);
+    m_activity.endResponse(monotonicNow());
     co_return closeCauseAfter(writer, m_server->isDraining);
 }
 
--- a/source/edge/callerconnection.h
+++ b/source/edge/callerconnection.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "core/fleet/calleractivity.h"
 #include "edge/requestproxy.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -84,9 +85,6 @@
     void start();
 
 private:
-    /** State of the reading side, which decides which timeout applies. */
-    enum class Phase { Idle, Header, Body, Busy };
-
     Awaitable<void> serve();
     /** @returns why the connection closes after the response; empty if it stays open */
     Awaitable<std::optional<CloseCause>> handleRequest(const RequestReceived &call);
@@ -94,7 +92,6 @@
     Awaitable<void> readLoop();
     Awaitable<bool> readRequest();
     void checkTimeouts();
-    void enterPhase(Phase phase);
     void close(CloseCause cause);
     void recordClose(CloseCause cause) const;
 
@@ -104,8 +101,7 @@
     MailboxPtr<ConnectionEvent> m_events;
     Timer m_timer;
     boost::beast::flat_buffer m_buf;
-    Phase m_phase = Phase::Idle;
-    Instant m_phaseSince;
+    CallerActivity m_activity;
     /** Writer of the response in progress; null between requests. */
     ResponseWriter *m_writer = nullptr;
     /** Proxy of the request in progress; null between requests. */
--- a/tests/failure/tst_stop.cpp
+++ b/tests/failure/tst_stop.cpp
@@ -7,6 +7,8 @@
 #include "net/clock.h"
 #include "platform/callheaders.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -17,14 +19,21 @@
 
 using std::chrono::milliseconds;
 
+const std::string firstHead = "POST /a/ HTTP/1.1\r\nHost: a\r\nAttempt-Id: 1\r\n";
+const std::string firstRequest = firstHead + "Content-Length: 0\r\n\r\n";
+const std::string secondHead =
+        "POST /a/ HTTP/1.1\r\nHost: a\r\nAttempt-Id: 2\r\nContent-Length: 4\r\n\r\n";
+
 /** Runs the server in the thread of the test, which decides when its tasks get the processor. */
 class CallerServerFixture
 {
 protected:
-    CallerServerFixture() : m_log(LogLevel::Error, {}), m_address(freeAddress())
+    CallerServerFixture()
+        : m_dispatcher(makeMailbox<DispatchCommand>(m_context.get_executor(), 64)),
+          m_log(LogLevel::Error, {}), m_address(freeAddress())
     {
         const RequestContext context {m_context.get_executor(),
-                                      makeMailbox<DispatchCommand>(m_context.get_executor(), 64),
+                                      m_dispatcher,
                                       makeMailbox<QuarantineCommand>(m_context.get_executor(), 64),
                                       makeCallCodec(),
                                       std::make_shared<Metrics>(),
@@ -32,9 +41,24 @@
         m_server = std::make_shared<CallerServer>(context, 100);
         REQUIRE(m_server->listen(m_address));
         m_server->start();
+        asio::co_spawn(m_context, holdQueries(), asio::detached);
         m_context.poll();
     }
 
+    /** Holds the requests that ask for their route until the test answers them. */
+    Awaitable<void> holdQueries()
+    {
+        while (true) {
+            const std::optional<DispatchCommand> command = co_await m_dispatcher->receive();
+            if (!command) {
+                co_return;
+            }
+            if (const auto *query = std::get_if<AdmissionQuery>(&*command)) {
+                m_queries.push_back(*query);
+            }
+        }
+    }
+
     static Address freeAddress()
     {
         std::uint16_t port = 0;
@@ -42,22 +66,81 @@
         return Address("127.0.0.1:" + std::to_string(port));
     }
 
-    /** Connects and sends a request, while the server's tasks do not run. */
-    asio::ip::tcp::socket sendRequest()
+    asio::ip::tcp::socket connect()
     {
         const auto endpoint = toOutcome([&] { return parseEndpoint(m_address); });
         asio::ip::tcp::socket caller(m_callers);
         caller.connect(std::get<asio::ip::tcp::endpoint>(endpoint));
+        return caller;
+    }
+
+    /** Connects and sends a request, while the server's tasks do not run. */
+    asio::ip::tcp::socket sendRequest()
+    {
+        asio::ip::tcp::socket caller = connect();
         const std::string request = "GET /a/ HTTP/1.1\r\nHost: a\r\nAttempt-Id: 1\r\n\r\n";
         asio::write(caller, asio::buffer(request));
         return caller;
     }
 
+    static void write(asio::ip::tcp::socket &caller, const std::string &text)
+    {
+        asio::write(caller, asio::buffer(text));
+    }
+
+    void runFor(milliseconds time)
+    {
+        m_context.restart();
+        m_context.run_for(time);
+    }
+
+    /** Runs the server's tasks until a condition holds. @returns false if it does not in time */
+    bool waitUntil(const std::function<bool()> &condition)
+    {
+        const Instant end = monotonicNow() + std::chrono::seconds(10);
+        while (!condition() && monotonicNow() < end) {
+            runFor(milliseconds(5));
+        }
+        return condition();
+    }
+
+    /** Waits for the n-th request that asks for its route, and lets it be answered with 404. */
+    void rejectQuery(std::size_t n)
+    {
+        REQUIRE(waitUntil([&] { return m_queries.size() >= n; }));
+        m_queries[n - 1].reply->post(Failure {ErrorKind::NotFound, {}});
+    }
+
+    /** Waits for n responses of a caller, none of which has ended its connection. */
+    std::string receiveResponses(asio::ip::tcp::socket &caller, int n)
+    {
+        std::string text;
+        REQUIRE(waitUntil([&] { return countOf(text += receiveNow(caller), "HTTP/1.1 ") >= n; }));
+        return text;
+    }
+
+    /** @returns what has arrived at a caller */
+    static std::string receiveNow(asio::ip::tcp::socket &caller)
+    {
+        std::string text(caller.available(), ' ');
+        asio::read(caller, asio::buffer(text));
+        return text;
+    }
+
+    static int countOf(const std::string &text, const std::string &part)
+    {
+        int n = 0;
+        for (std::size_t at = text.find(part); at != std::string::npos;
+             at = text.find(part, at + part.size())) {
+            ++n;
+        }
+        return n;
+    }
+
     /** @returns what a caller receives until its connection ends */
     std::string receive(asio::ip::tcp::socket &caller)
     {
-        m_context.restart();
-        m_context.run_for(milliseconds(300));
+        runFor(milliseconds(300));
         std::string text;
         boost::system::error_code ec;
         asio::read(caller, asio::dynamic_buffer(text), ec);
@@ -66,6 +149,8 @@
 
     asio::io_context m_context;
     asio::io_context m_callers;
+    MailboxPtr<DispatchCommand> m_dispatcher;
+    std::vector<AdmissionQuery> m_queries;
     Log m_log;
     Address m_address;
     std::shared_ptr<CallerServer> m_server;
@@ -95,5 +180,33 @@
     REQUIRE(ec == asio::error::connection_refused);
 }
 
+// The end of a response made its connection idle, although the next request had arrived meanwhile.
+TEST_CASE_METHOD(CallerServerFixture, "stop_requestArrivedDuringAResponse_isAnswered")
+{
+    asio::ip::tcp::socket caller = connect();
+    write(caller, firstRequest + secondHead + "body");
+    rejectQuery(1);
+    REQUIRE(waitUntil([&] { return m_queries.size() == 2; }));
+    m_server->stop();
+    runFor(milliseconds(800));
+    rejectQuery(2);
+    REQUIRE(countOf(receive(caller), "HTTP/1.1 404 ") == 2);
+}
+
+TEST_CASE_METHOD(CallerServerFixture, "stop_bodyBeganDuringAResponse_itsRequestIsAnswered")
+{
+    asio::ip::tcp::socket caller = connect();
+    write(caller, firstRequest + secondHead + "bo");
+    REQUIRE(waitUntil([&] { return m_queries.size() == 1; }));
+    runFor(milliseconds(20));
+    rejectQuery(1);
+    receiveResponses(caller, 1);
+    m_server->stop();
+    runFor(milliseconds(800));
+    boost::system::error_code ec;
+    asio::write(caller, asio::buffer("dy", 2), ec);
+    REQUIRE(receive(caller).starts_with("HTTP/1.1 503 "));
+}
+
 } // namespace
 } // namespace greengageseam
