Close a caller's connection at a stop only when a response has announced it or it stays idle

A response that was begun before SIGTERM could not announce the end of its connection, which was closed right after it. And a connection that was idle when listening ends, 2.6 s after SIGTERM, was closed within 0.5 s of that, however short ago its last response was.

Both have one cause: the server closed connections without having told their callers that it would. A response now asks whether the server stops when its head is written, no longer when its request arrives, so that each one that begins after SIGTERM announces the close. A connection that none has announced stays open and is read. CallerActivity decides when it is idle for too long: 2.6 s, the time that the balancer in front has, after its last response or after SIGTERM, whichever is later, and at once shortly before the end of the grace. Its next request is served or, after 2.6 s, refused with 503, and the answer announces the close. Bytes that wait in the socket when that time is over are read, not reset.

The cause `draining` of caller.closed and caller_closes_total no longer exists.

--- a/source/core/fleet/calleractivity.cpp
+++ b/source/core/fleet/calleractivity.cpp
@@ -35,16 +35,29 @@
     m_answeredAt = now;
 }
 
-TimeoutAction CallerActivity::timeoutAction(const CallerLimits &limits, bool isStopped,
+TimeoutAction CallerActivity::timeoutAction(const CallerLimits &limits,
+                                            const std::optional<PlannedStop> &stop,
                                             Instant now) const
 {
     if (isIdle()) {
-        const bool isOver = isStopped || now - m_answeredAt > limits.idleTimeout;
-        return isOver ? TimeoutAction::CloseIdle : TimeoutAction::None;
+        return isIdleForTooLong(limits, stop, now) ? TimeoutAction::CloseIdle : TimeoutAction::None;
     }
     return isSlow(limits, now) ? TimeoutAction::RejectSlow : TimeoutAction::None;
 }
 
+bool CallerActivity::isIdleForTooLong(const CallerLimits &limits,
+                                      const std::optional<PlannedStop> &stop, Instant now) const
+{
+    if (now - m_answeredAt > limits.idleTimeout) {
+        return true;
+    }
+    if (!stop) {
+        return false;
+    }
+    const Instant noticeEnd = std::max(m_answeredAt, stop->beganAt) + stop->idleNotice;
+    return stop->isExpired || now >= noticeEnd;
+}
+
 /** A request that began during the response before it is timed from the end of that response. */
 bool CallerActivity::isSlow(const CallerLimits &limits, Instant now) const
 {
--- a/source/core/fleet/calleractivity.h
+++ b/source/core/fleet/calleractivity.h
@@ -5,6 +5,8 @@
 
 #include "core/fleet/fleetconfig.h"
 
+#include <optional>
+
 namespace greengageseam {
 
 /** How much of the next request has arrived on a connection. */
@@ -19,6 +21,21 @@
     RejectSlow,
 };
 
+/** A planned stop of the server, as far as idle connections are concerned. */
+struct PlannedStop
+{
+    Instant beganAt;
+    /**
+     * How long a connection stays open at least that no response has announced as closing, counted
+     * from its last response or from the beginning of the stop: its caller may send a request.
+     */
+    Duration idleNotice {};
+    /** Whether the time for the stop is over, so that idle connections close at once. */
+    bool isExpired = false;
+
+    auto operator<=>(const PlannedStop &) const = default;
+};
+
 /**
  * The requests of a caller's connection that are being read or answered. A caller may send the next
  * request while the response to the one before is in progress, so both sides are counted apart.
@@ -46,14 +63,17 @@
     Instant answeredAt() const { return m_answeredAt; }
 
     /**
-     * @param isStopped whether the server has stopped, which closes idle connections
+     * @param stop the planned stop; empty while there is none
      * @returns what the timeouts demand; nothing while a response is due
      */
-    TimeoutAction timeoutAction(const CallerLimits &limits, bool isStopped, Instant now) const;
+    TimeoutAction timeoutAction(const CallerLimits &limits, const std::optional<PlannedStop> &stop,
+                                Instant now) const;
 
     auto operator<=>(const CallerActivity &) const = default;
 
 private:
+    bool isIdleForTooLong(const CallerLimits &limits, const std::optional<PlannedStop> &stop,
+                          Instant now) const;
     bool isSlow(const CallerLimits &limits, Instant now) const;
 
     RequestStage m_reading = RequestStage::None;
--- a/source/edge/callerconnection.cpp
+++ b/source/edge/callerconnection.cpp
@@ -51,8 +51,6 @@
         return "announced";
     case CloseCause::ResponseIncomplete:
         return "response-incomplete";
-    case CloseCause::Draining:
-        return "draining";
     case CloseCause::Stopped:
         return "stopped";
     case CloseCause::Idle:
@@ -62,7 +60,7 @@
 }
 
 /** @returns why the connection closes after a response; empty if it stays open */
-std::optional<CloseCause> closeCauseAfter(const ResponseWriter &writer, bool isDraining)
+std::optional<CloseCause> closeCauseAfter(const ResponseWriter &writer)
 {
     if (writer.isDisconnected()) {
         return CloseCause::CallerLeft;
@@ -70,10 +68,7 @@
     if (writer.hasAnnouncedClose()) {
         return CloseCause::Announced;
     }
-    if (writer.closesConnection()) {
-        return CloseCause::ResponseIncomplete;
-    }
-    return isDraining ? std::optional(CloseCause::Draining) : std::nullopt;
+    return writer.closesConnection() ? std::optional(CloseCause::ResponseIncomplete) : std::nullopt;
 }
 
 } // namespace
@@ -117,7 +112,7 @@
 {
     m_context.metrics->count("caller_closes_total", "Connections of callers that were closed",
                              {{"cause", std::string(nameOf(cause))}});
-    if (cause != CloseCause::Draining && cause != CloseCause::Stopped) {
+    if (cause != CloseCause::Stopped) {
         return;
     }
     m_context.log.info("caller.closed",
@@ -138,14 +133,14 @@
         if (ec || !self || self->m_isClosed) {
             return;
         }
-        if (self->m_server->isExpired && self->m_proxy != nullptr) {
+        const std::optional<PlannedStop> &stop = self->m_server->plannedStop;
+        if (stop && stop->isExpired && self->m_proxy != nullptr) {
             self->m_proxy->expire();
         }
-        const bool isStopped = self->m_server->isStopped;
         const TimeoutAction action =
-                self->m_activity.timeoutAction(self->m_server->limits, isStopped, monotonicNow());
-        if (action == TimeoutAction::CloseIdle) {
-            self->close(isStopped ? CloseCause::Stopped : CloseCause::Idle);
+                self->m_activity.timeoutAction(self->m_server->limits, stop, monotonicNow());
+        if (action == TimeoutAction::CloseIdle && !self->hasUnreadBytes()) {
+            self->close(stop ? CloseCause::Stopped : CloseCause::Idle);
             return;
         }
         if (action == TimeoutAction::RejectSlow) {
@@ -156,6 +151,13 @@
     });
 }
 
+/** @returns whether bytes of a request wait in the socket, which the read loop is about to read */
+bool CallerConnection::hasUnreadBytes() const
+{
+    boost::system::error_code ec;
+    return m_socket.available(ec) > 0;
+}
+
 Awaitable<void> CallerConnection::readLoop()
 {
     bool canContinue = true;
@@ -255,8 +257,10 @@
 {
     ++m_server->inProgress;
     ++m_requests;
-    ResponseWriter writer(m_socket, call.request.method == "HEAD", call.isHttp10,
-                          !call.isKeepAlive || m_server->isDraining);
+    const auto closesAfter = [server = m_server, isKeepAlive = call.isKeepAlive] {
+        return !isKeepAlive || server->plannedStop;
+    };
+    ResponseWriter writer(m_socket, call.request.method == "HEAD", call.isHttp10, closesAfter);
     m_writer = &writer;
     RequestProxy proxy(m_context, call.request, writer, call.arrivedAt);
     m_proxy = &proxy;
@@ -269,12 +273,12 @@
     m_writer = nullptr;
     --m_server->inProgress;
     m_activity.endResponse(monotonicNow());
-    co_return closeCauseAfter(writer, m_server->isDraining);
+    co_return closeCauseAfter(writer);
 }
 
 Awaitable<void> CallerConnection::rejectRequest(const RequestRejected &call)
 {
-    ResponseWriter writer(m_socket, false, false, true);
+    ResponseWriter writer(m_socket, false, false, [] { return true; });
     const ErrorDescriptor &answer = descriptorFor(call.kind);
     const int status = call.status == 0 ? answer.httpStatus : call.status;
     const std::vector<HttpHeader> fields;
--- a/source/edge/callerconnection.h
+++ b/source/edge/callerconnection.h
@@ -50,9 +50,7 @@
     Announced,
     /** The last response could not be completed. */
     ResponseIncomplete,
-    /** The server drains, which the last response did not announce. */
-    Draining,
-    /** The server has stopped while the connection was idle. */
+    /** The server stops, and the connection was idle for the notice that it gives. */
     Stopped,
     /** It was idle for longer than the limit. */
     Idle,
@@ -62,12 +60,13 @@
 struct CallerServerState
 {
     CallerLimits limits;
-    /** Connections close after their next response. */
-    bool isDraining = false;
-    /** Idle connections close at the next timeout check, and further requests are refused. */
+    /**
+     * Once it is set, each response announces that its connection closes. Once it has expired,
+     * requests in progress expire at the next timeout check.
+     */
+    std::optional<PlannedStop> plannedStop;
+    /** Further requests are refused. */
     bool isStopped = false;
-    /** Requests in progress expire at the next timeout check. */
-    bool isExpired = false;
     /** Number of open connections. */
     std::size_t connections = 0;
     /** Number of requests in progress. */
@@ -92,6 +91,7 @@
     Awaitable<void> readLoop();
     Awaitable<bool> readRequest();
     void checkTimeouts();
+    bool hasUnreadBytes() const;
     void close(CloseCause cause);
     void recordClose(CloseCause cause) const;
 
--- a/source/edge/callerserver.cpp
+++ b/source/edge/callerserver.cpp
@@ -1,5 +1,7 @@
 #include "edge/callerserver.h"
 
+#include "net/clock.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -12,8 +14,8 @@
 
 } // namespace
 
-CallerServer::CallerServer(RequestContext context, std::size_t maxConnections)
-    : m_context(std::move(context)), m_maxConnections(maxConnections),
+CallerServer::CallerServer(RequestContext context, std::size_t maxConnections, Duration idleNotice)
+    : m_context(std::move(context)), m_maxConnections(maxConnections), m_idleNotice(idleNotice),
       m_state(std::make_shared<CallerServerState>()), m_acceptor(m_context.executor)
 { }
 
@@ -29,9 +31,22 @@
             asio::detached);
 }
 
+void CallerServer::drain()
+{
+    if (!m_state->plannedStop) {
+        m_state->plannedStop = PlannedStop {monotonicNow(), m_idleNotice};
+    }
+}
+
+void CallerServer::expire()
+{
+    drain();
+    m_state->plannedStop->isExpired = true;
+}
+
 void CallerServer::stop()
 {
-    m_state->isDraining = true;
+    drain();
     m_state->isStopped = true;
     acceptWaitingConnections();
     boost::system::error_code ignored;
--- a/source/edge/callerserver.h
+++ b/source/edge/callerserver.h
@@ -14,8 +14,10 @@
     /**
      * @param maxConnections maximum number of open connections; further ones are closed once
      *        accepted
+     * @param idleNotice how long an idle connection stays open during a planned stop at least, so
+     *        that its caller can send a request and learn of the stop from the response
      */
-    CallerServer(RequestContext context, std::size_t maxConnections);
+    CallerServer(RequestContext context, std::size_t maxConnections, Duration idleNotice);
 
     /** Opens the listening socket. @returns InvalidRequest if the address cannot be used */
     Result<void> listen(const Address &address);
@@ -23,12 +25,18 @@
     void start();
     /** Sets the limits that apply to later requests. */
     void setLimits(const CallerLimits &limits) { m_state->limits = limits; }
-    /** Makes every connection close after its next response. */
-    void drain() { m_state->isDraining = true; }
-    /** Stops accepting connections, closes idle ones and refuses further requests. */
+    /**
+     * Begins a planned stop: from now on each response announces that its connection closes, and
+     * connections that stay idle for the notice are closed.
+     */
+    void drain();
+    /** Stops accepting connections and refuses further requests, which are still read. */
     void stop();
-    /** Makes every request in progress end soon, with a final answer where that is possible. */
-    void expire() { m_state->isExpired = true; }
+    /**
+     * Makes every request in progress end soon, with a final answer where that is possible, and
+     * closes idle connections.
+     */
+    void expire();
     /** @returns the number of requests in progress */
     std::size_t inProgress() const { return m_state->inProgress; }
     /** @returns the number of open connections */
@@ -41,6 +49,7 @@
 
     RequestContext m_context;
     std::size_t m_maxConnections;
+    Duration m_idleNotice;
     std::shared_ptr<CallerServerState> m_state;
     asio::ip::tcp::acceptor m_acceptor;
 };
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -77,7 +77,8 @@
                                   m_adapter.codec,
                                   m_metrics,
                                   m_log};
-    m_callerServer = std::make_shared<CallerServer>(context, maxCallerConnections);
+    m_callerServer = std::make_shared<CallerServer>(context, maxCallerConnections,
+                                                    balancerDeregistrationTime);
     BOOST_LEAF_CHECK(m_callerServer->listen(m_settings.frontAddress));
 
     const HttpHandler handler = [this](HttpExchange &exchange) { return handle(exchange); };
--- a/source/edge/responsewriter.cpp
+++ b/source/edge/responsewriter.cpp
@@ -20,9 +20,9 @@
 } // namespace
 
 ResponseWriter::ResponseWriter(asio::ip::tcp::socket &socket, bool isHead, bool isHttp10,
-                               bool closesAfter)
-    : m_socket(socket), m_isHead(isHead), m_isHttp10(isHttp10),
-      m_closesConnection(closesAfter || isHttp10)
+                               std::function<bool()> closesAfter)
+    : m_socket(socket), m_closesAfter(std::move(closesAfter)), m_isHead(isHead),
+      m_isHttp10(isHttp10), m_closesConnection(isHttp10)
 { }
 
 std::string ResponseWriter::formatHead(int status, const std::vector<HttpHeader> &fields)
@@ -34,6 +34,7 @@
     for (const HttpHeader &field : fields) {
         text.append(field.name).append(": ").append(field.value).append("\r\n");
     }
+    m_closesConnection = m_closesConnection || m_closesAfter();
     if (m_closesConnection) {
         text += "Connection: close\r\n";
         m_hasAnnouncedClose = true;
--- a/source/edge/responsewriter.h
+++ b/source/edge/responsewriter.h
@@ -24,9 +24,11 @@
     /**
      * @param isHead whether the request method is HEAD, so that the response has no body
      * @param isHttp10 whether the caller uses HTTP/1.0, which has no chunked encoding
-     * @param closesAfter whether the connection closes after this response
+     * @param closesAfter whether the connection closes after this response; asked once the head of
+     *        the response is written, which announces it
      */
-    ResponseWriter(asio::ip::tcp::socket &socket, bool isHead, bool isHttp10, bool closesAfter);
+    ResponseWriter(asio::ip::tcp::socket &socket, bool isHead, bool isHttp10,
+                   std::function<bool()> closesAfter);
 
     /** Writes a complete response with a Content-Length. */
     Awaitable<bool> respond(int status, const std::vector<HttpHeader> &fields, std::string body);
@@ -61,6 +63,7 @@
     std::string formatHead(int status, const std::vector<HttpHeader> &fields);
 
     asio::ip::tcp::socket &m_socket;
+    std::function<bool()> m_closesAfter;
     std::function<void()> m_onDisconnect;
     bool m_isHead;
     bool m_isHttp10;
--- a/tests/failure/tst_stop.cpp
+++ b/tests/failure/tst_stop.cpp
@@ -1,17 +1,19 @@
 /**
- * Failure tests of a planned stop of the server for callers.
+ * Failure tests of a planned stop of the server for callers, and of the entry.
  * labels: failure
  */
 #include "edge/callerserver.h"
 #include "freeport.h"
 #include "net/clock.h"
 #include "platform/callheaders.h"
+#include "scriptedfleet.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 #include <unistd.h>
 
 namespace greengageseam {
@@ -19,6 +21,9 @@
 
 using std::chrono::milliseconds;
 
+/** Notice that the server gives idle connections. */
+constexpr auto idleNotice = milliseconds(1500);
+const std::string announcedClose = "Connection: close\r\n";
 const std::string firstHead = "POST /a/ HTTP/1.1\r\nHost: a\r\nAttempt-Id: 1\r\n";
 const std::string firstRequest = firstHead + "Content-Length: 0\r\n\r\n";
 const std::string secondHead =
@@ -38,7 +43,7 @@
                                       makeCallCodec(),
                                       std::make_shared<Metrics>(),
                                       m_log};
-        m_server = std::make_shared<CallerServer>(context, 100);
+        m_server = std::make_shared<CallerServer>(context, 100, idleNotice);
         REQUIRE(m_server->listen(m_address));
         m_server->start();
         asio::co_spawn(m_context, holdQueries(), asio::detached);
@@ -208,5 +213,130 @@
     REQUIRE(receive(caller).starts_with("HTTP/1.1 503 "));
 }
 
+TEST_CASE_METHOD(CallerServerFixture, "stop_responseIsWrittenAfterItsBeginning_announcesTheClose")
+{
+    asio::ip::tcp::socket caller = connect();
+    write(caller, firstRequest);
+    REQUIRE(waitUntil([&] { return m_queries.size() == 1; }));
+    m_server->drain();
+    rejectQuery(1);
+    const std::string text = receive(caller);
+    REQUIRE(text.starts_with("HTTP/1.1 404 "));
+    REQUIRE(countOf(text, announcedClose) == 1);
+}
+
+// No response has told the caller that the connection closes, so it may send its next request.
+TEST_CASE_METHOD(CallerServerFixture, "stop_requestOnAConnectionThatWasIdle_getsAStatus")
+{
+    asio::ip::tcp::socket caller = connect();
+    write(caller, firstRequest);
+    rejectQuery(1);
+    REQUIRE(countOf(receiveResponses(caller, 1), announcedClose) == 0);
+    m_server->stop();
+    runFor(milliseconds(700));
+    boost::system::error_code ec;
+    asio::write(caller, asio::buffer(firstRequest), ec);
+    const std::string text = receive(caller);
+    REQUIRE(text.starts_with("HTTP/1.1 503 "));
+    REQUIRE(countOf(text, announcedClose) == 1);
+    REQUIRE(countOf(text, "Retry-After: ") == 1);
+}
+
+TEST_CASE_METHOD(CallerServerFixture, "stop_connectionStaysIdle_isClosedAfterTheNotice")
+{
+    asio::ip::tcp::socket caller = connect();
+    REQUIRE(waitUntil([&] { return m_server->connections() == 1; }));
+    const Instant begin = monotonicNow();
+    m_server->stop();
+    REQUIRE(waitUntil([&] { return m_server->connections() == 0; }));
+    REQUIRE(monotonicNow() - begin >= idleNotice);
+}
+
+TEST_CASE_METHOD(CallerServerFixture, "stop_graceEnds_idleConnectionDoesNotHoldTheProcess")
+{
+    asio::ip::tcp::socket caller = connect();
+    REQUIRE(waitUntil([&] { return m_server->connections() == 1; }));
+    m_server->stop();
+    m_server->expire();
+    const Instant begin = monotonicNow();
+    REQUIRE(waitUntil([&] { return m_server->connections() == 0; }));
+    REQUIRE(monotonicNow() - begin < idleNotice);
+}
+
+// The process notices that the notice is over, and only then the request that arrived meanwhile.
+TEST_CASE_METHOD(CallerServerFixture, "stop_requestCrossesTheEndOfTheNotice_getsAStatus")
+{
+    asio::ip::tcp::socket caller = connect();
+    write(caller, firstRequest);
+    rejectQuery(1);
+    receiveResponses(caller, 1);
+    m_server->stop();
+    runFor(milliseconds(700));
+    // The server's timer expires as well until the process runs again, and this one is earlier.
+    Timer timer(m_context, monotonicNow() - idleNotice);
+    timer.async_wait([&](const boost::system::error_code &) { write(caller, firstRequest); });
+    std::this_thread::sleep_for(idleNotice);
+    REQUIRE(receive(caller).starts_with("HTTP/1.1 503 "));
+}
+
+/** An entry on the platform whose backend server answers with streams, and one caller. */
+class StreamStopFixture : public ScriptedFleet
+{
+protected:
+    StreamStopFixture() : m_caller(m_context)
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: ATTEMPT\r\nServer-Seal: s\r\n"
+                                 "Content-Type: text/event-stream\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n";
+        const std::string first = "f\r\nid: 1\ndata: x\n\n\r\n";
+        const std::string second = "f\r\nid: 2\ndata: x\n\n\r\n0\r\n\r\n";
+        startFleet("streaming", {{head + first, AfterAnswer::Keeps, second}}, false);
+        const auto endpoint = toOutcome([&] { return parseEndpoint(m_settings.frontAddress); });
+        m_caller.connect(std::get<asio::ip::tcp::endpoint>(endpoint));
+    }
+
+    void beginStop()
+    {
+        asio::co_spawn(m_context, m_edge->shutDown(),
+                       [this](const std::exception_ptr &) { m_isStopped = true; });
+    }
+
+    /** Sends a request, and waits until its response has begun. */
+    void beginStream(const std::string &attemptId)
+    {
+        m_received.clear();
+        boost::system::error_code ec;
+        asio::write(m_caller, asio::buffer(requestText(attemptId)), ec);
+        REQUIRE(waitUntil([this] { return hasReceived("id: 1\n"); }));
+    }
+
+    /** @returns whether a text is among what the caller has received since its last request */
+    bool hasReceived(const std::string &text)
+    {
+        boost::system::error_code ec;
+        std::string buf(m_caller.available(ec), ' ');
+        buf.resize(asio::read(m_caller, asio::buffer(buf), ec));
+        m_received += buf;
+        return m_received.find(text) != std::string::npos;
+    }
+
+    asio::ip::tcp::socket m_caller;
+    std::string m_received;
+    bool m_isStopped = false;
+};
+
+// The head of a stream that began before SIGTERM cannot announce that its connection closes.
+TEST_CASE_METHOD(StreamStopFixture, "stop_streamBeganBefore_nextRequestOnItsConnectionIsServed")
+{
+    beginStream("one");
+    beginStop();
+    REQUIRE(waitUntil([this] { return hasReceived("0\r\n\r\n"); }));
+    REQUIRE_FALSE(hasReceived("Connection: close"));
+    beginStream("two");
+    REQUIRE(hasReceived("Connection: close"));
+    REQUIRE(waitUntil([this] { return hasReceived("0\r\n\r\n"); }));
+    REQUIRE(waitUntil([this] { return m_isStopped; }));
+}
+
 } // namespace
 } // namespace greengageseam
