Split the watchers of the store into a module each

Cause: storewatchers.cpp had 409 lines and two classes that share nothing, so that a reader of one had to pass over the other.

The headers no longer include net/metrics.h, which they don't use.

Checked: the sorted lines before and after differ only in includes, head comments and namespace lines. Built without warnings.

--- a/source/edge/adapter.h
+++ b/source/edge/adapter.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "edge/storewatchers.h"
+#include "edge/operatorwatcher.h"
 #include "net/callcodec.h"
 #include "net/replicahooks.h"
 
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "edge/adapter.h"
+#include "edge/operatorwatcher.h"
 #include "edge/relayedreader.h"
-#include "edge/storewatchers.h"
 #include "exchange/weightexchange.h"
 #include "sidecar/loadreporter.h"
 #include "sidecar/replicaprobe.h"
