Name the engine's header of the attempt beside the others of its interface

Cause: attempt.cpp wrote the header X-Attempt-Id out, while the name of the manifest's header is a constant of engineclient.h.

Change: attemptIdHeader stands beside manifestHeader. The name on the wire is the same. It belongs to the product's own interface with engines; the platform's field is Attempt-Id, without the prefix, and stays in platform/. A search for that name without regard to what precedes it still finds this one line.

Checked: built without warnings.

--- a/source/agent/attempt.cpp
+++ b/source/agent/attempt.cpp
@@ -140,7 +140,7 @@
     HttpRequest request {m_open.method, m_open.path, {}, m_open.body};
     request.headers.push_back({"Content-Type", m_open.contentType});
     request.headers.push_back({"X-Request-Id", m_open.request.text()});
-    request.headers.push_back({"X-Attempt-Id", m_open.attempt.text()});
+    request.headers.push_back({attemptIdHeader, m_open.attempt.text()});
     if (m_target.service.isEmpty()) {
         request.headers.push_back({manifestHeader, m_open.manifest.text()});
         request.headers.push_back({"X-Priority", std::to_string(m_open.priority)});
--- a/source/engine/engineclient.cpp
+++ b/source/engine/engineclient.cpp
@@ -4,6 +4,7 @@
 
 namespace greengageseam {
 
+const std::string attemptIdHeader = "X-Attempt-Id";
 const std::string manifestHeader = "X-Manifest";
 
 namespace {
--- a/source/engine/engineclient.h
+++ b/source/engine/engineclient.h
@@ -81,6 +81,8 @@
     Duration m_timeout;
 };
 
+/** Name of the request header with the identifier of the attempt. */
+extern const std::string attemptIdHeader;
 /** Name of the request header with the manifest digest of the version that must serve it. */
 extern const std::string manifestHeader;
 
