Give the decisions and the log line of the weight installer functions of their own

Change: advance() calls turnToNewestComplete() and startNextStep(); sendOrder() calls logOrder() and settleOrderByAnswer(), which are synchronous. The order of the steps, the log line and the results are the same.

--- a/source/sidecar/weightinstaller.cpp
+++ b/source/sidecar/weightinstaller.cpp
@@ -199,7 +199,7 @@
     notifyDraining();
 }
 
-/** Starts the next step if its conditions are met. */
+/** Ends a version that is loaded, and goes on with the newest complete one. */
 void WeightInstaller::advance()
 {
     const Instant now = monotonicNow();
@@ -214,6 +214,15 @@
     if (loaded >= m_newestComplete->version) {
         return;
     }
+    turnToNewestComplete();
+    if (!m_isStepRunning) {
+        startNextStep(now);
+    }
+}
+
+/** Abandons an older version, unless its order was sent. */
+void WeightInstaller::turnToNewestComplete()
+{
     const bool isReplaceable = !m_pendingOrder
             && (m_stage == Stage::Idle || m_stage == Stage::Staging || m_stage == Stage::Staged
                 || m_stage == Stage::Draining);
@@ -221,9 +230,11 @@
         reset("a newer version is complete");
         m_stageVersion = m_newestComplete->version;
     }
-    if (m_isStepRunning) {
-        return;
-    }
+}
+
+/** Starts the step that follows the current stage if its conditions are met. */
+void WeightInstaller::startNextStep(Instant now)
+{
     switch (m_stage) {
     case Stage::Idle:
         if (!m_pendingOrder) {
--- a/source/sidecar/weightinstaller.h
+++ b/source/sidecar/weightinstaller.h
@@ -118,6 +118,8 @@
     Awaitable<void> readMembers(std::uint64_t readId, Instant announcedAt);
     InstallerMembersChanged membersIn(const std::vector<ReplicaEntry> &list) const;
     void advance();
+    void turnToNewestComplete();
+    void startNextStep(Instant now);
     void startStep(Stage stage);
     void enterStage(Stage stage);
     void drainOrLoad(Instant now);
@@ -131,6 +133,10 @@
     Awaitable<VoidOutcome> checkAndOrder(StepBinding binding, CompleteVersion version);
     Awaitable<VoidOutcome> sendOrder(StepBinding binding, CompleteVersion version,
                                      Instant checkedAt);
+    void logOrder(const LoadOrder &order, Duration checkAge,
+                  const Outcome<OrderResult> &answer) const;
+    VoidOutcome settleOrderByAnswer(const Outcome<OrderResult> &answer, StepBinding binding,
+                                    bool isRepeat);
     Awaitable<void> finishStep(std::uint64_t step, VoidOutcome result);
 
     asio::any_io_executor m_executor;
--- a/source/sidecar/weightinstallersteps.cpp
+++ b/source/sidecar/weightinstallersteps.cpp
@@ -82,24 +82,37 @@
         m_orderedWeights = version;
     }
     const LoadOrder order {version.model, version.version, m_mayCancelRequests};
-    const auto checkAge =
-            std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - checkedAt);
+    const Duration checkAge = monotonicNow() - checkedAt;
     const Outcome<OrderResult> answer = co_await m_replica.sendOrder(order);
+    logOrder(order, checkAge, answer);
+    co_return settleOrderByAnswer(answer, binding, isRepeat);
+}
+
+void WeightInstaller::logOrder(const LoadOrder &order, Duration checkAge,
+                               const Outcome<OrderResult> &answer) const
+{
     const Failure *failure = failureOf(answer);
-    const bool isUnfit =
-            failure == nullptr && std::get<OrderResult>(answer) == OrderResult::InvalidState;
+    const bool isUnfit = answer == Outcome<OrderResult>(OrderResult::InvalidState);
+    const auto checkAgeMs = std::chrono::duration_cast<std::chrono::milliseconds>(checkAge);
     m_log.info("weights.ordered",
-               {{"version", version.version},
+               {{"version", order.version},
                 {"cuts", order.truncatesRunning},
                 {"running", m_report->running},
-                {"checkAgeMs", checkAge.count()},
+                {"checkAgeMs", checkAgeMs.count()},
                 {"outcome",
                  failure != nullptr ? failure->detail
                          : isUnfit  ? "unfit"
                                     : "accepted"}});
+}
+
+/** @returns the result of the step; the order stays pending if its outcome is unknown */
+VoidOutcome WeightInstaller::settleOrderByAnswer(const Outcome<OrderResult> &answer,
+                                                 StepBinding binding, bool isRepeat)
+{
+    const Failure *failure = failureOf(answer);
     const bool isUnanswered = failure != nullptr && failure->kind == ErrorKind::OutcomeUnknown;
     if (isUnanswered) {
-        co_return std::monostate();
+        return std::monostate();
     }
     // A repeat that could not be sent says nothing about the order before it.
     const bool isUnsent = failure != nullptr && failure->kind == ErrorKind::NoBackendServer;
@@ -112,13 +125,13 @@
         m_pendingOrder.reset();
     }
     if (failure != nullptr) {
-        co_return *failure;
+        return *failure;
     }
-    if (isUnfit) {
-        co_return Failure {ErrorKind::ChangeConflict,
-                           "the backend server rejected the order to load in its present state"};
+    if (std::get<OrderResult>(answer) == OrderResult::InvalidState) {
+        return Failure {ErrorKind::ChangeConflict,
+                        "the backend server rejected the order to load in its present state"};
     }
-    co_return std::monostate();
+    return std::monostate();
 }
 
 } // namespace greengageseam
