Do not reset the connection of a caller that reads slowly

What callers saw: a stream with status 200 whose connection was reset, 3 s after they had stopped reading for a moment, while the log of the entry says that it was answered.

Cause: TCP_USER_TIMEOUT of 3 s, meant to notice machines that have vanished, was also set for connections of callers. It counts the time for which the peer has no room, too, so it ends a connection whose other side is there and only slow.

Change: for callers the time is 30 s, longer than any of them waits for a response. Connections to servers keep 3 s.

Measured: caller_doesNotReadForSeconds_getsTheWholeStreamLater fails before (4,096 bytes, then a reset) and passes with the change.

--- a/source/edge/callerconnection.cpp
+++ b/source/edge/callerconnection.cpp
@@ -20,6 +20,8 @@
 constexpr auto timeoutCheckInterval = std::chrono::milliseconds(500);
 /** The same interval once the server has stopped, so that requests expire in time. */
 constexpr auto stoppedCheckInterval = std::chrono::milliseconds(100);
+/** Longer than callers wait for a response, so that one that reads slowly is not cut off. */
+constexpr auto unreadResponseTimeout = std::chrono::seconds(30);
 constexpr int statusHeaderTooLarge = 431;
 constexpr int http10Version = 10;
 
@@ -84,7 +86,7 @@
 
 void CallerConnection::start()
 {
-    setTcpOptions(m_socket);
+    setTcpOptions(m_socket, unreadResponseTimeout);
     const auto executor = m_socket.get_executor();
     asio::co_spawn(
             executor, [self = shared_from_this()] { return self->readLoop(); }, asio::detached);
--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -21,8 +21,7 @@
 constexpr std::size_t maxBodyPartBytes = 16 * 1024;
 /** Maximum size of a head, and of the chunk headers and trailers that are buffered unparsed. */
 constexpr std::size_t maxHeadBytes = 64 * 1024;
-/** TCP_USER_TIMEOUT: the connection is closed if sent data is not acknowledged for this long. */
-constexpr unsigned userTimeoutMs = 3000;
+constexpr auto unreadRequestTimeout = std::chrono::milliseconds(3000);
 /** Seconds without traffic before the first keep-alive probe, and between two probes. */
 constexpr int keepAliveProbeSeconds = 1;
 /** Number of unanswered probes after which the connection is closed. */
@@ -40,8 +39,9 @@
     return std::nullopt;
 }
 
-void setTcpOptions(asio::ip::tcp::socket &socket)
+void setTcpOptions(asio::ip::tcp::socket &socket, std::chrono::milliseconds unreadTimeout)
 {
+    const auto userTimeoutMs = static_cast<unsigned>(unreadTimeout.count());
     boost::system::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket.set_option(asio::socket_base::keep_alive(true), ignored);
@@ -122,7 +122,7 @@
     auto [ec] = co_await m_socket.async_connect(endpoint, asTuple);
     m_isDeadlineActive = false;
     if (!ec) {
-        setTcpOptions(m_socket);
+        setTcpOptions(m_socket, unreadRequestTimeout);
         co_return HttpIoStatus::Done;
     }
     const HttpIoStatus status = ioStatusOf(ec);
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -159,8 +159,11 @@
 
 /**
  * Sets the TCP options of a connection between machines: TCP_NODELAY, and keep-alive probes and
- * TCP_USER_TIMEOUT so that a peer that has vanished is detected within a few seconds.
+ * TCP_USER_TIMEOUT so that a peer that has vanished is detected.
+ *
+ * @param unreadTimeout the connection is reset if the peer acknowledges nothing of the data sent to
+ *        it for this long, or has no room for it because it does not read
  */
-void setTcpOptions(asio::ip::tcp::socket &socket);
+void setTcpOptions(asio::ip::tcp::socket &socket, std::chrono::milliseconds unreadTimeout);
 
 } // namespace greengageseam
--- a/tests/failure/tst_lostanswers.cpp
+++ b/tests/failure/tst_lostanswers.cpp
@@ -12,6 +12,8 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 
@@ -374,6 +376,29 @@
     requireExit();
 }
 
+// The kernel reset the connection of a caller that had not read for three seconds.
+TEST_CASE_METHOD(LostAnswersFixture, "caller_doesNotReadForSeconds_getsTheWholeStreamLater")
+{
+    StreamScript script;
+    script.eventBytes = 4096;
+    startFleet({script});
+    const auto endpoint = toOutcome([this] { return parseEndpoint(m_entry->frontAddress()); });
+    asio::ip::tcp::socket caller(m_context, asio::ip::tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size(4096));
+    caller.connect(std::get<asio::ip::tcp::endpoint>(endpoint));
+    asio::write(caller, asio::buffer(request("s-1").text));
+    runFor(milliseconds(5000));
+    std::string answer;
+    boost::system::error_code ec;
+    asio::async_read_until(caller, asio::dynamic_buffer(answer), "0\r\n\r\n",
+                           [&ec](const boost::system::error_code &end, std::size_t) { ec = end; });
+    REQUIRE(waitUntil([&] { return ec || answer.ends_with("0\r\n\r\n"); }));
+    INFO(m_entry->logLines("\"request."));
+    CAPTURE(answer.size(), idsOf(answer));
+    REQUIRE_FALSE(ec);
+    REQUIRE(idsOf(answer) == "1-24");
+}
+
 // Timers that ran out while the process stood still were taken for the silence of the servers.
 TEST_CASE_METHOD(LostAnswersFixture, "pause_entryStandsStillWhileServersSend_streamsGoOn")
 {
--- a/tests/standins/streamstandin.cpp
+++ b/tests/standins/streamstandin.cpp
@@ -71,7 +71,8 @@
             exchange.abort();
             co_return;
         }
-        std::string event = "id: " + std::to_string(id) + "\ndata: part\n\n";
+        std::string event = "id: " + std::to_string(id)
+                + "\ndata: " + std::string(script.eventBytes, 'p') + "\n\n";
         co_await exchange.sendPart(std::move(event));
         std::optional<Instant> &firstEventAt = m_sendLog->sends[send].firstEventAt;
         firstEventAt = firstEventAt.value_or(monotonicNow());
--- a/tests/standins/streamstandin.h
+++ b/tests/standins/streamstandin.h
@@ -19,6 +19,8 @@
     /** Id of the last event; the first one has the id 1. */
     std::uint64_t events = 24;
     Duration interval = std::chrono::milliseconds(50);
+    /** Size of the data of an event. */
+    std::size_t eventBytes = 4;
     /** Time from the request to the head of the response. */
     Duration headDelay {};
     /** Id of the event before which the server pauses; 0 if it does not. */
