Deliver what is queued when a mailbox closes

When a link between an entry and an agent of the product's own interface closes, the end of an answer that had already arrived was lost with the mailbox of its stream, and subscribers that were still queued were never told.

Change: a closed mailbox rejects messages and ends waits; what is queued is received first. CallerConnection handles no further request once its connection is closed. A request whose further bytes wait in the socket is not rejected as slow.

--- a/source/edge/callerconnection.cpp
+++ b/source/edge/callerconnection.cpp
@@ -145,7 +145,7 @@
             self->close(stop ? CloseCause::Stopped : CloseCause::Idle);
             return;
         }
-        if (action == TimeoutAction::RejectSlow) {
+        if (action == TimeoutAction::RejectSlow && !self->hasUnreadBytes()) {
             self->m_activity.endRequest();
             self->m_events->post(RequestRejected {ErrorKind::SlowCaller, 0});
         }
@@ -238,7 +238,7 @@
 Awaitable<void> CallerConnection::serve()
 {
     std::optional<CloseCause> closeCause;
-    while (!closeCause) {
+    while (!closeCause && !m_isClosed) {
         std::optional<ConnectionEvent> event = co_await m_events->receive();
         if (!event) {
             break;
--- a/source/net/mailbox.h
+++ b/source/net/mailbox.h
@@ -44,13 +44,17 @@
     /** Queues a message without waiting. @returns false if the mailbox is full or closed */
     bool post(T message)
     {
-        return m_channel.try_send(boost::system::error_code(),
-                                  std::optional<T>(std::move(message)));
+        return !m_isClosed
+                && m_channel.try_send(boost::system::error_code(),
+                                      std::optional<T>(std::move(message)));
     }
 
     /** Queues a message, waiting for room if necessary. @returns false if the mailbox is closed */
     Awaitable<bool> send(T message)
     {
+        if (m_isClosed) {
+            co_return false;
+        }
         auto [ec] = co_await m_channel.async_send(boost::system::error_code(),
                                                   std::optional<T>(std::move(message)), asTuple);
         co_return !ec;
@@ -59,6 +63,9 @@
     /** Waits for a message. @returns an empty optional if the mailbox is closed and empty */
     Awaitable<std::optional<T>> receive()
     {
+        if (m_isClosed && !m_channel.ready()) {
+            co_return std::nullopt;
+        }
         auto [ec, message] = co_await m_channel.async_receive(asTuple);
         if (ec) {
             co_return std::nullopt;
@@ -84,21 +91,22 @@
     }
 
     /** @returns whether the mailbox accepts messages */
-    bool isOpen() const { return m_channel.is_open(); }
+    bool isOpen() const { return !m_isClosed; }
 
     /**
-     * Rejects further messages, discards those that are queued, and ends the waits of the receiver
-     * and of senders.
+     * Rejects further messages, and ends the waits of the receiver and of senders. Messages that
+     * are queued can still be received.
      */
     void close()
     {
-        // Closing a channel does not wake the senders that wait.
+        // A closed channel would discard the queued messages, and leave its senders waiting.
+        m_isClosed = true;
         m_channel.cancel();
-        m_channel.close();
     }
 
 private:
     asio::experimental::channel<void(boost::system::error_code, std::optional<T>)> m_channel;
+    bool m_isClosed = false;
 };
 
 /** Shared handle of a mailbox, for the receiver and any number of senders. */
--- a/tests/unit/tst_mailbox.cpp
+++ b/tests/unit/tst_mailbox.cpp
@@ -59,6 +59,22 @@
     REQUIRE(isReceived == false);
 }
 
+// The end of an answer that had arrived was lost when the link it came on closed.
+TEST_CASE_METHOD(MailboxFixture, "close_messageIsQueued_canStillBeReceived")
+{
+    std::optional<bool> isReceived;
+    REQUIRE(m_mailbox->post(1));
+    m_mailbox->close();
+    asio::co_spawn(m_context, receive(m_mailbox, isReceived), asio::detached);
+    m_context.poll();
+    REQUIRE(isReceived == true);
+    isReceived.reset();
+    asio::co_spawn(m_context, receive(m_mailbox, isReceived), asio::detached);
+    m_context.restart();
+    m_context.poll();
+    REQUIRE(isReceived == false);
+}
+
 TEST_CASE_METHOD(MailboxFixture, "close_done_rejectsMessages")
 {
     m_mailbox->close();
