Search anew when the last attempt ends, and spend the retry budget on grants only

Change: the last attempt's end begins a search of its own. The budget counts a retry when its slot is granted, and hedges are not counted as turned away. Silence is reported to the dispatcher once for each attempt, at the moment it is noticed. A timer that is handled late shows that the process was not running, so the wait begins again instead of a search. The names say hedge.

--- a/source/core/fleet/attemptpolicy.cpp
+++ b/source/core/fleet/attemptpolicy.cpp
@@ -21,7 +21,7 @@
     return isResumable && progress.sent < route.maxAttempts && progress.remaining > minAttemptTime;
 }
 
-bool allowsAttemptBeside(const Route &route, const AttemptProgress &progress)
+bool allowsHedge(const Route &route, const AttemptProgress &progress)
 {
     return isIdempotent(route.kind, route.canResume) && progress.inProgress == 1
             && allowsFurtherAttempt(route, progress);
--- a/source/core/fleet/attemptpolicy.h
+++ b/source/core/fleet/attemptpolicy.h
@@ -1,6 +1,6 @@
 /**
- * Decides when a request is sent to a further backend server, beside an attempt that goes on or
- * after one that has failed.
+ * Decides when a request is sent to a further backend server, after an attempt that has failed or
+ * as a hedge beside one that is silent.
  */
 #pragma once
 
@@ -17,7 +17,7 @@
 /** How far a request has come. */
 struct AttemptProgress
 {
-    /** Attempts of which a backend server may have received something. */
+    /** Attempts of which a backend server may have received something, or still may. */
     std::uint32_t sent = 0;
     /** Attempts that have neither ended nor been given up. */
     std::uint32_t inProgress = 0;
@@ -36,14 +36,15 @@
 bool allowsFurtherAttempt(const Route &route, const AttemptProgress &progress);
 
 /**
- * Decides whether a further attempt may run beside one that is silent. The silent one goes on until
- * the other has brought something, because its backend server may only be slow.
+ * Decides whether a request may be hedged: sent to a further backend server while one attempt is
+ * silent. The silent one goes on until a response to the other begins, because its backend server
+ * may only be slow.
  */
-bool allowsAttemptBeside(const Route &route, const AttemptProgress &progress);
+bool allowsHedge(const Route &route, const AttemptProgress &progress);
 
 /**
  * @param remaining time until the request times out
- * @returns the time without news of an attempt after which another backend server is asked too
+ * @returns the time without a part of a response after which a request is hedged
  */
 Duration silenceTimeout(RouteKind kind, Duration remaining);
 
--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -259,6 +259,14 @@
             state.awaitingResponse == 0 ? 0 : std::max(0.0, state.pendingPrefillMs - prefillMs);
 }
 
+void LoadBalancer::recordSilence(const ReplicaId &id, Instant now)
+{
+    const auto it = m_replicas.find(id);
+    if (it != m_replicas.end()) {
+        it->second.availability = it->second.availability.failed(now, m_options.health);
+    }
+}
+
 void LoadBalancer::finished(const ReplicaId &id, ReplicaVerdict verdict,
                             std::optional<Duration> responseLatency, Instant now)
 {
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -189,6 +189,8 @@
      * @param promptTokens as in the requirements
      */
     void responseStarted(const ReplicaId &id, double promptTokens);
+    /** Counts a failure of a backend server that is silent during a request, which goes on. */
+    void recordSilence(const ReplicaId &id, Instant now);
     /**
      * Records the end of an upstream attempt. The caller must call responseStarted() first, even if
      * no response started, because only that call removes the pending prefill of the request.
--- a/source/core/fleet/sharedretrybudget.cpp
+++ b/source/core/fleet/sharedretrybudget.cpp
@@ -48,9 +48,9 @@
     ++slice(now).requests;
 }
 
-bool SharedRetryBudget::tryAcquire(Instant now, std::uint32_t entries)
+bool SharedRetryBudget::allows(Instant now, std::uint32_t entries)
 {
-    Slice &current = slice(now);
+    slice(now);
     double requests = 0;
     double retries = 0;
     for (const Slice &each : m_slices) {
@@ -58,11 +58,14 @@
         retries += each.retries;
     }
     const double slack = m_options.slack / (entries == 0 ? 1 : entries);
-    if (retries + 1 > m_options.safetyFactor * (m_options.ratio * requests + slack)) {
-        return false;
-    }
-    ++current.retries;
-    return true;
+    return retries + 1 <= m_options.safetyFactor * (m_options.ratio * requests + slack);
+}
+
+bool SharedRetryBudget::tryAcquire(Instant now, std::uint32_t entries)
+{
+    const bool isAllowed = allows(now, entries);
+    slice(now).retries += isAllowed ? 1 : 0;
+    return isAllowed;
 }
 
 } // namespace greengageseam
--- a/source/core/fleet/sharedretrybudget.h
+++ b/source/core/fleet/sharedretrybudget.h
@@ -40,6 +40,11 @@
 
     /** Records a request for the service. */
     void recordRequest(Instant now);
+    /**
+     * @param entries number of entries, which share the slack
+     * @returns whether the budget allows a retry
+     */
+    bool allows(Instant now, std::uint32_t entries);
     /**
      * Counts a retry if the budget allows one.
      * @param entries number of entries, which share the slack
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -112,8 +112,7 @@
     if (!command.isRetry) {
         m_demands[command.requirements.service].recordArrival(now);
     }
-    if (command.isRetry
-        && !retryBudget(command.requirements.service).tryAcquire(now, m_entryCount)) {
+    if (command.isRetry && !retryBudget(command.requirements.service).allows(now, m_entryCount)) {
         m_metrics->count("retries_denied_total", "Retries denied by the retry budget");
         reject(command, now, ErrorKind::LimitExceeded);
         return;
@@ -163,6 +162,10 @@
 
 bool Dispatcher::tryAcquire(const AcquireReplica &command, Instant now)
 {
+    SharedRetryBudget &budget = retryBudget(command.requirements.service);
+    if (command.isRetry && !budget.allows(now, m_entryCount)) {
+        return false;
+    }
     ReplicaRequirements requirements = command.requirements;
     requirements.weights = weightsRequirement(requirements.service, now);
     requirements.missesObjective = now >= command.lateAfter;
@@ -172,6 +175,9 @@
     if (!replica) {
         return false;
     }
+    if (command.isRetry) {
+        budget.tryAcquire(now, m_entryCount);
+    }
     ReplicaLease lease;
     lease.id = ++m_lastLease;
     lease.replica = *replica;
@@ -191,7 +197,9 @@
 void Dispatcher::reject(const AcquireReplica &command, Instant now, ErrorKind kind)
 {
     const ServiceName &service = command.requirements.service;
-    m_demands[service].recordTurnedAway(now);
+    if (!command.isHedge) {
+        m_demands[service].recordTurnedAway(now);
+    }
     const Occupancy occupancy = m_loads.occupancy(service, {}, now);
     const auto excess = occupancy.inUse > occupancy.slots ? occupancy.inUse - occupancy.slots : 0;
     RetryConditions conditions;
@@ -252,6 +260,11 @@
     m_loads.responseStarted(command.replica, command.promptTokens);
 }
 
+void Dispatcher::apply(const ReplicaSilent &command)
+{
+    m_loads.recordSilence(command.replica, monotonicNow());
+}
+
 void Dispatcher::apply(const LeaseReleased &command)
 {
     const Instant now = monotonicNow();
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -92,6 +92,8 @@
     ReplicaRequirements requirements;
     /** Whether this is not the first upstream attempt, so that it uses the retry budget. */
     bool isRetry = false;
+    /** Whether another attempt is still in progress, so that the request is not turned away. */
+    bool isHedge = false;
     /** Whether the request may be sent on a pooled connection. */
     bool allowsPooledConnection = false;
     /** When the request began to wait for a backend server. */
@@ -130,6 +132,12 @@
     ReplicaStatement statement;
 };
 
+/** An attempt that goes on has brought nothing for so long that another server is asked. */
+struct ReplicaSilent
+{
+    ReplicaId replica;
+};
+
 /** An upstream attempt has finished and releases its slot. */
 struct LeaseReleased
 {
@@ -200,10 +208,10 @@
 { };
 
 /** Messages to the dispatcher. */
-using DispatchCommand =
-        std::variant<AdmissionQuery, AcquireReplica, ResponseStarted, ReplicaSpoke, LeaseReleased,
-                     RoutesChanged, RoutesConfirmed, ReplicasChanged, TargetVersionChanged,
-                     LoadReportReceived, EntryCountChanged, CrashJudged, DispatchTick>;
+using DispatchCommand = std::variant<AdmissionQuery, AcquireReplica, ResponseStarted, ReplicaSpoke,
+                                     ReplicaSilent, LeaseReleased, RoutesChanged, RoutesConfirmed,
+                                     ReplicasChanged, TargetVersionChanged, LoadReportReceived,
+                                     EntryCountChanged, CrashJudged, DispatchTick>;
 
 /** Hooks of the dispatcher. They must not block. */
 struct DispatcherHooks
@@ -256,6 +264,7 @@
     void apply(const AcquireReplica &command);
     void apply(const ResponseStarted &command);
     void apply(const ReplicaSpoke &command);
+    void apply(const ReplicaSilent &command);
     void apply(const LeaseReleased &command);
     void apply(const RoutesChanged &command);
     void apply(const RoutesConfirmed &command);
--- a/source/edge/replicasearch.cpp
+++ b/source/edge/replicasearch.cpp
@@ -2,8 +2,9 @@
 
 namespace greengageseam {
 
-OfferedLease::OfferedLease(ReplicaLease lease, MailboxPtr<DispatchCommand> dispatcher)
-    : m_lease(std::move(lease)), m_dispatcher(std::move(dispatcher))
+OfferedLease::OfferedLease(ReplicaLease lease, double promptTokens,
+                           MailboxPtr<DispatchCommand> dispatcher)
+    : m_lease(std::move(lease)), m_promptTokens(promptTokens), m_dispatcher(std::move(dispatcher))
 { }
 
 OfferedLease::~OfferedLease()
@@ -15,7 +16,11 @@
     released.lease = m_lease->id;
     released.replica = m_lease->replica.id;
     released.address = m_lease->replica.address;
-    released.connection = m_lease->connection;
+    released.promptTokens = m_promptTokens;
+    if (m_lease->connection) {
+        // How long its server keeps it open is not known here.
+        m_lease->connection->abort();
+    }
     m_dispatcher->post(std::move(released));
 }
 
@@ -26,7 +31,7 @@
     return lease;
 }
 
-Awaitable<SearchEnded> awaitSearch(std::uint64_t search, SearchReply reply,
+Awaitable<SearchEnded> awaitSearch(std::uint64_t search, double promptTokens, SearchReply reply,
                                    MailboxPtr<DispatchCommand> dispatcher)
 {
     auto answer = co_await reply->receive();
@@ -36,7 +41,7 @@
         co_return ended;
     }
     if (auto *lease = std::get_if<ReplicaLease>(&*answer)) {
-        ended.lease = std::make_shared<OfferedLease>(std::move(*lease), dispatcher);
+        ended.lease = std::make_shared<OfferedLease>(std::move(*lease), promptTokens, dispatcher);
     } else {
         ended.unavailable = std::get<ReplicaUnavailable>(*answer);
     }
--- a/source/edge/replicasearch.h
+++ b/source/edge/replicasearch.h
@@ -14,7 +14,8 @@
 class OfferedLease
 {
 public:
-    OfferedLease(ReplicaLease lease, MailboxPtr<DispatchCommand> dispatcher);
+    /** @param promptTokens those of the request that the lease was found for */
+    OfferedLease(ReplicaLease lease, double promptTokens, MailboxPtr<DispatchCommand> dispatcher);
     ~OfferedLease();
     OfferedLease(const OfferedLease &) = delete;
     OfferedLease &operator=(const OfferedLease &) = delete;
@@ -25,6 +26,7 @@
 private:
     /** Empty once it was taken. */
     std::optional<ReplicaLease> m_lease;
+    double m_promptTokens;
     MailboxPtr<DispatchCommand> m_dispatcher;
 };
 
@@ -46,8 +48,9 @@
  * Waits for the end of a search that was sent to the dispatcher.
  *
  * @param search the number of the search
+ * @param promptTokens those of the request
  */
-Awaitable<SearchEnded> awaitSearch(std::uint64_t search, SearchReply reply,
+Awaitable<SearchEnded> awaitSearch(std::uint64_t search, double promptTokens, SearchReply reply,
                                    MailboxPtr<DispatchCommand> dispatcher);
 
 } // namespace greengageseam
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -16,6 +16,8 @@
 constexpr auto refusalRetryAfter = std::chrono::milliseconds(200);
 /** Retry-After of a request that this entry is too busy to look at. */
 constexpr auto busyRetryAfter = std::chrono::milliseconds(500);
+/** A timer that is handled later than this shows that the process was not running. */
+constexpr auto maxTimerDelay = std::chrono::milliseconds(100);
 /** An attempt that has more messages than this waits for the caller to read. */
 constexpr std::size_t inboxCapacity = 4;
 
@@ -28,11 +30,11 @@
 }
 
 /** Passes the end of a search on to the proxy that has started it. */
-Awaitable<void> forwardSearch(std::uint64_t search, SearchReply reply,
+Awaitable<void> forwardSearch(std::uint64_t search, double promptTokens, SearchReply reply,
                               MailboxPtr<DispatchCommand> dispatcher,
                               MailboxPtr<ProxyMessage> inbox)
 {
-    SearchEnded ended = co_await awaitSearch(search, reply, dispatcher);
+    SearchEnded ended = co_await awaitSearch(search, promptTokens, reply, dispatcher);
     ProxyMessage message = std::move(ended);
     co_await inbox->send(std::move(message));
 }
@@ -62,7 +64,7 @@
 AttemptProgress RequestProxy::progress() const
 {
     AttemptProgress progress;
-    progress.sent = m_sends;
+    progress.sent = m_sends + static_cast<std::uint32_t>(m_unsent.size());
     progress.inProgress = static_cast<std::uint32_t>(m_attempts.size());
     progress.hasStarted = m_isStreaming;
     progress.hasEventId = m_lastEventId.has_value();
@@ -111,7 +113,9 @@
 
 void RequestProxy::abortAll(AttemptAbort reason)
 {
-    endSearch();
+    if (m_searchReply) {
+        m_searchReply->close();
+    }
     for (const AttemptPtr &it : m_attempts) {
         it->abort(reason);
     }
@@ -165,7 +169,8 @@
         m_searchReply->close();
     }
     asio::co_spawn(m_context.executor,
-                   forwardSearch(m_search, m_searchReply, m_context.dispatcher, m_inbox),
+                   forwardSearch(m_search, static_cast<double>(m_call.promptTokens), m_searchReply,
+                                 m_context.dispatcher, m_inbox),
                    asio::detached);
 }
 
@@ -179,13 +184,14 @@
     query.requirements.latencyObjective = route.latencyObjective;
     query.requirements.promptTokens = static_cast<double>(m_call.promptTokens);
     query.isRetry = m_sends > 0;
+    query.isHedge = !m_attempts.empty();
     // Without an attempt id, a late response to an earlier request could not be told apart.
     query.allowsPooledConnection = canRetry() && !m_call.attemptId.empty();
     const bool isLikelyRetry = m_arrivedAt - m_admission.firstAttemptAt > route.latencyObjective;
     WaitingRequest waiting;
     waiting.latencyObjective = route.latencyObjective;
     waiting.remaining = remainingTime();
-    waiting.mayReturn = !isLikelyRetry && m_ran == ExecutionStatus::NotExecuted;
+    waiting.mayReturn = !isLikelyRetry && m_ran == ExecutionStatus::NotExecuted && !query.isHedge;
     query.wait = queueWait(waiting);
     query.waitsSince = monotonicNow();
     query.deadline = m_deadline;
@@ -201,6 +207,7 @@
 {
     if (m_searchReply) {
         m_searchReply->close();
+        m_searchReply.reset();
     }
 }
 
@@ -229,7 +236,7 @@
 {
     m_unavailableFor = unavailable.kind;
     if (!m_attempts.empty()) {
-        awaitNews();
+        watchForSilence();
         co_return;
     }
     const bool isQuarantined = unavailable.kind == ErrorKind::PromptQuarantined
@@ -265,30 +272,33 @@
     m_attempts.push_back(
             std::make_shared<UpstreamAttempt>(m_context, m_request, std::move(options), m_inbox));
     ++m_unreported;
+    m_unsent.insert(m_attempts.back()->lease());
     m_attempts.back()->start();
 }
 
 void RequestProxy::apply(const AttemptSent &message)
 {
     ++m_sends;
+    m_unsent.erase(message.lease);
     m_startTimeLeft = message.startTimeLeft;
-    awaitNews();
+    watchForSilence();
 }
 
-/** Starts to wait for news, if another backend server may be asked when they do not come. */
-void RequestProxy::awaitNews()
+/** Starts to wait for the next part of a response, if the request may be hedged without one. */
+void RequestProxy::watchForSilence()
 {
     m_silenceTimer.cancel();
     ++m_silenceWait;
     const Route &route = *m_admission.routed.route;
-    if (m_isDone || m_isExpired || m_searchReply || !allowsAttemptBeside(route, progress())) {
+    if (m_isDone || m_isExpired || m_searchReply || !allowsHedge(route, progress())) {
         return;
     }
     m_silenceTimer.expires_after(silenceTimeout(route.kind, remainingTime()));
     m_silenceTimer.async_wait(
-            [inbox = m_inbox, wait = m_silenceWait](const boost::system::error_code &ec) {
+            [inbox = m_inbox, wait = m_silenceWait,
+             dueAt = m_silenceTimer.expiry()](const boost::system::error_code &ec) {
                 if (!ec) {
-                    inbox->post(SilenceElapsed {wait});
+                    inbox->post(SilenceElapsed {wait, dueAt});
                 }
             });
 }
@@ -297,16 +307,32 @@
 {
     const Route &route = *m_admission.routed.route;
     const bool isCurrent = message.wait == m_silenceWait && !m_isDone && !m_isExpired;
-    if (isCurrent && !m_searchReply && !m_writer.isDisconnected()
-        && allowsAttemptBeside(route, progress())) {
-        startSearch();
+    if (!isCurrent || m_searchReply || m_writer.isDisconnected()
+        || !allowsHedge(route, progress())) {
+        return;
+    }
+    if (monotonicNow() - message.dueAt > maxTimerDelay) {
+        // This process was not running, so parts of the response may wait to be read.
+        watchForSilence();
+        return;
+    }
+    reportSilence();
+    startSearch();
+}
+
+/** Tells the dispatcher once that the backend server of the attempt in progress is silent. */
+void RequestProxy::reportSilence()
+{
+    const std::uint64_t lease = m_attempts.front()->lease();
+    if (lease != m_silentLease) {
+        m_silentLease = lease;
+        m_context.dispatcher->post(ReplicaSilent {m_attempts.front()->replica()});
     }
 }
 
 void RequestProxy::keepOnly(std::uint64_t lease)
 {
     endSearch();
-    m_searchReply.reset();
     for (const AttemptPtr &it : m_attempts) {
         if (it->lease() != lease) {
             it->abort(it->lease() < lease ? AttemptAbort::Superseded : AttemptAbort::Withdrawn);
@@ -331,12 +357,13 @@
         const std::vector<HttpHeader> fields = m_context.codec.forwardedFields(*message.head);
         co_await m_writer.startStream(message.head->status, fields, std::move(bytes));
     }
-    awaitNews();
+    watchForSilence();
 }
 
 Awaitable<void> RequestProxy::apply(const AttemptEnded &message)
 {
     --m_unreported;
+    m_unsent.erase(message.lease);
     const auto it = find(message.lease);
     const bool wasInProgress = it != m_attempts.end();
     if (wasInProgress) {
@@ -345,7 +372,12 @@
     const bool isBodyAfterStream = m_isStreaming && message.response.has_value()
             && message.outcome == UpstreamOutcome::Answered;
     const UpstreamOutcome outcome = isBodyAfterStream ? UpstreamOutcome::Garbled : message.outcome;
-    m_ran = combine(m_ran, outcomeInfo(outcome).ran);
+    if (message.wasSent) {
+        m_ran = combine(m_ran, outcomeInfo(outcome).ran);
+    }
+    if (outcome == UpstreamOutcome::Withdrawn) {
+        m_triedReplicas.erase(message.replica);
+    }
     if (m_writer.isDisconnected()) {
         endIfAbandoned(outcomeInfo(outcome).name);
         co_return;
@@ -361,25 +393,27 @@
         co_return;
     }
     m_wasLost = m_wasLost || message.wasLost;
-    m_lastFailure = {outcome, message.response};
+    if (message.response || !m_lastFailure.response) {
+        m_lastFailure = {outcome, message.response};
+    }
     co_await goOnAfter(outcome);
 }
 
 Awaitable<void> RequestProxy::goOnAfter(UpstreamOutcome outcome)
 {
     if (!m_attempts.empty()) {
-        awaitNews();
+        watchForSilence();
         co_return;
     }
     const Route &route = *m_admission.routed.route;
     const bool isAllowed = mayRetry(outcome, route.kind, route.canResume)
             && allowsFurtherAttempt(route, progress()) && !m_isExpired;
-    if (!isAllowed) {
-        endSearch();
-        m_searchReply.reset();
-        co_await giveUp();
-    } else if (!m_searchReply) {
+    // A search that was begun for a hedge would end sooner than one that the request depends on.
+    endSearch();
+    if (isAllowed) {
         startSearch();
+    } else {
+        co_await giveUp();
     }
 }
 
@@ -390,7 +424,7 @@
     if (ended.response) {
         std::string body = ended.response->body;
         co_await m_writer.respond(ended.response->status, ended.response->headers, std::move(body));
-        recordOutcome("answered", ended.response->status, {});
+        finish("answered", ended.response->status, {});
         co_return;
     }
     if (!m_isStreaming) {
@@ -400,7 +434,7 @@
         co_await m_writer.startStream(ended.streamHead->status, fields, std::move(empty));
     }
     co_await m_writer.endStream();
-    recordOutcome("answered", ended.streamHead->status, {});
+    finish("answered", ended.streamHead->status, {});
 }
 
 /** Ends the request after its last upstream attempt has failed. */
@@ -409,14 +443,14 @@
     const std::string_view cause = outcomeInfo(m_lastFailure.outcome).name;
     if (m_isStreaming) {
         m_writer.abortStream();
-        recordOutcome("broken-off", 0, cause);
+        finish("broken-off", 0, cause);
         co_return;
     }
     if (m_lastFailure.response) {
         const HttpResponse &response = *m_lastFailure.response;
         std::string body = response.body;
         co_await m_writer.respond(response.status, response.headers, std::move(body));
-        recordOutcome("failed-by-replica", response.status, cause);
+        finish("failed-by-replica", response.status, cause);
         co_return;
     }
     co_await respondWithError(errorAfter(m_lastFailure.outcome, m_ran), m_ran, refusalRetryAfter);
@@ -425,7 +459,7 @@
 void RequestProxy::endIfAbandoned(std::string_view cause)
 {
     if (m_attempts.empty() && !m_searchReply && !m_isDone) {
-        recordOutcome("caller-gone", 0, cause);
+        finish("caller-gone", 0, cause);
     }
 }
 
@@ -439,7 +473,7 @@
         fields.push_back({"Retry-After", formatSeconds(retryAfter)});
     }
     co_await m_writer.respond(problem.status, fields, std::move(problem.body));
-    recordOutcome("refused", problem.status, answer.name);
+    finish("refused", problem.status, answer.name);
 }
 
 } // namespace greengageseam
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -14,8 +14,9 @@
 /**
  * Proxies one request: admits it, makes one or more upstream attempts, and relays the response.
  *
- * An attempt that is silent goes on while another backend server is searched for and asked; the
- * first one that brings something is relayed from then on, and the other is given up.
+ * Requests that may run more than once are hedged: an attempt that is silent goes on while another
+ * backend server is searched for and asked. The one whose response begins, or goes on, first is
+ * relayed from then on, and the other is given up.
  */
 class RequestProxy
 {
@@ -57,7 +58,7 @@
     /** Asks the dispatcher for a backend server. */
     void startSearch();
     AcquireReplica searchQuery() const;
-    /** Gives the search in progress up. */
+    /** Gives the search in progress up; its end is not reported any more. */
     void endSearch();
     void startAttempt(ReplicaLease lease);
     /** Ends the request after a search without result, unless an attempt is in progress. */
@@ -68,20 +69,21 @@
     Awaitable<void> complete(const AttemptEnded &ended);
     Awaitable<void> giveUp();
     Awaitable<void> respondWithError(ErrorKind kind, ExecutionStatus ran, Duration retryAfter);
-    /** Gives up the search and all attempts but one that has brought something. */
+    /** Gives up the search and all attempts but the one whose response is relayed. */
     void keepOnly(std::uint64_t lease);
-    /** Gives up the search and all attempts. */
+    /** Gives up the search and all attempts, which report their ends. */
     void abortAll(AttemptAbort reason);
     /** Ends the request if nothing is in progress for a caller that has gone. */
     void endIfAbandoned(std::string_view cause);
-    void awaitNews();
+    void watchForSilence();
+    void reportSilence();
 
     void recordEvents(const EventsReceived &message);
     void recordFailedAttempt(const AttemptEnded &ended) const;
     void addReplicaFields(boost::json::object &fields) const;
     void addStreamFields(boost::json::object &fields) const;
-    /** Writes the log record and the metrics of the finished request, which ends run(). */
-    void recordOutcome(std::string_view outcome, int status, std::string_view cause);
+    /** Ends run(), and writes the log record and the metrics of the request. */
+    void finish(std::string_view outcome, int status, std::string_view cause);
 
     /** @returns the attempt if it is in progress, otherwise the end of m_attempts */
     std::vector<AttemptPtr>::iterator find(std::uint64_t lease);
@@ -101,7 +103,7 @@
     /** The shared parts of the prompt. */
     std::vector<PromptPartId> m_promptParts;
     MailboxPtr<ProxyMessage> m_inbox;
-    /** Runs while news of the attempts in progress are awaited. */
+    /** Runs while the next part of a response is awaited. */
     Timer m_silenceTimer;
     /** Counts the waits; a message of an earlier one is obsolete. */
     std::uint64_t m_silenceWait = 0;
@@ -114,6 +116,10 @@
     std::vector<AttemptPtr> m_attempts;
     /** Number of attempts that have not reported their end, also those that were given up. */
     std::size_t m_unreported = 0;
+    /** Leases of attempts that have neither reported that they were sent nor ended. */
+    std::set<std::uint64_t> m_unsent;
+    /** Lease of the last attempt that was reported as silent; 0 if none was. */
+    std::uint64_t m_silentLease = 0;
     std::set<ReplicaId> m_triedReplicas;
     Failed m_lastFailure;
     /** Whether the request must end early because the process ends. */
--- a/source/edge/requestproxyrecords.cpp
+++ b/source/edge/requestproxyrecords.cpp
@@ -66,7 +66,7 @@
     }
 }
 
-void RequestProxy::recordOutcome(std::string_view outcome, int status, std::string_view cause)
+void RequestProxy::finish(std::string_view outcome, int status, std::string_view cause)
 {
     m_isDone = true;
     const Instant now = monotonicNow();
--- a/source/edge/upstreamattempt.cpp
+++ b/source/edge/upstreamattempt.cpp
@@ -80,6 +80,13 @@
       m_inbox(std::move(inbox)), m_events(m_options.lastEventId)
 { }
 
+UpstreamAttempt::Result UpstreamAttempt::failed(UpstreamOutcome outcome)
+{
+    Result result;
+    result.outcome = outcome;
+    return result;
+}
+
 void UpstreamAttempt::start()
 {
     asio::co_spawn(
@@ -102,9 +109,7 @@
 {
     Result result = co_await exchange();
     if (m_abort) {
-        result.outcome = outcomeOf(*m_abort);
-        result.response.reset();
-        result.streamHead.reset();
+        result = failed(m_sentAt ? outcomeOf(*m_abort) : UpstreamOutcome::NotConnected);
     }
     releaseLease(result);
     if (isLost(result.outcome)) {
@@ -116,22 +121,22 @@
 
 Awaitable<UpstreamAttempt::Result> UpstreamAttempt::exchange()
 {
+    if (m_abort) {
+        co_return failed(UpstreamOutcome::NotConnected);
+    }
     const HttpIoStatus connected = co_await connect();
     if (connected != HttpIoStatus::Done || m_abort) {
-        co_return Result {};
+        co_return failed(UpstreamOutcome::NotConnected);
     }
     m_options.start->connection = m_connection;
     if (isChoiceExpired()) {
         m_connection->abort();
-        co_return Result {UpstreamOutcome::ChoiceExpired, {}, {}, {}};
+        co_return failed(UpstreamOutcome::ChoiceExpired);
     }
     if (remainingTime() < minAttemptTime) {
         m_connection->abort();
-        co_return Result {m_options.isFirst ? UpstreamOutcome::NotConnected
-                                            : UpstreamOutcome::DeadlineReached,
-                          {},
-                          {},
-                          {}};
+        co_return failed(m_options.isFirst ? UpstreamOutcome::NotConnected
+                                           : UpstreamOutcome::DeadlineReached);
     }
     std::string text = encodeRequest();
     m_sentAt = monotonicNow();
@@ -142,7 +147,8 @@
     ProxyMessage message = sent;
     co_await m_inbox->send(std::move(message));
     if (m_abort) {
-        co_return Result {};
+        m_sentAt.reset();
+        co_return failed(UpstreamOutcome::NotConnected);
     }
     if (m_request.body.size() > maxSequentialBody) {
         asio::co_spawn(m_context.executor,
@@ -152,14 +158,11 @@
     }
     const HttpIoStatus end = co_await m_connection->send(std::move(text), remainingTime());
     if (end != HttpIoStatus::Done && m_options.start->isExpired) {
-        co_return Result {UpstreamOutcome::Silent, {}, {}, {}};
+        co_return failed(UpstreamOutcome::Silent);
     }
     if (end != HttpIoStatus::Done && end != HttpIoStatus::ConnectionLost) {
-        co_return Result {end == HttpIoStatus::TimedOut ? UpstreamOutcome::DeadlineReached
-                                                        : UpstreamOutcome::BrokenWhileSending,
-                          {},
-                          {},
-                          {}};
+        co_return failed(end == HttpIoStatus::TimedOut ? UpstreamOutcome::DeadlineReached
+                                                       : UpstreamOutcome::BrokenWhileSending);
     }
     // A backend server that breaks the connection may already have sent its response.
     co_return co_await receiveResponse();
@@ -283,7 +286,7 @@
     released.address = m_options.lease.replica.address;
     released.isStartReported = m_responseStartedAt.has_value();
     released.promptTokens = m_options.promptTokens;
-    released.verdict = verdictOf(result.outcome);
+    released.verdict = m_abort ? ReplicaVerdict::Neutral : verdictOf(result.outcome);
     released.keepAliveTimeout = result.keepAliveTimeout;
     if (m_responseStartedAt) {
         released.timeToResponseStart = *m_responseStartedAt - *m_sentAt;
@@ -312,6 +315,7 @@
     if (m_sentAt) {
         ended.silence = monotonicNow() - m_lastEventAt.value_or(*m_sentAt);
     }
+    ended.wasSent = m_sentAt.has_value();
     ended.wasLost = isLost(result.outcome);
     return ended;
 }
--- a/source/edge/upstreamattempt.h
+++ b/source/edge/upstreamattempt.h
@@ -53,15 +53,19 @@
     std::uint32_t events = 0;
     /** Time since it was sent or has brought an event; zero if it was not sent. */
     Duration silence {};
+    /** Whether the backend server may have received something of the request. */
+    bool wasSent = false;
     /** The connection was lost before the response had begun; the entry did not cut it. */
     bool wasLost = false;
 };
 
-/** No news of an attempt have come for some time. */
+/** The attempt in progress has brought nothing for some time. */
 struct SilenceElapsed
 {
     /** The number of the wait. */
     std::uint64_t wait = 0;
+    /** When the time was over. */
+    Instant dueAt;
 };
 
 /** Messages to the proxy of a request. */
@@ -74,13 +78,16 @@
     CallerGone,
     /** The process ends. */
     ProcessEnds,
-    /** It was silent, and a later attempt has brought something. */
+    /** It was silent, and the response to a later attempt has begun. */
     Superseded,
     /** It is not needed, since an earlier attempt goes on. */
     Withdrawn,
 };
 
-/** The start of the response to an attempt, shared with the hook that cuts the attempt off. */
+/**
+ * The start of the response to an attempt. It is shared with the hook that cuts the attempt off,
+ * which the dispatcher gets before the attempt exists.
+ */
 struct AttemptStart
 {
     /** Null until the connection is ready. */
@@ -136,6 +143,8 @@
     void abort(AttemptAbort reason);
     /** @returns the id of its lease */
     std::uint64_t lease() const { return m_options.lease.id; }
+    /** @returns the backend server that the request is sent to */
+    const ReplicaId &replica() const { return m_options.lease.replica.id; }
 
 private:
     /** How the attempt ended, and what is passed on then. */
@@ -148,6 +157,9 @@
         std::optional<Duration> keepAliveTimeout;
     };
 
+    /** @returns a result without a response */
+    static Result failed(UpstreamOutcome outcome);
+
     Awaitable<void> run();
     /** Connects, sends the request and receives the response. */
     Awaitable<Result> exchange();
--- a/source/edge/upstreamattemptresponse.cpp
+++ b/source/edge/upstreamattemptresponse.cpp
@@ -63,13 +63,13 @@
     HttpReadResult<HttpResponseHead> head =
             co_await m_connection->readHead(m_request.method == "HEAD", readTimeout());
     if (head.ioStatus != HttpIoStatus::Done || m_abort) {
-        co_return Result {classifyReadEnd(head.ioStatus, false), {}, {}, {}};
+        co_return failed(classifyReadEnd(head.ioStatus, false));
     }
     const ResponseMetadata fields = m_context.codec.decodeResponseMetadata(head.value);
     const bool isForOtherAttempt = !isForThisAttempt(fields);
     const bool isSuccess = head.value.status >= statusOk && head.value.status < statusBadRequest;
     if (isForOtherAttempt || fields.isEncoded || (isSuccess && !fields.isSealed)) {
-        co_return Result {UpstreamOutcome::Garbled, {}, {}, {}};
+        co_return failed(UpstreamOutcome::Garbled);
     }
     reportStatement(head.value, fields);
     if (fields.isNotExecuted) {
@@ -94,7 +94,7 @@
     HttpReadResult<std::string> body =
             co_await m_connection->readBody(maxBufferedBody, readTimeout());
     if (body.ioStatus != HttpIoStatus::Done) {
-        co_return Result {classifyReadEnd(body.ioStatus, true), {}, {}, {}};
+        co_return failed(classifyReadEnd(body.ioStatus, true));
     }
     HttpResponse response;
     response.status = head.status;
@@ -122,7 +122,7 @@
     while (true) {
         HttpReadResult<std::string> part = co_await m_connection->readBodyPart(readTimeout());
         if (m_abort) {
-            co_return Result {UpstreamOutcome::BrokenAnswer, {}, {}, {}};
+            co_return failed(UpstreamOutcome::BrokenAnswer);
         }
         CompleteEvents events = m_events.feed(part.value);
         if (events.count > 0) {
@@ -135,17 +135,17 @@
             co_await m_inbox->send(std::move(message));
         }
         if (m_events.isOutOfOrder() || m_events.isOverlong()) {
-            co_return Result {UpstreamOutcome::Garbled, {}, {}, {}};
+            co_return failed(UpstreamOutcome::Garbled);
         }
         if (part.ioStatus != HttpIoStatus::Done) {
-            co_return Result {classifyReadEnd(part.ioStatus, true), {}, {}, {}};
+            co_return failed(classifyReadEnd(part.ioStatus, true));
         }
         if (!part.value.empty()) {
             continue;
         }
         // A server that stops after its head also ends an unframed stream, before its first event.
         if (m_events.hasPartial() || (!head->isFramed && !m_events.hasEvents())) {
-            co_return Result {UpstreamOutcome::BrokenAnswer, {}, {}, {}};
+            co_return failed(UpstreamOutcome::BrokenAnswer);
         }
         co_return Result {UpstreamOutcome::Answered, {}, head, keepAlive};
     }
--- a/tests/unit/tst_attemptpolicy.cpp
+++ b/tests/unit/tst_attemptpolicy.cpp
@@ -24,44 +24,44 @@
         m_progress.remaining = seconds(4);
     }
 
-    bool allowsBeside() const { return allowsAttemptBeside(m_route, m_progress); }
+    bool allowsHedging() const { return allowsHedge(m_route, m_progress); }
     bool allowsFurther() const { return allowsFurtherAttempt(m_route, m_progress); }
 
     Route m_route;
     AttemptProgress m_progress;
 };
 
-TEST_CASE_METHOD(AttemptPolicyFixture, "attemptBeside_oneAttemptOfAResumableStream_isAllowed")
+TEST_CASE_METHOD(AttemptPolicyFixture, "hedge_oneAttemptOfAResumableStream_isAllowed")
 {
-    REQUIRE(allowsBeside());
+    REQUIRE(allowsHedging());
     m_progress.hasStarted = true;
     m_progress.hasEventId = true;
-    REQUIRE(allowsBeside());
+    REQUIRE(allowsHedging());
 }
 
-TEST_CASE_METHOD(AttemptPolicyFixture, "attemptBeside_streamStartedWithoutEventIds_isNotAllowed")
+TEST_CASE_METHOD(AttemptPolicyFixture, "hedge_streamStartedWithoutEventIds_isNotAllowed")
 {
     m_progress.hasStarted = true;
-    REQUIRE_FALSE(allowsBeside());
+    REQUIRE_FALSE(allowsHedging());
     REQUIRE_FALSE(allowsFurther());
 }
 
-TEST_CASE_METHOD(AttemptPolicyFixture, "attemptBeside_mayRunOnceOnly_isNotAllowed")
+TEST_CASE_METHOD(AttemptPolicyFixture, "hedge_mayRunOnceOnly_isNotAllowed")
 {
     m_route.canResume = false;
-    REQUIRE_FALSE(allowsBeside());
+    REQUIRE_FALSE(allowsHedging());
     m_route.kind = RouteKind::NonIdempotent;
-    REQUIRE_FALSE(allowsBeside());
+    REQUIRE_FALSE(allowsHedging());
     m_route.kind = RouteKind::Idempotent;
-    REQUIRE(allowsBeside());
+    REQUIRE(allowsHedging());
 }
 
-TEST_CASE_METHOD(AttemptPolicyFixture, "attemptBeside_twoAttemptsOrNone_isNotAllowed")
+TEST_CASE_METHOD(AttemptPolicyFixture, "hedge_twoAttemptsOrNone_isNotAllowed")
 {
     m_progress.inProgress = 2;
-    REQUIRE_FALSE(allowsBeside());
+    REQUIRE_FALSE(allowsHedging());
     m_progress.inProgress = 0;
-    REQUIRE_FALSE(allowsBeside());
+    REQUIRE_FALSE(allowsHedging());
 }
 
 TEST_CASE_METHOD(AttemptPolicyFixture, "furtherAttempt_limitsOfTheRouteOrTimeReached_isNotAllowed")
@@ -72,7 +72,7 @@
     m_progress.remaining = seconds(4);
     m_progress.sent = 2;
     REQUIRE_FALSE(allowsFurther());
-    REQUIRE_FALSE(allowsBeside());
+    REQUIRE_FALSE(allowsHedging());
 }
 
 TEST_CASE_METHOD(AttemptPolicyFixture, "silenceTimeout_littleTimeRemains_neverExceedsIt")
