Give a silent attempt up when its server may be lost and its caller is about to go

Cause: a silent attempt now goes on, so it was still in progress when its caller left, 2.4 s after the request; nothing reaches a frozen machine. Before, it was given up at 1.5 s for its silence alone.

Change: 0.2 s before the caller abandons a stream, the entry looks whether the agents of the silent servers have stopped to report as well. If so, the machine may stand still: the attempt ends, the caller gets an answer or a visible end while it still listens, and may be served elsewhere. A server whose agent reports, or that has none, is waited for. The patience of callers is computed from the objectives of the route.

--- a/source/core/fleet/attemptpolicy.h
+++ b/source/core/fleet/attemptpolicy.h
@@ -42,6 +42,12 @@
  */
 bool allowsHedge(const Route &route, const AttemptProgress &progress);
 
+/**
+ * @returns the time without an event of a stream, before its first one as well, after which callers
+ *          abandon it
+ */
+Duration callerPatience(const Route &route);
+
 /**
  * @param remaining time until the request times out
  * @returns the time without a part of a response after which a request is hedged
--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -259,6 +259,12 @@
             state.awaitingResponse == 0 ? 0 : std::max(0.0, state.pendingPrefillMs - prefillMs);
 }
 
+bool LoadBalancer::isAgentSilent(const ReplicaId &id, Instant now) const
+{
+    const auto it = m_replicas.find(id);
+    return it != m_replicas.end() && it->second.report && !hasFreshReport(it->second, now);
+}
+
 void LoadBalancer::recordSilence(const ReplicaId &id, Instant now)
 {
     const auto it = m_replicas.find(id);
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -189,6 +189,11 @@
      * @param promptTokens as in the requirements
      */
     void responseStarted(const ReplicaId &id, double promptTokens);
+    /**
+     * @returns whether the agent of a backend server has reported once, and has stopped to do so:
+     *          its machine may stand still
+     */
+    bool isAgentSilent(const ReplicaId &id, Instant now) const;
     /** Counts a failure of a backend server that is silent during a request, which goes on. */
     void recordSilence(const ReplicaId &id, Instant now);
     /**
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -265,6 +265,13 @@
     m_loads.recordSilence(command.replica, monotonicNow());
 }
 
+void Dispatcher::apply(const LossQuery &command)
+{
+    if (m_loads.isAgentSilent(command.replica, monotonicNow())) {
+        command.onMayBeLost();
+    }
+}
+
 void Dispatcher::apply(const LeaseReleased &command)
 {
     const Instant now = monotonicNow();
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -138,6 +138,14 @@
     ReplicaId replica;
 };
 
+/** Asks whether a backend server that is silent may be lost, as its agent is silent too. */
+struct LossQuery
+{
+    ReplicaId replica;
+    /** Called if it may be; must not block. */
+    std::function<void()> onMayBeLost;
+};
+
 /** An upstream attempt has finished and releases its slot. */
 struct LeaseReleased
 {
@@ -208,10 +216,11 @@
 { };
 
 /** Messages to the dispatcher. */
-using DispatchCommand = std::variant<AdmissionQuery, AcquireReplica, ResponseStarted, ReplicaSpoke,
-                                     ReplicaSilent, LeaseReleased, RoutesChanged, RoutesConfirmed,
-                                     ReplicasChanged, TargetVersionChanged, LoadReportReceived,
-                                     EntryCountChanged, CrashJudged, DispatchTick>;
+using DispatchCommand =
+        std::variant<AdmissionQuery, AcquireReplica, ResponseStarted, ReplicaSpoke, ReplicaSilent,
+                     LossQuery, LeaseReleased, RoutesChanged, RoutesConfirmed, ReplicasChanged,
+                     TargetVersionChanged, LoadReportReceived, EntryCountChanged, CrashJudged,
+                     DispatchTick>;
 
 /** Hooks of the dispatcher. They must not block. */
 struct DispatcherHooks
@@ -265,6 +274,7 @@
     void apply(const ResponseStarted &command);
     void apply(const ReplicaSpoke &command);
     void apply(const ReplicaSilent &command);
+    void apply(const LossQuery &command);
     void apply(const LeaseReleased &command);
     void apply(const RoutesChanged &command);
     void apply(const RoutesConfirmed &command);
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -16,6 +16,8 @@
 constexpr auto refusalRetryAfter = std::chrono::milliseconds(200);
 /** Retry-After of a request that this entry is too busy to look at. */
 constexpr auto busyRetryAfter = std::chrono::milliseconds(500);
+/** Time before callers abandon a stream at which its servers are looked at. */
+constexpr auto patienceMargin = std::chrono::milliseconds(200);
 /** A timer that is handled later than this shows that the process was not running. */
 constexpr auto maxTimerDelay = std::chrono::milliseconds(100);
 /** An attempt that has more messages than this waits for the caller to read. */
@@ -47,7 +49,8 @@
       m_deadline(arrivedAt), m_call(context.codec.decodeRequestMetadata(request)),
       m_promptParts(sharedParts(m_call.promptParts)),
       m_inbox(makeMailbox<ProxyMessage>(context.executor, inboxCapacity)),
-      m_silenceTimer(context.executor), m_lastEventId(m_call.lastEventId)
+      m_silenceTimer(context.executor), m_patienceTimer(context.executor),
+      m_lastEventId(m_call.lastEventId)
 { }
 
 Duration RequestProxy::remainingTime() const
@@ -94,6 +97,7 @@
     }
     m_writer.onDisconnect({});
     m_silenceTimer.cancel();
+    m_patienceTimer.cancel();
     m_inbox->close();
 }
 
@@ -154,8 +158,12 @@
         co_await apply(*search);
     } else if (const auto *sent = std::get_if<AttemptSent>(&message)) {
         apply(*sent);
+    } else if (const auto *silence = std::get_if<SilenceElapsed>(&message)) {
+        apply(*silence);
+    } else if (const auto *patience = std::get_if<PatienceElapsed>(&message)) {
+        apply(*patience);
     } else {
-        apply(std::get<SilenceElapsed>(message));
+        apply(std::get<ReplicaMayBeLost>(message));
     }
 }
 
@@ -282,6 +290,9 @@
     m_unsent.erase(message.lease);
     m_startTimeLeft = message.startTimeLeft;
     watchForSilence();
+    if (m_patienceWait == 0) {
+        watchForPatience();
+    }
 }
 
 /** Starts to wait for the next part of a response, if the request may be hedged without one. */
@@ -330,6 +341,54 @@
     }
 }
 
+void RequestProxy::watchForPatience()
+{
+    m_patienceTimer.cancel();
+    ++m_patienceWait;
+    const Route &route = *m_admission.routed.route;
+    if (m_isDone || route.kind != RouteKind::Streaming || !canRetry()) {
+        return;
+    }
+    const Instant waitsSince = m_lastEventAt.value_or(m_arrivedAt);
+    const Instant dueAt = waitsSince + callerPatience(route) - patienceMargin;
+    m_patienceTimer.expires_at(std::max(dueAt, monotonicNow() + maxTimerDelay));
+    m_patienceTimer.async_wait(
+            [inbox = m_inbox, wait = m_patienceWait,
+             due = m_patienceTimer.expiry()](const boost::system::error_code &ec) {
+                if (!ec) {
+                    inbox->post(PatienceElapsed {wait, due});
+                }
+            });
+}
+
+/** Asks which of the attempts in progress have lost their backend servers. */
+void RequestProxy::apply(const PatienceElapsed &message)
+{
+    if (message.wait != m_patienceWait || m_isDone) {
+        return;
+    }
+    if (monotonicNow() - message.dueAt > maxTimerDelay) {
+        // This process was not running, so parts of the response may wait to be read.
+        watchForPatience();
+        return;
+    }
+    for (const AttemptPtr &it : m_attempts) {
+        const ReplicaMayBeLost lost {message.wait, it->lease()};
+        m_context.dispatcher->post(
+                LossQuery {it->replica(), [inbox = m_inbox, lost] { inbox->post(lost); }});
+    }
+}
+
+/** Answers the caller while it still waits, and no longer holds on to a server that stands still.
+ */
+void RequestProxy::apply(const ReplicaMayBeLost &message)
+{
+    const auto it = find(message.lease);
+    if (message.wait == m_patienceWait && it != m_attempts.end()) {
+        (*it)->abort(AttemptAbort::Lost);
+    }
+}
+
 void RequestProxy::keepOnly(std::uint64_t lease)
 {
     endSearch();
@@ -358,6 +417,7 @@
         co_await m_writer.startStream(message.head->status, fields, std::move(bytes));
     }
     watchForSilence();
+    watchForPatience();
 }
 
 Awaitable<void> RequestProxy::apply(const AttemptEnded &message)
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -54,6 +54,8 @@
     Awaitable<void> apply(const EventsReceived &message);
     Awaitable<void> apply(const AttemptEnded &message);
     void apply(const SilenceElapsed &message);
+    void apply(const PatienceElapsed &message);
+    void apply(const ReplicaMayBeLost &message);
 
     /** Asks the dispatcher for a backend server. */
     void startSearch();
@@ -77,6 +79,8 @@
     void endIfAbandoned(std::string_view cause);
     void watchForSilence();
     void reportSilence();
+    /** Starts to wait for the moment shortly before the caller abandons the stream. */
+    void watchForPatience();
 
     void recordEvents(const EventsReceived &message);
     void recordFailedAttempt(const AttemptEnded &ended) const;
@@ -107,6 +111,10 @@
     Timer m_silenceTimer;
     /** Counts the waits; a message of an earlier one is obsolete. */
     std::uint64_t m_silenceWait = 0;
+    /** Runs until shortly before the caller abandons the stream. */
+    Timer m_patienceTimer;
+    /** Counts the waits, which end with each event. */
+    std::uint64_t m_patienceWait = 0;
     /** Where the result of the search in progress is awaited; null without one. */
     SearchReply m_searchReply;
     std::uint64_t m_search = 0;
--- a/source/edge/upstreamattempt.cpp
+++ b/source/edge/upstreamattempt.cpp
@@ -46,6 +46,7 @@
     case AttemptAbort::ProcessEnds:
         return UpstreamOutcome::DeadlineReached;
     case AttemptAbort::Superseded:
+    case AttemptAbort::Lost:
         return UpstreamOutcome::Silent;
     default:
         return UpstreamOutcome::Withdrawn;
--- a/source/edge/upstreamattempt.h
+++ b/source/edge/upstreamattempt.h
@@ -68,9 +68,26 @@
     Instant dueAt;
 };
 
+/** The caller is about to abandon a stream that goes on. */
+struct PatienceElapsed
+{
+    /** The number of the wait. */
+    std::uint64_t wait = 0;
+    /** When the time was over. */
+    Instant dueAt;
+};
+
+/** The backend server of a silent attempt may be lost: its agent is silent as well. */
+struct ReplicaMayBeLost
+{
+    /** The number of the wait after which that was asked. */
+    std::uint64_t wait = 0;
+    std::uint64_t lease = 0;
+};
+
 /** Messages to the proxy of a request. */
-using ProxyMessage =
-        std::variant<SearchEnded, AttemptSent, EventsReceived, AttemptEnded, SilenceElapsed>;
+using ProxyMessage = std::variant<SearchEnded, AttemptSent, EventsReceived, AttemptEnded,
+                                  SilenceElapsed, PatienceElapsed, ReplicaMayBeLost>;
 
 /** Why an attempt is given up. */
 enum class AttemptAbort {
@@ -80,6 +97,8 @@
     ProcessEnds,
     /** It was silent, and the response to a later attempt has begun. */
     Superseded,
+    /** It was silent for as long as the caller waits, and its backend server may be lost. */
+    Lost,
     /** It is not needed, since an earlier attempt goes on. */
     Withdrawn,
 };
--- a/tests/unit/tst_attemptpolicy.cpp
+++ b/tests/unit/tst_attemptpolicy.cpp
@@ -75,6 +75,15 @@
     REQUIRE_FALSE(allowsHedging());
 }
 
+TEST_CASE_METHOD(AttemptPolicyFixture, "callerPatience_objectivesAreLong_isTheLongestOfThem")
+{
+    REQUIRE(callerPatience(m_route) == seconds(2));
+    m_route.latencyObjective = milliseconds(600);
+    REQUIRE(callerPatience(m_route) == milliseconds(2400));
+    m_route.interEventObjective = milliseconds(500);
+    REQUIRE(callerPatience(m_route) == seconds(4));
+}
+
 TEST_CASE_METHOD(AttemptPolicyFixture, "silenceTimeout_littleTimeRemains_neverExceedsIt")
 {
     REQUIRE(silenceTimeout(RouteKind::Streaming, seconds(6)) == milliseconds(1500));
