--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -7,6 +7,7 @@
 #include "endlessstandin.h"
 #include "fleetstandin.h"
 #include "net/clock.h"
+#include "net/ticker.h"
 #include "platform/platform.h"
 #include "sidecar/loadreporter.h"
 #include "testcaller.h"
@@ -23,6 +24,8 @@
 constexpr auto conditionTimeout = std::chrono::seconds(10);
 /** Remaining-Time-Ms of the requests below. */
 constexpr auto callerPatience = std::chrono::milliseconds(2500);
+/** Time after which callers abandon a stream of the engine below that has not begun. */
+constexpr auto callerLeavesAfter = std::chrono::milliseconds(2000);
 constexpr auto dripPause = std::chrono::milliseconds(100);
 /** Bytes that an entry may take in before it gives an upstream attempt up. */
 constexpr std::size_t maxBytesTaken = 8ULL * 1024 * 1024;
@@ -515,6 +518,39 @@
     REQUIRE(monotonicNow() - named < m_settings.bounds.weightsApply);
 }
 
+// Requests at a frozen machine were still in progress there when their callers left.
+TEST_CASE_METHOD(EdgeFixture, "entry_serverAndItsAgentAreSilent_callerIsAnsweredBeforeItLeaves")
+{
+    startEntryWithEngineListedEmpty();
+    m_first.setBehaviour(ReplicaBehaviour::Hangs);
+    reportLoaded(1);
+    const Instant sentAt = monotonicNow();
+    REQUIRE(sendRequest(request("/x/1")).status == 504);
+    REQUIRE(m_first.runs() == 1);
+    REQUIRE(monotonicNow() - sentAt < callerLeavesAfter);
+}
+
+TEST_CASE_METHOD(EdgeFixture, "entry_serverIsSilentAndItsAgentReports_requestGoesOn")
+{
+    startEntryWithEngineListedEmpty();
+    m_first.setBehaviour(ReplicaBehaviour::Hangs);
+    bool isAnswered = false;
+    startTicker(m_context.get_executor(), std::chrono::milliseconds(100), [&] {
+        LoadReport report;
+        report.backend = m_first.address();
+        report.startedAtMs = 1;
+        report.weightsVersion = 1;
+        m_agent->mailbox()->post(report);
+        return !isAnswered;
+    });
+    m_context.run_for(std::chrono::milliseconds(300));
+    const Instant sentAt = monotonicNow();
+    const CallerResponse received = sendRequest(request("/x/1"));
+    isAnswered = true;
+    REQUIRE(received.status == 504);
+    REQUIRE(monotonicNow() - sentAt > callerLeavesAfter);
+}
+
 TEST_CASE_METHOD(EdgeFixture, "entry_engineListedWithoutWeights_newestOnesAreExpected")
 {
     startEntryWithEngineListedEmpty();
--- a/tests/unit/tst_fleetparts.cpp
+++ b/tests/unit/tst_fleetparts.cpp
@@ -37,6 +37,7 @@
 TEST_CASE_METHOD(SharedRetryBudgetFixture, "retryBudget_windowHasPassed_allowsRetriesAgain")
 {
     while (m_budget.tryAcquire(at(0), 8)) { }
+    REQUIRE_FALSE(m_budget.allows(at(0), 8));
     REQUIRE_FALSE(m_budget.tryAcquire(at(5000), 8));
     REQUIRE(m_budget.tryAcquire(at(12'000), 8));
 }
