--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -4,8 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <cstdio>
 
 namespace greengageseam {
@@ -16,10 +14,6 @@
 constexpr auto refusalRetryAfter = std::chrono::milliseconds(200);
 /** Retry-After of a request that this entry is too busy to look at. */
 constexpr auto busyRetryAfter = std::chrono::milliseconds(500);
-/** Time before callers abandon a stream at which its servers are looked at. */
-constexpr auto patienceMargin = std::chrono::milliseconds(200);
-/** A timer that is handled later than this shows that the process was not running. */
-constexpr auto maxTimerDelay = std::chrono::milliseconds(100);
 /** An attempt that has more messages than this waits for the caller to read. */
 constexpr std::size_t inboxCapacity = 4;
 
@@ -31,16 +25,6 @@
     return buf.data();
 }
 
-/** Passes the end of a search on to the proxy that has started it. */
-Awaitable<void> forwardSearch(std::uint64_t search, double promptTokens, SearchReply reply,
-                              MailboxPtr<DispatchCommand> dispatcher,
-                              MailboxPtr<ProxyMessage> inbox)
-{
-    SearchEnded ended = co_await awaitSearch(search, promptTokens, reply, dispatcher);
-    ProxyMessage message = std::move(ended);
-    co_await inbox->send(std::move(message));
-}
-
 } // namespace
 
 RequestProxy::RequestProxy(const RequestContext &context, const HttpRequest &request,
@@ -64,23 +48,6 @@
     return isIdempotent(route.kind, route.canResume);
 }
 
-AttemptProgress RequestProxy::progress() const
-{
-    AttemptProgress progress;
-    progress.sent = m_sends + static_cast<std::uint32_t>(m_unsent.size());
-    progress.inProgress = static_cast<std::uint32_t>(m_attempts.size());
-    progress.hasStarted = m_isStreaming;
-    progress.hasEventId = m_lastEventId.has_value();
-    progress.remaining = remainingTime();
-    return progress;
-}
-
-std::vector<RequestProxy::AttemptPtr>::iterator RequestProxy::find(std::uint64_t lease)
-{
-    return std::find_if(m_attempts.begin(), m_attempts.end(),
-                        [lease](const AttemptPtr &it) { return it->lease() == lease; });
-}
-
 Awaitable<void> RequestProxy::run()
 {
     m_writer.onDisconnect([this] { abortAll(AttemptAbort::CallerGone); });
@@ -115,16 +82,6 @@
     abortAll(AttemptAbort::ProcessEnds);
 }
 
-void RequestProxy::abortAll(AttemptAbort reason)
-{
-    if (m_searchReply) {
-        m_searchReply->close();
-    }
-    for (const AttemptPtr &it : m_attempts) {
-        it->abort(reason);
-    }
-}
-
 Awaitable<bool> RequestProxy::admit()
 {
     const auto reply = makeMailbox<Outcome<Admission>>(m_context.executor, 1);
@@ -167,58 +124,6 @@
     }
 }
 
-void RequestProxy::startSearch()
-{
-    ++m_search;
-    m_searchReply =
-            makeMailbox<std::variant<ReplicaLease, ReplicaUnavailable>>(m_context.executor, 1);
-    m_nextStart = std::make_shared<AttemptStart>();
-    if (m_isExpired || !m_context.dispatcher->post(searchQuery())) {
-        m_searchReply->close();
-    }
-    asio::co_spawn(m_context.executor,
-                   forwardSearch(m_search, static_cast<double>(m_call.promptTokens), m_searchReply,
-                                 m_context.dispatcher, m_inbox),
-                   asio::detached);
-}
-
-AcquireReplica RequestProxy::searchQuery() const
-{
-    const Route &route = *m_admission.routed.route;
-    AcquireReplica query;
-    query.attemptId = m_call.attemptId;
-    query.requirements.service = m_admission.service;
-    query.requirements.tried = m_triedReplicas;
-    query.requirements.latencyObjective = route.latencyObjective;
-    query.requirements.promptTokens = static_cast<double>(m_call.promptTokens);
-    query.isRetry = m_sends > 0;
-    query.isHedge = !m_attempts.empty();
-    // Without an attempt id, a late response to an earlier request could not be told apart.
-    query.allowsPooledConnection = canRetry() && !m_call.attemptId.empty();
-    const bool isLikelyRetry = m_arrivedAt - m_admission.firstAttemptAt > route.latencyObjective;
-    WaitingRequest waiting;
-    waiting.latencyObjective = route.latencyObjective;
-    waiting.remaining = remainingTime();
-    waiting.mayReturn = !isLikelyRetry && m_ran == ExecutionStatus::NotExecuted && !query.isHedge;
-    query.wait = queueWait(waiting);
-    query.waitsSince = monotonicNow();
-    query.deadline = m_deadline;
-    query.promptParts = m_promptParts;
-    query.wasLost = m_wasLost;
-    query.lateAfter = m_admission.firstAttemptAt + route.latencyObjective;
-    query.onStartExpired = makeStartExpiry(m_nextStart);
-    query.reply = m_searchReply;
-    return query;
-}
-
-void RequestProxy::endSearch()
-{
-    if (m_searchReply) {
-        m_searchReply->close();
-        m_searchReply.reset();
-    }
-}
-
 Awaitable<void> RequestProxy::apply(const SearchEnded &message)
 {
     if (message.search != m_search || !m_searchReply) {
@@ -256,150 +161,6 @@
     }
 }
 
-void RequestProxy::startAttempt(ReplicaLease lease)
-{
-    m_unavailableFor.reset();
-    m_replica = processOf(lease.replica);
-    m_weightsBasis = lease.weightsBasis;
-    m_startTimeLeft.reset();
-    m_triedReplicas.insert(lease.replica.id);
-    AttemptOptions options;
-    options.lease = std::move(lease);
-    options.attemptId = m_call.attemptId;
-    options.promptTokens = static_cast<double>(m_call.promptTokens);
-    options.promptParts = m_promptParts;
-    if (m_admission.routed.account != nullptr) {
-        options.account = m_admission.routed.account->name;
-    }
-    options.deadline = m_deadline;
-    options.lastEventId = m_lastEventId;
-    options.isFirst = m_sends == 0;
-    options.isIdempotent = canRetry();
-    options.isResumption = m_isStreaming;
-    options.start = m_nextStart;
-    m_attempts.push_back(
-            std::make_shared<UpstreamAttempt>(m_context, m_request, std::move(options), m_inbox));
-    ++m_unreported;
-    m_unsent.insert(m_attempts.back()->lease());
-    m_attempts.back()->start();
-}
-
-void RequestProxy::apply(const AttemptSent &message)
-{
-    ++m_sends;
-    m_unsent.erase(message.lease);
-    m_startTimeLeft = message.startTimeLeft;
-    watchForSilence();
-    if (m_patienceWait == 0) {
-        watchForPatience();
-    }
-}
-
-/** Starts to wait for the next part of a response, if the request may be hedged without one. */
-void RequestProxy::watchForSilence()
-{
-    m_silenceTimer.cancel();
-    ++m_silenceWait;
-    const Route &route = *m_admission.routed.route;
-    if (m_isDone || m_isExpired || m_searchReply || !allowsHedge(route, progress())) {
-        return;
-    }
-    m_silenceTimer.expires_after(silenceTimeout(route.kind, remainingTime()));
-    m_silenceTimer.async_wait(
-            [inbox = m_inbox, wait = m_silenceWait,
-             dueAt = m_silenceTimer.expiry()](const boost::system::error_code &ec) {
-                if (!ec) {
-                    inbox->post(SilenceElapsed {wait, dueAt});
-                }
-            });
-}
-
-void RequestProxy::apply(const SilenceElapsed &message)
-{
-    const Route &route = *m_admission.routed.route;
-    const bool isCurrent = message.wait == m_silenceWait && !m_isDone && !m_isExpired;
-    if (!isCurrent || m_searchReply || m_writer.isDisconnected()
-        || !allowsHedge(route, progress())) {
-        return;
-    }
-    if (monotonicNow() - message.dueAt > maxTimerDelay) {
-        // This process was not running, so parts of the response may wait to be read.
-        watchForSilence();
-        return;
-    }
-    reportSilence();
-    startSearch();
-}
-
-/** Tells the dispatcher once that the backend server of the attempt in progress is silent. */
-void RequestProxy::reportSilence()
-{
-    const std::uint64_t lease = m_attempts.front()->lease();
-    if (lease != m_silentLease) {
-        m_silentLease = lease;
-        m_context.dispatcher->post(ReplicaSilent {m_attempts.front()->replica()});
-    }
-}
-
-void RequestProxy::watchForPatience()
-{
-    m_patienceTimer.cancel();
-    ++m_patienceWait;
-    const Route &route = *m_admission.routed.route;
-    if (m_isDone || route.kind != RouteKind::Streaming || !canRetry()) {
-        return;
-    }
-    const Instant waitsSince = m_lastEventAt.value_or(m_arrivedAt);
-    const Instant dueAt = waitsSince + callerPatience(route) - patienceMargin;
-    m_patienceTimer.expires_at(std::max(dueAt, monotonicNow() + maxTimerDelay));
-    m_patienceTimer.async_wait(
-            [inbox = m_inbox, wait = m_patienceWait,
-             due = m_patienceTimer.expiry()](const boost::system::error_code &ec) {
-                if (!ec) {
-                    inbox->post(PatienceElapsed {wait, due});
-                }
-            });
-}
-
-/** Asks which of the attempts in progress have lost their backend servers. */
-void RequestProxy::apply(const PatienceElapsed &message)
-{
-    if (message.wait != m_patienceWait || m_isDone) {
-        return;
-    }
-    if (monotonicNow() - message.dueAt > maxTimerDelay) {
-        // This process was not running, so parts of the response may wait to be read.
-        watchForPatience();
-        return;
-    }
-    for (const AttemptPtr &it : m_attempts) {
-        const ReplicaMayBeLost lost {message.wait, it->lease()};
-        m_context.dispatcher->post(
-                LossQuery {it->replica(), [inbox = m_inbox, lost] { inbox->post(lost); }});
-    }
-}
-
-/** Answers the caller while it still waits, and no longer holds on to a server that stands still.
- */
-void RequestProxy::apply(const ReplicaMayBeLost &message)
-{
-    const auto it = find(message.lease);
-    if (message.wait == m_patienceWait && it != m_attempts.end()) {
-        (*it)->abort(AttemptAbort::Lost);
-    }
-}
-
-void RequestProxy::keepOnly(std::uint64_t lease)
-{
-    endSearch();
-    for (const AttemptPtr &it : m_attempts) {
-        if (it->lease() != lease) {
-            it->abort(it->lease() < lease ? AttemptAbort::Superseded : AttemptAbort::Withdrawn);
-        }
-    }
-    std::erase_if(m_attempts, [lease](const AttemptPtr &it) { return it->lease() != lease; });
-}
-
 Awaitable<void> RequestProxy::apply(const EventsReceived &message)
 {
     if (find(message.lease) == m_attempts.end() || m_writer.isDisconnected()) {
