Decode regions, cold servers and evacuations, and leave evacuated zones out

Cause: allowedRegions, coldStartS, coldPerS, coldLeftMs and the records that evacuate a zone were ignored, so requests reached servers outside the allowed regions and in evacuated zones. Change: the configuration, the replica list, the settings and the datagrams carry these values; OperatorWatcher keeps the set of evacuated zones, and LoadBalancer leaves their servers out.

--- a/source/core/fleet/fleetconfig.h
+++ b/source/core/fleet/fleetconfig.h
@@ -22,6 +22,12 @@
 /** Whether requests of a route may be executed more than once, and whether they stream. */
 enum class RouteKind { Idempotent, NonIdempotent, Streaming };
 
+/**
+ * Regions in which requests may be executed, and whatever belongs to them may be held. Empty if
+ * there is no restriction.
+ */
+using AllowedRegions = std::vector<RegionName>;
+
 /** A service to which a route sends requests, with its weight in the traffic split. */
 struct RouteTarget
 {
@@ -57,6 +63,7 @@
     bool isAnonymous = false;
     /** Whether a stream may be resumed at another backend server. */
     bool canResume = false;
+    AllowedRegions allowedRegions;
 
     auto operator<=>(const Route &) const = default;
 };
@@ -86,6 +93,8 @@
     ModelName model;
     std::uint32_t pieceCount = 0;
     std::uint64_t pieceBytes = 0;
+    /** Tokens of requests that the memory of an engine holds beside the weights; 0 if unknown. */
+    std::uint64_t memoryTokens = 0;
 
     auto operator<=>(const EngineCosts &) const = default;
 };
@@ -100,6 +109,10 @@
     /** Address from which weights are read; empty unless the service is an origin of weights. */
     Address origin;
     ZoneName originZone;
+    /** Time after its start for which a backend server is cold; zero if it never is. */
+    Duration coldStart {};
+    /** Requests a second that a cold backend server tolerates, from all entries together. */
+    double coldRequestsPerSecond = 0;
 
     auto operator<=>(const Service &) const = default;
 };
@@ -122,6 +135,8 @@
     std::vector<std::string> keys;
     /** Overrides the priority of the route if set. */
     std::optional<std::uint32_t> priority;
+    /** Restricts requests in addition to the regions of the route. */
+    AllowedRegions allowedRegions;
 
     auto operator<=>(const FleetAccount &) const = default;
 };
--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -173,7 +173,8 @@
     const bool isReplaced = state.report && state.entry.startedAtMs != 0
             && state.report->startedAtMs > state.entry.startedAtMs;
     const bool isSuperseded = m_byAddress.at(state.entry.address) != state.entry.id;
-    if (isReplaced || isSuperseded || !state.availability.isInService(now)) {
+    if (isReplaced || isSuperseded || m_evacuatedZones.contains(state.entry.zone)
+        || !state.availability.isInService(now)) {
         return false;
     }
     if (!m_engineCosts.contains(state.entry.service)) {
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -164,6 +164,8 @@
     void setReplicas(const std::vector<ReplicaEntry> &entries);
     /** Replaces the cost parameters of engines with those of the configuration. */
     void setServices(const std::map<ServiceName, Service> &services);
+    /** Sets the zones whose backend servers get no requests, as the operator has evacuated them. */
+    void setEvacuatedZones(const std::set<ZoneName> &zones) { m_evacuatedZones = zones; }
     /**
      * Sets the number of entries. It is used to estimate the requests of the other entries that no
      * report counts yet.
@@ -304,6 +306,7 @@
     std::map<ServiceName, std::vector<ReplicaId>> m_byService;
     std::map<ServiceName, EngineCosts> m_engineCosts;
     std::set<ServiceName> m_saturatedServices;
+    std::set<ZoneName> m_evacuatedZones;
 };
 
 } // namespace greengageseam
--- a/source/core/fleet/nodesettings.h
+++ b/source/core/fleet/nodesettings.h
@@ -32,6 +32,12 @@
     /** Retries of the whole fleet in a window in addition to the ratio. */
     double retrySlack = 100;
     Duration retryWindow = std::chrono::seconds(10);
+    /** Maximum time after a zone is evacuated until the last request reaches it. */
+    Duration evacuate = std::chrono::seconds(5);
+    /** Factor by which requests to a cold backend server may exceed the rate that it tolerates. */
+    double coldOvershoot = 1;
+    /** Requests in a second to a cold backend server beyond that. */
+    double coldSlack = 0;
 
     auto operator<=>(const FleetBounds &) const = default;
 };
@@ -64,6 +70,8 @@
     double linkMbps = 0;
     /** Memory limit in megabytes; the platform kills a process that exceeds it. */
     std::uint32_t memoryLimitMb = 0;
+    /** Limit of open file descriptors of the process; 0 if unknown. */
+    std::uint32_t descriptorLimit = 0;
     FleetBounds bounds;
 
     auto operator<=>(const NodeSettings &) const = default;
--- a/source/core/fleet/replica.h
+++ b/source/core/fleet/replica.h
@@ -52,6 +52,8 @@
     /** Start time of this incarnation in milliseconds since 1970; 0 if not stated. */
     std::uint64_t startedAtMs = 0;
     LoadedWeights loaded;
+    /** How much longer the backend server stays cold, as of when it wrote this; zero if warm. */
+    Duration coldLeft {};
 
     auto operator<=>(const ReplicaEntry &) const = default;
 };
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -313,6 +313,12 @@
     dispatchPending();
 }
 
+void Dispatcher::apply(const EvacuationsChanged &command)
+{
+    m_loads.setEvacuatedZones(command.zones);
+    dispatchPending();
+}
+
 void Dispatcher::apply(const LoadReportReceived &command)
 {
     m_loads.applyReport(command.report, monotonicNow());
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -185,6 +185,12 @@
     std::vector<ReplicaEntry> entries;
 };
 
+/** The set of zones that the operator has evacuated has changed. */
+struct EvacuationsChanged
+{
+    std::set<ZoneName> zones;
+};
+
 /** The operator has announced a target version of a model's weights. */
 struct TargetVersionChanged
 {
@@ -219,8 +225,8 @@
 using DispatchCommand =
         std::variant<AdmissionQuery, AcquireReplica, ResponseStarted, ReplicaSpoke, ReplicaSilent,
                      LossQuery, LeaseReleased, RoutesChanged, RoutesConfirmed, ReplicasChanged,
-                     TargetVersionChanged, LoadReportReceived, EntryCountChanged, CrashJudged,
-                     DispatchTick>;
+                     EvacuationsChanged, TargetVersionChanged, LoadReportReceived,
+                     EntryCountChanged, CrashJudged, DispatchTick>;
 
 /** Hooks of the dispatcher. They must not block. */
 struct DispatcherHooks
@@ -279,6 +285,7 @@
     void apply(const RoutesChanged &command);
     void apply(const RoutesConfirmed &command);
     void apply(const ReplicasChanged &command);
+    void apply(const EvacuationsChanged &command);
     void apply(const TargetVersionChanged &command);
     void apply(const LoadReportReceived &command);
     void apply(const EntryCountChanged &command);
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -217,6 +217,9 @@
         m_exchange->fetcher()->post(FetcherTargetVersionChanged {targetVersion});
         m_loadListener->mailbox()->post(AnnounceTargetVersion {targetVersion, now - age});
     };
+    hooks.onEvacuationsChanged = [this](const std::set<ZoneName> &zones) {
+        m_dispatcher->mailbox()->post(EvacuationsChanged {zones});
+    };
     hooks.onOffsetAdvanced = [this](std::uint64_t offset) {
         m_loadListener->mailbox()->post(OperatorOffsetUpdated {offset});
     };
--- a/source/edge/operatorwatcher.cpp
+++ b/source/edge/operatorwatcher.cpp
@@ -43,10 +43,13 @@
     followHooks.onSnapshot = [this](const KeyedSnapshot &snapshot) {
         const bool isInitial = !m_hasSnapshot;
         m_hasSnapshot = true;
+        // A snapshot leaves out the keys that were removed, so it replaces the set.
+        applyEvacuationRecords(snapshot.records, {});
         applyRecords(snapshot.records, isInitial, snapshot.completeAsOf);
         advanceOffset(snapshot.endOffset);
     };
     followHooks.onTail = [this](std::uint64_t, const KeyedBatch &tail) {
+        applyEvacuationRecords(tail.records, m_evacuatedZones);
         applyRecords(tail.records, false, tail.completeAsOf);
         advanceOffset(tail.nextOffset);
     };
@@ -143,6 +146,45 @@
     }
 }
 
+/** Applies evacuations in the order of the records. @param zones those known before them */
+void OperatorWatcher::applyEvacuationRecords(const std::vector<KeyedRecord> &records,
+                                             std::set<ZoneName> zones)
+{
+    if (!m_hooks.evacuatedZone) {
+        return;
+    }
+    for (const KeyedRecord &record : records) {
+        const std::optional<ZoneName> zone = m_hooks.evacuatedZone(record.key);
+        if (zone && record.value) {
+            zones.insert(*zone);
+        } else if (zone) {
+            zones.erase(*zone);
+        }
+    }
+    applyEvacuations(std::move(zones));
+}
+
+void OperatorWatcher::applyEvacuations(std::set<ZoneName> zones)
+{
+    if (zones == m_evacuatedZones) {
+        return;
+    }
+    for (const ZoneName &zone : zones) {
+        if (!m_evacuatedZones.contains(zone)) {
+            m_log.info("zone.evacuated", {{"zone", zone.text()}});
+        }
+    }
+    for (const ZoneName &zone : m_evacuatedZones) {
+        if (!zones.contains(zone)) {
+            m_log.info("zone.returned", {{"zone", zone.text()}});
+        }
+    }
+    m_evacuatedZones = std::move(zones);
+    if (m_hooks.onEvacuationsChanged) {
+        m_hooks.onEvacuationsChanged(m_evacuatedZones);
+    }
+}
+
 void OperatorWatcher::restartRead()
 {
     m_follower->mailbox()->post(RestartRead {});
--- a/source/edge/operatorwatcher.h
+++ b/source/edge/operatorwatcher.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace greengageseam {
 
@@ -28,6 +29,8 @@
     std::function<bool(std::string_view key)> isConfig;
     /** @returns whether the key is that of a target version of weights */
     std::function<bool(std::string_view key)> isTargetVersion;
+    /** @returns the zone whose evacuation a key requests; empty if the key is another one */
+    std::function<std::optional<ZoneName>(std::string_view key)> evacuatedZone;
     /** Called when a newer configuration applies. */
     std::function<void(RouteTablePtr table)> onConfig;
     /**
@@ -39,6 +42,8 @@
      */
     std::function<void(const TargetVersion &targetVersion, bool isInitial, Duration age)>
             onTargetVersion;
+    /** Called when the set of zones that the operator has evacuated has changed; may be empty. */
+    std::function<void(const std::set<ZoneName> &zones)> onEvacuationsChanged;
     /** Called when the topic was read up to a higher offset. */
     std::function<void(std::uint64_t offset)> onOffsetAdvanced;
     /**
@@ -86,6 +91,8 @@
                       Instant completeAsOf);
     void confirm(Instant completeAsOf);
     void applyRecord(const KeyedRecord &record, bool isInitial);
+    void applyEvacuations(std::set<ZoneName> zones);
+    void applyEvacuationRecords(const std::vector<KeyedRecord> &records, std::set<ZoneName> zones);
     void applyTargetVersion(const TargetVersion &targetVersion, VersionSource source,
                             bool isInitial, Duration age);
     void logTargetVersion(const TargetVersion &targetVersion, VersionSource source, Duration age,
@@ -115,6 +122,8 @@
     };
 
     std::map<ModelName, DatedVersion> m_targetVersions;
+    /** Zones to whose backend servers the operator wants nothing to be sent. */
+    std::set<ZoneName> m_evacuatedZones;
 };
 
 } // namespace greengageseam
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -38,6 +38,9 @@
         seen.__set_layersTo(static_cast<std::int32_t>(entry.loaded.layers->to));
         seen.__set_layersVersion(static_cast<std::int64_t>(entry.loaded.layers->version));
     }
+    if (entry.coldLeft > Duration::zero()) {
+        seen.__set_coldLeftMs(std::chrono::ceil<std::chrono::milliseconds>(entry.coldLeft).count());
+    }
     return seen;
 }
 
@@ -58,6 +61,9 @@
                                           static_cast<std::uint32_t>(seen.layersTo),
                                           static_cast<std::uint64_t>(seen.layersVersion)};
     }
+    if (seen.__isset.coldLeftMs) {
+        entry.coldLeft = std::chrono::milliseconds(seen.coldLeftMs);
+    }
     return entry;
 }
 
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -326,6 +326,7 @@
   10: optional i32 layersFrom;
   11: optional i32 layersTo;
   12: optional i64 layersVersion;
+  13: optional i64 coldLeftMs;
 }
 
 /** Datagram between the entries of a zone: what a read of the list of backend servers brought. */
--- a/tests/unit/tst_platform.cpp
+++ b/tests/unit/tst_platform.cpp
@@ -59,6 +59,21 @@
     REQUIRE(settings.bounds.retryRatio == 0.25);
 }
 
+TEST_CASE_METHOD(PlatformFixture, "decodeSettings_boundsOfPlacement_areDecoded")
+{
+    const auto read = toOutcome([] {
+        return decodeSettings(settingsText()
+                              + "bounds.evacuateMs=4000\nbounds.coldOvershoot=1.5\n"
+                                "bounds.coldSlack=7\nlimits.maxFds=4100\n");
+    });
+    REQUIRE(detailOf(read).empty());
+    const auto &settings = std::get<NodeSettings>(read);
+    REQUIRE(settings.bounds.evacuate == std::chrono::seconds(4));
+    REQUIRE(settings.bounds.coldOvershoot == 1.5);
+    REQUIRE(settings.bounds.coldSlack == 7);
+    REQUIRE(settings.descriptorLimit == 4100);
+}
+
 TEST_CASE_METHOD(PlatformFixture, "decodeSettings_invalidValue_namesTheSetting")
 {
     const auto read =
@@ -97,6 +112,27 @@
     REQUIRE(config.accounts->front().keys == std::vector<std::string> {"k"});
 }
 
+TEST_CASE_METHOD(PlatformFixture, "decodeConfig_regionsAndColdStart_areDecoded")
+{
+    const auto read = toOutcome([] {
+        return decodeConfig(
+                R"({"version":1,"routes":[{"host":"h","pathPrefix":"/","routeKind":"idempotent",
+                "timeoutMs":100,"service":"s","allowedRegions":["north","south"]}],
+                "services":[{"name":"s","coldStartS":3.5,"coldPerS":17,
+                "engine":{"kvCapacityTokens":685000}}],
+                "tenants":[{"name":"t","apiKeys":["k"],"allowedRegions":["north"]}]})");
+    });
+    REQUIRE(detailOf(read).empty());
+    const auto &config = std::get<FleetConfig>(read);
+    REQUIRE(config.routes.at(0).allowedRegions
+            == AllowedRegions {RegionName("north"), RegionName("south")});
+    REQUIRE(config.accounts->at(0).allowedRegions == AllowedRegions {RegionName("north")});
+    const Service &service = config.services.at(ServiceName("s"));
+    REQUIRE(service.coldStart == std::chrono::milliseconds(3500));
+    REQUIRE(service.coldRequestsPerSecond == 17);
+    REQUIRE(service.engine->memoryTokens == 685000);
+}
+
 TEST_CASE_METHOD(PlatformFixture, "decodeConfig_unknownRouteKind_isNonIdempotent")
 {
     const auto read = toOutcome([] {
