Hedge late requests within a share that the operator sets

A few slow answers spoil the upper quantiles, and a request was hedged only after silence: 1.5 s for a stream, 0.4 of the remaining time otherwise.

With GREENGAGESEAM_HEDGE_RATIO above 0, an attempt that is later than such requests usually take is hedged, unless the service is saturated or has waiting requests, many attempts are late, a budget is used up, or no other server is expected to be clearly faster. With 0, the default, nothing changes.

--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -216,19 +216,36 @@
     return best;
 }
 
-std::optional<ReplicaEntry> LoadBalancer::acquire(const ReplicaRequirements &requirements,
-                                                  Instant now, std::uint64_t random)
+LoadBalancer::ReplicaState *LoadBalancer::choose(const ReplicaRequirements &requirements,
+                                                 Instant now, std::uint64_t random)
 {
     const auto pool = m_byService.find(requirements.service);
     if (pool == m_byService.end()) {
-        return std::nullopt;
+        return nullptr;
     }
     ReplicaState *sameZone = cheapestCandidate(pool->second, requirements, true, now, random);
     ReplicaState *crossZone = cheapestCandidate(pool->second, requirements, false, now, random);
     const bool isSameZone = crossZone == nullptr
             || (sameZone != nullptr
                 && costMs(*sameZone, requirements, now) <= costMs(*crossZone, requirements, now));
-    ReplicaState *best = isSameZone ? sameZone : crossZone;
+    return isSameZone ? sameZone : crossZone;
+}
+
+std::optional<Duration> LoadBalancer::forecast(const ReplicaRequirements &requirements, Instant now,
+                                               std::uint64_t random)
+{
+    const ReplicaState *best = choose(requirements, now, random);
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    const std::chrono::duration<double, std::milli> cost(costMs(*best, requirements, now));
+    return std::chrono::duration_cast<Duration>(cost);
+}
+
+std::optional<ReplicaEntry> LoadBalancer::acquire(const ReplicaRequirements &requirements,
+                                                  Instant now, std::uint64_t random)
+{
+    ReplicaState *best = choose(requirements, now, random);
     if (best == nullptr) {
         return std::nullopt;
     }
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -186,6 +186,13 @@
      */
     std::optional<ReplicaEntry> acquire(const ReplicaRequirements &requirements, Instant now,
                                         std::uint64_t random);
+    /**
+     * @param random as in acquire(), which then chooses the same backend server
+     * @returns the expected time to the response of the backend server that acquire() would choose,
+     *          with what speaks against it; empty if none has capacity
+     */
+    std::optional<Duration> forecast(const ReplicaRequirements &requirements, Instant now,
+                                     std::uint64_t random);
     /**
      * Records that the response to an upstream attempt has started.
      * @param promptTokens as in the requirements
@@ -278,6 +285,8 @@
     ReplicaState *cheapestCandidate(const std::vector<ReplicaId> &pool,
                                     const ReplicaRequirements &requirements, bool isSameZone,
                                     Instant now, std::uint64_t random);
+    ReplicaState *choose(const ReplicaRequirements &requirements, Instant now,
+                         std::uint64_t random);
     static void removePendingPrefill(ReplicaState &state, double prefillMs);
     void recordLatency(ReplicaState &state, Duration responseLatency, Instant now);
     bool hasCapacity(const ReplicaState &state, const ReplicaRequirements &requirements,
--- a/source/core/fleet/nodesettings.h
+++ b/source/core/fleet/nodesettings.h
@@ -73,6 +73,8 @@
     /** Limit of open file descriptors of the process; 0 if unknown. */
     std::uint32_t descriptorLimit = 0;
     FleetBounds bounds;
+    /** Share of the requests that may be hedged before their attempts are silent; 0 for none. */
+    double hedgeRatio = 0;
 
     auto operator<=>(const NodeSettings &) const = default;
 };
--- a/source/core/fleet/sharedretrybudget.cpp
+++ b/source/core/fleet/sharedretrybudget.cpp
@@ -49,6 +49,11 @@
 }
 
 bool SharedRetryBudget::allows(Instant now, std::uint32_t entries)
+{
+    return allowsWithin(1, now, entries);
+}
+
+bool SharedRetryBudget::allowsWithin(double share, Instant now, std::uint32_t entries)
 {
     slice(now);
     double requests = 0;
@@ -58,7 +63,7 @@
         retries += each.retries;
     }
     const double slack = m_options.slack / (entries == 0 ? 1 : entries);
-    return retries + 1 <= m_options.safetyFactor * (m_options.ratio * requests + slack);
+    return retries + 1 <= share * m_options.safetyFactor * (m_options.ratio * requests + slack);
 }
 
 bool SharedRetryBudget::tryAcquire(Instant now, std::uint32_t entries)
--- a/source/core/fleet/sharedretrybudget.h
+++ b/source/core/fleet/sharedretrybudget.h
@@ -45,6 +45,8 @@
      * @returns whether the budget allows a retry
      */
     bool allows(Instant now, std::uint32_t entries);
+    /** @returns whether a retry keeps within a share of what the budget allows */
+    bool allowsWithin(double share, Instant now, std::uint32_t entries);
     /**
      * Counts a retry if the budget allows one.
      * @param entries number of entries, which share the slack
--- a/source/daemon/fleetmain.cpp
+++ b/source/daemon/fleetmain.cpp
@@ -3,6 +3,7 @@
  * from the platform's settings file, reloads that file on SIGHUP, and shuts down gracefully on
  * SIGTERM or SIGINT.
  */
+#include "core/fleet/hedgepolicy.h"
 #include "edge/edge.h"
 #include "platform/platform.h"
 #include "sidecar/sidecar.h"
@@ -33,7 +34,9 @@
 
 All other settings are read from the file named by GREENGAGESEAM_CONFIG. GREENGAGESEAM_SECRET is
 a secret shared by all processes of a deployment. GREENGAGESEAM_LOG_LEVEL is error, warning, info
-or debug; the default is info.
+or debug; the default is info. GREENGAGESEAM_HEDGE_RATIO is the share of the requests, 0 to 0.2,
+that an entry may send to a second backend server when the first is later than usual; the default
+is 0.
 )";
 
 std::string environmentVariable(std::string_view name)
@@ -42,6 +45,20 @@
     return value == nullptr ? std::string() : std::string(value);
 }
 
+/** Reads the settings that are variables of the environment into @p settings. */
+Result<NodeSettings> withEnvironment(NodeSettings settings)
+{
+    const std::string name = "GREENGAGESEAM_HEDGE_RATIO";
+    const std::string text = environmentVariable(name);
+    const std::optional<double> ratio = text.empty() ? std::optional(0.0) : parseHedgeRatio(text);
+    if (!ratio) {
+        return fail(ErrorKind::InvalidRequest,
+                    name + ": '" + text + "' is invalid; expected a number from 0 to 0.2");
+    }
+    settings.hedgeRatio = *ratio;
+    return settings;
+}
+
 Result<NodeSettings> readSettingsFile()
 {
     const std::string path = environmentVariable(settingsPathVariable);
@@ -54,7 +71,8 @@
     if (!file) {
         return fail(ErrorKind::InvalidRequest, path + ": the settings file cannot be read");
     }
-    return decodeSettings(text.str());
+    BOOST_LEAF_AUTO(settings, decodeSettings(text.str()));
+    return withEnvironment(std::move(settings));
 }
 
 /** Reloads the settings on SIGHUP; on SIGTERM or SIGINT, shuts the role down and ends the loop. */
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -33,7 +33,7 @@
       m_metrics(std::move(metrics)), m_log(std::move(log)),
       m_mailbox(makeMailbox<DispatchCommand>(executor, mailboxCapacity)), m_loads(m_options.loads),
       m_weights(WeightsDeadlineOptions().withBound(m_options.bounds.weightsApply)),
-      m_entryCount(defaultEntryCount)
+      m_hedges(m_options.hedgeRatio), m_entryCount(defaultEntryCount)
 {
     m_loads.setEntryCount(m_entryCount);
 }
@@ -73,6 +73,7 @@
     Admission admission {m_table, routed, chooseService(*routed.route, randomNumber()),
                          estimateFirstAttempt(*routed.route, command.remaining, now)};
     retryBudget(admission.service).recordRequest(now);
+    m_hedges.recordRequest(admission.service);
     command.reply->post(std::move(admission));
 }
 
@@ -109,6 +110,10 @@
     if (rejectIfQuarantined(command, now)) {
         return;
     }
+    if (command.lateLease != 0) {
+        grantHedge(command, now);
+        return;
+    }
     if (!command.isRetry) {
         m_demands[command.requirements.service].recordArrival(now);
     }
@@ -160,18 +165,32 @@
     return true;
 }
 
-bool Dispatcher::tryAcquire(const AcquireReplica &command, Instant now)
+ReplicaRequirements Dispatcher::currentRequirements(const AcquireReplica &command,
+                                                    Instant now) const
 {
-    SharedRetryBudget &budget = retryBudget(command.requirements.service);
-    if (command.isRetry && !budget.allows(now, m_entryCount)) {
-        return false;
-    }
     ReplicaRequirements requirements = command.requirements;
     requirements.weights = weightsRequirement(requirements.service, now);
     requirements.missesObjective = now >= command.lateAfter;
     requirements.latencyObjective =
             std::min<Duration>(requirements.latencyObjective, command.lateAfter - now);
-    const std::optional<ReplicaEntry> replica = m_loads.acquire(requirements, now, randomNumber());
+    return requirements;
+}
+
+bool Dispatcher::tryAcquire(const AcquireReplica &command, Instant now)
+{
+    return tryAcquire(command, now, randomNumber());
+}
+
+bool Dispatcher::tryAcquire(const AcquireReplica &command, Instant now, std::uint64_t random)
+{
+    SharedRetryBudget &budget = retryBudget(command.requirements.service);
+    if (command.isRetry && !budget.allows(now, m_entryCount)) {
+        return false;
+    }
+    const ReplicaRequirements requirements = currentRequirements(command, now);
+    const std::optional<Duration> forecast =
+            m_hedges.isEnabled() ? m_loads.forecast(requirements, now, random) : std::nullopt;
+    const std::optional<ReplicaEntry> replica = m_loads.acquire(requirements, now, random);
     if (!replica) {
         return false;
     }
@@ -190,6 +209,7 @@
         lease.connection = acquirePooledConnection(replica->address, now);
     }
     awaitStart(lease, command);
+    trackAttempt(lease, command, forecast, now);
     command.reply->post(std::move(lease));
     return true;
 }
@@ -257,12 +277,14 @@
 void Dispatcher::apply(const ResponseStarted &command)
 {
     m_awaitedStarts.erase(command.lease);
+    m_hedges.responseStarted(command.lease, monotonicNow());
     m_loads.responseStarted(command.replica, command.promptTokens);
 }
 
 void Dispatcher::apply(const ReplicaSilent &command)
 {
     m_loads.recordSilence(command.replica, monotonicNow());
+    m_hedges.recordSilence(command.replica, monotonicNow());
 }
 
 void Dispatcher::apply(const LossQuery &command)
@@ -279,7 +301,7 @@
     if (!command.isStartReported) {
         m_loads.responseStarted(command.replica, command.promptTokens);
     }
-    m_loads.finished(command.replica, command.verdict, command.timeToResponseStart, now);
+    m_loads.finished(command.replica, command.verdict, trackRelease(command, now), now);
     const bool isReusable = command.connection && command.connection->isReusable()
             && !m_loads.isLeaving(command.replica);
     if (isReusable) {
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -73,6 +73,10 @@
     std::optional<Instant> startDeadline;
     /** The response will miss its latency target, so other requests take priority. */
     bool isLate = false;
+    /** Time after which the attempt may be hedged before it is silent; empty if it may not. */
+    std::optional<HedgeDelay> hedgeDelay;
+    /** Set if the attempt is a hedge beside one that is late, but not silent. */
+    std::optional<HedgeGrant> hedge;
 };
 
 /** No backend server could be reserved for a request. */
@@ -94,6 +98,11 @@
     bool isRetry = false;
     /** Whether another attempt is still in progress, so that the request is not turned away. */
     bool isHedge = false;
+    /**
+     * Lease of the attempt that is late, but not silent, if the hedge is for that; 0 otherwise. It
+     * is granted or denied at once.
+     */
+    std::uint64_t lateLease = 0;
     /** Whether the request may be sent on a pooled connection. */
     bool allowsPooledConnection = false;
     /** When the request began to wait for a backend server. */
@@ -244,6 +253,8 @@
     std::size_t maxPooledConnections = 12;
     /** Maximum number of requests that wait for a backend server at the same time. */
     std::size_t maxPendingRequests = 512;
+    /** Share of the requests that may be hedged before their attempts are silent; 0 for none. */
+    double hedgeRatio = 0;
 };
 
 /** Assigns requests to backend servers, queues them while all are busy, and sheds overload. */
@@ -293,6 +304,14 @@
     void apply(const DispatchTick &command);
     bool rejectIfQuarantined(const AcquireReplica &command, Instant now);
     bool tryAcquire(const AcquireReplica &command, Instant now);
+    bool tryAcquire(const AcquireReplica &command, Instant now, std::uint64_t random);
+    ReplicaRequirements currentRequirements(const AcquireReplica &command, Instant now) const;
+    void grantHedge(AcquireReplica command, Instant now);
+    std::optional<HedgeDenial> denialOf(const AcquireReplica &command, Instant now,
+                                        std::uint64_t random);
+    void trackAttempt(ReplicaLease &lease, const AcquireReplica &command,
+                      std::optional<Duration> forecast, Instant now);
+    std::optional<Duration> trackRelease(const LeaseReleased &command, Instant now);
     bool rejectIfTimedOut(const AcquireReplica &command, Instant now);
     void reject(const AcquireReplica &command, Instant now, ErrorKind kind);
     void recordSaturation(Instant now);
@@ -339,6 +358,7 @@
     /** By lease; only for services with engines. */
     std::map<std::uint64_t, AwaitedStart> m_awaitedStarts;
     PartVerdicts m_verdicts;
+    HedgeTracker m_hedges;
     std::deque<AcquireReplica> m_pending;
     std::map<Address, std::deque<PooledConnection>> m_connectionPool;
     /** Why backend servers got no requests when this was last recorded. */
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -62,6 +62,7 @@
     DispatcherOptions options;
     options.loads.zone = m_settings.zone;
     options.bounds = m_settings.bounds;
+    options.hedgeRatio = m_settings.hedgeRatio;
     DispatcherHooks dispatcherHooks;
     dispatcherHooks.onDemand = [this](const std::vector<ServiceDemand> &demands) {
         m_loadListener->mailbox()->post(DemandMeasured {demands});
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <utility>
 
 namespace greengageseam {
 
@@ -130,6 +131,7 @@
         co_return;
     }
     m_searchReply.reset();
+    const bool wasForLateHedge = std::exchange(m_lateHedge.isSearched, false);
     if (m_writer.isDisconnected()) {
         endIfAbandoned("before an attempt");
         co_return;
@@ -138,6 +140,10 @@
         startAttempt(message.lease->take());
         co_return;
     }
+    if (wasForLateHedge) {
+        endLateHedgeSearch();
+        co_return;
+    }
     const ErrorKind kind = m_isExpired ? ErrorKind::Draining : ErrorKind::Overloaded;
     const Duration retryAfter = m_isExpired ? refusalRetryAfter : busyRetryAfter;
     const ReplicaUnavailable given =
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -16,7 +16,8 @@
  *
  * Requests that may run more than once are hedged: an attempt that is silent goes on while another
  * backend server is searched for and asked. The one whose response begins, or goes on, first is
- * relayed from then on, and the other is given up.
+ * relayed from then on, and the other is given up. If the operator has set a share of the requests
+ * for it, a request is hedged earlier, once its first attempt is later than usual.
  */
 class RequestProxy
 {
@@ -57,6 +58,21 @@
     void apply(const PatienceElapsed &message);
     void apply(const ReplicaMayBeLost &message);
 
+    /** The hedge beside an attempt that is late, but not silent yet. */
+    struct LateHedge
+    {
+        /** Time after which the last attempt that was started may be hedged. */
+        std::optional<HedgeDelay> delay;
+        /** Whether one was asked for; there is at most one in a request. */
+        bool wasAsked = false;
+        /** Whether the search in progress is for it. */
+        bool isSearched = false;
+        /** Its lease; 0 if it was not granted. */
+        std::uint64_t lease = 0;
+        bool wasSent = false;
+        bool hasWon = false;
+    };
+
     /** Asks the dispatcher for a backend server. */
     void startSearch();
     AcquireReplica searchQuery() const;
@@ -78,6 +94,13 @@
     /** Ends the request if nothing is in progress for a caller that has gone. */
     void endIfAbandoned(std::string_view cause);
     void watchForSilence();
+    void startSilenceTimer(Instant dueAt);
+    /** @returns the time after which the attempt in progress is late; empty if that is unknown */
+    std::optional<Duration> lateHedgeDelay() const;
+    void startLateHedgeSearch();
+    /** Waits for silence after a hedge was denied. */
+    void endLateHedgeSearch();
+    void recordLateHedge(const ReplicaLease &lease);
     void reportSilence();
     /** Starts to wait for the moment shortly before the caller abandons the stream. */
     void watchForPatience();
@@ -111,6 +134,9 @@
     Timer m_silenceTimer;
     /** Counts the waits; a message of an earlier one is obsolete. */
     std::uint64_t m_silenceWait = 0;
+    /** When the attempt in progress is silent; the wait may end earlier for a late hedge. */
+    Instant m_silentAt;
+    LateHedge m_lateHedge;
     /** Runs until shortly before the caller abandons the stream. */
     Timer m_patienceTimer;
     /** Counts the waits, which end with each event. */
--- a/source/edge/requestproxyattempts.cpp
+++ b/source/edge/requestproxyattempts.cpp
@@ -82,6 +82,7 @@
     query.requirements.promptTokens = static_cast<double>(m_call.promptTokens);
     query.isRetry = m_sends > 0;
     query.isHedge = !m_attempts.empty();
+    query.lateLease = m_lateHedge.isSearched ? m_attempts.front()->lease() : 0;
     // Without an attempt id, a late response to an earlier request could not be told apart.
     query.allowsPooledConnection = canRetry() && !m_call.attemptId.empty();
     const bool isLikelyRetry = m_arrivedAt - m_admission.firstAttemptAt > route.latencyObjective;
@@ -106,6 +107,7 @@
         m_searchReply->close();
         m_searchReply.reset();
     }
+    m_lateHedge.isSearched = false;
 }
 
 void RequestProxy::startAttempt(ReplicaLease lease)
@@ -115,6 +117,10 @@
     m_weightsBasis = lease.weightsBasis;
     m_startTimeLeft.reset();
     m_triedReplicas.insert(lease.replica.id);
+    m_lateHedge.delay = lease.hedgeDelay;
+    if (lease.hedge) {
+        recordLateHedge(lease);
+    }
     AttemptOptions options;
     options.lease = std::move(lease);
     options.attemptId = m_call.attemptId;
@@ -141,6 +147,7 @@
     ++m_sends;
     m_unsent.erase(message.lease);
     m_startTimeLeft = message.startTimeLeft;
+    m_lateHedge.wasSent = m_lateHedge.wasSent || message.lease == m_lateHedge.lease;
     watchForSilence();
     if (m_patienceWait == 0) {
         watchForPatience();
@@ -156,7 +163,15 @@
     if (m_isDone || m_isExpired || m_searchReply || !allowsHedge(route, progress())) {
         return;
     }
-    m_silenceTimer.expires_after(silenceTimeout(route.kind, remainingTime()));
+    const Instant now = monotonicNow();
+    const Duration silence = silenceTimeout(route.kind, remainingTime());
+    m_silentAt = now + silence;
+    startSilenceTimer(now + std::min(silence, lateHedgeDelay().value_or(silence)));
+}
+
+void RequestProxy::startSilenceTimer(Instant dueAt)
+{
+    m_silenceTimer.expires_at(dueAt);
     m_silenceTimer.async_wait(
             [inbox = m_inbox, wait = m_silenceWait,
              dueAt = m_silenceTimer.expiry()](const boost::system::error_code &ec) {
@@ -179,6 +194,10 @@
         watchForSilence();
         return;
     }
+    if (message.dueAt < m_silentAt) {
+        startLateHedgeSearch();
+        return;
+    }
     reportSilence();
     startSearch();
 }
@@ -244,6 +263,9 @@
 void RequestProxy::keepOnly(std::uint64_t lease)
 {
     endSearch();
+    if (!m_isStreaming) {
+        m_lateHedge.hasWon = lease == m_lateHedge.lease;
+    }
     for (const AttemptPtr &it : m_attempts) {
         if (it->lease() != lease) {
             it->abort(it->lease() < lease ? AttemptAbort::Superseded : AttemptAbort::Withdrawn);
--- a/source/edge/requestproxyrecords.cpp
+++ b/source/edge/requestproxyrecords.cpp
@@ -85,6 +85,11 @@
         fields["route"] = route->name.text();
         fields["config"] = m_admission.table->config().version;
     }
+    if (m_lateHedge.wasSent) {
+        fields["hedge"] = m_lateHedge.hasWon ? "won" : "lost";
+        m_context.metrics->count("hedges_total", "Hedges beside late attempts, by how they ended",
+                                 {{"end", m_lateHedge.hasWon ? "won" : "lost"}});
+    }
     addReplicaFields(fields);
     addStreamFields(fields);
     m_context.log.info("request.done", fields);
