Serve requests of a service in the order of their priority

Cause: the priority of routes and client accounts was decoded and not used. In a burst of the least urgent kind the queue took the newest request whatever its priority, so the most urgent kind, which has the longest prompts and the tightest objective, found room least often.

Change: RouteTable gives each request its level among the priorities of its service. PendingQueue orders waiting requests by minimum share, level, objective and account, keeps a few free slots for more urgent requests that wait, and drops the least urgent one when it is full. Less urgent requests are shed earlier while the service is saturated, and callers come back by the demand of their own level. Backend servers are told the level in Request-Priority. A service whose requests have one priority is served as before.

--- /dev/null
+++ b/source/core/fleet/pendingqueue.cpp
@@ -0,0 +1,219 @@
+#include "core/fleet/pendingqueue.h"
+
+#include <algorithm>
+#include <bit>
+#include <tuple>
+
+namespace greengageseam {
+
+namespace {
+
+/**
+ * Requests of a route, account or prompt size that are served at least, as a multiple of the share
+ * that is served of all. It is above the required quarter, because a request that is due may still
+ * find no backend server.
+ */
+constexpr double minShare = 0.35;
+/** Weight of one request in the moving average of the share that is served. */
+constexpr double averageWeight = 1.0 / 64;
+/** Limit of the requests that are due, so that they do not come in a burst later. */
+constexpr double maxDue = 3;
+/** At most one in so many slots of a service is kept free for requests that wait. */
+constexpr std::uint32_t slotsPerReservation = 8;
+
+/** @returns a number that is equal for prompts of similar length */
+int sizeClass(double promptTokens)
+{
+    return std::bit_width(static_cast<std::uint64_t>(std::max(0.0, promptTokens)));
+}
+
+} // namespace
+
+std::array<PendingQueue::Group, 3> PendingQueue::groupsOf(const PendingRequest &request)
+{
+    return {Group {0, request.route.text()}, Group {1, request.account.text()},
+            Group {2, std::to_string(sizeClass(request.promptTokens))}};
+}
+
+void PendingQueue::push(const PendingRequest &request)
+{
+    if (request.priority.isRanked() && request.mayReserve) {
+        ++m_reservations[request.service][request.priority.level];
+    }
+    m_waiting.emplace(request.id, request);
+}
+
+void PendingQueue::remove(std::uint64_t id)
+{
+    const auto it = m_waiting.find(id);
+    if (it == m_waiting.end()) {
+        return;
+    }
+    const PendingRequest &request = it->second;
+    if (request.priority.isRanked() && request.mayReserve) {
+        auto &levels = m_reservations.at(request.service);
+        if (--levels.at(request.priority.level) == 0) {
+            levels.erase(request.priority.level);
+        }
+    }
+    m_waiting.erase(it);
+}
+
+std::vector<std::uint64_t> PendingQueue::order(Instant now) const
+{
+    std::map<ServiceName, std::vector<const PendingRequest *>> ranked;
+    for (auto it = m_waiting.rbegin(); it != m_waiting.rend(); ++it) {
+        if (it->second.priority.isRanked()) {
+            ranked[it->second.service].push_back(&it->second);
+        }
+    }
+    std::map<ServiceName, std::vector<std::uint64_t>> ordered;
+    for (auto &[service, requests] : ranked) {
+        ordered[service] = orderOf(std::move(requests), now);
+        std::reverse(ordered[service].begin(), ordered[service].end());
+    }
+    // Requests of a service change places only among themselves, so others are not affected.
+    std::vector<std::uint64_t> result;
+    result.reserve(m_waiting.size());
+    for (auto it = m_waiting.rbegin(); it != m_waiting.rend(); ++it) {
+        if (!it->second.priority.isRanked()) {
+            result.push_back(it->first);
+            continue;
+        }
+        std::vector<std::uint64_t> &next = ordered.at(it->second.service);
+        result.push_back(next.back());
+        next.pop_back();
+    }
+    return result;
+}
+
+/** @param requests requests of one service, the newest first */
+std::vector<std::uint64_t> PendingQueue::orderOf(std::vector<const PendingRequest *> requests,
+                                                 Instant now) const
+{
+    using Place = std::tuple<bool, std::uint32_t, bool, std::size_t, std::uint64_t>;
+    std::map<std::pair<std::uint32_t, AccountName>, std::size_t> turns;
+    std::vector<std::pair<Place, std::uint64_t>> places;
+    for (const PendingRequest *request : requests) {
+        const std::uint32_t level = request->priority.level;
+        const std::size_t turn = turns[{level, request->account}]++;
+        const Place place {!isBelowShare(*request), level, now >= request->lateAfter, turn,
+                           UINT64_MAX - request->id};
+        places.emplace_back(place, request->id);
+    }
+    std::sort(places.begin(), places.end());
+    std::vector<std::uint64_t> ids;
+    ids.reserve(places.size());
+    for (const auto &[place, id] : places) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+bool PendingQueue::hasMoreUrgent(const PendingRequest &request) const
+{
+    const auto levels = m_reservations.find(request.service);
+    return request.priority.isRanked() && levels != m_reservations.end() && !levels->second.empty()
+            && levels->second.begin()->first < request.priority.level;
+}
+
+bool PendingQueue::mustYield(const PendingRequest &request, const SlotSupply &supply) const
+{
+    if (!hasMoreUrgent(request) || isBelowShare(request)) {
+        return false;
+    }
+    std::uint64_t needed = 0;
+    for (const auto &[level, count] : m_reservations.at(request.service)) {
+        needed += level < request.priority.level ? count : 0;
+    }
+    // The other entries are likely to have as many, and see the same free slots.
+    const std::uint64_t reserved = std::min<std::uint64_t>(
+            needed * supply.entries, std::max(1U, supply.slots / slotsPerReservation));
+    return supply.free <= reserved;
+}
+
+std::optional<std::uint64_t> PendingQueue::displacedBy(const PendingRequest &request) const
+{
+    if (!request.priority.isRanked()) {
+        return std::nullopt;
+    }
+    std::map<std::pair<std::uint32_t, AccountName>, std::vector<std::uint64_t>> groups;
+    for (const auto &[id, waiting] : m_waiting) {
+        if (waiting.service == request.service) {
+            groups[{waiting.priority.level, waiting.account}].push_back(id);
+        }
+    }
+    if (groups.empty()) {
+        return std::nullopt;
+    }
+    const std::uint32_t last = groups.rbegin()->first.first;
+    const auto longest = std::max_element(
+            groups.begin(), groups.end(), [last](const auto &left, const auto &right) {
+                return std::pair(left.first.first == last, left.second.size())
+                        < std::pair(right.first.first == last, right.second.size());
+            });
+    const auto own = groups.find({request.priority.level, request.account});
+    const std::size_t ownSize = own == groups.end() ? 0 : own->second.size();
+    const bool isDisplaced = request.priority.level < last
+            || (request.priority.level == last && ownSize + 1 < longest->second.size());
+    return isDisplaced ? std::optional(longest->second.front()) : std::nullopt;
+}
+
+std::size_t PendingQueue::waitingAhead(const PendingRequest &request) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_waiting.begin(), m_waiting.end(), [&request](const auto &it) {
+                return it.first != request.id && it.second.service == request.service
+                        && it.second.priority.level <= request.priority.level;
+            }));
+}
+
+void PendingQueue::recordArrival(const PendingRequest &request)
+{
+    if (!request.priority.isRanked()) {
+        return;
+    }
+    Shares &shares = m_shares[request.service];
+    for (const Group &group : groupsOf(request)) {
+        double &due = shares.due[group];
+        due = std::min(maxDue, due + minShare * shares.servedShare);
+    }
+}
+
+void PendingQueue::recordServed(const PendingRequest &request)
+{
+    recordEnd(request, true);
+}
+
+void PendingQueue::recordTurnedAway(const PendingRequest &request)
+{
+    recordEnd(request, false);
+}
+
+void PendingQueue::recordEnd(const PendingRequest &request, bool wasServed)
+{
+    if (!request.priority.isRanked()) {
+        return;
+    }
+    Shares &shares = m_shares[request.service];
+    shares.servedShare += averageWeight * ((wasServed ? 1 : 0) - shares.servedShare);
+    for (const Group &group : groupsOf(request)) {
+        double &due = shares.due[group];
+        due = std::max(0.0, due - (wasServed ? 1 : 0));
+    }
+}
+
+bool PendingQueue::isBelowShare(const PendingRequest &request) const
+{
+    const auto shares = m_shares.find(request.service);
+    if (shares == m_shares.end()) {
+        return false;
+    }
+    const auto groups = groupsOf(request);
+    return std::any_of(groups.begin(), groups.end(), [&](const Group &group) {
+        const auto due = shares->second.due.find(group);
+        return due != shares->second.due.end() && due->second >= 1;
+    });
+}
+
+} // namespace greengageseam
--- a/source/core/fleet/queuewait.cpp
+++ b/source/core/fleet/queuewait.cpp
@@ -15,6 +15,10 @@
 constexpr double serviceShare = 0.125;
 /** Share of its remaining time for which a request waits if its caller cannot come back. */
 constexpr double lastChanceShare = 0.5;
+/** Fraction of the usual wait for a slot after which the least urgent requests are shed. */
+constexpr double shedShare = 0.25;
+/** Agents report free slots every 50 ms, so each request sees at least one report. */
+constexpr Duration minShedWait = std::chrono::milliseconds(60);
 constexpr auto maxLeftoverWait = std::chrono::milliseconds(1200);
 /** Callers abandon a stream that has not started after about 2 s. */
 constexpr auto maxServiceWait = std::chrono::milliseconds(1900);
@@ -41,4 +45,14 @@
     return wait;
 }
 
+Duration slotWait(const QueueWait &wait, const RequestPriority &priority, bool isShedding)
+{
+    if (!isShedding || !priority.isRanked()) {
+        return wait.slot;
+    }
+    const double place = static_cast<double>(priority.level) / (priority.levels - 1);
+    const Duration shortened = scaled(wait.slot, 1 - (1 - shedShare) * std::min(1.0, place));
+    return std::min(wait.slot, std::max(minShedWait, shortened));
+}
+
 } // namespace greengageseam
--- a/source/core/fleet/queuewait.h
+++ b/source/core/fleet/queuewait.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/common/time.h"
+#include "core/fleet/requestpriority.h"
 
 namespace greengageseam {
 
@@ -39,4 +40,11 @@
 /** @returns how long a request may wait */
 QueueWait queueWait(const WaitingRequest &request);
 
+/**
+ * @param isShedding whether more requests arrive than the backend servers can process
+ * @returns how long a request may wait for a free slot. Less urgent requests are turned away
+ *          earlier while requests are shed; the most urgent ones wait for as long as otherwise.
+ */
+Duration slotWait(const QueueWait &wait, const RequestPriority &priority, bool isShedding);
+
 } // namespace greengageseam
--- a/source/core/fleet/routetable.cpp
+++ b/source/core/fleet/routetable.cpp
@@ -35,6 +35,7 @@
     for (auto &[host, positions] : m_byHost) {
         std::stable_sort(positions.begin(), positions.end(), isLonger);
     }
+    collectPriorities();
     if (!m_config.accounts) {
         return;
     }
@@ -72,6 +73,45 @@
     return match;
 }
 
+void RouteTable::collectPriorities()
+{
+    std::set<std::optional<std::uint32_t>> ofAccounts;
+    if (m_config.accounts) {
+        for (const FleetAccount &account : *m_config.accounts) {
+            ofAccounts.insert(account.priority);
+        }
+    }
+    for (const Route &route : m_config.routes) {
+        std::set<std::uint32_t> priorities;
+        if (!m_config.accounts || route.isAnonymous) {
+            priorities.insert(route.priority);
+        } else {
+            for (const std::optional<std::uint32_t> &priority : ofAccounts) {
+                priorities.insert(priority.value_or(route.priority));
+            }
+        }
+        for (const RouteTarget &target : route.targets) {
+            m_priorities[target.service].insert(priorities.begin(), priorities.end());
+        }
+    }
+}
+
+RequestPriority RouteTable::priority(const RouteMatch &match, const ServiceName &service) const
+{
+    RequestPriority result;
+    result.effective = match.account != nullptr && match.account->priority
+            ? *match.account->priority
+            : match.route->priority;
+    const auto priorities = m_priorities.find(service);
+    if (priorities != m_priorities.end() && !priorities->second.empty()) {
+        const std::set<std::uint32_t> &all = priorities->second;
+        result.level = static_cast<std::uint32_t>(
+                std::distance(all.begin(), all.lower_bound(result.effective)));
+        result.levels = static_cast<std::uint32_t>(all.size());
+    }
+    return result;
+}
+
 const Service *RouteTable::service(const ServiceName &name) const
 {
     const auto it = m_config.services.find(name);
--- a/source/core/fleet/routetable.h
+++ b/source/core/fleet/routetable.h
@@ -5,8 +5,11 @@
 
 #include "core/common/errors.h"
 #include "core/fleet/fleetconfig.h"
+#include "core/fleet/requestpriority.h"
 
+#include <map>
 #include <memory>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -45,11 +48,18 @@
     /** @returns the service with this name, or null */
     const Service *service(const ServiceName &name) const;
 
+    /** @returns the priority of a request among all that the configuration allows for a service */
+    RequestPriority priority(const RouteMatch &match, const ServiceName &service) const;
+
 private:
+    void collectPriorities();
+
     FleetConfig m_config;
     /** Indexes of the routes of each host, longest path prefix first. */
     std::unordered_map<std::string, std::vector<std::size_t>> m_byHost;
     std::unordered_map<std::string, std::size_t> m_byKey;
+    /** Priorities that requests for each service may have. */
+    std::map<ServiceName, std::set<std::uint32_t>> m_priorities;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -70,7 +70,8 @@
         return;
     }
     const auto &routed = std::get<RouteMatch>(found);
-    Admission admission {m_table, routed, chooseService(*routed.route, randomNumber()),
+    const ServiceName service = chooseService(*routed.route, randomNumber());
+    Admission admission {m_table, routed, service, m_table->priority(routed, service),
                          estimateFirstAttempt(*routed.route, command.remaining, now)};
     retryBudget(admission.service).recordRequest(now);
     command.reply->post(std::move(admission));
@@ -109,26 +110,32 @@
     if (rejectIfQuarantined(command, now)) {
         return;
     }
+    const PendingRequest request = pendingRequest(++m_lastPending, command, now);
     if (!command.isRetry) {
         m_demands[command.requirements.service].recordArrival(now);
+        recordArrival(request, now);
     }
     if (command.isRetry && !retryBudget(command.requirements.service).allows(now, m_entryCount)) {
         m_metrics->count("retries_denied_total", "Retries denied by the retry budget");
-        reject(command, now, ErrorKind::LimitExceeded);
+        reject(command, now, ErrorKind::LimitExceeded, backlogOf(request, m_pending.size()));
         return;
     }
-    if (tryAcquire(command, now)) {
+    if (mustYield(request, now)) {
+        ++m_yielded[request.service].held;
+    } else if (tryAcquire(command, now)) {
+        recordServed(command, request, now);
         return;
     }
-    if (m_pending.size() >= m_options.maxPendingRequests) {
-        reject(command, now, ErrorKind::Overloaded);
-    } else if (!rejectIfTimedOut(command, now)) {
-        m_pending.push_back(command);
-    }
+    enqueue(command, request, now);
 }
 
-/** Rejects a request whose queue timeout has expired. @returns whether it did so */
-bool Dispatcher::rejectIfTimedOut(const AcquireReplica &command, Instant now)
+/**
+ * Rejects a request whose queue timeout has expired.
+ * @param backlog number of requests that are expected to be served first
+ * @returns whether it did so
+ */
+bool Dispatcher::rejectIfTimedOut(const AcquireReplica &command, const PendingRequest &request,
+                                  Instant now, std::size_t backlog)
 {
     const ServiceName &service = command.requirements.service;
     const Occupancy occupancy = m_loads.occupancy(service, weightsRequirement(service, now), now);
@@ -138,12 +145,12 @@
     const bool hasLeftovers = now >= command.lateAfter && !m_saturated.contains(service);
     const Duration wait = !hasUsable ? command.wait.service
             : hasLeftovers           ? command.wait.leftoverSlot
-                                     : command.wait.slot;
+                                     : slotWait(command.wait, command.priority, isShed(request));
     const Instant waitEnd = command.waitsSince + wait;
     if (now < waitEnd && now + occupancy.pauseLeft < waitEnd) {
         return false;
     }
-    reject(command, now, hasUsable ? ErrorKind::Overloaded : ErrorKind::NoBackendServer);
+    reject(command, now, hasUsable ? ErrorKind::Overloaded : ErrorKind::NoBackendServer, backlog);
     return true;
 }
 
@@ -186,6 +193,7 @@
                           m_loads.reportAge(replica->id, now)};
     lease.startDeadline = startDeadline(*replica, now);
     lease.isLate = requirements.missesObjective;
+    lease.priority = command.priority;
     if (command.allowsPooledConnection) {
         lease.connection = acquirePooledConnection(replica->address, now);
     }
@@ -194,21 +202,23 @@
     return true;
 }
 
-void Dispatcher::reject(const AcquireReplica &command, Instant now, ErrorKind kind)
+void Dispatcher::reject(const AcquireReplica &command, Instant now, ErrorKind kind,
+                        std::size_t backlog)
 {
     const ServiceName &service = command.requirements.service;
     if (!command.isHedge) {
         m_demands[service].recordTurnedAway(now);
+        recordTurnedAway(command, now);
     }
     const Occupancy occupancy = m_loads.occupancy(service, {}, now);
     const auto excess = occupancy.inUse > occupancy.slots ? occupancy.inUse - occupancy.slots : 0;
     RetryConditions conditions;
     conditions.slotRelease = m_loads.meanSlotReleaseTime(service);
-    conditions.backlog = excess + m_pending.size() + 1;
+    conditions.backlog = excess + backlog + 1;
     conditions.pauseLeft = occupancy.pauseLeft;
     conditions.remaining = command.deadline - now;
     conditions.hasServers = kind != ErrorKind::NoBackendServer;
-    conditions.isSaturated = m_saturated.contains(service);
+    conditions.isSaturated = isSaturatedFor(command, now);
     conditions.spread = static_cast<double>(randomNumber()) / static_cast<double>(UINT64_MAX);
     command.reply->post(ReplicaUnavailable {kind, retryAfter(conditions)});
 }
@@ -299,6 +309,7 @@
     m_table = command.table;
     m_longestTimeouts.clear();
     m_loads.setServices(m_table->config().services);
+    m_queue.resetShares();
     dispatchPending();
 }
 
@@ -350,23 +361,33 @@
     recordAvailability(now);
     publishDemand(now);
     recordSaturation(now);
+    logYielded(now);
 }
 
 /**
- * Serves the pending requests in LIFO order. Under overload, the requests that are served then
- * hardly wait at all, and those that waited too long are rejected.
+ * Serves the pending requests in the order of the queue, which is LIFO among equals. Under
+ * overload, the requests that are served then hardly wait at all, and those that waited too long
+ * are rejected.
  */
 void Dispatcher::dispatchPending()
 {
     const Instant now = monotonicNow();
-    std::deque<AcquireReplica> pending;
-    std::swap(pending, m_pending);
-    for (auto it = pending.rbegin(); it != pending.rend(); ++it) {
-        if (!it->reply->isOpen() || rejectIfQuarantined(*it, now) || tryAcquire(*it, now)) {
+    std::size_t kept = 0;
+    for (const std::uint64_t id : m_queue.order(now)) {
+        const auto it = m_pending.find(id);
+        const AcquireReplica &command = it->second;
+        if (!command.reply->isOpen() || rejectIfQuarantined(command, now)) {
+            removePending(it);
             continue;
         }
-        if (!rejectIfTimedOut(*it, now)) {
-            m_pending.push_front(std::move(*it));
+        const PendingRequest request = pendingRequest(id, command, now);
+        if (!mustYield(request, now) && tryAcquire(command, now)) {
+            recordServed(command, request, now);
+            removePending(it);
+        } else if (rejectIfTimedOut(command, request, now, backlogOf(request, kept))) {
+            removePending(it);
+        } else {
+            ++kept;
         }
     }
 }
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -25,6 +25,7 @@
     RouteTablePtr table;
     RouteMatch routed;
     ServiceName service;
+    RequestPriority priority;
     /** Estimated time of the caller's first attempt, which precedes this one if it is a retry. */
     Instant firstAttemptAt;
 };
@@ -73,6 +74,8 @@
     std::optional<Instant> startDeadline;
     /** The response will miss its latency target, so other requests take priority. */
     bool isLate = false;
+    /** Priority of the request among those for the service. */
+    RequestPriority priority;
 };
 
 /** No backend server could be reserved for a request. */
@@ -90,6 +93,10 @@
 {
     std::string attemptId;
     ReplicaRequirements requirements;
+    RequestPriority priority;
+    RouteName route;
+    /** Empty without a client account. */
+    AccountName account;
     /** Whether this is not the first upstream attempt, so that it uses the retry budget. */
     bool isRetry = false;
     /** Whether another attempt is still in progress, so that the request is not turned away. */
@@ -274,6 +281,13 @@
         std::function<void()> onExpired;
     };
 
+    /** Requests that gave way to more urgent ones. */
+    struct YieldCounts
+    {
+        std::uint64_t held = 0;
+        std::uint64_t displaced = 0;
+    };
+
     Awaitable<void> run();
     void apply(const AdmissionQuery &command);
     void apply(const AcquireReplica &command);
@@ -292,9 +306,22 @@
     void apply(const CrashJudged &command);
     void apply(const DispatchTick &command);
     bool rejectIfQuarantined(const AcquireReplica &command, Instant now);
+    bool mustYield(const PendingRequest &request, Instant now);
+    void enqueue(const AcquireReplica &command, const PendingRequest &request, Instant now);
+    void recordServed(const AcquireReplica &command, const PendingRequest &request, Instant now);
+    void recordTurnedAway(const AcquireReplica &command, Instant now);
+    void recordArrival(const PendingRequest &request, Instant now);
+    bool isSaturatedFor(const AcquireReplica &command, Instant now) const;
+    bool isShed(const PendingRequest &request) const;
+    std::size_t backlogOf(const PendingRequest &request, std::size_t waiting) const;
+    void removePending(std::map<std::uint64_t, AcquireReplica>::iterator it);
+    static PendingRequest pendingRequest(std::uint64_t id, const AcquireReplica &command,
+                                         Instant now);
+    void logYielded(Instant now);
     bool tryAcquire(const AcquireReplica &command, Instant now);
-    bool rejectIfTimedOut(const AcquireReplica &command, Instant now);
-    void reject(const AcquireReplica &command, Instant now, ErrorKind kind);
+    bool rejectIfTimedOut(const AcquireReplica &command, const PendingRequest &request, Instant now,
+                          std::size_t backlog);
+    void reject(const AcquireReplica &command, Instant now, ErrorKind kind, std::size_t backlog);
     void recordSaturation(Instant now);
     void publishDemand(Instant now);
     void dispatchPending();
@@ -339,7 +366,15 @@
     /** By lease; only for services with engines. */
     std::map<std::uint64_t, AwaitedStart> m_awaitedStarts;
     PartVerdicts m_verdicts;
-    std::deque<AcquireReplica> m_pending;
+    /** By the id that the queue orders; increases with each request. */
+    std::map<std::uint64_t, AcquireReplica> m_pending;
+    PendingQueue m_queue;
+    std::uint64_t m_lastPending = 0;
+    /** By service and level of priority; only where requests of the service differ in it. */
+    std::map<std::pair<ServiceName, std::uint32_t>, DemandMeter> m_levelDemands;
+    /** Requests that have left a slot or their place to more urgent ones since the last line. */
+    std::map<ServiceName, YieldCounts> m_yielded;
+    Instant m_yieldedLoggedAt;
     std::map<Address, std::deque<PooledConnection>> m_connectionPool;
     /** Why backend servers got no requests when this was last recorded. */
     std::map<ReplicaId, UnavailableCause> m_unavailable;
--- a/source/edge/requestproxyattempts.cpp
+++ b/source/edge/requestproxyattempts.cpp
@@ -80,6 +80,11 @@
     query.requirements.tried = m_triedReplicas;
     query.requirements.latencyObjective = route.latencyObjective;
     query.requirements.promptTokens = static_cast<double>(m_call.promptTokens);
+    query.priority = m_admission.priority;
+    query.route = route.name;
+    if (m_admission.routed.account != nullptr) {
+        query.account = m_admission.routed.account->name;
+    }
     query.isRetry = m_sends > 0;
     query.isHedge = !m_attempts.empty();
     // Without an attempt id, a late response to an earlier request could not be told apart.
--- a/source/edge/requestproxyrecords.cpp
+++ b/source/edge/requestproxyrecords.cpp
@@ -83,6 +83,7 @@
     if (route != nullptr) {
         fields["asked_ms"] = (now - m_admission.firstAttemptAt).count() / 1000;
         fields["route"] = route->name.text();
+        fields["priority"] = m_admission.priority.effective;
         fields["config"] = m_admission.table->config().version;
     }
     addReplicaFields(fields);
--- a/source/edge/upstreamattempt.cpp
+++ b/source/edge/upstreamattempt.cpp
@@ -195,6 +195,8 @@
     fields.weightsVersion = lease.weightsVersion;
     if (lease.isLate && !m_options.isResumption) {
         fields.priority = lateUrgency;
+    } else if (lease.priority.isRanked()) {
+        fields.priority = upstreamUrgency(lease.priority);
     }
     fields.lastEventId = m_options.lastEventId;
     return m_context.codec.encodeUpstreamRequest(m_request, fields);
--- a/tests/unit/tst_routetable.cpp
+++ b/tests/unit/tst_routetable.cpp
@@ -109,5 +109,26 @@
     REQUIRE_FALSE(canFailOver(m_config, ServiceName("pool")));
 }
 
+TEST_CASE_METHOD(RouteTableFixture, "priority_accountHasOne_goesBeforeThatOfTheRoute")
+{
+    m_config.routes.back().priority = 4;
+    m_config.accounts->push_back({AccountName("bob"), {"key-2"}, 0});
+    const RouteTable table(m_config);
+    const auto ofAnn = std::get<RouteMatch>(table.find("a.example", "/x/y/2", "key-1"));
+    const auto ofBob = std::get<RouteMatch>(table.find("a.example", "/x/y/2", "key-2"));
+    REQUIRE(table.priority(ofAnn, ServiceName("pool")) == RequestPriority {4, 2, 3});
+    REQUIRE(table.priority(ofBob, ServiceName("pool")) == RequestPriority {0, 0, 3});
+}
+
+TEST_CASE_METHOD(RouteTableFixture, "priority_othersAreOfAnotherService_isNotRanked")
+{
+    m_config.routes.back().priority = 4;
+    m_config.routes.back().targets = {{ServiceName("other"), 1}};
+    const RouteTable table(m_config);
+    const auto match = std::get<RouteMatch>(table.find("a.example", "/x/y/2", "key-1"));
+    REQUIRE(table.priority(match, ServiceName("other")) == RequestPriority {4, 0, 1});
+    REQUIRE_FALSE(table.priority(match, ServiceName("other")).isRanked());
+}
+
 } // namespace
 } // namespace greengageseam
