--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -25,6 +25,7 @@
     RouteTablePtr table;
     RouteMatch routed;
     ServiceName service;
+    RequestPriority priority;
     /** Estimated time of the caller's first attempt, which precedes this one if it is a retry. */
     Instant firstAttemptAt;
 };
@@ -77,6 +78,8 @@
     std::optional<HedgeDelay> hedgeDelay;
     /** Set if the attempt is a hedge beside one that is late, but not silent. */
     std::optional<HedgeGrant> hedge;
+    /** Priority of the request among those for the service. */
+    RequestPriority priority;
 };
 
 /** No backend server could be reserved for a request. */
@@ -94,6 +97,10 @@
 {
     std::string attemptId;
     ReplicaRequirements requirements;
+    RequestPriority priority;
+    RouteName route;
+    /** Empty without a client account. */
+    AccountName account;
     /** Whether this is not the first upstream attempt, so that it uses the retry budget. */
     bool isRetry = false;
     /** Whether another attempt is still in progress, so that the request is not turned away. */
@@ -285,6 +292,13 @@
         std::function<void()> onExpired;
     };
 
+    /** Requests that gave way to more urgent ones. */
+    struct YieldCounts
+    {
+        std::uint64_t held = 0;
+        std::uint64_t displaced = 0;
+    };
+
     Awaitable<void> run();
     void apply(const AdmissionQuery &command);
     void apply(const AcquireReplica &command);
@@ -303,6 +317,18 @@
     void apply(const CrashJudged &command);
     void apply(const DispatchTick &command);
     bool rejectIfQuarantined(const AcquireReplica &command, Instant now);
+    bool mustYield(const PendingRequest &request, Instant now);
+    void enqueue(const AcquireReplica &command, const PendingRequest &request, Instant now);
+    void recordServed(const AcquireReplica &command, const PendingRequest &request, Instant now);
+    void recordTurnedAway(const AcquireReplica &command, Instant now);
+    void recordArrival(const PendingRequest &request, Instant now);
+    bool isSaturatedFor(const AcquireReplica &command, Instant now) const;
+    bool isShed(const PendingRequest &request) const;
+    std::size_t backlogOf(const PendingRequest &request, std::size_t waiting) const;
+    void removePending(std::map<std::uint64_t, AcquireReplica>::iterator it);
+    static PendingRequest pendingRequest(std::uint64_t id, const AcquireReplica &command,
+                                         Instant now);
+    void logYielded(Instant now);
     bool tryAcquire(const AcquireReplica &command, Instant now);
     bool tryAcquire(const AcquireReplica &command, Instant now, std::uint64_t random);
     ReplicaRequirements currentRequirements(const AcquireReplica &command, Instant now) const;
@@ -312,8 +338,9 @@
     void trackAttempt(ReplicaLease &lease, const AcquireReplica &command,
                       std::optional<Duration> forecast, Instant now);
     std::optional<Duration> trackRelease(const LeaseReleased &command, Instant now);
-    bool rejectIfTimedOut(const AcquireReplica &command, Instant now);
-    void reject(const AcquireReplica &command, Instant now, ErrorKind kind);
+    bool rejectIfTimedOut(const AcquireReplica &command, const PendingRequest &request, Instant now,
+                          std::size_t backlog);
+    void reject(const AcquireReplica &command, Instant now, ErrorKind kind, std::size_t backlog);
     void recordSaturation(Instant now);
     void publishDemand(Instant now);
     void dispatchPending();
@@ -359,7 +386,15 @@
     std::map<std::uint64_t, AwaitedStart> m_awaitedStarts;
     PartVerdicts m_verdicts;
     HedgeTracker m_hedges;
-    std::deque<AcquireReplica> m_pending;
+    /** By the id that the queue orders; increases with each request. */
+    std::map<std::uint64_t, AcquireReplica> m_pending;
+    PendingQueue m_queue;
+    std::uint64_t m_lastPending = 0;
+    /** By service and level of priority; only where requests of the service differ in it. */
+    std::map<std::pair<ServiceName, std::uint32_t>, DemandMeter> m_levelDemands;
+    /** Requests that have left a slot or their place to more urgent ones since the last line. */
+    std::map<ServiceName, YieldCounts> m_yielded;
+    Instant m_yieldedLoggedAt;
     std::map<Address, std::deque<PooledConnection>> m_connectionPool;
     /** Why backend servers got no requests when this was last recorded. */
     std::map<ReplicaId, UnavailableCause> m_unavailable;
--- a/source/edge/dispatcherhedges.cpp
+++ b/source/edge/dispatcherhedges.cpp
@@ -48,8 +48,8 @@
     }
     conditions->isSaturated = m_saturated.contains(service);
     conditions->hasPendingRequests =
-            std::any_of(m_pending.begin(), m_pending.end(), [&](const AcquireReplica &it) {
-                return it.requirements.service == service && it.reply->isOpen();
+            std::any_of(m_pending.begin(), m_pending.end(), [&](const auto &it) {
+                return it.second.requirements.service == service && it.second.reply->isOpen();
             });
     conditions->hasRetryBudget =
             retryBudget(service).allowsWithin(retryShareOfHedges, now, m_entryCount);
