Keep requests within the regions that their route and account allow

Cause: allowedRegions was decoded but bound nothing, so requests reached servers of any region, also after a retry or while the configuration changed. A compacted read of the operator's topic that returned late could undo the removal of an evacuation. Change: RegionRule holds the regions of a request. AcquireReplica names the route and account, and the dispatcher looks the rule up in the configuration in force at each choice of a server. LoadBalancer leaves out servers elsewhere, also where it counts occupancy and slot releases. A restricted request without a usable server in its regions is rejected at once, and does not count into the saturation of the service. Where routes or accounts are restricted, another region costs 120 ms more than another zone. TopicFollower ignores compacted records that reach no further than what was applied.

--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -20,6 +20,7 @@
 #include "core/fleet/pieces.h"
 #include "core/fleet/promptpart.h"
 #include "core/fleet/queuewait.h"
+#include "core/fleet/regionrule.h"
 #include "core/fleet/replica.h"
 #include "core/fleet/replicaavailability.h"
 #include "core/fleet/replicalistdelta.h"
--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -55,6 +55,7 @@
             next.availability = rememberedAvailability(processOf(entry));
         }
         next.entry = entry;
+        next.region = regionOf(entry.zone);
         next.availability = next.availability.listed(entry.isDraining);
         m_replicas.emplace(entry.id, std::move(next));
         m_byService[entry.service].push_back(entry.id);
@@ -165,9 +166,18 @@
     return state.report && now - state.reportedAt <= m_options.reportLifetime;
 }
 
+RegionName LoadBalancer::regionOf(const ZoneName &zone) const
+{
+    const auto it = m_options.zoneRegions.find(zone);
+    return it == m_options.zoneRegions.end() ? RegionName() : it->second;
+}
+
 bool LoadBalancer::isUsable(const ReplicaState &state, const WeightsRequirement &weights,
-                            Instant now) const
+                            const RegionRule &regions, Instant now) const
 {
+    if (!regions.allows(state.region)) {
+        return false;
+    }
     // A backend server that restarts under the same address usually registers with another id, so
     // the old entry of the list must not be used for the new process.
     const bool isReplaced = state.report && state.entry.startedAtMs != 0
@@ -203,7 +213,7 @@
         ReplicaState &state = m_replicas.at(pool[(random + i * step) % n]);
         const bool isCandidate = (state.entry.zone == m_options.zone) == isSameZone
                 && !requirements.tried.contains(state.entry.id);
-        if (!isCandidate || !isUsable(state, requirements.weights, now)
+        if (!isCandidate || !isUsable(state, requirements.weights, requirements.regions, now)
             || !hasCapacity(state, requirements, now)) {
             continue;
         }
@@ -319,7 +329,7 @@
 }
 
 Occupancy LoadBalancer::occupancy(const ServiceName &service, const WeightsRequirement &weights,
-                                  Instant now) const
+                                  Instant now, const RegionRule &regions) const
 {
     Occupancy sum;
     const auto pool = m_byService.find(service);
@@ -329,7 +339,7 @@
     Instant firstReturn = Instant::max();
     for (const ReplicaId &id : pool->second) {
         const ReplicaState &state = m_replicas.at(id);
-        if (!isUsable(state, weights, now)) {
+        if (!isUsable(state, weights, regions, now)) {
             continue;
         }
         const std::uint32_t load = estimatedLoad(state, now);
@@ -344,19 +354,25 @@
     return sum;
 }
 
-Duration LoadBalancer::meanSlotReleaseTime(const ServiceName &service) const
+Duration LoadBalancer::meanSlotReleaseTime(const ServiceName &service,
+                                           const RegionRule &regions) const
 {
     const auto pool = m_byService.find(service);
-    const std::size_t n = pool == m_byService.end() ? 1 : pool->second.size();
+    const auto isAllowed = [&](const ReplicaId &id) {
+        return regions.allows(m_replicas.at(id).region);
+    };
+    const auto n = pool == m_byService.end()
+            ? 1
+            : std::count_if(pool->second.begin(), pool->second.end(), isAllowed);
     constexpr double microsecondsPerMs = 1000;
     return Duration(std::llround(slotReleaseMs(service) * microsecondsPerMs
-                                 / static_cast<double>(std::max<std::size_t>(1, n))));
+                                 / static_cast<double>(std::max<std::ptrdiff_t>(1, n))));
 }
 
 bool LoadBalancer::hasUsable(const ServiceName &service, const WeightsRequirement &weights,
-                             Instant now) const
+                             Instant now, const RegionRule &regions) const
 {
-    return occupancy(service, weights, now).usableReplicas > 0;
+    return occupancy(service, weights, now, regions).usableReplicas > 0;
 }
 
 } // namespace greengageseam
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -6,6 +6,7 @@
 
 #include "core/fleet/enginemodel.h"
 #include "core/fleet/fleetconfig.h"
+#include "core/fleet/regionrule.h"
 #include "core/fleet/replica.h"
 #include "core/fleet/replicaavailability.h"
 
@@ -69,6 +70,8 @@
     /** Backend servers of earlier upstream attempts; they are excluded. */
     std::set<ReplicaId> tried;
     WeightsRequirement weights;
+    /** Regions in which it may run. */
+    RegionRule regions;
     /** Time left until the response has to start to meet its objective. */
     Duration latencyObjective {};
     /**
@@ -102,6 +105,10 @@
     ZoneName zone;
     /** Added to the cost of a backend server in another zone, in milliseconds of latency. */
     double crossZonePenaltyMs = 40;
+    /** Added to that in another region, while the own region is preferred. */
+    double crossRegionPenaltyMs = 120;
+    /** Region of each zone. */
+    std::map<ZoneName, RegionName> zoneRegions;
     /** Age at which a load report becomes stale and is ignored. */
     Duration reportLifetime = std::chrono::seconds(1);
     HealthOptions health;
@@ -166,6 +173,11 @@
     void setServices(const std::map<ServiceName, Service> &services);
     /** Sets the zones whose backend servers get no requests, as the operator has evacuated them. */
     void setEvacuatedZones(const std::set<ZoneName> &zones) { m_evacuatedZones = zones; }
+    /**
+     * Sets whether requests prefer the entry's own region to others in addition to its own zone. It
+     * has no effect unless zones of several regions are known.
+     */
+    void preferOwnRegion(bool isPreferred) { m_prefersOwnRegion = isPreferred; }
     /**
      * Sets the number of entries. It is used to estimate the requests of the other entries that no
      * report counts yet.
@@ -219,19 +231,22 @@
     std::uint64_t weightsVersion(const ReplicaId &id, Instant now) const;
     /** @returns the age of its latest load report; empty if there is none that is still valid */
     std::optional<Duration> reportAge(const ReplicaId &id, Instant now) const;
-    /** @returns the occupancy of a service as estimated by this entry */
-    Occupancy occupancy(const ServiceName &service, const WeightsRequirement &weights,
-                        Instant now) const;
-    /** @returns the estimated mean time between two releases of a slot of the service */
-    Duration meanSlotReleaseTime(const ServiceName &service) const;
-    /** @returns whether any backend server of the service is usable, even if it is full */
-    bool hasUsable(const ServiceName &service, const WeightsRequirement &weights,
-                   Instant now) const;
+    /** @returns the occupancy of a service in some regions as estimated by this entry */
+    Occupancy occupancy(const ServiceName &service, const WeightsRequirement &weights, Instant now,
+                        const RegionRule &regions = RegionRule()) const;
+    /** @returns the estimated mean time between two releases of a slot of the service there */
+    Duration meanSlotReleaseTime(const ServiceName &service,
+                                 const RegionRule &regions = RegionRule()) const;
+    /** @returns whether any backend server of the service is usable there, even if it is full */
+    bool hasUsable(const ServiceName &service, const WeightsRequirement &weights, Instant now,
+                   const RegionRule &regions = RegionRule()) const;
 
 private:
     struct ReplicaState
     {
         ReplicaEntry entry;
+        /** Region of its zone; empty if unknown. */
+        RegionName region;
         std::uint32_t localInFlight = 0;
         ReplicaAvailability availability;
         std::optional<LoadReport> report;
@@ -253,7 +268,10 @@
         Instant excessLatencyAt;
     };
 
-    bool isUsable(const ReplicaState &state, const WeightsRequirement &weights, Instant now) const;
+    bool isUsable(const ReplicaState &state, const WeightsRequirement &weights,
+                  const RegionRule &regions, Instant now) const;
+    /** @returns the region of a zone; an empty name if it is unknown */
+    RegionName regionOf(const ZoneName &zone) const;
     std::uint64_t effectiveWeightsVersion(const ReplicaState &state, Instant now) const;
     bool hasFreshReport(const ReplicaState &state, Instant now) const;
     /** @returns whether a request may be sent there only for a credit of the last report */
@@ -307,6 +325,7 @@
     std::map<ServiceName, EngineCosts> m_engineCosts;
     std::set<ServiceName> m_saturatedServices;
     std::set<ZoneName> m_evacuatedZones;
+    bool m_prefersOwnRegion = false;
 };
 
 } // namespace greengageseam
--- a/source/core/fleet/loadestimates.cpp
+++ b/source/core/fleet/loadestimates.cpp
@@ -147,7 +147,9 @@
     const double staleReport =
             state.report && !hasFreshReport(state, now) ? staleReportPenaltyMs : 0;
     const double crossZone = state.entry.zone == m_options.zone ? 0 : m_options.crossZonePenaltyMs;
-    return staleReport + crossZone;
+    const bool isElsewhere = m_prefersOwnRegion && state.region != regionOf(m_options.zone);
+    const double crossRegion = isElsewhere ? m_options.crossRegionPenaltyMs : 0;
+    return staleReport + crossZone + crossRegion;
 }
 
 bool LoadBalancer::hasCapacity(const ReplicaState &state, const ReplicaRequirements &requirements,
--- a/source/core/fleet/routetable.cpp
+++ b/source/core/fleet/routetable.cpp
@@ -42,6 +42,7 @@
         for (const std::string &key : (*m_config.accounts)[n].keys) {
             m_byKey[key] = n;
         }
+        m_byAccountName.emplace((*m_config.accounts)[n].name.text(), n);
     }
 }
 
@@ -78,6 +79,29 @@
     return it == m_config.services.end() ? nullptr : &it->second;
 }
 
+const FleetAccount *RouteTable::account(const AccountName &name) const
+{
+    const auto it = m_byAccountName.find(name.text());
+    return it == m_byAccountName.end() ? nullptr : &(*m_config.accounts)[it->second];
+}
+
+const Route *RouteTable::successorOf(const Route &route) const
+{
+    const auto ofHost = m_byHost.find(route.host);
+    if (ofHost != m_byHost.end()) {
+        for (const std::size_t n : ofHost->second) {
+            if (m_config.routes[n].pathPrefix == route.pathPrefix) {
+                return &m_config.routes[n];
+            }
+        }
+    }
+    const auto named =
+            std::find_if(m_config.routes.begin(), m_config.routes.end(), [&](const Route &it) {
+                return !it.name.isEmpty() && it.name == route.name;
+            });
+    return named == m_config.routes.end() ? nullptr : &*named;
+}
+
 const ServiceName &chooseService(const Route &route, std::uint64_t random)
 {
     constexpr double unit = 1.0 / 18446744073709551616.0;
--- a/source/core/fleet/routetable.h
+++ b/source/core/fleet/routetable.h
@@ -44,12 +44,20 @@
 
     /** @returns the service with this name, or null */
     const Service *service(const ServiceName &name) const;
+    /** @returns the client account with this name, or null */
+    const FleetAccount *account(const AccountName &name) const;
+    /**
+     * @param route a route of an earlier configuration
+     * @returns the route of its host and path prefix, otherwise the one of its name, or null
+     */
+    const Route *successorOf(const Route &route) const;
 
 private:
     FleetConfig m_config;
     /** Indexes of the routes of each host, longest path prefix first. */
     std::unordered_map<std::string, std::vector<std::size_t>> m_byHost;
     std::unordered_map<std::string, std::size_t> m_byKey;
+    std::unordered_map<std::string, std::size_t> m_byAccountName;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -131,8 +131,14 @@
 bool Dispatcher::rejectIfTimedOut(const AcquireReplica &command, Instant now)
 {
     const ServiceName &service = command.requirements.service;
-    const Occupancy occupancy = m_loads.occupancy(service, weightsRequirement(service, now), now);
+    const RegionRule regions = regionRuleOf(command);
+    const Occupancy occupancy =
+            m_loads.occupancy(service, weightsRequirement(service, now), now, regions);
     const bool hasUsable = occupancy.usableReplicas > 0;
+    if (!hasUsable && regions.isRestricted() && !command.isRetry) {
+        reject(command, now, ErrorKind::NoBackendServer);
+        return true;
+    }
     // A request that has missed its latency target may keep waiting for slots that are left over,
     // unless the requests that can still meet theirs leave none.
     const bool hasLeftovers = now >= command.lateAfter && !m_saturated.contains(service);
@@ -168,6 +174,7 @@
     }
     ReplicaRequirements requirements = command.requirements;
     requirements.weights = weightsRequirement(requirements.service, now);
+    requirements.regions = regionRuleOf(command);
     requirements.missesObjective = now >= command.lateAfter;
     requirements.latencyObjective =
             std::min<Duration>(requirements.latencyObjective, command.lateAfter - now);
@@ -197,13 +204,18 @@
 void Dispatcher::reject(const AcquireReplica &command, Instant now, ErrorKind kind)
 {
     const ServiceName &service = command.requirements.service;
-    if (!command.isHedge) {
+    const RegionRule regions = regionRuleOf(command);
+    const bool isForRegions = regions.isRestricted() && kind == ErrorKind::NoBackendServer;
+    if (isForRegions) {
+        // Callers of other regions are served, so this does not show that the service is saturated.
+        countRegionRejection();
+    } else if (!command.isHedge) {
         m_demands[service].recordTurnedAway(now);
     }
-    const Occupancy occupancy = m_loads.occupancy(service, {}, now);
+    const Occupancy occupancy = m_loads.occupancy(service, {}, now, regions);
     const auto excess = occupancy.inUse > occupancy.slots ? occupancy.inUse - occupancy.slots : 0;
     RetryConditions conditions;
-    conditions.slotRelease = m_loads.meanSlotReleaseTime(service);
+    conditions.slotRelease = m_loads.meanSlotReleaseTime(service, regions);
     conditions.backlog = excess + m_pending.size() + 1;
     conditions.pauseLeft = occupancy.pauseLeft;
     conditions.remaining = command.deadline - now;
@@ -299,6 +311,7 @@
     m_table = command.table;
     m_longestTimeouts.clear();
     m_loads.setServices(m_table->config().services);
+    m_loads.preferOwnRegion(restrictsRegions(m_table->config()));
     dispatchPending();
 }
 
@@ -313,12 +326,6 @@
     dispatchPending();
 }
 
-void Dispatcher::apply(const EvacuationsChanged &command)
-{
-    m_loads.setEvacuatedZones(command.zones);
-    dispatchPending();
-}
-
 void Dispatcher::apply(const LoadReportReceived &command)
 {
     m_loads.applyReport(command.report, monotonicNow());
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -89,6 +89,10 @@
 struct AcquireReplica
 {
     std::string attemptId;
+    /** What the request was admitted with; keeps the objects alive that routed points to. */
+    RouteTablePtr table;
+    RouteMatch routed;
+    /** The dispatcher fills in the weights and the regions at each choice of a backend server. */
     ReplicaRequirements requirements;
     /** Whether this is not the first upstream attempt, so that it uses the retry budget. */
     bool isRetry = false;
@@ -295,6 +299,10 @@
     bool tryAcquire(const AcquireReplica &command, Instant now);
     bool rejectIfTimedOut(const AcquireReplica &command, Instant now);
     void reject(const AcquireReplica &command, Instant now, ErrorKind kind);
+    /** @returns the regions that the configuration in force allows a request */
+    RegionRule regionRuleOf(const AcquireReplica &command) const;
+    /** Counts a request that is rejected because no allowed region has a backend server for it. */
+    void countRegionRejection();
     void recordSaturation(Instant now);
     void publishDemand(Instant now);
     void dispatchPending();
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -61,6 +61,10 @@
     m_startedAt = monotonicNow();
     DispatcherOptions options;
     options.loads.zone = m_settings.zone;
+    options.loads.zoneRegions = m_settings.zoneRegions;
+    if (!m_settings.region.isEmpty()) {
+        options.loads.zoneRegions.emplace(m_settings.zone, m_settings.region);
+    }
     options.bounds = m_settings.bounds;
     DispatcherHooks dispatcherHooks;
     dispatcherHooks.onDemand = [this](const std::vector<ServiceDemand> &demands) {
--- a/source/edge/requestproxyattempts.cpp
+++ b/source/edge/requestproxyattempts.cpp
@@ -76,6 +76,8 @@
     const Route &route = *m_admission.routed.route;
     AcquireReplica query;
     query.attemptId = m_call.attemptId;
+    query.table = m_admission.table;
+    query.routed = m_admission.routed;
     query.requirements.service = m_admission.service;
     query.requirements.tried = m_triedReplicas;
     query.requirements.latencyObjective = route.latencyObjective;
--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -200,6 +200,10 @@
         return;
     }
     KeyedBatch tail = std::get<KeyedBatch>(command.tail);
+    if (tail.isCompacted && tail.nextOffset <= *m_nextOffset) {
+        // Its records may be older than what was applied, for instance than a removal.
+        tail.records.clear();
+    }
     const std::uint64_t known = tail.isCompacted ? 0 : *m_nextOffset - command.from;
     const auto n = static_cast<std::ptrdiff_t>(std::min<std::uint64_t>(known, tail.records.size()));
     tail.records.erase(tail.records.begin(), tail.records.begin() + n);
--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -119,6 +119,22 @@
                                                  m_log);
     }
 
+    /** @returns a watcher of evacuations, whose keys are names of zones */
+    std::shared_ptr<OperatorWatcher> makeEvacuationWatcher(TopicReader reader)
+    {
+        OperatorHooks hooks;
+        hooks.isConfig = [](std::string_view) { return false; };
+        hooks.isTargetVersion = [](std::string_view) { return false; };
+        hooks.evacuatedZone = [](std::string_view key) { return ZoneName(std::string(key)); };
+        hooks.onEvacuationsChanged = [this](const std::set<ZoneName> &zones) { m_zones = zones; };
+        hooks.onOffsetAdvanced = [this](std::uint64_t next) { m_offset = next; };
+        FollowOptions options;
+        options.name = "operator";
+        options.pollInterval = milliseconds(20);
+        return std::make_shared<OperatorWatcher>(m_context.get_executor(), std::move(reader),
+                                                 options, hooks, m_log);
+    }
+
     void runFor(Duration time)
     {
         m_context.restart();
@@ -151,8 +167,10 @@
     std::vector<ReplicaEntry> m_known;
     std::vector<ReplicaListDelta> m_relayedDeltas;
     std::shared_ptr<ReplicaWatcher> m_watcher;
-    /** Offset up to which a watcher of target versions has read. */
+    /** Offset up to which a watcher of the operator's topic has read. */
     std::uint64_t m_offset = 0;
+    /** Zones that a watcher has reported as evacuated. */
+    std::set<ZoneName> m_zones;
 };
 
 TEST_CASE_METHOD(StoreWatcherFixture, "replicas_noPeerToRelyOn_areReadAndRelayed")
@@ -654,6 +672,59 @@
     REQUIRE(applied.size() == 2);
 }
 
+TEST_CASE_METHOD(StoreWatcherFixture, "evacuation_recordsOfATail_areAppliedInTheirOrder")
+{
+    write("a", "{}");
+    const auto watcher = makeEvacuationWatcher(reader());
+    watcher->start();
+    REQUIRE(waitUntil([this] { return m_zones == std::set {ZoneName("a")}; }));
+    write("b", "{}");
+    REQUIRE(waitUntil([this] { return m_zones == std::set {ZoneName("a"), ZoneName("b")}; }));
+    write("a", std::nullopt);
+    write("b", std::nullopt);
+    write("b", "{}");
+    REQUIRE(waitUntil([this] { return m_zones == std::set {ZoneName("b")}; }));
+}
+
+// A snapshot does not name the keys that were removed.
+TEST_CASE_METHOD(StoreWatcherFixture, "evacuation_snapshotLacksTheKey_isEnded")
+{
+    TopicReader truncated = reader();
+    truncated.tail = [this](std::uint64_t, Duration) -> Awaitable<Outcome<KeyedBatch>> {
+        asio::steady_timer timer(m_context, milliseconds(50));
+        co_await timer.async_wait(asTuple);
+        co_return Failure {ErrorKind::NotFound, "records were deleted"};
+    };
+    write("a", "{}");
+    const auto watcher = makeEvacuationWatcher(truncated);
+    watcher->start();
+    REQUIRE(waitUntil([this] { return m_zones == std::set {ZoneName("a")}; }));
+    write("a", std::nullopt);
+    REQUIRE(waitUntil([this] { return m_zones.empty(); }));
+}
+
+// A read that was given up may return after a newer one, with the newest records as of its time.
+TEST_CASE_METHOD(StoreWatcherFixture, "evacuation_olderReadReturnsLate_doesNotUndoTheRemoval")
+{
+    TopicReader late = reader();
+    late.tail = [this](std::uint64_t from, Duration) -> Awaitable<Outcome<KeyedBatch>> {
+        const bool isFirst = m_tailReads++ == 0;
+        asio::steady_timer timer(m_context, milliseconds(isFirst ? 300 : 20));
+        const KeyedBatch older {{{"a", "{}"}}, 2, true, monotonicNow()};
+        const KeyedBatch newer {{{"a", std::nullopt}}, 3, true, monotonicNow()};
+        co_await timer.async_wait(asTuple);
+        co_return isFirst ? older : from < 3 ? newer : KeyedBatch {{}, 3, true, monotonicNow()};
+    };
+    write("z", "{}");
+    const auto watcher = makeEvacuationWatcher(late);
+    watcher->start();
+    runFor(milliseconds(30));
+    watcher->restartRead();
+    REQUIRE(waitUntil([this] { return m_offset == 3; }));
+    runFor(milliseconds(500));
+    REQUIRE(m_zones == std::set {ZoneName("z")});
+}
+
 TEST_CASE_METHOD(StoreWatcherFixture, "replicas_storeRecovers_isReported")
 {
     startReplicaWatcher();
