Add a command that checks a configuration before it is written

Cause: an operator learned only from the log of the entries that a configuration could not be read, and not at all that a route never matches, that limits contradict each other, or what a change means to callers. Change: `greengageseam check CONFIG [--against FILE]`, as text or JSON, with the exit codes 0, 1 (warnings) and 2 (errors). Failures of the decoder name the line and column of a syntax error, and the element of an array.

--- a/source/tool/main.cpp
+++ b/source/tool/main.cpp
@@ -3,6 +3,7 @@
  * environment, and runs the selected command.
  */
 #include "net/endpoint.h"
+#include "tool/check.h"
 #include "tool/commands.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -27,6 +28,7 @@
   greengageseam [options] report
   greengageseam [options] publish <file>
   greengageseam [options] instance drain <instance>
+  greengageseam [options] check <config>
   greengageseam (-h | --help)
   greengageseam --version
 
@@ -46,12 +48,17 @@
                         changed since then is a conflict. Unset: the newest.
   --cell=<path>         Only changes of this cell [default: ].
   --author=<name>       Only changes by this operator [default: ].
+  --against=<file>      The configuration that is to be replaced (check).
   --json                Print JSON.
   -h --help             Show this text.
   --version             Show the version.
 
 'history' shows the newest 512 changes, 'audit' all that the log still contains.
 
+'check' reads a configuration of the users' platform from a file and needs no entry. It
+reports errors, entries that can never match, limits that contradict each other, and with
+--against what changes for callers. Its exit codes: 0 nothing found, 1 warnings, 2 errors.
+
 Exit codes: 0 done, 1 failed or rejected, 2 wrong usage, 3 conflict with another change,
 4 outcome not known yet (query it with 'change show').
 )";
@@ -171,6 +178,17 @@
     return settings;
 }
 
+CheckRequest readCheckRequest(const Arguments &options)
+{
+    CheckRequest request;
+    request.file = options.at("<config>").asString();
+    if (options.at("--against").isString()) {
+        request.against = options.at("--against").asString();
+    }
+    request.asJson = options.at("--json").asBool();
+    return request;
+}
+
 Result<Arguments> parseArguments(const std::vector<std::string> &arguments)
 {
     try {
@@ -196,6 +214,9 @@
         std::cout << "greengageseam " << GGS_VERSION << "\n";
         return static_cast<int>(ToolExit::Done);
     }
+    if (options.at("check").asBool()) {
+        return static_cast<int>(checkFile(readCheckRequest(options)));
+    }
     const Outcome<ToolSettings> settings = toOutcome([&] { return readToolSettings(options); });
     const Outcome<std::uint64_t> size = toOutcome([&] { return chunkBytes(options); });
     const auto base = toOutcome([&] { return baseOffset(options); });
--- a/tests/unit/tst_platform.cpp
+++ b/tests/unit/tst_platform.cpp
@@ -133,6 +133,15 @@
     REQUIRE(service.engine->memoryTokens == 685000);
 }
 
+TEST_CASE_METHOD(PlatformFixture, "decodeConfig_cannotBeRead_tellsThePlace")
+{
+    const auto syntax = toOutcome([] { return decodeConfig("{\"version\":1,\n \"routes\":]}"); });
+    REQUIRE(detailOf(syntax).find("at line 2, column") != std::string::npos);
+    const auto field = toOutcome(
+            [] { return decodeConfig(R"({"version":1,"services":[{"name":"p"},{"name":7}]})"); });
+    REQUIRE(detailOf(field) == "services[1].name must be a string");
+}
+
 TEST_CASE_METHOD(PlatformFixture, "decodeConfig_unknownRouteKind_isNonIdempotent")
 {
     const auto read = toOutcome([] {
