--- a/source/core/fleet/routetable.h
+++ b/source/core/fleet/routetable.h
@@ -47,6 +47,13 @@
 
     /** @returns the service with this name, or null */
     const Service *service(const ServiceName &name) const;
+    /** @returns the client account with this name, or null */
+    const FleetAccount *account(const AccountName &name) const;
+    /**
+     * @param route a route of an earlier configuration
+     * @returns the route of its host and path prefix, otherwise the one of its name, or null
+     */
+    const Route *successorOf(const Route &route) const;
 
     /** @returns the priority of a request among all that the configuration allows for a service */
     RequestPriority priority(const RouteMatch &match, const ServiceName &service) const;
@@ -60,6 +67,7 @@
     std::unordered_map<std::string, std::size_t> m_byKey;
     /** Priorities that requests for each service may have. */
     std::map<ServiceName, std::set<std::uint32_t>> m_priorities;
+    std::unordered_map<std::string, std::size_t> m_byAccountName;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -143,8 +143,14 @@
                                   Instant now, std::size_t backlog)
 {
     const ServiceName &service = command.requirements.service;
-    const Occupancy occupancy = m_loads.occupancy(service, weightsRequirement(service, now), now);
+    const RegionRule regions = regionRuleOf(command);
+    const Occupancy occupancy =
+            m_loads.occupancy(service, weightsRequirement(service, now), now, regions);
     const bool hasUsable = occupancy.usableReplicas > 0;
+    if (!hasUsable && regions.isRestricted() && !command.isRetry) {
+        reject(command, now, ErrorKind::NoBackendServer, backlog);
+        return true;
+    }
     // A request that has missed its latency target may keep waiting for slots that are left over,
     // unless the requests that can still meet theirs leave none.
     const bool hasLeftovers = now >= command.lateAfter && !m_saturated.contains(service);
@@ -177,6 +183,7 @@
 {
     ReplicaRequirements requirements = command.requirements;
     requirements.weights = weightsRequirement(requirements.service, now);
+    requirements.regions = regionRuleOf(command);
     requirements.missesObjective = now >= command.lateAfter;
     requirements.latencyObjective =
             std::min<Duration>(requirements.latencyObjective, command.lateAfter - now);
@@ -226,14 +233,19 @@
                         std::size_t backlog)
 {
     const ServiceName &service = command.requirements.service;
-    if (!command.isHedge) {
+    const RegionRule regions = regionRuleOf(command);
+    const bool isForRegions = regions.isRestricted() && kind == ErrorKind::NoBackendServer;
+    if (isForRegions) {
+        // Callers of other regions are served, so this does not show that the service is saturated.
+        countRegionRejection();
+    } else if (!command.isHedge) {
         m_demands[service].recordTurnedAway(now);
         recordTurnedAway(command, now);
     }
-    const Occupancy occupancy = m_loads.occupancy(service, {}, now);
+    const Occupancy occupancy = m_loads.occupancy(service, {}, now, regions);
     const auto excess = occupancy.inUse > occupancy.slots ? occupancy.inUse - occupancy.slots : 0;
     RetryConditions conditions;
-    conditions.slotRelease = m_loads.meanSlotReleaseTime(service);
+    conditions.slotRelease = m_loads.meanSlotReleaseTime(service, regions);
     conditions.backlog = excess + backlog + 1;
     conditions.pauseLeft = occupancy.pauseLeft;
     conditions.remaining = command.deadline - now;
@@ -332,6 +344,7 @@
     m_longestTimeouts.clear();
     m_loads.setServices(m_table->config().services);
     m_queue.resetShares();
+    m_loads.preferOwnRegion(restrictsRegions(m_table->config()));
     dispatchPending();
 }
 
@@ -346,12 +359,6 @@
     dispatchPending();
 }
 
-void Dispatcher::apply(const EvacuationsChanged &command)
-{
-    m_loads.setEvacuatedZones(command.zones);
-    dispatchPending();
-}
-
 void Dispatcher::apply(const LoadReportReceived &command)
 {
     m_loads.applyReport(command.report, monotonicNow());
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -96,11 +96,12 @@
 struct AcquireReplica
 {
     std::string attemptId;
+    /** What the request was admitted with; keeps the objects alive that routed points to. */
+    RouteTablePtr table;
+    RouteMatch routed;
+    /** The dispatcher fills in the weights and the regions at each choice of a backend server. */
     ReplicaRequirements requirements;
     RequestPriority priority;
-    RouteName route;
-    /** Empty without a client account. */
-    AccountName account;
     /** Whether this is not the first upstream attempt, so that it uses the retry budget. */
     bool isRetry = false;
     /** Whether another attempt is still in progress, so that the request is not turned away. */
@@ -326,8 +327,8 @@
     bool isShed(const PendingRequest &request) const;
     std::size_t backlogOf(const PendingRequest &request, std::size_t waiting) const;
     void removePending(std::map<std::uint64_t, AcquireReplica>::iterator it);
-    static PendingRequest pendingRequest(std::uint64_t id, const AcquireReplica &command,
-                                         Instant now);
+    PendingRequest pendingRequest(std::uint64_t id, const AcquireReplica &command,
+                                  Instant now) const;
     void logYielded(Instant now);
     bool tryAcquire(const AcquireReplica &command, Instant now);
     bool tryAcquire(const AcquireReplica &command, Instant now, std::uint64_t random);
@@ -341,6 +342,10 @@
     bool rejectIfTimedOut(const AcquireReplica &command, const PendingRequest &request, Instant now,
                           std::size_t backlog);
     void reject(const AcquireReplica &command, Instant now, ErrorKind kind, std::size_t backlog);
+    /** @returns the regions that the configuration in force allows a request */
+    RegionRule regionRuleOf(const AcquireReplica &command) const;
+    /** Counts a request that is rejected because no allowed region has a backend server for it. */
+    void countRegionRejection();
     void recordSaturation(Instant now);
     void publishDemand(Instant now);
     void dispatchPending();
--- a/source/edge/dispatcherpriority.cpp
+++ b/source/edge/dispatcherpriority.cpp
@@ -19,17 +19,21 @@
 } // namespace
 
 PendingRequest Dispatcher::pendingRequest(std::uint64_t id, const AcquireReplica &command,
-                                          Instant now)
+                                          Instant now) const
 {
     PendingRequest request;
     request.id = id;
     request.service = command.requirements.service;
     request.priority = command.priority;
-    request.route = command.route;
-    request.account = command.account;
+    request.route = command.routed.route->name;
+    if (command.routed.account != nullptr) {
+        request.account = command.routed.account->name;
+    }
     request.promptTokens = command.requirements.promptTokens;
     request.lateAfter = command.lateAfter;
-    request.mayReserve = !command.isRetry && now < command.lateAfter;
+    // Slots that are kept free may lie outside the regions of a restricted request.
+    request.mayReserve =
+            !command.isRetry && now < command.lateAfter && !regionRuleOf(command).isRestricted();
     return request;
 }
 
