Limit the rate of requests to backend servers that have just started

Cause: a cold backend server is empty and so was the least loaded one. All entries sent to it at once, at rates at which it crashes. Change: a cold server always needs a credit. Its agent learns of its state from its start and its health, and hands out at most coldPerS credits in any second; load reports gain the remaining cold time and the agent's clock, by which entries leave late credits. Entries that hear nothing from the agent have a fixed part of the rest of the bound, in whole requests. It acts only for services with coldPerS above 0.

--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include "core/fleet/coldservers.h"
+#include "core/fleet/coldstart.h"
 #include "core/fleet/compactedtopic.h"
 #include "core/fleet/crashevidence.h"
 #include "core/fleet/creditallocator.h"
--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -39,8 +39,9 @@
     return {entry.id, entry.address, entry.startedAtMs};
 }
 
-void LoadBalancer::setReplicas(const std::vector<ReplicaEntry> &entries)
+void LoadBalancer::setReplicas(const std::vector<ReplicaEntry> &entries, Instant now)
 {
+    m_cold.setReplicas(entries, now);
     std::map<ReplicaId, ReplicaState> previous = std::move(m_replicas);
     m_replicas.clear();
     m_byAddress.clear();
@@ -125,6 +126,7 @@
 
 void LoadBalancer::setServices(const std::map<ServiceName, Service> &services)
 {
+    m_cold.setServices(services);
     m_engineCosts.clear();
     for (const auto &[name, service] : services) {
         if (service.engine) {
@@ -133,6 +135,12 @@
     }
 }
 
+void LoadBalancer::setEntryCount(std::uint32_t entries)
+{
+    m_entryCount = entries;
+    m_cold.setEntryCount(entries);
+}
+
 void LoadBalancer::setSaturated(const ServiceName &service, bool isSaturated)
 {
     if (isSaturated) {
@@ -155,7 +163,8 @@
     }
     state.report = report;
     state.reportedAt = now;
-    state.creditsLeft = report.credits.value_or(0);
+    const bool isOnTime = m_cold.applyReport(state.entry.id, report.coldLeft, report.sentAt, now);
+    state.creditsLeft = isOnTime ? report.credits.value_or(0) : 0;
     state.localInFlightAtReport = state.localInFlight;
     state.awaitingResponseAtReport = state.awaitingResponse;
 }
@@ -233,6 +242,9 @@
         return std::nullopt;
     }
     best->availability = best->availability.at(now);
+    if (m_cold.isCold(best->entry, now) && !hasColdCredits(*best, now)) {
+        m_cold.recordShareUse(best->entry.id, now);
+    }
     best->creditsLeft -= best->creditsLeft > 0 ? 1 : 0;
     ++best->localInFlight;
     if (const EngineCosts *costs = engineCosts(requirements.service)) {
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "core/fleet/coldservers.h"
 #include "core/fleet/enginemodel.h"
 #include "core/fleet/fleetconfig.h"
 #include "core/fleet/replica.h"
@@ -44,6 +45,13 @@
      * contended; empty if its agent hands out no credits. @see CreditAllocator
      */
     std::optional<std::uint32_t> credits;
+    /** How much longer the backend server stays cold; empty if it is warm or has no limit. */
+    std::optional<Duration> coldLeft;
+    /**
+     * The agent's monotonic clock when it sent the report, while the backend server is cold. It
+     * shows which reports are late. @see ReportDelay
+     */
+    std::optional<Duration> sentAt;
 
     auto operator<=>(const LoadReport &) const = default;
 };
@@ -105,6 +113,10 @@
     /** Age at which a load report becomes stale and is ignored. */
     Duration reportLifetime = std::chrono::seconds(1);
     HealthOptions health;
+    /** IP address of this entry; it decides which part of a cold backend server's pool it has. */
+    std::string ip;
+    /** The service limits of the fleet. */
+    FleetBounds bounds;
 
     auto operator<=>(const LoadBalancerOptions &) const = default;
 };
@@ -155,13 +167,16 @@
 class LoadBalancer
 {
 public:
-    explicit LoadBalancer(LoadBalancerOptions options) : m_options(std::move(options)) { }
+    explicit LoadBalancer(LoadBalancerOptions options)
+        : m_options(std::move(options)), m_cold(m_options.ip, m_options.bounds)
+    { }
 
     /**
      * Replaces the list of backend servers. Keeps the state of those that are still listed, and
      * what those announced that come back to it in the same incarnation.
+     * @param now time of the read; it matters only for services with a limit for cold servers
      */
-    void setReplicas(const std::vector<ReplicaEntry> &entries);
+    void setReplicas(const std::vector<ReplicaEntry> &entries, Instant now = {});
     /** Replaces the cost parameters of engines with those of the configuration. */
     void setServices(const std::map<ServiceName, Service> &services);
     /** Sets the zones whose backend servers get no requests, as the operator has evacuated them. */
@@ -170,7 +185,9 @@
      * Sets the number of entries. It is used to estimate the requests of the other entries that no
      * report counts yet.
      */
-    void setEntryCount(std::uint32_t entries) { m_entryCount = entries; }
+    void setEntryCount(std::uint32_t entries);
+    /** Adds entries, by IP address, that share what cold backend servers may get. */
+    void addEntries(const std::vector<std::string> &ips) { m_cold.addEntries(ips); }
     /**
      * Sets whether callers ask for more than the backend servers of a service can do. While they
      * do, each request that is sent to one with a report needs a credit.
@@ -219,6 +236,11 @@
     std::uint64_t weightsVersion(const ReplicaId &id, Instant now) const;
     /** @returns the age of its latest load report; empty if there is none that is still valid */
     std::optional<Duration> reportAge(const ReplicaId &id, Instant now) const;
+    /** @returns the backend servers that are cold, with the time left */
+    std::map<ReplicaId, Duration> coldReplicas(Instant now) const
+    {
+        return m_cold.coldReplicas(now);
+    }
     /** @returns the occupancy of a service as estimated by this entry */
     Occupancy occupancy(const ServiceName &service, const WeightsRequirement &weights,
                         Instant now) const;
@@ -259,6 +281,8 @@
     /** @returns whether a request may be sent there only for a credit of the last report */
     bool needsCredit(const ReplicaState &state, Instant now) const;
     bool hasCredit(const ReplicaState &state, Instant now) const;
+    /** @returns whether its agent reports, and hands out credits at the rate of a cold server */
+    bool hasColdCredits(const ReplicaState &state, Instant now) const;
     /** @returns the estimated number of requests at a backend server, from all entries */
     std::uint32_t estimatedLoad(const ReplicaState &state, Instant now) const;
     /** @returns the estimated number of requests that other entries sent since the report */
@@ -284,6 +308,7 @@
                      Instant now) const;
 
     LoadBalancerOptions m_options;
+    ColdServers m_cold;
     std::uint32_t m_entryCount = 1;
     /** What a backend server announced that is no longer listed. */
     struct PastStatement
--- a/source/core/fleet/loadestimates.cpp
+++ b/source/core/fleet/loadestimates.cpp
@@ -61,6 +61,9 @@
 
 bool LoadBalancer::needsCredit(const ReplicaState &state, Instant now) const
 {
+    if (m_cold.isCold(state.entry, now)) {
+        return true;
+    }
     if (!hasFreshReport(state, now) || !state.report->credits) {
         return false;
     }
@@ -69,8 +72,16 @@
             || isContended({state.entry.slots, state.report->running + state.report->waiting});
 }
 
+bool LoadBalancer::hasColdCredits(const ReplicaState &state, Instant now) const
+{
+    return hasFreshReport(state, now) && state.report->coldLeft && state.report->credits;
+}
+
 bool LoadBalancer::hasCredit(const ReplicaState &state, Instant now) const
 {
+    if (m_cold.isCold(state.entry, now) && !hasColdCredits(state, now)) {
+        return m_cold.hasShare(state.entry, now);
+    }
     return state.creditsLeft > 0 && now - state.reportedAt <= creditLifetime;
 }
 
@@ -161,7 +172,7 @@
     if (const EngineCosts *costs = engineCosts(requirements.service)) {
         return hasEngineCapacity(state, *costs, requirements, now);
     }
-    return inUse < slots + plainServiceQueue;
+    return inUse < slots + plainServiceQueue && (!needsCredit(state, now) || hasCredit(state, now));
 }
 
 /**
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -309,7 +309,7 @@
 
 void Dispatcher::apply(const ReplicasChanged &command)
 {
-    m_loads.setReplicas(command.entries);
+    m_loads.setReplicas(command.entries, monotonicNow());
     dispatchPending();
 }
 
@@ -333,6 +333,7 @@
     // count never decreases.
     m_entryCount = std::max(m_entryCount, command.entries);
     m_loads.setEntryCount(m_entryCount);
+    m_loads.addEntries(command.ips);
 }
 
 void Dispatcher::apply(const CrashJudged &command)
@@ -348,6 +349,7 @@
     expireLateStarts(now);
     closeExpiredConnections(now);
     recordAvailability(now);
+    recordColdServers(now);
     publishDemand(now);
     recordSaturation(now);
 }
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -209,6 +209,8 @@
 struct EntryCountChanged
 {
     std::uint32_t entries = 1;
+    /** Their IP addresses. */
+    std::vector<std::string> ips;
 };
 
 /** Other prompt parts than before are condemned or suspected. */
@@ -302,6 +304,7 @@
     void closeExpiredConnections(Instant now);
     void closePooledConnections(const Address &address);
     void recordAvailability(Instant now);
+    void recordColdServers(Instant now);
     void awaitStart(const ReplicaLease &lease, const AcquireReplica &command);
     void expireLateStarts(Instant now);
     bool mayDeny(Instant now) const;
@@ -343,6 +346,8 @@
     std::map<Address, std::deque<PooledConnection>> m_connectionPool;
     /** Why backend servers got no requests when this was last recorded. */
     std::map<ReplicaId, UnavailableCause> m_unavailable;
+    /** The backend servers that were cold when this was last recorded. */
+    std::set<ReplicaId> m_cold;
     /** The largest number of entries that were known to be running at the same time. */
     std::uint32_t m_entryCount;
 };
--- a/source/edge/dispatcheravailability.cpp
+++ b/source/edge/dispatcheravailability.cpp
@@ -67,4 +67,29 @@
     m_unavailable = std::move(causes);
 }
 
+/** Logs which backend servers have become cold or warm, and counts the cold ones. */
+void Dispatcher::recordColdServers(Instant now)
+{
+    std::set<ReplicaId> cold;
+    for (const auto &[id, left] : m_loads.coldReplicas(now)) {
+        cold.insert(id);
+        if (!m_cold.contains(id)) {
+            m_log.info("replica.cold",
+                       {{"replica", id.text()},
+                        {"left_ms", left.count() / 1000},
+                        {"entries", m_entryCount}});
+        }
+    }
+    for (const ReplicaId &id : m_cold) {
+        if (!cold.contains(id) && m_loads.isListed(id)) {
+            m_log.info("replica.warm", {{"replica", id.text()}});
+        }
+    }
+    if (cold != m_cold) {
+        m_metrics->set("replicas_cold", "Backend servers that take a limited rate of requests",
+                       static_cast<double>(cold.size()));
+        m_cold = std::move(cold);
+    }
+}
+
 } // namespace greengageseam
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -61,6 +61,8 @@
     m_startedAt = monotonicNow();
     DispatcherOptions options;
     options.loads.zone = m_settings.zone;
+    options.loads.ip = m_settings.ip;
+    options.loads.bounds = m_settings.bounds;
     options.bounds = m_settings.bounds;
     DispatcherHooks dispatcherHooks;
     dispatcherHooks.onDemand = [this](const std::vector<ServiceDemand> &demands) {
@@ -129,8 +131,11 @@
     };
     hooks.onEntriesChanged = [this, self](const std::vector<EntryLocation> &entries) {
         m_log.info("entries.changed", {{"entries", entries.size()}});
-        m_dispatcher->mailbox()->post(
-                EntryCountChanged {static_cast<std::uint32_t>(entries.size())});
+        EntryCountChanged change {static_cast<std::uint32_t>(entries.size()), {}};
+        for (const EntryLocation &entry : entries) {
+            change.ips.push_back(entry.ip);
+        }
+        m_dispatcher->mailbox()->post(std::move(change));
         m_exchange->fetcher()->post(FetcherEntriesChanged {entries});
         m_replicaWatcher->relyOnPeers(zoneReaderRank(entries, self));
         m_operatorReader->setEntries(entries);
--- a/source/net/replicahooks.h
+++ b/source/net/replicahooks.h
@@ -44,6 +44,12 @@
 {
     /** Reads the current state of the backend server. */
     std::function<Awaitable<Outcome<ReplicaReport>>()> readReport;
+    /**
+     * Reads for how long the backend server stays cold, from its health.
+     * @param healthPath path of the health request
+     * @returns zero if it is warm; a failure if it did not tell
+     */
+    std::function<Awaitable<Outcome<Duration>>(std::string healthPath)> readColdLeft;
     /** Sends an order. @returns OutcomeUnknown without a response; it may have been accepted */
     std::function<Awaitable<Outcome<OrderResult>>(LoadOrder order)> sendOrder;
     /** Stages a piece, and replaces one that was staged before under this number. */
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -20,6 +20,8 @@
 /** LoadReport::slowdown is transmitted as an integer, in thousandths. */
 constexpr double paceUnits = 1000;
 constexpr double maxPace = 1e6;
+/** A longer remaining cold time is shortened, so that sums of times do not overflow. */
+constexpr std::chrono::milliseconds maxColdTime = std::chrono::hours(24);
 
 wire::ReplicaSeen replicaToWire(const ReplicaEntry &entry)
 {
@@ -327,6 +329,13 @@
     if (report.credits) {
         body.__set_credits(static_cast<std::int32_t>(*report.credits));
     }
+    if (report.coldLeft) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(*report.coldLeft);
+        body.__set_coldLeftMs(left.count());
+    }
+    if (report.sentAt) {
+        body.__set_sentAt(report.sentAt->count());
+    }
     frame.__set_loadSeen(body);
     return frame;
 }
@@ -415,7 +424,9 @@
     const wire::LoadSeen &seen = frame.loadSeen;
     const bool isNegative = seen.bornMs < 0 || seen.weights < 0 || seen.waiting < 0
             || seen.running < 0 || seen.pace < 0 || (seen.__isset.viewAge && seen.viewAge < 0)
-            || (seen.__isset.credits && seen.credits < 0);
+            || (seen.__isset.credits && seen.credits < 0)
+            || (seen.__isset.coldLeftMs && seen.coldLeftMs < 0)
+            || (seen.__isset.sentAt && seen.sentAt < 0);
     if (!frame.__isset.loadSeen || isNegative) {
         return fail(ErrorKind::ProtocolViolation,
                     "a datagram has unknown content or negative numbers");
@@ -436,6 +447,13 @@
     if (seen.__isset.credits) {
         report.credits = static_cast<std::uint32_t>(seen.credits);
     }
+    if (seen.__isset.coldLeftMs) {
+        report.coldLeft = std::chrono::milliseconds(
+                std::min<std::int64_t>(seen.coldLeftMs, maxColdTime.count()));
+    }
+    if (seen.__isset.sentAt) {
+        report.sentAt = Duration(seen.sentAt);
+    }
     return Datagram(std::move(report));
 }
 
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -402,6 +402,10 @@
   10: optional i64 viewAge;
   /** Requests that the receiver may send until the next report while the backend server is contended. */
   11: optional i32 credits;
+  /** How much longer the backend server stays cold, in milliseconds; absent if it is warm. */
+  12: optional i64 coldLeftMs;
+  /** The sender's monotonic clock in microseconds; only while the backend server is cold. */
+  20: optional i64 sentAt;
 }
 
 /** A named version of weights, as an agent has heard of it. */
--- a/source/sidecar/loadreporter.cpp
+++ b/source/sidecar/loadreporter.cpp
@@ -191,7 +191,7 @@
         return true;
     }
     const LoadReport &last = *subscriber.lastLoad;
-    if (last.hasOrderInProgress != load.hasOrderInProgress
+    if (subscriber.wasToldCold != m_isCold || last.hasOrderInProgress != load.hasOrderInProgress
         || last.weightsVersion != load.weightsVersion || last.startedAtMs != load.startedAtMs) {
         return true;
     }
@@ -233,6 +233,32 @@
     logSentBytes(now);
 }
 
+void LoadReporter::apply(const ColdStartRulesChanged &command)
+{
+    m_cold = m_cold.withRules(command.rules);
+}
+
+void LoadReporter::apply(const ColdLeftMeasured &command)
+{
+    m_cold = m_cold.withHealth(command.left, monotonicNow());
+}
+
+/** Logs when the backend server becomes cold or warm. @returns for how long it stays cold */
+std::optional<Duration> LoadReporter::updateColdState(const LoadReport &load, Instant now)
+{
+    m_cold = m_cold.withReport(load.startedAtMs, now, wallNow()).at(now);
+    const std::optional<Duration> left = m_cold.coldLeft(now);
+    if (left.has_value() != m_isCold) {
+        m_isCold = left.has_value();
+        m_log.info(m_isCold ? "load.backend-cold" : "load.backend-warm",
+                   {{"born", load.startedAtMs},
+                    {"left_ms", left.value_or(Duration::zero()).count() / 1000},
+                    {"credits", m_coldCredits}});
+        m_coldCredits = 0;
+    }
+    return left;
+}
+
 /** Sends a load to the subscribers that are due, and to those that receive credits. */
 void LoadReporter::sendReports(const LoadReport &load, Instant now)
 {
@@ -240,6 +266,10 @@
     report.entriesChecksum = m_knownEntries.checksum();
     report.operatorOffset = m_operatorOffset;
     report.operatorViewAge = m_views.newestViewAge(now);
+    report.coldLeft = updateColdState(load, now);
+    if (report.coldLeft) {
+        report.sentAt = now.time_since_epoch();
+    }
     m_lastReport = report;
     const std::map<InstanceId, std::uint32_t> credits = allocateCredits(load);
     std::map<std::uint32_t, std::string> encoded;
@@ -257,6 +287,7 @@
             bytes = encodeDatagram(report);
         }
         subscriber.lastLoad = load;
+        subscriber.wasToldCold = m_isCold;
         subscriber.lastReportAt = now;
         m_sent.reports += bytes.size();
         m_socket.send(bytes, endpoint);
@@ -267,11 +298,13 @@
 std::map<InstanceId, std::uint32_t> LoadReporter::allocateCredits(const LoadReport &load)
 {
     const BackendOccupancy occupancy {m_slots, load.running + load.waiting};
-    const bool areNeeded = isContended(occupancy)
+    const bool areNeeded = m_isCold || isContended(occupancy)
             || std::any_of(m_subscribers.begin(), m_subscribers.end(),
                            [](const auto &it) { return it.second.demand.turnedAway > 0; });
-    const std::uint32_t credits =
-            areNeeded && !load.hasOrderInProgress ? availableCredits(occupancy) : 0;
+    std::uint32_t credits = areNeeded && !load.hasOrderInProgress ? availableCredits(occupancy) : 0;
+    if (m_isCold) {
+        credits = std::min(credits, m_cold.availableCredits());
+    }
     if (credits == 0) {
         return {};
     }
@@ -280,7 +313,12 @@
         claims.push_back({subscriber.entry, subscriber.isSameZone, subscriber.demand.arrivals,
                           subscriber.demand.turnedAwayShare()});
     }
-    return m_credits.allocate(credits, claims);
+    const std::map<InstanceId, std::uint32_t> allocated = m_credits.allocate(credits, claims);
+    for (const auto &[entry, n] : allocated) {
+        m_cold = m_cold.handedOut(n);
+        m_coldCredits += m_isCold ? n : 0;
+    }
+    return allocated;
 }
 
 /** Logs how much was sent of each kind, at intervals. */
--- a/source/sidecar/loadreporter.h
+++ b/source/sidecar/loadreporter.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "core/fleet/coldstart.h"
 #include "core/fleet/creditallocator.h"
 #include "core/fleet/viewwitnesses.h"
 #include "net/datagramsocket.h"
@@ -29,8 +30,21 @@
     std::uint32_t slots = 0;
 };
 
+/** What cold backend servers of the service tolerate has changed. */
+struct ColdStartRulesChanged
+{
+    ColdStartRules rules;
+};
+
+/** The backend server told how much longer it stays cold; zero if it is warm. */
+struct ColdLeftMeasured
+{
+    Duration left {};
+};
+
 /** Messages to the task. */
-using LoadReporterCommand = std::variant<LoadReport, TargetVersionKnown, SlotsChanged>;
+using LoadReporterCommand = std::variant<LoadReport, TargetVersionKnown, SlotsChanged,
+                                         ColdStartRulesChanged, ColdLeftMeasured>;
 
 /** Hooks for what entries send along with their subscriptions. They must not block. */
 struct LoadReporterHooks
@@ -87,6 +101,8 @@
         ServiceDemand demand;
         /** The load in the last report sent to the entry, and when it was sent. */
         std::optional<LoadReport> lastLoad;
+        /** Whether that report called the backend server cold. */
+        bool wasToldCold = false;
         Instant lastReportAt;
     };
 
@@ -95,6 +111,9 @@
     void apply(const LoadReport &load);
     void apply(const TargetVersionKnown &command);
     void apply(const SlotsChanged &command) { m_slots = command.slots; }
+    void apply(const ColdStartRulesChanged &command);
+    void apply(const ColdLeftMeasured &command);
+    std::optional<Duration> updateColdState(const LoadReport &load, Instant now);
     std::map<InstanceId, std::uint32_t> allocateCredits(const LoadReport &load);
     void sendReports(const LoadReport &load, Instant now);
     void sendEntries();
@@ -122,6 +141,11 @@
     /** Number of requests that the backend server processes concurrently; 0 if unknown. */
     std::uint32_t m_slots = 0;
     CreditAllocator m_credits;
+    /** Whether the backend server is cold, and the credits that it may get while it is. */
+    ColdBackend m_cold;
+    bool m_isCold = false;
+    /** Credits handed out since the backend server became cold. */
+    std::uint64_t m_coldCredits = 0;
     /** The newest target version of the weights of each model. */
     std::map<ModelName, TargetVersionKnown> m_targetVersions;
     /** The highest offset of the operator's log that an entry has reported. */
--- a/source/sidecar/sidecar.cpp
+++ b/source/sidecar/sidecar.cpp
@@ -53,6 +53,10 @@
     BOOST_LEAF_CHECK(m_loadReporter->start(m_settings.ip, m_settings.firstPort + 1));
 
     makeWeightTasks();
+    m_coldProbe = std::make_shared<ColdProbe>(
+            m_executor, m_adapter.openReplica(m_settings.backendAddress),
+            [this](Duration left) { m_loadReporter->mailbox()->post(ColdLeftMeasured {left}); },
+            m_log);
     makeOperatorWatcher();
     m_probe = std::make_shared<ReplicaProbe>(
             m_executor, m_adapter.openReplica(m_settings.backendAddress), probePeriod,
@@ -109,6 +113,7 @@
         const Service *service = table->service(m_settings.backendService);
         const bool hasEngine = service != nullptr && service->engine;
         m_loadReporter->mailbox()->post(SlotsChanged {hasEngine ? service->engine->slots : 0});
+        applyColdStartRules(service == nullptr ? Service() : *service);
     };
     hooks.onTargetVersion = [this](const TargetVersion &named, bool isOld, Duration age) {
         // A version announced before this process started is installed without waiting for a
@@ -138,6 +143,14 @@
                                                           follow, hooks, m_log);
 }
 
+/** Only services with a limit for cold backend servers are asked for their health. */
+void Sidecar::applyColdStartRules(const Service &service)
+{
+    const ColdStartRules rules = coldStartRules(service, m_settings.bounds);
+    m_loadReporter->mailbox()->post(ColdStartRulesChanged {rules});
+    m_coldProbe->setHealthPath(rules.isActive() ? service.healthPath : std::string());
+}
+
 void Sidecar::onReport(const std::optional<ReplicaReport> &report)
 {
     if (!report) {
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -8,6 +8,7 @@
 #include "edge/operatorwatcher.h"
 #include "edge/relayedreader.h"
 #include "exchange/weightexchange.h"
+#include "sidecar/coldprobe.h"
 #include "sidecar/loadreporter.h"
 #include "sidecar/replicaprobe.h"
 #include "sidecar/weightinstaller.h"
@@ -32,6 +33,7 @@
 private:
     void makeWeightTasks();
     void makeOperatorWatcher();
+    void applyColdStartRules(const Service &service);
     void onReport(const std::optional<ReplicaReport> &report);
     void reportLoad();
     Awaitable<Outcome<std::vector<ReplicaEntry>>> readReplicas() const;
@@ -45,6 +47,7 @@
     std::shared_ptr<WeightExchange> m_exchange;
     std::shared_ptr<WeightInstaller> m_installer;
     std::shared_ptr<ReplicaProbe> m_probe;
+    std::shared_ptr<ColdProbe> m_coldProbe;
     std::shared_ptr<LoadReporter> m_loadReporter;
     std::shared_ptr<RelayedReader> m_operatorReader;
     std::shared_ptr<OperatorWatcher> m_operatorWatcher;
--- a/tests/failure/tst_loadreports.cpp
+++ b/tests/failure/tst_loadreports.cpp
@@ -219,6 +219,33 @@
     REQUIRE_FALSE(m_second.reports.back().credits);
 }
 
+// While a cold server was empty, its agent handed out a credit for each of its slots.
+TEST_CASE_METHOD(LoadReportsFixture, "agent_serverIsCold_tellsEntriesAndLimitsCredits")
+{
+    constexpr std::uint32_t credited = 17;
+    m_agent->mailbox()->post(SlotsChanged {64});
+    m_agent->mailbox()->post(ColdStartRulesChanged {{std::chrono::seconds(20), 17, 30.5, true}});
+    m_agent->mailbox()->post(ColdLeftMeasured {std::chrono::seconds(10)});
+    reportToBoth(0);
+    LoadReport empty;
+    empty.backend = Address("127.0.0.1:80");
+    // The subscriptions hold for 800 ms.
+    for (int i = 0; i < 12; ++i) {
+        m_agent->mailbox()->post(empty);
+        runFor(milliseconds(50));
+    }
+    std::uint32_t sum = 0;
+    for (const EntryStandin *entry : {&m_first, &m_second}) {
+        for (const LoadReport &report : entry->reports) {
+            sum += report.credits.value_or(0);
+            REQUIRE(report.coldLeft.value_or(milliseconds(0)) > milliseconds(8000));
+            REQUIRE(report.sentAt);
+        }
+    }
+    REQUIRE(sum > 0);
+    REQUIRE(sum <= credited);
+}
+
 TEST_CASE_METHOD(LoadReportsFixture, "agent_toldOfTargetVersionByOneEntry_tellsAnother")
 {
     subscribe(m_first, 2);
