--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -65,6 +65,8 @@
     if (!m_settings.region.isEmpty()) {
         options.loads.zoneRegions.emplace(m_settings.zone, m_settings.region);
     }
+    options.loads.ip = m_settings.ip;
+    options.loads.bounds = m_settings.bounds;
     options.bounds = m_settings.bounds;
     options.hedgeRatio = m_settings.hedgeRatio;
     DispatcherHooks dispatcherHooks;
@@ -134,8 +136,11 @@
     };
     hooks.onEntriesChanged = [this, self](const std::vector<EntryLocation> &entries) {
         m_log.info("entries.changed", {{"entries", entries.size()}});
-        m_dispatcher->mailbox()->post(
-                EntryCountChanged {static_cast<std::uint32_t>(entries.size())});
+        EntryCountChanged change {static_cast<std::uint32_t>(entries.size()), {}};
+        for (const EntryLocation &entry : entries) {
+            change.ips.push_back(entry.ip);
+        }
+        m_dispatcher->mailbox()->post(std::move(change));
         m_exchange->fetcher()->post(FetcherEntriesChanged {entries});
         m_replicaWatcher->relyOnPeers(zoneReaderRank(entries, self));
         m_operatorReader->setEntries(entries);
