Test that callers outside the limits bring an entry over its memory and sockets

Cause: limits hold for each request, none for the process. Callers that send trailers or chunk extensions without end, many bodies of legal size, or that do not read their answers fill the memory of an entry until it is killed.

Change: failure-callerlimits sends such crowds to an entry process with lowered limits, and checks its peak memory, its sockets, its readiness and an ordinary request. No product code changes. EdgeProcess tells its process id and the address of its metrics.

--- a/tests/failure/edgeprocess.h
+++ b/tests/failure/edgeprocess.h
@@ -29,6 +29,10 @@
 
     const Address &frontAddress() const { return m_frontAddress; }
     const Address &readyAddress() const { return m_readyAddress; }
+    /** @returns the address at which the entry serves its metrics */
+    const Address &metricsAddress() const { return m_metricsAddress; }
+    /** @returns the process id */
+    pid_t id() const { return m_process->id(); }
     void signal(int number) const { m_process->signal(number); }
     /** @returns the exit code, or -1 if the process still runs */
     int exitCode() { return m_process->wait(Duration::zero()); }
@@ -38,6 +42,7 @@
 private:
     Address m_frontAddress;
     Address m_readyAddress;
+    Address m_metricsAddress;
     /** Path of the settings file and the log, without their suffixes. */
     std::string m_path;
     std::unique_ptr<Process> m_process;
--- /dev/null
+++ b/tests/failure/tst_callerlimits.cpp
@@ -0,0 +1,345 @@
+/**
+ * Guards against callers that make an entry process exceed its memory or its file descriptors.
+ *
+ * Each test sends a crowd of such callers to an entry with lowered limits. The checks do not depend
+ * on the speed of the machine: the process lives, its peak memory and its open sockets stay below
+ * the limits, it says that it is ready, and an ordinary request is answered.
+ * labels: platform
+ */
+#include "edgeprocess.h"
+#include "fleetstandin.h"
+#include "net/clock.h"
+#include "scriptedstandin.h"
+#include "testcaller.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+
+namespace greengageseam {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto conditionTimeout = std::chrono::seconds(15);
+/** Longest time for which a crowd sends. */
+constexpr auto crowdTime = std::chrono::seconds(6);
+/** Longer than a backend server may take in any test, and shorter than the route's timeout. */
+constexpr auto slowAnswerDelay = std::chrono::seconds(3);
+constexpr std::size_t maxMemoryMb = 64;
+constexpr std::size_t maxDescriptors = 600;
+/** Descriptors of the limit that are reserved for files. */
+constexpr std::size_t fileDescriptors = 200;
+constexpr std::size_t maxBodyBytes = 1024UL * 1024;
+/** Bytes that are missing from the end of an unfinished body. */
+constexpr std::size_t missingBytes = 10;
+constexpr std::size_t fewCallers = 8;
+constexpr std::size_t manyCallers = 90;
+constexpr std::size_t idleCallers = 700;
+/** Bytes that a caller sends at most if the entry goes on reading. */
+constexpr std::size_t maxBytesOfCaller = 24UL * 1024 * 1024;
+constexpr std::size_t pieceBytes = 64UL * 1024;
+constexpr std::size_t answerBytes = 1000UL * 1000;
+constexpr std::size_t requestsOfSilentReader = 4;
+const std::string sealedHead = "HTTP/1.1 200 OK\r\nAttempt-Id: ATTEMPT\r\nServer-Seal: s\r\n";
+const std::string readinessRequest = "GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/** What a caller of a crowd sends. It reads nothing, and keeps its connection open. */
+struct CallerScript
+{
+    std::string opening;
+    /** Sent over and over after the opening; nothing if empty. */
+    std::string repeated;
+    /** Total of the repetitions. */
+    std::size_t repeatedBytes = 0;
+
+    auto operator<=>(const CallerScript &) const = default;
+};
+
+/** A caller of a crowd. */
+struct CrowdMember
+{
+    explicit CrowdMember(const asio::any_io_executor &executor) : socket(executor) { }
+
+    asio::ip::tcp::socket socket;
+    /** Whether everything was sent, or the entry has closed the connection. */
+    bool isDone = false;
+};
+
+using CrowdMemberPtr = std::shared_ptr<CrowdMember>;
+using CallerScriptPtr = std::shared_ptr<const CallerScript>;
+
+Awaitable<void> play(CrowdMemberPtr member, Address address, CallerScriptPtr script)
+{
+    const auto endpoint = toOutcome([&] { return parseEndpoint(address); });
+    auto [ec] = co_await member->socket.async_connect(std::get<asio::ip::tcp::endpoint>(endpoint),
+                                                      asTuple);
+    if (!ec) {
+        auto [error, n] =
+                co_await asio::async_write(member->socket, asio::buffer(script->opening), asTuple);
+        ec = error;
+    }
+    std::size_t sent = 0;
+    while (!ec && sent < script->repeatedBytes && !script->repeated.empty()) {
+        const std::size_t size = std::min(script->repeated.size(), script->repeatedBytes - sent);
+        auto [error, n] = co_await asio::async_write(
+                member->socket, asio::buffer(script->repeated.data(), size), asTuple);
+        ec = error;
+        sent += n;
+    }
+    member->isDone = true;
+}
+
+/** @returns the text as often as it fits into one piece that is sent at once */
+std::string pieceOf(const std::string &text)
+{
+    std::string piece;
+    while (piece.size() + text.size() <= pieceBytes) {
+        piece += text;
+    }
+    return piece;
+}
+
+std::string headOf(const std::string &framing)
+{
+    return "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a-1\r\nKey: key\r\n"
+           "Remaining-Time-Ms: 6000\r\n"
+            + framing + "\r\n";
+}
+
+std::string lengthField(std::size_t bytes)
+{
+    return "Content-Length: " + std::to_string(bytes) + "\r\n";
+}
+
+const std::string chunkedField = "Transfer-Encoding: chunked\r\n";
+
+/** Runs an entry process with low limits against a stand-in store and a backend server. */
+class CallerLimitsFixture
+{
+protected:
+    CallerLimitsFixture()
+        : m_log(LogLevel::Error, {}), m_store(m_context.get_executor(), m_log),
+          m_script(std::make_shared<AnswerScript>()), m_server(m_context.get_executor(), m_script)
+    {
+        answerWith("done", Duration::zero());
+        m_store.put("keyed.op", "config",
+                    R"({"version":1,"routes":[{"name":"r","host":"a.example","pathPrefix":"/x/",)"
+                    R"("routeKind":"idempotent","timeoutMs":6000,"targetLatencyMs":400,)"
+                    R"("service":"p","maxAttempts":1}],"services":[{"name":"p"}],)"
+                    R"("limits":{"maxHeaderBytes":16384,"headerTimeoutMs":3000,)"
+                    R"("idleTimeoutMs":15000,"maxBodyBytes":)"
+                            + std::to_string(maxBodyBytes)
+                            + R"(},"tenants":[{"name":"ann","apiKeys":["key"]}]})");
+        m_store.put("keyed.servers", "i-1",
+                    R"({"service":"p","address":")" + m_server.address().text()
+                            + R"(","zone":"a","slots":1000,"state":"ready","born":1})");
+        m_entry.emplace(m_context, m_store.address(),
+                        "limits.memoryMb=" + std::to_string(maxMemoryMb)
+                                + "\nlimits.maxFds=" + std::to_string(maxDescriptors) + "\n");
+        REQUIRE(waitUntil(
+                [this] { return statusOf(m_entry->readyAddress(), readinessRequest) == 200; }));
+    }
+
+    void answerWith(const std::string &body, Duration delay)
+    {
+        ScriptedAnswer answer;
+        answer.bytes = sealedHead + lengthField(body.size()) + "\r\n" + body;
+        answer.delay = delay;
+        m_script->answers = {answer};
+    }
+
+    /** Sends what a crowd has to send, and keeps its connections open. */
+    void runCrowd(std::size_t callers, const Address &address, const CallerScript &script)
+    {
+        const auto shared = std::make_shared<const CallerScript>(script);
+        for (std::size_t n = 0; n < callers; ++n) {
+            m_crowd.push_back(std::make_shared<CrowdMember>(m_context.get_executor()));
+            asio::co_spawn(m_context, play(m_crowd.back(), address, shared), asio::detached);
+        }
+        const Instant end = monotonicNow() + crowdTime;
+        const auto isDone = [](const CrowdMemberPtr &it) { return it->isDone; };
+        while (!std::all_of(m_crowd.begin(), m_crowd.end(), isDone) && monotonicNow() < end) {
+            m_context.run_for(milliseconds(50));
+            m_mostSockets = std::max(m_mostSockets, openSockets());
+        }
+    }
+
+    void runCrowd(std::size_t callers, const CallerScript &script)
+    {
+        runCrowd(callers, m_entry->frontAddress(), script);
+    }
+
+    /** Requires that the entry serves while the crowd is connected, and has kept its limits. */
+    void requireWithinLimits()
+    {
+        REQUIRE(m_entry->exitCode() == -1);
+        CHECK(statusOf(m_entry->readyAddress(), readinessRequest) == 200);
+        m_mostSockets = std::max(m_mostSockets, openSockets());
+        answerWith("done", Duration::zero());
+        CHECK(statusOf(m_entry->frontAddress(), headOf(lengthField(4)) + "body") == 200);
+        m_mostSockets = std::max(m_mostSockets, openSockets());
+        CHECK(peakMemoryKb() <= maxMemoryMb * 1024);
+        CHECK(m_mostSockets <= maxDescriptors - fileDescriptors);
+        REQUIRE(m_entry->exitCode() == -1);
+    }
+
+    /** Sends a request on a new connection. @returns the status; 0 without a response */
+    int statusOf(const Address &address, const std::string &text)
+    {
+        std::optional<CallerResponse> received;
+        asio::co_spawn(m_context, exchange(m_context.get_executor(), address, text, received),
+                       asio::detached);
+        waitUntil([&] { return received.has_value(); });
+        return received ? received->status : 0;
+    }
+
+    /** Runs the tasks until a condition holds. @returns false if it does not hold in time */
+    bool waitUntil(const std::function<bool()> &condition)
+    {
+        const Instant end = monotonicNow() + conditionTimeout;
+        while (!condition()) {
+            if (monotonicNow() > end) {
+                return false;
+            }
+            m_context.run_for(milliseconds(10));
+        }
+        return true;
+    }
+
+    std::string processFolder() const { return "/proc/" + std::to_string(m_entry->id()); }
+
+    /** @returns the peak of the process's resident memory in kilobytes; 0 if it is gone */
+    std::size_t peakMemoryKb() const
+    {
+        const std::string field = "VmHWM:";
+        std::ifstream file(processFolder() + "/status");
+        for (std::string line; std::getline(file, line);) {
+            if (line.starts_with(field)) {
+                return std::stoul(line.substr(field.size()));
+            }
+        }
+        return 0;
+    }
+
+    std::size_t openSockets() const
+    {
+        std::size_t count = 0;
+        std::error_code ec;
+        for (const auto &it : std::filesystem::directory_iterator(processFolder() + "/fd", ec)) {
+            std::error_code ignored;
+            const std::string target = std::filesystem::read_symlink(it.path(), ignored).string();
+            count += target.starts_with("socket:") ? 1 : 0;
+        }
+        return count;
+    }
+
+    asio::io_context m_context;
+    Log m_log;
+    StoreStandin m_store;
+    std::shared_ptr<AnswerScript> m_script;
+    ScriptedStandin m_server;
+    std::optional<EdgeProcess> m_entry;
+    std::vector<CrowdMemberPtr> m_crowd;
+    std::size_t m_mostSockets = 0;
+};
+
+TEST_CASE_METHOD(CallerLimitsFixture, "entry_noCrowd_keepsItsLimits")
+{
+    requireWithinLimits();
+}
+
+TEST_CASE_METHOD(CallerLimitsFixture, "entry_largestBodyWithoutLoad_isServed")
+{
+    const std::string body(maxBodyBytes, 'b');
+    REQUIRE(statusOf(m_entry->frontAddress(), headOf(lengthField(body.size())) + body) == 200);
+    requireWithinLimits();
+}
+
+// Trailers are kept until the message is complete.
+TEST_CASE_METHOD(CallerLimitsFixture, "entry_trailersWithoutEnd_keepsItsLimits")
+{
+    runCrowd(fewCallers,
+             {headOf(chunkedField) + "4\r\nbody\r\n0\r\n", pieceOf("A: b\r\n"), maxBytesOfCaller});
+    requireWithinLimits();
+}
+
+TEST_CASE_METHOD(CallerLimitsFixture, "entry_chunkExtensionsWithoutEnd_keepsItsLimits")
+{
+    runCrowd(fewCallers, {headOf(chunkedField) + "4;a=", pieceOf("b"), maxBytesOfCaller});
+    requireWithinLimits();
+}
+
+TEST_CASE_METHOD(CallerLimitsFixture, "entry_headsWithoutEnd_keepsItsLimits")
+{
+    runCrowd(fewCallers, {"POST /x/1 HTTP/1.1\r\nA: ", pieceOf("b"), maxBytesOfCaller});
+    requireWithinLimits();
+}
+
+TEST_CASE_METHOD(CallerLimitsFixture, "entry_bodiesAnnouncedOverTheLimit_keepsItsLimits")
+{
+    runCrowd(fewCallers, {headOf(lengthField(maxBytesOfCaller)), pieceOf("b"), maxBytesOfCaller});
+    requireWithinLimits();
+}
+
+TEST_CASE_METHOD(CallerLimitsFixture, "entry_chunkedBodiesOverTheLimit_keepsItsLimits")
+{
+    runCrowd(fewCallers,
+             {headOf(chunkedField), pieceOf("400\r\n" + std::string(1024, 'b') + "\r\n"),
+              maxBytesOfCaller});
+    requireWithinLimits();
+}
+
+// Each body is within the limit of a request, but all of them are not within that of the process.
+TEST_CASE_METHOD(CallerLimitsFixture, "entry_manyBodiesStopShortOfTheirEnd_keepsItsLimits")
+{
+    runCrowd(manyCallers,
+             {headOf(lengthField(maxBodyBytes)), pieceOf("b"), maxBodyBytes - missingBytes});
+    requireWithinLimits();
+}
+
+TEST_CASE_METHOD(CallerLimitsFixture, "entry_manyLargeBodiesAtOnce_keepsItsLimits")
+{
+    answerWith("done", slowAnswerDelay);
+    runCrowd(manyCallers, {headOf(lengthField(maxBodyBytes)), pieceOf("b"), maxBodyBytes});
+    requireWithinLimits();
+}
+
+TEST_CASE_METHOD(CallerLimitsFixture, "entry_manyIdleConnections_keepsItsLimits")
+{
+    runCrowd(idleCallers, {});
+    requireWithinLimits();
+}
+
+TEST_CASE_METHOD(CallerLimitsFixture, "entry_answersAreNotRead_keepsItsLimits")
+{
+    answerWith(std::string(answerBytes, 'a'), Duration::zero());
+    std::string requests;
+    for (std::size_t n = 0; n < requestsOfSilentReader; ++n) {
+        requests += headOf(lengthField(4)) + "body";
+    }
+    runCrowd(manyCallers, {requests, "", 0});
+    m_context.run_for(slowAnswerDelay);
+    requireWithinLimits();
+}
+
+TEST_CASE_METHOD(CallerLimitsFixture, "readinessPort_trailersWithoutEnd_keepsItsLimits")
+{
+    runCrowd(fewCallers, m_entry->readyAddress(),
+             {headOf(chunkedField) + "4\r\nbody\r\n0\r\n", pieceOf("A: b\r\n"), maxBytesOfCaller});
+    requireWithinLimits();
+}
+
+TEST_CASE_METHOD(CallerLimitsFixture, "metricsPort_trailersWithoutEnd_keepsItsLimits")
+{
+    runCrowd(fewCallers, m_entry->metricsAddress(),
+             {headOf(chunkedField) + "4\r\nbody\r\n0\r\n", pieceOf("A: b\r\n"), maxBytesOfCaller});
+    requireWithinLimits();
+}
+
+} // namespace
+} // namespace greengageseam
