Give a process one budget for what it holds for its callers

Cause: limits hold for each request, and nothing added up what all callers hold. Chunk headers and trailers had no limit at all, bodies and answers were copied up to three times, and connections were limited by a constant.

Change: core/fleet/memorybudget decides whether bytes may be held for a connection, and which one is closed first; edge/processbudget carries it out. Callers' requests are read in parts into bounded buffers and charged as they arrive; answers wait at their backend server until there is room. Attempts send the body of the request itself.

--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -15,6 +15,7 @@
 #include "core/fleet/fleetconfig.h"
 #include "core/fleet/listeninghistory.h"
 #include "core/fleet/loadbalancer.h"
+#include "core/fleet/memorybudget.h"
 #include "core/fleet/nodesettings.h"
 #include "core/fleet/partverdicts.h"
 #include "core/fleet/pieces.h"
--- a/source/edge/callerconnection.cpp
+++ b/source/edge/callerconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "net/clock.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
@@ -16,6 +17,12 @@
 
 /** Size of the read that waits for the first bytes of a request. */
 constexpr std::size_t readAheadBytes = 8 * 1024;
+/** Bytes of a body that are charged to the budget in one step. */
+constexpr std::size_t bodyStepBytes = 8 * 1024;
+/** An answer that holds no more than this is written also when the budget has no room. */
+constexpr std::size_t smallAnswerBytes = 64 * 1024;
+/** Retry-After in seconds of a request for which there is no room. */
+constexpr std::string_view noRoomRetryAfter = "0.500";
 /** Interval at which a connection checks its timeouts. */
 constexpr auto timeoutCheckInterval = std::chrono::milliseconds(500);
 /** The same interval once the server has stopped, so that requests expire in time. */
@@ -27,7 +34,11 @@
 
 RequestRejected rejectionFor(const boost::system::error_code &ec)
 {
-    if (ec == http::error::header_limit) {
+    if (ec == asio::error::no_buffer_space) {
+        return {ErrorKind::Overloaded, 0};
+    }
+    // Chunk headers and trailers that do not end fill the buffer.
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
         return {ErrorKind::TooLarge, statusHeaderTooLarge};
     }
     if (ec == http::error::body_limit) {
@@ -41,7 +52,7 @@
 {
     const auto &httpCategory = http::make_error_code(http::error::end_of_stream).category();
     return ec == http::error::end_of_stream || ec == http::error::partial_message
-            || ec.category() != httpCategory;
+            || (ec.category() != httpCategory && ec != asio::error::no_buffer_space);
 }
 
 std::string_view nameOf(CloseCause cause)
@@ -55,6 +66,8 @@
         return "response-incomplete";
     case CloseCause::Stopped:
         return "stopped";
+    case CloseCause::NoRoom:
+        return "no-room";
     case CloseCause::Idle:
         break;
     }
@@ -86,6 +99,11 @@
 
 void CallerConnection::start()
 {
+    m_holder = m_server->budget->add([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->closeForRoom();
+        }
+    });
     setTcpOptions(m_socket, unreadResponseTimeout);
     const auto executor = m_socket.get_executor();
     asio::co_spawn(
@@ -102,6 +120,7 @@
     m_isClosed = true;
     recordClose(cause);
     --m_server->connections;
+    m_server->budget->remove(m_holder);
     boost::system::error_code ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     m_socket.close(ignored);
@@ -109,6 +128,16 @@
     m_events->close();
 }
 
+void CallerConnection::closeForRoom()
+{
+    if (m_writer != nullptr) {
+        m_writer->markDisconnected();
+    }
+    boost::system::error_code ignored;
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    close(CloseCause::NoRoom);
+}
+
 /** Counts the close, and logs it if the caller may believe that it can send another request. */
 void CallerConnection::recordClose(CloseCause cause) const
 {
@@ -168,6 +197,20 @@
     }
 }
 
+Awaitable<bool> CallerConnection::awaitBytes()
+{
+    // An idle connection holds no buffer.
+    m_buf = beast::flat_buffer(m_server->limits.maxHeaderBytes + readAheadBytes);
+    auto [waitError] = co_await m_socket.async_wait(asio::socket_base::wait_read, asTuple);
+    boost::system::error_code ec = waitError;
+    if (!ec) {
+        auto [error, n] = co_await m_socket.async_read_some(m_buf.prepare(readAheadBytes), asTuple);
+        m_buf.commit(n);
+        ec = error;
+    }
+    co_return !ec;
+}
+
 /**
  * Reads the next request. It reads ahead even while a response is in progress, because a read is
  * the only way to notice that the caller has disconnected.
@@ -176,65 +219,105 @@
  */
 Awaitable<bool> CallerConnection::readRequest()
 {
-    if (m_buf.size() == 0) {
-        auto [ec, n] = co_await m_socket.async_read_some(m_buf.prepare(readAheadBytes), asTuple);
-        if (ec) {
-            if (m_writer != nullptr) {
-                m_writer->markDisconnected();
-            }
-            ConnectionEvent disconnected = CallerDisconnected {};
-            co_await m_events->send(std::move(disconnected));
-            co_return false;
-        }
-        m_buf.commit(n);
+    bool isConnected = m_buf.size() > 0;
+    if (!isConnected) {
+        isConnected = co_await awaitBytes();
     }
-    m_activity.beginRequest(monotonicNow());
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes));
-    parser.body_limit(m_server->limits.maxBodyBytes);
-    auto [headerError, headerBytes] =
-            co_await http::async_read_header(m_socket, m_buf, parser, asTuple);
-    boost::system::error_code ec = headerError;
-    if (!ec && !parser.is_done()) {
-        m_activity.beginBody(monotonicNow());
-        if (parser.get()[http::field::expect] == "100-continue") {
-            const std::string text = "HTTP/1.1 100 Continue\r\n\r\n";
-            co_await asio::async_write(m_socket, asio::buffer(text), asTuple);
+    if (!isConnected) {
+        if (m_writer != nullptr) {
+            m_writer->markDisconnected();
         }
-        auto [bodyError, bodyBytes] = co_await http::async_read(m_socket, m_buf, parser, asTuple);
-        ec = bodyError;
+        ConnectionEvent disconnected = CallerDisconnected {};
+        co_await m_events->send(std::move(disconnected));
+        co_return false;
     }
+    m_activity.beginRequest(monotonicNow());
+    Parser parser;
+    const auto held = std::make_shared<HeldBytes>(m_server->budget, m_holder);
+    const boost::system::error_code ec = co_await readMessage(parser, *held);
+    m_activity.endRequest();
     if (ec) {
         if (m_writer != nullptr) {
             m_writer->markDisconnected();
         }
-        m_activity.endRequest();
         ConnectionEvent event = isDisconnect(ec) ? ConnectionEvent(CallerDisconnected {})
                                                  : ConnectionEvent(rejectionFor(ec));
         co_await m_events->send(std::move(event));
         co_return false;
     }
-    auto &message = parser.get();
-    RequestReceived call;
-    call.arrivedAt = monotonicNow();
-    call.isKeepAlive = message.keep_alive();
-    call.isHttp10 = message.version() <= http10Version;
-    call.request.method = std::string(message.method_string());
-    call.request.target = std::string(message.target());
-    for (const auto &field : message) {
-        call.request.headers.push_back(
-                {std::string(field.name_string()), std::string(field.value())});
-    }
-    call.request.body = std::move(message.body());
+    RequestReceived call = takeRequest(parser, held);
     const bool isAmbiguous =
-            call.request.header("Transfer-Encoding") && call.request.header("Content-Length");
+            call.request->header("Transfer-Encoding") && call.request->header("Content-Length");
     ConnectionEvent event = isAmbiguous
             ? ConnectionEvent(RequestRejected {ErrorKind::InvalidRequest, 0})
             : ConnectionEvent(std::move(call));
-    m_activity.endRequest();
     co_return co_await m_events->send(std::move(event));
 }
 
+Awaitable<boost::system::error_code> CallerConnection::readMessage(Parser &parser, HeldBytes &held)
+{
+    const CallerLimits &limits = m_server->limits;
+    parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+    parser.body_limit(limits.maxBodyBytes);
+    m_buf.max_size(std::max(limits.maxHeaderBytes + readAheadBytes, m_buf.size()));
+    if (!held.resize(limits.maxHeaderBytes + readAheadBytes)) {
+        co_return asio::error::no_buffer_space;
+    }
+    auto [ec, n] = co_await http::async_read_header(m_socket, m_buf, parser, asTuple);
+    if (ec || parser.is_done()) {
+        // A head that fills the buffer is as long as one that exceeds the limit.
+        co_return ec == http::error::buffer_overflow ? http::error::header_limit : ec;
+    }
+    m_activity.beginBody(monotonicNow());
+    if (parser.get()[http::field::expect] == "100-continue") {
+        const std::string text = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(m_socket, asio::buffer(text), asTuple);
+    }
+    co_return co_await readBody(parser, held);
+}
+
+Awaitable<boost::system::error_code> CallerConnection::readBody(Parser &parser, HeldBytes &held)
+{
+    const std::size_t headBytes = held.bytes();
+    if (parser.chunked()) {
+        // A string that grows step by step holds its bytes twice for a moment. Pages that are not
+        // written take no memory.
+        parser.get().body().reserve(m_server->limits.maxBodyBytes);
+    }
+    parser.eager(true);
+    while (!parser.is_done()) {
+        const std::size_t needed = headBytes + parser.get().body().size() + bodyStepBytes;
+        if (needed > held.bytes() && !held.resize(needed + bodyStepBytes)) {
+            co_return asio::error::no_buffer_space;
+        }
+        auto [ec, n] = co_await http::async_read_some(m_socket, m_buf, parser, asTuple);
+        if (ec) {
+            co_return ec;
+        }
+    }
+    held.resize(headBytes + parser.get().body().size());
+    co_return boost::system::error_code();
+}
+
+RequestReceived CallerConnection::takeRequest(Parser &parser, HeldBytesPtr held) const
+{
+    auto &message = parser.get();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    request.body = std::move(message.body());
+    RequestReceived call;
+    call.request = std::make_shared<const HttpRequest>(std::move(request));
+    call.held = std::move(held);
+    call.arrivedAt = monotonicNow();
+    call.isKeepAlive = message.keep_alive();
+    call.isHttp10 = message.version() <= http10Version;
+    return call;
+}
+
 Awaitable<void> CallerConnection::serve()
 {
     std::optional<CloseCause> closeCause;
@@ -262,7 +345,10 @@
     const auto closesAfter = [server = m_server, isKeepAlive = call.isKeepAlive] {
         return !isKeepAlive || server->plannedStop;
     };
-    ResponseWriter writer(m_socket, call.request.method == "HEAD", call.isHttp10, closesAfter);
+    m_server->budget->setPhase(m_holder, HolderPhase::Serving);
+    m_server->budget->makeRoomForSockets(0, m_server->inProgress);
+    ResponseWriter writer(m_socket, call.request->method == "HEAD", call.isHttp10, closesAfter,
+                          budgetHooks());
     m_writer = &writer;
     RequestProxy proxy(m_context, call.request, writer, call.arrivedAt);
     m_proxy = &proxy;
@@ -274,18 +360,48 @@
     m_proxy = nullptr;
     m_writer = nullptr;
     --m_server->inProgress;
+    m_heldAnswer.reset();
     m_activity.endResponse(monotonicNow());
+    m_server->budget->setPhase(m_holder, HolderPhase::Reading);
     co_return closeCauseAfter(writer);
 }
 
+/** Bytes that were held when the answer was read are not charged again as it is written. */
+bool CallerConnection::holdAnswer(std::size_t bytes)
+{
+    if (!m_heldAnswer) {
+        m_heldAnswer = std::make_shared<HeldBytes>(m_server->budget, m_holder);
+    }
+    return m_heldAnswer->resize(std::max(bytes, m_heldAnswer->bytes()));
+}
+
+ResponseBudgetHooks CallerConnection::budgetHooks()
+{
+    ResponseBudgetHooks hooks;
+    hooks.hold = [this](std::size_t bytes) { return holdAnswer(bytes); };
+    hooks.begin = [this](std::size_t bytes) {
+        m_server->budget->setPhase(m_holder, HolderPhase::Responding);
+        return holdAnswer(bytes) || bytes <= m_heldAnswer->bytes() + smallAnswerBytes;
+    };
+    hooks.onProgress = [this] { m_server->budget->setPhase(m_holder, HolderPhase::Responding); };
+    hooks.end = [this] {
+        m_heldAnswer.reset();
+        m_server->budget->setPhase(m_holder, HolderPhase::Serving);
+    };
+    return hooks;
+}
+
 Awaitable<void> CallerConnection::rejectRequest(const RequestRejected &call)
 {
     ResponseWriter writer(m_socket, false, false, [] { return true; });
     const ErrorDescriptor &answer = descriptorFor(call.kind);
     const int status = call.status == 0 ? answer.httpStatus : call.status;
-    const std::vector<HttpHeader> fields;
-    std::string body;
-    co_await writer.respond(status, fields, std::move(body));
+    std::vector<HttpHeader> fields;
+    if (call.kind == ErrorKind::Overloaded) {
+        fields.push_back({"Retry-After", std::string(noRoomRetryAfter)});
+    }
+    const std::string body;
+    co_await writer.respond(status, fields, body);
     m_context.log.info("caller.rejected", {{"status", status}, {"cause", answer.name}});
 }
 
--- a/source/edge/callerconnection.h
+++ b/source/edge/callerconnection.h
@@ -5,10 +5,13 @@
 #pragma once
 
 #include "core/fleet/calleractivity.h"
+#include "edge/processbudget.h"
 #include "edge/requestproxy.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -19,7 +22,10 @@
 /** A complete request was read. */
 struct RequestReceived
 {
-    HttpRequest request;
+    /** Not null. */
+    HttpRequestPtr request;
+    /** The bytes that the request holds; released with the message. */
+    HeldBytesPtr held;
     Instant arrivedAt;
     /** Whether the caller keeps the connection open for further requests. */
     bool isKeepAlive = true;
@@ -54,11 +60,15 @@
     Stopped,
     /** It was idle for longer than the limit. */
     Idle,
+    /** It held memory or a descriptor that others needed. */
+    NoRoom,
 };
 
 /** State shared by all connections of a server. */
 struct CallerServerState
 {
+    /** Not null. */
+    ProcessBudgetPtr budget;
     CallerLimits limits;
     /**
      * Once it is set, each response announces that its connection closes. Once it has expired,
@@ -90,6 +100,17 @@
     Awaitable<void> rejectRequest(const RequestRejected &call);
     Awaitable<void> readLoop();
     Awaitable<bool> readRequest();
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    /** Waits for the first bytes of a request. @returns false if the caller has disconnected */
+    Awaitable<bool> awaitBytes();
+    /** Reads a request into the parser, and charges what arrives to the budget. */
+    Awaitable<boost::system::error_code> readMessage(Parser &parser, HeldBytes &held);
+    Awaitable<boost::system::error_code> readBody(Parser &parser, HeldBytes &held);
+    RequestReceived takeRequest(Parser &parser, HeldBytesPtr held) const;
+    bool holdAnswer(std::size_t bytes);
+    ResponseBudgetHooks budgetHooks();
+    /** Closes the connection because others need what it holds. */
+    void closeForRoom();
     void checkTimeouts();
     bool hasUnreadBytes() const;
     void close(CloseCause cause);
@@ -100,7 +121,12 @@
     std::shared_ptr<CallerServerState> m_server;
     MailboxPtr<ConnectionEvent> m_events;
     Timer m_timer;
+    /** Received bytes that are not parsed yet. Its size is limited. */
     boost::beast::flat_buffer m_buf;
+    /** Identifies the connection in the budget. */
+    HolderId m_holder = 0;
+    /** Bytes of the answer that is being read or written; null without one. */
+    HeldBytesPtr m_heldAnswer;
     CallerActivity m_activity;
     /** Writer of the response in progress; null between requests. */
     ResponseWriter *m_writer = nullptr;
--- a/source/edge/callerserver.cpp
+++ b/source/edge/callerserver.cpp
@@ -14,10 +14,13 @@
 
 } // namespace
 
-CallerServer::CallerServer(RequestContext context, std::size_t maxConnections, Duration idleNotice)
+CallerServer::CallerServer(RequestContext context, ProcessBudgetPtr budget,
+                           std::size_t maxConnections, Duration idleNotice)
     : m_context(std::move(context)), m_maxConnections(maxConnections), m_idleNotice(idleNotice),
       m_state(std::make_shared<CallerServerState>()), m_acceptor(m_context.executor)
-{ }
+{
+    m_state->budget = std::move(budget);
+}
 
 Result<void> CallerServer::listen(const Address &address)
 {
@@ -58,7 +61,7 @@
 {
     boost::system::error_code ec;
     m_acceptor.non_blocking(true, ec);
-    while (!ec && m_state->connections < m_maxConnections) {
+    while (!ec && hasRoom()) {
         asio::ip::tcp::socket socket(m_context.executor);
         m_acceptor.accept(socket, ec);
         if (!ec) {
@@ -72,11 +75,17 @@
     std::make_shared<CallerConnection>(std::move(socket), m_context, m_state)->start();
 }
 
+bool CallerServer::hasRoom()
+{
+    const bool isWithinBudget = m_state->budget->makeRoomForSockets(1, m_state->inProgress);
+    return isWithinBudget && m_state->connections < m_maxConnections;
+}
+
 Awaitable<void> CallerServer::acceptLoop()
 {
     while (m_acceptor.is_open()) {
         auto [ec, socket] = co_await m_acceptor.async_accept(asTuple);
-        if (ec || m_state->connections >= m_maxConnections) {
+        if (ec || !hasRoom()) {
             Timer timer(m_context.executor, acceptRetryDelay);
             co_await timer.async_wait(asTuple);
             continue;
--- a/source/edge/callerserver.h
+++ b/source/edge/callerserver.h
@@ -12,12 +12,14 @@
 {
 public:
     /**
+     * @param budget not null
      * @param maxConnections maximum number of open connections; further ones are closed once
      *        accepted
      * @param idleNotice how long an idle connection stays open during a planned stop at least, so
      *        that its caller can send a request and learn of the stop from the response
      */
-    CallerServer(RequestContext context, std::size_t maxConnections, Duration idleNotice);
+    CallerServer(RequestContext context, ProcessBudgetPtr budget, std::size_t maxConnections,
+                 Duration idleNotice);
 
     /** Opens the listening socket. @returns InvalidRequest if the address cannot be used */
     Result<void> listen(const Address &address);
@@ -46,6 +48,8 @@
     Awaitable<void> acceptLoop();
     void serveConnection(asio::ip::tcp::socket socket);
     void acceptWaitingConnections();
+    /** Closes an idle connection if that makes room for another one. */
+    bool hasRoom();
 
     RequestContext m_context;
     std::size_t m_maxConnections;
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -39,6 +39,10 @@
  */
 constexpr auto initialTargetGrace = std::chrono::seconds(3);
 constexpr std::size_t maxCallerConnections = 2000;
+/** Limits of the readiness and metrics ports, whose connections are not part of the budget. */
+constexpr std::size_t maxProbeBodyBytes = 4UL * 1024;
+constexpr std::size_t maxProbeConnections = 32;
+constexpr auto probeReadTimeout = std::chrono::seconds(3);
 /** Share of the machine's link bandwidth that weight transfers may use. */
 constexpr double weightsLinkShare = 0.4;
 constexpr double bytesPerMegabit = 125'000;
@@ -77,16 +81,21 @@
                                   m_adapter.codec,
                                   m_metrics,
                                   m_log};
-    m_callerServer = std::make_shared<CallerServer>(context, maxCallerConnections,
+    m_budget = std::make_shared<ProcessBudget>(
+            budgetLimits(m_settings.memoryLimitMb, m_settings.descriptorLimit), m_metrics, m_log);
+    m_callerServer = std::make_shared<CallerServer>(context, m_budget, maxCallerConnections,
                                                     balancerDeregistrationTime);
     BOOST_LEAF_CHECK(m_callerServer->listen(m_settings.frontAddress));
 
+    const HttpServerOptions probeOptions = HttpServerOptions()
+                                                   .withMaxBodyBytes(maxProbeBodyBytes)
+                                                   .withReadTimeout(probeReadTimeout)
+                                                   .withMaxConnections(maxProbeConnections);
     const HttpHandler handler = [this](HttpExchange &exchange) { return handle(exchange); };
-    m_readinessServer =
-            std::make_shared<HttpServer>(m_executor, HttpServerOptions(), handler, m_log);
+    m_readinessServer = std::make_shared<HttpServer>(m_executor, probeOptions, handler, m_log);
     BOOST_LEAF_CHECK(m_readinessServer->listen(m_settings.readyAddress));
     const Address metrics(m_settings.ip + ":" + std::to_string(m_settings.lastPort));
-    m_controlServer = std::make_shared<HttpServer>(m_executor, HttpServerOptions(), handler, m_log);
+    m_controlServer = std::make_shared<HttpServer>(m_executor, probeOptions, handler, m_log);
     BOOST_LEAF_CHECK(m_controlServer->listen(metrics));
 
     BOOST_LEAF_CHECK(makeLoadListener());
@@ -299,6 +308,7 @@
     if (path == "/-/readiness") {
         response.status = isReady() ? statusOk : statusUnavailable;
     } else if (path == "/metrics") {
+        m_budget->updateGauges();
         response.body = m_metrics->text();
     } else {
         response.status = statusNotFound;
--- a/source/edge/edge.h
+++ b/source/edge/edge.h
@@ -53,6 +53,7 @@
     std::shared_ptr<Metrics> m_metrics;
     std::shared_ptr<Dispatcher> m_dispatcher;
     std::shared_ptr<PromptQuarantine> m_quarantine;
+    ProcessBudgetPtr m_budget;
     std::shared_ptr<CallerServer> m_callerServer;
     std::shared_ptr<HttpServer> m_readinessServer;
     std::shared_ptr<HttpServer> m_controlServer;
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -27,10 +27,10 @@
 
 } // namespace
 
-RequestProxy::RequestProxy(const RequestContext &context, const HttpRequest &request,
+RequestProxy::RequestProxy(const RequestContext &context, HttpRequestPtr request,
                            ResponseWriter &writer, Instant arrivedAt)
-    : m_context(context), m_request(request), m_writer(writer), m_arrivedAt(arrivedAt),
-      m_deadline(arrivedAt), m_call(context.codec.decodeRequestMetadata(request)),
+    : m_context(context), m_request(std::move(request)), m_writer(writer), m_arrivedAt(arrivedAt),
+      m_deadline(arrivedAt), m_call(context.codec.decodeRequestMetadata(*m_request)),
       m_promptParts(sharedParts(m_call.promptParts)),
       m_inbox(makeMailbox<ProxyMessage>(context.executor, inboxCapacity)),
       m_silenceTimer(context.executor), m_patienceTimer(context.executor),
@@ -85,7 +85,7 @@
 Awaitable<bool> RequestProxy::admit()
 {
     const auto reply = makeMailbox<Outcome<Admission>>(m_context.executor, 1);
-    AdmissionQuery query {m_request.header("Host").value_or(std::string()), m_request.target,
+    AdmissionQuery query {m_request->header("Host").value_or(std::string()), m_request->target,
                           m_call.apiKey, m_call.remaining, reply};
     if (!m_context.dispatcher->post(std::move(query))) {
         co_await respondWithError(ErrorKind::Overloaded, ExecutionStatus::NotExecuted,
@@ -243,8 +243,8 @@
     keepOnly(ended.lease);
     m_silenceTimer.cancel();
     if (ended.response) {
-        std::string body = ended.response->body;
-        co_await m_writer.respond(ended.response->status, ended.response->headers, std::move(body));
+        co_await m_writer.respond(ended.response->status, ended.response->headers,
+                                  ended.response->body);
         finish("answered", ended.response->status, {});
         co_return;
     }
@@ -269,8 +269,7 @@
     }
     if (m_lastFailure.response) {
         const HttpResponse &response = *m_lastFailure.response;
-        std::string body = response.body;
-        co_await m_writer.respond(response.status, response.headers, std::move(body));
+        co_await m_writer.respond(response.status, response.headers, response.body);
         finish("failed-by-replica", response.status, cause);
         co_return;
     }
@@ -293,7 +292,7 @@
     if (answer.ran == ExecutionStatus::NotExecuted && answer.retry == RetryAdvice::Later) {
         fields.push_back({"Retry-After", formatSeconds(retryAfter)});
     }
-    co_await m_writer.respond(problem.status, fields, std::move(problem.body));
+    co_await m_writer.respond(problem.status, fields, problem.body);
     finish("refused", problem.status, answer.name);
 }
 
--- a/source/edge/requestproxy.h
+++ b/source/edge/requestproxy.h
@@ -21,8 +21,11 @@
 class RequestProxy
 {
 public:
-    /** @param arrivedAt time at which the request was read completely; its timeout starts there */
-    RequestProxy(const RequestContext &context, const HttpRequest &request, ResponseWriter &writer,
+    /**
+     * @param request not null
+     * @param arrivedAt time at which the request was read completely; its timeout starts there
+     */
+    RequestProxy(const RequestContext &context, HttpRequestPtr request, ResponseWriter &writer,
                  Instant arrivedAt);
 
     /** Sends a complete response, or aborts a stream so that the caller sees it is incomplete. */
@@ -98,7 +101,7 @@
     Duration remainingTime() const;
 
     const RequestContext &m_context;
-    const HttpRequest &m_request;
+    HttpRequestPtr m_request;
     ResponseWriter &m_writer;
     Instant m_arrivedAt;
     Instant m_deadline;
--- a/source/edge/requestproxyattempts.cpp
+++ b/source/edge/requestproxyattempts.cpp
@@ -129,6 +129,7 @@
     options.isIdempotent = canRetry();
     options.isResumption = m_isStreaming;
     options.start = m_nextStart;
+    options.mayHold = [this](std::size_t bytes) { return m_writer.mayHold(bytes); };
     m_attempts.push_back(
             std::make_shared<UpstreamAttempt>(m_context, m_request, std::move(options), m_inbox));
     ++m_unreported;
--- a/source/edge/responsewriter.cpp
+++ b/source/edge/responsewriter.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/** Larger writes are split. */
+constexpr std::size_t maxPartBytes = 64UL * 1024;
+
 /** @returns the bytes as one chunk of the chunked transfer encoding */
 std::string encodeChunk(const std::string &bytes)
 {
@@ -20,9 +23,9 @@
 } // namespace
 
 ResponseWriter::ResponseWriter(asio::ip::tcp::socket &socket, bool isHead, bool isHttp10,
-                               std::function<bool()> closesAfter)
-    : m_socket(socket), m_closesAfter(std::move(closesAfter)), m_isHead(isHead),
-      m_isHttp10(isHttp10), m_closesConnection(isHttp10)
+                               std::function<bool()> closesAfter, ResponseBudgetHooks budget)
+    : m_socket(socket), m_closesAfter(std::move(closesAfter)), m_budget(std::move(budget)),
+      m_isHead(isHead), m_isHttp10(isHttp10), m_closesConnection(isHttp10)
 { }
 
 std::string ResponseWriter::formatHead(int status, const std::vector<HttpHeader> &fields)
@@ -44,25 +47,60 @@
 
 Awaitable<bool> ResponseWriter::write(std::string bytes)
 {
-    if (m_isDisconnected) {
+    if (!beginWrite(bytes.size())) {
         co_return false;
     }
-    auto [ec, n] = co_await asio::async_write(m_socket, asio::buffer(bytes), asTuple);
-    if (ec) {
+    const bool isWritten = co_await writeParts(bytes);
+    endWrite();
+    co_return isWritten;
+}
+
+Awaitable<bool> ResponseWriter::writeParts(std::string_view bytes)
+{
+    for (std::size_t at = 0; at < bytes.size() && !m_isDisconnected;) {
+        const std::string_view part = bytes.substr(at, maxPartBytes);
+        auto [ec, n] = co_await asio::async_write(m_socket, asio::buffer(part), asTuple);
+        if (ec) {
+            markDisconnected();
+        } else if (m_budget.onProgress) {
+            m_budget.onProgress();
+        }
+        at += part.size();
+    }
+    co_return !m_isDisconnected;
+}
+
+bool ResponseWriter::beginWrite(std::size_t bytes)
+{
+    if (!m_isDisconnected && m_budget.begin && !m_budget.begin(bytes)) {
         markDisconnected();
     }
-    co_return !ec;
+    return !m_isDisconnected;
+}
+
+void ResponseWriter::endWrite()
+{
+    if (m_budget.end) {
+        m_budget.end();
+    }
 }
 
 Awaitable<bool> ResponseWriter::respond(int status, const std::vector<HttpHeader> &fields,
-                                        std::string body)
+                                        const std::string &body)
 {
     std::string text = formatHead(status, fields);
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-    if (!m_isHead) {
-        text += body;
+    std::string_view rest = m_isHead ? std::string_view() : std::string_view(body);
+    const std::size_t joined = rest.size() <= maxPartBytes ? rest.size() : 0;
+    text += rest.substr(0, joined);
+    rest.remove_prefix(joined);
+    if (!beginWrite(text.size() + rest.size())) {
+        co_return false;
     }
-    co_return co_await write(std::move(text));
+    co_await writeParts(text);
+    const bool isWritten = co_await writeParts(rest);
+    endWrite();
+    co_return isWritten;
 }
 
 Awaitable<bool> ResponseWriter::startStream(int status, const std::vector<HttpHeader> &fields,
--- a/source/edge/responsewriter.h
+++ b/source/edge/responsewriter.h
@@ -12,6 +12,19 @@
 
 namespace greengageseam {
 
+/** Hooks that charge an answer to the budget of the process while it is written; may be empty. */
+struct ResponseBudgetHooks
+{
+    /** An answer is about to be read. @returns whether it may be held until it is written */
+    std::function<bool(std::size_t bytes)> hold;
+    /** Bytes are about to be written. @returns whether they may be held until then */
+    std::function<bool(std::size_t bytes)> begin;
+    /** A part of them was written. */
+    std::function<void()> onProgress;
+    /** All of them were written, or the connection was lost. */
+    std::function<void()> end;
+};
+
 /**
  * Writes one response to a caller's connection.
  *
@@ -28,10 +41,14 @@
      *        the response is written, which announces it
      */
     ResponseWriter(asio::ip::tcp::socket &socket, bool isHead, bool isHttp10,
-                   std::function<bool()> closesAfter);
+                   std::function<bool()> closesAfter, ResponseBudgetHooks budget = {});
 
-    /** Writes a complete response with a Content-Length. */
-    Awaitable<bool> respond(int status, const std::vector<HttpHeader> &fields, std::string body);
+    /**
+     * Writes a complete response with a Content-Length.
+     * @param body must exist until the response is written, as it may be large and is not copied
+     */
+    Awaitable<bool> respond(int status, const std::vector<HttpHeader> &fields,
+                            const std::string &body);
     /** Writes the head of a streamed response together with its first chunk. */
     Awaitable<bool> startStream(int status, const std::vector<HttpHeader> &fields,
                                 std::string first);
@@ -46,6 +63,9 @@
      */
     void abortStream();
 
+    /** @returns whether the budget has room for an answer that is about to be read */
+    bool mayHold(std::size_t bytes) const { return !m_budget.hold || m_budget.hold(bytes); }
+
     /** Records that the caller has closed its connection, and runs the onDisconnect() hook. */
     void markDisconnected();
     /** @returns whether the caller has closed its connection */
@@ -60,11 +80,17 @@
 
 private:
     Awaitable<bool> write(std::string bytes);
+    /** Writes bytes in parts, so that progress shows. */
+    Awaitable<bool> writeParts(std::string_view bytes);
+    /** Marks the caller as gone if the budget has no room for its answer. */
+    bool beginWrite(std::size_t bytes);
+    void endWrite();
     std::string formatHead(int status, const std::vector<HttpHeader> &fields);
 
     asio::ip::tcp::socket &m_socket;
     std::function<bool()> m_closesAfter;
     std::function<void()> m_onDisconnect;
+    ResponseBudgetHooks m_budget;
     bool m_isHead;
     bool m_isHttp10;
     bool m_closesConnection;
--- a/source/edge/upstreamattempt.cpp
+++ b/source/edge/upstreamattempt.cpp
@@ -54,9 +54,10 @@
 }
 
 /** Sends a request with a large body, concurrently with the task that reads the response. */
-Awaitable<void> sendConcurrently(HttpConnectionPtr connection, std::string text, Duration timeout)
+Awaitable<void> sendConcurrently(HttpConnectionPtr connection, std::string text,
+                                 std::shared_ptr<const std::string> body, Duration timeout)
 {
-    co_await connection->send(std::move(text), timeout);
+    co_await connection->send(std::move(text), timeout, std::move(body));
 }
 
 } // namespace
@@ -75,9 +76,9 @@
     };
 }
 
-UpstreamAttempt::UpstreamAttempt(const RequestContext &context, const HttpRequest &request,
+UpstreamAttempt::UpstreamAttempt(const RequestContext &context, HttpRequestPtr request,
                                  AttemptOptions options, MailboxPtr<ProxyMessage> inbox)
-    : m_context(context), m_request(request), m_options(std::move(options)),
+    : m_context(context), m_request(std::move(request)), m_options(std::move(options)),
       m_inbox(std::move(inbox)), m_events(m_options.lastEventId)
 { }
 
@@ -140,6 +141,7 @@
                                            : UpstreamOutcome::DeadlineReached);
     }
     std::string text = encodeRequest();
+    std::shared_ptr<const std::string> body = requestBody();
     m_sentAt = monotonicNow();
     AttemptSent sent {lease(), std::nullopt};
     if (m_options.lease.startDeadline) {
@@ -151,13 +153,15 @@
         m_sentAt.reset();
         co_return failed(UpstreamOutcome::NotConnected);
     }
-    if (m_request.body.size() > maxSequentialBody) {
-        asio::co_spawn(m_context.executor,
-                       sendConcurrently(m_connection, std::move(text), remainingTime()),
-                       asio::detached);
+    if (body->size() > maxSequentialBody) {
+        asio::co_spawn(
+                m_context.executor,
+                sendConcurrently(m_connection, std::move(text), std::move(body), remainingTime()),
+                asio::detached);
         co_return co_await receiveResponse();
     }
-    const HttpIoStatus end = co_await m_connection->send(std::move(text), remainingTime());
+    const HttpIoStatus end =
+            co_await m_connection->send(std::move(text), remainingTime(), std::move(body));
     if (end != HttpIoStatus::Done && m_options.start->isExpired) {
         co_return failed(UpstreamOutcome::Silent);
     }
@@ -197,7 +201,12 @@
         fields.priority = lateUrgency;
     }
     fields.lastEventId = m_options.lastEventId;
-    return m_context.codec.encodeUpstreamRequest(m_request, fields);
+    return m_context.codec.encodeUpstreamRequest(*m_request, fields);
+}
+
+std::shared_ptr<const std::string> UpstreamAttempt::requestBody() const
+{
+    return {m_request, &m_request->body};
 }
 
 bool UpstreamAttempt::isChoiceExpired() const
--- a/source/edge/upstreamattempt.h
+++ b/source/edge/upstreamattempt.h
@@ -139,6 +139,8 @@
     bool isResumption = false;
     /** Not null. */
     std::shared_ptr<AttemptStart> start;
+    /** Hook that asks whether the process may hold the bytes of an answer. */
+    std::function<bool(std::size_t bytes)> mayHold;
 };
 
 /**
@@ -150,11 +152,11 @@
 public:
     /**
      * @param context outlives the attempt
-     * @param request is used until the attempt has ended or abort() was called
+     * @param request not null
      * @param inbox receives AttemptSent, EventsReceived and at last AttemptEnded
      */
-    UpstreamAttempt(const RequestContext &context, const HttpRequest &request,
-                    AttemptOptions options, MailboxPtr<ProxyMessage> inbox);
+    UpstreamAttempt(const RequestContext &context, HttpRequestPtr request, AttemptOptions options,
+                    MailboxPtr<ProxyMessage> inbox);
 
     /** Starts the task. */
     void start();
@@ -183,12 +185,19 @@
     /** Connects, sends the request and receives the response. */
     Awaitable<Result> exchange();
     Awaitable<HttpIoStatus> connect();
-    /** @returns the request with the fields that are set for this attempt */
+    /** @returns the head of the request with the fields that are set for this attempt */
     std::string encodeRequest() const;
+    /** @returns the body of the request, which is not copied for the attempt */
+    std::shared_ptr<const std::string> requestBody() const;
     /** @returns whether the request could no longer begin in time on the chosen weights */
     bool isChoiceExpired() const;
     /** Reads the head of the response, checks it, and passes on what may be relayed. */
     Awaitable<Result> receiveResponse();
+    /**
+     * Waits until the process may hold an answer, which stays with the backend server meanwhile.
+     * @returns false if the time of the request is over
+     */
+    Awaitable<bool> awaitRoom(std::size_t bytes);
     /** Reads a response whose body is relayed as a whole. */
     Awaitable<Result> receiveBody(const HttpResponseHead &head, const ResponseMetadata &fields);
     /** Passes an event stream on as it arrives, in complete events. */
@@ -216,7 +225,7 @@
     Duration readTimeout() const;
 
     const RequestContext &m_context;
-    const HttpRequest &m_request;
+    HttpRequestPtr m_request;
     AttemptOptions m_options;
     MailboxPtr<ProxyMessage> m_inbox;
     HttpConnectionPtr m_connection;
--- a/source/edge/upstreamattemptresponse.cpp
+++ b/source/edge/upstreamattemptresponse.cpp
@@ -14,6 +14,14 @@
 
 /** Small enough that an entry holds the responses to many requests at once. */
 constexpr std::size_t maxBufferedBody = 1024ULL * 1024;
+/** Answers up to this size are charged to the budget only while they are written. */
+constexpr std::size_t maxUncountedAnswer = 64UL * 1024;
+/** Bytes that an answer without a length is charged while it is read. */
+constexpr std::uint64_t unknownAnswerBytes = 128UL * 1024;
+/** Room for the head that is written before a body. */
+constexpr std::size_t answerHeadBytes = 4UL * 1024;
+/** Interval at which an answer for which there is no room is tried again. */
+constexpr auto roomCheckInterval = std::chrono::milliseconds(20);
 /** The body of a response that is not relayed is read only to reuse the connection. */
 constexpr std::size_t maxDiscardedBody = 64ULL * 1024;
 constexpr auto discardTimeout = std::chrono::milliseconds(100);
@@ -61,7 +69,7 @@
 Awaitable<UpstreamAttempt::Result> UpstreamAttempt::receiveResponse()
 {
     HttpReadResult<HttpResponseHead> head =
-            co_await m_connection->readHead(m_request.method == "HEAD", readTimeout());
+            co_await m_connection->readHead(m_request->method == "HEAD", readTimeout());
     if (head.ioStatus != HttpIoStatus::Done || m_abort) {
         co_return failed(classifyReadEnd(head.ioStatus, false));
     }
@@ -88,9 +96,32 @@
     co_return co_await receiveBody(head.value, fields);
 }
 
+Awaitable<bool> UpstreamAttempt::awaitRoom(std::size_t bytes)
+{
+    const std::size_t needed = bytes + answerHeadBytes;
+    if (needed <= maxUncountedAnswer) {
+        co_return true;
+    }
+    Timer timer(m_context.executor);
+    while (!m_options.mayHold(needed)) {
+        if (m_abort || remainingTime() < minAttemptTime) {
+            co_return false;
+        }
+        timer.expires_after(roomCheckInterval);
+        co_await timer.async_wait(asTuple);
+    }
+    co_return true;
+}
+
 Awaitable<UpstreamAttempt::Result> UpstreamAttempt::receiveBody(const HttpResponseHead &head,
                                                                 const ResponseMetadata &fields)
 {
+    const std::uint64_t length = head.length.value_or(unknownAnswerBytes);
+    const bool hasRoom = co_await awaitRoom(std::min<std::uint64_t>(length, maxBufferedBody));
+    if (!hasRoom) {
+        m_connection->abort();
+        co_return failed(UpstreamOutcome::DeadlineReached);
+    }
     HttpReadResult<std::string> body =
             co_await m_connection->readBody(maxBufferedBody, readTimeout());
     if (body.ioStatus != HttpIoStatus::Done) {
--- a/source/net/callcodec.h
+++ b/source/net/callcodec.h
@@ -19,7 +19,7 @@
 {
     /** Decodes the header fields of a caller's request. */
     std::function<RequestMetadata(const HttpRequest &request)> decodeRequestMetadata;
-    /** Serializes a complete request, head and body, for a backend server. */
+    /** Serializes the head of a request for a backend server; its body follows unchanged. */
     std::function<std::string(const HttpRequest &request, const UpstreamRequestMetadata &fields)>
             encodeUpstreamRequest;
     /** Decodes the header fields of a response from a backend server. */
--- a/source/net/http.h
+++ b/source/net/http.h
@@ -5,6 +5,7 @@
 
 #include "core/common/errors.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -53,6 +54,8 @@
     std::optional<std::string> basicPassword() const;
 };
 
+using HttpRequestPtr = std::shared_ptr<const HttpRequest>;
+
 /** An HTTP response with its complete body. */
 struct HttpResponse
 {
--- a/source/net/httpconnection.cpp
+++ b/source/net/httpconnection.cpp
@@ -4,6 +4,7 @@
 #include "net/clock.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
@@ -129,12 +130,15 @@
     co_return status == HttpIoStatus::ConnectionLost ? HttpIoStatus::ConnectFailed : status;
 }
 
-Awaitable<HttpIoStatus> HttpConnection::send(std::string text, Duration timeout)
+Awaitable<HttpIoStatus> HttpConnection::send(std::string text, Duration timeout,
+                                             std::shared_ptr<const std::string> body)
 {
     const auto self = shared_from_this();
     m_isRequestSent = false;
     startDeadline(timeout);
-    auto [ec, n] = co_await asio::async_write(m_socket, asio::buffer(text), asTuple);
+    const asio::const_buffer rest = body ? asio::buffer(*body) : asio::const_buffer();
+    const std::array<asio::const_buffer, 2> parts {asio::buffer(text), rest};
+    auto [ec, n] = co_await asio::async_write(m_socket, parts, asTuple);
     m_isRequestSent = !ec;
     co_return ioStatusOf(ec);
 }
--- a/source/net/httpconnection.h
+++ b/source/net/httpconnection.h
@@ -78,8 +78,10 @@
     /**
      * Writes a complete, serialized request to the socket. The caller may start to read the
      * response before the write has finished.
+     * @param body follows the text and is not copied; may be null
      */
-    Awaitable<HttpIoStatus> send(std::string text, Duration timeout);
+    Awaitable<HttpIoStatus> send(std::string text, Duration timeout,
+                                 std::shared_ptr<const std::string> body = nullptr);
 
     /**
      * Reads the head of the next response, and skips interim heads (1xx) before it.
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -17,6 +17,8 @@
 using Parser = http::request_parser<http::string_body>;
 
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(20);
+/** Size of the read that waits for the first bytes of a request. */
+constexpr std::size_t readAheadBytes = 4 * 1024;
 
 HttpRequest toRequest(Parser &parser)
 {
@@ -33,7 +35,8 @@
 
 Failure failureFor(const beast::error_code &ec)
 {
-    if (ec == http::error::body_limit || ec == http::error::header_limit) {
+    if (ec == http::error::body_limit || ec == http::error::header_limit
+        || ec == http::error::buffer_overflow) {
         return {ErrorKind::TooLarge, ec.message()};
     }
     if (ec == beast::error::timeout) {
@@ -210,6 +213,7 @@
     Timer pause(m_executor);
     while (!m_isStopping) {
         if (m_connectionCount >= m_options.maxConnections) {
+            closeLongestIdle();
             pause.expires_after(acceptRetryDelay);
             co_await pause.async_wait(asTuple);
             continue;
@@ -234,18 +238,25 @@
     }
 }
 
+void HttpServer::closeLongestIdle()
+{
+    if (!m_idleConnections.empty()) {
+        m_idleConnections.front()->cancel();
+    }
+}
+
 Awaitable<void> HttpServer::serveConnection(std::shared_ptr<beast::tcp_stream> stream)
 {
     ++m_connectionCount;
-    beast::flat_buffer buf;
+    // Chunk headers and trailers without end fill the buffer, which then ends the request.
+    beast::flat_buffer buf(m_options.maxHeaderBytes + readAheadBytes);
     bool keepsServing = true;
     while (keepsServing && !m_isStopping) {
         if (buf.size() == 0) {
             stream->expires_after(m_options.idleTimeout);
-            m_idleConnections.insert(stream);
-            auto [ec, n] = co_await stream->async_read_some(buf.prepare(m_options.maxHeaderBytes),
-                                                            asTuple);
-            m_idleConnections.erase(stream);
+            m_idleConnections.push_back(stream);
+            auto [ec, n] = co_await stream->async_read_some(buf.prepare(readAheadBytes), asTuple);
+            std::erase(m_idleConnections, stream);
             beast::error_code ignored;
             const bool hasMore = m_isStopping && stream->socket().available(ignored) > 0;
             if (ec && !hasMore) {
--- a/source/net/httpserver.h
+++ b/source/net/httpserver.h
@@ -14,7 +14,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <functional>
-#include <set>
+#include <vector>
 
 namespace greengageseam {
 
@@ -31,7 +31,10 @@
     Duration idleTimeout = std::chrono::seconds(60);
     /** Time limit for writing a response, or a part of a streamed one, to the socket. */
     Duration writeTimeout = std::chrono::seconds(30);
-    /** Maximum number of open connections; further ones wait in the accept backlog. */
+    /**
+     * Maximum number of open connections. For a further one, the connection that has been idle for
+     * longest is closed; without an idle one, it waits in the accept backlog.
+     */
     std::size_t maxConnections = 4096;
 
     HttpServerOptions withMaxBodyBytes(std::size_t value) const;
@@ -135,6 +138,7 @@
 
 private:
     Awaitable<void> acceptLoop();
+    void closeLongestIdle();
     Awaitable<void> serveConnection(std::shared_ptr<boost::beast::tcp_stream> stream);
     Awaitable<bool> serveRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buf);
 
@@ -143,7 +147,8 @@
     HttpHandler m_handler;
     Log m_log;
     asio::ip::tcp::acceptor m_acceptor;
-    std::set<std::shared_ptr<boost::beast::tcp_stream>> m_idleConnections;
+    /** The one that has been idle for longest comes first. */
+    std::vector<std::shared_ptr<boost::beast::tcp_stream>> m_idleConnections;
     std::size_t m_connectionCount = 0;
     std::size_t m_inProgress = 0;
     /** Invariant: true if m_isStopping is true. */
