--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -20,6 +20,7 @@
 #include "core/fleet/latencyquantiles.h"
 #include "core/fleet/listeninghistory.h"
 #include "core/fleet/loadbalancer.h"
+#include "core/fleet/memorybudget.h"
 #include "core/fleet/nodesettings.h"
 #include "core/fleet/partverdicts.h"
 #include "core/fleet/pendingqueue.h"
