--- a/source/core/fleet/configcheck.cpp
+++ b/source/core/fleet/configcheck.cpp
@@ -4,6 +4,7 @@
 #include "core/fleet/upstreamoutcome.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 
@@ -302,7 +303,7 @@
             std::map<ServiceName, int> shares;
             for (const RouteTarget &target : route.targets) {
                 const double share = total > 0 ? target.weight / total : 0;
-                shares[target.service] += static_cast<int>(share * percent + 0.5);
+                shares[target.service] += static_cast<int>(std::lround(share * percent));
             }
             return shares;
         };
