Show which hedges win, and measure them in virtual time

Operators need to see whether the extra work helps. The failure test reads the metrics; the scenario of the exhausted budget has strays that are slow enough to be worth a hedge.

--- a/tests/differential/tst_hedging.cpp
+++ b/tests/differential/tst_hedging.cpp
@@ -32,7 +32,7 @@
     double slowFactor = 1;
     /** The same for all servers, from a certain request on. */
     double laterSlowFactor = 1;
-    /** Share of the answers that take four times as long, whatever the server. */
+    /** Share of the answers that take ten times as long, whatever the server. */
     double strayShare = 0;
     unsigned seed = 1;
 };
@@ -140,7 +140,7 @@
     {
         std::lognormal_distribution<double> spread(0, 0.2);
         std::bernoulli_distribution strays(m_scenario.strayShare);
-        double ms = usualMs * spread(m_random) * (strays(m_random) ? 4 : 1);
+        double ms = usualMs * spread(m_random) * (strays(m_random) ? 10 : 1);
         ms *= server == 0 ? m_scenario.slowFactor : 1;
         ms *= request >= slowFrom ? m_scenario.laterSlowFactor : 1;
         return Duration(static_cast<std::int64_t>(ms * 1000));
@@ -216,17 +216,18 @@
     scenario.laterSlowFactor = 1;
     const Tally before = play(scenario);
     CAPTURE(scenario.seed, hedged.hedges, before.hedges);
-    REQUIRE(hedged.hedges - before.hedges <= 12);
+    REQUIRE(hedged.hedges - before.hedges <= 3);
     REQUIRE(hedged.denied.at(HedgeDenial::ManyLate) > 0);
 }
 
-TEST_CASE_METHOD(HedgingFixture, "pool_allEquallySlow_noHedgeIsSent")
+// The usual spread of answers is no reason for extra work.
+TEST_CASE_METHOD(HedgingFixture, "pool_allAnswerAlike_hardlyAnyHedgeIsSent")
 {
     Scenario scenario;
     scenario.seed = GENERATE(1, 2, 3);
     const Tally hedged = play(scenario);
     CAPTURE(scenario.seed, hedged.hedges);
-    REQUIRE(hedged.hedges <= 0.005 * requestCount);
+    REQUIRE(hedged.hedges <= 0.001 * requestCount);
 }
 
 // More requests are late than the budget has hedges for.
--- a/tests/failure/tst_hedging.cpp
+++ b/tests/failure/tst_hedging.cpp
@@ -5,6 +5,8 @@
  */
 #include "scriptedfleet.h"
 
+#include <sstream>
+
 namespace greengageseam {
 namespace {
 
@@ -46,6 +48,19 @@
         REQUIRE(answer.isComplete);
         return monotonicNow() - sentAt;
     }
+
+    /** @returns the lines of the metrics about hedges */
+    std::string hedgeMetrics()
+    {
+        const Address address(m_settings.ip + ":" + std::to_string(m_settings.lastPort));
+        const std::string body = send(address, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").body;
+        std::istringstream lines(body);
+        std::string found;
+        for (std::string line; std::getline(lines, line);) {
+            found += line.find("_hedges_") == std::string::npos ? "" : line + "\n";
+        }
+        return found;
+    }
 };
 
 TEST_CASE_METHOD(HedgingFleetFixture, "request_serverIsSlowAndRatioIsSet_isAnsweredByOther")
@@ -55,6 +70,8 @@
     startWithLateAnswer(kind, 0.2);
     REQUIRE(timeToAnswer() < slowAnswer / 2);
     REQUIRE(m_script->requests.size() == usualAnswers + 2);
+    INFO(hedgeMetrics());
+    REQUIRE(hedgeMetrics().find(R"(hedges_total{end="won"} 1)") != std::string::npos);
 }
 
 TEST_CASE_METHOD(HedgingFleetFixture, "request_serverIsSlowAndRatioIsZero_isAnsweredByFirst")
@@ -64,6 +81,7 @@
     startWithLateAnswer(kind, 0);
     REQUIRE(timeToAnswer() >= slowAnswer);
     REQUIRE(m_script->requests.size() == usualAnswers + 1);
+    REQUIRE(hedgeMetrics().empty());
 }
 
 // A request that may not be repeated must not reach a second server, however late the first is.
