--- a/source/core/fleet/hedgepolicy.cpp
+++ b/source/core/fleet/hedgepolicy.cpp
@@ -23,8 +23,9 @@
 std::optional<double> parseHedgeRatio(std::string_view text)
 {
     double ratio = 0;
-    const char *end = text.data() + text.size();
-    const auto [parsedTo, ec] = std::from_chars(text.data(), end, ratio, std::chars_format::fixed);
+    const char *begin = text.data();
+    const char *end = begin + text.size();
+    const auto [parsedTo, ec] = std::from_chars(begin, end, ratio, std::chars_format::fixed);
     const bool isWhole = ec == std::errc() && parsedTo == end;
     const bool isInRange = ratio >= 0 && ratio <= maxHedgeRatio;
     return isWhole && isInRange ? std::optional<double>(ratio) : std::nullopt;
--- a/source/core/fleet/hedgetracker.cpp
+++ b/source/core/fleet/hedgetracker.cpp
@@ -93,11 +93,11 @@
     m_awaited.erase(it);
 }
 
-std::optional<Duration> HedgeTracker::released(std::uint64_t lease, Instant now)
+void HedgeTracker::released(std::uint64_t lease, Instant now)
 {
     const auto it = m_awaited.find(lease);
     if (it == m_awaited.end()) {
-        return std::nullopt;
+        return;
     }
     const AwaitedAttempt attempt = it->second;
     const Duration waited = now - attempt.sentAt;
@@ -105,13 +105,12 @@
         // A failure or a withdrawal that says nothing of how long responses take.
         m_services[attempt.service].lateInProgress -= attempt.isLate ? 1 : 0;
         m_awaited.erase(it);
-        return std::nullopt;
+        return;
     }
     endWait(it, now);
     // How long it would have taken is unknown. It counts as long again, so that cancelled attempts
     // don't make late responses look rare or short.
     latencies(attempt).record(waited * 2, now);
-    return attempt.isHedged ? std::optional(waited) : std::nullopt;
 }
 
 void HedgeTracker::recordSilence(const ReplicaId &replica, Instant now)
@@ -169,12 +168,16 @@
 
 HedgeGrant HedgeTracker::grant(std::uint64_t lease, Instant now)
 {
-    AwaitedAttempt &first = m_awaited.at(lease);
-    first.isHedged = true;
+    const AwaitedAttempt &first = m_awaited.at(lease);
     recordSilence(first.replica, now);
     double &budget = m_services[first.service].budget;
     budget -= 1;
-    return {now - first.sentAt, first.delay.value_or(HedgeDelay()), budget, takeLogAllowance(now)};
+    HedgeGrant grant;
+    grant.waited = now - first.sentAt;
+    grant.delay = first.delay.value_or(HedgeDelay());
+    grant.budgetLeft = static_cast<std::uint32_t>(std::max(0.0, budget));
+    grant.isLogged = takeLogAllowance(now);
+    return grant;
 }
 
 bool HedgeTracker::takeLogAllowance(Instant now)
--- a/source/core/fleet/hedgetracker.h
+++ b/source/core/fleet/hedgetracker.h
@@ -28,8 +28,6 @@
     std::optional<HedgeDelay> delay;
     /** Whether a hedge was asked for, since the response is late. */
     bool isLate = false;
-    /** Whether a hedge was sent beside it. */
-    bool isHedged = false;
 
     auto operator<=>(const AwaitedAttempt &) const = default;
 };
@@ -41,7 +39,7 @@
     Duration waited {};
     HedgeDelay delay;
     /** Hedges of the service that the entry may still send. */
-    double budgetLeft = 0;
+    std::uint32_t budgetLeft = 0;
     /** Whether a log record is due; their number is limited. */
     bool isLogged = false;
 
@@ -66,11 +64,8 @@
     std::optional<HedgeDelay> started(AwaitedAttempt attempt, std::optional<Duration> forecast);
     /** Records that the response to an attempt has started. */
     void responseStarted(std::uint64_t lease, Instant now);
-    /**
-     * Records the end of an attempt.
-     * @returns how long it had waited in vain, if it was hedged and its response has not started
-     */
-    std::optional<Duration> released(std::uint64_t lease, Instant now);
+    /** Records the end of an attempt; ignored if its response has started. */
+    void released(std::uint64_t lease, Instant now);
     /** Records that a backend server was silent during a request. */
     void recordSilence(const ReplicaId &replica, Instant now);
     /** @returns backend servers that were silent or late of late, which get no hedges */
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -301,7 +301,8 @@
     if (!command.isStartReported) {
         m_loads.responseStarted(command.replica, command.promptTokens);
     }
-    m_loads.finished(command.replica, command.verdict, trackRelease(command, now), now);
+    trackRelease(command, now);
+    m_loads.finished(command.replica, command.verdict, command.timeToResponseStart, now);
     const bool isReusable = command.connection && command.connection->isReusable()
             && !m_loads.isLeaving(command.replica);
     if (isReusable) {
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -311,7 +311,7 @@
                                         std::uint64_t random);
     void trackAttempt(ReplicaLease &lease, const AcquireReplica &command,
                       std::optional<Duration> forecast, Instant now);
-    std::optional<Duration> trackRelease(const LeaseReleased &command, Instant now);
+    void trackRelease(const LeaseReleased &command, Instant now);
     bool rejectIfTimedOut(const AcquireReplica &command, Instant now);
     void reject(const AcquireReplica &command, Instant now, ErrorKind kind);
     void recordSaturation(Instant now);
--- a/source/edge/dispatcherhedges.cpp
+++ b/source/edge/dispatcherhedges.cpp
@@ -72,14 +72,13 @@
     lease.hedgeDelay = m_hedges.started(std::move(attempt), forecast);
 }
 
-/** @returns the time to the response, or the time for which a hedged attempt waited in vain */
-std::optional<Duration> Dispatcher::trackRelease(const LeaseReleased &command, Instant now)
+/** Records the end of an attempt, and the response of one that was not a stream. */
+void Dispatcher::trackRelease(const LeaseReleased &command, Instant now)
 {
     if (command.verdict == ReplicaVerdict::Answered) {
         m_hedges.responseStarted(command.lease, now);
     }
-    const std::optional<Duration> waitedInVain = m_hedges.released(command.lease, now);
-    return command.timeToResponseStart ? command.timeToResponseStart : waitedInVain;
+    m_hedges.released(command.lease, now);
 }
 
 } // namespace greengageseam
