--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -340,7 +340,7 @@
                                         std::uint64_t random);
     void trackAttempt(ReplicaLease &lease, const AcquireReplica &command,
                       std::optional<Duration> forecast, Instant now);
-    std::optional<Duration> trackRelease(const LeaseReleased &command, Instant now);
+    void trackRelease(const LeaseReleased &command, Instant now);
     bool rejectIfTimedOut(const AcquireReplica &command, const PendingRequest &request, Instant now,
                           std::size_t backlog);
     void reject(const AcquireReplica &command, Instant now, ErrorKind kind, std::size_t backlog);
