Keep slots free ahead for urgent requests that were turned away lately

Cause: with many entries a free slot becomes a credit for an entry at which no urgent request waits, and less urgent ones take it there.

Change: PendingQueue keeps an average of the served share of each level. While more than one in twenty of the more urgent requests was turned away lately, less urgent ones leave a tenth of the slots free, unless they are below their minimum share. The limit for requests that wait is a tenth as well, before an eighth.

--- a/source/core/fleet/pendingqueue.cpp
+++ b/source/core/fleet/pendingqueue.cpp
@@ -16,13 +16,19 @@
 constexpr double minShare = 0.35;
 /** Weight of one request in the moving average of the share that is served. */
 constexpr double averageWeight = 1.0 / 64;
+/** Weight of one request in the moving average of its level. */
+constexpr double levelWeight = 1.0 / 16;
+/** Weight with which a request lets the averages of other levels return to 1. */
+constexpr double recoveryWeight = 1.0 / 512;
+/** A level of which a smaller share is served needs more free slots. */
+constexpr double amplyServed = 0.95;
 /** Limit of the requests that are due, so that they do not come in a burst later. */
 constexpr double maxDue = 3;
 /** At most one in so many slots of a service is kept free for requests that wait. */
-constexpr std::uint32_t slotsPerReservation = 8;
+constexpr std::uint32_t slotsPerReservation = 10;
 
 /** @returns a number that is equal for prompts of similar length */
-int sizeClass(double promptTokens)
+std::uint64_t sizeClass(double promptTokens)
 {
     return std::bit_width(static_cast<std::uint64_t>(std::max(0.0, promptTokens)));
 }
@@ -111,10 +117,31 @@
 }
 
 bool PendingQueue::hasMoreUrgent(const PendingRequest &request) const
+{
+    return request.priority.isRanked() && request.priority.level > 0
+            && (reservationsBefore(request) > 0 || isMoreUrgentTurnedAway(request));
+}
+
+std::uint64_t PendingQueue::reservationsBefore(const PendingRequest &request) const
 {
     const auto levels = m_reservations.find(request.service);
-    return request.priority.isRanked() && levels != m_reservations.end() && !levels->second.empty()
-            && levels->second.begin()->first < request.priority.level;
+    std::uint64_t sum = 0;
+    if (levels != m_reservations.end()) {
+        for (const auto &[level, count] : levels->second) {
+            sum += level < request.priority.level ? count : 0;
+        }
+    }
+    return sum;
+}
+
+bool PendingQueue::isMoreUrgentTurnedAway(const PendingRequest &request) const
+{
+    const auto shares = m_shares.find(request.service);
+    return shares != m_shares.end()
+            && std::any_of(shares->second.servedByLevel.begin(), shares->second.servedByLevel.end(),
+                           [&request](const auto &it) {
+                               return it.first < request.priority.level && it.second < amplyServed;
+                           });
 }
 
 bool PendingQueue::mustYield(const PendingRequest &request, const SlotSupply &supply) const
@@ -122,13 +149,12 @@
     if (!hasMoreUrgent(request) || isBelowShare(request)) {
         return false;
     }
-    std::uint64_t needed = 0;
-    for (const auto &[level, count] : m_reservations.at(request.service)) {
-        needed += level < request.priority.level ? count : 0;
-    }
+    const std::uint64_t most = std::max(1U, supply.slots / slotsPerReservation);
     // The other entries are likely to have as many, and see the same free slots.
-    const std::uint64_t reserved = std::min<std::uint64_t>(
-            needed * supply.entries, std::max(1U, supply.slots / slotsPerReservation));
+    const std::uint64_t needed = reservationsBefore(request) * supply.entries;
+    // Slots that are kept free before they are needed become credits for the entry that needs one.
+    const std::uint64_t reserved =
+            isMoreUrgentTurnedAway(request) ? most : std::min<std::uint64_t>(needed, most);
     return supply.free <= reserved;
 }
 
@@ -197,6 +223,12 @@
     }
     Shares &shares = m_shares[request.service];
     shares.servedShare += averageWeight * ((wasServed ? 1 : 0) - shares.servedShare);
+    shares.servedByLevel.try_emplace(request.priority.level, 1);
+    for (auto &[level, share] : shares.servedByLevel) {
+        const bool isOwn = level == request.priority.level;
+        const double weight = isOwn ? levelWeight : recoveryWeight;
+        share += weight * ((isOwn && !wasServed ? 0 : 1) - share);
+    }
     for (const Group &group : groupsOf(request)) {
         double &due = shares.due[group];
         due = std::max(0.0, due - (wasServed ? 1 : 0));
--- a/source/core/fleet/pendingqueue.h
+++ b/source/core/fleet/pendingqueue.h
@@ -69,11 +69,11 @@
 
     /** @returns the ids of all waiting requests in the order in which to try them */
     std::vector<std::uint64_t> order(Instant now) const;
-    /** @returns whether a more urgent request waits for the same service */
+    /** @returns whether more urgent requests for the same service wait or are often turned away */
     bool hasMoreUrgent(const PendingRequest &request) const;
     /**
      * @returns whether a request must not take a slot, because so few are free that more urgent
-     *          requests that wait for the same service need them
+     *          requests for the same service need them, which wait or were often turned away lately
      */
     bool mustYield(const PendingRequest &request, const SlotSupply &supply) const;
     /** @returns the waiting request to drop for a new one if the queue is full; empty: the new one
@@ -99,12 +99,17 @@
     struct Shares
     {
         double servedShare = 1;
+        /** The share of each level of priority. */
+        std::map<std::uint32_t, double> servedByLevel;
         /** Requests of each group to serve before others, so that it receives its share. */
         std::map<Group, double> due;
     };
 
     static std::array<Group, 3> groupsOf(const PendingRequest &request);
     void recordEnd(const PendingRequest &request, bool wasServed);
+    /** @returns the number of more urgent requests that wait and for which slots are kept free */
+    std::uint64_t reservationsBefore(const PendingRequest &request) const;
+    bool isMoreUrgentTurnedAway(const PendingRequest &request) const;
     std::vector<std::uint64_t> orderOf(std::vector<const PendingRequest *> requests,
                                        Instant now) const;
 
--- a/source/core/fleet/requestpriority.h
+++ b/source/core/fleet/requestpriority.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <compare>
 #include <cstdint>
 
 namespace greengageseam {
