Construct the caller server of failure-stop with a budget

Cause: CallerServer takes the budget of its process, and the fixture still used the earlier constructor. Change: the fixture hands in a budget without limits, as before. Result: it compiles.

--- a/tests/failure/tst_stop.cpp
+++ b/tests/failure/tst_stop.cpp
@@ -43,7 +43,9 @@
                                       makeCallCodec(),
                                       std::make_shared<Metrics>(),
                                       m_log};
-        m_server = std::make_shared<CallerServer>(context, 100, idleNotice);
+        const auto budget =
+                std::make_shared<ProcessBudget>(BudgetLimits {}, context.metrics, m_log);
+        m_server = std::make_shared<CallerServer>(context, budget, 100, idleNotice);
         REQUIRE(m_server->listen(m_address));
         m_server->start();
         asio::co_spawn(m_context, holdQueries(), asio::detached);
