Give an entry that knows no other no share of a cold server, and ignore copies of reports

Cause: an entry that was cut off from all agents since its start divided the reserve of a cold server by the default number of entries; a duplicated or overtaken report refilled its credits; a record without a start time counted as a new incarnation. Change: there is no share until other entries were heard of, a report that was sent no later than an earlier one is late, and a start time of 0 is taken for unknown. A unit test guards against each.

--- a/source/core/fleet/coldservers.cpp
+++ b/source/core/fleet/coldservers.cpp
@@ -17,6 +17,12 @@
 /** Number of incarnations that are remembered. */
 constexpr std::size_t maxIncarnations = 4096;
 
+/** @returns whether two start times are of different incarnations; 0 stands for an unknown one */
+bool isOtherStart(std::uint64_t known, std::uint64_t stated)
+{
+    return known != 0 && stated != 0 && known != stated;
+}
+
 } // namespace
 
 ColdServers::ColdServers(std::string selfIp, FleetBounds bounds)
@@ -37,19 +43,19 @@
 void ColdServers::setReplicas(const std::vector<ReplicaEntry> &entries, Instant now)
 {
     m_firstListAt = m_firstListAt.value_or(now);
-    const bool isFirstList = now - *m_firstListAt < firstListTime;
+    const bool isInitialPeriod = now - *m_firstListAt < firstListTime;
     for (auto &[id, incarnation] : m_incarnations) {
         incarnation.isListed = false;
     }
     for (const ReplicaEntry &entry : entries) {
         const auto [it, isNew] = m_incarnations.try_emplace(entry.id);
         Incarnation &incarnation = it->second;
-        if (isNew || incarnation.startedAtMs != entry.startedAtMs) {
+        if (isNew || isOtherStart(incarnation.startedAtMs, entry.startedAtMs)) {
             incarnation = {};
-            incarnation.startedAtMs = entry.startedAtMs;
-            const bool wasThere = isNew && isFirstList;
+            const bool wasThere = isNew && isInitialPeriod;
             incarnation.period = wasThere ? ColdPeriod() : ColdPeriod().startedAt(now);
         }
+        incarnation.startedAtMs = std::max(incarnation.startedAtMs, entry.startedAtMs);
         incarnation.service = entry.service;
         incarnation.period = incarnation.period.listed(entry.coldLeft, now);
         incarnation.isListed = true;
@@ -118,7 +124,9 @@
 {
     const auto rules = m_rules.find(entry.service);
     const auto it = m_incarnations.find(entry.id);
-    const bool knowsEntries = m_firstListAt && now - *m_firstListAt >= entryDiscoveryTime;
+    // An entry that has been cut off since its start does not know by how many it must divide.
+    const bool knowsEntries =
+            !m_entries.empty() && m_firstListAt && now - *m_firstListAt >= entryDiscoveryTime;
     if (rules == m_rules.end() || it == m_incarnations.end() || !knowsEntries) {
         return false;
     }
--- a/source/core/fleet/coldstart.cpp
+++ b/source/core/fleet/coldstart.cpp
@@ -186,7 +186,10 @@
     ReportDelay next = *this;
     next.m_last = now.time_since_epoch() - sentAt;
     next.m_lastAt = now;
-    if (!m_least || now - m_lastAt > delayLifetime) {
+    const bool isNewSender = !m_least || now - m_lastAt > delayLifetime;
+    next.m_isOvertaken = !isNewSender && sentAt <= m_newestSentAt;
+    next.m_newestSentAt = isNewSender ? sentAt : std::max(m_newestSentAt, sentAt);
+    if (isNewSender) {
         next.m_least = next.m_last;
         next.m_firstAt = now;
     } else {
@@ -197,7 +200,7 @@
 
 bool ReportDelay::isLate() const
 {
-    return !m_least || m_lastAt - m_firstAt < delayLearningTime
+    return !m_least || m_isOvertaken || m_lastAt - m_firstAt < delayLearningTime
             || m_last - *m_least > maxReportDelay;
 }
 
--- a/source/core/fleet/coldstart.h
+++ b/source/core/fleet/coldstart.h
@@ -110,7 +110,10 @@
 public:
     /** @param sentAt time of the sender's clock, which has another origin than @p now */
     ReportDelay received(Duration sentAt, Instant now) const;
-    /** @returns whether the last report was late, or too little is known of the usual delay */
+    /**
+     * @returns whether the last report was late or overtaken by a newer one, or too little is known
+     *          of the usual delay
+     */
     bool isLate() const;
 
     auto operator<=>(const ReportDelay &) const = default;
@@ -119,6 +122,10 @@
     /** Difference of the clocks in the report that was the fastest. */
     std::optional<Duration> m_least;
     Duration m_last {};
+    /** Time of the sender's clock in the newest report. */
+    Duration m_newestSentAt {};
+    /** Whether the last report was sent no later than an earlier one: a copy, or overtaken. */
+    bool m_isOvertaken = false;
     Instant m_firstAt;
     Instant m_lastAt;
 };
--- a/tests/unit/tst_coldstart.cpp
+++ b/tests/unit/tst_coldstart.cpp
@@ -183,6 +183,38 @@
     REQUIRE(delay.received(milliseconds(1200), m_now + milliseconds(350)).isLate());
 }
 
+// Guards against credits that are used twice because the network has duplicated a report.
+TEST_CASE_METHOD(ColdStartFixture, "reportDelay_copyOrOvertakenReport_isLate")
+{
+    ReportDelay delay;
+    for (int i = 0; i < 5; ++i) {
+        delay = delay.received(milliseconds(50 * i), m_now + milliseconds(50 * i));
+    }
+    REQUIRE_FALSE(delay.isLate());
+    REQUIRE(delay.received(milliseconds(200), m_now + milliseconds(201)).isLate());
+    REQUIRE(delay.received(milliseconds(150), m_now + milliseconds(201)).isLate());
+    REQUIRE_FALSE(delay.received(milliseconds(250), m_now + milliseconds(250)).isLate());
+}
+
+// Guards against entries that are cut off since their start, and each take a large share.
+TEST_CASE_METHOD(ColdStartFixture, "acquire_noOtherEntryWasHeardOf_hasNoShareOfAColdServer")
+{
+    LoadBalancer alone = balancer("10.0.0.1", {});
+    alone.setReplicas({replica("new", 2, seconds(3))}, m_now);
+    REQUIRE_FALSE(acquire(alone, m_now));
+    LoadBalancer informed = balancer("10.0.0.1", {"10.0.0.1"});
+    informed.setReplicas({replica("new", 2, seconds(3))}, m_now);
+    REQUIRE(acquire(informed, m_now) == "new");
+}
+
+// Guards against a warm server that turns cold because a record does not state its start.
+TEST_CASE_METHOD(ColdStartFixture, "acquire_recordWithoutStartTime_isNoNewIncarnation")
+{
+    LoadBalancer entries = balancer("10.0.0.1", {"10.0.0.1"});
+    entries.setReplicas({replica("old", 0)}, m_now);
+    REQUIRE(entries.coldReplicas(m_now).empty());
+}
+
 // Guards against a cold server that is the least loaded one, and gets all requests.
 TEST_CASE_METHOD(ColdStartFixture, "acquire_emptyServerIsCold_usesTheBusyOneWithoutCredits")
 {
