Count the waiting requests by service and level

Cause: the number of requests ahead was computed by a walk of the whole queue for each ranked request that stayed in it, at each dispatch.

Change: PendingQueue keeps the number of waiting requests by service and level.

--- a/source/core/fleet/pendingqueue.cpp
+++ b/source/core/fleet/pendingqueue.cpp
@@ -46,6 +46,7 @@
     if (request.priority.isRanked() && request.mayReserve) {
         ++m_reservations[request.service][request.priority.level];
     }
+    ++m_levelSizes[request.service][request.priority.level];
     m_waiting.emplace(request.id, request);
 }
 
@@ -62,6 +63,10 @@
             levels.erase(request.priority.level);
         }
     }
+    auto &sizes = m_levelSizes.at(request.service);
+    if (--sizes.at(request.priority.level) == 0) {
+        sizes.erase(request.priority.level);
+    }
     m_waiting.erase(it);
 }
 
@@ -187,11 +192,14 @@
 
 std::size_t PendingQueue::waitingAhead(const PendingRequest &request) const
 {
-    return static_cast<std::size_t>(
-            std::count_if(m_waiting.begin(), m_waiting.end(), [&request](const auto &it) {
-                return it.first != request.id && it.second.service == request.service
-                        && it.second.priority.level <= request.priority.level;
-            }));
+    const auto sizes = m_levelSizes.find(request.service);
+    std::size_t sum = 0;
+    if (sizes != m_levelSizes.end()) {
+        for (const auto &[level, size] : sizes->second) {
+            sum += level <= request.priority.level ? size : 0;
+        }
+    }
+    return sum - (m_waiting.contains(request.id) ? 1 : 0);
 }
 
 void PendingQueue::recordArrival(const PendingRequest &request)
--- a/source/core/fleet/pendingqueue.h
+++ b/source/core/fleet/pendingqueue.h
@@ -114,6 +114,8 @@
                                        Instant now) const;
 
     std::map<std::uint64_t, PendingRequest> m_waiting;
+    /** Number of waiting requests by level. */
+    std::map<ServiceName, std::map<std::uint32_t, std::size_t>> m_levelSizes;
     /** Number of waiting requests by level for which slots may be kept free. */
     std::map<ServiceName, std::map<std::uint32_t, std::uint32_t>> m_reservations;
     std::map<ServiceName, Shares> m_shares;
--- a/tests/unit/tst_pendingqueue.cpp
+++ b/tests/unit/tst_pendingqueue.cpp
@@ -159,6 +159,23 @@
     REQUIRE_FALSE(m_queue.mustYield(request(1), {64, 0, 3}));
 }
 
+TEST_CASE_METHOD(PendingQueueFixture, "waitingAhead_requestsComeAndGo_countsOthersAsUrgent")
+{
+    const PendingRequest own = request(1);
+    REQUIRE(m_queue.waitingAhead(own) == 0);
+    const std::uint64_t urgent = push(0);
+    push(1);
+    push(2);
+    PendingRequest other = request(0);
+    other.service = ServiceName("other");
+    push(other);
+    REQUIRE(m_queue.waitingAhead(own) == 2);
+    push(own);
+    REQUIRE(m_queue.waitingAhead(own) == 2);
+    m_queue.remove(urgent);
+    REQUIRE(m_queue.waitingAhead(own) == 1);
+}
+
 TEST_CASE_METHOD(PendingQueueFixture, "displacedBy_lessUrgentWaits_isOldestOfLongestAccount")
 {
     push(1);
