Keep slots free ahead only for 2 s and only in services with ten slots

Cause: for requests that were turned away lately, at least one slot was kept free, which may be the only free one of a small service, although no request waited for it. The memory faded only with further requests, over 20 minutes at one request a second.

Change: the slots kept ahead are a tenth of all, rounded down, and none are kept 2 s after the last turned-away request of the level. A request that waits may still have one slot kept free.

--- a/source/core/fleet/pendingqueue.cpp
+++ b/source/core/fleet/pendingqueue.cpp
@@ -22,6 +22,8 @@
 constexpr double recoveryWeight = 1.0 / 512;
 /** A level of which a smaller share is served needs more free slots. */
 constexpr double amplyServed = 0.95;
+/** Time after the last turned-away request of a level for which slots are kept free for it. */
+constexpr Duration turnedAwayMemory = std::chrono::seconds(2);
 /** Limit of the requests that are due, so that they do not come in a burst later. */
 constexpr double maxDue = 3;
 /** At most one in so many slots of a service is kept free for requests that wait. */
@@ -121,10 +123,10 @@
     return ids;
 }
 
-bool PendingQueue::hasMoreUrgent(const PendingRequest &request) const
+bool PendingQueue::hasMoreUrgent(const PendingRequest &request, Instant now) const
 {
     return request.priority.isRanked() && request.priority.level > 0
-            && (reservationsBefore(request) > 0 || isMoreUrgentTurnedAway(request));
+            && (reservationsBefore(request) > 0 || isMoreUrgentTurnedAway(request, now));
 }
 
 std::uint64_t PendingQueue::reservationsBefore(const PendingRequest &request) const
@@ -139,28 +141,35 @@
     return sum;
 }
 
-bool PendingQueue::isMoreUrgentTurnedAway(const PendingRequest &request) const
+bool PendingQueue::isMoreUrgentTurnedAway(const PendingRequest &request, Instant now) const
 {
     const auto shares = m_shares.find(request.service);
-    return shares != m_shares.end()
-            && std::any_of(shares->second.servedByLevel.begin(), shares->second.servedByLevel.end(),
-                           [&request](const auto &it) {
-                               return it.first < request.priority.level && it.second < amplyServed;
-                           });
+    if (shares == m_shares.end()) {
+        return false;
+    }
+    const auto &levels = shares->second.servedByLevel;
+    return std::any_of(levels.begin(), levels.end(), [&](const auto &it) {
+        const auto &[level, outcome] = it;
+        return level < request.priority.level && outcome.servedShare < amplyServed
+                && now - outcome.turnedAwayAt < turnedAwayMemory;
+    });
 }
 
-bool PendingQueue::mustYield(const PendingRequest &request, const SlotSupply &supply) const
+bool PendingQueue::mustYield(const PendingRequest &request, const SlotSupply &supply,
+                             Instant now) const
 {
-    if (!hasMoreUrgent(request) || isBelowShare(request)) {
+    if (!hasMoreUrgent(request, now) || isBelowShare(request)) {
         return false;
     }
-    const std::uint64_t most = std::max(1U, supply.slots / slotsPerReservation);
+    const std::uint64_t most = supply.slots / slotsPerReservation;
     // The other entries are likely to have as many, and see the same free slots.
     const std::uint64_t needed = reservationsBefore(request) * supply.entries;
+    const std::uint64_t forWaiting = std::min(needed, std::max<std::uint64_t>(1, most));
     // Slots that are kept free before they are needed become credits for the entry that needs one.
-    const std::uint64_t reserved =
-            isMoreUrgentTurnedAway(request) ? most : std::min<std::uint64_t>(needed, most);
-    return supply.free <= reserved;
+    // The only free slot of a small service is not kept, as nobody may come for it.
+    const std::uint64_t ahead = isMoreUrgentTurnedAway(request, now) ? most : 0;
+    const std::uint64_t reserved = std::max(forWaiting, ahead);
+    return reserved > 0 && supply.free <= reserved;
 }
 
 std::optional<std::uint64_t> PendingQueue::displacedBy(const PendingRequest &request) const
@@ -216,26 +225,29 @@
 
 void PendingQueue::recordServed(const PendingRequest &request)
 {
-    recordEnd(request, true);
+    recordEnd(request, std::nullopt);
 }
 
-void PendingQueue::recordTurnedAway(const PendingRequest &request)
+void PendingQueue::recordTurnedAway(const PendingRequest &request, Instant now)
 {
-    recordEnd(request, false);
+    recordEnd(request, now);
 }
 
-void PendingQueue::recordEnd(const PendingRequest &request, bool wasServed)
+/** @param turnedAwayAt empty if the request was served */
+void PendingQueue::recordEnd(const PendingRequest &request, std::optional<Instant> turnedAwayAt)
 {
+    const bool wasServed = !turnedAwayAt;
     if (!request.priority.isRanked()) {
         return;
     }
     Shares &shares = m_shares[request.service];
     shares.servedShare += averageWeight * ((wasServed ? 1 : 0) - shares.servedShare);
-    shares.servedByLevel.try_emplace(request.priority.level, 1);
-    for (auto &[level, share] : shares.servedByLevel) {
+    Level &own = shares.servedByLevel[request.priority.level];
+    own.turnedAwayAt = turnedAwayAt.value_or(own.turnedAwayAt);
+    for (auto &[level, outcome] : shares.servedByLevel) {
         const bool isOwn = level == request.priority.level;
         const double weight = isOwn ? levelWeight : recoveryWeight;
-        share += weight * ((isOwn && !wasServed ? 0 : 1) - share);
+        outcome.servedShare += weight * ((isOwn && !wasServed ? 0 : 1) - outcome.servedShare);
     }
     for (const Group &group : groupsOf(request)) {
         double &due = shares.due[group];
--- a/source/core/fleet/pendingqueue.h
+++ b/source/core/fleet/pendingqueue.h
@@ -70,12 +70,12 @@
     /** @returns the ids of all waiting requests in the order in which to try them */
     std::vector<std::uint64_t> order(Instant now) const;
     /** @returns whether more urgent requests for the same service wait or are often turned away */
-    bool hasMoreUrgent(const PendingRequest &request) const;
+    bool hasMoreUrgent(const PendingRequest &request, Instant now) const;
     /**
      * @returns whether a request must not take a slot, because so few are free that more urgent
      *          requests for the same service need them, which wait or were often turned away lately
      */
-    bool mustYield(const PendingRequest &request, const SlotSupply &supply) const;
+    bool mustYield(const PendingRequest &request, const SlotSupply &supply, Instant now) const;
     /** @returns the waiting request to drop for a new one if the queue is full; empty: the new one
      */
     std::optional<std::uint64_t> displacedBy(const PendingRequest &request) const;
@@ -85,7 +85,7 @@
     /** Records that a caller's request needs a backend server. */
     void recordArrival(const PendingRequest &request);
     void recordServed(const PendingRequest &request);
-    void recordTurnedAway(const PendingRequest &request);
+    void recordTurnedAway(const PendingRequest &request, Instant now);
     /** @returns whether the route, account or prompt size of the request is below its share */
     bool isBelowShare(const PendingRequest &request) const;
     /** Forgets who received how much, as routes and accounts may have changed. */
@@ -95,21 +95,29 @@
     /** A route, an account or a size of prompts. */
     using Group = std::pair<int, std::string>;
 
+    /** What became of the requests of one level. */
+    struct Level
+    {
+        /** Moving average of the share that was served. */
+        double servedShare = 1;
+        /** When a request was turned away last. */
+        Instant turnedAwayAt;
+    };
+
     /** Share of requests for one service that were served lately, and what groups are due. */
     struct Shares
     {
         double servedShare = 1;
-        /** The share of each level of priority. */
-        std::map<std::uint32_t, double> servedByLevel;
+        std::map<std::uint32_t, Level> servedByLevel;
         /** Requests of each group to serve before others, so that it receives its share. */
         std::map<Group, double> due;
     };
 
     static std::array<Group, 3> groupsOf(const PendingRequest &request);
-    void recordEnd(const PendingRequest &request, bool wasServed);
+    void recordEnd(const PendingRequest &request, std::optional<Instant> turnedAwayAt);
     /** @returns the number of more urgent requests that wait and for which slots are kept free */
     std::uint64_t reservationsBefore(const PendingRequest &request) const;
-    bool isMoreUrgentTurnedAway(const PendingRequest &request) const;
+    bool isMoreUrgentTurnedAway(const PendingRequest &request, Instant now) const;
     std::vector<std::uint64_t> orderOf(std::vector<const PendingRequest *> requests,
                                        Instant now) const;
 
--- a/source/edge/dispatcherpriority.cpp
+++ b/source/edge/dispatcherpriority.cpp
@@ -40,7 +40,7 @@
 /** @returns whether a free slot is left to more urgent requests for the same service that wait */
 bool Dispatcher::mustYield(const PendingRequest &request, Instant now)
 {
-    if (!m_queue.hasMoreUrgent(request)) {
+    if (!m_queue.hasMoreUrgent(request, now)) {
         return false;
     }
     const Occupancy occupancy =
@@ -49,7 +49,7 @@
     supply.slots = occupancy.slots;
     supply.free = occupancy.free;
     supply.entries = m_entryCount;
-    return occupancy.usableReplicas > 0 && m_queue.mustYield(request, supply);
+    return occupancy.usableReplicas > 0 && m_queue.mustYield(request, supply, now);
 }
 
 /** Queues a request that found no slot; drops a less urgent one if the queue is full. */
@@ -142,7 +142,7 @@
     m_metrics->count("priority_turned_away_total", "Requests turned away, by priority",
                      labelsOf(command.priority));
     if (!command.isRetry) {
-        m_queue.recordTurnedAway(pendingRequest(0, command, now));
+        m_queue.recordTurnedAway(pendingRequest(0, command, now), now);
     }
 }
 
--- a/tests/differential/tst_priority.cpp
+++ b/tests/differential/tst_priority.cpp
@@ -237,7 +237,7 @@
         Entry &entry = m_entries[entryIndex];
         entry.demand.recordArrival(m_now);
         entry.queue.recordArrival(request.pending);
-        if (!m_scenario.isPlain && entry.queue.mustYield(request.pending, supply(entry))) {
+        if (!m_scenario.isPlain && entry.queue.mustYield(request.pending, supply(entry), m_now)) {
             enqueue(entry, request);
         } else if (!send(entry, request)) {
             enqueue(entry, request);
@@ -269,7 +269,7 @@
         }
         for (const std::uint64_t id : entry.queue.order(m_now)) {
             const Request request = entry.pending.at(id);
-            const bool mustYield = entry.queue.mustYield(request.pending, supply(entry));
+            const bool mustYield = entry.queue.mustYield(request.pending, supply(entry), m_now);
             if ((!mustYield && send(entry, request)) || turnAway(entry, request)) {
                 entry.queue.remove(id);
                 entry.pending.erase(id);
@@ -315,7 +315,7 @@
             return false;
         }
         entry.demand.recordTurnedAway(m_now);
-        entry.queue.recordTurnedAway(request.pending);
+        entry.queue.recordTurnedAway(request.pending, m_now);
         return true;
     }
 
--- a/tests/unit/tst_pendingqueue.cpp
+++ b/tests/unit/tst_pendingqueue.cpp
@@ -58,14 +58,14 @@
         next.priority = {2, 0, 1};
         next.lateAfter = m_now + milliseconds(random() % 800) - milliseconds(400);
         m_queue.recordArrival(next);
-        REQUIRE_FALSE(m_queue.mustYield(next, {64, 0, 6}));
+        REQUIRE_FALSE(m_queue.mustYield(next, {64, 0, 6}, m_now));
         REQUIRE_FALSE(m_queue.displacedBy(next));
         expected.insert(expected.begin(), push(next));
         if (random() % 2 == 0) {
             const auto gone = expected.begin() + static_cast<long>(random() % expected.size());
             m_queue.remove(*gone);
             expected.erase(gone);
-            m_queue.recordTurnedAway(next);
+            m_queue.recordTurnedAway(next, m_now);
         }
         REQUIRE(m_queue.order(m_now) == expected);
     }
@@ -110,10 +110,10 @@
 TEST_CASE_METHOD(PendingQueueFixture, "mustYield_moreUrgentWaitsAndFewSlotsAreFree_isTrue")
 {
     const std::uint64_t urgent = push(0);
-    REQUIRE(m_queue.mustYield(request(1), {64, 2, 3}));
-    REQUIRE_FALSE(m_queue.mustYield(request(0), {64, 0, 3}));
+    REQUIRE(m_queue.mustYield(request(1), {64, 2, 3}, m_now));
+    REQUIRE_FALSE(m_queue.mustYield(request(0), {64, 0, 3}, m_now));
     m_queue.remove(urgent);
-    REQUIRE_FALSE(m_queue.mustYield(request(1), {64, 0, 3}));
+    REQUIRE_FALSE(m_queue.mustYield(request(1), {64, 0, 3}, m_now));
 }
 
 // A prompt that fits nowhere must not keep the backend servers idle.
@@ -122,33 +122,53 @@
     for (int i = 0; i < 50; ++i) {
         push(0);
     }
-    REQUIRE(m_queue.mustYield(request(1), {64, 6, 3}));
-    REQUIRE_FALSE(m_queue.mustYield(request(1), {64, 7, 3}));
+    REQUIRE(m_queue.mustYield(request(1), {64, 6, 3}, m_now));
+    REQUIRE_FALSE(m_queue.mustYield(request(1), {64, 7, 3}, m_now));
 }
 
 // With many entries a credit seldom comes to the one at which an urgent request waits.
 TEST_CASE_METHOD(PendingQueueFixture, "mustYield_moreUrgentIsTurnedAwayLately_keepsSlotsFreeAhead")
 {
-    m_queue.recordTurnedAway(request(1));
-    REQUIRE(m_queue.mustYield(request(2), {64, 6, 3}));
-    REQUIRE_FALSE(m_queue.mustYield(request(2), {64, 7, 3}));
-    REQUIRE_FALSE(m_queue.mustYield(request(1), {64, 0, 3}));
+    m_queue.recordTurnedAway(request(1), m_now);
+    REQUIRE(m_queue.mustYield(request(2), {64, 6, 3}, m_now));
+    REQUIRE_FALSE(m_queue.mustYield(request(2), {64, 7, 3}, m_now));
+    REQUIRE_FALSE(m_queue.mustYield(request(1), {64, 0, 3}, m_now));
     for (int i = 0; i < 10; ++i) {
         m_queue.recordServed(request(1));
     }
-    REQUIRE_FALSE(m_queue.mustYield(request(2), {64, 0, 3}));
+    REQUIRE_FALSE(m_queue.mustYield(request(2), {64, 0, 3}, m_now));
+}
+
+// Nobody may want the only free slot, so a small service would lose much of its capacity.
+TEST_CASE_METHOD(PendingQueueFixture, "mustYield_turnedAwayFromSmallService_keepsNoSlotAhead")
+{
+    m_queue.recordTurnedAway(request(0), m_now);
+    REQUIRE_FALSE(m_queue.mustYield(request(2), {8, 1, 3}, m_now));
+    REQUIRE(m_queue.mustYield(request(2), {10, 1, 3}, m_now));
+    push(0);
+    REQUIRE(m_queue.mustYield(request(2), {8, 1, 3}, m_now));
+}
+
+// With few requests a second, the average alone would keep slots free for many minutes.
+TEST_CASE_METHOD(PendingQueueFixture, "mustYield_turnedAwayLongAgo_keepsNoSlotAhead")
+{
+    for (int i = 0; i < 100; ++i) {
+        m_queue.recordTurnedAway(request(0), m_now);
+    }
+    REQUIRE(m_queue.mustYield(request(2), {64, 6, 3}, m_now + milliseconds(1999)));
+    REQUIRE_FALSE(m_queue.mustYield(request(2), {64, 6, 3}, m_now + milliseconds(2000)));
 }
 
 TEST_CASE_METHOD(PendingQueueFixture, "mustYield_moreUrgentHaveEnded_slotsAreUsedAgain")
 {
     for (int i = 0; i < 100; ++i) {
-        m_queue.recordTurnedAway(request(0));
+        m_queue.recordTurnedAway(request(0), m_now);
     }
-    REQUIRE(m_queue.mustYield(request(2), {64, 0, 3}));
+    REQUIRE(m_queue.mustYield(request(2), {64, 0, 3}, m_now));
     for (int i = 0; i < 2000; ++i) {
-        m_queue.recordTurnedAway(request(2));
+        m_queue.recordTurnedAway(request(2), m_now);
     }
-    REQUIRE_FALSE(m_queue.mustYield(request(2), {64, 0, 3}));
+    REQUIRE_FALSE(m_queue.mustYield(request(2), {64, 0, 3}, m_now));
 }
 
 TEST_CASE_METHOD(PendingQueueFixture, "mustYield_moreUrgentWaitsForItsRetryBudget_isFalse")
@@ -156,7 +176,7 @@
     PendingRequest retry = request(0);
     retry.mayReserve = false;
     push(retry);
-    REQUIRE_FALSE(m_queue.mustYield(request(1), {64, 0, 3}));
+    REQUIRE_FALSE(m_queue.mustYield(request(1), {64, 0, 3}, m_now));
 }
 
 TEST_CASE_METHOD(PendingQueueFixture, "waitingAhead_requestsComeAndGo_countsOthersAsUrgent")
@@ -206,7 +226,7 @@
         const bool isLowFirst = m_queue.isBelowShare(low) && !m_queue.isBelowShare(urgent);
         servedLow += isLowFirst ? 1 : 0;
         m_queue.recordServed(isLowFirst ? low : urgent);
-        m_queue.recordTurnedAway(isLowFirst ? urgent : low);
+        m_queue.recordTurnedAway(isLowFirst ? urgent : low, m_now);
     }
     // Half of all are served, so that a quarter of this share is an eighth of the 400.
     REQUIRE(servedLow >= 50);
@@ -225,7 +245,7 @@
     push(starved);
     const std::uint64_t newer = push(0);
     REQUIRE(m_queue.isBelowShare(starved));
-    REQUIRE_FALSE(m_queue.mustYield(starved, {64, 0, 3}));
+    REQUIRE_FALSE(m_queue.mustYield(starved, {64, 0, 3}, m_now));
     REQUIRE(m_queue.order(m_now) == Ids {starved.id, newer});
 }
 
