Do not turn retries away early or for a new request

Cause: under saturation, retries of less urgent requests waited only as short as new requests, and a new request could take their place in a full queue, although they may have run.

Change: retries wait for the whole slot wait, and are never displaced.

--- a/source/core/fleet/pendingqueue.cpp
+++ b/source/core/fleet/pendingqueue.cpp
@@ -179,7 +179,7 @@
     }
     std::map<std::pair<std::uint32_t, AccountName>, std::vector<std::uint64_t>> groups;
     for (const auto &[id, waiting] : m_waiting) {
-        if (waiting.service == request.service) {
+        if (waiting.service == request.service && !waiting.isRetry) {
             groups[{waiting.priority.level, waiting.account}].push_back(id);
         }
     }
--- a/source/core/fleet/pendingqueue.h
+++ b/source/core/fleet/pendingqueue.h
@@ -31,6 +31,8 @@
     double promptTokens = 0;
     /** Time at which the objective is missed if the response has not started. */
     Instant lateAfter;
+    /** Whether it may have run before, so that it is not turned away early. */
+    bool isRetry = false;
     /** Whether slots may be kept free for it; a retry may wait for its budget instead. */
     bool mayReserve = true;
 
@@ -76,7 +78,9 @@
      *          requests for the same service need them, which wait or were often turned away lately
      */
     bool mustYield(const PendingRequest &request, const SlotSupply &supply, Instant now) const;
-    /** @returns the waiting request to drop for a new one if the queue is full; empty: the new one
+    /**
+     * @returns the waiting request, never a retry, to drop for a new one if the queue is full; empty
+     *          if the new one is to be rejected
      */
     std::optional<std::uint64_t> displacedBy(const PendingRequest &request) const;
     /** @returns the number of other requests for the service that are at least as urgent */
--- a/source/edge/dispatcherpriority.cpp
+++ b/source/edge/dispatcherpriority.cpp
@@ -31,6 +31,7 @@
     }
     request.promptTokens = command.requirements.promptTokens;
     request.lateAfter = command.lateAfter;
+    request.isRetry = command.isRetry;
     // Slots that are kept free may lie outside the regions of a restricted request.
     request.mayReserve =
             !command.isRetry && now < command.lateAfter && !regionRuleOf(command).isRestricted();
@@ -95,7 +96,8 @@
 /** @returns whether the request is one of those that are turned away early under overload */
 bool Dispatcher::isShed(const PendingRequest &request) const
 {
-    return m_saturated.contains(request.service) && !m_queue.isBelowShare(request);
+    return !request.isRetry && m_saturated.contains(request.service)
+            && !m_queue.isBelowShare(request);
 }
 
 /** @returns whether callers whose requests are as urgent ask for more than they can get */
--- a/tests/unit/tst_pendingqueue.cpp
+++ b/tests/unit/tst_pendingqueue.cpp
@@ -207,6 +207,17 @@
     REQUIRE_FALSE(m_queue.displacedBy(request(2)));
 }
 
+// A retry may have run, so that its caller cannot simply repeat it.
+TEST_CASE_METHOD(PendingQueueFixture, "displacedBy_leastUrgentIsARetry_isAnotherOne")
+{
+    PendingRequest retry = request(2);
+    retry.isRetry = true;
+    push(retry);
+    REQUIRE_FALSE(m_queue.displacedBy(request(0)));
+    const std::uint64_t other = push(1);
+    REQUIRE(m_queue.displacedBy(request(0)) == other);
+}
+
 TEST_CASE_METHOD(PendingQueueFixture, "displacedBy_allAreMoreUrgent_isNone")
 {
     push(0);
