Keep slots free only for requests that may use them

Cause: turned-away requests that are restricted to regions lowered the served share of their level in the whole service, so that slots were kept free in regions that they cannot use. Between requests that are restricted to the same regions, priority kept no slots free at all.

Change: reservations and served shares are kept by service and regions. A request yields to those with its own regions and to unrestricted ones, by the slots of its own regions.

--- a/source/core/fleet/pendingqueue.cpp
+++ b/source/core/fleet/pendingqueue.cpp
@@ -46,7 +46,7 @@
 void PendingQueue::push(const PendingRequest &request)
 {
     if (request.priority.isRanked() && request.mayReserve) {
-        ++m_reservations[request.service][request.priority.level];
+        ++m_reservations[{request.service, request.regions}][request.priority.level];
     }
     ++m_levelSizes[request.service][request.priority.level];
     m_waiting.emplace(request.id, request);
@@ -60,7 +60,7 @@
     }
     const PendingRequest &request = it->second;
     if (request.priority.isRanked() && request.mayReserve) {
-        auto &levels = m_reservations.at(request.service);
+        auto &levels = m_reservations.at({request.service, request.regions});
         if (--levels.at(request.priority.level) == 0) {
             levels.erase(request.priority.level);
         }
@@ -129,11 +129,19 @@
             && (reservationsBefore(request) > 0 || isMoreUrgentTurnedAway(request, now));
 }
 
+std::set<RegionRule> PendingQueue::rulesBefore(const PendingRequest &request)
+{
+    return {RegionRule(), request.regions};
+}
+
 std::uint64_t PendingQueue::reservationsBefore(const PendingRequest &request) const
 {
-    const auto levels = m_reservations.find(request.service);
     std::uint64_t sum = 0;
-    if (levels != m_reservations.end()) {
+    for (const RegionRule &rule : rulesBefore(request)) {
+        const auto levels = m_reservations.find({request.service, rule});
+        if (levels == m_reservations.end()) {
+            continue;
+        }
         for (const auto &[level, count] : levels->second) {
             sum += level < request.priority.level ? count : 0;
         }
@@ -147,11 +155,16 @@
     if (shares == m_shares.end()) {
         return false;
     }
-    const auto &levels = shares->second.servedByLevel;
-    return std::any_of(levels.begin(), levels.end(), [&](const auto &it) {
+    const auto isShort = [&](const auto &it) {
         const auto &[level, outcome] = it;
         return level < request.priority.level && outcome.servedShare < amplyServed
                 && now - outcome.turnedAwayAt < turnedAwayMemory;
+    };
+    const std::set<RegionRule> rules = rulesBefore(request);
+    return std::any_of(rules.begin(), rules.end(), [&](const RegionRule &rule) {
+        const auto levels = shares->second.servedByLevel.find(rule);
+        return levels != shares->second.servedByLevel.end()
+                && std::any_of(levels->second.begin(), levels->second.end(), isShort);
     });
 }
 
@@ -242,9 +255,10 @@
     }
     Shares &shares = m_shares[request.service];
     shares.servedShare += averageWeight * ((wasServed ? 1 : 0) - shares.servedShare);
-    Level &own = shares.servedByLevel[request.priority.level];
+    auto &levels = shares.servedByLevel[request.regions];
+    Level &own = levels[request.priority.level];
     own.turnedAwayAt = turnedAwayAt.value_or(own.turnedAwayAt);
-    for (auto &[level, outcome] : shares.servedByLevel) {
+    for (auto &[level, outcome] : levels) {
         const bool isOwn = level == request.priority.level;
         const double weight = isOwn ? levelWeight : recoveryWeight;
         outcome.servedShare += weight * ((isOwn && !wasServed ? 0 : 1) - outcome.servedShare);
--- a/source/core/fleet/pendingqueue.h
+++ b/source/core/fleet/pendingqueue.h
@@ -7,13 +7,16 @@
 #include "core/common/ids.h"
 #include "core/common/time.h"
 #include "core/fleet/fleetconfig.h"
+#include "core/fleet/regionrule.h"
 #include "core/fleet/requestpriority.h"
 
 #include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace greengageseam {
@@ -25,6 +28,8 @@
     std::uint64_t id = 0;
     ServiceName service;
     RequestPriority priority;
+    /** Regions in which it may run. */
+    RegionRule regions;
     RouteName route;
     AccountName account;
     /** Length of the prompt in tokens; 0 if unknown. */
@@ -39,7 +44,7 @@
     auto operator<=>(const PendingRequest &) const = default;
 };
 
-/** Slots of a service, as far as they concern whether one is kept free. */
+/** Slots of a service that a request may use, as far as they concern whether one is kept free. */
 struct SlotSupply
 {
     std::uint32_t slots = 0;
@@ -58,6 +63,8 @@
  * the more urgent ones, then those that can still meet their objective. Accounts then take turns,
  * and the newest request of an account comes first.
  *
+ * Slots are kept free for requests with the same regions, and for those that may run anywhere.
+ *
  * It is modified in place, because it is on the path of each request.
  */
 class PendingQueue
@@ -71,7 +78,10 @@
 
     /** @returns the ids of all waiting requests in the order in which to try them */
     std::vector<std::uint64_t> order(Instant now) const;
-    /** @returns whether more urgent requests for the same service wait or are often turned away */
+    /**
+     * @returns whether more urgent requests for the same service wait or are often turned away, for
+     *          which it may have to leave a slot
+     */
     bool hasMoreUrgent(const PendingRequest &request, Instant now) const;
     /**
      * @returns whether a request must not take a slot, because so few are free that more urgent
@@ -112,11 +122,13 @@
     struct Shares
     {
         double servedShare = 1;
-        std::map<std::uint32_t, Level> servedByLevel;
+        std::map<RegionRule, std::map<std::uint32_t, Level>> servedByLevel;
         /** Requests of each group to serve before others, so that it receives its share. */
         std::map<Group, double> due;
     };
 
+    /** @returns the regions of requests for which a request leaves slots */
+    static std::set<RegionRule> rulesBefore(const PendingRequest &request);
     static std::array<Group, 3> groupsOf(const PendingRequest &request);
     void recordEnd(const PendingRequest &request, std::optional<Instant> turnedAwayAt);
     /** @returns the number of more urgent requests that wait and for which slots are kept free */
@@ -129,7 +141,8 @@
     /** Number of waiting requests by level. */
     std::map<ServiceName, std::map<std::uint32_t, std::size_t>> m_levelSizes;
     /** Number of waiting requests by level for which slots may be kept free. */
-    std::map<ServiceName, std::map<std::uint32_t, std::uint32_t>> m_reservations;
+    std::map<std::pair<ServiceName, RegionRule>, std::map<std::uint32_t, std::uint32_t>>
+            m_reservations;
     std::map<ServiceName, Shares> m_shares;
 };
 
--- a/source/edge/dispatcherpriority.cpp
+++ b/source/edge/dispatcherpriority.cpp
@@ -32,9 +32,8 @@
     request.promptTokens = command.requirements.promptTokens;
     request.lateAfter = command.lateAfter;
     request.isRetry = command.isRetry;
-    // Slots that are kept free may lie outside the regions of a restricted request.
-    request.mayReserve =
-            !command.isRetry && now < command.lateAfter && !regionRuleOf(command).isRestricted();
+    request.regions = regionRuleOf(command);
+    request.mayReserve = !command.isRetry && now < command.lateAfter;
     return request;
 }
 
@@ -44,8 +43,8 @@
     if (!m_queue.hasMoreUrgent(request, now)) {
         return false;
     }
-    const Occupancy occupancy =
-            m_loads.occupancy(request.service, weightsRequirement(request.service, now), now);
+    const Occupancy occupancy = m_loads.occupancy(
+            request.service, weightsRequirement(request.service, now), now, request.regions);
     SlotSupply supply;
     supply.slots = occupancy.slots;
     supply.free = occupancy.free;
--- a/tests/unit/tst_pendingqueue.cpp
+++ b/tests/unit/tst_pendingqueue.cpp
@@ -40,6 +40,14 @@
         return push(request(level, account));
     }
 
+    /** @returns a request that may run only in the region north */
+    PendingRequest northern(std::uint32_t level)
+    {
+        PendingRequest restricted = request(level);
+        restricted.regions = RegionRule().restrictedTo({RegionName("north")});
+        return restricted;
+    }
+
     using Ids = std::vector<std::uint64_t>;
 
     PendingQueue m_queue;
@@ -179,6 +187,34 @@
     REQUIRE_FALSE(m_queue.mustYield(request(1), {64, 0, 3}, m_now));
 }
 
+// Slots that are kept free elsewhere are of no use to a restricted request.
+TEST_CASE_METHOD(PendingQueueFixture, "mustYield_moreUrgentIsRestricted_onlyItsOwnRegionsYield")
+{
+    push(northern(0));
+    PendingRequest southern = request(1);
+    southern.regions = RegionRule().restrictedTo({RegionName("south")});
+    REQUIRE_FALSE(m_queue.mustYield(request(1), {64, 1, 3}, m_now));
+    REQUIRE_FALSE(m_queue.mustYield(southern, {64, 1, 3}, m_now));
+    REQUIRE(m_queue.mustYield(northern(1), {64, 1, 3}, m_now));
+}
+
+TEST_CASE_METHOD(PendingQueueFixture, "mustYield_restrictedIsTurnedAway_onlyItsOwnRegionsYield")
+{
+    m_queue.recordTurnedAway(northern(0), m_now);
+    REQUIRE_FALSE(m_queue.mustYield(request(1), {64, 1, 3}, m_now));
+    REQUIRE(m_queue.mustYield(northern(1), {64, 1, 3}, m_now));
+}
+
+TEST_CASE_METHOD(PendingQueueFixture, "mustYield_moreUrgentMayRunAnywhere_restrictedYields")
+{
+    const std::uint64_t urgent = push(0);
+    REQUIRE(m_queue.mustYield(northern(1), {64, 1, 3}, m_now));
+    m_queue.remove(urgent);
+    REQUIRE_FALSE(m_queue.mustYield(northern(1), {64, 1, 3}, m_now));
+    m_queue.recordTurnedAway(request(0), m_now);
+    REQUIRE(m_queue.mustYield(northern(1), {64, 1, 3}, m_now));
+}
+
 TEST_CASE_METHOD(PendingQueueFixture, "waitingAhead_requestsComeAndGo_countsOthersAsUrgent")
 {
     const PendingRequest own = request(1);
