Let restricted requests wait for servers that are only unusable for a moment

Cause: a request that is restricted to regions was rejected at once also while the servers there were only ejected for a second, loaded weights or were being replaced.

Change: it is rejected at once only if no server is listed there, outside evacuated zones, that neither drains nor leaves. Otherwise it waits as other requests do.

--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -408,4 +408,17 @@
     return occupancy(service, weights, now, regions).usableReplicas > 0;
 }
 
+bool LoadBalancer::hasListed(const ServiceName &service, const RegionRule &regions) const
+{
+    const auto pool = m_byService.find(service);
+    if (pool == m_byService.end()) {
+        return false;
+    }
+    return std::any_of(pool->second.begin(), pool->second.end(), [&](const ReplicaId &id) {
+        const ReplicaState &state = m_replicas.at(id);
+        return regions.allows(state.region) && !m_evacuatedZones.contains(state.entry.zone)
+                && !state.entry.isDraining && !state.availability.isLeaving();
+    });
+}
+
 } // namespace greengageseam
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -271,6 +271,11 @@
     /** @returns whether any backend server of the service is usable there, even if it is full */
     bool hasUsable(const ServiceName &service, const WeightsRequirement &weights, Instant now,
                    const RegionRule &regions = RegionRule()) const;
+    /**
+     * @returns whether a backend server of the service is listed there, outside evacuated zones,
+     *          that does not leave. It may come back soon even if it is not usable.
+     */
+    bool hasListed(const ServiceName &service, const RegionRule &regions) const;
 
 private:
     struct ReplicaState
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -147,7 +147,9 @@
     const Occupancy occupancy =
             m_loads.occupancy(service, weightsRequirement(service, now), now, regions);
     const bool hasUsable = occupancy.usableReplicas > 0;
-    if (!hasUsable && regions.isRestricted() && !command.isRetry) {
+    const bool isHopeless = !hasUsable && regions.isRestricted() && !command.isRetry
+            && !m_loads.hasListed(service, regions);
+    if (isHopeless) {
         reject(command, now, ErrorKind::NoBackendServer, backlog);
         return true;
     }
--- a/tests/unit/tst_loadbalancerregions.cpp
+++ b/tests/unit/tst_loadbalancerregions.cpp
@@ -101,6 +101,33 @@
     REQUIRE(m_balancer.hasUsable(m_requirements.service, {}, m_now, m_north));
 }
 
+// A server that is only ejected comes back soon, so that requests may wait for it.
+TEST_CASE_METHOD(RegionsFixture, "hasListed_onlyServerIsEjected_isTrue")
+{
+    for (int i = 0; i < 100; ++i) {
+        m_balancer.recordSilence(ReplicaId("c"), m_now);
+    }
+    REQUIRE_FALSE(m_balancer.hasUsable(m_requirements.service, {}, m_now, m_south));
+    REQUIRE(m_balancer.hasListed(m_requirements.service, m_south));
+}
+
+TEST_CASE_METHOD(RegionsFixture, "hasListed_onlyServerGoesOrIsEvacuated_isFalse")
+{
+    m_balancer.setEvacuatedZones({ZoneName("c")});
+    REQUIRE_FALSE(m_balancer.hasListed(m_requirements.service, m_south));
+    m_balancer.setEvacuatedZones({});
+    REQUIRE(m_balancer.hasListed(m_requirements.service, m_south));
+    ReplicaEntry draining = replica("c");
+    draining.isDraining = true;
+    m_balancer.setReplicas({replica("a"), draining});
+    REQUIRE_FALSE(m_balancer.hasListed(m_requirements.service, m_south));
+    m_balancer.setReplicas({replica("a"), replica("c")});
+    m_balancer.applyStatement(processOf(replica("c")), {true, {}}, m_now);
+    REQUIRE_FALSE(m_balancer.hasListed(m_requirements.service, m_south));
+    m_balancer.setReplicas({replica("a")});
+    REQUIRE_FALSE(m_balancer.hasListed(m_requirements.service, m_south));
+}
+
 // A request that only another region could serve must not wait as if that region were merely full.
 TEST_CASE_METHOD(RegionsFixture, "occupancy_restrictedToARegion_countsItsServersOnly")
 {
