Take back arrivals of requests that end for want of anything but slots

Cause: requests that were rejected for want of a region, were quarantined or whose callers had gone left their route, account and prompt size below the minimum share, which put these before others.

Change: the arrival of such a request is taken back.

--- a/source/core/fleet/pendingqueue.cpp
+++ b/source/core/fleet/pendingqueue.cpp
@@ -236,6 +236,18 @@
     }
 }
 
+void PendingQueue::withdrawArrival(const PendingRequest &request)
+{
+    const auto shares = m_shares.find(request.service);
+    if (!request.priority.isRanked() || shares == m_shares.end()) {
+        return;
+    }
+    for (const Group &group : groupsOf(request)) {
+        double &due = shares->second.due[group];
+        due = std::max(0.0, due - minShare * shares->second.servedShare);
+    }
+}
+
 void PendingQueue::recordServed(const PendingRequest &request)
 {
     recordEnd(request, std::nullopt);
--- a/source/core/fleet/pendingqueue.h
+++ b/source/core/fleet/pendingqueue.h
@@ -98,6 +98,10 @@
 
     /** Records that a caller's request needs a backend server. */
     void recordArrival(const PendingRequest &request);
+    /**
+     * Takes back an arrival whose request ends neither served nor turned away for want of slots.
+     */
+    void withdrawArrival(const PendingRequest &request);
     void recordServed(const PendingRequest &request);
     void recordTurnedAway(const PendingRequest &request, Instant now);
     /** @returns whether the route, account or prompt size of the request is below its share */
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -240,6 +240,7 @@
     if (isForRegions) {
         // Callers of other regions are served, so this does not show that the service is saturated.
         countRegionRejection();
+        withdrawArrival(command, now);
     } else if (!command.isHedge) {
         m_demands[service].recordTurnedAway(now);
         recordTurnedAway(command, now);
@@ -411,6 +412,7 @@
         const auto it = m_pending.find(id);
         const AcquireReplica &command = it->second;
         if (!command.reply->isOpen() || rejectIfQuarantined(command, now)) {
+            withdrawArrival(command, now);
             removePending(it);
             continue;
         }
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -325,6 +325,7 @@
     void recordServed(const AcquireReplica &command, const PendingRequest &request, Instant now);
     void recordTurnedAway(const AcquireReplica &command, Instant now);
     void recordArrival(const PendingRequest &request, Instant now);
+    void withdrawArrival(const AcquireReplica &command, Instant now);
     bool isSaturatedFor(const AcquireReplica &command, Instant now) const;
     bool isShed(const PendingRequest &request) const;
     std::size_t backlogOf(const PendingRequest &request, std::size_t waiting) const;
--- a/source/edge/dispatcherpriority.cpp
+++ b/source/edge/dispatcherpriority.cpp
@@ -118,6 +118,14 @@
     }
 }
 
+/** Takes back an arrival that does not count, as the request waited in vain for another reason. */
+void Dispatcher::withdrawArrival(const AcquireReplica &command, Instant now)
+{
+    if (!command.isRetry) {
+        m_queue.withdrawArrival(pendingRequest(0, command, now));
+    }
+}
+
 void Dispatcher::recordServed(const AcquireReplica &command, const PendingRequest &request,
                               Instant now)
 {
--- a/tests/unit/tst_pendingqueue.cpp
+++ b/tests/unit/tst_pendingqueue.cpp
@@ -296,6 +296,16 @@
     REQUIRE(m_queue.order(m_now) == Ids {starved.id, newer});
 }
 
+// Requests whose callers have gone would otherwise bring their groups before all others.
+TEST_CASE_METHOD(PendingQueueFixture, "isBelowShare_arrivalsAreWithdrawn_isFalse")
+{
+    for (int i = 0; i < 10; ++i) {
+        m_queue.recordArrival(request(1));
+        m_queue.withdrawArrival(request(1));
+    }
+    REQUIRE_FALSE(m_queue.isBelowShare(request(1)));
+}
+
 TEST_CASE("slotWait_shedding_isShorterForLessUrgentRequests")
 {
     const QueueWait wait = queueWait({milliseconds(800), std::chrono::seconds(6), true});
