--- a/source/core/fleet/pendingqueue.cpp
+++ b/source/core/fleet/pendingqueue.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 /**
- * Requests of a route, account or prompt size that are served at least, as a multiple of the share
- * that is served of all. It is above the required quarter, because a request that is due may still
+ * Lowest share of the requests of a route, account or prompt size to serve, relative to the share
+ * served of all requests. It is above the required quarter, because a request that is due may still
  * find no backend server.
  */
 constexpr double minShare = 0.35;
