--- a/source/core/fleet/hedgetracker.h
+++ b/source/core/fleet/hedgetracker.h
@@ -68,7 +68,8 @@
     void released(std::uint64_t lease, Instant now);
     /** Records that a backend server was silent during a request. */
     void recordSilence(const ReplicaId &replica, Instant now);
-    /** @returns backend servers that were silent or late within the last 3 s, which get no hedges */
+    /** @returns backend servers that were silent or late within the last 3 s, which get no hedges
+     */
     std::set<ReplicaId> silentReplicas(Instant now);
 
     /**
--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -373,8 +373,7 @@
         }
         const std::uint32_t slots = state.entry.slots;
         const std::uint32_t load = estimatedLoad(state, now);
-        const std::uint32_t inUse =
-                state.availability.isPaused(now) ? std::max(load, slots) : load;
+        const std::uint32_t inUse = state.availability.isPaused(now) ? std::max(load, slots) : load;
         ++sum.usableReplicas;
         sum.slots += slots;
         sum.inUse += inUse;
--- a/source/core/fleet/pendingqueue.h
+++ b/source/core/fleet/pendingqueue.h
@@ -89,8 +89,8 @@
      */
     bool mustYield(const PendingRequest &request, const SlotSupply &supply, Instant now) const;
     /**
-     * @returns the waiting request, never a retry, to drop for a new one if the queue is full; empty
-     *          if the new one is to be rejected
+     * @returns the waiting request, never a retry, to drop for a new one if the queue is full;
+     * empty if the new one is to be rejected
      */
     std::optional<std::uint64_t> displacedBy(const PendingRequest &request) const;
     /** @returns the number of other requests for the service that are at least as urgent */
