Decide who gives way by the difference of slots and use again

More free slots are seen, so that less urgent requests give way less often, and the more urgent ones find no credit.

Change: mustYield and the model take the difference as before.

--- a/source/edge/dispatcherpriority.cpp
+++ b/source/edge/dispatcherpriority.cpp
@@ -47,7 +47,7 @@
             request.service, weightsRequirement(request.service, now), now, request.regions);
     SlotSupply supply;
     supply.slots = occupancy.slots;
-    supply.free = occupancy.free;
+    supply.free = occupancy.slots > occupancy.inUse ? occupancy.slots - occupancy.inUse : 0;
     supply.entries = m_entryCount;
     return occupancy.usableReplicas > 0 && m_queue.mustYield(request, supply, now);
 }
--- a/tests/differential/tst_priority.cpp
+++ b/tests/differential/tst_priority.cpp
@@ -257,7 +257,9 @@
     SlotSupply supply(const Entry &entry) const
     {
         const Occupancy occupancy = entry.loads.occupancy(pool, {}, m_now);
-        return {occupancy.slots, occupancy.free, static_cast<std::uint32_t>(m_entries.size())};
+        return {occupancy.slots,
+                occupancy.slots > occupancy.inUse ? occupancy.slots - occupancy.inUse : 0,
+                static_cast<std::uint32_t>(m_entries.size())};
     }
 
     /** Does what Dispatcher does with the requests that wait. */
