--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -371,10 +371,13 @@
         if (!isUsable(state, weights, regions, now)) {
             continue;
         }
+        const std::uint32_t slots = state.entry.slots;
         const std::uint32_t load = estimatedLoad(state, now);
+        const std::uint32_t inUse = state.availability.isPaused(now) ? std::max(load, slots) : load;
         ++sum.usableReplicas;
-        sum.slots += state.entry.slots;
-        sum.inUse += state.availability.isPaused(now) ? std::max(load, state.entry.slots) : load;
+        sum.slots += slots;
+        sum.inUse += inUse;
+        sum.free += slots > inUse ? slots - inUse : 0;
         firstReturn = std::min(firstReturn, state.availability.pausedUntil());
     }
     if (sum.usableReplicas > 0 && firstReturn > now) {
@@ -404,4 +407,17 @@
     return occupancy(service, weights, now, regions).usableReplicas > 0;
 }
 
+bool LoadBalancer::hasListed(const ServiceName &service, const RegionRule &regions) const
+{
+    const auto pool = m_byService.find(service);
+    if (pool == m_byService.end()) {
+        return false;
+    }
+    return std::any_of(pool->second.begin(), pool->second.end(), [&](const ReplicaId &id) {
+        const ReplicaState &state = m_replicas.at(id);
+        return regions.allows(state.region) && !m_evacuatedZones.contains(state.entry.zone)
+                && !state.entry.isDraining && !state.availability.isLeaving();
+    });
+}
+
 } // namespace greengageseam
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -101,6 +101,8 @@
     std::uint32_t slots = 0;
     /** During a pause of a backend server, all of its slots count as in use. */
     std::uint32_t inUse = 0;
+    /** Sum of the free slots of each; more than the difference if a server has more requests. */
+    std::uint32_t free = 0;
     /** Time until the first one accepts requests, if all of them are paused; otherwise 0. */
     Duration pauseLeft {};
 
@@ -269,6 +271,11 @@
     /** @returns whether any backend server of the service is usable there, even if it is full */
     bool hasUsable(const ServiceName &service, const WeightsRequirement &weights, Instant now,
                    const RegionRule &regions = RegionRule()) const;
+    /**
+     * @returns whether a backend server of the service is listed there, outside evacuated zones,
+     *          that does not leave. It may come back soon even if it is not usable.
+     */
+    bool hasListed(const ServiceName &service, const RegionRule &regions) const;
 
 private:
     struct ReplicaState
--- a/source/core/fleet/pendingqueue.cpp
+++ b/source/core/fleet/pendingqueue.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 /**
- * Requests of a route, account or prompt size that are served at least, as a multiple of the share
- * that is served of all. It is above the required quarter, because a request that is due may still
+ * Lowest share of the requests of a route, account or prompt size to serve, relative to the share
+ * served of all requests. It is above the required quarter, because a request that is due may still
  * find no backend server.
  */
 constexpr double minShare = 0.35;
@@ -22,6 +22,8 @@
 constexpr double recoveryWeight = 1.0 / 512;
 /** A level of which a smaller share is served needs more free slots. */
 constexpr double amplyServed = 0.95;
+/** Time after the last turned-away request of a level for which slots are kept free for it. */
+constexpr Duration turnedAwayMemory = std::chrono::seconds(2);
 /** Limit of the requests that are due, so that they do not come in a burst later. */
 constexpr double maxDue = 3;
 /** At most one in so many slots of a service is kept free for requests that wait. */
@@ -44,8 +46,9 @@
 void PendingQueue::push(const PendingRequest &request)
 {
     if (request.priority.isRanked() && request.mayReserve) {
-        ++m_reservations[request.service][request.priority.level];
+        ++m_reservations[{request.service, request.regions}][request.priority.level];
     }
+    ++m_levelSizes[request.service][request.priority.level];
     m_waiting.emplace(request.id, request);
 }
 
@@ -57,11 +60,15 @@
     }
     const PendingRequest &request = it->second;
     if (request.priority.isRanked() && request.mayReserve) {
-        auto &levels = m_reservations.at(request.service);
+        auto &levels = m_reservations.at({request.service, request.regions});
         if (--levels.at(request.priority.level) == 0) {
             levels.erase(request.priority.level);
         }
     }
+    auto &sizes = m_levelSizes.at(request.service);
+    if (--sizes.at(request.priority.level) == 0) {
+        sizes.erase(request.priority.level);
+    }
     m_waiting.erase(it);
 }
 
@@ -116,17 +123,25 @@
     return ids;
 }
 
-bool PendingQueue::hasMoreUrgent(const PendingRequest &request) const
+bool PendingQueue::hasMoreUrgent(const PendingRequest &request, Instant now) const
 {
     return request.priority.isRanked() && request.priority.level > 0
-            && (reservationsBefore(request) > 0 || isMoreUrgentTurnedAway(request));
+            && (reservationsBefore(request) > 0 || isMoreUrgentTurnedAway(request, now));
+}
+
+std::set<RegionRule> PendingQueue::rulesBefore(const PendingRequest &request)
+{
+    return {RegionRule(), request.regions};
 }
 
 std::uint64_t PendingQueue::reservationsBefore(const PendingRequest &request) const
 {
-    const auto levels = m_reservations.find(request.service);
     std::uint64_t sum = 0;
-    if (levels != m_reservations.end()) {
+    for (const RegionRule &rule : rulesBefore(request)) {
+        const auto levels = m_reservations.find({request.service, rule});
+        if (levels == m_reservations.end()) {
+            continue;
+        }
         for (const auto &[level, count] : levels->second) {
             sum += level < request.priority.level ? count : 0;
         }
@@ -134,28 +149,40 @@
     return sum;
 }
 
-bool PendingQueue::isMoreUrgentTurnedAway(const PendingRequest &request) const
+bool PendingQueue::isMoreUrgentTurnedAway(const PendingRequest &request, Instant now) const
 {
     const auto shares = m_shares.find(request.service);
-    return shares != m_shares.end()
-            && std::any_of(shares->second.servedByLevel.begin(), shares->second.servedByLevel.end(),
-                           [&request](const auto &it) {
-                               return it.first < request.priority.level && it.second < amplyServed;
-                           });
+    if (shares == m_shares.end()) {
+        return false;
+    }
+    const auto isShort = [&](const auto &it) {
+        const auto &[level, outcome] = it;
+        return level < request.priority.level && outcome.servedShare < amplyServed
+                && now - outcome.turnedAwayAt < turnedAwayMemory;
+    };
+    const std::set<RegionRule> rules = rulesBefore(request);
+    return std::any_of(rules.begin(), rules.end(), [&](const RegionRule &rule) {
+        const auto levels = shares->second.servedByLevel.find(rule);
+        return levels != shares->second.servedByLevel.end()
+                && std::any_of(levels->second.begin(), levels->second.end(), isShort);
+    });
 }
 
-bool PendingQueue::mustYield(const PendingRequest &request, const SlotSupply &supply) const
+bool PendingQueue::mustYield(const PendingRequest &request, const SlotSupply &supply,
+                             Instant now) const
 {
-    if (!hasMoreUrgent(request) || isBelowShare(request)) {
+    if (!hasMoreUrgent(request, now) || isBelowShare(request)) {
         return false;
     }
-    const std::uint64_t most = std::max(1U, supply.slots / slotsPerReservation);
+    const std::uint64_t most = supply.slots / slotsPerReservation;
     // The other entries are likely to have as many, and see the same free slots.
     const std::uint64_t needed = reservationsBefore(request) * supply.entries;
+    const std::uint64_t forWaiting = std::min(needed, std::max<std::uint64_t>(1, most));
     // Slots that are kept free before they are needed become credits for the entry that needs one.
-    const std::uint64_t reserved =
-            isMoreUrgentTurnedAway(request) ? most : std::min<std::uint64_t>(needed, most);
-    return supply.free <= reserved;
+    // The only free slot of a small service is not kept, as nobody may come for it.
+    const std::uint64_t ahead = isMoreUrgentTurnedAway(request, now) ? most : 0;
+    const std::uint64_t reserved = std::max(forWaiting, ahead);
+    return reserved > 0 && supply.free <= reserved;
 }
 
 std::optional<std::uint64_t> PendingQueue::displacedBy(const PendingRequest &request) const
@@ -165,7 +192,7 @@
     }
     std::map<std::pair<std::uint32_t, AccountName>, std::vector<std::uint64_t>> groups;
     for (const auto &[id, waiting] : m_waiting) {
-        if (waiting.service == request.service) {
+        if (waiting.service == request.service && !waiting.isRetry) {
             groups[{waiting.priority.level, waiting.account}].push_back(id);
         }
     }
@@ -187,11 +214,14 @@
 
 std::size_t PendingQueue::waitingAhead(const PendingRequest &request) const
 {
-    return static_cast<std::size_t>(
-            std::count_if(m_waiting.begin(), m_waiting.end(), [&request](const auto &it) {
-                return it.first != request.id && it.second.service == request.service
-                        && it.second.priority.level <= request.priority.level;
-            }));
+    const auto sizes = m_levelSizes.find(request.service);
+    std::size_t sum = 0;
+    if (sizes != m_levelSizes.end()) {
+        for (const auto &[level, size] : sizes->second) {
+            sum += level <= request.priority.level ? size : 0;
+        }
+    }
+    return sum - (m_waiting.contains(request.id) ? 1 : 0);
 }
 
 void PendingQueue::recordArrival(const PendingRequest &request)
@@ -206,28 +236,44 @@
     }
 }
 
+void PendingQueue::withdrawArrival(const PendingRequest &request)
+{
+    const auto shares = m_shares.find(request.service);
+    if (!request.priority.isRanked() || shares == m_shares.end()) {
+        return;
+    }
+    for (const Group &group : groupsOf(request)) {
+        double &due = shares->second.due[group];
+        due = std::max(0.0, due - minShare * shares->second.servedShare);
+    }
+}
+
 void PendingQueue::recordServed(const PendingRequest &request)
 {
-    recordEnd(request, true);
+    recordEnd(request, std::nullopt);
 }
 
-void PendingQueue::recordTurnedAway(const PendingRequest &request)
+void PendingQueue::recordTurnedAway(const PendingRequest &request, Instant now)
 {
-    recordEnd(request, false);
+    recordEnd(request, now);
 }
 
-void PendingQueue::recordEnd(const PendingRequest &request, bool wasServed)
+/** @param turnedAwayAt empty if the request was served */
+void PendingQueue::recordEnd(const PendingRequest &request, std::optional<Instant> turnedAwayAt)
 {
+    const bool wasServed = !turnedAwayAt;
     if (!request.priority.isRanked()) {
         return;
     }
     Shares &shares = m_shares[request.service];
     shares.servedShare += averageWeight * ((wasServed ? 1 : 0) - shares.servedShare);
-    shares.servedByLevel.try_emplace(request.priority.level, 1);
-    for (auto &[level, share] : shares.servedByLevel) {
+    auto &levels = shares.servedByLevel[request.regions];
+    Level &own = levels[request.priority.level];
+    own.turnedAwayAt = turnedAwayAt.value_or(own.turnedAwayAt);
+    for (auto &[level, outcome] : levels) {
         const bool isOwn = level == request.priority.level;
         const double weight = isOwn ? levelWeight : recoveryWeight;
-        share += weight * ((isOwn && !wasServed ? 0 : 1) - share);
+        outcome.servedShare += weight * ((isOwn && !wasServed ? 0 : 1) - outcome.servedShare);
     }
     for (const Group &group : groupsOf(request)) {
         double &due = shares.due[group];
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -147,7 +147,9 @@
     const Occupancy occupancy =
             m_loads.occupancy(service, weightsRequirement(service, now), now, regions);
     const bool hasUsable = occupancy.usableReplicas > 0;
-    if (!hasUsable && regions.isRestricted() && !command.isRetry) {
+    const bool isHopeless = !hasUsable && regions.isRestricted() && !command.isRetry
+            && !m_loads.hasListed(service, regions);
+    if (isHopeless) {
         reject(command, now, ErrorKind::NoBackendServer, backlog);
         return true;
     }
@@ -238,6 +240,7 @@
     if (isForRegions) {
         // Callers of other regions are served, so this does not show that the service is saturated.
         countRegionRejection();
+        withdrawArrival(command, now);
     } else if (!command.isHedge) {
         m_demands[service].recordTurnedAway(now);
         recordTurnedAway(command, now);
@@ -409,6 +412,7 @@
         const auto it = m_pending.find(id);
         const AcquireReplica &command = it->second;
         if (!command.reply->isOpen() || rejectIfQuarantined(command, now)) {
+            withdrawArrival(command, now);
             removePending(it);
             continue;
         }
--- a/source/edge/dispatcherpriority.cpp
+++ b/source/edge/dispatcherpriority.cpp
@@ -31,25 +31,25 @@
     }
     request.promptTokens = command.requirements.promptTokens;
     request.lateAfter = command.lateAfter;
-    // Slots that are kept free may lie outside the regions of a restricted request.
-    request.mayReserve =
-            !command.isRetry && now < command.lateAfter && !regionRuleOf(command).isRestricted();
+    request.isRetry = command.isRetry;
+    request.regions = regionRuleOf(command);
+    request.mayReserve = !command.isRetry && now < command.lateAfter;
     return request;
 }
 
 /** @returns whether a free slot is left to more urgent requests for the same service that wait */
 bool Dispatcher::mustYield(const PendingRequest &request, Instant now)
 {
-    if (!m_queue.hasMoreUrgent(request)) {
+    if (!m_queue.hasMoreUrgent(request, now)) {
         return false;
     }
-    const Occupancy occupancy =
-            m_loads.occupancy(request.service, weightsRequirement(request.service, now), now);
+    const Occupancy occupancy = m_loads.occupancy(
+            request.service, weightsRequirement(request.service, now), now, request.regions);
     SlotSupply supply;
     supply.slots = occupancy.slots;
     supply.free = occupancy.slots > occupancy.inUse ? occupancy.slots - occupancy.inUse : 0;
     supply.entries = m_entryCount;
-    return occupancy.usableReplicas > 0 && m_queue.mustYield(request, supply);
+    return occupancy.usableReplicas > 0 && m_queue.mustYield(request, supply, now);
 }
 
 /** Queues a request that found no slot; drops a less urgent one if the queue is full. */
@@ -95,7 +95,8 @@
 /** @returns whether the request is one of those that are turned away early under overload */
 bool Dispatcher::isShed(const PendingRequest &request) const
 {
-    return m_saturated.contains(request.service) && !m_queue.isBelowShare(request);
+    return !request.isRetry && m_saturated.contains(request.service)
+            && !m_queue.isBelowShare(request);
 }
 
 /** @returns whether callers whose requests are as urgent ask for more than they can get */
@@ -117,6 +118,14 @@
     }
 }
 
+/** Takes back an arrival that does not count, as the request waited in vain for another reason. */
+void Dispatcher::withdrawArrival(const AcquireReplica &command, Instant now)
+{
+    if (!command.isRetry) {
+        m_queue.withdrawArrival(pendingRequest(0, command, now));
+    }
+}
+
 void Dispatcher::recordServed(const AcquireReplica &command, const PendingRequest &request,
                               Instant now)
 {
@@ -142,7 +151,7 @@
     m_metrics->count("priority_turned_away_total", "Requests turned away, by priority",
                      labelsOf(command.priority));
     if (!command.isRetry) {
-        m_queue.recordTurnedAway(pendingRequest(0, command, now));
+        m_queue.recordTurnedAway(pendingRequest(0, command, now), now);
     }
 }
 
