Read a pipelined request only after the answer before it

When the next request of a connection was refused while a response was in progress, the caller was marked as gone and that answer was dropped. The body of such a request was held without time limit, and could not be closed for others, as its connection had a request in progress.

Behind a request in progress, only the first piece is read, and charged. The message is read once the responding side reports the end of the response. A refusal is answered after the running request. A caller that leaves after its first pipelined piece has been read is noticed only when the response is written.

--- a/source/edge/callerconnection.cpp
+++ b/source/edge/callerconnection.cpp
@@ -92,6 +92,7 @@
                                    std::shared_ptr<CallerServerState> server)
     : m_socket(std::move(socket)), m_context(context), m_server(std::move(server)),
       m_events(makeMailbox<ConnectionEvent>(m_socket.get_executor(), 1)),
+      m_responseEnds(makeMailbox<ResponseEnded>(m_socket.get_executor(), 1)),
       m_timer(m_socket.get_executor()), m_activity(monotonicNow())
 {
     ++m_server->connections;
@@ -126,6 +127,7 @@
     m_socket.close(ignored);
     m_timer.cancel();
     m_events->close();
+    m_responseEnds->close();
 }
 
 void CallerConnection::closeForRoom()
@@ -212,8 +214,9 @@
 }
 
 /**
- * Reads the next request. It reads ahead even while a response is in progress, because a read is
- * the only way to notice that the caller has disconnected.
+ * Reads the next request. It reads the first piece even while a response is in progress, because a
+ * read is the only way to notice that the caller has disconnected. The rest is read after the
+ * response, when the request counts as one that can be timed out or closed for others.
  *
  * @returns false if nothing more can be read from the connection
  */
@@ -234,12 +237,19 @@
     m_activity.beginRequest(monotonicNow());
     Parser parser;
     const auto held = std::make_shared<HeldBytes>(m_server->budget, m_holder);
-    const boost::system::error_code ec = co_await readMessage(parser, *held);
+    boost::system::error_code ec;
+    if (!held->resize(m_buf.size())) {
+        ec = asio::error::no_buffer_space;
+    } else {
+        co_await awaitResponseEnd();
+        if (m_isClosed) {
+            co_return false;
+        }
+        ec = co_await readMessage(parser, *held);
+    }
     m_activity.endRequest();
     if (ec) {
-        if (m_writer != nullptr) {
-            m_writer->markDisconnected();
-        }
+        // It is answered after the response in progress, which the caller still gets.
         ConnectionEvent event = isDisconnect(ec) ? ConnectionEvent(CallerDisconnected {})
                                                  : ConnectionEvent(rejectionFor(ec));
         co_await m_events->send(std::move(event));
@@ -251,9 +261,18 @@
     ConnectionEvent event = isAmbiguous
             ? ConnectionEvent(RequestRejected {ErrorKind::InvalidRequest, 0})
             : ConnectionEvent(std::move(call));
+    m_isResponseDue = true;
     co_return co_await m_events->send(std::move(event));
 }
 
+Awaitable<void> CallerConnection::awaitResponseEnd()
+{
+    if (m_isResponseDue) {
+        m_isResponseDue = false;
+        co_await m_responseEnds->receive();
+    }
+}
+
 Awaitable<boost::system::error_code> CallerConnection::readMessage(Parser &parser, HeldBytes &held)
 {
     const CallerLimits &limits = m_server->limits;
@@ -363,6 +382,7 @@
     m_heldAnswer.reset();
     m_activity.endResponse(monotonicNow());
     m_server->budget->setPhase(m_holder, HolderPhase::Reading);
+    m_responseEnds->post(ResponseEnded {});
     co_return closeCauseAfter(writer);
 }
 
--- a/source/edge/callerconnection.h
+++ b/source/edge/callerconnection.h
@@ -48,6 +48,10 @@
 /** Messages from the reading side of a connection to the responding side. */
 using ConnectionEvent = std::variant<RequestReceived, RequestRejected, CallerDisconnected>;
 
+/** The response to a request has ended: message from the responding side to the reading side. */
+struct ResponseEnded
+{ };
+
 /** Why the server closes a caller's connection. */
 enum class CloseCause {
     /** The caller closed it, or it broke. */
@@ -103,6 +107,8 @@
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     /** Waits for the first bytes of a request. @returns false if the caller has disconnected */
     Awaitable<bool> awaitBytes();
+    /** Waits until the response to the request before has ended. */
+    Awaitable<void> awaitResponseEnd();
     /** Reads a request into the parser, and charges what arrives to the budget. */
     Awaitable<boost::system::error_code> readMessage(Parser &parser, HeldBytes &held);
     Awaitable<boost::system::error_code> readBody(Parser &parser, HeldBytes &held);
@@ -120,6 +126,9 @@
     const RequestContext &m_context;
     std::shared_ptr<CallerServerState> m_server;
     MailboxPtr<ConnectionEvent> m_events;
+    MailboxPtr<ResponseEnded> m_responseEnds;
+    /** Whether the end of a response has yet to be received. */
+    bool m_isResponseDue = false;
     Timer m_timer;
     /** Received bytes that are not parsed yet. Its size is limited. */
     boost::beast::flat_buffer m_buf;
--- a/tests/failure/tst_callerlimits.cpp
+++ b/tests/failure/tst_callerlimits.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <filesystem>
@@ -211,6 +212,24 @@
         return true;
     }
 
+    /** Sends requests on a new connection. @returns all that is received until it is closed */
+    std::string answersTo(const std::string &text)
+    {
+        asio::ip::tcp::socket caller(m_context);
+        const auto endpoint = toOutcome([&] { return parseEndpoint(m_entry->frontAddress()); });
+        caller.connect(std::get<asio::ip::tcp::endpoint>(endpoint));
+        caller.send(asio::buffer(text));
+        std::string received;
+        bool isClosed = false;
+        asio::async_read(caller, asio::dynamic_buffer(received),
+                         [&](const boost::system::error_code &, std::size_t) { isClosed = true; });
+        waitUntil([&] { return isClosed; });
+        boost::system::error_code ignored;
+        caller.close(ignored);
+        waitUntil([&] { return isClosed; });
+        return received;
+    }
+
     std::string processFolder() const { return "/proc/" + std::to_string(m_entry->id()); }
 
     /** @returns the peak of the process's resident memory in kilobytes; 0 if it is gone */
@@ -327,6 +346,29 @@
     requireWithinLimits();
 }
 
+// Bodies behind a running request are part of no request that could be timed out or closed.
+TEST_CASE_METHOD(CallerLimitsFixture, "entry_bodiesBehindRunningRequests_leaveRoomForOthers")
+{
+    answerWith("done", slowAnswerDelay);
+    runCrowd(manyCallers,
+             {headOf(lengthField(4)) + "body" + headOf(lengthField(maxBodyBytes)), pieceOf("b"),
+              maxBodyBytes - missingBytes});
+    answerWith("done", Duration::zero());
+    const std::string body(maxBodyBytes / 2, 'b');
+    CHECK(statusOf(m_entry->frontAddress(), headOf(lengthField(body.size())) + body) == 200);
+    requireWithinLimits();
+}
+
+// The answer of a request that has run must not be lost because the next one is refused.
+TEST_CASE_METHOD(CallerLimitsFixture, "entry_refusedRequestBehindARunningOne_bothAreAnswered")
+{
+    answerWith("done", milliseconds(500));
+    const std::string received = answersTo(headOf(lengthField(4)) + "body"
+                                           + headOf(lengthField(maxBodyBytes + 1)) + "body");
+    CHECK(received.starts_with("HTTP/1.1 200 "));
+    CHECK(received.find("HTTP/1.1 413 ") != std::string::npos);
+}
+
 TEST_CASE_METHOD(CallerLimitsFixture, "readinessPort_trailersWithoutEnd_keepsItsLimits")
 {
     runCrowd(fewCallers, m_entry->readyAddress(),
