Let answers use the reserve, and count steady uploads as progress

Answers of requests that had run waited behind uploads, which filled the budget up to the reserve. Each poll of a waiting answer counted as a refusal. A large upload that needed no further bytes at the moment was taken for a stalled one although bytes arrived.

A connection with a request in progress may use the whole budget. A refusal is counted once until the connection finds room or changes its phase. Progress is recorded after each read of a body.

--- a/source/core/fleet/memorybudget.cpp
+++ b/source/core/fleet/memorybudget.cpp
@@ -89,6 +89,14 @@
     }
 }
 
+void MemoryBudget::recordProgress(HolderId id, Instant now)
+{
+    const auto it = m_holders.find(id);
+    if (it != m_holders.end()) {
+        it->second.progressAt = now;
+    }
+}
+
 HoldDecision MemoryBudget::hold(HolderId id, std::size_t bytes, Instant now)
 {
     HoldDecision decision;
@@ -97,7 +105,9 @@
         return decision;
     }
     const bool isSmall = it->second.bytes + bytes <= smallHolderBytes;
-    const std::size_t reserve = isSmall ? 0 : m_limits.bytes / smallHoldersPart;
+    // The request of an answer has run, so that a refusal would lose work.
+    const bool isAnswer = it->second.phase != HolderPhase::Reading;
+    const std::size_t reserve = isSmall || isAnswer ? 0 : m_limits.bytes / smallHoldersPart;
     while (m_limits.bytes > 0 && m_heldBytes + bytes + reserve > m_limits.bytes) {
         HolderId victim = stalledHolder(id, now);
         if (victim == 0 && isSmall) {
--- a/source/core/fleet/memorybudget.h
+++ b/source/core/fleet/memorybudget.h
@@ -82,6 +82,8 @@
     /** Removes a connection with all that it holds. */
     void remove(HolderId id);
     void setPhase(HolderId id, HolderPhase phase, Instant now);
+    /** Bytes have arrived on a connection. */
+    void recordProgress(HolderId id, Instant now);
     /**
      * Decides whether a connection may hold further bytes, and adds them if it may. Connections
      * that are to be closed no longer count.
--- a/source/edge/callerconnection.cpp
+++ b/source/edge/callerconnection.cpp
@@ -313,6 +313,7 @@
         if (ec) {
             co_return ec;
         }
+        m_server->budget->recordProgress(m_holder);
     }
     held.resize(headBytes + parser.get().body().size());
     co_return boost::system::error_code();
--- a/source/edge/processbudget.cpp
+++ b/source/edge/processbudget.cpp
@@ -28,18 +28,27 @@
 {
     m_budget.remove(id);
     m_closers.erase(id);
+    m_refused.erase(id);
 }
 
 void ProcessBudget::setPhase(HolderId id, HolderPhase phase)
 {
     m_budget.setPhase(id, phase, monotonicNow());
+    m_refused.erase(id);
+}
+
+void ProcessBudget::recordProgress(HolderId id)
+{
+    m_budget.recordProgress(id, monotonicNow());
 }
 
 bool ProcessBudget::hold(HolderId id, std::size_t bytes)
 {
     const HoldDecision decision = m_budget.hold(id, bytes, monotonicNow());
     closeAll(decision, memoryCause);
-    if (!decision.isGranted) {
+    if (decision.isGranted) {
+        m_refused.erase(id);
+    } else if (m_closers.contains(id) && m_refused.insert(id).second) {
         countRefusal(memoryCause);
     }
     return decision.isGranted;
--- a/source/edge/processbudget.h
+++ b/source/edge/processbudget.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string_view>
 
 namespace greengageseam {
@@ -28,7 +29,13 @@
     /** Removes a connection with all that it holds. */
     void remove(HolderId id);
     void setPhase(HolderId id, HolderPhase phase);
-    /** @returns whether the connection may hold further bytes, which are added then */
+    /** Bytes have arrived on a connection. */
+    void recordProgress(HolderId id);
+    /**
+     * Counts a refusal once until the connection finds room or begins something else, since an
+     * answer asks again and again.
+     * @returns whether the connection may hold further bytes, which are added then
+     */
     bool hold(HolderId id, std::size_t bytes);
     void release(HolderId id, std::size_t bytes);
     /**
@@ -48,6 +55,8 @@
 
     MemoryBudget m_budget;
     std::map<HolderId, CloseForRoom> m_closers;
+    /** Connections whose refusal was counted. */
+    std::set<HolderId> m_refused;
     std::shared_ptr<Metrics> m_metrics;
     Log m_log;
     /** When the last line about a full budget was logged. */
--- a/tests/unit/tst_memorybudget.cpp
+++ b/tests/unit/tst_memorybudget.cpp
@@ -89,6 +89,26 @@
     REQUIRE(m_budget.hold(id, 4 * megabyte, muchLater) == HoldDecision {true, {unread}});
 }
 
+// An answer that finds no room behind uploads loses work that was done.
+TEST_CASE_METHOD(MemoryBudgetFixture, "hold_answerWhileUploadsFillTheBudget_usesTheReserve")
+{
+    holderOf(7 * megabyte);
+    const HolderId id = m_budget.add(start);
+    REQUIRE_FALSE(m_budget.hold(id, megabyte, start).isGranted);
+    m_budget.setPhase(id, HolderPhase::Serving, start);
+    REQUIRE(m_budget.hold(id, megabyte, start) == HoldDecision {true, {}});
+}
+
+// A slow upload that moves must not be closed before a smaller one that sends nothing.
+TEST_CASE_METHOD(MemoryBudgetFixture, "hold_largestMakesProgress_aStalledOneIsClosed")
+{
+    const HolderId steady = holderOf(4 * megabyte);
+    const HolderId stalled = holderOf(2 * megabyte);
+    m_budget.recordProgress(steady, later);
+    const HolderId id = m_budget.add(later);
+    REQUIRE(m_budget.hold(id, 2 * megabyte, later) == HoldDecision {true, {stalled}});
+}
+
 TEST_CASE_METHOD(MemoryBudgetFixture, "release_bytesOfARequestThatEnded_makeRoom")
 {
     const HolderId first = holderOf(6 * megabyte);
