Charge answers of unknown length in full, and do not cut answers

An answer without a length was charged 128 KiB, while up to 1 MiB of it was held. A caller was disconnected when a part above 64 KiB of its answer found no room, although its request had run and it read the answer.

Such an answer is charged as the largest one. Parts that are in memory are charged also beyond the budget, and written; others are refused meanwhile, and the connection is closed for them if its caller stops reading. The limit of 64 KiB for small holders and answers is one constant.

--- a/source/core/fleet/memorybudget.cpp
+++ b/source/core/fleet/memorybudget.cpp
@@ -16,8 +16,6 @@
 /** Share of the rest, in percent: allocations are rounded up, and small ones are fragmented. */
 constexpr std::size_t budgetPercent = 70;
 constexpr std::size_t percent = 100;
-/** A connection that holds no more than this may use the bytes that are reserved for such ones. */
-constexpr std::size_t smallHolderBytes = 64UL * 1024;
 /** Part of the budget that is reserved for connections that hold little. */
 constexpr std::size_t smallHoldersPart = 8;
 /** Descriptors that the platform reserves for files. */
@@ -119,13 +117,28 @@
         remove(victim);
         decision.closed.push_back(victim);
     }
-    it->second.bytes += bytes;
-    it->second.progressAt = now;
-    m_heldBytes += bytes;
+    addBytes(it->second, bytes, now);
     decision.isGranted = true;
     return decision;
 }
 
+HoldDecision MemoryBudget::holdInAnyCase(HolderId id, std::size_t bytes, Instant now)
+{
+    HoldDecision decision = hold(id, bytes, now);
+    const auto it = m_holders.find(id);
+    if (!decision.isGranted && it != m_holders.end()) {
+        addBytes(it->second, bytes, now);
+    }
+    return decision;
+}
+
+void MemoryBudget::addBytes(Holder &holder, std::size_t bytes, Instant now)
+{
+    holder.bytes += bytes;
+    holder.progressAt = now;
+    m_heldBytes += bytes;
+}
+
 void MemoryBudget::release(HolderId id, std::size_t bytes)
 {
     const auto it = m_holders.find(id);
--- a/source/core/fleet/memorybudget.h
+++ b/source/core/fleet/memorybudget.h
@@ -14,6 +14,9 @@
 
 namespace greengageseam {
 
+/** A connection or an answer that holds no more than this counts as small. */
+constexpr std::size_t smallHolderBytes = 64UL * 1024;
+
 /** Limits of a process for all its connections together. */
 struct BudgetLimits
 {
@@ -89,6 +92,8 @@
      * that are to be closed no longer count.
      */
     HoldDecision hold(HolderId id, std::size_t bytes, Instant now);
+    /** Adds bytes that are in memory already, also if they exceed the budget. */
+    HoldDecision holdInAnyCase(HolderId id, std::size_t bytes, Instant now);
     /** The connection no longer holds bytes that were granted before. */
     void release(HolderId id, std::size_t bytes);
     /**
@@ -107,6 +112,7 @@
     HolderId stalledHolder(HolderId except, Instant now) const;
     HolderId largestReader(HolderId except) const;
     HolderId longestIdle(Instant now) const;
+    void addBytes(Holder &holder, std::size_t bytes, Instant now);
 
     BudgetLimits m_limits;
     std::map<HolderId, Holder> m_holders;
--- a/source/edge/callerconnection.cpp
+++ b/source/edge/callerconnection.cpp
@@ -19,8 +19,6 @@
 constexpr std::size_t readAheadBytes = 8 * 1024;
 /** Bytes of a body that are charged to the budget in one step. */
 constexpr std::size_t bodyStepBytes = 8 * 1024;
-/** An answer that holds no more than this is written also when the budget has no room. */
-constexpr std::size_t smallAnswerBytes = 64 * 1024;
 /** Retry-After in seconds of a request for which there is no room. */
 constexpr std::string_view noRoomRetryAfter = "0.500";
 /** Interval at which a connection checks its timeouts. */
@@ -388,21 +386,25 @@
 }
 
 /** Bytes that were held when the answer was read are not charged again as it is written. */
-bool CallerConnection::holdAnswer(std::size_t bytes)
+HeldBytes &CallerConnection::heldAnswer()
 {
     if (!m_heldAnswer) {
         m_heldAnswer = std::make_shared<HeldBytes>(m_server->budget, m_holder);
     }
-    return m_heldAnswer->resize(std::max(bytes, m_heldAnswer->bytes()));
+    return *m_heldAnswer;
 }
 
 ResponseBudgetHooks CallerConnection::budgetHooks()
 {
     ResponseBudgetHooks hooks;
-    hooks.hold = [this](std::size_t bytes) { return holdAnswer(bytes); };
+    hooks.hold = [this](std::size_t bytes) {
+        HeldBytes &held = heldAnswer();
+        return held.resize(std::max(bytes, held.bytes()));
+    };
     hooks.begin = [this](std::size_t bytes) {
         m_server->budget->setPhase(m_holder, HolderPhase::Responding);
-        return holdAnswer(bytes) || bytes <= m_heldAnswer->bytes() + smallAnswerBytes;
+        // Its request has run. If it is not read, others get its room once it is stalled.
+        heldAnswer().growInAnyCase(bytes);
     };
     hooks.onProgress = [this] { m_server->budget->setPhase(m_holder, HolderPhase::Responding); };
     hooks.end = [this] {
--- a/source/edge/callerconnection.h
+++ b/source/edge/callerconnection.h
@@ -113,7 +113,8 @@
     Awaitable<boost::system::error_code> readMessage(Parser &parser, HeldBytes &held);
     Awaitable<boost::system::error_code> readBody(Parser &parser, HeldBytes &held);
     RequestReceived takeRequest(Parser &parser, HeldBytesPtr held) const;
-    bool holdAnswer(std::size_t bytes);
+    /** @returns what is held for the answer in progress */
+    HeldBytes &heldAnswer();
     ResponseBudgetHooks budgetHooks();
     /** Closes the connection because others need what it holds. */
     void closeForRoom();
--- a/source/edge/processbudget.cpp
+++ b/source/edge/processbudget.cpp
@@ -54,6 +54,11 @@
     return decision.isGranted;
 }
 
+void ProcessBudget::holdInAnyCase(HolderId id, std::size_t bytes)
+{
+    closeAll(m_budget.holdInAnyCase(id, bytes, monotonicNow()), memoryCause);
+}
+
 void ProcessBudget::release(HolderId id, std::size_t bytes)
 {
     m_budget.release(id, bytes);
@@ -134,4 +139,12 @@
     return true;
 }
 
+void HeldBytes::growInAnyCase(std::size_t bytes)
+{
+    if (bytes > m_bytes) {
+        m_budget->holdInAnyCase(m_holder, bytes - m_bytes);
+        m_bytes = bytes;
+    }
+}
+
 } // namespace greengageseam
--- a/source/edge/processbudget.h
+++ b/source/edge/processbudget.h
@@ -37,6 +37,8 @@
      * @returns whether the connection may hold further bytes, which are added then
      */
     bool hold(HolderId id, std::size_t bytes);
+    /** Adds bytes that are in memory already, also if they exceed the budget. */
+    void holdInAnyCase(HolderId id, std::size_t bytes);
     void release(HolderId id, std::size_t bytes);
     /**
      * Closes idle connections if the sockets would exceed the limit.
@@ -78,6 +80,8 @@
 
     /** Changes the number of bytes. @returns false, without a change, if there is no room */
     bool resize(std::size_t bytes);
+    /** Raises the number of bytes to that of bytes that are in memory already. */
+    void growInAnyCase(std::size_t bytes);
     std::size_t bytes() const { return m_bytes; }
 
 private:
--- a/source/edge/responsewriter.cpp
+++ b/source/edge/responsewriter.cpp
@@ -72,8 +72,8 @@
 
 bool ResponseWriter::beginWrite(std::size_t bytes)
 {
-    if (!m_isDisconnected && m_budget.begin && !m_budget.begin(bytes)) {
-        markDisconnected();
+    if (!m_isDisconnected && m_budget.begin) {
+        m_budget.begin(bytes);
     }
     return !m_isDisconnected;
 }
--- a/source/edge/responsewriter.h
+++ b/source/edge/responsewriter.h
@@ -17,8 +17,8 @@
 {
     /** An answer is about to be read. @returns whether it may be held until it is written */
     std::function<bool(std::size_t bytes)> hold;
-    /** Bytes are about to be written. @returns whether they may be held until then */
-    std::function<bool(std::size_t bytes)> begin;
+    /** Bytes are about to be written, and are held until then. */
+    std::function<void(std::size_t bytes)> begin;
     /** A part of them was written. */
     std::function<void()> onProgress;
     /** All of them were written, or the connection was lost. */
@@ -82,7 +82,7 @@
     Awaitable<bool> write(std::string bytes);
     /** Writes bytes in parts, so that progress shows. */
     Awaitable<bool> writeParts(std::string_view bytes);
-    /** Marks the caller as gone if the budget has no room for its answer. */
+    /** @returns false if the caller has disconnected */
     bool beginWrite(std::size_t bytes);
     void endWrite();
     std::string formatHead(int status, const std::vector<HttpHeader> &fields);
--- a/source/edge/upstreamattemptresponse.cpp
+++ b/source/edge/upstreamattemptresponse.cpp
@@ -2,6 +2,7 @@
  * The part of UpstreamAttempt that reads the response from a backend server and checks it.
  */
 #include "core/fleet/attemptpolicy.h"
+#include "core/fleet/memorybudget.h"
 #include "edge/upstreamattempt.h"
 #include "net/clock.h"
 
@@ -14,10 +15,6 @@
 
 /** Small enough that an entry holds the responses to many requests at once. */
 constexpr std::size_t maxBufferedBody = 1024ULL * 1024;
-/** Answers up to this size are charged to the budget only while they are written. */
-constexpr std::size_t maxUncountedAnswer = 64UL * 1024;
-/** Bytes that an answer without a length is charged while it is read. */
-constexpr std::uint64_t unknownAnswerBytes = 128UL * 1024;
 /** Room for the head that is written before a body. */
 constexpr std::size_t answerHeadBytes = 4UL * 1024;
 /** Interval at which an answer for which there is no room is tried again. */
@@ -99,7 +96,8 @@
 Awaitable<bool> UpstreamAttempt::awaitRoom(std::size_t bytes)
 {
     const std::size_t needed = bytes + answerHeadBytes;
-    if (needed <= maxUncountedAnswer) {
+    // Small answers are charged only while they are written.
+    if (needed <= smallHolderBytes) {
         co_return true;
     }
     Timer timer(m_context.executor);
@@ -116,7 +114,7 @@
 Awaitable<UpstreamAttempt::Result> UpstreamAttempt::receiveBody(const HttpResponseHead &head,
                                                                 const ResponseMetadata &fields)
 {
-    const std::uint64_t length = head.length.value_or(unknownAnswerBytes);
+    const std::uint64_t length = head.length.value_or(maxBufferedBody);
     const bool hasRoom = co_await awaitRoom(std::min<std::uint64_t>(length, maxBufferedBody));
     if (!hasRoom) {
         m_connection->abort();
--- a/tests/unit/tst_memorybudget.cpp
+++ b/tests/unit/tst_memorybudget.cpp
@@ -99,6 +99,17 @@
     REQUIRE(m_budget.hold(id, megabyte, start) == HoldDecision {true, {}});
 }
 
+TEST_CASE_METHOD(MemoryBudgetFixture, "holdInAnyCase_noRoom_countsWhatIsInMemory")
+{
+    holderOf(7 * megabyte);
+    const HolderId id = m_budget.add(start);
+    m_budget.setPhase(id, HolderPhase::Responding, start);
+    REQUIRE(m_budget.holdInAnyCase(id, 2 * megabyte, start) == HoldDecision {false, {}});
+    REQUIRE(m_budget.heldBytes() == 9 * megabyte);
+    m_budget.release(id, 2 * megabyte);
+    REQUIRE(m_budget.heldBytes() == 7 * megabyte);
+}
+
 // A slow upload that moves must not be closed before a smaller one that sends nothing.
 TEST_CASE_METHOD(MemoryBudgetFixture, "hold_largestMakesProgress_aStalledOneIsClosed")
 {
