Close idle connections normally, and limit what a body reserves

A reset destroyed the end of an answer that was written just before its connection was closed for others. A chunked body reserved the configured limit, which may be larger than any memory and then throws.

A connection is reset only if a request is being read or answered on it. At most 8 MiB are reserved.

The normal close has no test.

--- a/source/edge/callerconnection.cpp
+++ b/source/edge/callerconnection.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t readAheadBytes = 8 * 1024;
 /** Bytes of a body that are charged to the budget in one step. */
 constexpr std::size_t bodyStepBytes = 8 * 1024;
+/** Most bytes that are reserved for a chunked body before it arrives, whatever the limit is. */
+constexpr std::size_t maxReservedBody = 8UL * 1024 * 1024;
 /** Retry-After in seconds of a request for which there is no room. */
 constexpr std::string_view noRoomRetryAfter = "0.500";
 /** Interval at which a connection checks its timeouts. */
@@ -133,8 +135,11 @@
     if (m_writer != nullptr) {
         m_writer->markDisconnected();
     }
-    boost::system::error_code ignored;
-    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    // A reset would destroy the end of an answer that was written to an idle connection.
+    if (!m_activity.isIdle()) {
+        boost::system::error_code ignored;
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     close(CloseCause::NoRoom);
 }
 
@@ -299,7 +304,7 @@
     if (parser.chunked()) {
         // A string that grows step by step holds its bytes twice for a moment. Pages that are not
         // written take no memory.
-        parser.get().body().reserve(m_server->limits.maxBodyBytes);
+        parser.get().body().reserve(std::min(m_server->limits.maxBodyBytes, maxReservedBody));
     }
     parser.eager(true);
     while (!parser.is_done()) {
--- a/tests/failure/tst_callerlimits.cpp
+++ b/tests/failure/tst_callerlimits.cpp
@@ -123,7 +123,7 @@
 class CallerLimitsFixture
 {
 protected:
-    CallerLimitsFixture()
+    explicit CallerLimitsFixture(std::size_t maxBody = maxBodyBytes)
         : m_log(LogLevel::Error, {}), m_store(m_context.get_executor(), m_log),
           m_script(std::make_shared<AnswerScript>()), m_server(m_context.get_executor(), m_script)
     {
@@ -134,7 +134,7 @@
                     R"("service":"p","maxAttempts":1}],"services":[{"name":"p"}],)"
                     R"("limits":{"maxHeaderBytes":16384,"headerTimeoutMs":3000,)"
                     R"("idleTimeoutMs":15000,"maxBodyBytes":)"
-                            + std::to_string(maxBodyBytes)
+                            + std::to_string(maxBody)
                             + R"(},"tenants":[{"name":"ann","apiKeys":["key"]}]})");
         m_store.put("keyed.servers", "i-1",
                     R"({"service":"p","address":")" + m_server.address().text()
@@ -369,6 +369,20 @@
     CHECK(received.find("HTTP/1.1 413 ") != std::string::npos);
 }
 
+/** An entry whose operator limits bodies in effect not at all. */
+class UnlimitedBodyFixture : public CallerLimitsFixture
+{
+protected:
+    UnlimitedBodyFixture() : CallerLimitsFixture(1'000'000'000'000'000) { }
+};
+
+TEST_CASE_METHOD(UnlimitedBodyFixture, "entry_chunkedBodyWithoutLimit_isServed")
+{
+    REQUIRE(statusOf(m_entry->frontAddress(), headOf(chunkedField) + "4\r\nbody\r\n0\r\n\r\n")
+            == 200);
+    REQUIRE(m_entry->exitCode() == -1);
+}
+
 TEST_CASE_METHOD(CallerLimitsFixture, "readinessPort_trailersWithoutEnd_keepsItsLimits")
 {
     runCrowd(fewCallers, m_entry->readyAddress(),
