--- a/source/edge/callerconnection.cpp
+++ b/source/edge/callerconnection.cpp
@@ -19,8 +19,8 @@
 constexpr std::size_t readAheadBytes = 8 * 1024;
 /** Bytes of a body that are charged to the budget in one step. */
 constexpr std::size_t bodyStepBytes = 8 * 1024;
-/** An answer that holds no more than this is written also when the budget has no room. */
-constexpr std::size_t smallAnswerBytes = 64 * 1024;
+/** Most bytes that are reserved for a chunked body before it arrives, whatever the limit is. */
+constexpr std::size_t maxReservedBody = 8UL * 1024 * 1024;
 /** Retry-After in seconds of a request for which there is no room. */
 constexpr std::string_view noRoomRetryAfter = "0.500";
 /** Interval at which a connection checks its timeouts. */
@@ -92,6 +92,7 @@
                                    std::shared_ptr<CallerServerState> server)
     : m_socket(std::move(socket)), m_context(context), m_server(std::move(server)),
       m_events(makeMailbox<ConnectionEvent>(m_socket.get_executor(), 1)),
+      m_responseEnds(makeMailbox<ResponseEnded>(m_socket.get_executor(), 1)),
       m_timer(m_socket.get_executor()), m_activity(monotonicNow())
 {
     ++m_server->connections;
@@ -126,6 +127,7 @@
     m_socket.close(ignored);
     m_timer.cancel();
     m_events->close();
+    m_responseEnds->close();
 }
 
 void CallerConnection::closeForRoom()
@@ -133,8 +135,11 @@
     if (m_writer != nullptr) {
         m_writer->markDisconnected();
     }
-    boost::system::error_code ignored;
-    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    // A reset would destroy the end of an answer that was written to an idle connection.
+    if (!m_activity.isIdle()) {
+        boost::system::error_code ignored;
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     close(CloseCause::NoRoom);
 }
 
@@ -212,8 +217,9 @@
 }
 
 /**
- * Reads the next request. It reads ahead even while a response is in progress, because a read is
- * the only way to notice that the caller has disconnected.
+ * Reads the next request. It reads the first piece even while a response is in progress, because a
+ * read is the only way to notice that the caller has disconnected. The rest is read after the
+ * response, when the request counts as one that can be timed out or closed for others.
  *
  * @returns false if nothing more can be read from the connection
  */
@@ -234,12 +240,19 @@
     m_activity.beginRequest(monotonicNow());
     Parser parser;
     const auto held = std::make_shared<HeldBytes>(m_server->budget, m_holder);
-    const boost::system::error_code ec = co_await readMessage(parser, *held);
+    boost::system::error_code ec;
+    if (!held->resize(m_buf.size())) {
+        ec = asio::error::no_buffer_space;
+    } else {
+        co_await awaitResponseEnd();
+        if (m_isClosed) {
+            co_return false;
+        }
+        ec = co_await readMessage(parser, *held);
+    }
     m_activity.endRequest();
     if (ec) {
-        if (m_writer != nullptr) {
-            m_writer->markDisconnected();
-        }
+        // It is answered after the response in progress, which the caller still gets.
         ConnectionEvent event = isDisconnect(ec) ? ConnectionEvent(CallerDisconnected {})
                                                  : ConnectionEvent(rejectionFor(ec));
         co_await m_events->send(std::move(event));
@@ -251,9 +264,18 @@
     ConnectionEvent event = isAmbiguous
             ? ConnectionEvent(RequestRejected {ErrorKind::InvalidRequest, 0})
             : ConnectionEvent(std::move(call));
+    m_isResponseDue = true;
     co_return co_await m_events->send(std::move(event));
 }
 
+Awaitable<void> CallerConnection::awaitResponseEnd()
+{
+    if (m_isResponseDue) {
+        m_isResponseDue = false;
+        co_await m_responseEnds->receive();
+    }
+}
+
 Awaitable<boost::system::error_code> CallerConnection::readMessage(Parser &parser, HeldBytes &held)
 {
     const CallerLimits &limits = m_server->limits;
@@ -282,7 +304,7 @@
     if (parser.chunked()) {
         // A string that grows step by step holds its bytes twice for a moment. Pages that are not
         // written take no memory.
-        parser.get().body().reserve(m_server->limits.maxBodyBytes);
+        parser.get().body().reserve(std::min(m_server->limits.maxBodyBytes, maxReservedBody));
     }
     parser.eager(true);
     while (!parser.is_done()) {
@@ -294,6 +316,7 @@
         if (ec) {
             co_return ec;
         }
+        m_server->budget->recordProgress(m_holder);
     }
     held.resize(headBytes + parser.get().body().size());
     co_return boost::system::error_code();
@@ -363,25 +386,30 @@
     m_heldAnswer.reset();
     m_activity.endResponse(monotonicNow());
     m_server->budget->setPhase(m_holder, HolderPhase::Reading);
+    m_responseEnds->post(ResponseEnded {});
     co_return closeCauseAfter(writer);
 }
 
 /** Bytes that were held when the answer was read are not charged again as it is written. */
-bool CallerConnection::holdAnswer(std::size_t bytes)
+HeldBytes &CallerConnection::heldAnswer()
 {
     if (!m_heldAnswer) {
         m_heldAnswer = std::make_shared<HeldBytes>(m_server->budget, m_holder);
     }
-    return m_heldAnswer->resize(std::max(bytes, m_heldAnswer->bytes()));
+    return *m_heldAnswer;
 }
 
 ResponseBudgetHooks CallerConnection::budgetHooks()
 {
     ResponseBudgetHooks hooks;
-    hooks.hold = [this](std::size_t bytes) { return holdAnswer(bytes); };
+    hooks.hold = [this](std::size_t bytes) {
+        HeldBytes &held = heldAnswer();
+        return held.resize(std::max(bytes, held.bytes()));
+    };
     hooks.begin = [this](std::size_t bytes) {
         m_server->budget->setPhase(m_holder, HolderPhase::Responding);
-        return holdAnswer(bytes) || bytes <= m_heldAnswer->bytes() + smallAnswerBytes;
+        // Its request has run. If it is not read, others get its room once it is stalled.
+        heldAnswer().growInAnyCase(bytes);
     };
     hooks.onProgress = [this] { m_server->budget->setPhase(m_holder, HolderPhase::Responding); };
     hooks.end = [this] {
--- a/source/edge/processbudget.cpp
+++ b/source/edge/processbudget.cpp
@@ -28,23 +28,37 @@
 {
     m_budget.remove(id);
     m_closers.erase(id);
+    m_refused.erase(id);
 }
 
 void ProcessBudget::setPhase(HolderId id, HolderPhase phase)
 {
     m_budget.setPhase(id, phase, monotonicNow());
+    m_refused.erase(id);
+}
+
+void ProcessBudget::recordProgress(HolderId id)
+{
+    m_budget.recordProgress(id, monotonicNow());
 }
 
 bool ProcessBudget::hold(HolderId id, std::size_t bytes)
 {
     const HoldDecision decision = m_budget.hold(id, bytes, monotonicNow());
     closeAll(decision, memoryCause);
-    if (!decision.isGranted) {
+    if (decision.isGranted) {
+        m_refused.erase(id);
+    } else if (m_closers.contains(id) && m_refused.insert(id).second) {
         countRefusal(memoryCause);
     }
     return decision.isGranted;
 }
 
+void ProcessBudget::holdInAnyCase(HolderId id, std::size_t bytes)
+{
+    closeAll(m_budget.holdInAnyCase(id, bytes, monotonicNow()), memoryCause);
+}
+
 void ProcessBudget::release(HolderId id, std::size_t bytes)
 {
     m_budget.release(id, bytes);
@@ -125,4 +139,12 @@
     return true;
 }
 
+void HeldBytes::growInAnyCase(std::size_t bytes)
+{
+    if (bytes > m_bytes) {
+        m_budget->holdInAnyCase(m_holder, bytes - m_bytes);
+        m_bytes = bytes;
+    }
+}
+
 } // namespace greengageseam
