--- a/source/core/fleet/loadbalancer.cpp
+++ b/source/core/fleet/loadbalancer.cpp
@@ -371,13 +371,10 @@
         if (!isUsable(state, weights, regions, now)) {
             continue;
         }
-        const std::uint32_t slots = state.entry.slots;
         const std::uint32_t load = estimatedLoad(state, now);
-        const std::uint32_t inUse = state.availability.isPaused(now) ? std::max(load, slots) : load;
         ++sum.usableReplicas;
-        sum.slots += slots;
-        sum.inUse += inUse;
-        sum.free += slots > inUse ? slots - inUse : 0;
+        sum.slots += state.entry.slots;
+        sum.inUse += state.availability.isPaused(now) ? std::max(load, state.entry.slots) : load;
         firstReturn = std::min(firstReturn, state.availability.pausedUntil());
     }
     if (sum.usableReplicas > 0 && firstReturn > now) {
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -101,8 +101,6 @@
     std::uint32_t slots = 0;
     /** During a pause of a backend server, all of its slots count as in use. */
     std::uint32_t inUse = 0;
-    /** Sum of the free slots of each; more than the difference if a server has more requests. */
-    std::uint32_t free = 0;
     /** Time until the first one accepts requests, if all of them are paused; otherwise 0. */
     Duration pauseLeft {};
 
--- a/tests/unit/tst_loadbalancer.cpp
+++ b/tests/unit/tst_loadbalancer.cpp
@@ -191,16 +191,6 @@
     REQUIRE_FALSE(acquire());
 }
 
-// A queue at one backend server must not hide the free slots of another.
-TEST_CASE_METHOD(LoadBalancerFixture, "occupancy_oneServerHasAQueue_freeSlotsOfOthersCount")
-{
-    m_balancer.setReplicas({replica("a"), replica("b")});
-    m_balancer.applyReport(report(replica("a"), 3 * replica("a").slots), m_now);
-    const Occupancy occupancy = m_balancer.occupancy(m_requirements.service, {}, m_now);
-    REQUIRE(occupancy.inUse > occupancy.slots);
-    REQUIRE(occupancy.free == replica("b").slots);
-}
-
 TEST_CASE_METHOD(LoadBalancerFixture, "acquire_pauseHasEnded_allowsOneRequestFirst")
 {
     m_balancer.setReplicas({replica("a")});
