--- a/source/core/fleet/pendingqueue.h
+++ b/source/core/fleet/pendingqueue.h
@@ -98,9 +98,7 @@
 
     /** Records that a caller's request needs a backend server. */
     void recordArrival(const PendingRequest &request);
-    /**
-     * Takes back an arrival whose request ends neither served nor turned away for want of slots.
-     */
+    /** Takes back the arrival of a request that ends for another reason than a lack of slots. */
     void withdrawArrival(const PendingRequest &request);
     void recordServed(const PendingRequest &request);
     void recordTurnedAway(const PendingRequest &request, Instant now);
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -41,7 +41,8 @@
         seen.__set_layersVersion(static_cast<std::int64_t>(entry.loaded.layers->version));
     }
     if (entry.coldLeft > Duration::zero()) {
-        seen.__set_coldLeftMs(std::chrono::ceil<std::chrono::milliseconds>(entry.coldLeft).count());
+        seen.__set_remainingColdMs(
+                std::chrono::ceil<std::chrono::milliseconds>(entry.coldLeft).count());
     }
     return seen;
 }
@@ -63,8 +64,8 @@
                                           static_cast<std::uint32_t>(seen.layersTo),
                                           static_cast<std::uint64_t>(seen.layersVersion)};
     }
-    if (seen.__isset.coldLeftMs) {
-        entry.coldLeft = std::chrono::milliseconds(seen.coldLeftMs);
+    if (seen.__isset.remainingColdMs) {
+        entry.coldLeft = std::chrono::milliseconds(seen.remainingColdMs);
     }
     return entry;
 }
@@ -331,7 +332,7 @@
     }
     if (report.coldLeft) {
         const auto left = std::chrono::ceil<std::chrono::milliseconds>(*report.coldLeft);
-        body.__set_coldLeftMs(left.count());
+        body.__set_remainingColdMs(left.count());
     }
     if (report.sentAt) {
         body.__set_sentAt(report.sentAt->count());
@@ -425,7 +426,7 @@
     const bool isNegative = seen.bornMs < 0 || seen.weights < 0 || seen.waiting < 0
             || seen.running < 0 || seen.pace < 0 || (seen.__isset.viewAge && seen.viewAge < 0)
             || (seen.__isset.credits && seen.credits < 0)
-            || (seen.__isset.coldLeftMs && seen.coldLeftMs < 0)
+            || (seen.__isset.remainingColdMs && seen.remainingColdMs < 0)
             || (seen.__isset.sentAt && seen.sentAt < 0);
     if (!frame.__isset.loadSeen || isNegative) {
         return fail(ErrorKind::ProtocolViolation,
@@ -447,9 +448,9 @@
     if (seen.__isset.credits) {
         report.credits = static_cast<std::uint32_t>(seen.credits);
     }
-    if (seen.__isset.coldLeftMs) {
+    if (seen.__isset.remainingColdMs) {
         report.coldLeft = std::chrono::milliseconds(
-                std::min<std::int64_t>(seen.coldLeftMs, maxColdTime.count()));
+                std::min<std::int64_t>(seen.remainingColdMs, maxColdTime.count()));
     }
     if (seen.__isset.sentAt) {
         report.sentAt = Duration(seen.sentAt);
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -326,7 +326,7 @@
   10: optional i32 layersFrom;
   11: optional i32 layersTo;
   12: optional i64 layersVersion;
-  13: optional i64 coldLeftMs;
+  13: optional i64 remainingColdMs;
 }
 
 /** Datagram between the entries of a zone: what a read of the list of backend servers brought. */
@@ -403,9 +403,9 @@
   /** Requests that the receiver may send until the next report while the backend server is contended. */
   11: optional i32 credits;
   /** How much longer the backend server stays cold, in milliseconds; absent if it is warm. */
-  12: optional i64 coldLeftMs;
+  12: optional i64 remainingColdMs;
   /** The sender's monotonic clock in microseconds; only while the backend server is cold. */
-  20: optional i64 sentAt;
+  13: optional i64 sentAt;
 }
 
 /** A named version of weights, as an agent has heard of it. */
