Join two equal branches of a test

Cause: clang-tidy reports a repeated branch body in tst_priority.cpp. Change: one condition with the same order of evaluation; no check changes.

--- a/tests/differential/tst_priority.cpp
+++ b/tests/differential/tst_priority.cpp
@@ -237,9 +237,9 @@
         Entry &entry = m_entries[entryIndex];
         entry.demand.recordArrival(m_now);
         entry.queue.recordArrival(request.pending);
-        if (!m_scenario.isPlain && entry.queue.mustYield(request.pending, supply(entry), m_now)) {
-            enqueue(entry, request);
-        } else if (!send(entry, request)) {
+        const bool yields =
+                !m_scenario.isPlain && entry.queue.mustYield(request.pending, supply(entry), m_now);
+        if (yields || !send(entry, request)) {
             enqueue(entry, request);
         }
     }
