Restore two checks of the model of priority that had loosened

Cause: lowered the bound of all requests served from 0.97 to 0.9 of those without priorities, and doubled the tolerance of the comparison in each second. Both followed from what the code did, not from the requirement.

--- a/tests/differential/tst_priority.cpp
+++ b/tests/differential/tst_priority.cpp
@@ -433,15 +433,12 @@
         return sum;
     }
 
-    /**
-     * @returns the difference that the shares of two kinds, which are served alike, exceed by
-     *          chance in one of forty cases: two standard deviations, of which the share is
-     *          estimated with one request more of each outcome, since few arrive in a second
-     */
-    static double chanceDifference(const Tally &left, const Tally &right)
+    /** @returns the standard deviation of the difference of two shares that are equal by chance */
+    static double deviation(const Tally &left, const Tally &right)
     {
-        const double share = (left.inTime + right.inTime + 1) / (left.arrived + right.arrived + 2);
-        return 2 * std::sqrt(share * (1 - share) * (1 / left.arrived + 1 / right.arrived));
+        const double n = left.arrived + right.arrived;
+        const double share = (left.inTime + right.inTime) / n;
+        return std::sqrt(share * (1 - share) * (1 / left.arrived + 1 / right.arrived));
     }
 
     static double servedShareOfAll(const Second &sum)
@@ -488,7 +485,7 @@
         for (std::size_t kind = 0; kind + 1 < kindCount; ++kind) {
             const Tally &urgent = tallies[kind];
             const Tally &other = tallies[kind + 1];
-            const double tolerance = chanceDifference(urgent, other);
+            const double tolerance = deviation(urgent, other);
             CHECK(urgent.servedShare() + tolerance >= other.servedShare());
             CHECK(urgent.inTimeShare() + tolerance >= other.inTimeShare());
         }
@@ -508,8 +505,7 @@
         CHECK(with[kind].servedShare() >= with[kind + 1].servedShare());
         CHECK(with[kind].inTimeShare() >= with[kind + 1].inTimeShare());
     }
-    // At most one slot in ten is kept free for the more urgent requests.
-    CHECK(servedShareOfAll(with) >= 0.9 * servedShareOfAll(without));
+    CHECK(servedShareOfAll(with) >= 0.97 * servedShareOfAll(without));
 }
 
 // Credits of the agents often go to another entry than the one at which an urgent request waits.
