Log by which configuration a request was not routed

request.done of a request that matches no route or key did not tell which configuration the entry had, or how old its view of the operator's topic was, so that the hypotheses of docs/incidents/older-copies.md could not be told apart. The line request.not-routed tells both.

--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -64,9 +64,11 @@
     const Outcome<RouteMatch> found = m_table->find(command.host, command.target, command.key);
     const Instant now = monotonicNow();
     if (const Failure *failure = failureOf(found)) {
-        command.reply->post(mayDeny(now) ? *failure
-                                         : Failure {ErrorKind::StaleConfiguration,
-                                                    failure->detail + " that is known here"});
+        const Failure answer = mayDeny(now)
+                ? *failure
+                : Failure {ErrorKind::StaleConfiguration, failure->detail + " that is known here"};
+        logNotRouted(command, answer, now);
+        command.reply->post(answer);
         return;
     }
     const auto &routed = std::get<RouteMatch>(found);
@@ -78,6 +80,17 @@
     command.reply->post(std::move(admission));
 }
 
+/** Logs a request that matches no route or key, with the configuration that this rests on. */
+void Dispatcher::logNotRouted(const AdmissionQuery &command, const Failure &failure, Instant now)
+{
+    m_log.info("request.not-routed",
+               {{"request", command.attemptId},
+                {"cause", descriptorFor(failure.kind).name},
+                {"reason", failure.detail},
+                {"config", m_table->config().version},
+                {"view_ms", (now - m_tableCompleteAsOf).count() / 1000}});
+}
+
 /**
  * @returns whether the configuration is recent enough to tell a caller that a route or key does not
  *          exist; it may have been added since
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -33,6 +33,7 @@
 /** Asks for the route of a request; counts the request towards the retry budget. */
 struct AdmissionQuery
 {
+    std::string attemptId;
     std::string host;
     std::string target;
     /** The API key of the caller. */
@@ -304,6 +305,7 @@
 
     Awaitable<void> run();
     void apply(const AdmissionQuery &command);
+    void logNotRouted(const AdmissionQuery &command, const Failure &failure, Instant now);
     void apply(const AcquireReplica &command);
     void apply(const ResponseStarted &command);
     void apply(const ReplicaSpoke &command);
--- a/source/edge/requestproxy.cpp
+++ b/source/edge/requestproxy.cpp
@@ -86,8 +86,9 @@
 Awaitable<bool> RequestProxy::admit()
 {
     const auto reply = makeMailbox<Outcome<Admission>>(m_context.executor, 1);
-    AdmissionQuery query {m_request->header("Host").value_or(std::string()), m_request->target,
-                          m_call.apiKey, m_call.remaining, reply};
+    AdmissionQuery query {m_call.attemptId,  m_request->header("Host").value_or(std::string()),
+                          m_request->target, m_call.apiKey,
+                          m_call.remaining,  reply};
     if (!m_context.dispatcher->post(std::move(query))) {
         co_await respondWithError(ErrorKind::Overloaded, ExecutionStatus::NotExecuted,
                                   busyRetryAfter);
