--- a/tests/standins/fleetstandin.cpp
+++ b/tests/standins/fleetstandin.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int statusOk = 200;
+constexpr int statusGone = 410;
 constexpr int statusUnavailable = 503;
 constexpr int statusMisdirected = 421;
 constexpr int statusFailed = 500;
@@ -70,8 +71,18 @@
     m_topics[topic].push_back({key, std::move(value)});
 }
 
+void StoreStandin::restoreOlderCopy(const std::map<std::string, std::size_t> &lost)
+{
+    for (const auto &[topic, n] : lost) {
+        std::vector<Record> &records = m_topics[topic];
+        records.resize(records.size() - std::min(n, records.size()));
+    }
+    m_era = m_era.value_or(0) + 1;
+}
+
 Awaitable<void> StoreStandin::handle(HttpExchange &exchange)
 {
+    const std::optional<std::uint64_t> era = m_era;
     HttpResponse response;
     if (m_status != statusOk) {
         response.status = m_status;
@@ -85,6 +96,13 @@
         timer.expires_after(pollInterval);
         co_await timer.async_wait(asTuple);
     }
+    if (era != m_era) {
+        exchange.abort();
+        co_return;
+    }
+    if (era) {
+        response.headers.push_back({"Store-Era", std::to_string(*era)});
+    }
     co_await exchange.respond(std::move(response));
 }
 
@@ -121,6 +139,9 @@
         co_await timer.async_wait(asTuple);
     }
     const std::vector<Record> &records = m_topics[topic];
+    if (from > records.size()) {
+        co_return HttpResponse {statusGone, "application/json", {}, R"({"first":0})"};
+    }
     std::string body = bigEndian(records.size(), 8) + bigEndian(0, 8);
     for (std::size_t n = from; n < records.size(); ++n) {
         const std::string content = bigEndian(records[n].key.size(), 1) + records[n].key
--- a/tests/standins/fleetstandin.h
+++ b/tests/standins/fleetstandin.h
@@ -20,6 +20,14 @@
 
     /** Appends a record to a topic. A record without a value deletes the key. */
     void put(const std::string &topic, const std::string &key, std::optional<std::string> value);
+    /** Announces an era of its history in all further answers. */
+    void setEra(std::uint64_t era) { m_era = era; }
+    /**
+     * Comes back from an older copy: begins the next era without the newest records of topics.
+     * Reads that wait get no answer.
+     * @param lost number of records that each topic loses
+     */
+    void restoreOlderCopy(const std::map<std::string, std::size_t> &lost);
     /** Answers all further requests with this status; 200 restores normal operation. */
     void failWith(int status) { m_status = status; }
     /** Holds back all answers, also those to requests in progress, until it is set to false. */
@@ -42,6 +50,8 @@
     std::shared_ptr<HttpServer> m_server;
     Address m_address;
     std::map<std::string, std::vector<Record>> m_topics;
+    /** Empty if its answers name no era. */
+    std::optional<std::uint64_t> m_era;
     int m_status = 200;
     bool m_hangs = false;
 };
