--- a/source/core/fleet/deltaparts.cpp
+++ b/source/core/fleet/deltaparts.cpp
@@ -8,8 +8,7 @@
 
 bool isSameDelta(const ReplicaListDelta &a, const ReplicaListDelta &b)
 {
-    return a.fromOffset == b.fromOffset && a.nextOffset == b.nextOffset
-            && a.partCount == b.partCount;
+    return a.from == b.from && a.next == b.next && a.partCount == b.partCount;
 }
 
 /** @returns the elements of one of @p count parts of about the same size */
@@ -28,7 +27,7 @@
 {
     std::vector<ReplicaListDelta> parts;
     for (std::uint32_t n = 0; n < count; ++n) {
-        ReplicaListDelta part {delta.fromOffset, delta.nextOffset, slice(delta.changed, n, count),
+        ReplicaListDelta part {delta.from, delta.next, slice(delta.changed, n, count),
                                slice(delta.removed, n, count), delta.viewAge};
         part.part = n;
         part.partCount = count;
@@ -44,8 +43,8 @@
         return part;
     }
     Collection &collection = m_collections[sender];
-    const bool isLate = !collection.parts.empty()
-            && part.nextOffset < collection.parts.begin()->second.nextOffset;
+    const bool isLate =
+            !collection.parts.empty() && part.next < collection.parts.begin()->second.next;
     if (isLate) {
         return std::nullopt;
     }
@@ -57,8 +56,7 @@
     if (collection.parts.size() < part.partCount) {
         return std::nullopt;
     }
-    ReplicaListDelta whole {
-            part.fromOffset, part.nextOffset, {}, {}, now - collection.completeAsOf};
+    ReplicaListDelta whole {part.from, part.next, {}, {}, now - collection.completeAsOf};
     for (const auto &[number, one] : collection.parts) {
         whole.changed.insert(whole.changed.end(), one.changed.begin(), one.changed.end());
         whole.removed.insert(whole.removed.end(), one.removed.begin(), one.removed.end());
--- a/source/core/fleet/deltaparts.h
+++ b/source/core/fleet/deltaparts.h
@@ -18,7 +18,7 @@
 constexpr std::uint32_t maxDeltaParts = 16;
 
 /**
- * Splits a delta into parts of the same offsets.
+ * Splits a delta into parts of the same positions.
  * @param count number of parts, from 1 to maxDeltaParts
  */
 std::vector<ReplicaListDelta> splitDelta(const ReplicaListDelta &delta, std::uint32_t count);
--- a/source/core/fleet/loadbalancer.h
+++ b/source/core/fleet/loadbalancer.h
@@ -10,6 +10,7 @@
 #include "core/fleet/regionrule.h"
 #include "core/fleet/replica.h"
 #include "core/fleet/replicaavailability.h"
+#include "core/fleet/topicposition.h"
 
 #include <deque>
 #include <map>
@@ -37,8 +38,8 @@
     double slowdown = 1;
     /** Checksum of the agent's registry of entries. @see EntryRegistry::checksum */
     std::uint64_t entriesChecksum = 0;
-    /** Highest offset of the operator's topic that the agent knows; increases with each record. */
-    std::uint64_t operatorOffset = 0;
+    /** Latest position in the operator's topic up to which an entry has read it. */
+    TopicPosition operatorPosition;
     /** Age of the newest view of that topic that an entry has told of; empty if none has. */
     std::optional<Duration> operatorViewAge;
     /**
--- a/source/core/fleet/replicalistdelta.h
+++ b/source/core/fleet/replicalistdelta.h
@@ -6,20 +6,21 @@
 
 #include "core/common/time.h"
 #include "core/fleet/replica.h"
+#include "core/fleet/topicposition.h"
 
 #include <vector>
 
 namespace greengageseam {
 
-/** Changes to the list between two offsets of the store's topic. */
+/** Changes to the list between two positions of the store's topic, which are of the same era. */
 struct ReplicaListDelta
 {
     /**
-     * Offset of the first record that the delta covers. A receiver whose own position is at least
-     * this offset misses no record.
+     * Position of the first record that the delta covers. A receiver whose own position is at least
+     * this one misses no record.
      */
-    std::uint64_t fromOffset = 0;
-    std::uint64_t nextOffset = 0;
+    TopicPosition from;
+    TopicPosition next;
     std::vector<ReplicaEntry> changed;
     std::vector<ReplicaId> removed;
     /** Age of the reader's view when it sent the delta: how long ago the list ended there. */
--- a/source/core/fleet/replicaregistry.cpp
+++ b/source/core/fleet/replicaregistry.cpp
@@ -22,8 +22,34 @@
     m_failedAttempt.reset();
 }
 
+void ReplicaRegistry::recordLoss(Instant now)
+{
+    m_graceUntil = now + m_options.removalGrace;
+}
+
+bool ReplicaRegistry::isOutdated(const ReplicaEntry &entry) const
+{
+    const auto removal = m_removals.find(entry.id);
+    if (removal != m_removals.end()) {
+        return removal->second.startedAtMs == entry.startedAtMs;
+    }
+    const ReplicaEntry *known = find(entry.id);
+    return known != nullptr && known->isDraining && !entry.isDraining
+            && known->startedAtMs == entry.startedAtMs;
+}
+
+/** Remembers a removal for as long as a copy of the store may lack it. */
+void ReplicaRegistry::rememberRemoval(const ReplicaEntry &entry, Instant now)
+{
+    std::erase_if(m_removals, [&](const auto &it) {
+        return now - it.second.removedAt > m_options.removalMemory;
+    });
+    m_removals[entry.id] = {entry.startedAtMs, now};
+}
+
 std::optional<ReplicaUpdate> ReplicaRegistry::put(const ReplicaEntry &entry)
 {
+    m_removals.erase(entry.id);
     const auto it = m_records.find(entry.id);
     if (it == m_records.end()) {
         m_records.emplace(entry.id, Record {entry, std::nullopt});
@@ -59,6 +85,7 @@
         it->second.expiresAt = *m_graceUntil;
         return ReplicaUpdate {id, ReplicaChange::Lapsed};
     }
+    rememberRemoval(it->second.entry, now);
     m_records.erase(it);
     return ReplicaUpdate {id, ReplicaChange::Gone};
 }
@@ -87,6 +114,7 @@
     for (auto it = m_records.begin(); it != m_records.end();) {
         if (it->second.expiresAt && now >= *it->second.expiresAt) {
             updates.push_back({it->first, ReplicaChange::Gone});
+            rememberRemoval(it->second.entry, now);
             it = m_records.erase(it);
         } else {
             ++it;
--- a/source/core/fleet/replicaregistry.h
+++ b/source/core/fleet/replicaregistry.h
@@ -27,6 +27,11 @@
      * servers that have left.
      */
     Duration maxGraceAfterFailure = std::chrono::milliseconds(2900);
+    /**
+     * Time for which removed entries are remembered. The store may come back from a copy that is
+     * some seconds old, in which they are still registered.
+     */
+    Duration removalMemory = std::chrono::seconds(30);
 
     auto operator<=>(const ReplicaRegistryOptions &) const = default;
 };
@@ -62,6 +67,17 @@
     void recordAttempt(Instant now);
     /** Records a successful read of the list. Call it before applying the changes of that read. */
     void recordRead(Instant now);
+    /**
+     * Records that the store has lost its newest records. Entries that it lacks are kept for the
+     * grace period, in which their backend servers register again. Call it after recordRead().
+     */
+    void recordLoss(Instant now);
+    /**
+     * @param entry an entry that the store has after it has lost records
+     * @returns whether its backend server is known to have left or to be leaving since, so that the
+     *     entry must not be applied until it is written again
+     */
+    bool isOutdated(const ReplicaEntry &entry) const;
     /** Applies a written entry. @returns the change, if the entry differs from the last one */
     std::optional<ReplicaUpdate> put(const ReplicaEntry &entry);
     /** Applies the removal of an entry, or an unusable entry. @returns the change, if any */
@@ -89,8 +105,18 @@
         std::optional<Instant> expiresAt;
     };
 
+    /** An entry that was removed. */
+    struct Removal
+    {
+        std::uint64_t startedAtMs = 0;
+        Instant removedAt;
+    };
+
+    void rememberRemoval(const ReplicaEntry &entry, Instant now);
+
     ReplicaRegistryOptions m_options;
     std::map<ReplicaId, Record> m_records;
+    std::map<ReplicaId, Removal> m_removals;
     std::optional<Instant> m_lastRead;
     /** Start of the newest read, if it is not known to have succeeded. */
     std::optional<Instant> m_lastAttempt;
--- a/source/core/fleet/storerecords.h
+++ b/source/core/fleet/storerecords.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/common/time.h"
+#include "core/fleet/topicposition.h"
 
 #include <compare>
 #include <cstdint>
@@ -28,8 +29,8 @@
 struct KeyedSnapshot
 {
     std::vector<KeyedRecord> records;
-    /** Offset of the first record after the snapshot. */
-    std::uint64_t endOffset = 0;
+    /** Position of the first record after the snapshot. */
+    TopicPosition end;
     /** Every change that was accepted before this time is contained; the epoch if unknown. */
     Instant completeAsOf;
 
@@ -40,12 +41,12 @@
 struct KeyedBatch
 {
     std::vector<KeyedRecord> records;
-    /** Offset after the last record. */
-    std::uint64_t nextOffset = 0;
+    /** Position after the last record, in the era of the first one. */
+    TopicPosition next;
     /** Whether only the newest record of each key is contained, so that offsets are unknown. */
     bool isCompacted = false;
     /**
-     * Every change that was accepted before this time lies before nextOffset; the epoch if unknown,
+     * Every change that was accepted before this time lies before next; the epoch if unknown,
      * or if further records exist.
      */
     Instant completeAsOf;
--- a/source/core/fleet/topicview.cpp
+++ b/source/core/fleet/topicview.cpp
@@ -9,35 +9,46 @@
       m_completeAsOf(snapshot.completeAsOf)
 { }
 
-TopicView TopicView::withSnapshot(const KeyedSnapshot &snapshot) const
+TopicView TopicView::withSnapshot(const KeyedSnapshot &snapshot, const KeepsRecord &keeps) const
 {
+    if (snapshot.end < end()) {
+        return *this;
+    }
     TopicView next = *this;
-    if (snapshot.endOffset > endOffset()) {
-        next.m_topic = std::make_shared<const CompactedTopic>(m_topic->withSnapshot(snapshot));
+    if (snapshot.end > end()) {
+        next.m_topic =
+                std::make_shared<const CompactedTopic>(m_topic->withSnapshot(snapshot, keeps));
+    }
+    if (snapshot.end.era > end().era) {
+        next.m_completeAsOf = snapshot.completeAsOf;
+        return next;
     }
     next.m_completeAsOf = std::max(m_completeAsOf, snapshot.completeAsOf);
     return next;
 }
 
-TopicView TopicView::withTail(std::uint64_t from, const KeyedBatch &tail) const
+TopicView TopicView::withTail(TopicPosition from, const KeyedBatch &tail,
+                              const KeepsRecord &keeps) const
 {
-    if (from > endOffset()) {
+    const bool isOfThisEra = from.era == end().era && tail.next.era == end().era;
+    if (!isOfThisEra || from > end()) {
         return *this;
     }
     TopicView next = *this;
-    if (tail.nextOffset > endOffset()) {
-        next.m_topic = std::make_shared<const CompactedTopic>(m_topic->withTail(from, tail));
+    if (tail.next > end()) {
+        next.m_topic = std::make_shared<const CompactedTopic>(m_topic->withTail(from, tail, keeps));
     }
     next.m_completeAsOf = std::max(m_completeAsOf, tail.completeAsOf);
     return next;
 }
 
-TopicView TopicView::withChanges(std::uint64_t from, const TopicChanges &changes) const
+TopicView TopicView::withChanges(TopicPosition from, const TopicChanges &changes,
+                                 const KeepsRecord &keeps) const
 {
     if (changes.isWhole) {
-        return withSnapshot({changes.records, changes.endOffset, changes.completeAsOf});
+        return withSnapshot({changes.records, changes.end, changes.completeAsOf}, keeps);
     }
-    return withTail(from, {changes.records, changes.endOffset, true, changes.completeAsOf});
+    return withTail(from, {changes.records, changes.end, true, changes.completeAsOf}, keeps);
 }
 
 KeyedSnapshot TopicView::snapshot() const
@@ -47,7 +58,7 @@
     return snapshot;
 }
 
-TopicChanges TopicView::changesSince(std::uint64_t from) const
+TopicChanges TopicView::changesSince(TopicPosition from) const
 {
     TopicChanges changes = m_topic->changesSince(from);
     changes.completeAsOf = m_completeAsOf;
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -1,5 +1,6 @@
 #include "edge/edge.h"
 
+#include "edge/lostrecords.h"
 #include "net/clock.h"
 
 namespace greengageseam {
@@ -18,6 +19,11 @@
  * burst. Each of these reads returns a complete configuration.
  */
 constexpr int burstReadsPerBound = 4;
+/**
+ * Number of bounds on applying a configuration until records that the store has lost are in force
+ * again: one until the operator has written them again, one until they are read.
+ */
+constexpr int boundsUntilRewritten = 2;
 /** Interval between two reads of the list of backend servers. */
 constexpr auto replicaPollInterval = std::chrono::milliseconds(600);
 /** Time that a request may take from the choice of its backend server to its arrival there. */
@@ -140,7 +146,7 @@
     const EntryLocation self {m_settings.instance, m_settings.zone, m_settings.ip};
     LoadListenerHooks hooks;
     hooks.onReport = [this](const LoadReport &report) {
-        m_operatorWatcher->catchUpTo(report.operatorOffset);
+        m_operatorWatcher->catchUpTo(report.operatorPosition);
         m_dispatcher->mailbox()->post(LoadReportReceived {report});
     };
     hooks.onEntriesChanged = [this, self](const std::vector<EntryLocation> &entries) {
@@ -210,6 +216,7 @@
     options.identity = {std::string(topicLinkRole), InstanceId(m_settings.ip), m_settings.zone,
                         m_secret};
     options.peerPort = m_settings.firstPort;
+    options.keeps = keepsNewerVersions(m_adapter.operatorHooks);
     const auto onRead = [relay = m_topicRelay->mailbox()](const TopicView &view) {
         relay->post(TopicUpdated {view});
     };
@@ -239,19 +246,24 @@
     hooks.onEvacuationsChanged = [this](const std::set<ZoneName> &zones) {
         m_dispatcher->mailbox()->post(EvacuationsChanged {zones});
     };
-    hooks.onOffsetAdvanced = [this](std::uint64_t offset) {
-        m_loadListener->mailbox()->post(OperatorOffsetUpdated {offset});
+    hooks.onPositionAdvanced = [this](TopicPosition position) {
+        m_metrics->set("store_era", "Era of the store in which the operator's topic was read",
+                       static_cast<double>(position.era));
+        m_loadListener->mailbox()->post(OperatorPositionUpdated {position});
     };
-    hooks.onConfirmed = [this](Instant completeAsOf) {
+    hooks.onCurrent = [this](Instant completeAsOf) {
         m_dispatcher->mailbox()->post(RoutesConfirmed {completeAsOf});
+    };
+    hooks.onConfirmed = [this](Instant completeAsOf) {
         m_loadListener->mailbox()->post(OperatorViewConfirmed {completeAsOf});
     };
     FollowOptions followOptions;
     followOptions.name = operatorTopicName;
     followOptions.pollTimeout = m_settings.bounds.configApply / confirmationsPerBound;
     followOptions.burstInterval = m_settings.bounds.configApply / burstReadsPerBound;
-    m_operatorWatcher = std::make_shared<OperatorWatcher>(m_executor, m_operatorReader->reader(),
-                                                          followOptions, hooks, m_log);
+    m_operatorWatcher = std::make_shared<OperatorWatcher>(
+            m_executor, m_operatorReader->reader(), followOptions,
+            m_settings.bounds.configApply * boundsUntilRewritten, hooks, m_log);
 }
 
 void Edge::makeReplicaWatcher()
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -52,8 +52,8 @@
                            std::uint16_t port, LoadListenerHooks hooks, Log log)
     : m_executor(executor), m_self(std::move(self)), m_port(port), m_hooks(std::move(hooks)),
       m_log(std::move(log)), m_mailbox(makeMailbox<LoadListenerCommand>(executor, mailboxCapacity)),
-      m_socket(executor), m_entries(entryLifetime),
-      m_round(checksumOf("entries/" + m_self.instance.text(), 0))
+      m_socket(executor), m_round(checksumOf("entries/" + m_self.instance.text(), 0)),
+      m_entries(entryLifetime)
 { }
 
 Result<void> LoadListener::start()
@@ -111,9 +111,9 @@
     }
 }
 
-void LoadListener::apply(const OperatorOffsetUpdated &command)
+void LoadListener::apply(const OperatorPositionUpdated &command)
 {
-    m_operatorOffset = command.offset;
+    m_operatorPosition = command.position;
     subscribe({}, {});
 }
 
@@ -259,8 +259,8 @@
 LoadSubscription LoadListener::makeSubscription() const
 {
     const Instant now = monotonicNow();
-    LoadSubscription request {m_self.instance,  m_self.zone, m_entries.checksum(),
-                              m_operatorOffset, {},          {}};
+    LoadSubscription request {m_self.instance,    m_self.zone, m_entries.checksum(),
+                              m_operatorPosition, {},          {}};
     if (m_operatorCompleteAsOf) {
         request.operatorViewAge = std::max(Duration::zero(), now - *m_operatorCompleteAsOf);
     }
--- a/source/edge/loadlistener.h
+++ b/source/edge/loadlistener.h
@@ -31,10 +31,10 @@
     std::vector<AgentSite> agents;
 };
 
-/** The operator's topic was read up to an offset, which is announced to agents. */
-struct OperatorOffsetUpdated
+/** The operator's topic was read up to a position, which is announced to agents. */
+struct OperatorPositionUpdated
 {
-    std::uint64_t offset = 0;
+    TopicPosition position;
 };
 
 /** The entry's view of the operator's topic is complete as of a later time. */
@@ -72,7 +72,7 @@
 
 /** Messages to the task. */
 using LoadListenerCommand =
-        std::variant<AgentsUpdated, OperatorOffsetUpdated, OperatorViewConfirmed,
+        std::variant<AgentsUpdated, OperatorPositionUpdated, OperatorViewConfirmed,
                      AnnounceTargetVersion, RelayListDelta, DemandMeasured, SendToEntry>;
 
 /** Hooks for what the listener receives. They must not block. */
@@ -111,7 +111,7 @@
     Awaitable<void> listen();
     Awaitable<void> runCommands();
     void apply(const AgentsUpdated &command);
-    void apply(const OperatorOffsetUpdated &command);
+    void apply(const OperatorPositionUpdated &command);
     void apply(const OperatorViewConfirmed &command);
     void apply(const AnnounceTargetVersion &command);
     void apply(const RelayListDelta &command);
@@ -153,8 +153,8 @@
     /** Parts of deltas of the list that other entries relay. */
     DeltaAssembler m_listDeltas;
     std::vector<ServiceDemand> m_demands;
-    /** Offset up to which the operator's topic was read. */
-    std::uint64_t m_operatorOffset = 0;
+    /** Position up to which the operator's topic was read. */
+    TopicPosition m_operatorPosition;
     /** As of when the view of the operator's topic is complete; empty before the first read. */
     std::optional<Instant> m_operatorCompleteAsOf;
     /** The newest target version of the weights of each model. */
--- a/source/edge/operatorwatcher.cpp
+++ b/source/edge/operatorwatcher.cpp
@@ -36,22 +36,29 @@
 } // namespace
 
 OperatorWatcher::OperatorWatcher(const asio::any_io_executor &executor, TopicReader reader,
-                                 FollowOptions options, OperatorHooks hooks, Log log)
-    : m_executor(executor), m_hooks(std::move(hooks)), m_log(std::move(log))
+                                 FollowOptions options, Duration rewriteTime, OperatorHooks hooks,
+                                 Log log)
+    : m_executor(executor), m_rewriteTime(rewriteTime), m_hooks(std::move(hooks)),
+      m_log(std::move(log))
 {
     FollowHooks followHooks;
     followHooks.onSnapshot = [this](const KeyedSnapshot &snapshot) {
         const bool isInitial = !m_hasSnapshot;
         m_hasSnapshot = true;
+        if (snapshot.end.era > m_position.era) {
+            m_mayLackUntil = monotonicNow() + m_rewriteTime;
+            m_lostEvacuations = m_evacuatedZones;
+        }
         // A snapshot leaves out the keys that were removed, so it replaces the set.
-        applyEvacuationRecords(snapshot.records, {});
+        m_storedEvacuations.clear();
+        applyEvacuationRecords(snapshot.records);
         applyRecords(snapshot.records, isInitial, snapshot.completeAsOf);
-        advanceOffset(snapshot.endOffset);
+        advanceTo(snapshot.end);
     };
-    followHooks.onTail = [this](std::uint64_t, const KeyedBatch &tail) {
-        applyEvacuationRecords(tail.records, m_evacuatedZones);
+    followHooks.onTail = [this](TopicPosition, const KeyedBatch &tail) {
+        applyEvacuationRecords(tail.records);
         applyRecords(tail.records, false, tail.completeAsOf);
-        advanceOffset(tail.nextOffset);
+        advanceTo(tail.next);
     };
     m_follower = std::make_shared<TopicFollower>(executor, std::move(reader), options, followHooks,
                                                  m_log);
@@ -63,6 +70,7 @@
         const auto self = weak.lock();
         if (self) {
             self->recordRunning();
+            self->forgetLostEvacuations();
         }
         return self != nullptr;
     });
@@ -79,18 +87,18 @@
     }
 }
 
-void OperatorWatcher::advanceOffset(std::uint64_t offset)
+void OperatorWatcher::advanceTo(TopicPosition position)
 {
-    if (offset > m_offset) {
-        m_offset = offset;
-        m_hooks.onOffsetAdvanced(offset);
+    if (position > m_position) {
+        m_position = position;
+        m_hooks.onPositionAdvanced(position);
     }
 }
 
-void OperatorWatcher::catchUpTo(std::uint64_t offset)
+void OperatorWatcher::catchUpTo(TopicPosition position)
 {
-    if (offset > m_offset) {
-        m_follower->mailbox()->post(CatchUp {offset});
+    if (position > m_position) {
+        m_follower->mailbox()->post(CatchUp {position});
     }
 }
 
@@ -112,6 +120,9 @@
         if (m_hooks.onConfirmed) {
             m_hooks.onConfirmed(completeAsOf);
         }
+        if (m_hooks.onCurrent && completeAsOf >= m_mayLackUntil) {
+            m_hooks.onCurrent(completeAsOf);
+        }
     }
 }
 
@@ -146,26 +157,40 @@
     }
 }
 
-/** Applies evacuations in the order of the records. @param zones those known before them */
-void OperatorWatcher::applyEvacuationRecords(const std::vector<KeyedRecord> &records,
-                                             std::set<ZoneName> zones)
+/** Applies the evacuations among records, in their order. */
+void OperatorWatcher::applyEvacuationRecords(const std::vector<KeyedRecord> &records)
 {
     if (!m_hooks.evacuatedZone) {
         return;
     }
     for (const KeyedRecord &record : records) {
         const std::optional<ZoneName> zone = m_hooks.evacuatedZone(record.key);
-        if (zone && record.value) {
-            zones.insert(*zone);
-        } else if (zone) {
-            zones.erase(*zone);
+        if (!zone) {
+            continue;
         }
+        m_lostEvacuations.erase(*zone);
+        if (record.value) {
+            m_storedEvacuations.insert(*zone);
+        } else {
+            m_storedEvacuations.erase(*zone);
+        }
+    }
+    publishEvacuations();
+}
+
+/** Takes zones back whose evacuation the operator has not written again in time. */
+void OperatorWatcher::forgetLostEvacuations()
+{
+    if (!m_lostEvacuations.empty() && monotonicNow() >= m_mayLackUntil) {
+        m_lostEvacuations.clear();
+        publishEvacuations();
     }
-    applyEvacuations(std::move(zones));
 }
 
-void OperatorWatcher::applyEvacuations(std::set<ZoneName> zones)
+void OperatorWatcher::publishEvacuations()
 {
+    std::set<ZoneName> zones = m_storedEvacuations;
+    zones.insert(m_lostEvacuations.begin(), m_lostEvacuations.end());
     if (zones == m_evacuatedZones) {
         return;
     }
--- a/source/edge/operatorwatcher.h
+++ b/source/edge/operatorwatcher.h
@@ -44,26 +44,35 @@
             onTargetVersion;
     /** Called when the set of zones that the operator has evacuated has changed; may be empty. */
     std::function<void(const std::set<ZoneName> &zones)> onEvacuationsChanged;
-    /** Called when the topic was read up to a higher offset. */
-    std::function<void(std::uint64_t offset)> onOffsetAdvanced;
+    /** Called when the topic was read up to a later position. */
+    std::function<void(TopicPosition position)> onPositionAdvanced;
     /**
      * Called when what was applied is known to be complete as of a later time; may be empty.
      * Whatever was read is applied first.
      */
     std::function<void(Instant completeAsOf)> onConfirmed;
+    /**
+     * Called like onConfirmed, but only if the store also had time to get back what it may have
+     * lost, so that nothing newer was ever accepted; may be empty.
+     */
+    std::function<void(Instant completeAsOf)> onCurrent;
 };
 
 /** Watches the topic of the operator. */
 class OperatorWatcher : public std::enable_shared_from_this<OperatorWatcher>
 {
 public:
+    /**
+     * @param rewriteTime time in which the operator writes again what the store has lost when it
+     *     begins another era
+     */
     OperatorWatcher(const asio::any_io_executor &executor, TopicReader reader,
-                    FollowOptions options, OperatorHooks hooks, Log log);
+                    FollowOptions options, Duration rewriteTime, OperatorHooks hooks, Log log);
 
     /** Starts the task. */
     void start();
-    /** Reads further if another process has read up to a higher offset than this watcher has. */
-    void catchUpTo(std::uint64_t offset);
+    /** Reads further if another process has read up to a later position than this watcher has. */
+    void catchUpTo(TopicPosition position);
     /**
      * Abandons the read in progress and starts a new one. Call it after the store was unavailable,
      * because the old read may wait on a connection that never returns anything.
@@ -91,23 +100,27 @@
                       Instant completeAsOf);
     void confirm(Instant completeAsOf);
     void applyRecord(const KeyedRecord &record, bool isInitial);
-    void applyEvacuations(std::set<ZoneName> zones);
-    void applyEvacuationRecords(const std::vector<KeyedRecord> &records, std::set<ZoneName> zones);
+    void applyEvacuationRecords(const std::vector<KeyedRecord> &records);
+    void forgetLostEvacuations();
+    void publishEvacuations();
     void applyTargetVersion(const TargetVersion &targetVersion, VersionSource source,
                             bool isInitial, Duration age);
     void logTargetVersion(const TargetVersion &targetVersion, VersionSource source, Duration age,
                           DateBasis basis) const;
-    void advanceOffset(std::uint64_t offset);
+    void advanceTo(TopicPosition position);
 
     asio::any_io_executor m_executor;
+    Duration m_rewriteTime;
     OperatorHooks m_hooks;
     Log m_log;
     std::shared_ptr<TopicFollower> m_follower;
     ListeningHistory m_listening;
     /** Version of the newest configuration. */
     std::uint64_t m_configVersion = 0;
-    /** Offset up to which the topic was read. */
-    std::uint64_t m_offset = 0;
+    /** Position up to which the topic was read. */
+    TopicPosition m_position;
+    /** Until then the store may lack records that it has accepted. */
+    Instant m_mayLackUntil;
     /** Whether the topic was read once. */
     bool m_hasSnapshot = false;
     /** Every change that was accepted before this time was applied. Never decreases. */
@@ -124,6 +137,10 @@
     std::map<ModelName, DatedVersion> m_targetVersions;
     /** Zones to whose backend servers the operator wants nothing to be sent. */
     std::set<ZoneName> m_evacuatedZones;
+    /** Those of them that the store knows. */
+    std::set<ZoneName> m_storedEvacuations;
+    /** Those that were in force when the store lost records; they count until m_mayLackUntil. */
+    std::set<ZoneName> m_lostEvacuations;
 };
 
 } // namespace greengageseam
--- a/source/edge/relayedreader.cpp
+++ b/source/edge/relayedreader.cpp
@@ -38,7 +38,7 @@
     const auto self = shared_from_this();
     TopicReader reader;
     reader.snapshot = [self] { return self->readSnapshot(); };
-    reader.tail = [self](std::uint64_t from, Duration wait) { return self->readTail(from, wait); };
+    reader.tail = [self](TopicPosition from, Duration wait) { return self->readTail(from, wait); };
     reader.isReceiving = [self] { return self->isReceiving(); };
     reader.isRelayed = [self] { return self->isReadingFromEntry(); };
     reader.cancel = [self] { self->cancelRead(); };
@@ -117,7 +117,7 @@
 {
     const auto self = shared_from_this();
     const Duration wait = m_view ? Duration::zero() : Duration(pollTimeout);
-    const Request request {startRead(), m_view ? m_view->endOffset() : 0, wait, true};
+    const Request request {startRead(), m_view ? m_view->end() : TopicPosition(), wait, true};
     co_await waitForEntries(request.readId);
     const std::optional<Failure> failure = co_await update(request);
     if (failure) {
@@ -126,7 +126,7 @@
     co_return m_view->snapshot();
 }
 
-Awaitable<Outcome<KeyedBatch>> RelayedReader::readTail(std::uint64_t from, Duration wait)
+Awaitable<Outcome<KeyedBatch>> RelayedReader::readTail(TopicPosition from, Duration wait)
 {
     const auto self = shared_from_this();
     const Request request {startRead(), from, wait, false};
@@ -134,9 +134,11 @@
     if (failure) {
         co_return *failure;
     }
+    if (m_view->end().era != from.era) {
+        co_return Failure {ErrorKind::NotFound, "the store has begun another era"};
+    }
     const TopicChanges changes = m_view->changesSince(from);
-    co_return KeyedBatch {changes.records, std::max(from, changes.endOffset), true,
-                          changes.completeAsOf};
+    co_return KeyedBatch {changes.records, std::max(from, changes.end), true, changes.completeAsOf};
 }
 
 /** Reads from one source after the other until one succeeds or none is left to try at once. */
@@ -206,7 +208,7 @@
 Awaitable<RelayedReader::ReadResult> RelayedReader::readFromStore(Request request)
 {
     if (!request.isSnapshot || (m_options.continuesSnapshots && m_view)) {
-        const std::uint64_t from = request.from;
+        const TopicPosition from = request.from;
         // A view that became old on its way is confirmed at once, not at the end of a long poll.
         const bool isOld = m_view && monotonicNow() - m_view->completeAsOf() > pollTimeout;
         const Duration wait =
@@ -215,7 +217,7 @@
         const Failure *failure = failureOf(tail);
         if (failure == nullptr) {
             const TopicView known = m_view.value_or(TopicView());
-            co_return known.withTail(from, std::get<KeyedBatch>(tail));
+            co_return known.withTail(from, std::get<KeyedBatch>(tail), m_options.keeps);
         }
         if (!request.isSnapshot || failure->kind == ErrorKind::PlatformUnavailable) {
             co_return *failure;
@@ -226,7 +228,7 @@
         co_return *failure;
     }
     const auto &newest = std::get<KeyedSnapshot>(snapshot);
-    co_return m_view ? m_view->withSnapshot(newest) : TopicView(newest);
+    co_return m_view ? m_view->withSnapshot(newest, m_options.keeps) : TopicView(newest);
 }
 
 Awaitable<RelayedReader::ReadResult> RelayedReader::readFromEntry(InstanceId entry, Request request)
@@ -241,10 +243,10 @@
         co_return std::nullopt;
     }
     if (!m_view && changes->isWhole) {
-        co_return TopicView({changes->records, changes->endOffset, changes->completeAsOf});
+        co_return TopicView({changes->records, changes->end, changes->completeAsOf});
     }
     const TopicView known = m_view.value_or(TopicView());
-    co_return known.withChanges(request.from, *changes);
+    co_return known.withChanges(request.from, *changes, m_options.keeps);
 }
 
 /** Starts a read in place of the one in progress. @returns its id */
--- a/source/edge/relayedreader.h
+++ b/source/edge/relayedreader.h
@@ -37,6 +37,8 @@
      * is due. Suits a process that reads at long intervals.
      */
     bool continuesSnapshots = false;
+    /** Decides which records stay in force although the store has lost them; may be empty. */
+    KeepsRecord keeps;
     /** Maximum time for which the first read waits until other entries are known. */
     Duration startTimeout = std::chrono::seconds(5);
 };
@@ -77,14 +79,14 @@
     struct Request
     {
         std::uint64_t readId = 0;
-        /** Offset of the first record to read. */
-        std::uint64_t from = 0;
+        /** Position of the first record to read. */
+        TopicPosition from;
         Duration wait {};
         bool isSnapshot = false;
     };
 
     Awaitable<Outcome<KeyedSnapshot>> readSnapshot();
-    Awaitable<Outcome<KeyedBatch>> readTail(std::uint64_t from, Duration wait);
+    Awaitable<Outcome<KeyedBatch>> readTail(TopicPosition from, Duration wait);
     /** The result of a read; empty if the source will know the topic soon. */
     using ReadResult = Outcome<std::optional<TopicView>>;
 
--- a/source/edge/replicawatcher.cpp
+++ b/source/edge/replicawatcher.cpp
@@ -26,7 +26,7 @@
 {
     FollowHooks followHooks;
     followHooks.onSnapshot = [this](const KeyedSnapshot &snapshot) { applySnapshot(snapshot); };
-    followHooks.onTail = [this](std::uint64_t from, const KeyedBatch &tail) {
+    followHooks.onTail = [this](TopicPosition from, const KeyedBatch &tail) {
         applyTail(from, tail);
     };
     followHooks.onStoreRecovered = [this] { m_hooks.onStoreRecovered(); };
@@ -45,7 +45,7 @@
         m_replicas.recordAttempt(monotonicNow());
         return read();
     };
-    reader.tail = [this, read = std::move(reader.tail)](std::uint64_t from, Duration timeout) {
+    reader.tail = [this, read = std::move(reader.tail)](TopicPosition from, Duration timeout) {
         m_replicas.recordAttempt(monotonicNow());
         return read(from, timeout);
     };
@@ -61,10 +61,17 @@
 {
     const Instant now = monotonicNow();
     m_replicas.recordRead(now);
+    const bool isLaterEra = m_era && snapshot.end.era > *m_era;
+    if (isLaterEra) {
+        m_replicas.recordLoss(now);
+    }
+    m_era = snapshot.end.era;
     std::vector<ReplicaId> present;
     for (const KeyedRecord &record : snapshot.records) {
         present.emplace_back(record.key);
-        applyRecord(record, {}, now);
+        if (!isLaterEra || !isOutdated(record)) {
+            applyRecord(record, {}, now);
+        }
     }
     for (const ReplicaUpdate &update : m_replicas.retainOnly(present, now)) {
         logChange(update);
@@ -73,11 +80,18 @@
     scheduleExpiry();
 }
 
-void ReplicaWatcher::applyTail(std::uint64_t from, const KeyedBatch &tail)
+/** @returns whether the store has this registration only because it has lost a later record */
+bool ReplicaWatcher::isOutdated(const KeyedRecord &record) const
+{
+    const std::optional<ReplicaEntry> entry = decode(record);
+    return entry && m_replicas.isOutdated(*entry);
+}
+
+void ReplicaWatcher::applyTail(TopicPosition from, const KeyedBatch &tail)
 {
     const Instant now = monotonicNow();
     m_replicas.recordRead(now);
-    ReplicaListDelta update {from, tail.nextOffset, {}, {}, now - tail.completeAsOf};
+    ReplicaListDelta update {from, tail.next, {}, {}, now - tail.completeAsOf};
     for (const KeyedRecord &record : tail.records) {
         update = applyRecord(record, std::move(update), now);
     }
@@ -97,7 +111,7 @@
 
 void ReplicaWatcher::applyPeerDelta(const ReplicaListDelta &update)
 {
-    m_follower->mailbox()->post(PeerReadReceived {update.fromOffset, update.nextOffset,
+    m_follower->mailbox()->post(PeerReadReceived {update.from, update.next,
                                                   monotonicNow() - update.viewAge,
                                                   [this, update] { applyDelta(update); }});
 }
--- a/source/edge/replicawatcher.h
+++ b/source/edge/replicawatcher.h
@@ -49,7 +49,8 @@
 private:
     TopicReader recordAttempts(TopicReader reader);
     void applySnapshot(const KeyedSnapshot &snapshot);
-    void applyTail(std::uint64_t from, const KeyedBatch &tail);
+    void applyTail(TopicPosition from, const KeyedBatch &tail);
+    bool isOutdated(const KeyedRecord &record) const;
     std::optional<ReplicaEntry> decode(const KeyedRecord &record) const;
     ReplicaListDelta applyRecord(const KeyedRecord &record, ReplicaListDelta delta, Instant now);
     void applyDelta(const ReplicaListDelta &update);
@@ -64,6 +65,8 @@
     Log m_log;
     std::shared_ptr<TopicFollower> m_follower;
     ReplicaRegistry m_replicas;
+    /** Era of the store in which the list was read last; empty before the first read. */
+    std::optional<std::uint64_t> m_era;
     /** Runs until m_expiresAt. */
     Timer m_expiryTimer;
     /** End of the next grace period of a removed entry; empty if none is kept. */
--- a/source/edge/topicfollower.cpp
+++ b/source/edge/topicfollower.cpp
@@ -57,7 +57,7 @@
 
 bool TopicFollower::needsSnapshot() const
 {
-    return !m_nextOffset || m_options.readsSnapshotsOnly || m_isBurst;
+    return !m_next || m_isTailLost || m_options.readsSnapshotsOnly || m_isBurst;
 }
 
 void TopicFollower::apply(const ReadDue &command)
@@ -67,7 +67,7 @@
     }
     const bool isCurrent =
             m_maxPeerViewAge && monotonicNow() - m_peerCompleteAsOf < *m_maxPeerViewAge;
-    if (m_nextOffset && isCurrent) {
+    if (m_next && !m_isTailLost && isCurrent) {
         postAfter(peerViewCheckInterval, command);
         return;
     }
@@ -76,14 +76,14 @@
             m_executor,
             [self = shared_from_this(), readId = m_readId] {
                 return self->needsSnapshot() ? self->readSnapshot(readId)
-                                             : self->readTail(readId, *self->m_nextOffset);
+                                             : self->readTail(readId, *self->m_next);
             },
             asio::detached);
 }
 
 void TopicFollower::apply(const CatchUp &command)
 {
-    const bool isBehind = m_nextOffset && *m_nextOffset < command.upTo;
+    const bool isBehind = m_next && *m_next < command.upTo;
     if (!isBehind || m_isCatchUpCheckPending || m_isBurst) {
         return;
     }
@@ -94,7 +94,7 @@
 void TopicFollower::apply(const CatchUpCheckDue &command)
 {
     m_isCatchUpCheckPending = false;
-    if (!m_nextOffset || *m_nextOffset >= command.upTo) {
+    if (!m_next || *m_next >= command.upTo) {
         return;
     }
     if (restartRead()) {
@@ -123,7 +123,7 @@
     }
     ++m_readId;
     m_log.info("store.read-restarted",
-               {{"topic", m_options.name}, {"from", m_nextOffset.value_or(0)}});
+               {{"topic", m_options.name}, {"from", m_next.value_or(TopicPosition()).offset}});
     if (m_reader.cancel) {
         m_reader.cancel();
     }
@@ -138,7 +138,7 @@
     co_await m_mailbox->send(std::move(command));
 }
 
-Awaitable<void> TopicFollower::readTail(std::uint64_t readId, std::uint64_t from)
+Awaitable<void> TopicFollower::readTail(std::uint64_t readId, TopicPosition from)
 {
     Outcome<KeyedBatch> tail = co_await m_reader.tail(from, m_options.pollTimeout);
     FollowCommand command = TailRead {readId, from, std::move(tail)};
@@ -157,16 +157,33 @@
 /** Applies a snapshot, unless it is older than records that were read in the meantime. */
 void TopicFollower::applySnapshot(const KeyedSnapshot &snapshot)
 {
-    if (m_nextOffset && snapshot.endOffset < *m_nextOffset) {
+    const bool isOfEarlierEra = m_next && snapshot.end.era < m_next->era;
+    const bool isOlder = m_next && snapshot.end < *m_next && !m_isTailLost;
+    if (isOfEarlierEra || isOlder) {
         return;
     }
-    const bool hasChanged = m_nextOffset && snapshot.endOffset > *m_nextOffset;
+    const bool hasChanged = m_next && snapshot.end > *m_next;
     detectBurst(hasChanged);
     m_catchUpTimeout = hasChanged ? Duration(initialCatchUpTimeout) : m_catchUpTimeout;
-    m_nextOffset = snapshot.endOffset;
+    logLaterEra(snapshot.end);
+    m_next = snapshot.end;
+    m_isTailLost = false;
     m_hooks.onSnapshot(snapshot);
 }
 
+/** Logs that the store has begun another era since the last read. */
+void TopicFollower::logLaterEra(TopicPosition end) const
+{
+    if (m_next && end.era > m_next->era) {
+        m_log.warning("store.era-changed",
+                      {{"topic", m_options.name},
+                       {"era", end.era},
+                       {"end", end.offset},
+                       {"earlier_era", m_next->era},
+                       {"earlier_end", m_next->offset}});
+    }
+}
+
 /**
  * Schedules the next read. An abandoned read is ignored: it schedules nothing, and its failure does
  * not show whether the store is available.
@@ -188,7 +205,7 @@
     } else if (failure->kind != ErrorKind::PlatformUnavailable) {
         m_log.warning("store.snapshot-reread",
                       {{"topic", m_options.name}, {"reason", failure->detail}});
-        m_nextOffset.reset();
+        m_isTailLost = true;
     }
     finishRead(command.readId, failure);
 }
@@ -196,23 +213,25 @@
 /** Applies the records that are not known yet, since two reads may return the same ones. */
 void TopicFollower::applyTail(const TailRead &command)
 {
-    if (!m_nextOffset || command.from > *m_nextOffset) {
+    KeyedBatch tail = std::get<KeyedBatch>(command.tail);
+    const bool isOfThisEra =
+            m_next && command.from.era == m_next->era && tail.next.era == m_next->era;
+    if (!isOfThisEra || command.from > *m_next) {
         return;
     }
-    KeyedBatch tail = std::get<KeyedBatch>(command.tail);
-    if (tail.isCompacted && tail.nextOffset <= *m_nextOffset) {
+    if (tail.isCompacted && tail.next <= *m_next) {
         // Its records may be older than what was applied, for instance than a removal.
         tail.records.clear();
     }
-    const std::uint64_t known = tail.isCompacted ? 0 : *m_nextOffset - command.from;
+    const std::uint64_t known = tail.isCompacted ? 0 : m_next->offset - command.from.offset;
     const auto n = static_cast<std::ptrdiff_t>(std::min<std::uint64_t>(known, tail.records.size()));
     tail.records.erase(tail.records.begin(), tail.records.begin() + n);
     detectBurst(!tail.records.empty());
-    const std::uint64_t from = *m_nextOffset;
-    if (tail.nextOffset > from) {
+    const TopicPosition from = *m_next;
+    if (tail.next > from) {
         m_catchUpTimeout = initialCatchUpTimeout;
     }
-    m_nextOffset = std::max(*m_nextOffset, tail.nextOffset);
+    m_next = std::max(*m_next, tail.next);
     m_hooks.onTail(from, tail);
 }
 
@@ -230,12 +249,14 @@
 
 void TopicFollower::apply(const PeerReadReceived &command)
 {
-    if (!m_nextOffset || command.from > *m_nextOffset || command.next < *m_nextOffset) {
+    const bool isOfThisEra = m_next && !m_isTailLost && command.from.era == m_next->era
+            && command.next.era == m_next->era;
+    if (!isOfThisEra || command.from > *m_next || command.next < *m_next) {
         return;
     }
     // An empty delta counts as well: it shows that the topic is unchanged.
     m_peerCompleteAsOf = std::max(m_peerCompleteAsOf, command.completeAsOf);
-    m_nextOffset = command.next;
+    m_next = command.next;
     command.applyDelta();
 }
 
--- a/source/edge/topicfollower.h
+++ b/source/edge/topicfollower.h
@@ -29,7 +29,7 @@
 {
     /** Reads the newest record of each key. */
     ReadSnapshot snapshot;
-    /** Reads the records from an offset on. */
+    /** Reads the records from a position on. */
     ReadTail tail;
     /**
      * @returns whether the read in progress makes progress, or ends soon by itself, so that it must
@@ -70,8 +70,8 @@
 {
     /** Called after a snapshot was read. */
     std::function<void(const KeyedSnapshot &snapshot)> onSnapshot;
-    /** Called after the records from an offset on were read, even if there are none. */
-    std::function<void(std::uint64_t from, const KeyedBatch &tail)> onTail;
+    /** Called after the records from a position on were read, even if there are none. */
+    std::function<void(TopicPosition from, const KeyedBatch &tail)> onTail;
     /** Called when the store is available again after a failure; may be empty. */
     std::function<void()> onStoreRecovered;
 };
@@ -86,13 +86,13 @@
 /** Another process has read further, so the read in progress should return those records, too. */
 struct CatchUp
 {
-    std::uint64_t upTo = 0;
+    TopicPosition upTo;
 };
 
 /** The read in progress had enough time to return the records that another process has read. */
 struct CatchUpCheckDue
 {
-    std::uint64_t upTo = 0;
+    TopicPosition upTo;
 };
 
 /** Abandons the read in progress, whose connection may be dead, and starts a new one. */
@@ -106,22 +106,22 @@
     Outcome<KeyedSnapshot> snapshot;
 };
 
-/** A read of the records from an offset on has finished. */
+/** A read of the records from a position on has finished. */
 struct TailRead
 {
     std::uint64_t readId = 0;
-    std::uint64_t from = 0;
+    TopicPosition from;
     Outcome<KeyedBatch> tail;
 };
 
 /** Another process has read the topic and relays the delta. */
 struct PeerReadReceived
 {
-    /** Offset at which the delta begins. */
-    std::uint64_t from = 0;
-    /** Offset after the last record of the delta. */
-    std::uint64_t next = 0;
-    /** As of when the topic is known to end at that offset. */
+    /** Position at which the delta begins. */
+    TopicPosition from;
+    /** Position after the last record of the delta. */
+    TopicPosition next;
+    /** As of when the topic is known to end there. */
     Instant completeAsOf;
     /** Applies the delta, which may be empty. Called only if no records before it were missed. */
     std::function<void()> applyDelta;
@@ -162,6 +162,7 @@
     void apply(const RelyOnPeers &command);
     bool restartRead();
     void applySnapshot(const KeyedSnapshot &snapshot);
+    void logLaterEra(TopicPosition end) const;
     void applyTail(const TailRead &command);
     void finishRead(std::uint64_t readId, const Failure *failure);
     /** Logs when the store becomes unavailable or available again. @param failure may be null */
@@ -171,10 +172,10 @@
     void postAfter(Duration delay, FollowCommand command);
     /** Detects the start and end of a burst from whether a read returned changes. */
     void detectBurst(bool hasChanged);
-    /** @returns whether the next read is a snapshot rather than the records from an offset on */
+    /** @returns whether the next read is a snapshot rather than the records from a position on */
     bool needsSnapshot() const;
     Awaitable<void> readSnapshot(std::uint64_t readId);
-    Awaitable<void> readTail(std::uint64_t readId, std::uint64_t from);
+    Awaitable<void> readTail(std::uint64_t readId, TopicPosition from);
     Awaitable<void> waitAndPost(Duration delay, FollowCommand command);
 
     asio::any_io_executor m_executor;
@@ -183,8 +184,10 @@
     FollowHooks m_hooks;
     Log m_log;
     MailboxPtr<FollowCommand> m_mailbox;
-    /** Offset of the next record to read; empty until a snapshot was read. */
-    std::optional<std::uint64_t> m_nextOffset;
+    /** Position of the next record to read; empty until a snapshot was read. */
+    std::optional<TopicPosition> m_next;
+    /** Whether the store no longer has the records at that position. */
+    bool m_isTailLost = false;
     Duration m_backoff;
     /** When the latest read started. */
     Instant m_readStartedAt;
--- a/source/edge/topiclink.cpp
+++ b/source/edge/topiclink.cpp
@@ -30,7 +30,7 @@
       m_peerPort(peerPort), m_log(std::move(log))
 { }
 
-Awaitable<TopicAnswer> TopicLink::request(InstanceId entry, std::uint64_t from, Duration wait)
+Awaitable<TopicAnswer> TopicLink::request(InstanceId entry, TopicPosition from, Duration wait)
 {
     const Outcome<PeerLinkHandle> linked = co_await linkTo(entry);
     if (const Failure *failure = failureOf(linked)) {
@@ -89,7 +89,7 @@
                 co_return unavailable(failure->detail);
             }
             co_return TopicChanges {std::get<std::vector<KeyedRecord>>(records), part->isWhole,
-                                    part->endOffset, sentAt + part->completeAsOf};
+                                    part->end, sentAt + part->completeAsOf};
         }
     }
 }
--- a/source/edge/topiclink.h
+++ b/source/edge/topiclink.h
@@ -36,14 +36,14 @@
               std::uint16_t peerPort, Log log);
 
     /**
-     * Requests the changes from an offset on.
+     * Requests the changes from a position on.
      * @param entry IP address of the entry
      * @param wait how long the entry may hold the request while it has nothing new
      * @returns the changes, with a time of this process as of which they are complete; empty if the
      *     entry is still reading the topic; NotReady if it declines, since it lacks the topic or
      * its view is too old; PlatformUnavailable if it cannot be reached or stops answering
      */
-    Awaitable<TopicAnswer> request(InstanceId entry, std::uint64_t from, Duration wait);
+    Awaitable<TopicAnswer> request(InstanceId entry, TopicPosition from, Duration wait);
     /**
      * Closes the link, so that an answer in transit does not go on using the network. A request in
      * progress fails.
--- a/source/edge/topicrelay.cpp
+++ b/source/edge/topicrelay.cpp
@@ -55,7 +55,8 @@
     const Duration wait = std::clamp<Duration>(command.request.wait, Duration::zero(), maxWait);
     const PendingRequest pending {command, now, now + wait};
     // Until the topic was read once, requests wait for it rather than turn to the store as well.
-    const bool isDeclined = m_view && availability(now) == TopicAvailability::Unavailable;
+    const bool isDeclined =
+            m_view && availabilityFor(command, now) == TopicAvailability::Unavailable;
     if (isDeclined || command.request.topic != m_options.topic || hasChangesFor(command)
         || wait == Duration::zero() || m_pending.size() >= maxPendingRequests) {
         answer(pending);
@@ -81,6 +82,18 @@
     answerDueRequests();
 }
 
+/**
+ * Changes are passed on whatever their age, which the answer tells. A peer that knows a later era
+ * of the store learns nothing here.
+ */
+TopicAvailability TopicRelay::availabilityFor(const TopicRequested &command, Instant now) const
+{
+    if (m_view && m_view->end().era < command.request.from.era) {
+        return TopicAvailability::Unavailable;
+    }
+    return hasChangesFor(command) ? TopicAvailability::Known : availability(now);
+}
+
 TopicAvailability TopicRelay::availability(Instant now) const
 {
     if (m_view && now - m_view->completeAsOf() < m_options.maxViewAge) {
@@ -102,14 +115,15 @@
 
 bool TopicRelay::hasChangesFor(const TopicRequested &command) const
 {
-    return m_view && m_view->endOffset() > command.request.from;
+    return m_view && m_view->end() > command.request.from;
 }
 
 void TopicRelay::answerDueRequests()
 {
     const Instant now = monotonicNow();
-    const bool isDeclined = m_view && availability(now) == TopicAvailability::Unavailable;
     std::erase_if(m_pending, [&](const PendingRequest &pending) {
+        const bool isDeclined =
+                m_view && availabilityFor(pending.command, now) == TopicAvailability::Unavailable;
         const bool isDue = isDeclined || now >= pending.deadline;
         if (isDue) {
             answer(pending);
@@ -118,14 +132,12 @@
     });
 }
 
-/** Changes are passed on whatever their age, which the answer tells. */
 void TopicRelay::answer(const PendingRequest &pending) const
 {
     const TopicRequested &command = pending.command;
     TopicPartMessage part;
     if (command.request.topic == m_options.topic) {
-        part.availability =
-                hasChangesFor(command) ? TopicAvailability::Known : availability(monotonicNow());
+        part.availability = availabilityFor(command, monotonicNow());
     }
     part.isLast = true;
     if (part.availability != TopicAvailability::Known) {
@@ -140,7 +152,7 @@
         return;
     }
     part.isWhole = changes.isWhole;
-    part.endOffset = changes.endOffset;
+    part.end = changes.end;
     part.completeAsOf = changes.completeAsOf - pending.arrivedAt;
     for (std::size_t sent = 0; sent < bytes.size(); sent += partBytes) {
         part.bytes = bytes.substr(sent, partBytes);
--- a/source/edge/topicrelay.h
+++ b/source/edge/topicrelay.h
@@ -87,6 +87,7 @@
     void apply(const TopicUpdated &command);
     void apply(const RelayTick &command);
     TopicAvailability availability(Instant now) const;
+    TopicAvailability availabilityFor(const TopicRequested &command, Instant now) const;
     void recordProgress(Instant now);
     bool hasChangesFor(const TopicRequested &command) const;
     void answer(const PendingRequest &pending) const;
--- a/source/net/storehooks.h
+++ b/source/net/storehooks.h
@@ -15,10 +15,11 @@
 /** Hook that reads the newest record of every key of a topic. */
 using ReadSnapshot = std::function<Awaitable<Outcome<KeyedSnapshot>>()>;
 /**
- * Hook that reads the records of a topic, beginning with an offset. If there are none yet, it waits
- * for up to the given time (long poll).
- * @returns the records, or NotFound if records at the offset have been deleted
+ * Hook that reads the records of a topic, beginning with a position. If there are none yet, it
+ * waits for up to the given time (long poll).
+ * @returns the records, or NotFound if there are none at the position any more, because they have
+ *     been deleted or the store has begun another era
  */
-using ReadTail = std::function<Awaitable<Outcome<KeyedBatch>>(std::uint64_t from, Duration wait)>;
+using ReadTail = std::function<Awaitable<Outcome<KeyedBatch>>(TopicPosition from, Duration wait)>;
 
 } // namespace greengageseam
--- a/source/protocol/datagramcodec.cpp
+++ b/source/protocol/datagramcodec.cpp
@@ -1,6 +1,7 @@
 #include "protocol/datagramcodec.h"
 
 #include "protocol/generated/wire_types.h"
+#include "protocol/wireposition.h"
 
 #include <algorithm>
 #include <cmath>
@@ -73,8 +74,9 @@
 wire::ListPassed listToWire(const ReplicaListDelta &delta)
 {
     wire::ListPassed passed;
-    passed.fromOffset = static_cast<std::int64_t>(delta.fromOffset);
-    passed.nextOffset = static_cast<std::int64_t>(delta.nextOffset);
+    passed.fromOffset = static_cast<std::int64_t>(delta.from.offset);
+    passed.nextOffset = static_cast<std::int64_t>(delta.next.offset);
+    setEra(passed, delta.next.era);
     passed.viewAge = delta.viewAge.count();
     for (const ReplicaEntry &entry : delta.changed) {
         passed.changed.push_back(replicaToWire(entry));
@@ -88,6 +90,7 @@
 bool hasNegativeNumbers(const wire::ListPassed &passed)
 {
     return passed.fromOffset < 0 || passed.nextOffset < passed.fromOffset || passed.viewAge < 0
+            || (passed.__isset.era && passed.era < 0)
             || std::any_of(
                     passed.changed.begin(), passed.changed.end(),
                     [](const wire::ReplicaSeen &seen) {
@@ -100,8 +103,8 @@
 ReplicaListDelta listFromWire(const wire::ListPassed &passed)
 {
     ReplicaListDelta delta;
-    delta.fromOffset = static_cast<std::uint64_t>(passed.fromOffset);
-    delta.nextOffset = static_cast<std::uint64_t>(passed.nextOffset);
+    delta.from = positionOf(passed, passed.fromOffset);
+    delta.next = positionOf(passed, passed.nextOffset);
     delta.viewAge = std::min<Duration>(Duration(passed.viewAge), maxKnownVersionAge);
     for (const wire::ReplicaSeen &seen : passed.changed) {
         delta.changed.push_back(replicaFromWire(seen));
@@ -270,7 +273,8 @@
         body.instance = subscription->instance.text();
         body.zone = subscription->zone.text();
         body.known = static_cast<std::int64_t>(subscription->entriesChecksum);
-        body.news = static_cast<std::int64_t>(subscription->operatorOffset);
+        body.news = static_cast<std::int64_t>(subscription->operatorPosition.offset);
+        setEra(body, subscription->operatorPosition.era);
         for (const KnownTargetVersion &known : subscription->targetVersions) {
             wire::NamedVersion one;
             one.model = known.targetVersion.model.text();
@@ -323,7 +327,8 @@
     body.pace =
             static_cast<std::int32_t>(std::lround(std::min(report.slowdown, maxPace) * paceUnits));
     body.known = static_cast<std::int64_t>(report.entriesChecksum);
-    body.news = static_cast<std::int64_t>(report.operatorOffset);
+    body.news = static_cast<std::int64_t>(report.operatorPosition.offset);
+    setEra(body, report.operatorPosition.era);
     if (report.operatorViewAge) {
         body.__set_viewAge(report.operatorViewAge->count());
     }
@@ -370,11 +375,14 @@
         LoadSubscription subscription {InstanceId(frame.loadWanted.instance),
                                        ZoneName(frame.loadWanted.zone),
                                        static_cast<std::uint64_t>(frame.loadWanted.known),
-                                       static_cast<std::uint64_t>(frame.loadWanted.news),
+                                       positionOf(frame.loadWanted, frame.loadWanted.news),
                                        {},
                                        std::nullopt};
         subscription.wantsEntries =
                 !frame.loadWanted.__isset.entriesWanted || frame.loadWanted.entriesWanted;
+        if (frame.loadWanted.__isset.era && frame.loadWanted.era < 0) {
+            return fail(ErrorKind::ProtocolViolation, "a subscription contains a negative era");
+        }
         if (frame.loadWanted.__isset.viewAge) {
             if (frame.loadWanted.viewAge < 0) {
                 return fail(ErrorKind::ProtocolViolation, "a subscription contains a negative age");
@@ -427,7 +435,7 @@
             || seen.running < 0 || seen.pace < 0 || (seen.__isset.viewAge && seen.viewAge < 0)
             || (seen.__isset.credits && seen.credits < 0)
             || (seen.__isset.remainingColdMs && seen.remainingColdMs < 0)
-            || (seen.__isset.sentAt && seen.sentAt < 0);
+            || (seen.__isset.sentAt && seen.sentAt < 0) || (seen.__isset.era && seen.era < 0);
     if (!frame.__isset.loadSeen || isNegative) {
         return fail(ErrorKind::ProtocolViolation,
                     "a datagram has unknown content or negative numbers");
@@ -441,7 +449,7 @@
     report.running = static_cast<std::uint32_t>(seen.running);
     report.slowdown = seen.pace / paceUnits;
     report.entriesChecksum = static_cast<std::uint64_t>(seen.known);
-    report.operatorOffset = static_cast<std::uint64_t>(seen.news);
+    report.operatorPosition = positionOf(seen, seen.news);
     if (seen.__isset.viewAge) {
         report.operatorViewAge = std::min<Duration>(Duration(seen.viewAge), maxKnownVersionAge);
     }
--- a/source/protocol/datagramcodec.h
+++ b/source/protocol/datagramcodec.h
@@ -11,6 +11,7 @@
 #include "core/fleet/loadbalancer.h"
 #include "core/fleet/replicalistdelta.h"
 #include "core/fleet/servicedemand.h"
+#include "core/fleet/topicposition.h"
 
 #include <string>
 #include <string_view>
@@ -42,8 +43,8 @@
     ZoneName zone;
     /** Checksum over all entries that the sender knows. */
     std::uint64_t entriesChecksum = 0;
-    /** Offset that the sender has read in the operator's topic; increases with each record. */
-    std::uint64_t operatorOffset = 0;
+    /** Position up to which the sender has read the operator's topic. */
+    TopicPosition operatorPosition;
     /** The target version of each model, as far as the sender knows it. */
     std::vector<KnownTargetVersion> targetVersions;
     /** Age of the sender's view of the operator's topic; empty if it has none. */
--- a/source/protocol/framecodec.cpp
+++ b/source/protocol/framecodec.cpp
@@ -3,6 +3,7 @@
 #include "core/common/hashing.h"
 #include "protocol/generated/wire_types.h"
 #include "protocol/membershipcodec.h"
+#include "protocol/wireposition.h"
 
 #include <memory>
 #include <thrift/protocol/TCompactProtocol.h>
@@ -209,7 +210,8 @@
     {
         wire::TopicWanted wanted;
         wanted.topic = message.topic;
-        wanted.fromOffset = static_cast<std::int64_t>(message.from);
+        wanted.fromOffset = static_cast<std::int64_t>(message.from.offset);
+        setEra(wanted, message.from.era);
         wanted.wait = message.wait.count();
         m_body.__set_topicWanted(wanted);
     }
@@ -220,7 +222,8 @@
         part.available = message.availability == TopicAvailability::Known;
         part.pending = message.availability == TopicAvailability::Pending;
         part.whole = message.isWhole;
-        part.endOffset = static_cast<std::int64_t>(message.endOffset);
+        part.endOffset = static_cast<std::int64_t>(message.end.offset);
+        setEra(part, message.end.era);
         part.bytes = message.bytes;
         part.last = message.isLast;
         part.completeAsOf = message.completeAsOf.count();
@@ -305,7 +308,7 @@
 
 Message topicRequestFromWire(const wire::TopicWanted &wanted)
 {
-    return TopicRequestMessage {wanted.topic, static_cast<std::uint64_t>(wanted.fromOffset),
+    return TopicRequestMessage {wanted.topic, positionOf(wanted, wanted.fromOffset),
                                 Duration(wanted.wait)};
 }
 
@@ -315,7 +318,7 @@
             part.pending ? TopicAvailability::Pending : TopicAvailability::Unavailable;
     return TopicPartMessage {part.available ? TopicAvailability::Known : unknown,
                              part.whole,
-                             static_cast<std::uint64_t>(part.endOffset),
+                             positionOf(part, part.endOffset),
                              part.bytes,
                              part.last,
                              Duration(part.completeAsOf)};
--- a/source/protocol/messages.h
+++ b/source/protocol/messages.h
@@ -5,6 +5,7 @@
 
 #include "core/common/common.h"
 #include "core/fleet/pieces.h"
+#include "core/fleet/topicposition.h"
 #include "core/membership/membership.h"
 #include "core/membership/membertable.h"
 #include "core/once/agenttimestamp.h"
@@ -231,12 +232,12 @@
     auto operator<=>(const PieceListMessage &) const = default;
 };
 
-/** Requests what has changed in a topic of the platform's store since an offset. */
+/** Requests what has changed in a topic of the platform's store since a position. */
 struct TopicRequestMessage
 {
     /** Name of the topic in the log. */
     std::string topic;
-    std::uint64_t from = 0;
+    TopicPosition from;
     /** How long the peer may wait for records before it answers that there are none. */
     Duration wait {};
 
@@ -260,8 +261,8 @@
     TopicAvailability availability = TopicAvailability::Unavailable;
     /** Whether the records are those of all keys. @see TopicChanges */
     bool isWhole = false;
-    /** Offset after the last record of the topic. */
-    std::uint64_t endOffset = 0;
+    /** Position after the last record of the topic. */
+    TopicPosition end;
     /** Part of the encoded records. @see encodeRecords */
     std::string bytes;
     bool isLast = false;
--- a/source/protocol/thrift/wire.thrift
+++ b/source/protocol/thrift/wire.thrift
@@ -180,6 +180,8 @@
   2: i64 fromOffset;
   /** How long the answer may wait for new records, in microseconds. */
   3: i64 wait;
+  /** Era of the store to which the offset belongs; absent if the store names none. */
+  4: optional i64 era;
 }
 
 /** A record of a topic; without a value it removes the key. */
@@ -205,6 +207,8 @@
   6: bool pending;
   /** As of when the answer is complete, in microseconds from the arrival of the request. */
   7: i64 completeAsOf;
+  /** Era of the store to which endOffset belongs; absent if the store names none. */
+  8: optional i64 era;
 }
 
 /** Sign of life between entries. */
@@ -337,6 +341,8 @@
   4: list<string> removed;
   /** Age of what the sender knows of the list, in microseconds. */
   5: i64 viewAge;
+  /** Era of the store to which the offsets belong; absent if the store names none. */
+  6: optional i64 era;
 }
 
 /** A part of what was passed on of the list; a receiver that does not know parts reads the list itself. */
@@ -370,6 +376,8 @@
   /** Whether the receiver is to answer with the entries that it has heard of, if they are others; absent means yes. */
   7: optional bool entriesWanted;
   8: optional list<ServiceDemand> demands;
+  /** Era of the store to which news belongs; absent if the store names none. */
+  9: optional i64 era;
 }
 
 /** An entry, as an agent has heard of it. */
@@ -406,6 +414,8 @@
   12: optional i64 remainingColdMs;
   /** The sender's monotonic clock in microseconds; only while the backend server is cold. */
   13: optional i64 sentAt;
+  /** Era of the store to which news belongs; absent if the store names none. */
+  14: optional i64 era;
 }
 
 /** A named version of weights, as an agent has heard of it. */
--- a/source/sidecar/loadreporter.cpp
+++ b/source/sidecar/loadreporter.cpp
@@ -114,7 +114,7 @@
     if (m_knownEntries.expire(now)) {
         m_hooks.onEntriesChanged(m_knownEntries.locations());
     }
-    m_operatorOffset = std::max(m_operatorOffset, subscription.operatorOffset);
+    m_operatorPosition = std::max(m_operatorPosition, subscription.operatorPosition);
     m_views.recordStatement(subscription.zone, subscription.operatorViewAge, now);
     for (const KnownTargetVersion &known : subscription.targetVersions) {
         apply(TargetVersionKnown {known.targetVersion, now});
@@ -264,7 +264,7 @@
 {
     LoadReport report = load;
     report.entriesChecksum = m_knownEntries.checksum();
-    report.operatorOffset = m_operatorOffset;
+    report.operatorPosition = m_operatorPosition;
     report.operatorViewAge = m_views.newestViewAge(now);
     report.coldLeft = updateColdState(load, now);
     if (report.coldLeft) {
--- a/source/sidecar/loadreporter.h
+++ b/source/sidecar/loadreporter.h
@@ -148,8 +148,8 @@
     std::uint64_t m_coldCredits = 0;
     /** The newest target version of the weights of each model. */
     std::map<ModelName, TargetVersionKnown> m_targetVersions;
-    /** The highest offset of the operator's log that an entry has reported. */
-    std::uint64_t m_operatorOffset = 0;
+    /** The latest position in the operator's topic that an entry has reported. */
+    TopicPosition m_operatorPosition;
     /** Checksum of the last list of entries that was sent to all subscribers. */
     std::uint64_t m_sentEntriesChecksum = 0;
     SentBytes m_sent;
--- a/source/sidecar/sidecar.cpp
+++ b/source/sidecar/sidecar.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/sidecar.h"
 
+#include "edge/lostrecords.h"
 #include "net/clock.h"
 
 namespace greengageseam {
@@ -125,7 +126,7 @@
         // then, so an estimate of the announcement will not do.
         m_loadReporter->mailbox()->post(TargetVersionKnown {named, monotonicNow()});
     };
-    hooks.onOffsetAdvanced = [](std::uint64_t) { };
+    hooks.onPositionAdvanced = [](TopicPosition) { };
     FollowOptions follow;
     follow.name = operatorTopicName;
     follow.pollInterval = operatorPollPeriod;
@@ -136,11 +137,12 @@
                         m_secret};
     options.peerPort = m_settings.firstPort;
     options.continuesSnapshots = true;
+    options.keeps = keepsNewerVersions(m_adapter.operatorHooks);
     options.startTimeout = operatorPollPeriod;
     m_operatorReader = std::make_shared<RelayedReader>(m_executor, options, m_adapter.operatorTopic,
                                                        TopicViewObserver(), m_log);
     m_operatorWatcher = std::make_shared<OperatorWatcher>(m_executor, m_operatorReader->reader(),
-                                                          follow, hooks, m_log);
+                                                          follow, Duration::zero(), hooks, m_log);
 }
 
 /** Only services with a limit for cold backend servers are asked for their health. */
--- a/tests/differential/tst_platformdecoders.cpp
+++ b/tests/differential/tst_platformdecoders.cpp
@@ -127,7 +127,7 @@
             std::string(16, '\0') + std::string("\0\0\0\4\1ava", 8) + std::string("\0\0\0\2\1b", 6);
     checkMutants(bytes, [](const std::string &input) {
         std::uint64_t endOffset = 0;
-        return decodeTail(input, 0, endOffset);
+        return decodeTail(input, {}, endOffset);
     });
 }
 
@@ -156,7 +156,7 @@
     entry.id = ReplicaId("i-1");
     entry.address = Address("127.0.0.1:1");
     entry.loaded.layers = LayerRange {0, 16, 2};
-    checkMutants(encodeDatagram(ReplicaListDelta {1, 2, {entry}, {ReplicaId("i-2")}}),
+    checkMutants(encodeDatagram(ReplicaListDelta {{1}, {2}, {entry}, {ReplicaId("i-2")}}),
                  decodeDatagram);
     checkMutants(encodeDatagram(KnownEntries {{{InstanceId("a"), ZoneName("b"), "127.0.0.1"}}}),
                  decodeDatagram);
@@ -178,7 +178,7 @@
     report.running = 7;
     report.slowdown = 1.5;
     report.entriesChecksum = UINT64_MAX;
-    report.operatorOffset = 12;
+    report.operatorPosition = {12};
     report.credits = 3;
     const std::vector<Datagram> all {
             report,
@@ -215,13 +215,13 @@
             == Datagram(LoadSubscription {InstanceId("e"),
                                           ZoneName("a"),
                                           3,
-                                          4,
+                                          {4},
                                           {{{ModelName("m"), 5}, maxKnownVersionAge}}}));
     LoadReport report;
     report.backend = Address("b");
     report.weightsVersion = 3;
     report.slowdown = 1.5;
-    report.operatorOffset = 12;
+    report.operatorPosition = {12, 3};
     const std::string bytes("\x2c\x18\x01"
                             "b\x16\0\x16\x06\x12\x15\0\x15\0\x15\xb8\x17\x16\0\x16\x18\0\0",
                             22);
@@ -234,7 +234,7 @@
 {
     for (const Datagram &datagram :
          {Datagram(LoadSubscription {
-                  InstanceId("a"), ZoneName("b"), 7, 9, {{ModelName("m"), UINT64_MAX}}}),
+                  InstanceId("a"), ZoneName("b"), 7, {9}, {{ModelName("m"), UINT64_MAX}}}),
           Datagram(KnownTargetVersions {{{{ModelName("m"), UINT64_MAX}, Duration()}}})}) {
         const auto read = toOutcome([&] { return decodeDatagram(encodeDatagram(datagram)); });
         REQUIRE(failureOf(read)->kind == ErrorKind::ProtocolViolation);
--- a/tests/failure/topicrelayfixture.h
+++ b/tests/failure/topicrelayfixture.h
@@ -34,7 +34,16 @@
     std::size_t firstKept = 0;
     /** Number of reads that returned records. */
     int reads = 0;
+    /** Era of the store. */
+    std::uint64_t era = 0;
 
+    TopicPosition end() const { return {records.size(), era}; }
+    /** Begins the next era without the newest records. */
+    void lose(std::size_t n)
+    {
+        records.resize(records.size() - n);
+        ++era;
+    }
     void write(const std::string &value) { records.push_back({"config", value}); }
 };
 
@@ -82,8 +91,8 @@
     void slowDown(Duration readTime) { m_readTime = readTime; }
     /** Sets how long a slow read is silent after its last bytes, with its end still missing. */
     void stall(Duration silence) { m_silence = silence; }
-    /** Tells the process that another zone has read the topic up to an offset. */
-    void announce(std::uint64_t offset) { m_follower->mailbox()->post(CatchUp {offset}); }
+    /** Tells the process that another zone has read the topic up to a position. */
+    void announce(TopicPosition position) { m_follower->mailbox()->post(CatchUp {position}); }
     /** Sets whether the store does not respond to this process. */
     void cutOff(bool isCutOff) { m_isCutOff = isCutOff; }
     /** Stops running the process, as if it had received SIGSTOP. */
@@ -109,16 +118,16 @@
                 co_return Failure {ErrorKind::PlatformUnavailable, "cut off"};
             }
             ++m_topic.reads;
-            KeyedSnapshot snapshot {{}, m_topic.records.size(), monotonicNow()};
+            KeyedSnapshot snapshot {{}, m_topic.end(), monotonicNow()};
             if (!m_topic.records.empty()) {
                 snapshot.records.push_back(m_topic.records.back());
             }
             co_return snapshot;
         };
-        reader.tail = [this](std::uint64_t from, Duration wait) -> Awaitable<Outcome<KeyedBatch>> {
+        reader.tail = [this](TopicPosition from, Duration wait) -> Awaitable<Outcome<KeyedBatch>> {
             const Instant end = monotonicNow() + wait;
             asio::steady_timer timer(m_context);
-            while (monotonicNow() < end && (m_isCutOff || m_topic.records.size() <= from)) {
+            while (monotonicNow() < end && (m_isCutOff || m_topic.end() <= from)) {
                 timer.expires_after(milliseconds(5));
                 co_await timer.async_wait(asTuple);
             }
@@ -127,7 +136,8 @@
                 co_await timer.async_wait(asTuple);
                 co_return Failure {ErrorKind::PlatformUnavailable, "cut off"};
             }
-            if (from < m_topic.firstKept) {
+            if (from.offset < m_topic.firstKept || from > m_topic.end()
+                || from.era != m_topic.era) {
                 co_return Failure {ErrorKind::NotFound, "the records were deleted"};
             }
             if (m_readTime > Duration::zero()) {
@@ -138,8 +148,8 @@
                 timer.expires_after(m_silence);
                 co_await timer.async_wait(asTuple);
             }
-            KeyedBatch tail {{}, m_topic.records.size(), false, monotonicNow()};
-            tail.records.assign(m_topic.records.begin() + static_cast<std::ptrdiff_t>(from),
+            KeyedBatch tail {{}, m_topic.end(), false, monotonicNow()};
+            tail.records.assign(m_topic.records.begin() + static_cast<std::ptrdiff_t>(from.offset),
                                 m_topic.records.end());
             m_topic.reads += tail.records.empty() ? 0 : 1;
             co_return tail;
@@ -157,7 +167,7 @@
         options.pollInterval = milliseconds(isEntry ? 0 : 200);
         FollowHooks hooks;
         hooks.onSnapshot = [this](const KeyedSnapshot &snapshot) { apply(snapshot.records); };
-        hooks.onTail = [this](std::uint64_t, const KeyedBatch &tail) { apply(tail.records); };
+        hooks.onTail = [this](TopicPosition, const KeyedBatch &tail) { apply(tail.records); };
         m_follower = std::make_shared<TopicFollower>(m_context.get_executor(), m_reader->reader(),
                                                      options, hooks, m_log);
         m_relay->start();
--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -182,7 +182,7 @@
         REQUIRE(other.bind("127.0.0.3", 0));
         other.send(
                 encodeDatagram(LoadSubscription {
-                        InstanceId("entry-2"), ZoneName("b"), 0, 0, {{ModelName("m"), version}}}),
+                        InstanceId("entry-2"), ZoneName("b"), 0, {}, {{ModelName("m"), version}}}),
                 {asio::ip::make_address("127.0.0.1"), agentPort()});
     }
 
--- a/tests/failure/tst_endlessbytes.cpp
+++ b/tests/failure/tst_endlessbytes.cpp
@@ -458,7 +458,7 @@
 {
     const KeyedStore store(m_context.get_executor(), m_server.address(), storeTimeout);
     const TopicReader reader = store.topicReader("keyed.op");
-    requireSizeLimit<KeyedBatch>([reader] { return reader.tail(0, Duration::zero()); });
+    requireSizeLimit<KeyedBatch>([reader] { return reader.tail({}, Duration::zero()); });
 }
 
 TEST_CASE_METHOD(EndlessBytesFixture, "origin_endlessListOrPiece_failsAtTheSizeLimit")
--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -40,11 +40,11 @@
             for (const auto &[key, value] : m_newest) {
                 snapshot.records.push_back({key, value});
             }
-            snapshot.endOffset = m_records.size();
+            snapshot.end.offset = m_records.size();
             snapshot.completeAsOf = monotonicNow();
             co_return snapshot;
         };
-        reader.tail = [this](std::uint64_t from, Duration) -> Awaitable<Outcome<KeyedBatch>> {
+        reader.tail = [this](TopicPosition from, Duration) -> Awaitable<Outcome<KeyedBatch>> {
             ++m_tailReads;
             if (m_readsHang) {
                 asio::steady_timer timer(m_context, milliseconds(20'000));
@@ -57,8 +57,8 @@
             if (m_readsFail) {
                 co_return Failure {ErrorKind::PlatformUnavailable, "away"};
             }
-            KeyedBatch tail {{}, m_records.size(), false, monotonicNow()};
-            tail.records.assign(m_records.begin() + static_cast<std::ptrdiff_t>(from),
+            KeyedBatch tail {{}, {m_records.size()}, false, monotonicNow()};
+            tail.records.assign(m_records.begin() + static_cast<std::ptrdiff_t>(from.offset),
                                 m_records.end());
             co_return tail;
         };
@@ -111,12 +111,12 @@
         hooks.onTargetVersion = [onTarget](const TargetVersion &target, bool, Duration age) {
             onTarget(target, age);
         };
-        hooks.onOffsetAdvanced = [this](std::uint64_t next) { m_offset = next; };
+        hooks.onPositionAdvanced = [this](TopicPosition next) { m_offset = next.offset; };
         FollowOptions options;
         options.name = "operator";
         options.pollInterval = milliseconds(20);
-        return std::make_shared<OperatorWatcher>(m_context.get_executor(), reader(), options, hooks,
-                                                 m_log);
+        return std::make_shared<OperatorWatcher>(m_context.get_executor(), reader(), options,
+                                                 Duration::zero(), hooks, m_log);
     }
 
     /** @returns a watcher of evacuations, whose keys are names of zones */
@@ -127,12 +127,12 @@
         hooks.isTargetVersion = [](std::string_view) { return false; };
         hooks.evacuatedZone = [](std::string_view key) { return ZoneName(std::string(key)); };
         hooks.onEvacuationsChanged = [this](const std::set<ZoneName> &zones) { m_zones = zones; };
-        hooks.onOffsetAdvanced = [this](std::uint64_t next) { m_offset = next; };
+        hooks.onPositionAdvanced = [this](TopicPosition next) { m_offset = next.offset; };
         FollowOptions options;
         options.name = "operator";
         options.pollInterval = milliseconds(20);
         return std::make_shared<OperatorWatcher>(m_context.get_executor(), std::move(reader),
-                                                 options, hooks, m_log);
+                                                 options, Duration::zero(), hooks, m_log);
     }
 
     void runFor(Duration time)
@@ -182,8 +182,8 @@
     runFor(milliseconds(250));
     REQUIRE(m_known.size() == 1);
     REQUIRE(m_known.front().id == ReplicaId("i-2"));
-    REQUIRE(m_relayedDeltas.front().fromOffset == 1);
-    REQUIRE(m_relayedDeltas.front().nextOffset == 3);
+    REQUIRE(m_relayedDeltas.front().from.offset == 1);
+    REQUIRE(m_relayedDeltas.front().next.offset == 3);
     REQUIRE(m_relayedDeltas.front().removed == std::vector<ReplicaId> {ReplicaId("i-1")});
 }
 
@@ -205,10 +205,10 @@
     write("i-1", "p");
     startReplicaWatcher();
     m_watcher->relyOnPeers(1);
-    m_watcher->applyPeerDelta({1, 1, {}, {}});
+    m_watcher->applyPeerDelta({{1}, {1}, {}, {}});
     runFor(milliseconds(150));
     m_tailReads = 0;
-    ReplicaListDelta delta {1, 2, {}, {}};
+    ReplicaListDelta delta {{1}, {2}, {}, {}};
     delta.changed.push_back({ReplicaId("i-2"), ServiceName("p")});
     m_watcher->applyPeerDelta(delta);
     runFor(milliseconds(600));
@@ -220,7 +220,7 @@
 {
     startReplicaWatcher();
     m_watcher->relyOnPeers(1);
-    m_watcher->applyPeerDelta({0, 0, {}, {}});
+    m_watcher->applyPeerDelta({{0}, {0}, {}, {}});
     write("i-1", "p");
     runFor(milliseconds(1500));
     REQUIRE(m_known.size() == 1);
@@ -232,7 +232,7 @@
     m_watcher->relyOnPeers(1);
     write("i-1", "p");
     for (int n = 0; n < 15; ++n) {
-        m_watcher->applyPeerDelta({5, 6, {}, {}});
+        m_watcher->applyPeerDelta({{5}, {6}, {}, {}});
         runFor(milliseconds(100));
     }
     REQUIRE(m_known.size() == 1);
@@ -246,10 +246,10 @@
     startReplicaWatcher();
     m_watcher->relyOnPeers(1);
     for (int n = 0; n < 32; ++n) {
-        m_watcher->applyPeerDelta({1, 1, {}, {}});
+        m_watcher->applyPeerDelta({{1}, {1}, {}, {}});
         runFor(milliseconds(100));
     }
-    ReplicaListDelta delta {1, 2, {}, {}};
+    ReplicaListDelta delta {{1}, {2}, {}, {}};
     delta.removed.emplace_back("i-1");
     m_watcher->applyPeerDelta(delta);
     runFor(milliseconds(50));
@@ -294,7 +294,7 @@
     hooks.onSnapshot = [&](const KeyedSnapshot &snapshot) {
         newest = snapshot.records.empty() ? "" : *snapshot.records.front().value;
     };
-    hooks.onTail = [&](std::uint64_t, const KeyedBatch &tail) {
+    hooks.onTail = [&](TopicPosition, const KeyedBatch &tail) {
         newest = tail.records.empty() ? newest : *tail.records.back().value;
     };
     const auto follower = std::make_shared<TopicFollower>(m_context.get_executor(), reader(),
@@ -319,7 +319,7 @@
     std::string newest;
     FollowHooks hooks;
     hooks.onSnapshot = [](const KeyedSnapshot &) { };
-    hooks.onTail = [&](std::uint64_t, const KeyedBatch &tail) {
+    hooks.onTail = [&](TopicPosition, const KeyedBatch &tail) {
         newest = tail.records.empty() ? newest : *tail.records.back().value;
     };
     m_readsHang = true;
@@ -347,7 +347,7 @@
     std::string newest;
     FollowHooks hooks;
     hooks.onSnapshot = [](const KeyedSnapshot &) { };
-    hooks.onTail = [&](std::uint64_t, const KeyedBatch &tail) {
+    hooks.onTail = [&](TopicPosition, const KeyedBatch &tail) {
         newest = tail.records.empty() ? newest : *tail.records.back().value;
     };
     m_readTime = milliseconds(2500);
@@ -415,7 +415,7 @@
     options.pollTimeout = std::chrono::seconds(25);
     FollowHooks hooks;
     hooks.onSnapshot = [](const KeyedSnapshot &) { };
-    hooks.onTail = [](std::uint64_t, const KeyedBatch &) { };
+    hooks.onTail = [](TopicPosition, const KeyedBatch &) { };
     const auto follower =
             std::make_shared<TopicFollower>(m_context.get_executor(), both, options, hooks, m_log);
     follower->start();
@@ -690,7 +690,7 @@
 TEST_CASE_METHOD(StoreWatcherFixture, "evacuation_snapshotLacksTheKey_isEnded")
 {
     TopicReader truncated = reader();
-    truncated.tail = [this](std::uint64_t, Duration) -> Awaitable<Outcome<KeyedBatch>> {
+    truncated.tail = [this](TopicPosition, Duration) -> Awaitable<Outcome<KeyedBatch>> {
         asio::steady_timer timer(m_context, milliseconds(50));
         co_await timer.async_wait(asTuple);
         co_return Failure {ErrorKind::NotFound, "records were deleted"};
@@ -707,13 +707,15 @@
 TEST_CASE_METHOD(StoreWatcherFixture, "evacuation_olderReadReturnsLate_doesNotUndoTheRemoval")
 {
     TopicReader late = reader();
-    late.tail = [this](std::uint64_t from, Duration) -> Awaitable<Outcome<KeyedBatch>> {
+    late.tail = [this](TopicPosition from, Duration) -> Awaitable<Outcome<KeyedBatch>> {
         const bool isFirst = m_tailReads++ == 0;
         asio::steady_timer timer(m_context, milliseconds(isFirst ? 300 : 20));
-        const KeyedBatch older {{{"a", "{}"}}, 2, true, monotonicNow()};
-        const KeyedBatch newer {{{"a", std::nullopt}}, 3, true, monotonicNow()};
+        const KeyedBatch older {{{"a", "{}"}}, {2}, true, monotonicNow()};
+        const KeyedBatch newer {{{"a", std::nullopt}}, {3}, true, monotonicNow()};
         co_await timer.async_wait(asTuple);
-        co_return isFirst ? older : from < 3 ? newer : KeyedBatch {{}, 3, true, monotonicNow()};
+        co_return isFirst         ? older
+                : from.offset < 3 ? newer
+                                  : KeyedBatch {{}, {3}, true, monotonicNow()};
     };
     write("z", "{}");
     const auto watcher = makeEvacuationWatcher(late);
--- a/tests/failure/tst_leaving.cpp
+++ b/tests/failure/tst_leaving.cpp
@@ -99,13 +99,13 @@
     {
         TopicReader reader;
         reader.snapshot = [this]() -> Awaitable<Outcome<KeyedSnapshot>> {
-            co_return KeyedSnapshot {m_records, m_records.size(), monotonicNow()};
+            co_return KeyedSnapshot {m_records, {m_records.size()}, monotonicNow()};
         };
-        reader.tail = [this, watching](std::uint64_t from,
+        reader.tail = [this, watching](TopicPosition from,
                                        Duration) -> Awaitable<Outcome<KeyedBatch>> {
             ++watching->tailReads;
-            KeyedBatch tail {{}, m_records.size(), false, monotonicNow()};
-            tail.records.assign(m_records.begin() + static_cast<std::ptrdiff_t>(from),
+            KeyedBatch tail {{}, {m_records.size()}, false, monotonicNow()};
+            tail.records.assign(m_records.begin() + static_cast<std::ptrdiff_t>(from.offset),
                                 m_records.end());
             asio::steady_timer timer(m_context, watching->responseTime);
             co_await timer.async_wait(asTuple);
@@ -211,7 +211,7 @@
     /** @returns a delta in which backend servers, as many as asked for, report that they leave */
     static ReplicaListDelta leaving(std::size_t count)
     {
-        ReplicaListDelta delta {0, count, {}, {}};
+        ReplicaListDelta delta {{0}, {count}, {}, {}};
         for (std::size_t n = 0; n < count; ++n) {
             ReplicaEntry entry;
             entry.id = ReplicaId("i-" + std::to_string(n));
@@ -256,7 +256,7 @@
     m_reader->mailbox()->post(RelayListDelta {leaving(count)});
     runFor(milliseconds(1000));
     REQUIRE(receivedEntries() == count);
-    REQUIRE(m_received.back().nextOffset == count);
+    REQUIRE(m_received.back().next.offset == count);
 }
 
 /** A load balancer that knows one backend server. */
--- a/tests/failure/tst_topicrecovery.cpp
+++ b/tests/failure/tst_topicrecovery.cpp
@@ -62,7 +62,7 @@
     m_topic.write("1");
     const auto othersHaveItOrAreTold = [this] {
         for (const auto &node : m_nodes) {
-            node->announce(m_topic.records.size());
+            node->announce(m_topic.end());
         }
         return allHave("1", 1);
     };
@@ -80,7 +80,7 @@
     m_topic.write("1");
     const auto allHaveItOrAreTold = [this] {
         for (const auto &node : m_nodes) {
-            node->announce(m_topic.records.size());
+            node->announce(m_topic.end());
         }
         return allHave("1", 0);
     };
--- a/tests/failure/tst_topicrelay.cpp
+++ b/tests/failure/tst_topicrelay.cpp
@@ -19,7 +19,7 @@
         store.snapshot = []() -> Awaitable<Outcome<KeyedSnapshot>> {
             co_return Failure {ErrorKind::PlatformUnavailable, "cut off"};
         };
-        store.tail = [](std::uint64_t, Duration) -> Awaitable<Outcome<KeyedBatch>> {
+        store.tail = [](TopicPosition, Duration) -> Awaitable<Outcome<KeyedBatch>> {
             co_return Failure {ErrorKind::PlatformUnavailable, "cut off"};
         };
         RelayedReaderOptions options;
@@ -38,12 +38,12 @@
             m_version = target.version;
             m_age = age;
         };
-        hooks.onOffsetAdvanced = [](std::uint64_t) { };
+        hooks.onPositionAdvanced = [](TopicPosition) { };
         FollowOptions follow;
         follow.name = "operator";
         follow.pollTimeout = std::chrono::seconds(25);
         m_watcher = std::make_shared<OperatorWatcher>(m_context.get_executor(), m_reader->reader(),
-                                                      follow, hooks, m_log);
+                                                      follow, Duration::zero(), hooks, m_log);
         m_watcher->start();
     }
 
@@ -149,7 +149,7 @@
     m_topic.write("1");
     const auto allHaveItOrAreTold = [this] {
         for (const auto &node : m_nodes) {
-            node->announce(m_topic.records.size());
+            node->announce(m_topic.end());
         }
         return allHave("1", 0);
     };
@@ -286,5 +286,20 @@
     REQUIRE(child.age() >= monotonicNow() - named - milliseconds(100));
 }
 
+// The store has lost records, and its offsets are those of other records now.
+TEST_CASE_METHOD(TopicRelayFixture, "topic_storeHasLostRecords_allFollowTheNewEra")
+{
+    startEntries(4);
+    for (const char *value : {"1", "2", "3"}) {
+        m_topic.write(value);
+    }
+    REQUIRE(waitUntil([this] { return allHave("3", 0); }, configBound));
+    m_topic.lose(2);
+    m_topic.write("3 again");
+    REQUIRE(waitUntil([this] { return allHave("3 again", 0); }, configBound));
+    m_topic.write("4");
+    REQUIRE(waitUntil([this] { return allHave("4", 0); }, configBound));
+}
+
 } // namespace
 } // namespace greengageseam
--- a/tests/unit/tst_framecodec.cpp
+++ b/tests/unit/tst_framecodec.cpp
@@ -112,12 +112,12 @@
 
 TEST_CASE_METHOD(FrameFixture, "frame_topicMessages_roundTrip")
 {
-    const TopicRequestMessage request {"operator", 7, std::chrono::milliseconds(700)};
+    const TopicRequestMessage request {"operator", {7, 2}, std::chrono::milliseconds(700)};
     const TopicPartMessage part {
-            TopicAvailability::Known,     true, 9,
+            TopicAvailability::Known,     true, {9, 2},
             std::string("\0\x01\xff", 3), true, std::chrono::milliseconds(-300)};
-    const TopicPartMessage pending {TopicAvailability::Pending, false, 0, {}, true, {}};
-    const TopicPartMessage unavailable {TopicAvailability::Unavailable, false, 0, {}, true, {}};
+    const TopicPartMessage pending {TopicAvailability::Pending, false, {}, {}, true, {}};
+    const TopicPartMessage unavailable {TopicAvailability::Unavailable, false, {}, {}, true, {}};
     for (const Message &message :
          {Message(request), Message(part), Message(pending), Message(unavailable)}) {
         const StreamMessage sent {7, message};
--- a/tests/unit/tst_platform.cpp
+++ b/tests/unit/tst_platform.cpp
@@ -234,10 +234,10 @@
     std::string bytes = std::string(7, '\0') + '\x2b' + std::string(8, '\0');
     bytes += std::string("\0\0\0\4\1ava", 8) + std::string("\0\0\0\2\1b", 6);
     std::uint64_t endOffset = 0;
-    const auto read = toOutcome([&] { return decodeTail(bytes, 40, endOffset); });
+    const auto read = toOutcome([&] { return decodeTail(bytes, {40}, endOffset); });
     REQUIRE(endOffset == 43);
     const auto &tail = std::get<KeyedBatch>(read);
-    REQUIRE(tail.nextOffset == 42);
+    REQUIRE(tail.next.offset == 42);
     REQUIRE(tail.records[0] == KeyedRecord {"a", "va"});
     REQUIRE(tail.records[1] == KeyedRecord {"b", std::nullopt});
 }
@@ -246,7 +246,7 @@
 {
     const std::string bytes = std::string(16, '\0') + std::string("\0\0\0\x09\1a", 6);
     std::uint64_t endOffset = 0;
-    REQUIRE_FALSE(detailOf(toOutcome([&] { return decodeTail(bytes, 0, endOffset); })).empty());
+    REQUIRE_FALSE(detailOf(toOutcome([&] { return decodeTail(bytes, {}, endOffset); })).empty());
 }
 
 TEST_CASE_METHOD(PlatformFixture, "decodeSnapshotPage_validPage_isDecoded")
@@ -259,7 +259,7 @@
     });
     const auto &page = std::get<KeyedSnapshot>(read);
     REQUIRE(hasMore);
-    REQUIRE(page.endOffset == 6);
+    REQUIRE(page.end.offset == 6);
     REQUIRE(page.records.front() == KeyedRecord {"config", "xy"});
 }
 
--- a/tests/unit/tst_replicalistdelta.cpp
+++ b/tests/unit/tst_replicalistdelta.cpp
@@ -34,7 +34,7 @@
 
 TEST_CASE_METHOD(ReplicaListDeltaFixture, "delta_changedThenRemoved_containsOnlyTheRemoval")
 {
-    const ReplicaListDelta delta = ReplicaListDelta {1, 3, {}, {}}
+    const ReplicaListDelta delta = ReplicaListDelta {{1}, {3}, {}, {}}
                                            .withChanged(replica("i-1"))
                                            .withRemoved(ReplicaId("i-1"));
     REQUIRE(delta.changed.empty());
@@ -43,7 +43,7 @@
 
 TEST_CASE_METHOD(ReplicaListDeltaFixture, "delta_removedThenChanged_containsOnlyTheEntry")
 {
-    const ReplicaListDelta delta = ReplicaListDelta {1, 3, {}, {}}
+    const ReplicaListDelta delta = ReplicaListDelta {{1}, {3}, {}, {}}
                                            .withRemoved(ReplicaId("i-1"))
                                            .withChanged(replica("i-1"));
     REQUIRE(delta.removed.empty());
@@ -55,7 +55,8 @@
     ReplicaEntry plain = replica("i-2");
     plain.loaded = {};
     plain.isDraining = true;
-    const Datagram delta = ReplicaListDelta {7, 9, {replica("i-1"), plain}, {ReplicaId("i-3")}};
+    const Datagram delta =
+            ReplicaListDelta {{7, 2}, {9, 2}, {replica("i-1"), plain}, {ReplicaId("i-3")}};
     const auto decoded = toOutcome([&] { return decodeDatagram(encodeDatagram(delta)); });
     REQUIRE(std::get<Datagram>(decoded) == delta);
 }
@@ -76,8 +77,8 @@
                                      + numbers + "}");
     });
     if (failureOf(odd) == nullptr) {
-        const Datagram delta =
-                ReplicaListDelta {7, 9, {replica("i-1"), std::get<ReplicaEntry>(odd)}, {}};
+        const Datagram delta = ReplicaListDelta {
+                {7, 2}, {9, 2}, {replica("i-1"), std::get<ReplicaEntry>(odd)}, {}};
         const auto decoded = toOutcome([&] { return decodeDatagram(encodeDatagram(delta)); });
         REQUIRE(failureOf(decoded) == nullptr);
         REQUIRE(std::get<Datagram>(decoded) == delta);
@@ -87,14 +88,14 @@
 TEST_CASE_METHOD(ReplicaListDeltaFixture, "loadWanted_withTargetVersionsEncodedAndDecoded_isEqual")
 {
     const Datagram request =
-            LoadSubscription {InstanceId("e"), ZoneName("a"), 3, 4, {{ModelName("m"), 5}}};
+            LoadSubscription {InstanceId("e"), ZoneName("a"), 3, {4, 2}, {{ModelName("m"), 5}}};
     const auto decoded = toOutcome([&] { return decodeDatagram(encodeDatagram(request)); });
     REQUIRE(std::get<Datagram>(decoded) == request);
 }
 
 TEST_CASE_METHOD(ReplicaListDeltaFixture, "loadWanted_withDemands_isEqualAfterDecoding")
 {
-    LoadSubscription request {InstanceId("e"), ZoneName("a"), 3, 4};
+    LoadSubscription request {InstanceId("e"), ZoneName("a"), 3, {4, 2}};
     request.demands = {{ServiceName("pool"), 14, 5}, {ServiceName("other"), 1, 0}};
     const auto decoded =
             toOutcome([&] { return decodeDatagram(encodeDatagram(Datagram(request))); });
@@ -103,7 +104,7 @@
 
 TEST_CASE_METHOD(ReplicaListDeltaFixture, "loadWanted_withNegativeDemand_isRejected")
 {
-    LoadSubscription request {InstanceId("e"), ZoneName("a"), 3, 4};
+    LoadSubscription request {InstanceId("e"), ZoneName("a"), 3, {4, 2}};
     request.demands = {{ServiceName("pool"), UINT32_MAX, 0}};
     const auto decoded =
             toOutcome([&] { return decodeDatagram(encodeDatagram(Datagram(request))); });
@@ -112,7 +113,7 @@
 
 TEST_CASE_METHOD(ReplicaListDeltaFixture, "loadWanted_withoutOtherEntries_isEqualAfterDecoding")
 {
-    LoadSubscription request {InstanceId("e"), ZoneName("a"), 3, 4};
+    LoadSubscription request {InstanceId("e"), ZoneName("a"), 3, {4, 2}};
     request.wantsEntries = false;
     const auto decoded =
             toOutcome([&] { return decodeDatagram(encodeDatagram(Datagram(request))); });
@@ -139,7 +140,7 @@
 TEST_CASE_METHOD(ReplicaListDeltaFixture, "deltaParts_allArriveInAnyOrder_areTheWholeDelta")
 {
     const ReplicaListDelta delta {
-            7, 12, {replica("i-1"), replica("i-2"), replica("i-3")}, {ReplicaId("i-4")}};
+            {7}, {12}, {replica("i-1"), replica("i-2"), replica("i-3")}, {ReplicaId("i-4")}};
     const std::vector<ReplicaListDelta> parts = splitDelta(delta, 2);
     REQUIRE(parts.size() == 2);
     DeltaAssembler assembler;
@@ -151,9 +152,9 @@
 TEST_CASE_METHOD(ReplicaListDeltaFixture, "deltaParts_oneIsLost_nothingIsPassedOn")
 {
     const std::vector<ReplicaListDelta> first =
-            splitDelta({7, 9, {replica("i-1"), replica("i-2")}, {}}, 2);
+            splitDelta({{7}, {9}, {replica("i-1"), replica("i-2")}, {}}, 2);
     const std::vector<ReplicaListDelta> second =
-            splitDelta({9, 11, {replica("i-3"), replica("i-4")}, {}}, 2);
+            splitDelta({{9}, {11}, {replica("i-3"), replica("i-4")}, {}}, 2);
     DeltaAssembler assembler;
     REQUIRE_FALSE(assembler.add("a", first[0], Instant()));
     REQUIRE_FALSE(assembler.add("a", second[0], Instant()));
@@ -164,8 +165,8 @@
 TEST_CASE_METHOD(ReplicaListDeltaFixture, "deltaParts_lateOneOfAnOlderDelta_isIgnored")
 {
     const std::vector<ReplicaListDelta> older =
-            splitDelta({7, 9, {replica("i-1"), replica("i-2")}, {}}, 2);
-    const ReplicaListDelta delta {9, 11, {replica("i-3"), replica("i-4")}, {}};
+            splitDelta({{7}, {9}, {replica("i-1"), replica("i-2")}, {}}, 2);
+    const ReplicaListDelta delta {{9}, {11}, {replica("i-3"), replica("i-4")}, {}};
     const std::vector<ReplicaListDelta> newer = splitDelta(delta, 2);
     DeltaAssembler assembler;
     REQUIRE_FALSE(assembler.add("a", newer[0], Instant()));
@@ -176,7 +177,7 @@
 // The view is as old as it was when the first part was sent.
 TEST_CASE_METHOD(ReplicaListDeltaFixture, "deltaParts_lastOneArrivesLate_viewHasAgedMeanwhile")
 {
-    ReplicaListDelta delta {7, 9, {replica("i-1"), replica("i-2")}, {}};
+    ReplicaListDelta delta {{7}, {9}, {replica("i-1"), replica("i-2")}, {}};
     delta.viewAge = std::chrono::milliseconds(100);
     const std::vector<ReplicaListDelta> parts = splitDelta(delta, 2);
     DeltaAssembler assembler;
@@ -188,7 +189,7 @@
 
 TEST_CASE_METHOD(ReplicaListDeltaFixture, "deltaParts_encodedAndDecoded_areEqual")
 {
-    const Datagram part = splitDelta({7, 9, {replica("i-1"), replica("i-2")}, {}}, 2).back();
+    const Datagram part = splitDelta({{7}, {9}, {replica("i-1"), replica("i-2")}, {}}, 2).back();
     const auto decoded = toOutcome([&] { return decodeDatagram(encodeDatagram(part)); });
     REQUIRE(std::get<Datagram>(decoded) == part);
 }
--- a/tests/unit/tst_replicaregistry.cpp
+++ b/tests/unit/tst_replicaregistry.cpp
@@ -145,5 +145,39 @@
     REQUIRE(updates == std::vector<ReplicaUpdate> {{ReplicaId("a"), ReplicaChange::Gone}});
 }
 
+// The copy from which the store came back still has a server that has left.
+TEST_CASE_METHOD(ReplicaRegistryFixture, "registry_removalWasLost_entryIsOutdatedUntilWritten")
+{
+    m_registry.put(entry("a"));
+    m_registry.remove(ReplicaId("a"), at(600));
+    m_registry.recordLoss(at(1200));
+    REQUIRE(m_registry.isOutdated(entry("a")));
+    REQUIRE_FALSE(m_registry.isOutdated(entry("a", 2)));
+    m_registry.put(entry("a"));
+    REQUIRE_FALSE(m_registry.isOutdated(entry("a")));
+}
+
+TEST_CASE_METHOD(ReplicaRegistryFixture, "registry_noticeOfLeavingWasLost_entryIsOutdated")
+{
+    ReplicaEntry leaving = entry("a");
+    leaving.isDraining = true;
+    m_registry.put(leaving);
+    m_registry.recordLoss(at(1200));
+    REQUIRE(m_registry.isOutdated(entry("a")));
+    REQUIRE_FALSE(m_registry.isOutdated(leaving));
+    REQUIRE_FALSE(m_registry.isOutdated(entry("a", 2)));
+}
+
+TEST_CASE_METHOD(ReplicaRegistryFixture, "registry_registrationWasLost_isKeptForTheGracePeriod")
+{
+    m_registry.recordRead(at(0));
+    m_registry.put(entry("a"));
+    m_registry.recordRead(at(600));
+    m_registry.recordLoss(at(600));
+    REQUIRE(m_registry.retainOnly({}, at(600)).front().change == ReplicaChange::Lapsed);
+    REQUIRE(m_registry.expire(at(2700)).empty());
+    REQUIRE(m_registry.expire(at(2900)).size() == 1);
+}
+
 } // namespace
 } // namespace greengageseam
