Show two crowds on the port for links, and a view that an unreadable configuration leaves current

An unreadable configuration is skipped and the view confirmed, so that callers are denied by the configuration before it.

--- a/tests/failure/edgeprocess.cpp
+++ b/tests/failure/edgeprocess.cpp
@@ -17,6 +17,7 @@
     const std::uint16_t onePort = portOf(freeAddress(context));
     const std::uint16_t otherPort = portOf(freeAddress(context));
     m_metricsAddress = Address("127.0.0.1:" + std::to_string(std::max(onePort, otherPort)));
+    m_peerAddress = Address("127.0.0.1:" + std::to_string(std::min(onePort, otherPort)));
     const std::string name =
             "edge-" + std::to_string(::getpid()) + "-" + std::to_string(portOf(m_frontAddress));
     m_path = (std::filesystem::temp_directory_path() / name).string();
--- a/tests/failure/edgeprocess.h
+++ b/tests/failure/edgeprocess.h
@@ -31,6 +31,8 @@
     const Address &readyAddress() const { return m_readyAddress; }
     /** @returns the address at which the entry serves its metrics */
     const Address &metricsAddress() const { return m_metricsAddress; }
+    /** @returns the address at which the entry accepts links of other processes */
+    const Address &peerAddress() const { return m_peerAddress; }
     /** @returns the process id */
     pid_t id() const { return m_process->id(); }
     void signal(int number) const { m_process->signal(number); }
@@ -43,6 +45,7 @@
     Address m_frontAddress;
     Address m_readyAddress;
     Address m_metricsAddress;
+    Address m_peerAddress;
     /** Path of the settings file and the log, without their suffixes. */
     std::string m_path;
     std::unique_ptr<Process> m_process;
--- a/tests/failure/tst_callerlimits.cpp
+++ b/tests/failure/tst_callerlimits.cpp
@@ -9,6 +9,7 @@
 #include "edgeprocess.h"
 #include "fleetstandin.h"
 #include "net/clock.h"
+#include "protocol/framecodec.h"
 #include "scriptedstandin.h"
 #include "testcaller.h"
 
@@ -397,5 +398,29 @@
     requireWithinLimits();
 }
 
+/** @returns the header of a frame between processes */
+std::string frameHeader(std::size_t bytes)
+{
+    std::string header;
+    for (std::size_t n = frameHeaderBytes; n > 0; --n) {
+        header.push_back(static_cast<char>(bytes >> (8 * (n - 1)) & 0xffU));
+    }
+    return header;
+}
+
+// Whoever reaches the port for links has not proved to be a process of the system.
+TEST_CASE_METHOD(CallerLimitsFixture, "peerPort_largeFramesBeforeTheProof_keepsItsLimits")
+{
+    runCrowd(manyCallers, m_entry->peerAddress(),
+             {frameHeader(maxFrameBytes), pieceOf("b"), maxFrameBytes - missingBytes});
+    requireWithinLimits();
+}
+
+TEST_CASE_METHOD(CallerLimitsFixture, "peerPort_manySilentConnections_keepsItsLimits")
+{
+    runCrowd(idleCallers, m_entry->peerAddress(), {});
+    requireWithinLimits();
+}
+
 } // namespace
 } // namespace greengageseam
--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -173,6 +173,42 @@
     std::set<ZoneName> m_zones;
 };
 
+// What the newest configuration says is not known, so nothing may be denied by the one before it.
+TEST_CASE_METHOD(StoreWatcherFixture, "config_newestIsUnreadable_isNotCurrentUntilTheNext")
+{
+    OperatorHooks hooks;
+    hooks.isConfig = [](std::string_view) { return true; };
+    hooks.isTargetVersion = [](std::string_view) { return false; };
+    hooks.decodeConfig = [](std::string_view bytes) -> Result<FleetConfig> {
+        if (bytes == unreadable) {
+            return fail(ErrorKind::CorruptData, "unreadable");
+        }
+        FleetConfig config;
+        config.version = std::stoull(std::string(bytes));
+        return config;
+    };
+    std::uint64_t applied = 0;
+    int confirmations = 0;
+    hooks.onConfig = [&](const RouteTablePtr &table) { applied = table->config().version; };
+    hooks.onCurrent = [&](Instant) { ++confirmations; };
+    hooks.onPositionAdvanced = [this](TopicPosition next) { m_offset = next.offset; };
+    FollowOptions options;
+    options.name = "operator";
+    options.pollInterval = milliseconds(20);
+    const auto watcher = std::make_shared<OperatorWatcher>(m_context.get_executor(), reader(),
+                                                           options, Duration::zero(), hooks, m_log);
+    write("config", "1");
+    watcher->start();
+    REQUIRE(waitUntil([&] { return applied == 1 && confirmations > 0; }));
+    write("config", unreadable);
+    REQUIRE(waitUntil([this] { return m_offset == 2; }));
+    confirmations = 0;
+    runFor(milliseconds(200));
+    REQUIRE(confirmations == 0);
+    write("config", "3");
+    REQUIRE(waitUntil([&] { return applied == 3 && confirmations > 0; }));
+}
+
 TEST_CASE_METHOD(StoreWatcherFixture, "replicas_noPeerToRelyOn_areReadAndRelayed")
 {
     write("i-1", "p");
