Deny nothing by the configuration before one that cannot be read

Callers got 404 and 401 for what the newest configuration may allow: a configuration that could not be decoded was skipped with config.unreadable, and the view was confirmed as current all the same.

--- a/source/edge/operatorwatcher.cpp
+++ b/source/edge/operatorwatcher.cpp
@@ -120,7 +120,8 @@
         if (m_hooks.onConfirmed) {
             m_hooks.onConfirmed(completeAsOf);
         }
-        if (m_hooks.onCurrent && completeAsOf >= m_mayLackUntil) {
+        const bool isCurrent = completeAsOf >= m_mayLackUntil && !m_isConfigUnreadable;
+        if (m_hooks.onCurrent && isCurrent) {
             m_hooks.onCurrent(completeAsOf);
         }
     }
@@ -133,7 +134,9 @@
     }
     if (m_hooks.isConfig(record.key)) {
         Outcome<FleetConfig> read = toOutcome([&] { return m_hooks.decodeConfig(*record.value); });
-        if (const Failure *failure = failureOf(read)) {
+        const Failure *failure = failureOf(read);
+        m_isConfigUnreadable = failure != nullptr;
+        if (failure != nullptr) {
             m_log.error("config.unreadable", {{"reason", failure->detail}});
             return;
         }
--- a/source/edge/operatorwatcher.h
+++ b/source/edge/operatorwatcher.h
@@ -52,8 +52,9 @@
      */
     std::function<void(Instant completeAsOf)> onConfirmed;
     /**
-     * Called like onConfirmed, but only if the store also had time to get back what it may have
-     * lost, so that nothing newer was ever accepted; may be empty.
+     * Called like onConfirmed, but only if the newest configuration could be read, and the store
+     * had time to get back what it may have lost, so that nothing newer was ever accepted; may be
+     * empty.
      */
     std::function<void(Instant completeAsOf)> onCurrent;
 };
@@ -117,6 +118,8 @@
     ListeningHistory m_listening;
     /** Version of the newest configuration. */
     std::uint64_t m_configVersion = 0;
+    /** Whether the store has a configuration that cannot be read. */
+    bool m_isConfigUnreadable = false;
     /** Position up to which the topic was read. */
     TopicPosition m_position;
     /** Until then the store may lack records that it has accepted. */
