Bound what connections to the port for links hold before they have proved who they are

Cause: the limit of a frame, meant for peers, applied before the proof, and handshakes were not counted. Now a message of the handshake has at most 4 KiB, and the oldest of more than 128 handshakes is closed; refusals get one log line a second.

--- a/source/net/linkframes.cpp
+++ b/source/net/linkframes.cpp
@@ -1,7 +1,5 @@
 #include "net/linkframes.h"
 
-#include "protocol/framecodec.h"
-
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -14,7 +12,7 @@
     co_return !ec;
 }
 
-Awaitable<Outcome<StreamMessage>> readFrame(const LinkSocket &socket)
+Awaitable<Outcome<StreamMessage>> readFrame(const LinkSocket &socket, std::size_t maxBytes)
 {
     FrameHeader header {};
     auto [headerError, headerBytes] =
@@ -26,6 +24,9 @@
     if (const Failure *failure = failureOf(length)) {
         co_return *failure;
     }
+    if (std::get<std::size_t>(length) > maxBytes) {
+        co_return Failure {ErrorKind::ProtocolViolation, "a frame is larger than allowed here"};
+    }
     std::string bytes(std::get<std::size_t>(length), '\0');
     auto [bodyError, bodyBytes] =
             co_await asio::async_read(socket->socket(), asio::buffer(bytes), asTuple);
--- a/source/net/peerhandshake.cpp
+++ b/source/net/peerhandshake.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int nonceWords = 4;
+/** Maximum size of a message of the handshake, whose sender has proved nothing yet. */
+constexpr std::size_t maxHandshakeBytes = 4UL * 1024;
 
 std::string makeNonce()
 {
@@ -33,7 +35,7 @@
 template <typename Expected>
 Awaitable<Outcome<Expected>> readHandshakeMessage(const LinkSocket &socket)
 {
-    Outcome<StreamMessage> frame = co_await readFrame(socket);
+    Outcome<StreamMessage> frame = co_await readFrame(socket, maxHandshakeBytes);
     if (const Failure *failure = failureOf(frame)) {
         co_return *failure;
     }
--- a/source/net/peerlistener.cpp
+++ b/source/net/peerlistener.cpp
@@ -13,6 +13,13 @@
 namespace {
 
 constexpr auto handshakeTimeout = std::chrono::seconds(3);
+/**
+ * Maximum number of connections in the handshake, which takes a few round trips. A further one
+ * displaces the oldest.
+ */
+constexpr std::size_t maxHandshakes = 128;
+/** Shortest time between two log lines about refused connections. */
+constexpr auto refusalLogInterval = std::chrono::seconds(1);
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(20);
 
 } // namespace
@@ -63,8 +70,9 @@
     disableNagle(*socket);
     const Outcome<HelloMessage> peer = co_await performHandshakeWithin(
             socket, m_identity, LinkEnd::Acceptor, handshakeTimeout);
+    m_handshakes.remove(socket);
     if (const Failure *failure = failureOf(peer)) {
-        m_log.warning("link.refused", {{"reason", failure->detail}});
+        logRefusal(failure->detail);
         co_return;
     }
     const LinkHooks hooks = makeLinkHooks();
@@ -87,6 +95,29 @@
     return hooks;
 }
 
+/** Logs a refused connection. Anybody can cause refusals, so that not each of them gets a line. */
+void PeerListener::logRefusal(const std::string &reason)
+{
+    ++m_unloggedRefusals;
+    const Instant now = monotonicNow();
+    if (now - m_refusalLoggedAt < refusalLogInterval) {
+        return;
+    }
+    m_log.warning("link.refused", {{"reason", reason}, {"refused", m_unloggedRefusals}});
+    m_refusalLoggedAt = now;
+    m_unloggedRefusals = 0;
+}
+
+/** Records a connection whose handshake begins, and closes the oldest one if there are too many. */
+void PeerListener::addHandshake(const LinkSocket &socket)
+{
+    if (m_handshakes.size() >= maxHandshakes) {
+        m_handshakes.front()->close();
+        m_handshakes.pop_front();
+    }
+    m_handshakes.push_back(socket);
+}
+
 Awaitable<void> PeerListener::acceptLoop()
 {
     Timer pause(m_executor);
@@ -98,6 +129,7 @@
             continue;
         }
         auto socket = std::make_shared<boost::beast::tcp_stream>(std::move(accepted));
+        addHandshake(socket);
         asio::co_spawn(
                 m_executor,
                 [self = shared_from_this(), socket] { return self->acceptLink(socket); },
--- a/source/net/peerlistener.h
+++ b/source/net/peerlistener.h
@@ -9,6 +9,7 @@
 #include "net/peerlinkhandle.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <list>
 #include <map>
 #include <memory>
 
@@ -41,6 +42,8 @@
 private:
     Awaitable<void> acceptLoop();
     Awaitable<void> acceptLink(LinkSocket socket);
+    void addHandshake(const LinkSocket &socket);
+    void logRefusal(const std::string &reason);
     LinkHooks makeLinkHooks();
 
     asio::any_io_executor m_executor;
@@ -48,6 +51,12 @@
     LinkHooks m_hooks;
     Log m_log;
     asio::ip::tcp::acceptor m_acceptor;
+    /** Connections that are in the handshake, the oldest first. Invariant: at most maxHandshakes.
+     */
+    std::list<LinkSocket> m_handshakes;
+    /** When a refused connection was logged last, and how many were refused since. */
+    Instant m_refusalLoggedAt;
+    std::size_t m_unloggedRefusals = 0;
     /** Open links by their local number. */
     std::map<std::uint64_t, PeerLinkHandle> m_links;
     std::uint64_t m_lastLinkId = 0;
--- a/tests/differential/tst_storehistory.cpp
+++ b/tests/differential/tst_storehistory.cpp
@@ -188,7 +188,7 @@
         case 5:
             if (!m_late.empty()) {
                 const auto it = m_late.begin() + static_cast<std::ptrdiff_t>(below(m_late.size()));
-                const LateAnswer answer = *it;
+                const LateAnswer answer = std::move(*it);
                 m_late.erase(it);
                 apply(answer);
             }
