Test the datagram of an earlier landing with the position that it carries

Cause: gave the era of a position to the wrong one of two tests. The pinned bytes of an earlier landing carry no era, so they must decode to era 0; the round trip of each kind is the one that needs an era. The two values are exchanged; both checks stay exact comparisons. The program passes: 13 cases.

--- a/tests/differential/tst_platformdecoders.cpp
+++ b/tests/differential/tst_platformdecoders.cpp
@@ -178,7 +178,7 @@
     report.running = 7;
     report.slowdown = 1.5;
     report.entriesChecksum = UINT64_MAX;
-    report.operatorPosition = {12};
+    report.operatorPosition = {12, 3};
     report.credits = 3;
     const std::vector<Datagram> all {
             report,
@@ -221,7 +221,7 @@
     report.backend = Address("b");
     report.weightsVersion = 3;
     report.slowdown = 1.5;
-    report.operatorPosition = {12, 3};
+    report.operatorPosition = {12};
     const std::string bytes("\x2c\x18\x01"
                             "b\x16\0\x16\x06\x12\x15\0\x15\0\x15\xb8\x17\x16\0\x16\x18\0\0",
                             22);
