Show crowds that bring a process of the first interface over its limits

Crowds and bounds are those of failure-callerlimits: 64 MB, 600 descriptors, 90 callers with bodies of 1 MiB or unread answers, 700 idle connections. The limits are set by two environment variables, which the code as it stands does not read.

The code that plays a crowd and reads the use of a process moves from the test of the platform's entry to crowd.{h,cpp}; its checks, crowds and bounds are unchanged.

--- a/tests/failure/fleet.cpp
+++ b/tests/failure/fleet.cpp
@@ -100,7 +100,9 @@
     return result;
 }
 
-Fleet::Fleet() : m_folder(makeFolder()) { }
+Fleet::Fleet(StringList environment)
+    : m_environment(joined(std::move(environment), {secretVariable})), m_folder(makeFolder())
+{ }
 
 Fleet::~Fleet()
 {
@@ -209,6 +211,11 @@
     return m_members.at(name).process->wait(timeout);
 }
 
+pid_t Fleet::idOf(const std::string &name) const
+{
+    return m_members.at(name).process->id();
+}
+
 const FleetAddresses &Fleet::addresses(const std::string &name) const
 {
     return m_members.at(name).addresses;
@@ -319,8 +326,8 @@
 
 void Fleet::start(const std::string &name, StringList commandLine, const FleetAddresses &addresses)
 {
-    auto process = std::make_unique<Process>(commandLine, StringList {secretVariable},
-                                             m_folder + "/" + name + ".log");
+    auto process =
+            std::make_unique<Process>(commandLine, m_environment, m_folder + "/" + name + ".log");
     m_members.insert_or_assign(name,
                                Member {std::move(commandLine), addresses, std::move(process)});
     const HttpRequest request {"GET", "/healthz", {}, {}};
--- a/tests/failure/fleet.h
+++ b/tests/failure/fleet.h
@@ -49,7 +49,8 @@
 class Fleet
 {
 public:
-    Fleet();
+    /** @param environment variables of all processes, in the form NAME=value */
+    explicit Fleet(StringList environment = {});
     ~Fleet();
     Fleet(const Fleet &) = delete;
     Fleet &operator=(const Fleet &) = delete;
@@ -88,6 +89,8 @@
     /** @returns the exit code of a process, or -1 if it does not end within the timeout */
     int waitForExit(const std::string &name, Duration timeout = defaultTimeout);
 
+    /** @returns the process id of a process */
+    pid_t idOf(const std::string &name) const;
     /** @returns the addresses of a process */
     const FleetAddresses &addresses(const std::string &name) const;
     /** Creates a relay to a target. It exists as long as the fleet. @see Relay */
@@ -138,6 +141,7 @@
     void startStandin(const std::string &name, const std::string &kind, const StringList &extra);
     void start(const std::string &name, StringList commandLine, const FleetAddresses &addresses);
 
+    StringList m_environment;
     std::string m_folder;
     /** Sockets that are bound but not listening, so that no other process gets these ports. */
     std::vector<int> m_reservations;
--- a/tests/failure/tst_callerlimits.cpp
+++ b/tests/failure/tst_callerlimits.cpp
@@ -6,6 +6,7 @@
  * the limits, it says that it is ready, and an ordinary request is answered.
  * labels: platform
  */
+#include "crowd.h"
 #include "edgeprocess.h"
 #include "fleetstandin.h"
 #include "net/clock.h"
@@ -17,10 +18,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
-#include <filesystem>
-#include <fstream>
 
 namespace greengageseam {
 namespace {
@@ -28,8 +26,6 @@
 using std::chrono::milliseconds;
 
 constexpr auto conditionTimeout = std::chrono::seconds(15);
-/** Longest time for which a crowd sends. */
-constexpr auto crowdTime = std::chrono::seconds(6);
 /** Longer than a backend server may take in any test, and shorter than the route's timeout. */
 constexpr auto slowAnswerDelay = std::chrono::seconds(3);
 constexpr std::size_t maxMemoryMb = 64;
@@ -37,75 +33,11 @@
 /** Descriptors of the limit that are reserved for files. */
 constexpr std::size_t fileDescriptors = 200;
 constexpr std::size_t maxBodyBytes = 1024UL * 1024;
-/** Bytes that are missing from the end of an unfinished body. */
-constexpr std::size_t missingBytes = 10;
-constexpr std::size_t fewCallers = 8;
-constexpr std::size_t manyCallers = 90;
-constexpr std::size_t idleCallers = 700;
-/** Bytes that a caller sends at most if the entry goes on reading. */
-constexpr std::size_t maxBytesOfCaller = 24UL * 1024 * 1024;
-constexpr std::size_t pieceBytes = 64UL * 1024;
 constexpr std::size_t answerBytes = 1000UL * 1000;
 constexpr std::size_t requestsOfSilentReader = 4;
 const std::string sealedHead = "HTTP/1.1 200 OK\r\nAttempt-Id: ATTEMPT\r\nServer-Seal: s\r\n";
 const std::string readinessRequest = "GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n";
 
-/** What a caller of a crowd sends. It reads nothing, and keeps its connection open. */
-struct CallerScript
-{
-    std::string opening;
-    /** Sent over and over after the opening; nothing if empty. */
-    std::string repeated;
-    /** Total of the repetitions. */
-    std::size_t repeatedBytes = 0;
-
-    auto operator<=>(const CallerScript &) const = default;
-};
-
-/** A caller of a crowd. */
-struct CrowdMember
-{
-    explicit CrowdMember(const asio::any_io_executor &executor) : socket(executor) { }
-
-    asio::ip::tcp::socket socket;
-    /** Whether everything was sent, or the entry has closed the connection. */
-    bool isDone = false;
-};
-
-using CrowdMemberPtr = std::shared_ptr<CrowdMember>;
-using CallerScriptPtr = std::shared_ptr<const CallerScript>;
-
-Awaitable<void> play(CrowdMemberPtr member, Address address, CallerScriptPtr script)
-{
-    const auto endpoint = toOutcome([&] { return parseEndpoint(address); });
-    auto [ec] = co_await member->socket.async_connect(std::get<asio::ip::tcp::endpoint>(endpoint),
-                                                      asTuple);
-    if (!ec) {
-        auto [error, n] =
-                co_await asio::async_write(member->socket, asio::buffer(script->opening), asTuple);
-        ec = error;
-    }
-    std::size_t sent = 0;
-    while (!ec && sent < script->repeatedBytes && !script->repeated.empty()) {
-        const std::size_t size = std::min(script->repeated.size(), script->repeatedBytes - sent);
-        auto [error, n] = co_await asio::async_write(
-                member->socket, asio::buffer(script->repeated.data(), size), asTuple);
-        ec = error;
-        sent += n;
-    }
-    member->isDone = true;
-}
-
-/** @returns the text as often as it fits into one piece that is sent at once */
-std::string pieceOf(const std::string &text)
-{
-    std::string piece;
-    while (piece.size() + text.size() <= pieceBytes) {
-        piece += text;
-    }
-    return piece;
-}
-
 std::string headOf(const std::string &framing)
 {
     return "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a-1\r\nKey: key\r\n"
@@ -113,13 +45,6 @@
             + framing + "\r\n";
 }
 
-std::string lengthField(std::size_t bytes)
-{
-    return "Content-Length: " + std::to_string(bytes) + "\r\n";
-}
-
-const std::string chunkedField = "Transfer-Encoding: chunked\r\n";
-
 /** Runs an entry process with low limits against a stand-in store and a backend server. */
 class CallerLimitsFixture
 {
@@ -158,16 +83,11 @@
     /** Sends what a crowd has to send, and keeps its connections open. */
     void runCrowd(std::size_t callers, const Address &address, const CallerScript &script)
     {
-        const auto shared = std::make_shared<const CallerScript>(script);
-        for (std::size_t n = 0; n < callers; ++n) {
-            m_crowd.push_back(std::make_shared<CrowdMember>(m_context.get_executor()));
-            asio::co_spawn(m_context, play(m_crowd.back(), address, shared), asio::detached);
-        }
+        m_crowd.add(callers, address, script);
         const Instant end = monotonicNow() + crowdTime;
-        const auto isDone = [](const CrowdMemberPtr &it) { return it->isDone; };
-        while (!std::all_of(m_crowd.begin(), m_crowd.end(), isDone) && monotonicNow() < end) {
+        while (!m_crowd.isDone() && monotonicNow() < end) {
             m_context.run_for(milliseconds(50));
-            m_mostSockets = std::max(m_mostSockets, openSockets());
+            m_mostSockets = std::max(m_mostSockets, openSockets(m_entry->id()));
         }
     }
 
@@ -181,11 +101,11 @@
     {
         REQUIRE(m_entry->exitCode() == -1);
         CHECK(statusOf(m_entry->readyAddress(), readinessRequest) == 200);
-        m_mostSockets = std::max(m_mostSockets, openSockets());
+        m_mostSockets = std::max(m_mostSockets, openSockets(m_entry->id()));
         answerWith("done", Duration::zero());
         CHECK(statusOf(m_entry->frontAddress(), headOf(lengthField(4)) + "body") == 200);
-        m_mostSockets = std::max(m_mostSockets, openSockets());
-        CHECK(peakMemoryKb() <= maxMemoryMb * 1024);
+        m_mostSockets = std::max(m_mostSockets, openSockets(m_entry->id()));
+        CHECK(peakMemoryKb(m_entry->id()) <= maxMemoryMb * 1024);
         CHECK(m_mostSockets <= maxDescriptors - fileDescriptors);
         REQUIRE(m_entry->exitCode() == -1);
     }
@@ -231,40 +151,13 @@
         return received;
     }
 
-    std::string processFolder() const { return "/proc/" + std::to_string(m_entry->id()); }
-
-    /** @returns the peak of the process's resident memory in kilobytes; 0 if it is gone */
-    std::size_t peakMemoryKb() const
-    {
-        const std::string field = "VmHWM:";
-        std::ifstream file(processFolder() + "/status");
-        for (std::string line; std::getline(file, line);) {
-            if (line.starts_with(field)) {
-                return std::stoul(line.substr(field.size()));
-            }
-        }
-        return 0;
-    }
-
-    std::size_t openSockets() const
-    {
-        std::size_t count = 0;
-        std::error_code ec;
-        for (const auto &it : std::filesystem::directory_iterator(processFolder() + "/fd", ec)) {
-            std::error_code ignored;
-            const std::string target = std::filesystem::read_symlink(it.path(), ignored).string();
-            count += target.starts_with("socket:") ? 1 : 0;
-        }
-        return count;
-    }
-
     asio::io_context m_context;
     Log m_log;
     StoreStandin m_store;
     std::shared_ptr<AnswerScript> m_script;
     ScriptedStandin m_server;
     std::optional<EdgeProcess> m_entry;
-    std::vector<CrowdMemberPtr> m_crowd;
+    CallerCrowd m_crowd {m_context};
     std::size_t m_mostSockets = 0;
 };
 
@@ -398,16 +291,6 @@
     requireWithinLimits();
 }
 
-/** @returns the header of a frame between processes */
-std::string frameHeader(std::size_t bytes)
-{
-    std::string header;
-    for (std::size_t n = frameHeaderBytes; n > 0; --n) {
-        header.push_back(static_cast<char>(bytes >> (8 * (n - 1)) & 0xffU));
-    }
-    return header;
-}
-
 // Whoever reaches the port for links has not proved to be a process of the system.
 TEST_CASE_METHOD(CallerLimitsFixture, "peerPort_largeFramesBeforeTheProof_keepsItsLimits")
 {
