--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -17,6 +17,7 @@
 constexpr auto recordEndTimeout = std::chrono::seconds(1);
 /** Time within which every entry learns that the agent is draining and stops using it. */
 constexpr auto drainPropagationTime = std::chrono::seconds(3);
+constexpr std::uint64_t bytesPerMegabyte = 1024UL * 1024;
 /** Time that entries have to read the last responses before the links are closed. */
 constexpr auto responseFlushTimeout = std::chrono::seconds(5);
 
@@ -51,9 +52,11 @@
 
     const GateOptions gateOptions {m_settings.backendAddress, m_settings.service,
                                    m_settings.startedAt};
+    const HttpServerOptions httpOptions;
+    m_budget = makeBudget(httpOptions);
     m_gate = std::make_shared<Gate>(
-            m_executor, gateOptions, [this](const GateStatus &status) { onGateStatus(status); },
-            m_metrics, m_log);
+            m_executor, gateOptions, m_budget,
+            [this](const GateStatus &status) { onGateStatus(status); }, m_metrics, m_log);
 
     makeWeightTasks(identity);
 
@@ -72,9 +75,13 @@
             m_executor, m_settings.instance, m_settings.zone,
             [this](const Assignment &assignment) { onAssignment(assignment); });
 
-    HttpHandler handler = makeAgentHandler(m_executor, m_weightManager->mailbox(),
-                                           m_placer->mailbox(), m_metrics);
-    m_httpServer = std::make_shared<HttpServer>(m_executor, HttpServerOptions(), handler, m_log);
+    HttpHandler handler =
+            makeAgentHandler(m_executor, m_weightManager->mailbox(), m_placer->mailbox(),
+                             [metrics = m_metrics, budget = m_budget] {
+                                 budget->updateGauges();
+                                 return metrics->text();
+                             });
+    m_httpServer = std::make_shared<HttpServer>(m_executor, httpOptions, m_budget, handler, m_log);
     BOOST_LEAF_ASSIGN(m_settings.httpAddress, m_httpServer->listen(m_settings.httpAddress));
 
     m_configManager->start();
@@ -100,6 +107,16 @@
             : makeListReader(m_executor, m_settings.listAddress, platformTimeout);
 }
 
+ProcessBudgetPtr Agent::makeBudget(const HttpServerOptions &options) const
+{
+    const ProcessLimits &limits = m_settings.limits;
+    const std::uint64_t weightsMb = std::min<std::uint64_t>(
+            m_settings.weights.memoryBytes / bytesPerMegabyte, limits.memoryMb);
+    const auto memoryMb = static_cast<std::uint32_t>(limits.memoryMb - weightsMb);
+    return std::make_shared<ProcessBudget>(
+            budgetLimits(memoryMb, limits.descriptors, options.maxConnections), m_metrics, m_log);
+}
+
 void Agent::makeWeightTasks(const PeerIdentity &identity)
 {
     const WeightSettings &settings = m_settings.weights;
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -58,6 +58,8 @@
     void onWeightStatus(const WeightStatus &status);
     void onGateStatus(const GateStatus &status);
     ReadInstanceList listReader() const;
+    /** Makes the budget for connections and attempts: what the weights leave of the limits. */
+    ProcessBudgetPtr makeBudget(const HttpServerOptions &options) const;
     void makeWeightTasks(const PeerIdentity &identity);
     void startEngineTasks();
     void makeIncarnationManager();
@@ -71,6 +73,7 @@
     std::shared_ptr<Metrics> m_metrics;
     LogClient m_logClient;
     std::shared_ptr<ConfigManager> m_configManager;
+    ProcessBudgetPtr m_budget;
     std::shared_ptr<Gate> m_gate;
     std::shared_ptr<WeightManager> m_weightManager;
     std::shared_ptr<ChunkLinks> m_chunkLinks;
--- a/source/agent/agenthttp.cpp
+++ b/source/agent/agenthttp.cpp
@@ -14,9 +14,9 @@
 {
 public:
     AgentHandler(const asio::any_io_executor &executor, MailboxPtr<WeightCommand> weights,
-                 MailboxPtr<PlacerCommand> placer, std::shared_ptr<Metrics> metrics)
+                 MailboxPtr<PlacerCommand> placer, std::function<std::string()> metricsText)
         : m_executor(executor), m_weights(std::move(weights)), m_placer(std::move(placer)),
-          m_metrics(std::move(metrics))
+          m_metricsText(std::move(metricsText))
     { }
 
     Awaitable<void> handle(HttpExchange &exchange) const
@@ -36,7 +36,7 @@
             co_return co_await readReadiness();
         }
         if (path == "/metrics") {
-            co_return HttpResponse {200, "text/plain; version=0.0.4", {}, m_metrics->text()};
+            co_return HttpResponse {200, "text/plain; version=0.0.4", {}, m_metricsText()};
         }
         if (path.starts_with(manifestPrefix)) {
             co_return co_await readManifest(Digest(path.substr(manifestPrefix.size())));
@@ -85,17 +85,17 @@
     asio::any_io_executor m_executor;
     MailboxPtr<WeightCommand> m_weights;
     MailboxPtr<PlacerCommand> m_placer;
-    std::shared_ptr<Metrics> m_metrics;
+    std::function<std::string()> m_metricsText;
 };
 
 } // namespace
 
 HttpHandler makeAgentHandler(const asio::any_io_executor &executor,
                              MailboxPtr<WeightCommand> weights, MailboxPtr<PlacerCommand> placer,
-                             std::shared_ptr<Metrics> metrics)
+                             std::function<std::string()> metricsText)
 {
     const auto handler = std::make_shared<const AgentHandler>(
-            executor, std::move(weights), std::move(placer), std::move(metrics));
+            executor, std::move(weights), std::move(placer), std::move(metricsText));
     return [handler](HttpExchange &exchange) { return handler->handle(exchange); };
 }
 
--- a/source/agent/agenthttp.h
+++ b/source/agent/agenthttp.h
@@ -6,9 +6,9 @@
 #include "agent/placer.h"
 #include "agent/weightmanager.h"
 #include "net/httpserver.h"
-#include "net/metrics.h"
 
-#include <memory>
+#include <functional>
+#include <string>
 
 namespace greengageseam {
 
@@ -17,11 +17,11 @@
  * @param executor runs the mailboxes that replies arrive in
  * @param weights mailbox of the WeightManager, which provides manifests and chunks
  * @param placer mailbox of the Placer, which decides on readiness
- * @param metrics served at /metrics
+ * @param metricsText makes the text that is served at /metrics
  * @returns the handler, which owns no state besides these references
  */
 HttpHandler makeAgentHandler(const asio::any_io_executor &executor,
                              MailboxPtr<WeightCommand> weights, MailboxPtr<PlacerCommand> placer,
-                             std::shared_ptr<Metrics> metrics);
+                             std::function<std::string()> metricsText);
 
 } // namespace greengageseam
--- a/source/agent/agentsettings.h
+++ b/source/agent/agentsettings.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/common/common.h"
+#include "core/fleet/memorybudget.h"
 #include "core/membership/membertable.h"
 #include "core/weights/sources.h"
 
@@ -57,6 +58,7 @@
     std::string secret;
     /** Start time of the process, which distinguishes it from a predecessor of the same name. */
     WallTime startedAt;
+    ProcessLimits limits;
     WeightSettings weights;
     /** Interval between heartbeats. */
     Duration heartbeatInterval = std::chrono::seconds(1);
--- a/source/agent/attempt.cpp
+++ b/source/agent/attempt.cpp
@@ -69,7 +69,7 @@
 
 Awaitable<VoidOutcome> Attempt::forwardRequest()
 {
-    const HttpRequest request = backendRequest();
+    const HttpRequest request = takeBackendRequest();
     const Outcome<HttpCallHead> head =
             co_await m_call.start(m_target.backendAddress, request, remainingTime());
     if (const Failure *failure = failureOf(head)) {
@@ -135,9 +135,9 @@
     return std::max<Duration>(m_deadline - monotonicNow(), Duration::zero());
 }
 
-HttpRequest Attempt::backendRequest() const
+HttpRequest Attempt::takeBackendRequest()
 {
-    HttpRequest request {m_open.method, m_open.path, {}, m_open.body};
+    HttpRequest request {m_open.method, m_open.path, {}, std::move(m_open.body)};
     request.headers.push_back({"Content-Type", m_open.contentType});
     request.headers.push_back({"X-Request-Id", m_open.request.text()});
     request.headers.push_back({attemptIdHeader, m_open.attempt.text()});
--- a/source/agent/attempt.h
+++ b/source/agent/attempt.h
@@ -58,7 +58,8 @@
     Awaitable<VoidOutcome> forwardRequest();
     Awaitable<VoidOutcome> sendBody();
     Awaitable<bool> waitForCredit();
-    HttpRequest backendRequest() const;
+    /** Makes the request for the backend server, and moves the body into it. */
+    HttpRequest takeBackendRequest();
     std::optional<Failure> rejectionOf(const HttpCallHead &head) const;
     ExecutionStatus executionStatusAfter(const Failure &failure) const;
     Duration remainingTime() const;
--- a/source/agent/gate.cpp
+++ b/source/agent/gate.cpp
@@ -14,19 +14,27 @@
 constexpr std::size_t mailboxCapacity = 8192;
 constexpr std::size_t streamCapacity = 4096;
 constexpr auto tickPeriod = std::chrono::seconds(1);
+/** A body is held by its attempt, and by the request to the backend server. */
+constexpr std::size_t bodyCopies = 2;
+/** Bytes of a response that are sent at most before the entry has read them. */
+constexpr std::size_t maxWindowBytes = 128UL * 1024;
 
 } // namespace
 
-Gate::Gate(const asio::any_io_executor &executor, GateOptions options, GateObserver observer,
-           std::shared_ptr<Metrics> metrics, Log log)
-    : m_executor(executor), m_options(std::move(options)), m_observer(std::move(observer)),
-      m_metrics(std::move(metrics)), m_log(std::move(log)),
+Gate::Gate(const asio::any_io_executor &executor, GateOptions options, ProcessBudgetPtr budget,
+           GateObserver observer, std::shared_ptr<Metrics> metrics, Log log)
+    : m_executor(executor), m_options(std::move(options)), m_budget(std::move(budget)),
+      m_observer(std::move(observer)), m_metrics(std::move(metrics)), m_log(std::move(log)),
       m_mailbox(makeMailbox<GateCommand>(executor, mailboxCapacity)),
       m_attempts(m_options.attempts),
       m_claimedRequests(AttemptRegistryOptions()
                                 .withRetention(m_options.keyRetention)
-                                .withCapacity(m_options.maxKeys))
-{ }
+                                .withCapacity(m_options.maxKeys)),
+      m_holder(m_budget->add([] { }))
+{
+    // Closing it is not possible: its requests may be running.
+    m_budget->setPhase(m_holder, HolderPhase::Serving);
+}
 
 void Gate::start()
 {
@@ -53,9 +61,13 @@
         reject(command, *failure, ExecutionStatus::NotExecuted);
         return;
     }
+    HeldBytesPtr held = holdBytesOf(open);
+    if (!held && rejectForRoom(command)) {
+        return;
+    }
     switch (admit(open, monotonicNow())) {
     case StartResult::Start:
-        startAttempt(command);
+        startAttempt(command, std::move(held));
         return;
     case StartResult::Cancelled:
         reject(command, {ErrorKind::DuplicateAttempt, "the attempt was cancelled"},
@@ -93,12 +105,37 @@
     return keyVerdict;
 }
 
-void Gate::startAttempt(const StartAttempt &command)
+HeldBytesPtr Gate::holdBytesOf(const OpenMessage &open)
+{
+    const auto window = static_cast<std::size_t>(std::max<std::int64_t>(open.window, 0));
+    const std::size_t bytes = bodyCopies * open.body.size() + std::min(window, maxWindowBytes)
+            + m_options.attemptBytes;
+    const auto held = std::make_shared<HeldBytes>(m_budget, m_holder);
+    return held->resize(bytes) ? held : nullptr;
+}
+
+bool Gate::rejectForRoom(const StartAttempt &command)
+{
+    const OpenMessage &open = command.open;
+    const AttemptId key(open.claimKey);
+    if (!key.isEmpty() && m_claimedRequests.isTracked(key)) {
+        return false;
+    }
+    const AttemptPhase phase = m_attempts.cancel(open.attempt, open.stamp.clock, monotonicNow());
+    if (phase != AttemptPhase::Unseen) {
+        return false;
+    }
+    reject(command, {ErrorKind::Overloaded, "the agent holds too much for its entries"},
+           ExecutionStatus::NotExecuted);
+    return true;
+}
+
+void Gate::startAttempt(const StartAttempt &command, HeldBytesPtr held)
 {
     const OpenMessage &open = command.open;
     ++m_runningByManifest[open.manifest];
     const auto events = makeMailbox<StreamEvent>(m_executor, streamCapacity);
-    m_attemptEvents.emplace(open.attempt, events);
+    m_running.emplace(open.attempt, RunningAttempt {events, std::move(held)});
     command.link.subscribe(command.stream, events);
     auto onEnded = [mailbox = m_mailbox, attempt = open.attempt,
                     manifest = open.manifest]() -> Awaitable<void> {
@@ -123,9 +160,9 @@
                 phase == AttemptPhase::Unseen || phase == AttemptPhase::Tombstone;
         executionStatus = neverExecuted ? ExecutionStatus::NotExecuted : ExecutionStatus::Unknown;
     }
-    const auto it = m_attemptEvents.find(cancel.attempt);
-    if (it != m_attemptEvents.end()) {
-        it->second->post(StreamEvent(Message(cancel)));
+    const auto it = m_running.find(cancel.attempt);
+    if (it != m_running.end()) {
+        it->second.events->post(StreamEvent(Message(cancel)));
     }
     command.link.post(command.stream, CancelAckMessage {executionStatus});
 }
@@ -133,7 +170,7 @@
 void Gate::apply(const AttemptEnded &command)
 {
     m_attempts.finish(command.attempt, monotonicNow());
-    m_attemptEvents.erase(command.attempt);
+    m_running.erase(command.attempt);
     const auto it = m_runningByManifest.find(command.manifest);
     if (it != m_runningByManifest.end() && --it->second == 0) {
         m_runningByManifest.erase(it);
--- a/source/agent/gate.h
+++ b/source/agent/gate.h
@@ -2,7 +2,8 @@
  * The gate of an agent, which alone decides whether an attempt may run on the backend server.
  *
  * It rejects attempts that are duplicates, cancelled, too old, or addressed to another process or
- * version, and all attempts while the agent drains.
+ * version, attempts whose requests do not fit into the process, and all attempts while the agent
+ * drains.
  */
 #pragma once
 
@@ -11,6 +12,7 @@
 #include "net/log.h"
 #include "net/metrics.h"
 #include "net/peerlink.h"
+#include "net/processbudget.h"
 
 #include <functional>
 #include <map>
@@ -116,6 +118,8 @@
     Duration keyRetention = std::chrono::minutes(16);
     /** Maximum number of keys of claimed requests to remember. */
     std::size_t maxKeys = 65'536;
+    /** Bytes that an attempt takes besides the body of its request and what its entry reads. */
+    std::size_t attemptBytes = 32UL * 1024;
 
     auto operator<=>(const GateOptions &) const = default;
 };
@@ -129,12 +133,13 @@
     /**
      * @param executor runs the task
      * @param options backend server and limits
+     * @param budget shared with the agent's HTTP connections; not null
      * @param observer called with each new status
      * @param metrics receives the numbers of running and rejected attempts
      * @param log logger of the agent
      */
-    Gate(const asio::any_io_executor &executor, GateOptions options, GateObserver observer,
-         std::shared_ptr<Metrics> metrics, Log log);
+    Gate(const asio::any_io_executor &executor, GateOptions options, ProcessBudgetPtr budget,
+         GateObserver observer, std::shared_ptr<Metrics> metrics, Log log);
 
     /** @returns the mailbox for commands to this task */
     const MailboxPtr<GateCommand> &mailbox() const { return m_mailbox; }
@@ -142,6 +147,13 @@
     void start();
 
 private:
+    struct RunningAttempt
+    {
+        /** A cancellation reaches the attempt through it, even if it arrives over another link. */
+        MailboxPtr<StreamEvent> events;
+        HeldBytesPtr held;
+    };
+
     Awaitable<void> runCommands();
     void apply(const StartAttempt &command);
     void apply(const CancelAttempt &command);
@@ -155,7 +167,14 @@
     std::optional<Failure> rejectionReason(const OpenMessage &open) const;
     std::optional<Failure> claimRejectionReason(const OpenMessage &open, Instant now) const;
     StartResult admit(const OpenMessage &open, Instant now);
-    void startAttempt(const StartAttempt &command);
+    /** @returns what holds the bytes of an attempt, or null if there is no room */
+    HeldBytesPtr holdBytesOf(const OpenMessage &open);
+    /**
+     * Rejects an attempt for which there is no room, so that it can never start.
+     * @returns false if it may have been started before, so that it cannot be called new
+     */
+    bool rejectForRoom(const StartAttempt &command);
+    void startAttempt(const StartAttempt &command, HeldBytesPtr held);
     void reject(const StartAttempt &command, const Failure &failure,
                 ExecutionStatus executionStatus);
     void completeReleases();
@@ -163,6 +182,7 @@
 
     asio::any_io_executor m_executor;
     GateOptions m_options;
+    ProcessBudgetPtr m_budget;
     GateObserver m_observer;
     std::shared_ptr<Metrics> m_metrics;
     Log m_log;
@@ -170,11 +190,10 @@
     AttemptRegistry m_attempts;
     /** Claimed requests that were started, by their keys. */
     AttemptRegistry m_claimedRequests;
-    /**
-     * Mailboxes of the attempts in progress, through which a cancellation reaches an attempt even
-     * if it arrives over another link.
-     */
-    std::map<AttemptId, MailboxPtr<StreamEvent>> m_attemptEvents;
+    /** Holds the bytes of all attempts in the budget. */
+    HolderId m_holder;
+    /** Attempts in progress. */
+    std::map<AttemptId, RunningAttempt> m_running;
     std::set<Digest> m_servedVersions;
     /** Versions that admit no new attempts because they are about to be unloaded. */
     std::set<Digest> m_closedVersions;
--- a/source/core/fleet/memorybudget.cpp
+++ b/source/core/fleet/memorybudget.cpp
@@ -23,8 +23,6 @@
 /** Sockets for the store, agents, other entries, readiness, metrics, and idle backend servers. */
 constexpr std::size_t reservedSockets = 128;
 constexpr std::size_t minSockets = 16;
-/** Each idle connection takes memory that is not part of the budget. */
-constexpr std::size_t maxSockets = 2000;
 /** Time without progress after which a request that is being read is closed for others. */
 constexpr auto stalledReadTime = std::chrono::milliseconds(300);
 /** The same for an answer that is being written, whose request has run. */
@@ -45,7 +43,7 @@
 
 } // namespace
 
-BudgetLimits budgetLimits(std::uint32_t memoryMb, std::uint32_t descriptors)
+BudgetLimits budgetLimits(std::uint32_t memoryMb, std::uint32_t descriptors, std::size_t maxSockets)
 {
     BudgetLimits limits;
     if (memoryMb > 0) {
--- a/source/core/fleet/memorybudget.h
+++ b/source/core/fleet/memorybudget.h
@@ -17,6 +17,20 @@
 /** A connection or an answer that holds no more than this counts as small. */
 constexpr std::size_t smallHolderBytes = 64UL * 1024;
 
+/** What the machine or the operator lets a process use. */
+struct ProcessLimits
+{
+    /** Memory in megabytes; 0 if unknown. */
+    std::uint32_t memoryMb = 0;
+    /** Open file descriptors; 0 if unknown. */
+    std::uint32_t descriptors = 0;
+
+    auto operator<=>(const ProcessLimits &) const = default;
+};
+
+/** The most sockets of callers, unless a process sets another number. */
+constexpr std::size_t defaultMaxSockets = 2000;
+
 /** Limits of a process for all its connections together. */
 struct BudgetLimits
 {
@@ -32,8 +46,10 @@
  * Derives the limits from those of the machine, with a reserve for the rest of the process.
  * @param memoryMb memory limit of the process in megabytes; 0 if unknown
  * @param descriptors limit of open file descriptors; 0 if unknown
+ * @param maxSockets the most sockets, however many descriptors there are
  */
-BudgetLimits budgetLimits(std::uint32_t memoryMb, std::uint32_t descriptors);
+BudgetLimits budgetLimits(std::uint32_t memoryMb, std::uint32_t descriptors,
+                          std::size_t maxSockets = defaultMaxSockets);
 
 /** Identifies a connection that holds bytes. */
 using HolderId = std::uint64_t;
--- a/source/core/once/attemptregistry.h
+++ b/source/core/once/attemptregistry.h
@@ -63,6 +63,9 @@
      */
     AttemptPhase cancel(const AttemptId &attempt, Instant agentClock, Instant now);
 
+    /** @returns whether an attempt is tracked: it runs, has finished, or was cancelled */
+    bool isTracked(const AttemptId &attempt) const { return m_phases.contains(attempt); }
+
     /** @returns how many attempts are running */
     std::uint32_t runningCount() const { return m_running; }
 
--- a/source/daemon/daemonusage.cpp
+++ b/source/daemon/daemonusage.cpp
@@ -52,6 +52,10 @@
                               zone/instance@address (agent).
   --yield-above=<requests>    Number of requests in progress above which weights get half of the
                               link, 1 to 100000 (agent). Default: 32.
+  --memory-limit=<bytes>      Memory that the process may use, from 1048576 on; what it holds for
+                              callers is limited by it. Default: half of the machine's memory.
+  --descriptor-limit=<n>      File descriptors that the process may open, from 64 on. Default: the
+                              limit of the operating system.
   --drain-limit=<seconds>     Longest time that a shutdown waits, 1 to 86400. Default: 600.
   --log-level=<level>         Log level: error, warning, info or debug. Default: info.
   --check-settings            Validate the settings and exit.
--- a/source/daemon/fleetmain.cpp
+++ b/source/daemon/fleetmain.cpp
@@ -5,6 +5,7 @@
  */
 #include "core/fleet/hedgepolicy.h"
 #include "edge/edge.h"
+#include "net/machine.h"
 #include "platform/platform.h"
 #include "sidecar/sidecar.h"
 
@@ -16,7 +17,6 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
-#include <malloc.h>
 #include <sstream>
 
 namespace greengageseam {
@@ -24,8 +24,6 @@
 
 constexpr int exitSettings = 2;
 constexpr int exitFailure = 1;
-/** Larger allocations are mapped, so that they return to the system at once when freed. */
-constexpr int mappedAllocationBytes = 128 * 1024;
 constexpr std::string_view secretVariable = "GREENGAGESEAM_SECRET";
 
 constexpr std::string_view usage =
@@ -147,8 +145,7 @@
         std::cout << "greengageseam-fleetd: the settings are valid\n";
         return 0;
     }
-    // By default the threshold grows with the first large body that is freed.
-    mallopt(M_MMAP_THRESHOLD, mappedAllocationBytes);
+    mapLargeAllocations();
     std::signal(SIGPIPE, SIG_IGN);
     const Log log(*level, {{"instance", settings.instance.text()}});
     asio::io_context context(1);
--- a/source/daemon/main.cpp
+++ b/source/daemon/main.cpp
@@ -6,6 +6,7 @@
 #include "daemon/daemonusage.h"
 #include "daemon/settings.h"
 #include "entry/entry.h"
+#include "net/machine.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -77,7 +78,7 @@
     }
     const Environment environment = readEnvironment(environ);
     const Outcome<DaemonSettings> read =
-            toOutcome([&] { return readSettings(arguments, environment); });
+            toOutcome([&] { return readSettings(arguments, environment, machineLimits()); });
     if (const Failure *failure = failureOf(read)) {
         std::cerr << "greengageseamd: " << failure->detail << "\n";
         return exitSettings;
@@ -87,6 +88,7 @@
         std::cout << "greengageseamd: the settings are valid\n";
         return 0;
     }
+    mapLargeAllocations();
     const Log log = makeLog(settings);
     if (const auto *entry = std::get_if<EntrySettings>(&settings.role)) {
         return runRole<Entry>(*entry, log);
--- a/source/daemon/settings.cpp
+++ b/source/daemon/settings.cpp
@@ -23,6 +23,10 @@
 constexpr std::uint32_t maxWaitMilliseconds = 600'000;
 constexpr std::uint32_t defaultDrainSeconds = 600;
 constexpr std::uint32_t maxNoticeSeconds = 600;
+constexpr std::uint32_t minDescriptors = 64;
+constexpr std::uint32_t maxDescriptors = 10'000'000;
+constexpr std::uint64_t bytesPerMegabyte = 1024UL * 1024;
+constexpr std::uint64_t maxMemoryBytes = 1ULL << 50U;
 constexpr std::uint32_t defaultNoticeSeconds = 3;
 
 /** Reads the agents of other zones, a comma-separated list of zone/instance@address. */
@@ -66,9 +70,22 @@
     return settings;
 }
 
-/** Reads the settings with which both roles begin: the names and addresses of the instance. */
+Result<ProcessLimits> readLimits(const SettingsReader &reader, const ProcessLimits &machine)
+{
+    ProcessLimits limits = machine;
+    BOOST_LEAF_AUTO(memoryBytes,
+                    reader.number("--memory-limit", machine.memoryMb * bytesPerMegabyte,
+                                  bytesPerMegabyte, maxMemoryBytes));
+    limits.memoryMb = static_cast<std::uint32_t>(memoryBytes / bytesPerMegabyte);
+    BOOST_LEAF_ASSIGN(limits.descriptors,
+                      reader.number("--descriptor-limit", machine.descriptors, minDescriptors,
+                                    maxDescriptors));
+    return limits;
+}
+
+/** Reads the settings with which both roles begin: names, addresses, limits of the process. */
 template <typename RoleSettings>
-Result<RoleSettings> readInstance(const SettingsReader &reader)
+Result<RoleSettings> readInstance(const SettingsReader &reader, const ProcessLimits &machine)
 {
     RoleSettings settings;
     BOOST_LEAF_AUTO(instance, reader.name("--instance"));
@@ -78,12 +95,13 @@
     BOOST_LEAF_ASSIGN(settings.httpAddress, reader.address("--listen"));
     BOOST_LEAF_ASSIGN(settings.peerAddress, reader.address("--peer-listen"));
     BOOST_LEAF_ASSIGN(settings.logAddress, reader.address("--log"));
+    BOOST_LEAF_ASSIGN(settings.limits, readLimits(reader, machine));
     return settings;
 }
 
-Result<EntrySettings> readEntry(const SettingsReader &reader)
+Result<EntrySettings> readEntry(const SettingsReader &reader, const ProcessLimits &machine)
 {
-    BOOST_LEAF_AUTO(settings, readInstance<EntrySettings>(reader));
+    BOOST_LEAF_AUTO(settings, readInstance<EntrySettings>(reader, machine));
     BOOST_LEAF_ASSIGN(settings.listAddress, reader.address("--list"));
     BOOST_LEAF_ASSIGN(settings.seedEntries, reader.optionalAddresses("--peers"));
     BOOST_LEAF_ASSIGN(settings.secret, reader.secret());
@@ -110,9 +128,9 @@
     return settings;
 }
 
-Result<AgentSettings> readAgent(const SettingsReader &reader)
+Result<AgentSettings> readAgent(const SettingsReader &reader, const ProcessLimits &machine)
 {
-    BOOST_LEAF_AUTO(settings, readInstance<AgentSettings>(reader));
+    BOOST_LEAF_AUTO(settings, readInstance<AgentSettings>(reader, machine));
     BOOST_LEAF_ASSIGN(settings.storeAddress, reader.address("--store"));
     BOOST_LEAF_ASSIGN(settings.seedEntries, reader.optionalAddresses("--entries"));
     if (settings.seedEntries.empty() || reader.find("--list")) {
@@ -159,7 +177,7 @@
 } // namespace
 
 Result<DaemonSettings> readSettings(const std::vector<std::string> &arguments,
-                                    const Environment &environment)
+                                    const Environment &environment, const ProcessLimits &machine)
 {
     BOOST_LEAF_AUTO(options, parseArguments(withRole(arguments, environment)));
     const SettingsReader reader(options, environment);
@@ -168,9 +186,9 @@
     BOOST_LEAF_ASSIGN(settings.logLevel, reader.logLevel());
     BOOST_LEAF_AUTO(role, reader.text("--role"));
     if (role == "entry") {
-        BOOST_LEAF_ASSIGN(settings.role, readEntry(reader));
+        BOOST_LEAF_ASSIGN(settings.role, readEntry(reader, machine));
     } else if (role == "agent") {
-        BOOST_LEAF_ASSIGN(settings.role, readAgent(reader));
+        BOOST_LEAF_ASSIGN(settings.role, readAgent(reader, machine));
     } else {
         return SettingsReader::invalidValue("--role", role, "entry or agent");
     }
--- a/source/daemon/settings.h
+++ b/source/daemon/settings.h
@@ -30,10 +30,12 @@
  * Reads and validates the settings. A flag overrides its environment variable.
  *
  * @param arguments the command line without the program's name
+ * @param machine limits of the process that apply unless a setting lowers or raises them
  * @returns the settings, or InvalidRequest with the name of the invalid setting, its value and the
  *          values that are allowed
  */
 Result<DaemonSettings> readSettings(const std::vector<std::string> &arguments,
-                                    const Environment &environment);
+                                    const Environment &environment,
+                                    const ProcessLimits &machine = {});
 
 } // namespace greengageseam
--- a/source/edge/callerconnection.h
+++ b/source/edge/callerconnection.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "core/fleet/calleractivity.h"
-#include "edge/processbudget.h"
 #include "edge/requestproxy.h"
+#include "net/processbudget.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -44,7 +44,6 @@
  * announced before. It does not depend on when the store could be read: the announcement is older.
  */
 constexpr auto initialTargetGrace = std::chrono::seconds(3);
-constexpr std::size_t maxCallerConnections = 2000;
 /** Limits of the readiness and metrics ports, whose connections are not part of the budget. */
 constexpr std::size_t maxProbeBodyBytes = 4UL * 1024;
 constexpr std::size_t maxProbeConnections = 32;
@@ -96,7 +95,7 @@
                                   m_log};
     m_budget = std::make_shared<ProcessBudget>(
             budgetLimits(m_settings.memoryLimitMb, m_settings.descriptorLimit), m_metrics, m_log);
-    m_callerServer = std::make_shared<CallerServer>(context, m_budget, maxCallerConnections,
+    m_callerServer = std::make_shared<CallerServer>(context, m_budget, defaultMaxSockets,
                                                     balancerDeregistrationTime);
     BOOST_LEAF_CHECK(m_callerServer->listen(m_settings.frontAddress));
 
@@ -105,10 +104,13 @@
                                                    .withReadTimeout(probeReadTimeout)
                                                    .withMaxConnections(maxProbeConnections);
     const HttpHandler handler = [this](HttpExchange &exchange) { return handle(exchange); };
-    m_readinessServer = std::make_shared<HttpServer>(m_executor, probeOptions, handler, m_log);
+    const ProcessBudgetPtr probeBudget = makeUnlimitedBudget(m_log);
+    m_readinessServer =
+            std::make_shared<HttpServer>(m_executor, probeOptions, probeBudget, handler, m_log);
     BOOST_LEAF_CHECK(m_readinessServer->listen(m_settings.readyAddress));
     const Address metrics(m_settings.ip + ":" + std::to_string(m_settings.lastPort));
-    m_controlServer = std::make_shared<HttpServer>(m_executor, probeOptions, handler, m_log);
+    m_controlServer =
+            std::make_shared<HttpServer>(m_executor, probeOptions, probeBudget, handler, m_log);
     BOOST_LEAF_CHECK(m_controlServer->listen(metrics));
 
     BOOST_LEAF_CHECK(makeLoadListener());
--- a/source/entry/callerhandler.cpp
+++ b/source/entry/callerhandler.cpp
@@ -97,7 +97,7 @@
 {
     const RequestId id(makeUniqueId());
     Outcome<CallerRequest> parsed =
-            toOutcome([&] { return parseCallerRequest(exchange.request(), id); });
+            toOutcome([&] { return parseCallerRequest(exchange.takeRequest(), id); });
     if (const Failure *failure = failureOf(parsed)) {
         HttpResponse response = problemResponse(*failure);
         co_await exchange.respond(std::move(response));
@@ -128,7 +128,7 @@
 
 } // namespace
 
-Result<CallerRequest> parseCallerRequest(const HttpRequest &request, const RequestId &id)
+Result<CallerRequest> parseCallerRequest(HttpRequest request, const RequestId &id)
 {
     const std::optional<std::string> token = request.bearerToken();
     if (!token) {
@@ -139,13 +139,13 @@
     result.routeQuery.key = digestOf(*token);
     result.routeQuery.method = request.method;
     result.contentType = request.header("Content-Type").value_or("application/json");
-    result.body = request.body;
     BOOST_LEAF_ASSIGN(result.idempotencyKey, parseIdempotencyKey(request));
     if (isModelPath(request.path())) {
         BOOST_LEAF_CHECK(parseModelRequest(request, result));
     } else {
         BOOST_LEAF_CHECK(parseServiceRequest(request, result));
     }
+    result.body = std::move(request.body);
     return result;
 }
 
--- a/source/entry/callerhandler.h
+++ b/source/entry/callerhandler.h
@@ -41,6 +41,6 @@
  * @returns the request; or Unauthenticated without a bearer key, InvalidRequest if the method, the
  * body or the `Idempotency-Key` is invalid, NotFound if the path has no service name
  */
-Result<CallerRequest> parseCallerRequest(const HttpRequest &request, const RequestId &id);
+Result<CallerRequest> parseCallerRequest(HttpRequest request, const RequestId &id);
 
 } // namespace greengageseam
--- a/source/entry/entry.cpp
+++ b/source/entry/entry.cpp
@@ -23,6 +23,8 @@
 constexpr auto appliedOffsetInterval = std::chrono::seconds(1);
 constexpr auto listPollInterval = std::chrono::seconds(1);
 constexpr StreamId linkStream = 0;
+/** A body is held by its request, by the message to the agent, and by that message's encoding. */
+constexpr std::size_t bodyCopies = 3;
 constexpr auto flushTimeout = std::chrono::seconds(5);
 constexpr auto drainPollInterval = std::chrono::milliseconds(20);
 const std::string plainTextType = "text/plain; charset=utf-8";
@@ -86,8 +88,13 @@
     const AdminChannels channels {m_adminManager->mailbox(), m_fleetManager->mailbox(),
                                   logClient.appender(), logClient.reader()};
     m_adminHandler = std::make_shared<AdminHandler>(m_executor, m_settings, channels, m_log);
+    const HttpServerOptions options = HttpServerOptions().withBodyCopies(bodyCopies);
+    m_budget = std::make_shared<ProcessBudget>(budgetLimits(m_settings.limits.memoryMb,
+                                                            m_settings.limits.descriptors,
+                                                            options.maxConnections),
+                                               m_metrics, m_log);
     m_httpServer = std::make_shared<HttpServer>(
-            m_executor, HttpServerOptions(),
+            m_executor, options, m_budget,
             [self = weak_from_this()](HttpExchange &exchange) {
                 return self.lock()->handle(exchange);
             },
@@ -273,6 +280,7 @@
         co_return HttpResponse {200, plainTextType, {}, "ok\n"};
     }
     if (path == "/metrics") {
+        m_budget->updateGauges();
         co_return HttpResponse {200, "text/plain; version=0.0.4", {}, m_metrics->text()};
     }
     if (path == "/readyz") {
--- a/source/entry/entry.h
+++ b/source/entry/entry.h
@@ -65,6 +65,7 @@
     EntrySettings m_settings;
     Log m_log;
     std::shared_ptr<Metrics> m_metrics;
+    ProcessBudgetPtr m_budget;
     std::shared_ptr<ConfigManager> m_configManager;
     std::shared_ptr<LogFollower> m_logFollower;
     std::shared_ptr<SnapshotWriter> m_snapshotWriter;
--- a/source/entry/entrysettings.h
+++ b/source/entry/entrysettings.h
@@ -5,6 +5,7 @@
 
 #include "core/common/common.h"
 #include "core/config/config.h"
+#include "core/fleet/memorybudget.h"
 
 #include <string>
 #include <vector>
@@ -29,6 +30,7 @@
     Digest bootstrapToken;
     /** Thresholds at which a snapshot of the table is appended to the log. */
     SnapshotOptions snapshots;
+    ProcessLimits limits;
     /** Time limit for one request of a caller. */
     Duration requestTimeout = std::chrono::seconds(120);
     /** Time from the stop signal, when /readyz starts to return 503, to the end of listening. */
--- a/source/entry/forwarder.cpp
+++ b/source/entry/forwarder.cpp
@@ -162,14 +162,15 @@
     m_isResponseLost = false;
     const StreamId stream = grant.link.nextStream();
     const auto events = makeMailbox<StreamEvent>(m_executor, streamCapacity);
-    const OpenMessage open = openMessage(grant);
+    OpenMessage open = openMessage(grant);
+    const AttemptId attempt = open.attempt;
     if (m_claim.isExpired()) {
         co_return failedAttempt(ErrorKind::PlatformUnavailable,
                                 "the claim is too old to start an attempt",
                                 ExecutionStatus::NotExecuted);
     }
     const bool isSubscribed = grant.link.subscribe(stream, events);
-    if (!isSubscribed || !grant.link.post(stream, open)) {
+    if (!isSubscribed || !grant.link.post(stream, std::move(open))) {
         grant.link.unsubscribe(stream);
         co_return failedAttempt(ErrorKind::NoBackendServer, "the link to the agent is down",
                                 ExecutionStatus::NotExecuted);
@@ -187,12 +188,12 @@
     }
     if (result.failure && !result.isCallerDisconnected && result.ran == ExecutionStatus::Unknown
         && m_response.receivedBytes() == 0) {
-        result = co_await resolveUnknownOutcome(grant, open.attempt, std::move(result));
+        result = co_await resolveUnknownOutcome(grant, attempt, std::move(result));
     }
     if (result.failure) {
-        grant.link.post(stream, CancelMessage {open.attempt, grant.agentTimestamp});
+        grant.link.post(stream, CancelMessage {attempt, grant.agentTimestamp});
         m_log.debug("attempt.failed",
-                    {{"attempt", open.attempt.text()},
+                    {{"attempt", attempt.text()},
                      {"agent", grant.instance.text()},
                      {"ran", textOf(result.ran)},
                      {"reason", result.failure->detail}});
--- a/source/entry/responserelay.cpp
+++ b/source/entry/responserelay.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t maxBufferedBytes = 8U * 1024 * 1024;
+/** A body is copied as it grows. */
+constexpr std::size_t bufferCopies = 2;
 /** Largest response of a claimed request that is stored in the claim log. */
 constexpr std::size_t maxStoredResponseBytes = 4096;
 
@@ -55,7 +57,7 @@
     if (m_isStreamed) {
         m_streamedTokens += countEvents(data.bytes);
     }
-    if (!m_isStreamed && m_bufferedBody.size() + data.bytes.size() <= maxBufferedBytes) {
+    if (!m_isStreamed && canBuffer(data.bytes.size())) {
         m_bufferedBody += data.bytes;
         co_return true;
     }
@@ -68,6 +70,13 @@
     co_return co_await m_exchange.sendPart(std::move(data.bytes));
 }
 
+/** A streamed response is received only as fast as its caller reads it. */
+bool ResponseRelay::canBuffer(std::size_t bytes)
+{
+    const std::size_t total = m_bufferedBody.size() + bytes;
+    return total <= maxBufferedBytes && m_exchange.holdAnswer(bufferCopies * total);
+}
+
 /** Sends the head and what has been buffered so far; the response is streamed from then on. */
 Awaitable<bool> ResponseRelay::beginStream()
 {
--- a/source/entry/responserelay.h
+++ b/source/entry/responserelay.h
@@ -36,7 +36,7 @@
     void setHead(HeadMessage head);
     /**
      * Sends data to the caller, or buffers it while the response is not streamed. A response that
-     * exceeds the buffer is streamed from then on.
+     * exceeds the buffer, or for which the process has no room, is streamed from then on.
      * @param data must outlive the call, which may move the bytes out of it
      * @returns false if the caller has disconnected
      */
@@ -58,6 +58,7 @@
     std::uint32_t streamedTokens() const { return m_streamedTokens; }
 
 private:
+    bool canBuffer(std::size_t bytes);
     Awaitable<bool> beginStream();
     void storeCopy();
 
--- a/source/net/httpserver.cpp
+++ b/source/net/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "net/httpserver.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
@@ -14,15 +15,16 @@
 
 namespace {
 
-using Parser = http::request_parser<http::string_body>;
-
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(20);
 /** Size of the read that waits for the first bytes of a request. */
 constexpr std::size_t readAheadBytes = 4 * 1024;
+/** Memory of a connection besides its request: its task, and the buffer in which it waits. */
+constexpr std::size_t connectionBytes = 8 * 1024;
+/** Bytes of an answer that are written at a time, after which the caller has made progress. */
+constexpr std::size_t pieceBytes = 64 * 1024;
 
-HttpRequest toRequest(Parser &parser)
+HttpRequest toRequest(http::request<http::string_body> message)
 {
-    auto message = parser.release();
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
@@ -39,6 +41,9 @@
         || ec == http::error::buffer_overflow) {
         return {ErrorKind::TooLarge, ec.message()};
     }
+    if (ec == asio::error::no_buffer_space) {
+        return {ErrorKind::Overloaded, "the process holds too much for its callers"};
+    }
     if (ec == beast::error::timeout) {
         return {ErrorKind::SlowCaller,
                 "the request was not received completely within the time limit"};
@@ -55,8 +60,9 @@
     if (ec == beast::error::timeout) {
         return hasStarted;
     }
-    return ec.category() == http::make_error_code(http::error::bad_method).category()
-            && ec != http::error::end_of_stream && ec != http::error::partial_message;
+    return ec == asio::error::no_buffer_space
+            || (ec.category() == http::make_error_code(http::error::bad_method).category()
+                && ec != http::error::end_of_stream && ec != http::error::partial_message);
 }
 
 std::string reasonPhrase(int status)
@@ -73,6 +79,13 @@
     return options;
 }
 
+HttpServerOptions HttpServerOptions::withBodyCopies(std::size_t value) const
+{
+    HttpServerOptions options = *this;
+    options.bodyCopies = value;
+    return options;
+}
+
 HttpServerOptions HttpServerOptions::withReadTimeout(Duration value) const
 {
     HttpServerOptions options = *this;
@@ -94,18 +107,44 @@
     return options;
 }
 
-HttpExchange::HttpExchange(beast::tcp_stream &stream, HttpRequest request, bool keepAlive,
-                           const bool &isServerDraining, Duration writeTimeout)
-    : m_stream(stream), m_request(std::move(request)), m_keepAlive(keepAlive),
-      m_isServerDraining(isServerDraining), m_writeTimeout(writeTimeout)
+HttpServerConnection::HttpServerConnection(asio::ip::tcp::socket socket, std::size_t maxBufferBytes,
+                                           ProcessBudgetPtr sharedBudget)
+    : stream(std::move(socket)), buf(maxBufferBytes), budget(std::move(sharedBudget))
+{ }
+
+void HttpServerConnection::closeForRoom()
+{
+    // A reset would destroy the end of an answer that was written to an idle connection.
+    if (!isIdle) {
+        beast::error_code ec;
+        stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+    }
+    stream.close();
+}
+
+HttpExchange::HttpExchange(HttpServerConnection &connection, HttpRequest request, HeldBytes &held,
+                           bool keepAlive, const bool &isServerDraining, Duration writeTimeout)
+    : m_connection(connection), m_request(std::move(request)), m_held(held),
+      m_requestBytes(held.bytes()), m_keepAlive(keepAlive), m_isServerDraining(isServerDraining),
+      m_writeTimeout(writeTimeout)
 { }
 
+bool HttpExchange::holdAnswer(std::size_t bytes)
+{
+    const std::size_t total = m_requestBytes + bytes;
+    if (bytes <= smallHolderBytes) {
+        m_held.growInAnyCase(total);
+        return true;
+    }
+    return m_held.resize(total);
+}
+
 Awaitable<bool> HttpExchange::respond(HttpResponse response)
 {
-    std::string bytes = serializeHead(response, response.body.size());
-    bytes += response.body;
+    m_held.growInAnyCase(m_requestBytes + response.body.size());
+    std::string head = serializeHead(response, response.body.size());
     m_hasStarted = true;
-    m_isComplete = co_await write(std::move(bytes));
+    m_isComplete = co_await write(std::move(head), std::move(response.body));
     co_return m_isComplete;
 }
 
@@ -138,13 +177,13 @@
 {
     m_isComplete = false;
     beast::error_code ec;
-    m_stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
-    m_stream.close();
+    m_connection.stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+    m_connection.stream.close();
 }
 
 Awaitable<void> HttpExchange::waitForDisconnect()
 {
-    auto &socket = m_stream.socket();
+    auto &socket = m_connection.stream.socket();
     auto [ec] = co_await socket.async_wait(asio::socket_base::wait_read, asTuple);
     char byte = 0;
     const bool hasMore = !ec && recv(socket.native_handle(), &byte, 1, MSG_PEEK) > 0;
@@ -154,12 +193,38 @@
     }
 }
 
-Awaitable<bool> HttpExchange::write(std::string bytes)
+/** Writes a small body together with the head, and does not copy a large one. */
+Awaitable<bool> HttpExchange::write(std::string head, std::string body)
+{
+    if (body.size() <= pieceBytes) {
+        head += body;
+        body.clear();
+    }
+    m_connection.budget->setPhase(m_connection.holder, HolderPhase::Responding);
+    m_connection.stream.expires_after(m_writeTimeout);
+    bool isWritten = co_await writePieces(head);
+    if (isWritten) {
+        isWritten = co_await writePieces(body);
+    }
+    m_connection.stream.expires_never();
+    m_connection.budget->setPhase(m_connection.holder, HolderPhase::Serving);
+    co_return isWritten;
+}
+
+Awaitable<bool> HttpExchange::writePieces(const std::string &bytes)
 {
-    m_stream.expires_after(m_writeTimeout);
-    auto [ec, n] = co_await asio::async_write(m_stream, asio::buffer(bytes), asTuple);
-    m_stream.expires_never();
-    co_return !ec;
+    std::size_t written = 0;
+    while (written < bytes.size()) {
+        const std::size_t size = std::min(pieceBytes, bytes.size() - written);
+        auto [ec, n] = co_await asio::async_write(
+                m_connection.stream, asio::buffer(bytes.data() + written, size), asTuple);
+        if (ec) {
+            co_return false;
+        }
+        written += n;
+        m_connection.budget->recordProgress(m_connection.holder);
+    }
+    co_return true;
 }
 
 std::string HttpExchange::serializeHead(const HttpResponse &response,
@@ -180,9 +245,9 @@
 }
 
 HttpServer::HttpServer(const asio::any_io_executor &executor, HttpServerOptions options,
-                       HttpHandler handler, Log log)
-    : m_executor(executor), m_options(options), m_handler(std::move(handler)),
-      m_log(std::move(log)), m_acceptor(executor)
+                       ProcessBudgetPtr budget, HttpHandler handler, Log log)
+    : m_executor(executor), m_options(options), m_budget(std::move(budget)),
+      m_handler(std::move(handler)), m_log(std::move(log)), m_acceptor(executor)
 { }
 
 Result<Address> HttpServer::listen(const Address &address)
@@ -203,8 +268,8 @@
     m_isStopping = true;
     beast::error_code ec;
     m_acceptor.close(ec);
-    for (const auto &stream : m_idleConnections) {
-        stream->cancel();
+    for (const auto &connection : m_idleConnections) {
+        connection->stream.cancel();
     }
 }
 
@@ -212,83 +277,101 @@
 {
     Timer pause(m_executor);
     while (!m_isStopping) {
-        if (m_connectionCount >= m_options.maxConnections) {
-            closeLongestIdle();
+        auto [ec, socket] = co_await m_acceptor.async_accept(asTuple);
+        if (ec && !m_isStopping) {
+            m_log.warning("http.accept-failed", {{"reason", ec.message()}});
             pause.expires_after(acceptRetryDelay);
             co_await pause.async_wait(asTuple);
             continue;
         }
-        auto [ec, socket] = co_await m_acceptor.async_accept(asTuple);
-        if (ec && m_isStopping) {
-            co_return;
-        }
-        if (ec) {
-            m_log.warning("http.accept-failed", {{"reason", ec.message()}});
+        while (!m_isStopping && !makeRoom()) {
             pause.expires_after(acceptRetryDelay);
             co_await pause.async_wait(asTuple);
-            continue;
+        }
+        if (m_isStopping) {
+            co_return;
         }
         beast::error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+        auto connection = std::make_shared<HttpServerConnection>(
+                std::move(socket), m_options.maxHeaderBytes + readAheadBytes, m_budget);
         asio::co_spawn(
                 m_executor,
-                [self = shared_from_this(), stream] { return self->serveConnection(stream); },
+                [self = shared_from_this(), connection] {
+                    return self->serveConnection(connection);
+                },
                 asio::detached);
     }
 }
 
-void HttpServer::closeLongestIdle()
+bool HttpServer::makeRoom()
 {
-    if (!m_idleConnections.empty()) {
-        m_idleConnections.front()->cancel();
+    const bool isWithinBudget = m_budget->makeRoomForSockets(1, 0);
+    const bool isFull = m_connectionCount >= m_options.maxConnections;
+    if (isFull && !m_idleConnections.empty()) {
+        m_idleConnections.front()->stream.cancel();
     }
+    return isWithinBudget && !isFull;
 }
 
-Awaitable<void> HttpServer::serveConnection(std::shared_ptr<beast::tcp_stream> stream)
+Awaitable<void> HttpServer::serveConnection(HttpServerConnectionPtr connection)
 {
     ++m_connectionCount;
-    // Chunk headers and trailers without end fill the buffer, which then ends the request.
-    beast::flat_buffer buf(m_options.maxHeaderBytes + readAheadBytes);
+    connection->holder = m_budget->add([weak = std::weak_ptr(connection)] {
+        if (const auto closed = weak.lock()) {
+            closed->closeForRoom();
+        }
+    });
+    HeldBytes held(m_budget, connection->holder);
+    held.growInAnyCase(connectionBytes);
     bool keepsServing = true;
     while (keepsServing && !m_isStopping) {
-        if (buf.size() == 0) {
-            stream->expires_after(m_options.idleTimeout);
-            m_idleConnections.push_back(stream);
-            auto [ec, n] = co_await stream->async_read_some(buf.prepare(readAheadBytes), asTuple);
-            std::erase(m_idleConnections, stream);
-            beast::error_code ignored;
-            const bool hasMore = m_isStopping && stream->socket().available(ignored) > 0;
-            if (ec && !hasMore) {
-                break;
-            }
-            buf.commit(n);
+        m_budget->setPhase(connection->holder, HolderPhase::Reading);
+        keepsServing = connection->buf.size() > 0 || co_await awaitRequest(connection);
+        if (keepsServing) {
+            keepsServing = co_await serveRequest(*connection);
         }
-        keepsServing = co_await serveRequest(*stream, buf);
     }
+    m_budget->remove(connection->holder);
     beast::error_code ec;
-    stream->socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     --m_connectionCount;
 }
 
-Awaitable<bool> HttpServer::serveRequest(beast::tcp_stream &stream, beast::flat_buffer &buf)
+Awaitable<bool> HttpServer::awaitRequest(const HttpServerConnectionPtr &connection)
 {
+    connection->buf.shrink_to_fit();
+    connection->stream.expires_after(m_options.idleTimeout);
+    connection->isIdle = true;
+    m_idleConnections.push_back(connection);
+    auto [ec, n] = co_await connection->stream.async_read_some(
+            connection->buf.prepare(readAheadBytes), asTuple);
+    std::erase(m_idleConnections, connection);
+    connection->isIdle = false;
+    beast::error_code ignored;
+    const bool hasMore = m_isStopping && connection->stream.socket().available(ignored) > 0;
+    connection->buf.commit(n);
+    co_return !ec || hasMore;
+}
+
+Awaitable<bool> HttpServer::serveRequest(HttpServerConnection &connection)
+{
+    HeldBytes held(m_budget, connection.holder);
     Parser parser;
-    parser.body_limit(m_options.maxBodyBytes);
-    parser.header_limit(static_cast<std::uint32_t>(m_options.maxHeaderBytes));
-    stream.expires_after(m_options.readTimeout);
-    auto [ec, n] = co_await http::async_read(stream, buf, parser, asTuple);
-    stream.expires_never();
+    connection.stream.expires_after(m_options.readTimeout);
+    const beast::error_code ec = co_await readRequest(connection, parser, held);
+    connection.stream.expires_never();
+    m_budget->setPhase(connection.holder, HolderPhase::Serving);
     if (ec) {
-        if (needsErrorResponse(ec, buf.size() > 0 || parser.got_some())) {
-            HttpExchange exchange(stream, HttpRequest(), false, m_isDraining,
+        if (needsErrorResponse(ec, connection.buf.size() > 0 || parser.got_some())) {
+            HttpExchange exchange(connection, HttpRequest(), held, false, m_isDraining,
                                   m_options.writeTimeout);
             co_await exchange.respond(problemResponse(failureFor(ec)));
         }
         co_return false;
     }
     const bool keepAlive = parser.get().keep_alive();
-    HttpExchange exchange(stream, toRequest(parser), keepAlive, m_isDraining,
+    HttpExchange exchange(connection, toRequest(parser.release()), held, keepAlive, m_isDraining,
                           m_options.writeTimeout);
     ++m_inProgress;
     try {
@@ -301,4 +384,26 @@
     co_return exchange.canReuseConnection();
 }
 
+Awaitable<boost::system::error_code> HttpServer::readRequest(HttpServerConnection &connection,
+                                                             Parser &parser, HeldBytes &held)
+{
+    parser.body_limit(m_options.maxBodyBytes);
+    parser.header_limit(static_cast<std::uint32_t>(m_options.maxHeaderBytes));
+    parser.eager(true);
+    while (!parser.is_done()) {
+        auto [ec, n] =
+                co_await http::async_read_some(connection.stream, connection.buf, parser, asTuple);
+        // Chunk headers and trailers without end fill the buffer, which then ends the request.
+        if (ec) {
+            co_return ec;
+        }
+        m_budget->recordProgress(connection.holder);
+        const std::size_t bodyBytes = m_options.bodyCopies * parser.get().body().size();
+        if (!held.resize(bodyBytes + connection.buf.size())) {
+            co_return asio::error::no_buffer_space;
+        }
+    }
+    co_return boost::system::error_code();
+}
+
 } // namespace greengageseam
--- a/source/edge/processbudget.cpp
+++ b/source/net/processbudget.cpp
@@ -1,4 +1,4 @@
-#include "edge/processbudget.h"
+#include "net/processbudget.h"
 
 #include "net/clock.h"
 
@@ -118,6 +118,12 @@
                    static_cast<double>(m_budget.connections()));
 }
 
+ProcessBudgetPtr makeUnlimitedBudget(Log log)
+{
+    return std::make_shared<ProcessBudget>(BudgetLimits(), std::make_shared<Metrics>(),
+                                           std::move(log));
+}
+
 HeldBytes::HeldBytes(ProcessBudgetPtr budget, HolderId holder)
     : m_budget(std::move(budget)), m_holder(holder)
 { }
--- a/source/edge/processbudget.h
+++ b/source/net/processbudget.h
@@ -69,7 +69,10 @@
 
 using ProcessBudgetPtr = std::shared_ptr<ProcessBudget>;
 
-/** Bytes that a connection holds for one request or answer; released on destruction. */
+/** Makes a budget for connections that have limits of their own and need no further ones. */
+ProcessBudgetPtr makeUnlimitedBudget(Log log);
+
+/** Bytes that a connection holds for one purpose; released on destruction. */
 class HeldBytes
 {
 public:
--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -481,7 +481,7 @@
         co_await exchange.respond(std::move(response));
     };
     const auto server = std::make_shared<HttpServer>(m_context.get_executor(), HttpServerOptions(),
-                                                     handler, m_log);
+                                                     makeUnlimitedBudget(m_log), handler, m_log);
     const auto bound = toOutcome([&] { return server->listen(Address("127.0.0.1:0")); });
     server->start();
     const KeyedStore store(m_context.get_executor(), std::get<Address>(bound),
--- a/tests/standins/fleetstandin.cpp
+++ b/tests/standins/fleetstandin.cpp
@@ -48,8 +48,8 @@
 std::shared_ptr<HttpServer> serve(const asio::any_io_executor &executor, HttpHandler handler,
                                   const Log &log, Address &address)
 {
-    const auto server =
-            std::make_shared<HttpServer>(executor, HttpServerOptions(), std::move(handler), log);
+    const auto server = std::make_shared<HttpServer>(
+            executor, HttpServerOptions(), makeUnlimitedBudget(log), std::move(handler), log);
     const auto bound = toOutcome([&] { return server->listen(Address("127.0.0.1:0")); });
     address = std::get<Address>(bound);
     server->start();
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -90,7 +90,8 @@
     std::vector<std::shared_ptr<HttpServer>> servers;
     for (const auto &[flag, handler] :
          {std::pair("--listen", handlers.system), std::pair("--admin", handlers.admin)}) {
-        const auto server = std::make_shared<HttpServer>(executor, options, handler, log);
+        const auto server = std::make_shared<HttpServer>(executor, options,
+                                                         makeUnlimitedBudget(log), handler, log);
         const Address address(arguments.at(flag).asString());
         const Outcome<Address> bound = toOutcome([&] { return server->listen(address); });
         if (const Failure *failure = failureOf(bound)) {
--- a/tests/standins/streamstandin.cpp
+++ b/tests/standins/streamstandin.cpp
@@ -30,7 +30,7 @@
     : m_executor(executor), m_sendLog(std::move(sendLog)), m_chooseScript(std::move(chooseScript))
 {
     m_server = std::make_shared<HttpServer>(
-            executor, HttpServerOptions(),
+            executor, HttpServerOptions(), makeUnlimitedBudget(log),
             [this](HttpExchange &exchange) { return handle(exchange); }, log);
     const auto bound = toOutcome([&] { return m_server->listen(Address("127.0.0.1:0")); });
     m_address = std::get<Address>(bound);
--- a/tests/unit/tst_memorybudget.cpp
+++ b/tests/unit/tst_memorybudget.cpp
@@ -170,5 +170,11 @@
     REQUIRE(limits.sockets == 2048 - 200 - 128);
 }
 
+TEST_CASE_METHOD(MemoryBudgetFixture, "limits_manyDescriptors_socketsStayBelowTheNumberThatIsSet")
+{
+    REQUIRE(budgetLimits(0, 100'000).sockets == defaultMaxSockets);
+    REQUIRE(budgetLimits(0, 100'000, 4096).sockets == 4096);
+}
+
 } // namespace
 } // namespace greengageseam
--- a/tests/unit/tst_settings.cpp
+++ b/tests/unit/tst_settings.cpp
@@ -8,6 +8,8 @@
 namespace greengageseam {
 namespace {
 
+const ProcessLimits machine {8192, 1024};
+
 /** Provides valid flags of an entry, each of which a test can replace by an invalid one. */
 class SettingsFixture
 {
@@ -22,7 +24,13 @@
         for (const auto &[name, text] : flags) {
             words.push_back(name + "=" + text);
         }
-        return toOutcome([&] { return readSettings(words, m_environment); });
+        return toOutcome([&] { return readSettings(words, m_environment, machine); });
+    }
+
+    static ProcessLimits limitsOf(const Outcome<DaemonSettings> &outcome)
+    {
+        REQUIRE(failureOf(outcome) == nullptr);
+        return std::get<EntrySettings>(std::get<DaemonSettings>(outcome).role).limits;
     }
 
     void requireRefused(const std::string &flag, const std::string &value)
@@ -96,5 +104,16 @@
     REQUIRE(entry.zone == ZoneName("fyn"));
 }
 
+TEST_CASE_METHOD(SettingsFixture, "settings_limitsOfTheProcess_replaceThoseOfTheMachine")
+{
+    REQUIRE(limitsOf(read()) == machine);
+    m_environment["GREENGAGESEAM_MEMORY_LIMIT"] = "67108864";
+    m_environment["GREENGAGESEAM_DESCRIPTOR_LIMIT"] = "600";
+    REQUIRE(limitsOf(read()) == ProcessLimits {64, 600});
+    requireRefused("--memory-limit", "64m");
+    requireRefused("--memory-limit", "1000");
+    requireRefused("--descriptor-limit", "10");
+}
+
 } // namespace
 } // namespace greengageseam
