--- a/source/tool/check.cpp
+++ b/source/tool/check.cpp
@@ -2,8 +2,11 @@
 
 #include "core/fleet/configcheck.h"
 #include "platform/configformat.h"
+#include "platform/storedconfig.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <fstream>
 #include <iostream>
@@ -15,6 +18,8 @@
 
 namespace {
 
+constexpr auto storeTimeout = std::chrono::seconds(5);
+
 /** What there is to tell of one file. */
 struct CheckReport
 {
@@ -44,6 +49,28 @@
     return std::get<FleetConfig>(std::move(read));
 }
 
+/** Reads the configuration in force, or adds a finding if that fails. */
+std::optional<FleetConfig> readInForce(CheckReport &report, const Address &store)
+{
+    using Read = Outcome<std::optional<FleetConfig>>;
+    asio::io_context context(1);
+    Read read = Failure {ErrorKind::PlatformUnavailable, "the store was not read"};
+    asio::co_spawn(context, readStoredConfig(context.get_executor(), store, storeTimeout),
+                   [&](const std::exception_ptr &error, Read result) {
+                       if (!error) {
+                           read = std::move(result);
+                       }
+                       context.stop();
+                   });
+    context.run();
+    if (const Failure *failure = failureOf(read)) {
+        report.findings.push_back(
+                {FindingSeverity::Error, "store " + store.text(), failure->detail});
+        return std::nullopt;
+    }
+    return std::get<std::optional<FleetConfig>>(std::move(read)).value_or(FleetConfig());
+}
+
 CheckReport check(const CheckRequest &request)
 {
     CheckReport report;
@@ -51,10 +78,11 @@
     if (config) {
         report.findings = checkConfig(*config);
     }
-    if (!request.against) {
+    if (!request.against && !request.store) {
         return report;
     }
-    const std::optional<FleetConfig> before = readInto(report, *request.against);
+    const std::optional<FleetConfig> before = request.store ? readInForce(report, *request.store)
+                                                            : readInto(report, *request.against);
     if (!config || !before) {
         return report;
     }
--- a/source/tool/main.cpp
+++ b/source/tool/main.cpp
@@ -48,7 +48,10 @@
                         changed since then is a conflict. Unset: the newest.
   --cell=<path>         Only changes of this cell [default: ].
   --author=<name>       Only changes by this operator [default: ].
-  --against=<file>      The configuration that is to be replaced (check).
+  --against=<file>      The configuration that is to be replaced: a file, or 'store' for the
+                        one in force (check).
+  --platform-store=<address>  The platform's store, or GREENGAGESEAM_PLATFORM_STORE
+                        (check --against=store).
   --json                Print JSON.
   -h --help             Show this text.
   --version             Show the version.
@@ -66,6 +69,8 @@
 /** Parsed command line. */
 using Arguments = std::map<std::string, docopt::value>;
 
+/** Value of --against that stands for the configuration in force. */
+constexpr std::string_view storeWord = "store";
 constexpr std::uint64_t minChunkBytes = 1024;
 constexpr std::uint64_t maxOffset = 1ULL << 62U;
 constexpr std::uint64_t maxToolChunkBytes = 64ULL * 1024 * 1024;
@@ -178,12 +183,17 @@
     return settings;
 }
 
-CheckRequest readCheckRequest(const Arguments &options)
+Result<CheckRequest> readCheckRequest(const Arguments &options)
 {
     CheckRequest request;
     request.file = options.at("<config>").asString();
-    if (options.at("--against").isString()) {
-        request.against = options.at("--against").asString();
+    const docopt::value &against = options.at("--against");
+    if (against.isString() && against.asString() == storeWord) {
+        BOOST_LEAF_ASSIGN(
+                request.store,
+                requiredAddress(options, "--platform-store", "GREENGAGESEAM_PLATFORM_STORE"));
+    } else if (against.isString()) {
+        request.against = against.asString();
     }
     request.asJson = options.at("--json").asBool();
     return request;
@@ -215,7 +225,12 @@
         return static_cast<int>(ToolExit::Done);
     }
     if (options.at("check").asBool()) {
-        return static_cast<int>(checkFile(readCheckRequest(options)));
+        const Outcome<CheckRequest> request = toOutcome([&] { return readCheckRequest(options); });
+        if (const Failure *failure = failureOf(request)) {
+            std::cerr << "greengageseam: " << failure->detail << "\n";
+            return static_cast<int>(ToolExit::Usage);
+        }
+        return static_cast<int>(checkFile(std::get<CheckRequest>(request)));
     }
     const Outcome<ToolSettings> settings = toOutcome([&] { return readToolSettings(options); });
     const Outcome<std::uint64_t> size = toOutcome([&] { return chunkBytes(options); });
--- a/tests/failure/edgeprocess.cpp
+++ b/tests/failure/edgeprocess.cpp
@@ -29,7 +29,7 @@
             << "\nlistenAddrs.control=" << control.text() << "\nplatform.address=" << store.text()
             << "\nbounds.graceS=8\n"
             << settings;
-    const std::vector<std::string> command {GGS_BIN_FOLDER "/greengageseam-fleetd", "entry"};
+    const std::vector<std::string> command {programPath("greengageseam-fleetd"), "entry"};
     const std::vector<std::string> environment {"GREENGAGESEAM_CONFIG=" + m_path + ".conf",
                                                 "GREENGAGESEAM_SECRET=a secret for tests only"};
     m_process = std::make_unique<Process>(command, environment, m_path + ".log");
--- a/tests/failure/fleet.cpp
+++ b/tests/failure/fleet.cpp
@@ -24,7 +24,6 @@
 
 namespace {
 
-const std::string binFolder = GGS_BIN_FOLDER;
 const std::string secretVariable = "GREENGAGESEAM_SECRET=a secret for tests only";
 constexpr auto pollInterval = std::chrono::milliseconds(10);
 constexpr std::size_t maxAnswerBytes = 64U * 1024 * 1024;
@@ -133,7 +132,7 @@
 void Fleet::startStandin(const std::string &name, const std::string &kind, const StringList &extra)
 {
     const FleetAddresses addresses = reserve();
-    const StringList commandLine {binFolder + "/greengageseam-standin", kind,
+    const StringList commandLine {programPath("greengageseam-standin"), kind,
                                   "--listen=" + addresses.http.text(),
                                   "--admin=" + addresses.peerOrAdmin.text()};
     start(name, joined(commandLine, extra), addresses);
@@ -151,7 +150,7 @@
                                "--list=" + platform,
                                "--log-level=debug",
                                "--bootstrap-token=" + digestOf(operatorToken).text()};
-    const StringList commandLine {binFolder + "/greengageseamd", "--role=entry"};
+    const StringList commandLine {programPath("greengageseamd"), "--role=entry"};
     start(name, joined(commandLine, overridden(defaults, extra)), reserved);
     m_entriesByZone[zone].push_back(reserved.peerOrAdmin.text());
 }
@@ -174,7 +173,7 @@
                                "--store=" + platform,
                                "--log-level=debug",
                                "--backend=" + addresses(backend).http.text()};
-    const StringList commandLine {binFolder + "/greengageseamd", "--role=agent"};
+    const StringList commandLine {programPath("greengageseamd"), "--role=agent"};
     start(name, joined(commandLine, overridden(defaults, extra)), reserved);
 }
 
--- a/tests/failure/process.cpp
+++ b/tests/failure/process.cpp
@@ -29,6 +29,11 @@
 
 } // namespace
 
+std::string programPath(const std::string &name)
+{
+    return std::string(GGS_BIN_FOLDER) + "/" + name;
+}
+
 Process::Process(const std::vector<std::string> &commandLine,
                  const std::vector<std::string> &environment, const std::string &logFile)
 {
--- a/tests/failure/process.h
+++ b/tests/failure/process.h
@@ -11,6 +11,9 @@
 
 namespace greengageseam {
 
+/** @returns the path of a program of this project */
+std::string programPath(const std::string &name);
+
 /** Starts a program; the destructor kills it if it still runs. */
 class Process
 {
