Turn requests away at once in an outage that is longer than they may wait

Callers saw: after all machines had lost power, those who had come back after a refusal were held for up to 1.9 s and then refused all the same. Cause: the wait for a usable server did not depend on how long there had been none. Change: an entry counts the outage of a service, apart for each set of allowed regions, from the first request that met it; one that has lasted for longer than the request may wait is not expected to end meanwhile (serviceWait, ServiceOutages; pure, tested with such an outage).

--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -38,6 +38,7 @@
 #include "core/fleet/rollout.h"
 #include "core/fleet/routetable.h"
 #include "core/fleet/servicedemand.h"
+#include "core/fleet/serviceoutages.h"
 #include "core/fleet/sharedretrybudget.h"
 #include "core/fleet/soundparts.h"
 #include "core/fleet/storerecords.h"
--- a/source/core/fleet/queuewait.cpp
+++ b/source/core/fleet/queuewait.cpp
@@ -55,4 +55,9 @@
     return std::min(wait.slot, std::max(minShedWait, shortened));
 }
 
+Duration serviceWait(const QueueWait &wait, Duration outage)
+{
+    return outage < wait.service ? wait.service : Duration::zero();
+}
+
 } // namespace greengageseam
--- a/source/core/fleet/queuewait.h
+++ b/source/core/fleet/queuewait.h
@@ -31,7 +31,7 @@
     Duration slot {};
     /** For a slot that is left over, once the objective is missed. */
     Duration leftoverSlot {};
-    /** For a usable backend server, while the service has none. */
+    /** For a usable backend server, while the service has none. @see serviceWait */
     Duration service {};
 
     auto operator<=>(const QueueWait &) const = default;
@@ -47,4 +47,12 @@
  */
 Duration slotWait(const QueueWait &wait, const RequestPriority &priority, bool isShedding);
 
+/**
+ * @param outage time for which the service has had no usable backend server
+ * @returns how long a request may wait for one. An outage that has lasted for longer than the
+ *          request may wait is not expected to end meanwhile, so the request is turned away at
+ * once.
+ */
+Duration serviceWait(const QueueWait &wait, Duration outage);
+
 } // namespace greengageseam
--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -160,6 +160,9 @@
     const Occupancy occupancy =
             m_loads.occupancy(service, weightsRequirement(service, now), now, regions);
     const bool hasUsable = occupancy.usableReplicas > 0;
+    if (hasUsable) {
+        recordOutageEnd(service, regions, now);
+    }
     const bool isHopeless = !hasUsable && regions.isRestricted() && !command.isRetry
             && !m_loads.hasListed(service, regions);
     if (isHopeless) {
@@ -169,9 +172,10 @@
     // A request that has missed its latency target may keep waiting for slots that are left over,
     // unless the requests that can still meet theirs leave none.
     const bool hasLeftovers = now >= command.lateAfter && !m_saturated.contains(service);
-    const Duration wait = !hasUsable ? command.wait.service
-            : hasLeftovers           ? command.wait.leftoverSlot
-                                     : slotWait(command.wait, command.priority, isShed(request));
+    const Duration wait = !hasUsable
+            ? serviceWait(command.wait, m_outages.record(service, regions, now))
+            : hasLeftovers ? command.wait.leftoverSlot
+                           : slotWait(command.wait, command.priority, isShed(request));
     const Instant waitEnd = command.waitsSince + wait;
     if (now < waitEnd && now + occupancy.pauseLeft < waitEnd) {
         return false;
@@ -223,6 +227,7 @@
     if (!replica) {
         return false;
     }
+    recordOutageEnd(requirements.service, requirements.regions, now);
     if (command.isRetry) {
         budget.tryAcquire(now, m_entryCount);
     }
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -321,6 +321,7 @@
     void apply(const EntryCountChanged &command);
     void apply(const CrashJudged &command);
     void apply(const DispatchTick &command);
+    void recordOutageEnd(const ServiceName &service, const RegionRule &regions, Instant now);
     bool rejectIfQuarantined(const AcquireReplica &command, Instant now);
     bool mustYield(const PendingRequest &request, Instant now);
     void enqueue(const AcquireReplica &command, const PendingRequest &request, Instant now);
@@ -385,6 +386,7 @@
     std::map<ServiceName, DemandMeter> m_demands;
     /** Services of which callers ask for more than the backend servers can do. */
     std::set<ServiceName> m_saturated;
+    ServiceOutages m_outages;
     Instant m_demandPublishedAt;
     /**
      * The longest remaining time that callers of each route have sent. A caller sends its longest
--- a/source/edge/dispatcheravailability.cpp
+++ b/source/edge/dispatcheravailability.cpp
@@ -7,6 +7,13 @@
 
 namespace greengageseam {
 
+namespace {
+
+/** Shorter outages of a service are not logged. */
+constexpr auto minLoggedOutage = std::chrono::seconds(1);
+
+} // namespace
+
 void Dispatcher::apply(const ReplicaSpoke &command)
 {
     const Instant now = monotonicNow();
@@ -67,6 +74,19 @@
     m_unavailable = std::move(causes);
 }
 
+/** Ends the outage of a service, if there was one, and logs a long one. */
+void Dispatcher::recordOutageEnd(const ServiceName &service, const RegionRule &regions, Instant now)
+{
+    const std::optional<Duration> length = m_outages.end(service, regions, now);
+    if (!length || *length < minLoggedOutage) {
+        return;
+    }
+    m_log.info("service.available-again",
+               {{"service", service.text()},
+                {"restricted", regions.isRestricted()},
+                {"outage_ms", length->count() / 1000}});
+}
+
 /** Logs which backend servers have become cold or warm, and counts the cold ones. */
 void Dispatcher::recordColdServers(Instant now)
 {
--- a/tests/unit/tst_turningaway.cpp
+++ b/tests/unit/tst_turningaway.cpp
@@ -5,6 +5,7 @@
 #include "core/fleet/queuewait.h"
 #include "core/fleet/retryadvice.h"
 #include "core/fleet/servicedemand.h"
+#include "core/fleet/serviceoutages.h"
 
 #include <catch2/catch.hpp>
 
@@ -87,6 +88,48 @@
     REQUIRE(queueWait(m_request).leftoverSlot == milliseconds(100));
 }
 
+/** Callers that have come back already arrive at a service one after the other. */
+class OutageFixture
+{
+protected:
+    /** A request arrives and finds no server. @returns how long it may wait for one */
+    Duration waitAt(Duration sinceStart)
+    {
+        return serviceWait(m_wait, m_outages.record(m_service, {}, m_start + sinceStart));
+    }
+
+    const QueueWait m_wait = queueWait({milliseconds(400), seconds(6), false});
+    const ServiceName m_service {"pool"};
+    const Instant m_start {seconds(100)};
+    ServiceOutages m_outages;
+};
+
+// All servers are away for some seconds: whoever comes late in this time is not kept waiting.
+TEST_CASE_METHOD(OutageFixture, "serviceWait_outageIsLongerThanTheWait_laterRequestsAreTurnedAway")
+{
+    REQUIRE(waitAt(Duration::zero()) == m_wait.service);
+    REQUIRE(waitAt(m_wait.service - milliseconds(1)) == m_wait.service);
+    REQUIRE(waitAt(m_wait.service) == Duration::zero());
+    REQUIRE(waitAt(seconds(4)) == Duration::zero());
+}
+
+TEST_CASE_METHOD(OutageFixture, "serviceWait_serverCameBackMeanwhile_nextOutageIsWaitedFor")
+{
+    waitAt(Duration::zero());
+    REQUIRE(m_outages.end(m_service, {}, m_start + seconds(4)) == Duration(seconds(4)));
+    REQUIRE(waitAt(seconds(5)) == m_wait.service);
+}
+
+TEST_CASE_METHOD(OutageFixture, "outages_oneServiceOrRegionRecovers_othersLastOn")
+{
+    const RegionRule home = RegionRule().restrictedTo({RegionName("east")});
+    waitAt(Duration::zero());
+    m_outages.record(m_service, home, m_start);
+    REQUIRE_FALSE(m_outages.end(ServiceName("other"), {}, m_start));
+    REQUIRE(m_outages.end(m_service, home, m_start + seconds(2)));
+    REQUIRE(waitAt(seconds(3)) == Duration::zero());
+}
+
 class RetryAdviceFixture
 {
 protected:
