Tests: one way to run tasks until a condition holds, and to ask for a status

failure-callerlimits and failure-storehistory had the same two functions; both use those of testcaller now.

--- a/tests/failure/testcaller.cpp
+++ b/tests/failure/testcaller.cpp
@@ -1,5 +1,9 @@
 #include "testcaller.h"
 
+#include "net/clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <stdexcept>
 #include <unistd.h>
@@ -8,6 +12,7 @@
 
 namespace {
 
+constexpr auto pollInterval = std::chrono::milliseconds(10);
 constexpr auto stepTimeout = std::chrono::seconds(1);
 constexpr auto responseTimeout = std::chrono::seconds(5);
 constexpr std::size_t maxBody = 100'000;
@@ -54,6 +59,28 @@
     received = result;
 }
 
+bool runUntil(asio::io_context &context, const std::function<bool()> &condition, Duration timeout)
+{
+    const Instant end = monotonicNow() + timeout;
+    while (!condition()) {
+        if (monotonicNow() > end) {
+            return false;
+        }
+        context.run_for(pollInterval);
+    }
+    return true;
+}
+
+int requestStatus(asio::io_context &context, const Address &address, const std::string &text,
+                  Duration timeout)
+{
+    std::optional<CallerResponse> received;
+    asio::co_spawn(context, exchange(context.get_executor(), address, text, received),
+                   asio::detached);
+    runUntil(context, [&] { return received.has_value(); }, timeout);
+    return received ? received->status : 0;
+}
+
 Address freeAddress(asio::io_context &context)
 {
     static int offset = ::getpid() * portsPerProcess % ports;
--- a/tests/failure/testcaller.h
+++ b/tests/failure/testcaller.h
@@ -7,6 +7,7 @@
 #include "net/httpconnection.h"
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -34,6 +35,13 @@
 Awaitable<void> exchange(asio::any_io_executor executor, Address address, std::string text,
                          std::optional<CallerResponse> &received, DelayedText rest = {});
 
+/** Runs the tasks until a condition holds. @returns false if it does not hold in time */
+bool runUntil(asio::io_context &context, const std::function<bool()> &condition, Duration timeout);
+
+/** Sends a request on a new connection. @returns the status; 0 without a response in time */
+int requestStatus(asio::io_context &context, const Address &address, const std::string &text,
+                  Duration timeout);
+
 /**
  * Returns a loopback address that is currently free, and a different one each time. The port after
  * it is skipped, as an entry uses that one as well. It is below the ports that the kernel gives to
--- a/tests/failure/tst_callerlimits.cpp
+++ b/tests/failure/tst_callerlimits.cpp
@@ -15,8 +15,6 @@
 #include "testcaller.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <catch2/catch.hpp>
 
@@ -113,24 +111,13 @@
     /** Sends a request on a new connection. @returns the status; 0 without a response */
     int statusOf(const Address &address, const std::string &text)
     {
-        std::optional<CallerResponse> received;
-        asio::co_spawn(m_context, exchange(m_context.get_executor(), address, text, received),
-                       asio::detached);
-        waitUntil([&] { return received.has_value(); });
-        return received ? received->status : 0;
+        return requestStatus(m_context, address, text, conditionTimeout);
     }
 
     /** Runs the tasks until a condition holds. @returns false if it does not hold in time */
     bool waitUntil(const std::function<bool()> &condition)
     {
-        const Instant end = monotonicNow() + conditionTimeout;
-        while (!condition()) {
-            if (monotonicNow() > end) {
-                return false;
-            }
-            m_context.run_for(milliseconds(10));
-        }
-        return true;
+        return runUntil(m_context, condition, conditionTimeout);
     }
 
     /** Sends requests on a new connection. @returns all that is received until it is closed */
--- a/tests/failure/tst_storehistory.cpp
+++ b/tests/failure/tst_storehistory.cpp
@@ -9,8 +9,6 @@
 #include "net/clock.h"
 #include "testcaller.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 namespace greengageseam {
@@ -115,26 +113,12 @@
 
     int send(const Address &address, const std::string &text)
     {
-        std::optional<CallerResponse> received;
-        asio::co_spawn(m_context, exchange(m_context.get_executor(), address, text, received),
-                       asio::detached);
-        const Instant end = monotonicNow() + conditionTimeout;
-        while (!received && monotonicNow() < end) {
-            m_context.run_for(milliseconds(2));
-        }
-        return received ? received->status : 0;
+        return requestStatus(m_context, address, text, conditionTimeout);
     }
 
     bool waitUntil(const std::function<bool()> &condition)
     {
-        const Instant end = monotonicNow() + conditionTimeout;
-        while (!condition()) {
-            if (monotonicNow() > end) {
-                return false;
-            }
-            m_context.run_for(milliseconds(20));
-        }
-        return true;
+        return runUntil(m_context, condition, conditionTimeout);
     }
 
     void runFor(Duration time) { m_context.run_for(time); }
