Send the date of a configuration together with the configuration

Cause: the dispatcher of an entry got the routes in one message and, in another, the date as of which they are the newest. If its mailbox was full when the routes changed, the date that followed was taken for one of the routes before: new routes got 404 until the next change. Change: the date comes with the routes that it belongs to; routes that were lost are put in force then, with a line in the log. The test gives the routes with the date, as the entry does now; what it requires is the same.

--- a/source/edge/dispatcher.cpp
+++ b/source/edge/dispatcher.cpp
@@ -372,6 +372,10 @@
 
 void Dispatcher::apply(const RoutesConfirmed &command)
 {
+    if (command.table && command.table != m_table) {
+        m_log.warning("config.change-lost", {{"config", command.table->config().version}});
+        apply(RoutesChanged {command.table});
+    }
     m_tableCompleteAsOf = std::max(m_tableCompleteAsOf, command.completeAsOf);
 }
 
--- a/source/edge/dispatcher.h
+++ b/source/edge/dispatcher.h
@@ -191,9 +191,14 @@
     RouteTablePtr table;
 };
 
-/** The configuration that applies is known to be the newest one as of a later time. */
+/**
+ * A configuration is known to be the newest one as of a later time. It comes with its date, since
+ * the message that announced it may have been lost.
+ */
 struct RoutesConfirmed
 {
+    /** Null if there is no configuration. */
+    RouteTablePtr table;
     Instant completeAsOf;
 };
 
--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -254,7 +254,7 @@
         m_loadListener->mailbox()->post(OperatorPositionUpdated {position});
     };
     hooks.onCurrent = [this](Instant completeAsOf) {
-        m_dispatcher->mailbox()->post(RoutesConfirmed {completeAsOf});
+        m_dispatcher->mailbox()->post(RoutesConfirmed {m_routes, completeAsOf});
     };
     hooks.onConfirmed = [this](Instant completeAsOf) {
         m_loadListener->mailbox()->post(OperatorViewConfirmed {completeAsOf});
--- a/tests/failure/tst_viewdates.cpp
+++ b/tests/failure/tst_viewdates.cpp
@@ -157,13 +157,15 @@
 // The table may be lost on its way to the dispatcher, but not its date without it.
 TEST_CASE_METHOD(DenialFixture, "denial_tableWasLostBeforeItsDate_isNotGiven")
 {
-    m_dispatcher->mailbox()->post(RoutesChanged {tableOf(1)});
-    m_dispatcher->mailbox()->post(RoutesConfirmed {monotonicNow()});
+    const RouteTablePtr first = tableOf(1);
+    const RouteTablePtr second = tableOf(2);
+    m_dispatcher->mailbox()->post(RoutesChanged {first});
+    m_dispatcher->mailbox()->post(RoutesConfirmed {first, monotonicNow()});
     fillMailbox();
-    m_dispatcher->mailbox()->post(RoutesChanged {tableOf(2)});
+    m_dispatcher->mailbox()->post(RoutesChanged {second});
     m_dispatcher->start();
     runFor(milliseconds(100));
-    m_dispatcher->mailbox()->post(RoutesConfirmed {monotonicNow()});
+    m_dispatcher->mailbox()->post(RoutesConfirmed {second, monotonicNow()});
     REQUIRE(denial(2) != ErrorKind::NotFound);
 }
 
