Date a list delta that has waited during a pause by the start of the pause

Cause: a delta of the list of servers carries the age of its sender's view. If it waited at the receiver while that was paused, the wait was not part of its age: the list counted as current and was not read for up to a second and more after the pause, while servers may have left. Change: what is handled within 300 ms after a pause counts as arrived at the start of the pause, as views of the operator's topic did already; the rule has moved from OperatorWatcher to ListeningHistory, which both use.

--- a/source/core/fleet/listeninghistory.cpp
+++ b/source/core/fleet/listeninghistory.cpp
@@ -11,9 +11,16 @@
     if (now - last <= m_options.pauseThreshold) {
         return std::nullopt;
     }
+    m_pausedAt = last;
+    m_resumedAt = now;
     return now - last;
 }
 
+Instant ListeningHistory::earliestArrival(Instant now) const
+{
+    return now < m_resumedAt + m_options.settleTime ? m_pausedAt : now;
+}
+
 void ListeningHistory::recordView(Instant completeAsOf)
 {
     if (m_completeAsOf && completeAsOf <= *m_completeAsOf) {
--- a/source/core/fleet/listeninghistory.h
+++ b/source/core/fleet/listeninghistory.h
@@ -15,6 +15,8 @@
 {
     /** A longer time between two signs that the process runs counts as a pause. */
     Duration pauseThreshold = std::chrono::milliseconds(300);
+    /** Time after a pause within which messages are handled that may have waited during it. */
+    Duration settleTime = std::chrono::milliseconds(300);
 
     auto operator<=>(const ListeningOptions &) const = default;
 };
@@ -56,6 +58,11 @@
      * @returns the length of the pause that has just ended, if there was one
      */
     std::optional<Duration> recordRunning(Instant now);
+    /**
+     * @returns the earliest time at which a message that is handled now can have arrived; its
+     *     sender could not know for how long it would wait here
+     */
+    Instant earliestArrival(Instant now) const;
     /** Records a view that is complete as of a time. Call it after applying its changes. */
     void recordView(Instant completeAsOf);
     /** Records that nobody could read the topic until now. */
@@ -71,6 +78,9 @@
     ListeningOptions m_options;
     /** When the process last recorded that it runs; empty before the first time. */
     std::optional<Instant> m_lastRunning;
+    /** Start and end of the last pause. */
+    Instant m_pausedAt;
+    Instant m_resumedAt;
     /** Every change before this time was heard of; empty before the first view. */
     std::optional<Instant> m_completeAsOf;
     /** Until then, as far as is known, nobody could read the topic. */
--- a/source/edge/operatorwatcher.cpp
+++ b/source/edge/operatorwatcher.cpp
@@ -11,12 +11,6 @@
 
 /** Interval at which a watcher records that its process runs. */
 constexpr auto runningCheckInterval = std::chrono::milliseconds(100);
-
-/**
- * Time after a pause during which views of peers do not count. Their messages may have waited
- * during the pause, and their ages are as of when they were sent.
- */
-constexpr auto peerViewSettleTime = std::chrono::milliseconds(300);
 /** A difference between two dates of a target version that makes none to requests. */
 constexpr auto datingTolerance = std::chrono::milliseconds(100);
 
@@ -82,11 +76,17 @@
 {
     const Instant now = monotonicNow();
     if (const std::optional<Duration> pause = m_listening.recordRunning(now)) {
-        m_ignorePeerViewsUntil = now + peerViewSettleTime;
         m_log.info("process.paused", {{"paused_ms", pause->count() / 1000}});
     }
 }
 
+/** @returns whether a message that is handled now may have waited while the process was paused */
+bool OperatorWatcher::mayHaveWaited() const
+{
+    const Instant now = monotonicNow();
+    return m_listening.earliestArrival(now) < now;
+}
+
 void OperatorWatcher::advanceTo(TopicPosition position)
 {
     if (position > m_position) {
@@ -230,7 +230,7 @@
 void OperatorWatcher::confirmPeerView(Instant completeAsOf)
 {
     recordRunning();
-    if (m_hasSnapshot && monotonicNow() >= m_ignorePeerViewsUntil) {
+    if (m_hasSnapshot && !mayHaveWaited()) {
         m_listening.recordView(completeAsOf);
     }
 }
@@ -238,7 +238,7 @@
 void OperatorWatcher::recordOutage()
 {
     recordRunning();
-    if (monotonicNow() >= m_ignorePeerViewsUntil) {
+    if (!mayHaveWaited()) {
         m_listening.recordOutage(monotonicNow());
     }
 }
--- a/source/edge/operatorwatcher.h
+++ b/source/edge/operatorwatcher.h
@@ -97,6 +97,7 @@
 
 private:
     void recordRunning();
+    bool mayHaveWaited() const;
     void applyRecords(const std::vector<KeyedRecord> &records, bool isInitial,
                       Instant completeAsOf);
     void confirm(Instant completeAsOf);
@@ -128,8 +129,6 @@
     bool m_hasSnapshot = false;
     /** Every change that was accepted before this time was applied. Never decreases. */
     Instant m_completeAsOf;
-    /** Views of peers that are received before this time do not count. */
-    Instant m_ignorePeerViewsUntil;
     /** The newest target version of a model, and the earliest time at which it can be announced. */
     struct DatedVersion
     {
--- a/source/edge/replicawatcher.cpp
+++ b/source/edge/replicawatcher.cpp
@@ -1,6 +1,7 @@
 #include "edge/replicawatcher.h"
 
 #include "net/clock.h"
+#include "net/ticker.h"
 
 #include <algorithm>
 
@@ -15,14 +16,16 @@
 constexpr auto listReadStagger = std::chrono::milliseconds(150);
 /** All entries from this rank on read the list at the same time. */
 constexpr std::size_t maxStaggeredRank = 4;
+/** Interval at which a watcher records that its process runs. */
+constexpr auto runningCheckInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
 ReplicaWatcher::ReplicaWatcher(const asio::any_io_executor &executor, TopicReader reader,
                                ReplicaWatcherHooks hooks, Duration pollInterval, Log log,
                                ReplicaRegistryOptions registryOptions)
-    : m_hooks(std::move(hooks)), m_log(std::move(log)), m_replicas(registryOptions),
-      m_expiryTimer(executor)
+    : m_executor(executor), m_hooks(std::move(hooks)), m_log(std::move(log)),
+      m_replicas(registryOptions), m_expiryTimer(executor)
 {
     FollowHooks followHooks;
     followHooks.onSnapshot = [this](const KeyedSnapshot &snapshot) { applySnapshot(snapshot); };
@@ -54,6 +57,13 @@
 
 void ReplicaWatcher::start()
 {
+    startTicker(m_executor, runningCheckInterval, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self) {
+            self->m_listening.recordRunning(monotonicNow());
+        }
+        return self != nullptr;
+    });
     m_follower->start();
 }
 
@@ -111,8 +121,10 @@
 
 void ReplicaWatcher::applyPeerDelta(const ReplicaListDelta &update)
 {
-    m_follower->mailbox()->post(PeerReadReceived {update.from, update.next,
-                                                  monotonicNow() - update.viewAge,
+    const Instant now = monotonicNow();
+    m_listening.recordRunning(now);
+    const Instant completeAsOf = m_listening.earliestArrival(now) - update.viewAge;
+    m_follower->mailbox()->post(PeerReadReceived {update.from, update.next, completeAsOf,
                                                   [this, update] { applyDelta(update); }});
 }
 
--- a/source/edge/replicawatcher.h
+++ b/source/edge/replicawatcher.h
@@ -61,8 +61,11 @@
     void logChange(const ReplicaUpdate &update);
     void publish();
 
+    asio::any_io_executor m_executor;
     ReplicaWatcherHooks m_hooks;
     Log m_log;
+    /** Detects pauses, during which deltas of peers may have waited. */
+    ListeningHistory m_listening;
     std::shared_ptr<TopicFollower> m_follower;
     ReplicaRegistry m_replicas;
     /** Era of the store in which the list was read last; empty before the first read. */
--- a/tests/unit/tst_listeninghistory.cpp
+++ b/tests/unit/tst_listeninghistory.cpp
@@ -58,6 +58,17 @@
     REQUIRE(m_history.earliestChange(at(5700)) == at(900));
 }
 
+// Its sender gave it an age before it waited here.
+TEST_CASE_METHOD(ListeningHistoryFixture,
+                 "history_messageIsHandledAfterPause_mayHaveWaitedDuringIt")
+{
+    runUntil(1000);
+    REQUIRE(m_history.earliestArrival(at(1000)) == at(1000));
+    m_history.recordRunning(at(5500));
+    REQUIRE(m_history.earliestArrival(at(5600)) == at(1000));
+    REQUIRE(m_history.earliestArrival(at(5900)) == at(5900));
+}
+
 // However long it takes until the first read after a pause succeeds.
 TEST_CASE_METHOD(ListeningHistoryFixture, "history_firstReadAfterPauseIsSlow_changeDatesFromPause")
 {
