Show a target version that is lost within an entry before the date of its view

Cause: the same as for routes, at the task that tells agents of versions: the version and the date of the view are two messages, and its mailbox holds 256.

--- a/tests/failure/tst_loadreports.cpp
+++ b/tests/failure/tst_loadreports.cpp
@@ -44,6 +44,8 @@
         int subscriptions = 0;
         /** Subscriptions that ask for the entries that the agent knows. */
         int questions = 0;
+        /** The last subscription. */
+        LoadSubscription subscription;
     };
 
     LoadReportsFixture() : m_log(LogLevel::Error, {}), m_first(m_context), m_second(m_context)
@@ -89,6 +91,7 @@
             const auto read = toOutcome([&] { return decodeDatagram(received->bytes); });
             const auto *datagram = std::get_if<Datagram>(&read);
             const auto *wanted = datagram ? std::get_if<LoadSubscription>(datagram) : nullptr;
+            agent.subscription = wanted != nullptr ? *wanted : agent.subscription;
             agent.subscriptions += wanted != nullptr ? 1 : 0;
             agent.questions += wanted != nullptr && wanted->wantsEntries ? 1 : 0;
         }
@@ -394,5 +397,22 @@
     REQUIRE(known.size() == 2);
 }
 
+// A version that was lost within the entry must not look like one that is announced later.
+TEST_CASE_METHOD(LoadReportsFixture, "subscription_versionWasLostBeforeItsDate_isToldWithTheView")
+{
+    LoadListenerHooks hooks;
+    hooks.onReport = [](const LoadReport &) { };
+    hooks.onEntriesChanged = [](const std::vector<EntryLocation> &) { };
+    const auto listener = startListener(hooks);
+    listener->mailbox()->post(AgentsUpdated {startAgents(1)});
+    while (listener->mailbox()->post(DemandMeasured {})) { }
+    listener->mailbox()->post(AnnounceTargetVersion {{model, 2}, monotonicNow()});
+    runFor(milliseconds(100));
+    listener->mailbox()->post(OperatorViewConfirmed {monotonicNow()});
+    const LoadSubscription &told = m_agents.front().subscription;
+    REQUIRE(waitUntil([&] { return told.operatorViewAge.has_value(); }));
+    REQUIRE(told.targetVersions.size() == 1);
+}
+
 } // namespace
 } // namespace greengageseam
