Tell agents of the date of a view together with the versions in it

Cause: an entry told its datagram task of a target version and of the date of its view in two messages. If the first was lost because the mailbox was full, agents heard that the view was complete without the version, and dated the version late when they heard of it at last: its bound ended later for them than for the operator. Change: the date comes with the target versions of the view; versions that were lost are announced then. The test passes the version with the date, as the entry does now; what it requires is the same.

--- a/source/edge/edge.cpp
+++ b/source/edge/edge.cpp
@@ -243,7 +243,9 @@
         const Instant at = isInitial ? initialAt : std::min(now, std::max(initialAt, now - age));
         m_dispatcher->mailbox()->post(TargetVersionChanged {targetVersion, at});
         m_exchange->fetcher()->post(FetcherTargetVersionChanged {targetVersion});
-        m_loadListener->mailbox()->post(AnnounceTargetVersion {targetVersion, now - age});
+        const AnnounceTargetVersion announced {targetVersion, now - age};
+        m_targetVersions.insert_or_assign(targetVersion.model, announced);
+        m_loadListener->mailbox()->post(announced);
     };
     hooks.onEvacuationsChanged = [this](const std::set<ZoneName> &zones) {
         m_dispatcher->mailbox()->post(EvacuationsChanged {zones});
@@ -257,7 +259,11 @@
         m_dispatcher->mailbox()->post(RoutesConfirmed {m_routes, completeAsOf});
     };
     hooks.onConfirmed = [this](Instant completeAsOf) {
-        m_loadListener->mailbox()->post(OperatorViewConfirmed {completeAsOf});
+        OperatorViewConfirmed confirmed {completeAsOf, {}};
+        for (const auto &[model, announced] : m_targetVersions) {
+            confirmed.targetVersions.push_back(announced);
+        }
+        m_loadListener->mailbox()->post(std::move(confirmed));
     };
     FollowOptions followOptions;
     followOptions.name = operatorTopicName;
--- a/source/edge/edge.h
+++ b/source/edge/edge.h
@@ -14,6 +14,8 @@
 #include "exchange/weightexchange.h"
 #include "net/httpserver.h"
 
+#include <map>
+
 namespace greengageseam {
 
 /** Creates the tasks of an entry and connects them to each other. */
@@ -65,6 +67,8 @@
     std::shared_ptr<WeightExchange> m_exchange;
     Instant m_startedAt;
     RouteTablePtr m_routes;
+    /** The target version of each model. */
+    std::map<ModelName, AnnounceTargetVersion> m_targetVersions;
     std::vector<ReplicaEntry> m_replicaEntries;
     bool m_hasReplicaList = false;
     bool m_isDraining = false;
--- a/source/edge/loadlistener.cpp
+++ b/source/edge/loadlistener.cpp
@@ -120,20 +120,36 @@
 void LoadListener::apply(const OperatorViewConfirmed &command)
 {
     m_operatorCompleteAsOf = command.completeAsOf;
+    bool hasNew = false;
+    for (const AnnounceTargetVersion &announced : command.targetVersions) {
+        hasNew = recordTargetVersion(announced) || hasNew;
+    }
+    if (hasNew) {
+        subscribe({}, {});
+    }
 }
 
 void LoadListener::apply(const AnnounceTargetVersion &command)
 {
-    AnnounceTargetVersion &known =
-            m_targetVersions.try_emplace(command.targetVersion.model, command).first->second;
-    if (command.targetVersion.version > known.targetVersion.version) {
-        known = command;
-    } else if (command.targetVersion == known.targetVersion) {
-        known.announcedAt = std::min(known.announcedAt, command.announcedAt);
-    }
+    recordTargetVersion(command);
     subscribe({}, {});
 }
 
+/** Records a version, or an earlier date of it. @returns whether the version was not known */
+bool LoadListener::recordTargetVersion(const AnnounceTargetVersion &announced)
+{
+    const auto [it, isNew] = m_targetVersions.try_emplace(announced.targetVersion.model, announced);
+    AnnounceTargetVersion &known = it->second;
+    if (announced.targetVersion.version > known.targetVersion.version) {
+        known = announced;
+        return true;
+    }
+    if (announced.targetVersion == known.targetVersion) {
+        known.announcedAt = std::min(known.announcedAt, announced.announcedAt);
+    }
+    return isNew;
+}
+
 void LoadListener::apply(const RelayListDelta &command)
 {
     const std::vector<std::string> parts = encodeInParts(command.delta);
--- a/source/edge/loadlistener.h
+++ b/source/edge/loadlistener.h
@@ -37,12 +37,6 @@
     TopicPosition position;
 };
 
-/** The entry's view of the operator's topic is complete as of a later time. */
-struct OperatorViewConfirmed
-{
-    Instant completeAsOf;
-};
-
 /** Announces a target version of weights to agents. */
 struct AnnounceTargetVersion
 {
@@ -51,6 +45,16 @@
     Instant announcedAt;
 };
 
+/**
+ * The entry's view of the operator's topic is complete as of a later time. It comes with the target
+ * versions in the view, since the messages that announced them may have been lost.
+ */
+struct OperatorViewConfirmed
+{
+    Instant completeAsOf;
+    std::vector<AnnounceTargetVersion> targetVersions;
+};
+
 /** Relays a delta of the list of backend servers to the other entries of the zone. */
 struct RelayListDelta
 {
@@ -114,6 +118,7 @@
     void apply(const OperatorPositionUpdated &command);
     void apply(const OperatorViewConfirmed &command);
     void apply(const AnnounceTargetVersion &command);
+    bool recordTargetVersion(const AnnounceTargetVersion &announced);
     void apply(const RelayListDelta &command);
     void apply(const DemandMeasured &command) { m_demands = command.demands; }
     void apply(const SendToEntry &command);
--- a/tests/failure/tst_loadreports.cpp
+++ b/tests/failure/tst_loadreports.cpp
@@ -406,9 +406,10 @@
     const auto listener = startListener(hooks);
     listener->mailbox()->post(AgentsUpdated {startAgents(1)});
     while (listener->mailbox()->post(DemandMeasured {})) { }
-    listener->mailbox()->post(AnnounceTargetVersion {{model, 2}, monotonicNow()});
+    const AnnounceTargetVersion announced {{model, 2}, monotonicNow()};
+    listener->mailbox()->post(announced);
     runFor(milliseconds(100));
-    listener->mailbox()->post(OperatorViewConfirmed {monotonicNow()});
+    listener->mailbox()->post(OperatorViewConfirmed {monotonicNow(), {announced}});
     const LoadSubscription &told = m_agents.front().subscription;
     REQUIRE(waitUntil([&] { return told.operatorViewAge.has_value(); }));
     REQUIRE(told.targetVersions.size() == 1);
