--- a/tests/failure/scriptedfleet.h
+++ b/tests/failure/scriptedfleet.h
@@ -97,14 +97,7 @@
     /** Runs the tasks until a condition holds. @returns false if it does not hold in time */
     bool waitUntil(const std::function<bool()> &condition)
     {
-        const Instant end = monotonicNow() + std::chrono::seconds(10);
-        while (!condition()) {
-            if (monotonicNow() > end) {
-                return false;
-            }
-            m_context.run_for(std::chrono::milliseconds(10));
-        }
-        return true;
+        return runUntil(m_context, condition, std::chrono::seconds(10));
     }
 
     /** Lets time pass for what nothing can be waited for. */
--- a/tests/failure/testcaller.cpp
+++ b/tests/failure/testcaller.cpp
@@ -66,6 +66,7 @@
         if (monotonicNow() > end) {
             return false;
         }
+        context.restart();
         context.run_for(pollInterval);
     }
     return true;
--- a/tests/failure/tst_edge.cpp
+++ b/tests/failure/tst_edge.cpp
@@ -217,14 +217,7 @@
     /** Runs the tasks until a condition holds. @returns false if it does not hold in time */
     bool waitUntil(const std::function<bool()> &condition)
     {
-        const Instant end = monotonicNow() + conditionTimeout;
-        while (!condition()) {
-            if (monotonicNow() > end) {
-                return false;
-            }
-            m_context.run_for(std::chrono::milliseconds(10));
-        }
-        return true;
+        return runUntil(m_context, condition, conditionTimeout);
     }
 
     void beginShutDown()
--- a/tests/failure/tst_endlessbytes.cpp
+++ b/tests/failure/tst_endlessbytes.cpp
@@ -12,6 +12,7 @@
 #include "platform/keyedstore.h"
 #include "scriptedfleet.h"
 #include "sidecar/replicaprobe.h"
+#include "testcaller.h"
 
 #include <algorithm>
 #include <array>
@@ -76,14 +77,7 @@
     /** Runs the tasks until a condition holds. @returns false if it does not hold in time */
     bool waitUntil(const std::function<bool()> &condition)
     {
-        const Instant end = monotonicNow() + conditionTimeout;
-        while (!condition()) {
-            if (monotonicNow() > end) {
-                return false;
-            }
-            m_context.run_for(std::chrono::milliseconds(10));
-        }
-        return true;
+        return runUntil(m_context, condition, conditionTimeout);
     }
 
     /** Awaits a result. It is empty if there is none in time, or before the task is given up. */
--- a/tests/failure/tst_feeds.cpp
+++ b/tests/failure/tst_feeds.cpp
@@ -8,6 +8,7 @@
 #include "net/endpoint.h"
 #include "net/httpserver.h"
 #include "platform/keyedstore.h"
+#include "testcaller.h"
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
@@ -144,11 +145,7 @@
     /** Runs the tasks until a condition holds. @returns false if it does not hold in time */
     bool waitUntil(const std::function<bool()> &condition)
     {
-        const Instant end = monotonicNow() + std::chrono::seconds(10);
-        while (!condition() && monotonicNow() < end) {
-            runFor(milliseconds(5));
-        }
-        return condition();
+        return runUntil(m_context, condition, std::chrono::seconds(10));
     }
 
     asio::io_context m_context;
--- a/tests/failure/tst_loadreports.cpp
+++ b/tests/failure/tst_loadreports.cpp
@@ -6,6 +6,7 @@
 #include "edge/loadlistener.h"
 #include "net/clock.h"
 #include "sidecar/loadreporter.h"
+#include "testcaller.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -181,11 +182,7 @@
     /** Runs the tasks until a condition holds. @returns false if it does not hold in time */
     bool waitUntil(const std::function<bool()> &condition)
     {
-        const Instant end = monotonicNow() + std::chrono::seconds(10);
-        while (!condition() && monotonicNow() < end) {
-            runFor(milliseconds(5));
-        }
-        return condition();
+        return runUntil(m_context, condition, std::chrono::seconds(10));
     }
 
     void runFor(Duration time)
--- a/tests/failure/tst_lostanswers.cpp
+++ b/tests/failure/tst_lostanswers.cpp
@@ -190,14 +190,7 @@
     /** Runs the tasks until a condition holds. @returns false if it does not hold in time */
     bool waitUntil(const std::function<bool()> &condition)
     {
-        const Instant end = monotonicNow() + conditionTimeout;
-        while (!condition()) {
-            if (monotonicNow() > end) {
-                return false;
-            }
-            runFor(milliseconds(10));
-        }
-        return true;
+        return runUntil(m_context, condition, conditionTimeout);
     }
 
     void runFor(Duration time) { m_context.run_for(time); }
--- a/tests/failure/tst_poison.cpp
+++ b/tests/failure/tst_poison.cpp
@@ -93,14 +93,7 @@
 
     bool waitUntil(const std::function<bool()> &condition)
     {
-        const Instant end = monotonicNow() + conditionTimeout;
-        while (!condition()) {
-            if (monotonicNow() > end) {
-                return false;
-            }
-            m_context.run_for(std::chrono::milliseconds(10));
-        }
-        return true;
+        return runUntil(m_context, condition, conditionTimeout);
     }
 
     /** Sends a request whose prompt has a shared beginning, the given part, and one of its own. */
--- a/tests/failure/tst_stop.cpp
+++ b/tests/failure/tst_stop.cpp
@@ -7,6 +7,7 @@
 #include "net/clock.h"
 #include "platform/callheaders.h"
 #include "scriptedfleet.h"
+#include "testcaller.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -104,11 +105,7 @@
     /** Runs the server's tasks until a condition holds. @returns false if it does not in time */
     bool waitUntil(const std::function<bool()> &condition)
     {
-        const Instant end = monotonicNow() + std::chrono::seconds(10);
-        while (!condition() && monotonicNow() < end) {
-            runFor(milliseconds(5));
-        }
-        return condition();
+        return runUntil(m_context, condition, std::chrono::seconds(10));
     }
 
     /** Waits for the n-th request that asks for its route, and lets it be answered with 404. */
--- a/tests/failure/tst_viewdates.cpp
+++ b/tests/failure/tst_viewdates.cpp
@@ -9,6 +9,7 @@
 #include "net/clock.h"
 #include "net/httpserver.h"
 #include "platform/keyedstore.h"
+#include "testcaller.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/json.hpp>
@@ -63,11 +64,7 @@
 
     bool waitUntil(const std::function<bool()> &condition)
     {
-        const Instant end = monotonicNow() + conditionTimeout;
-        while (!condition() && monotonicNow() < end) {
-            runFor(milliseconds(5));
-        }
-        return condition();
+        return runUntil(m_context, condition, conditionTimeout);
     }
 
     asio::io_context m_context;
