--- a/review/scene-2/scene2.cpp
+++ b/review/scene-2/scene2.cpp
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <random>
 #include <sstream>
 #include <thread>
 
@@ -23,6 +24,10 @@
 constexpr int callTimeoutS = 4;
 constexpr int readyAttempts = 200;
 constexpr int readyPauseMs = 50;
+/** Below the range from which the kernel takes ports for connections. */
+constexpr int firstFreePort = 12000;
+constexpr int lastFreePort = 31000;
+constexpr int portAttempts = 1000;
 constexpr std::size_t readBytes = 64 * 1024;
 
 sockaddr_in loopback(std::uint16_t port)
@@ -42,6 +47,16 @@
     return ntohs(address.sin_port);
 }
 
+/** @returns whether a port of loopback is free */
+bool canBind(int type, std::uint16_t port)
+{
+    const int descriptor = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    sockaddr_in address = loopback(port);
+    const int result = ::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    ::close(descriptor);
+    return result == 0;
+}
+
 std::string bigEndian(std::uint64_t value, int bytes)
 {
     std::string text;
@@ -360,14 +375,22 @@
     ::kill(m_id, number);
 }
 
-std::uint16_t freePort()
+std::uint16_t freePorts(std::uint16_t count)
 {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = loopback(0);
-    ::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address));
-    const std::uint16_t port = portOf(descriptor);
-    ::close(descriptor);
-    return port;
+    static std::mt19937 random(std::random_device {}());
+    std::uniform_int_distribution<int> ports(firstFreePort, lastFreePort);
+    for (int attempt = 0; attempt < portAttempts; ++attempt) {
+        const auto first = static_cast<std::uint16_t>(ports(random));
+        bool isFree = true;
+        for (std::uint16_t n = 0; n < count && isFree; ++n) {
+            const auto port = static_cast<std::uint16_t>(first + n);
+            isFree = canBind(SOCK_STREAM, port) && canBind(SOCK_DGRAM, port);
+        }
+        if (isFree) {
+            return first;
+        }
+    }
+    return 0;
 }
 
 std::int64_t elapsedMs()
--- a/review/scene-2/scene2.h
+++ b/review/scene-2/scene2.h
@@ -124,8 +124,8 @@
     pid_t m_id = -1;
 };
 
-/** @returns a port that is free on loopback */
-std::uint16_t freePort();
+/** @returns the first of a number of consecutive ports that are free on loopback */
+std::uint16_t freePorts(std::uint16_t count);
 /** @returns milliseconds since the first call */
 std::int64_t elapsedMs();
 void sleepMs(int ms);
